Set up the workspace, the design page and the interfaces between packages

Cause: the repository was empty. The workspace needs its tool chain, the design for 350 nodes and 9 nodes, and the interfaces that let packages be written side by side. Change: packages with build, lint, format and test commands; docs/design.md, docs/protocols.md and docs/glossary.md; the common package.

--- /dev/null
+++ b/packages/admission/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Account limits over all nodes, the fair queue, load shedding and the retry budget.
+ */
+export {};
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * The operators' command line.
+ */
+export {};
--- /dev/null
+++ b/packages/common/src/index.ts
@@ -0,0 +1,14 @@
+/**
+ * Values that every package shares: branded ids, clocks, typed errors, hashing, bounded maps,
+ * seeded random numbers, logging and metrics. It holds no rule of the system and does no I/O
+ * besides writing logs and metrics.
+ */
+export * from './boundedMap.js';
+export * from './clock.js';
+export * from './constants.js';
+export * from './errors.js';
+export * from './hashing.js';
+export * from './ids.js';
+export * from './logger.js';
+export * from './metrics.js';
+export * from './random.js';
--- /dev/null
+++ b/packages/configuration/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Schemas, collection, revisions and merging of the published configuration.
+ */
+export {};
--- /dev/null
+++ b/packages/containment/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Attribution and quarantine of requests that crash endpoints.
+ */
+export {};
--- /dev/null
+++ b/packages/engine-client/src/engineClient.ts
@@ -0,0 +1,52 @@
+import type { ResultAsync } from 'neverthrow';
+import type {
+  CacheEventPage,
+  EngineAddress,
+  EngineError,
+  EngineOrder,
+  EngineStatus,
+  ExportResult,
+  GenerateChunk,
+  GenerateRequest,
+} from './types.js';
+
+/** One connection to a stream of a runner. */
+export interface EngineStream {
+  /**
+   * Chunks in order. The iteration ends after `done` or `error`; it throws nothing: a failure of
+   * the connection is the last value, as `{ type: 'failed', error }`.
+   */
+  readonly chunks: AsyncIterable<GenerateChunk | { readonly type: 'failed'; error: EngineError }>;
+  /** Closes this connection; the stream itself goes on in the runner. */
+  readonly close: () => void;
+}
+
+/** Calls of runners. Every method has a time limit and returns typed errors. */
+export interface EngineClient {
+  /** Sends a prompt. The result is ok once the runner has accepted it. */
+  readonly generate: (
+    address: EngineAddress,
+    request: GenerateRequest,
+  ) => ResultAsync<EngineStream, EngineError>;
+  /** Continues a stream after a sequence number, on a new connection. */
+  readonly resume: (
+    address: EngineAddress,
+    streamId: string,
+    afterSeq: number,
+  ) => ResultAsync<EngineStream, EngineError>;
+  readonly cancel: (address: EngineAddress, streamId: string) => ResultAsync<void, EngineError>;
+  readonly readStatus: (address: EngineAddress) => ResultAsync<EngineStatus, EngineError>;
+  readonly readCacheEvents: (
+    address: EngineAddress,
+    after: { readonly boot: string; readonly seq: number },
+  ) => ResultAsync<CacheEventPage, EngineError>;
+  readonly exportSegment: (
+    address: EngineAddress,
+    segment: { readonly tailKey: string; readonly depth: number; readonly target: string },
+  ) => ResultAsync<ExportResult, EngineError>;
+  readonly sendOrder: (
+    address: EngineAddress,
+    order: EngineOrder,
+  ) => ResultAsync<void, EngineError>;
+  readonly close: () => Promise<void>;
+}
--- /dev/null
+++ b/packages/leases/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Leases with fencing numbers on top of conditional table writes.
+ */
+export {};
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Failure detection between nodes, endpoint health and dissemination of load.
+ */
+export {};
--- /dev/null
+++ b/packages/peering/src/index.ts
@@ -0,0 +1,5 @@
+/**
+ * Authenticated connections between nodes and the messages on them. It owns connections, buffers
+ * and time limits; it never interprets a payload beyond its schema.
+ */
+export * from './types.js';
--- /dev/null
+++ b/packages/reuse/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Cache block identity, the prompt index shard, and placement over cache tiers.
+ */
+export {};
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Chooses a runner for each request and keeps load estimates and link budgets.
+ */
+export {};
--- /dev/null
+++ b/packages/runs/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * The at-most-once run log: shard state, segments and recovery.
+ */
+export {};
--- /dev/null
+++ b/packages/service-client/src/index.ts
@@ -0,0 +1,5 @@
+/**
+ * Client of plain services. It sends each call once and returns whole answers only; it never
+ * retries.
+ */
+export * from './types.js';
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Loads process settings written in JSON with comments and checks them against a schema.
+ */
+export {};
--- /dev/null
+++ b/packages/steward/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * The steward process: model placement, weight swaps and role orders under a lease.
+ */
+export {};
