Add reuse and routing decisions and the prompt index of a node

Cause: a returning prompt can be served from a cache only if a node that has not seen it before learns where it is cached. Ruled out: full replication of the index (10,000 updates a second at every node) and sharding by account (hot spots of large accounts). Conclusion: decisions are ready to be put into the entry process.

--- /dev/null
+++ b/packages/entry/src/prefixWatch.ts
@@ -0,0 +1,225 @@
+import {
+  getErrorMessage,
+  type Clock,
+  type EndpointId,
+  type Logger,
+  type NodeId,
+  type Region,
+  MS_PER_SECOND,
+  TOKENS_PER_BLOCK,
+} from '@lovagearch/common';
+import type { CacheEvent, EngineAddress, EngineClient } from '@lovagearch/engine-client';
+import type { PeerMesh } from '@lovagearch/peering';
+import { PrefixCatalog, ReturnHistory, type CatalogPrefix } from '@lovagearch/reuse';
+import { INDEX_TOPICS, placedSchema, type Placed, type Stored } from './promptIndexMessages.js';
+import type { PromptIndexNode } from './promptIndexNode.js';
+import type { EndpointDirectory, EndpointView, NodePart, StoreView } from './types.js';
+
+/** Interval between looks for prefixes to export. */
+const EXPORT_INTERVAL_MS = 200;
+/** Share of the store link that exports may use; imports for waiting first tokens use the rest. */
+const EXPORT_LINK_SHARE = 0.5;
+/** Exports of one runner at the same time. */
+const MAX_EXPORTS_PER_RUNNER = 1;
+/** Time over which unused export budget accumulates. */
+const BUDGET_BURST_SECONDS = 2;
+
+export interface PrefixWatchOptions {
+  readonly mesh: PeerMesh;
+  readonly engine: EngineClient;
+  readonly index: PromptIndexNode;
+  readonly directory: EndpointDirectory;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly getAddress: (endpoint: EndpointView) => EngineAddress;
+  readonly getWatchers: (endpoint: EndpointId) => readonly NodeId[];
+  readonly listRegionMembers: (region: Region) => readonly NodeId[];
+  /** Bandwidth and size of KV cache of a service, or undefined when it is not configured. */
+  readonly getStoreSpeeds: (
+    service: string,
+  ) => { readonly storeBytesPerSecond: number; readonly kvBytesPerToken: number } | undefined;
+}
+
+interface WatchedRunner {
+  readonly catalog: PrefixCatalog;
+  boot: string;
+  /** Tail keys of the exports under way. */
+  readonly exporting: Set<string>;
+}
+
+/** Chooses the store VM of a region for a segment: the same for all nodes, spread over the VMs. */
+const chooseStore = (stores: readonly StoreView[], tailKey: string): StoreView | undefined => {
+  const live = stores.filter(({ isLive }) => isLive);
+  if (live.length === 0) return undefined;
+  return live[parseInt(tailKey.slice(0, 8), 16) % live.length];
+};
+
+/**
+ * What this node does for the runners that it watches first: it keeps a catalog of their cached
+ * prefixes, exports prefixes to store VMs before they are evicted, and removes evicted ones from the
+ * prompt index.
+ */
+export class PrefixWatch implements NodePart {
+  private readonly runners = new Map<EndpointId, WatchedRunner>();
+
+  private readonly history = ReturnHistory.create();
+
+  private readonly timer: NodeJS.Timeout;
+
+  private budgetBytes = 0;
+
+  private budgetAtMs: number;
+
+  private constructor(private readonly options: PrefixWatchOptions) {
+    this.budgetAtMs = options.clock.nowMs();
+    options.mesh.registerHandler(INDEX_TOPICS.placed, placedSchema, (_from, placed) => {
+      this.recordPlaced(placed);
+    });
+    this.timer = setInterval(() => this.startExports(), EXPORT_INTERVAL_MS);
+    this.timer.unref();
+  }
+
+  static create(options: PrefixWatchOptions): PrefixWatch {
+    return new PrefixWatch(options);
+  }
+
+  readonly stop = async (): Promise<void> => {
+    clearInterval(this.timer);
+  };
+
+  /** Records that a request left a prefix on a runner. */
+  recordPlaced(placed: Placed): void {
+    const runner = this.getRunner(placed.runner as EndpointId);
+    runner?.catalog.add(placed, this.options.clock.nowMs());
+  }
+
+  /** Applies the cache events of a runner; a new boot means that its cache is empty. */
+  applyCacheEvents(id: EndpointId, boot: string, events: readonly CacheEvent[]): void {
+    const runner = this.getRunner(id);
+    if (runner === undefined) return;
+    const region = this.options.directory.getEndpoint(id)?.region;
+    if (region === undefined) return;
+    if (runner.boot !== '' && runner.boot !== boot) {
+      runner.catalog.removeAll();
+      this.options.index.removeHolder(region, id);
+    }
+    runner.boot = boot;
+    for (const event of events) {
+      if (event.type !== 'evicted') continue;
+      for (const prefix of runner.catalog.removeEvicted(event.keys)) {
+        this.options.index.remove(prefix.anchor, region, id, prefix.tailKey);
+      }
+    }
+  }
+
+  private getRunner(id: EndpointId): WatchedRunner | undefined {
+    const known = this.runners.get(id);
+    if (known !== undefined) return known;
+    if (this.options.directory.getEndpoint(id) === undefined) return undefined;
+    const created = {
+      catalog: PrefixCatalog.create(this.history),
+      boot: '',
+      exporting: new Set<string>(),
+    };
+    this.runners.set(id, created);
+    return created;
+  }
+
+  private startExports(): void {
+    for (const [id, runner] of this.runners) {
+      const endpoint = this.options.directory.getEndpoint(id);
+      if (endpoint === undefined) {
+        this.runners.delete(id);
+        continue;
+      }
+      const isFirstWatcher = this.options.getWatchers(id)[0] === this.options.mesh.self;
+      if (!isFirstWatcher || endpoint.state === 'dead') continue;
+      if (runner.exporting.size >= MAX_EXPORTS_PER_RUNNER) continue;
+      const prefix = runner.catalog.chooseExport(endpoint.load.cacheUse);
+      if (prefix !== undefined) this.startExport(endpoint, runner, prefix);
+    }
+  }
+
+  private startExport(endpoint: EndpointView, runner: WatchedRunner, prefix: CatalogPrefix): void {
+    const speeds = this.options.getStoreSpeeds(endpoint.service);
+    const stores = this.options.directory.listStores(endpoint.region);
+    const store = chooseStore(stores, prefix.tailKey);
+    if (speeds === undefined || store === undefined) return;
+    const bytes = prefix.depth * TOKENS_PER_BLOCK * speeds.kvBytesPerToken;
+    if (!this.tryTakeBudget(endpoint.region, bytes, speeds.storeBytesPerSecond)) return;
+    runner.exporting.add(prefix.tailKey);
+    runner.catalog.updateExport(prefix.tailKey, 'exporting');
+    this.exportPrefix(endpoint, runner, prefix, store)
+      .catch((error: unknown) => {
+        runner.catalog.updateExport(prefix.tailKey, 'none');
+        this.options.log.error(`Export of a prefix failed: ${getErrorMessage(error)}.`);
+      })
+      .finally(() => {
+        runner.exporting.delete(prefix.tailKey);
+      });
+  }
+
+  private async exportPrefix(
+    endpoint: EndpointView,
+    runner: WatchedRunner,
+    prefix: CatalogPrefix,
+    store: StoreView,
+  ): Promise<void> {
+    const { tailKey, depth } = prefix;
+    const result = await this.options.engine.exportSegment(this.options.getAddress(endpoint), {
+      tailKey,
+      depth,
+      target: store.url,
+    });
+    if (result.isErr()) {
+      runner.catalog.updateExport(tailKey, 'none');
+      const isEvicted = result.error.type === 'refused' && result.error.status === 404;
+      if (!isEvicted) {
+        this.options.log.warn(
+          `Export from ${endpoint.id} to ${store.id} failed: ${result.error.type}.`,
+        );
+        return;
+      }
+      runner.catalog.removeEvicted([tailKey]);
+      this.options.index.remove(prefix.anchor, endpoint.region, endpoint.id, tailKey);
+      return;
+    }
+    const { segmentId, sha256, bytes } = result.value;
+    runner.catalog.updateExport(tailKey, 'stored');
+    this.options.index.report(prefix.anchor, {
+      kind: 'store',
+      holder: store.id,
+      region: store.region,
+      depth,
+      tailKey: segmentId,
+      sha256,
+      boot: '',
+    });
+    const stored: Stored = {
+      store: store.id,
+      segmentId,
+      anchor: prefix.anchor,
+      bytes,
+      depth,
+      returnChance: this.history.getReturnChance(prefix.account, prefix.uses),
+    };
+    for (const watcher of this.options.getWatchers(store.id)) {
+      this.options.mesh.send(watcher, INDEX_TOPICS.stored, stored);
+    }
+  }
+
+  /** Takes bytes from this node's share of the store link, which it shares with its region's nodes. */
+  private tryTakeBudget(region: Region, bytes: number, bytesPerSecond: number): boolean {
+    const nowMs = this.options.clock.nowMs();
+    const nodes = Math.max(1, this.options.listRegionMembers(region).length);
+    const share = (bytesPerSecond * EXPORT_LINK_SHARE) / nodes;
+    const earned = ((nowMs - this.budgetAtMs) * share) / MS_PER_SECOND;
+    this.budgetBytes = Math.min(share * BUDGET_BURST_SECONDS, this.budgetBytes + earned);
+    this.budgetAtMs = nowMs;
+    // A prefix larger than the burst may go when the budget is full and is paid back afterwards.
+    const isFull = this.budgetBytes >= share * BUDGET_BURST_SECONDS;
+    if (this.budgetBytes < bytes && !isFull) return false;
+    this.budgetBytes -= bytes;
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/promptIndexMessages.ts
@@ -0,0 +1,55 @@
+import { locationSchema } from '@lovagearch/reuse';
+import { z } from 'zod';
+
+/** Anchors of one look-up; the three deepest of a prompt. */
+const MAX_LOOKUP_ANCHORS = 4;
+/** Entries of one hand-over message, which keeps a frame well below 1 MiB. */
+export const MAX_HANDOVER_ENTRIES = 256;
+const keySchema = z.string().max(64);
+
+export const INDEX_TOPICS = {
+  lookup: 'index.lookup',
+  report: 'index.report',
+  remove: 'index.remove',
+  removeHolder: 'index.remove_holder',
+  handover: 'index.handover',
+  placed: 'index.placed',
+  stored: 'index.stored',
+  imported: 'index.imported',
+} as const;
+
+export const lookupSchema = z.object({ anchors: z.array(keySchema).max(MAX_LOOKUP_ANCHORS) });
+export const lookupReplySchema = z.object({ locations: z.array(locationSchema).max(64) });
+export const reportSchema = z.object({ anchor: keySchema, location: locationSchema });
+export const removeSchema = z.object({
+  anchor: keySchema,
+  holder: z.string().max(128),
+  tailKey: keySchema,
+});
+export const removeHolderSchema = z.object({ holder: z.string().max(128) });
+export const handoverSchema = z.object({
+  entries: z
+    .array(z.object({ anchor: keySchema, locations: z.array(locationSchema).max(8) }))
+    .max(MAX_HANDOVER_ENTRIES),
+});
+/** Sent to the watchers of a runner when a request left its prefix there. */
+export const placedSchema = z.object({
+  runner: z.string().max(128),
+  account: z.string().max(128),
+  anchor: keySchema,
+  tailKey: keySchema,
+  depth: z.number().int().positive(),
+  extendedTailKey: keySchema.optional(),
+});
+export type Placed = z.infer<typeof placedSchema>;
+/** Sent to the watchers of a store VM when a segment was written there. */
+export const storedSchema = z.object({
+  store: z.string().max(128),
+  segmentId: keySchema,
+  anchor: keySchema,
+  bytes: z.number().int().nonnegative(),
+  depth: z.number().int().positive(),
+  returnChance: z.number().min(0).max(1),
+});
+export type Stored = z.infer<typeof storedSchema>;
+export const importedSchema = z.object({ store: z.string().max(128), segmentId: keySchema });
--- /dev/null
+++ b/packages/entry/src/promptIndexNode.ts
@@ -0,0 +1,297 @@
+import {
+  BoundedMap,
+  getRendezvousOwners,
+  TOKENS_PER_BLOCK,
+  type AccountId,
+  type EndpointId,
+  type NodeId,
+  type Region,
+} from '@lovagearch/common';
+import type { PeerMesh } from '@lovagearch/peering';
+import {
+  getIndexAnchor,
+  IndexShard,
+  listDeepestAnchors,
+  selectMatchingLocations,
+  type Location,
+} from '@lovagearch/reuse';
+import {
+  handoverSchema,
+  INDEX_TOPICS,
+  lookupReplySchema,
+  lookupSchema,
+  MAX_HANDOVER_ENTRIES,
+  removeHolderSchema,
+  removeSchema,
+  reportSchema,
+} from './promptIndexMessages.js';
+import type { NodePart, PromptIndex, PromptLocation } from './types.js';
+
+/** Longest wait for hints of the own region, in milliseconds. */
+const LOOKUP_TIMEOUT_MS = 15;
+/** Longest wait for hints of another region: its round trip is 16 ms. */
+const REMOTE_LOOKUP_TIMEOUT_MS = 40;
+/** Wait after which the second owner is asked as well. */
+const HEDGE_AFTER_MS = 6;
+/** Prompts from this many tokens on are looked up in other regions too. */
+const MIN_REMOTE_LOOKUP_TOKENS = 2_048;
+/** Owners of each anchor. */
+const OWNER_COUNT = 2;
+/** Own reports that are kept to answer a return through the same node without a look-up. */
+const MAX_RECENT_ANCHORS = 2_048;
+const HANDOVER_TIMEOUT_MS = 2_000;
+
+export interface PromptIndexOptions {
+  readonly mesh: PeerMesh;
+  readonly region: Region;
+  readonly listRegions: () => readonly Region[];
+  /** Live members of a region, this node included where it belongs. */
+  readonly listMembers: (region: Region) => readonly NodeId[];
+  /** The nodes that watch an endpoint. */
+  readonly getWatchers: (endpoint: EndpointId) => readonly NodeId[];
+}
+
+const toPromptLocation = (location: Location): PromptLocation => ({
+  ...location,
+  holder: location.holder as EndpointId,
+  region: location.region as Region,
+});
+
+/** Settles with the first list that is not empty, or with an empty one when all have settled. */
+const getFirstFilled = async (
+  attempts: readonly Promise<readonly Location[]>[],
+): Promise<readonly Location[]> => {
+  const filled = attempts.map(async (attempt) => {
+    const locations = await attempt;
+    if (locations.length === 0) throw new RangeError('no locations');
+    return locations;
+  });
+  try {
+    return await Promise.any(filled);
+  } catch {
+    return [];
+  }
+};
+
+/**
+ * The prompt index as this node sees it: its own shard, and look-ups and reports to the owners of
+ * other anchors. Answers are hints; nothing waits longer than the look-up's time limit.
+ */
+export class PromptIndexNode implements PromptIndex, NodePart {
+  private readonly shard = IndexShard.create();
+
+  private readonly recent = BoundedMap.create<string, readonly Location[]>(MAX_RECENT_ANCHORS);
+
+  private constructor(private readonly options: PromptIndexOptions) {}
+
+  static create(options: PromptIndexOptions): PromptIndexNode {
+    const node = new PromptIndexNode(options);
+    node.registerHandlers();
+    return node;
+  }
+
+  /** Number of anchors in this node's shard. */
+  get shardSize(): number {
+    return this.shard.size;
+  }
+
+  readonly lookup = async (chain: readonly string[]): Promise<readonly PromptLocation[]> => {
+    const anchors = listDeepestAnchors(chain).map(({ key }) => key);
+    if (anchors.length === 0) return [];
+    const { region, listRegions } = this.options;
+    const local = await this.lookupRegion(region, anchors, LOOKUP_TIMEOUT_MS);
+    const known = selectMatchingLocations(chain, [...this.getRecent(anchors), ...local]);
+    const isShort = chain.length * TOKENS_PER_BLOCK < MIN_REMOTE_LOOKUP_TOKENS;
+    if (isShort || (known[0]?.depth ?? 0) * 2 >= chain.length) return known.map(toPromptLocation);
+    const others = listRegions().filter((other) => other !== region);
+    const remote = await Promise.all(
+      others.map((other) => this.lookupRegion(other, anchors, REMOTE_LOOKUP_TIMEOUT_MS)),
+    );
+    return selectMatchingLocations(chain, [...known, ...remote.flat()]).map(toPromptLocation);
+  };
+
+  readonly reportPlacement = (
+    chain: readonly string[],
+    location: PromptLocation,
+    account: AccountId,
+    reusedDepth: number,
+  ): void => {
+    const anchor = getIndexAnchor(chain.slice(0, location.depth));
+    if (anchor === undefined) return;
+    this.report(anchor.key, location);
+    if (location.kind === 'store') return;
+    const extendedTailKey = reusedDepth > 0 ? chain[reusedDepth - 1] : undefined;
+    const placed = {
+      runner: location.holder,
+      account,
+      anchor: anchor.key,
+      tailKey: location.tailKey,
+      depth: location.depth,
+      ...(extendedTailKey === undefined ? {} : { extendedTailKey }),
+    };
+    for (const watcher of this.options.getWatchers(location.holder)) {
+      this.options.mesh.send(watcher, INDEX_TOPICS.placed, placed);
+    }
+  };
+
+  readonly removeLocation = (chain: readonly string[], location: PromptLocation): void => {
+    const anchor = getIndexAnchor(chain.slice(0, location.depth));
+    if (anchor !== undefined) {
+      this.remove(anchor.key, location.region, location.holder, location.tailKey);
+    }
+  };
+
+  /** Sends a location to the owners of its anchor in the location's region. */
+  report(anchor: string, location: Location): void {
+    const known = this.recent.peek(anchor) ?? [];
+    const others = known.filter(({ holder }) => holder !== location.holder);
+    this.recent.set(anchor, [location, ...others].slice(0, OWNER_COUNT));
+    for (const owner of this.getOwners(anchor, location.region as Region)) {
+      if (owner === this.options.mesh.self) this.shard.add(anchor, location);
+      else this.options.mesh.send(owner, INDEX_TOPICS.report, { anchor, location });
+    }
+  }
+
+  /** Removes a location from the owners of its anchor. */
+  remove(anchor: string, region: Region, holder: string, tailKey: string): void {
+    this.removeRecent(anchor, holder);
+    for (const owner of this.getOwners(anchor, region)) {
+      if (owner === this.options.mesh.self) this.shard.remove(anchor, holder, tailKey);
+      else this.options.mesh.send(owner, INDEX_TOPICS.remove, { anchor, holder, tailKey });
+    }
+  }
+
+  /** Removes all locations of a holder from every shard of its region. */
+  removeHolder(region: Region, holder: string): void {
+    for (const member of this.options.listMembers(region)) {
+      if (member === this.options.mesh.self) this.shard.removeHolder(holder);
+      else this.options.mesh.send(member, INDEX_TOPICS.removeHolder, { holder });
+    }
+  }
+
+  /** Hands the entries of this shard to their next owners, before this node leaves. */
+  readonly stop = async (): Promise<void> => {
+    const { mesh, region, listMembers } = this.options;
+    const others = listMembers(region).filter((member) => member !== mesh.self);
+    const byOwner = new Map<NodeId, ReturnType<IndexShard['list']>>();
+    for (const entry of this.shard.list()) {
+      for (const owner of getRendezvousOwners(entry.anchor, others, OWNER_COUNT)) {
+        byOwner.set(owner, [...(byOwner.get(owner) ?? []), entry]);
+      }
+    }
+    for (const [owner, entries] of byOwner) {
+      for (let start = 0; start < entries.length; start += MAX_HANDOVER_ENTRIES) {
+        const page = entries.slice(start, start + MAX_HANDOVER_ENTRIES);
+        await mesh.request(owner, INDEX_TOPICS.handover, { entries: page }, HANDOVER_TIMEOUT_MS);
+      }
+    }
+  };
+
+  private registerHandlers(): void {
+    const { mesh } = this.options;
+    mesh.registerHandler(INDEX_TOPICS.lookup, lookupSchema, (_from, { anchors }) => ({
+      locations: this.readShard(anchors),
+    }));
+    mesh.registerHandler(INDEX_TOPICS.report, reportSchema, (_from, { anchor, location }) => {
+      this.shard.add(anchor, location);
+    });
+    mesh.registerHandler(INDEX_TOPICS.remove, removeSchema, (_from, removal) => {
+      this.shard.remove(removal.anchor, removal.holder, removal.tailKey);
+      this.removeRecent(removal.anchor, removal.holder);
+    });
+    mesh.registerHandler(INDEX_TOPICS.removeHolder, removeHolderSchema, (_from, { holder }) => {
+      this.shard.removeHolder(holder);
+    });
+    mesh.registerHandler(INDEX_TOPICS.handover, handoverSchema, (_from, { entries }) => {
+      for (const { anchor, locations } of entries) {
+        for (const location of locations) this.shard.add(anchor, location);
+      }
+      return {};
+    });
+  }
+
+  private getOwners(anchor: string, region: Region): NodeId[] {
+    return getRendezvousOwners(anchor, this.options.listMembers(region), OWNER_COUNT);
+  }
+
+  private getRecent(anchors: readonly string[]): Location[] {
+    return anchors.flatMap((anchor) => [...(this.recent.get(anchor) ?? [])]);
+  }
+
+  private removeRecent(anchor: string, holder: string): void {
+    const known = this.recent.peek(anchor);
+    if (known === undefined) return;
+    this.recent.set(
+      anchor,
+      known.filter((location) => location.holder !== holder),
+    );
+  }
+
+  private readShard(anchors: readonly string[]): Location[] {
+    return anchors.flatMap((anchor) => [...this.shard.get(anchor)]);
+  }
+
+  private async lookupRegion(
+    region: Region,
+    anchors: readonly string[],
+    timeoutMs: number,
+  ): Promise<readonly Location[]> {
+    const byFirstOwner = new Map<NodeId, { second: NodeId | undefined; keys: string[] }>();
+    for (const anchor of anchors) {
+      const [first, second] = this.getOwners(anchor, region);
+      if (first === undefined) continue;
+      const group = byFirstOwner.get(first) ?? { second, keys: [] };
+      group.keys.push(anchor);
+      byFirstOwner.set(first, group);
+    }
+    const lookups = [...byFirstOwner].map(([first, { second, keys }]) =>
+      this.lookupOwners(first, second, keys, timeoutMs),
+    );
+    return (await Promise.all(lookups)).flat();
+  }
+
+  /** Asks the first owner, and the second as well when the first is slow or fails. */
+  private async lookupOwners(
+    first: NodeId,
+    second: NodeId | undefined,
+    anchors: readonly string[],
+    timeoutMs: number,
+  ): Promise<readonly Location[]> {
+    const { self } = this.options.mesh;
+    if (first === self || second === self) return this.readShard(anchors);
+    const primary = this.lookupOwner(first, anchors, timeoutMs);
+    if (second === undefined) return primary;
+    let hedge: NodeJS.Timeout | undefined;
+    const secondary = new Promise<readonly Location[]>((resolve) => {
+      const askSecond = (): void => {
+        clearTimeout(hedge);
+        resolve(this.lookupOwner(second, anchors, timeoutMs - HEDGE_AFTER_MS));
+      };
+      hedge = setTimeout(askSecond, HEDGE_AFTER_MS);
+      primary
+        .then((locations) => {
+          if (locations.length === 0) askSecond();
+        })
+        .catch(askSecond);
+    });
+    const locations = await getFirstFilled([primary, secondary]);
+    clearTimeout(hedge);
+    return locations;
+  }
+
+  private async lookupOwner(
+    owner: NodeId,
+    anchors: readonly string[],
+    timeoutMs: number,
+  ): Promise<readonly Location[]> {
+    const reply = await this.options.mesh.request(
+      owner,
+      INDEX_TOPICS.lookup,
+      { anchors },
+      timeoutMs,
+    );
+    if (reply.isErr()) return [];
+    const parsed = lookupReplySchema.safeParse(reply.value);
+    return parsed.success ? parsed.data.locations : [];
+  }
+}
--- a/packages/entry/src/types.ts
+++ b/packages/entry/src/types.ts
@@ -74,8 +74,17 @@
 export interface PromptIndex {
   /** Returns verified locations for a prompt's chain of block keys, deepest first, within 15 ms. */
   readonly lookup: (chain: readonly string[]) => Promise<readonly PromptLocation[]>;
-  /** Reports where a chain is cached now. */
-  readonly reportPlacement: (chain: readonly string[], location: PromptLocation) => void;
+  /**
+   * Reports that a request left its prefix at a location.
+   *
+   * @param reusedDepth blocks that were reused from a cache, to recognise a prompt that returned
+   */
+  readonly reportPlacement: (
+    chain: readonly string[],
+    location: PromptLocation,
+    account: AccountId,
+    reusedDepth: number,
+  ) => void;
   /** Removes a location that proved wrong. */
   readonly removeLocation: (chain: readonly string[], location: PromptLocation) => void;
 }
--- a/packages/reuse/src/index.ts
+++ b/packages/reuse/src/index.ts
@@ -1,4 +1,12 @@
 /**
- * Cache block identity, the prompt index shard, and placement over cache tiers.
+ * Reuse of computed prompts: identity of cache blocks, the prompt index shard, and which prefixes are
+ * exported to and dropped from store VMs. It decides only; it moves no data and opens no sockets.
  */
-export {};
+export * from './anchors.js';
+export * from './blockKeys.js';
+export * from './constants.js';
+export * from './indexShard.js';
+export * from './locations.js';
+export * from './prefixCatalog.js';
+export * from './returnHistory.js';
+export * from './segmentLedger.js';
--- /dev/null
+++ b/packages/reuse/src/prefixCatalog.ts
@@ -0,0 +1,119 @@
+import { BoundedMap } from '@lovagearch/common';
+import { EXPORT_PRESSURE, MAX_PREFIXES_PER_RUNNER, MIN_EXPORT_DEPTH } from './constants.js';
+import { ReturnHistory } from './returnHistory.js';
+
+/** A cached prefix of one runner, as a watcher knows it. */
+export interface CatalogPrefix {
+  readonly account: string;
+  readonly anchor: string;
+  readonly tailKey: string;
+  readonly depth: number;
+  /** Number of requests that used the prefix. */
+  readonly uses: number;
+  /** Clock reading of the last use, in milliseconds. */
+  readonly usedAtMs: number;
+  /** `stored`: a store VM of the region holds it; `exporting`: an export is under way. */
+  readonly exportState: 'exporting' | 'none' | 'stored';
+}
+
+export interface PlacementReport {
+  readonly account: string;
+  readonly anchor: string;
+  readonly tailKey: string;
+  readonly depth: number;
+  /** The tail key of the earlier prefix that this request extended, if any. */
+  readonly extendedTailKey?: string | undefined;
+}
+
+/**
+ * What a watcher knows about the prefixes in one runner's cache: filled by the placements that entry
+ * processes report, reduced by the runner's eviction events. It chooses what to export.
+ *
+ * @example
+ * const catalog = PrefixCatalog.create(history);
+ * catalog.add(report, clock.nowMs());
+ * catalog.chooseExport(load.cacheUse); // the prefix with the highest benefit for its bytes
+ */
+export class PrefixCatalog {
+  private readonly prefixes = BoundedMap.create<string, CatalogPrefix>(MAX_PREFIXES_PER_RUNNER);
+
+  private constructor(private readonly history: ReturnHistory) {}
+
+  static create(history: ReturnHistory): PrefixCatalog {
+    return new PrefixCatalog(history);
+  }
+
+  get size(): number {
+    return this.prefixes.size;
+  }
+
+  get(tailKey: string): CatalogPrefix | undefined {
+    return this.prefixes.peek(tailKey);
+  }
+
+  /** Records that a request left its prefix in the runner's cache. */
+  add(report: PlacementReport, nowMs: number): void {
+    const { extendedTailKey, ...place } = report;
+    const same = this.prefixes.peek(report.tailKey);
+    const extended =
+      extendedTailKey === undefined ? undefined : this.prefixes.peek(extendedTailKey);
+    const earlier = same ?? extended;
+    if (earlier === undefined) this.history.recordPrefix(report.account);
+    else this.history.recordReturn(report.account);
+    this.prefixes.set(report.tailKey, {
+      ...place,
+      uses: (earlier?.uses ?? 0) + 1,
+      usedAtMs: nowMs,
+      exportState: same?.exportState ?? 'none',
+    });
+    // The longer prefix contains the shorter one, so only the longer one is worth an export.
+    if (extended !== undefined && extended.tailKey !== report.tailKey) {
+      this.prefixes.delete(extended.tailKey);
+    }
+  }
+
+  /** Removes the prefixes whose last block was evicted and returns them. */
+  removeEvicted(keys: readonly string[]): CatalogPrefix[] {
+    const removed: CatalogPrefix[] = [];
+    for (const key of keys) {
+      const prefix = this.prefixes.peek(key);
+      if (prefix === undefined) continue;
+      removed.push(prefix);
+      this.prefixes.delete(key);
+    }
+    return removed;
+  }
+
+  /** Removes everything, after a restart of the runner, and returns it. */
+  removeAll(): CatalogPrefix[] {
+    return this.removeEvicted([...this.prefixes.keys()]);
+  }
+
+  /** Records the state of an export. */
+  updateExport(tailKey: string, exportState: CatalogPrefix['exportState']): void {
+    const prefix = this.prefixes.peek(tailKey);
+    if (prefix !== undefined) this.prefixes.set(tailKey, { ...prefix, exportState });
+  }
+
+  /**
+   * Chooses the prefix to export next: the one with the highest expected benefit for its bytes.
+   * Recompute time and bytes both grow with the depth, so the chance of a return decides; among
+   * equals the one closest to eviction goes first.
+   *
+   * @param cacheUse share of the runner's cache in use, from 0 to 1
+   */
+  chooseExport(cacheUse: number): CatalogPrefix | undefined {
+    if (cacheUse < EXPORT_PRESSURE) return undefined;
+    let best: { prefix: CatalogPrefix; chance: number } | undefined;
+    for (const prefix of this.prefixes.values()) {
+      if (prefix.exportState !== 'none' || prefix.depth < MIN_EXPORT_DEPTH) continue;
+      const chance = this.history.getReturnChance(prefix.account, prefix.uses);
+      const isBetter =
+        best === undefined ||
+        chance > best.chance ||
+        (chance === best.chance && prefix.usedAtMs < best.prefix.usedAtMs);
+      if (isBetter) best = { prefix, chance };
+    }
+    return best?.prefix;
+  }
+}
--- /dev/null
+++ b/packages/reuse/src/segmentLedger.ts
@@ -0,0 +1,79 @@
+import { BoundedMap } from '@lovagearch/common';
+import { MAX_SEGMENTS_PER_STORE, STORE_HIGH_WATER, STORE_LOW_WATER } from './constants.js';
+
+/** A segment on a store VM, as the store's watcher knows it. */
+export interface LedgerSegment {
+  readonly segmentId: string;
+  readonly anchor: string;
+  readonly bytes: number;
+  readonly depth: number;
+  /** Chance of a return, from 0 to 1. */
+  readonly returnChance: number;
+  readonly usedAtMs: number;
+}
+
+/**
+ * Chooses which segments a store VM drops when it fills up: those with the lowest expected benefit
+ * for each byte. Benefit decays with the time since the last use.
+ */
+export class SegmentLedger {
+  private readonly segments = BoundedMap.create<string, LedgerSegment>(MAX_SEGMENTS_PER_STORE);
+
+  private constructor(private readonly retentionMs: number) {}
+
+  /** @param retentionMs time after which an unused segment is worth nothing, in milliseconds */
+  static create(retentionMs: number): SegmentLedger {
+    return new SegmentLedger(retentionMs);
+  }
+
+  get size(): number {
+    return this.segments.size;
+  }
+
+  add(segment: LedgerSegment): void {
+    this.segments.set(segment.segmentId, segment);
+  }
+
+  get(segmentId: string): LedgerSegment | undefined {
+    return this.segments.peek(segmentId);
+  }
+
+  remove(segmentId: string): void {
+    this.segments.delete(segmentId);
+  }
+
+  /** Records that a request imported a segment. */
+  recordUse(segmentId: string, nowMs: number): void {
+    const segment = this.segments.peek(segmentId);
+    if (segment === undefined) return;
+    const returnChance = 1 - (1 - segment.returnChance) * 0.5;
+    this.segments.set(segmentId, { ...segment, usedAtMs: nowMs, returnChance });
+  }
+
+  /**
+   * Chooses the segments to drop.
+   *
+   * @param usedBytes bytes in use as reported by the store VM
+   * @param capacityBytes capacity as reported by the store VM
+   */
+  chooseDrops(usedBytes: number, capacityBytes: number, nowMs: number): LedgerSegment[] {
+    if (usedBytes <= capacityBytes * STORE_HIGH_WATER) return [];
+    let excessBytes = usedBytes - capacityBytes * STORE_LOW_WATER;
+    const ranked = [...this.segments.values()]
+      .map((segment) => ({ segment, value: this.computeValue(segment, nowMs) }))
+      .sort((a, b) => a.value - b.value);
+    const drops: LedgerSegment[] = [];
+    for (const { segment } of ranked) {
+      if (excessBytes <= 0) break;
+      drops.push(segment);
+      excessBytes -= segment.bytes;
+    }
+    return drops;
+  }
+
+  /** Recompute time saved is proportional to the bytes, so that bytes cancel out. */
+  private computeValue(segment: LedgerSegment, nowMs: number): number {
+    const idleMs = nowMs - segment.usedAtMs;
+    return segment.returnChance * Math.max(0, 1 - idleMs / this.retentionMs);
+  }
+}
--- /dev/null
+++ b/packages/routing/src/chooseRunner.ts
@@ -0,0 +1,167 @@
+import { assertNever, chooseItem, computeHash32, type Random } from '@lovagearch/common';
+import { selectCandidates } from './candidates.js';
+import { NEAR_TIE_COST, NEAR_TIE_SHARE } from './constants.js';
+import {
+  computeImportMs,
+  computeLinkBytes,
+  computePrefillMs,
+  computeQueueMs,
+  computeRoundTripMs,
+  getRemainingTokens,
+} from './estimates.js';
+import type {
+  CachedPrefix,
+  PolicyWeights,
+  RoutingPolicy,
+  RoutingRequest,
+  RunnerChoice,
+  RunnerState,
+  ServiceSpeeds,
+} from './types.js';
+
+/** Everything that a choice depends on. */
+export interface RoutingInput {
+  readonly request: RoutingRequest;
+  readonly runners: readonly RunnerState[];
+  /** Verified places of prefixes, deepest first. */
+  readonly prefixes: readonly CachedPrefix[];
+  readonly speeds: ServiceSpeeds;
+  readonly policy: RoutingPolicy;
+  /** Whether the budget of the link between regions has room for the request. */
+  readonly isLinkOpen: boolean;
+  readonly random: Random;
+  /** Number of earlier choices of this node, for round robin. */
+  readonly sequence: number;
+  /** Identity of the prompt's beginning, for prefix affinity without tiers. */
+  readonly affinityKey: string;
+}
+
+const DEFAULT_WEIGHTS: PolicyWeights = { ttftWeight: 1, recomputeWeight: 0, linkWeight: 0 };
+
+/** Returns the better of importing from a store VM of the region and using the own cache. */
+const getReuse = (
+  input: RoutingInput,
+  runner: RunnerState,
+): { readonly ownDepth: number; readonly store: CachedPrefix | undefined } => {
+  const own = input.prefixes.find(({ kind, holder }) => kind === 'runner' && holder === runner.id);
+  const store = input.prefixes.find(
+    ({ kind, region }) => kind === 'store' && region === runner.region,
+  );
+  return { ownDepth: own?.depth ?? 0, store };
+};
+
+const createChoice = (
+  input: RoutingInput,
+  runner: RunnerState,
+  prefix: CachedPrefix | undefined,
+  importMs: number,
+  weights: PolicyWeights,
+): RunnerChoice => {
+  const { request, speeds } = input;
+  const recomputedTokens = getRemainingTokens(request, prefix);
+  const linkBytes = computeLinkBytes(request, runner);
+  const ttftMs =
+    computeRoundTripMs(request, runner) +
+    computeQueueMs(runner, speeds) +
+    importMs +
+    computePrefillMs(recomputedTokens, speeds);
+  return {
+    runner: runner.id,
+    importFrom: prefix?.kind === 'store' ? prefix.holder : undefined,
+    reusedDepth: prefix?.depth ?? 0,
+    ttftMs,
+    recomputedTokens,
+    linkBytes,
+    cost:
+      weights.ttftWeight * ttftMs +
+      weights.recomputeWeight * recomputedTokens +
+      weights.linkWeight * linkBytes,
+  };
+};
+
+/** Returns the cheaper of the two ways to serve a request on one runner. */
+const createBestChoice = (
+  input: RoutingInput,
+  runner: RunnerState,
+  weights: PolicyWeights,
+): RunnerChoice => {
+  const { ownDepth, store } = getReuse(input, runner);
+  const own: CachedPrefix | undefined =
+    ownDepth > 0
+      ? { kind: 'runner', holder: runner.id, region: runner.region, depth: ownDepth }
+      : undefined;
+  const withOwn = createChoice(input, runner, own, 0, weights);
+  if (store === undefined || store.depth <= ownDepth) return withOwn;
+  const importMs = computeImportMs(store.depth - ownDepth, input.speeds);
+  const withStore = createChoice(input, runner, store, importMs, weights);
+  return withStore.cost < withOwn.cost ? withStore : withOwn;
+};
+
+/** Moves one of the near ties to the front at random. */
+const applyTieBreak = (ranked: readonly RunnerChoice[], random: Random): RunnerChoice[] => {
+  const [best] = ranked;
+  if (best === undefined) return [];
+  const limit = Math.max(best.cost * (1 + NEAR_TIE_SHARE), best.cost + NEAR_TIE_COST);
+  // A choice that recomputes more is never a tie, however short the prompt is.
+  const ties = ranked.filter(
+    ({ cost, recomputedTokens, linkBytes }) =>
+      cost <= limit && recomputedTokens <= best.recomputedTokens && linkBytes <= best.linkBytes,
+  );
+  const chosen = chooseItem(ties, random) ?? best;
+  return [chosen, ...ranked.filter((choice) => choice !== chosen)];
+};
+
+const rankByCost = (input: RoutingInput, weights: PolicyWeights): RunnerChoice[] => {
+  const { request, speeds, random, isLinkOpen } = input;
+  const candidates = selectCandidates(input.runners, input.prefixes, request, speeds, random);
+  const ranked = candidates
+    .map((runner) => createBestChoice(input, runner, weights))
+    .sort((a, b) => a.cost - b.cost);
+  if (isLinkOpen) return applyTieBreak(ranked, random);
+  // Beyond the budget the link is used only when the region has no runner at all.
+  const local = ranked.filter(({ linkBytes }) => linkBytes === 0);
+  return applyTieBreak(local.length > 0 ? local : ranked, random);
+};
+
+const rankPlain = (input: RoutingInput, runners: readonly RunnerState[]): RunnerChoice[] =>
+  runners.map((runner) => {
+    const { ownDepth } = getReuse(input, runner);
+    const own: CachedPrefix | undefined =
+      ownDepth > 0
+        ? { kind: 'runner', holder: runner.id, region: runner.region, depth: ownDepth }
+        : undefined;
+    return createChoice(input, runner, own, 0, DEFAULT_WEIGHTS);
+  });
+
+const rotate = <Item>(items: readonly Item[], offset: number): Item[] => {
+  const start = items.length === 0 ? 0 : offset % items.length;
+  return [...items.slice(start), ...items.slice(0, start)];
+};
+
+/**
+ * Ranks the runners for a request, best first; the ones behind it are used for retries.
+ *
+ * @returns choices with estimates in milliseconds, tokens and bytes; empty without runners
+ * @example
+ * const [best] = chooseRunner(input);
+ * if (best === undefined) return refuse('no_endpoint');
+ */
+export const chooseRunner = (input: RoutingInput): RunnerChoice[] => {
+  const { policy, runners, speeds } = input;
+  switch (policy.type) {
+    case 'cost':
+      return rankByCost(input, policy.weights);
+    case 'least_loaded': {
+      const byQueue = [...runners].sort(
+        (a, b) => computeQueueMs(a, speeds) - computeQueueMs(b, speeds),
+      );
+      return rankPlain(input, byQueue);
+    }
+    case 'round_robin':
+      return rankPlain(input, rotate(runners, input.sequence));
+    case 'prefix_affinity':
+      return rankPlain(input, rotate(runners, computeHash32(input.affinityKey)));
+    default:
+      return assertNever(policy);
+  }
+};
--- /dev/null
+++ b/packages/routing/src/estimates.ts
@@ -0,0 +1,46 @@
+import { MS_PER_SECOND, TOKENS_PER_BLOCK } from '@lovagearch/common';
+import {
+  ACTIVE_SEQUENCE_MS,
+  ANSWER_BYTES_PER_TOKEN,
+  IMPORT_LINK_SHARE,
+  LINK_ROUND_TRIP_MS,
+  REGION_ROUND_TRIP_MS,
+  ZONE_ROUND_TRIP_MS,
+} from './constants.js';
+import type { CachedPrefix, RoutingRequest, RunnerState, ServiceSpeeds } from './types.js';
+
+/** Estimates the round trip between the node and a runner, in milliseconds. */
+export const computeRoundTripMs = (request: RoutingRequest, runner: RunnerState): number => {
+  if (runner.region !== request.region) return LINK_ROUND_TRIP_MS;
+  return runner.zone === request.zone ? ZONE_ROUND_TRIP_MS : REGION_ROUND_TRIP_MS;
+};
+
+/** Estimates the wait before a runner starts on a new prompt, in milliseconds. */
+export const computeQueueMs = (runner: RunnerState, speeds: ServiceSpeeds): number =>
+  (runner.queuedPromptTokens * MS_PER_SECOND) / speeds.prefillTokensPerSecond +
+  runner.activeSequences * ACTIVE_SEQUENCE_MS;
+
+/** Estimates the time to compute prompt tokens, in milliseconds. */
+export const computePrefillMs = (tokens: number, speeds: ServiceSpeeds): number =>
+  (Math.max(0, tokens) * MS_PER_SECOND) / speeds.prefillTokensPerSecond;
+
+/** Estimates the time to import blocks from a store VM of the runner's region, in milliseconds. */
+export const computeImportMs = (blocks: number, speeds: ServiceSpeeds): number => {
+  const bytes = blocks * TOKENS_PER_BLOCK * speeds.kvBytesPerToken;
+  return (
+    REGION_ROUND_TRIP_MS +
+    (bytes * MS_PER_SECOND) / (speeds.storeBytesPerSecond * IMPORT_LINK_SHARE)
+  );
+};
+
+/** Estimates the bytes of prompt and answer on the link between regions. */
+export const computeLinkBytes = (request: RoutingRequest, runner: RunnerState): number =>
+  runner.region === request.region
+    ? 0
+    : request.promptBytes + request.maxTokens * ANSWER_BYTES_PER_TOKEN;
+
+/** Returns the tokens of a prompt that are left to compute after a cached prefix. */
+export const getRemainingTokens = (
+  request: RoutingRequest,
+  prefix: CachedPrefix | undefined,
+): number => Math.max(0, request.promptTokens - (prefix?.depth ?? 0) * TOKENS_PER_BLOCK);
--- /dev/null
+++ b/packages/routing/src/linkBudget.ts
@@ -0,0 +1,54 @@
+import { MS_PER_SECOND } from '@lovagearch/common';
+
+/** Classes in the order in which they may use the link between regions. */
+export type LinkClass = 'background' | 'interactive' | 'standard';
+
+/** Share of the budget that must be left for a class to use the link. */
+const RESERVED_SHARE: Readonly<Record<LinkClass, number>> = {
+  interactive: 0,
+  standard: 0.25,
+  background: 0.5,
+};
+/** Time over which unused budget accumulates. */
+const BURST_SECONDS = 2;
+
+/**
+ * Bytes that one node may send over the link between regions. Lower classes stop first as the
+ * budget runs out.
+ *
+ * @example
+ * const budget = LinkBudget.create(200_000, clock.nowMs());
+ * budget.hasRoom('standard', 20_000, clock.nowMs());
+ */
+export class LinkBudget {
+  private constructor(
+    private readonly bytesPerSecond: number,
+    private availableBytes: number,
+    private updatedAtMs: number,
+  ) {}
+
+  /** @param bytesPerSecond this node's share of the link */
+  static create(bytesPerSecond: number, nowMs: number): LinkBudget {
+    return new LinkBudget(bytesPerSecond, bytesPerSecond * BURST_SECONDS, nowMs);
+  }
+
+  /** Tells whether a class may send this many bytes now. */
+  hasRoom(linkClass: LinkClass, bytes: number, nowMs: number): boolean {
+    this.update(nowMs);
+    const reservedBytes = RESERVED_SHARE[linkClass] * this.bytesPerSecond * BURST_SECONDS;
+    return this.availableBytes - bytes >= reservedBytes;
+  }
+
+  /** Takes bytes that were or will be sent; the budget may become negative. */
+  take(bytes: number, nowMs: number): void {
+    this.update(nowMs);
+    this.availableBytes -= bytes;
+  }
+
+  private update(nowMs: number): void {
+    const earnedBytes = ((nowMs - this.updatedAtMs) * this.bytesPerSecond) / MS_PER_SECOND;
+    const limitBytes = this.bytesPerSecond * BURST_SECONDS;
+    this.availableBytes = Math.min(limitBytes, this.availableBytes + earnedBytes);
+    this.updatedAtMs = nowMs;
+  }
+}
