Test the prompt index over an in-process mesh

Cause: the index must answer from the second owner, after a hand-over and without any owner; none of this was run yet.

--- /dev/null
+++ b/packages/peering/src/memoryMesh.ts
@@ -0,0 +1,108 @@
+import { getErrorMessage, type NodeId } from '@lovagearch/common';
+import { pack, unpack } from 'msgpackr';
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
+import type { z } from 'zod';
+import type { MemoryNetwork } from './memoryNetwork.js';
+import type { PeerError, PeerHandler, PeerMesh } from './types.js';
+
+interface Topic {
+  readonly schema: z.ZodType;
+  readonly handler: PeerHandler<unknown>;
+}
+
+/** Bytes of a frame besides its payload: kind, id, topic and the WebSocket header. */
+const FRAME_OVERHEAD_BYTES = 40;
+
+/** The mesh of one node of a `MemoryNetwork`. */
+export class MemoryMesh implements PeerMesh {
+  private readonly topics = new Map<string, Topic>();
+
+  private sentBytes = 0;
+
+  private receivedBytes = 0;
+
+  private constructor(
+    readonly self: NodeId,
+    private readonly network: MemoryNetwork,
+  ) {}
+
+  static create(self: NodeId, network: MemoryNetwork): MemoryMesh {
+    const mesh = new MemoryMesh(self, network);
+    network.addNode(self, mesh);
+    return mesh;
+  }
+
+  readonly setAddress = (): void => undefined;
+
+  readonly removeAddress = (): void => undefined;
+
+  readonly send = (to: NodeId, topic: string, payload: unknown): void => {
+    const bytes = pack(payload);
+    if (to !== this.self) this.sentBytes += bytes.length + FRAME_OVERHEAD_BYTES;
+    const peer = this.network.getReceiver(this.self, to);
+    peer?.receive(this.self, topic, bytes).catch(() => undefined);
+  };
+
+  readonly request = (
+    to: NodeId,
+    topic: string,
+    payload: unknown,
+    timeoutMs: number,
+  ): ResultAsync<unknown, PeerError> =>
+    new ResultAsync(this.runRequest(to, topic, payload, timeoutMs));
+
+  readonly introduce = (): ResultAsync<NodeId, PeerError> =>
+    new ResultAsync(Promise.resolve(err({ type: 'unknown_peer' })));
+
+  readonly registerHandler = <Schema extends z.ZodType>(
+    topic: string,
+    schema: Schema,
+    handler: PeerHandler<z.infer<Schema>>,
+  ): void => {
+    this.topics.set(topic, { schema, handler: handler as PeerHandler<unknown> });
+  };
+
+  readonly getTraffic = (): { readonly sentBytes: number; readonly receivedBytes: number } => ({
+    sentBytes: this.sentBytes,
+    receivedBytes: this.receivedBytes,
+  });
+
+  readonly close = async (): Promise<void> => {
+    this.network.removeNode(this.self);
+  };
+
+  /** Handles a message of a peer and returns the reply's bytes. */
+  async receive(
+    from: NodeId,
+    topic: string,
+    bytes: Uint8Array,
+  ): Promise<Result<Uint8Array, PeerError>> {
+    if (from !== this.self) this.receivedBytes += bytes.length + FRAME_OVERHEAD_BYTES;
+    const registered = this.topics.get(topic);
+    const payload = registered?.schema.safeParse(unpack(bytes));
+    if (registered === undefined || payload?.success !== true) {
+      return err({ type: 'rejected', reason: 'bad_payload', message: `topic ${topic}` });
+    }
+    try {
+      return ok(pack((await registered.handler(from, payload.data)) ?? null));
+    } catch (error) {
+      return err({ type: 'rejected', reason: 'handler_failed', message: getErrorMessage(error) });
+    }
+  }
+
+  private async runRequest(
+    to: NodeId,
+    topic: string,
+    payload: unknown,
+    timeoutMs: number,
+  ): Promise<Result<unknown, PeerError>> {
+    const peer = this.network.getReceiver(this.self, to);
+    if (peer === undefined) return err({ type: 'timeout', timeoutMs });
+    const bytes = pack(payload);
+    if (to !== this.self) this.sentBytes += bytes.length + FRAME_OVERHEAD_BYTES;
+    const reply = await peer.receive(this.self, topic, bytes);
+    if (reply.isErr()) return err(reply.error);
+    if (to !== this.self) this.receivedBytes += reply.value.length + FRAME_OVERHEAD_BYTES;
+    return ok(unpack(reply.value));
+  }
+}
--- a/packages/peering/src/types.ts
+++ b/packages/peering/src/types.ts
@@ -13,7 +13,10 @@
 
 export type PeerHandler<Payload> = (from: NodeId, payload: Payload) => unknown;
 
-/** Messages between nodes. Connections are opened on first use and closed when idle. */
+/**
+ * Messages between nodes. Connections are opened on first use and closed when idle. Messages to the
+ * node itself are handled locally.
+ */
 export interface PeerMesh {
   readonly self: NodeId;
   /** Tells where a node listens, as `host:port`. */
