--- /dev/null
+++ b/packages/entry/src/abandonedStreams.ts
@@ -0,0 +1,71 @@
+import { type Logger, BoundedMap } from '@lovagearch/common';
+import type { EngineAddress, EngineClient } from '@lovagearch/engine-client';
+import { MAX_ABANDONED_STREAMS, RESUME_GRACE_MS } from './callerConstants.js';
+
+interface AbandonedStream {
+  readonly address: EngineAddress;
+  readonly timer: NodeJS.Timeout;
+}
+
+/**
+ * Streams whose callers have left. Each goes on in its runner for 10 s, so that the caller can come
+ * back with `Last-Event-ID`; then it is cancelled. It owns the timers.
+ */
+export class AbandonedStreams {
+  private readonly streams = BoundedMap.create<string, AbandonedStream>(MAX_ABANDONED_STREAMS);
+
+  private constructor(
+    private readonly engines: EngineClient,
+    private readonly log: Logger,
+    private readonly graceMs: number,
+  ) {}
+
+  static create(
+    engines: EngineClient,
+    log: Logger,
+    graceMs: number = RESUME_GRACE_MS,
+  ): AbandonedStreams {
+    return new AbandonedStreams(engines, log, graceMs);
+  }
+
+  get size(): number {
+    return this.streams.size;
+  }
+
+  /** Schedules the cancellation of a stream. When the list is full, the oldest is cancelled now. */
+  add(address: EngineAddress, streamId: string): void {
+    this.take(streamId);
+    if (this.streams.size >= this.streams.capacity) this.cancelOldest();
+    const timer = setTimeout(() => this.cancel(streamId), this.graceMs);
+    this.streams.set(streamId, { address, timer });
+  }
+
+  /** Keeps a stream from being cancelled, since its caller has come back to this node. */
+  take(streamId: string): void {
+    const stream = this.streams.peek(streamId);
+    if (stream === undefined) return;
+    clearTimeout(stream.timer);
+    this.streams.delete(streamId);
+  }
+
+  /** Stops all timers. The streams end by themselves in their runners. */
+  stop(): void {
+    for (const { timer } of this.streams.values()) clearTimeout(timer);
+    for (const streamId of [...this.streams.keys()]) this.streams.delete(streamId);
+  }
+
+  private cancelOldest(): void {
+    const oldest = this.streams.keys().next();
+    if (!oldest.done) this.cancel(oldest.value);
+  }
+
+  private cancel(streamId: string): void {
+    const stream = this.streams.peek(streamId);
+    if (stream === undefined) return;
+    this.take(streamId);
+    this.engines.cancel(stream.address, streamId).match(
+      () => this.log.debug(`Cancelled stream ${streamId}, whose caller did not come back.`),
+      (error) => this.log.debug(`Can't cancel stream ${streamId}: ${error.type}.`),
+    );
+  }
+}
--- /dev/null
+++ b/packages/entry/src/adminServer.ts
@@ -0,0 +1,102 @@
+import { BlockList, isIPv6 } from 'node:net';
+import { getErrorMessage, type Logger } from '@lovagearch/common';
+import { fastify, type FastifyInstance, type FastifyReply } from 'fastify';
+import { computeBearerHash, isHashIn } from './bearerKey.js';
+
+/** Reads what one path of the administration API shows; the value is sent as JSON. */
+export type AdminReader = () => unknown;
+
+/** The parts of the node that the administration API shows. */
+export interface AdminReaders {
+  readonly configuration: AdminReader;
+  readonly members: AdminReader;
+  readonly endpoints: AdminReader;
+  readonly stores: AdminReader;
+  readonly accounts: AdminReader;
+  readonly refusals: AdminReader;
+  readonly decisions: (requestId: string | undefined) => unknown;
+  readonly runs: AdminReader;
+  readonly quarantine: AdminReader;
+  readonly metrics: AdminReader;
+  readonly node: AdminReader;
+}
+
+const PRIVATE_ADDRESSES = new BlockList();
+PRIVATE_ADDRESSES.addSubnet('127.0.0.0', 8, 'ipv4');
+PRIVATE_ADDRESSES.addSubnet('10.0.0.0', 8, 'ipv4');
+PRIVATE_ADDRESSES.addSubnet('172.16.0.0', 12, 'ipv4');
+PRIVATE_ADDRESSES.addSubnet('192.168.0.0', 16, 'ipv4');
+PRIVATE_ADDRESSES.addAddress('::1', 'ipv6');
+PRIVATE_ADDRESSES.addSubnet('fc00::', 7, 'ipv6');
+
+const isPrivateAddress = (address: string | undefined): boolean => {
+  if (address === undefined) return false;
+  const plain = address.startsWith('::ffff:') ? address.slice('::ffff:'.length) : address;
+  return PRIVATE_ADDRESSES.check(plain, isIPv6(plain) ? 'ipv6' : 'ipv4');
+};
+
+const sendProblem = (reply: FastifyReply, status: number, type: string, message: string) =>
+  reply.code(status).send({ error: { type, message } });
+
+/** The read-only administration API on its own port. */
+export class AdminServer {
+  private readonly server: FastifyInstance = fastify({ forceCloseConnections: true });
+
+  private constructor(
+    private readonly readers: AdminReaders,
+    private readonly operatorKeySha256: readonly string[],
+    private readonly log: Logger,
+  ) {
+    this.addHooks();
+    this.addRoutes();
+  }
+
+  /** @param operatorKeySha256 SHA-256 of the operator keys that are accepted, in hexadecimal */
+  static create(
+    readers: AdminReaders,
+    operatorKeySha256: readonly string[],
+    log: Logger,
+  ): AdminServer {
+    return new AdminServer(readers, operatorKeySha256, log);
+  }
+
+  /** Starts to listen and returns the port. */
+  async listen(host: string, port: number): Promise<number> {
+    await this.server.listen({ host, port });
+    const address = this.server.server.address();
+    return typeof address === 'object' && address !== null ? address.port : port;
+  }
+
+  async close(): Promise<void> {
+    await this.server.close();
+  }
+
+  private addHooks(): void {
+    this.server.addHook('onRequest', async (request, reply) => {
+      if (!isPrivateAddress(request.socket.remoteAddress)) {
+        return sendProblem(reply, 403, 'forbidden', 'only private addresses are served');
+      }
+      const hash = computeBearerHash(request.headers.authorization);
+      if (hash !== undefined && isHashIn(hash, this.operatorKeySha256)) return undefined;
+      return sendProblem(reply, 401, 'unauthorized', 'the operator key is missing or not known');
+    });
+    this.server.setErrorHandler(async (error, _request, reply) => {
+      this.log.warn(`An administration request failed: ${getErrorMessage(error)}.`);
+      return sendProblem(reply, 500, 'internal', 'the node could not read this');
+    });
+    this.server.setNotFoundHandler(async (_request, reply) =>
+      sendProblem(reply, 404, 'not_found', 'this path does not exist'),
+    );
+  }
+
+  private addRoutes(): void {
+    const { decisions, ...plainReaders } = this.readers;
+    for (const [name, read] of Object.entries(plainReaders)) {
+      this.server.get(`/v1/${name}`, async () => read());
+    }
+    this.server.get<{ Querystring: Record<string, unknown> }>('/v1/decisions', async (request) => {
+      const requestId = request.query.request_id;
+      return { decisions: decisions(typeof requestId === 'string' ? requestId : undefined) };
+    });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/answerDelivery.ts
@@ -0,0 +1,128 @@
+import type { ServerResponse } from 'node:http';
+import { assertNever, type CallerError, createUnknownError } from '@lovagearch/common';
+import { renderErrorBody } from './callerErrorBody.js';
+import {
+  type CompletionHead,
+  renderCompletion,
+  renderDoneEvent,
+  renderTokenEvent,
+} from './completionBody.js';
+import type { EngineStreamRelay } from './engineStreamRelay.js';
+import type { GenerationMetrics } from './generationMetrics.js';
+import type { RelayEvent, TokenPosition } from './relayEvents.js';
+import { type CallerLoss, SseWriter, type SseWriterOptions } from './sseWriter.js';
+
+/** One answer on its way to its caller. */
+export interface Delivery {
+  readonly head: CompletionHead;
+  readonly relay: EngineStreamRelay;
+  readonly metrics: GenerationMetrics;
+  /** Encodes the id of an SSE event. */
+  readonly encodeId: (position: TokenPosition) => string;
+}
+
+/** How a delivery ended. */
+export type DeliveryEnd =
+  | { readonly type: 'completed' }
+  | { readonly type: 'caller_lost'; readonly loss: CallerLoss }
+  | { readonly type: 'failed'; readonly error: CallerError };
+
+const writeEvent = async (
+  writer: SseWriter,
+  { head, metrics, encodeId }: Delivery,
+  event: RelayEvent,
+): Promise<void> => {
+  switch (event.type) {
+    case 'token': {
+      metrics.recordToken();
+      const data = JSON.stringify(renderTokenEvent(head, event.text));
+      await writer.write({ id: encodeId(event.position), data });
+      return;
+    }
+    case 'done': {
+      metrics.recordUsage(event.usage);
+      const data = renderDoneEvent(head, event.finishReason, event.usage);
+      await writer.write({ data: JSON.stringify(data) });
+      await writer.write({ data: '[DONE]' });
+      return;
+    }
+    case 'failed': {
+      const data = JSON.stringify(renderErrorBody(event.error, head.requestId));
+      await writer.write({ event: 'error', data });
+      return;
+    }
+    default:
+      assertNever(event);
+  }
+};
+
+/**
+ * Sends an answer as server-sent events. `[DONE]` is sent only after the relay verified the whole
+ * text; a caller that leaves or stops reading closes the relay, and the stream goes on in the runner.
+ */
+export const sendStreamedAnswer = async (
+  delivery: Delivery,
+  response: ServerResponse,
+  headers: Readonly<Record<string, string>>,
+  options: SseWriterOptions = {},
+): Promise<DeliveryEnd> => {
+  const { relay } = delivery;
+  const writer = SseWriter.create(response, headers, options);
+  writer.onLoss(() => relay.close());
+  let error: CallerError | undefined;
+  for await (const event of relay.run()) {
+    await writeEvent(writer, delivery, event);
+    if (event.type === 'failed') error = event.error;
+  }
+  const loss = writer.getLoss();
+  writer.end();
+  if (loss !== undefined) return { type: 'caller_lost', loss };
+  return error === undefined ? { type: 'completed' } : { type: 'failed', error };
+};
+
+/** A whole answer, or how its delivery ended without one. */
+export type CollectedAnswer =
+  { readonly type: 'answer'; readonly body: unknown } | Exclude<DeliveryEnd, { type: 'completed' }>;
+
+/**
+ * Collects an answer whole and verified. Its size is bounded by `max_tokens` and by the relay.
+ *
+ * @param response the caller's response, watched for a caller that leaves; nothing is written to it
+ */
+export const collectAnswer = async (
+  delivery: Delivery,
+  response: ServerResponse,
+): Promise<CollectedAnswer> => {
+  const { head, relay, metrics } = delivery;
+  const parts: string[] = [];
+  const handleClose = () => relay.close();
+  if (response.destroyed) relay.close();
+  response.on('close', handleClose);
+  try {
+    for await (const event of relay.run()) {
+      switch (event.type) {
+        case 'token':
+          metrics.recordToken();
+          parts.push(event.text);
+          break;
+        case 'done': {
+          const { finishReason, usage } = event;
+          metrics.recordUsage(usage);
+          return {
+            type: 'answer',
+            body: renderCompletion(head, parts.join(''), finishReason, usage),
+          };
+        }
+        case 'failed':
+          return { type: 'failed', error: event.error };
+        default:
+          return assertNever(event);
+      }
+    }
+  } finally {
+    response.off('close', handleClose);
+  }
+  if (response.destroyed) return { type: 'caller_lost', loss: 'disconnected' };
+  const error = createUnknownError('endpoint_failed', 'the answer ended early');
+  return { type: 'failed', error };
+};
--- /dev/null
+++ b/packages/entry/src/bearerKey.ts
@@ -0,0 +1,36 @@
+import { createHash, timingSafeEqual } from 'node:crypto';
+
+const BEARER_PATTERN = /^Bearer ([\x21-\x7e]{1,512})$/i;
+
+/**
+ * Computes the SHA-256 of the bearer key in an `authorization` header.
+ *
+ * @returns 64 hex digits, or undefined if the header has no bearer key
+ * @example
+ * computeBearerHash('Bearer secret'); // '2bb80d53...'
+ */
+export const computeBearerHash = (header: string | undefined): string | undefined => {
+  const key = BEARER_PATTERN.exec(header ?? '')?.[1];
+  return key === undefined ? undefined : createHash('sha256').update(key).digest('hex');
+};
+
+/** Compares two hashes in constant time; hashes of different lengths are unequal. */
+export const isSameHash = (left: string, right: string): boolean => {
+  const leftBytes = Buffer.from(left, 'utf8');
+  const rightBytes = Buffer.from(right, 'utf8');
+  return leftBytes.length === rightBytes.length && timingSafeEqual(leftBytes, rightBytes);
+};
+
+/**
+ * Checks a hash against a list without telling by its duration which one matches.
+ *
+ * @example
+ * isHashIn(hash, settings.operatorKeySha256);
+ */
+export const isHashIn = (hash: string, allowed: readonly string[]): boolean => {
+  let isFound = false;
+  for (const candidate of allowed) {
+    if (isSameHash(hash, candidate)) isFound = true;
+  }
+  return isFound;
+};
--- /dev/null
+++ b/packages/entry/src/callerServer.ts
@@ -0,0 +1,274 @@
+import {
+  type CallerError,
+  type Clock,
+  createId,
+  createNotRunError,
+  createUnknownError,
+  getErrorMessage,
+  getHttpStatus,
+  type Logger,
+  type Metrics,
+  type RequestId,
+  toId,
+} from '@lovagearch/common';
+import {
+  fastify,
+  type FastifyError,
+  type FastifyInstance,
+  type FastifyReply,
+  type FastifyRequest,
+} from 'fastify';
+import { computeBearerHash } from './bearerKey.js';
+import type { CallerAccount, CallerConfiguration } from './callerConfiguration.js';
+import { MAX_CALLER_ID_LENGTH, RETRY_AFTER_MS } from './callerConstants.js';
+import { renderErrorBody, renderErrorHeaders } from './callerErrorBody.js';
+import type { CompletionKind } from './completionRequest.js';
+import type { DecisionLog } from './decisionLog.js';
+import type { Drain } from './drain.js';
+import type { CallerContext } from './generationOpening.js';
+import type { ModelRequestHandler } from './modelRequestHandler.js';
+import type { ServiceRequestHandler } from './serviceRequestHandler.js';
+
+/** Parts that the caller API uses. */
+export interface CallerServerParts {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly metrics: Metrics;
+  readonly decisions: DecisionLog;
+  readonly configuration: CallerConfiguration;
+  readonly drain: Drain;
+  readonly models: ModelRequestHandler;
+  readonly services: ServiceRequestHandler;
+  /** Largest body, in bytes. */
+  readonly maxBodyBytes: number;
+}
+
+const REQUEST_ID_PATTERN = new RegExp(`^[A-Za-z0-9._:-]{1,${MAX_CALLER_ID_LENGTH}}$`);
+const SERVICE_METHODS = ['DELETE', 'GET', 'HEAD', 'OPTIONS', 'PATCH', 'POST', 'PUT'];
+const CREDENTIAL_FREE_PATHS = new Set(['/healthz', '/readyz']);
+
+const getHeader = (request: FastifyRequest, name: string): string | undefined => {
+  const value = request.headers[name];
+  return typeof value === 'string' ? value : undefined;
+};
+
+/** Translates an error of fastify into the error that the caller gets. */
+const toCallerError = (error: FastifyError): CallerError | undefined => {
+  if (error.code === 'FST_ERR_CTP_BODY_TOO_LARGE') {
+    return createNotRunError('body_too_large', 'the body exceeds the limit of this node');
+  }
+  if (error.code === 'FST_ERR_CTP_INVALID_JSON_BODY' || error instanceof SyntaxError) {
+    return createNotRunError('bad_json', 'the body is not valid JSON');
+  }
+  const { statusCode } = error;
+  if (statusCode === undefined || statusCode < 400 || statusCode >= 500) return undefined;
+  return createNotRunError('bad_request', error.message);
+};
+
+/** The caller API: authentication, routes and errors of the port `caller`. */
+export class CallerServer {
+  private readonly startTimes = new WeakMap<FastifyRequest, number>();
+
+  private readonly accounts = new WeakMap<FastifyRequest, CallerAccount>();
+
+  private readonly finishers = new WeakMap<FastifyRequest, () => void>();
+
+  private readonly server: FastifyInstance;
+
+  private constructor(private readonly parts: CallerServerParts) {
+    this.server = fastify({
+      bodyLimit: parts.maxBodyBytes,
+      genReqId: ({ headers }) => {
+        const received = headers['x-request-id'];
+        return typeof received === 'string' && REQUEST_ID_PATTERN.test(received)
+          ? received
+          : createId<RequestId>('req');
+      },
+      frameworkErrors: (error, request, reply) => this.handleError(error, request, reply),
+      forceCloseConnections: 'idle',
+      return503OnClosing: false,
+    });
+    this.addHooks();
+    this.addRoutes();
+  }
+
+  static create(parts: CallerServerParts): CallerServer {
+    return new CallerServer(parts);
+  }
+
+  /** Starts to listen and returns the port. */
+  async listen(host: string, port: number): Promise<number> {
+    await this.server.listen({ host, port });
+    const address = this.server.server.address();
+    return typeof address === 'object' && address !== null ? address.port : port;
+  }
+
+  /** Stops listening and closes connections; with `force` also those of running requests. */
+  async close(force: boolean): Promise<void> {
+    if (force) this.server.server.closeAllConnections();
+    await this.server.close();
+  }
+
+  private addHooks(): void {
+    const { server, parts } = this;
+    server.addHook('onRequest', async (request, reply) => {
+      this.startTimes.set(request, parts.clock.nowMs());
+      reply.header('x-request-id', request.id);
+      if (parts.drain.isDraining) reply.header('connection', 'close');
+      // Counted until the connection is done with the answer, so that a drain interrupts none.
+      const finish = parts.drain.recordRequest();
+      this.finishers.set(request, finish);
+      reply.raw.on('close', finish);
+      if (CREDENTIAL_FREE_PATHS.has(request.url)) return undefined;
+      const refusal = this.authenticate(request);
+      return refusal === undefined ? undefined : this.sendError(request, reply, refusal);
+    });
+    server.setErrorHandler<FastifyError>(async (error, request, reply) =>
+      this.handleError(error, request, reply),
+    );
+    server.setNotFoundHandler(async (request, reply) =>
+      this.sendError(request, reply, createNotRunError('not_found', 'this path does not exist')),
+    );
+    // Usual clients differ in the content type they send; the body is JSON in any case.
+    server.removeAllContentTypeParsers();
+    server.addContentTypeParser('*', { parseAs: 'string' }, (_request, body, done) => {
+      try {
+        done(null, JSON.parse(body.toString()));
+      } catch (error) {
+        done(error instanceof Error ? error : new SyntaxError('invalid JSON'));
+      }
+    });
+  }
+
+  private addRoutes(): void {
+    const { server, parts } = this;
+    server.get('/healthz', async () => ({ status: 'ok' }));
+    server.get('/readyz', async (request, reply) => {
+      const refusal = this.getReadinessError();
+      return refusal === undefined ? { status: 'ready' } : this.sendError(request, reply, refusal);
+    });
+    server.get('/v1/models', async (request) => this.renderModels(this.getContext(request)));
+    server.post('/v1/completions', async (request, reply) =>
+      this.handleCompletion('completion', request, reply),
+    );
+    server.post('/v1/chat/completions', async (request, reply) =>
+      this.handleCompletion('chat', request, reply),
+    );
+    server.register(async (services) => {
+      services.removeAllContentTypeParsers();
+      services.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => {
+        done(null, body);
+      });
+      services.route<{ Params: { service: string } }>({
+        method: SERVICE_METHODS,
+        url: '/services/:service/*',
+        exposeHeadRoute: false,
+        handler: async (request, reply) =>
+          this.handleServiceCall(request.params.service, request, reply),
+      });
+    });
+    parts.log.debug('The routes of the caller API are set up.');
+  }
+
+  private getReadinessError(): CallerError | undefined {
+    const { drain, configuration } = this.parts;
+    if (drain.isDraining) return createNotRunError('draining', 'this node is leaving');
+    if (configuration.isLoaded()) return undefined;
+    return createNotRunError('not_ready', 'no configuration is known yet', RETRY_AFTER_MS);
+  }
+
+  private authenticate(request: FastifyRequest): CallerError | undefined {
+    const { configuration } = this.parts;
+    if (!configuration.isLoaded()) {
+      return createNotRunError('not_ready', 'no configuration is known yet', RETRY_AFTER_MS);
+    }
+    const hash = computeBearerHash(request.headers.authorization);
+    // The lookup is by SHA-256, so its duration tells nothing about the key itself.
+    const account = hash === undefined ? undefined : configuration.findAccountByKeyHash(hash);
+    if (account === undefined) {
+      return createNotRunError('unauthorized', 'the bearer key is missing or not known');
+    }
+    this.accounts.set(request, account);
+    return undefined;
+  }
+
+  private getContext(request: FastifyRequest): CallerContext {
+    const account = this.accounts.get(request);
+    if (account === undefined) throw new Error('the request has no account');
+    const startMs = this.startTimes.get(request) ?? this.parts.clock.nowMs();
+    return { requestId: toId<RequestId>(request.id), account, startMs };
+  }
+
+  private renderModels({ account }: CallerContext) {
+    const data = this.parts.configuration
+      .listModels()
+      .filter(({ service }) => account.services.includes(service))
+      .map(({ id, service }) => ({ id, object: 'model', created: 0, owned_by: service }));
+    return { object: 'list', data };
+  }
+
+  private async handleCompletion(
+    kind: CompletionKind,
+    request: FastifyRequest,
+    reply: FastifyReply,
+  ): Promise<FastifyReply> {
+    const headers = {
+      'x-request-id': request.id,
+      ...(this.parts.drain.isDraining ? { connection: 'close' } : {}),
+    };
+    const lastEventId = getHeader(request, 'last-event-id');
+    const context = this.getContext(request);
+    const { models } = this.parts;
+    const end = await models.handle(context, kind, request.body, lastEventId, reply, headers);
+    return end.type === 'error' ? this.sendError(request, reply, end.error) : reply;
+  }
+
+  private async handleServiceCall(
+    serviceName: string,
+    request: FastifyRequest,
+    reply: FastifyReply,
+  ): Promise<FastifyReply> {
+    const target = request.raw.url ?? '';
+    const queryStart = target.indexOf('?');
+    const pathEnd = queryStart < 0 ? target.length : queryStart;
+    const pathStart = target.indexOf('/', '/services/'.length);
+    const handled = await this.parts.services.handle(this.getContext(request), {
+      serviceName,
+      method: request.method,
+      path: target.slice(pathStart, pathEnd),
+      query: target.slice(pathEnd),
+      headers: request.headers,
+      body: Buffer.isBuffer(request.body) ? request.body : undefined,
+    });
+    if (handled.isErr()) return this.sendError(request, reply, handled.error);
+    const { status, headers, body } = handled.value;
+    return reply.code(status).headers(headers).send(Buffer.from(body));
+  }
+
+  private handleError(error: FastifyError, request: FastifyRequest, reply: FastifyReply) {
+    const refusal = toCallerError(error);
+    if (refusal !== undefined) return this.sendError(request, reply, refusal);
+    this.parts.log.error(`Request ${request.id} failed: ${getErrorMessage(error)}.`);
+    const unknown = createUnknownError('endpoint_failed', 'this node failed to answer');
+    return this.sendError(request, reply, unknown);
+  }
+
+  private sendError(
+    request: FastifyRequest,
+    reply: FastifyReply,
+    error: CallerError,
+  ): FastifyReply {
+    const { decisions, metrics } = this.parts;
+    const account = this.accounts.get(request)?.id ?? '';
+    metrics.addCount('refusals', { type: error.type, account });
+    // Probes of a load balancer are no decisions.
+    if (!CREDENTIAL_FREE_PATHS.has(request.url)) {
+      decisions.record(request.id, { type: 'refused', error: error.type, run: error.run });
+    }
+    return reply
+      .code(getHttpStatus(error.type))
+      .headers({ 'x-request-id': request.id, ...renderErrorHeaders(error) })
+      .type('application/json; charset=utf-8')
+      .send(renderErrorBody(error, request.id));
+  }
+}
--- /dev/null
+++ b/packages/entry/src/completionBody.ts
@@ -0,0 +1,86 @@
+import type { EngineUsage } from '@lovagearch/engine-client';
+import type { CompletionKind } from './completionRequest.js';
+
+/** What all bodies of one answer have in common. */
+export interface CompletionHead {
+  readonly kind: CompletionKind;
+  readonly requestId: string;
+  readonly model: string;
+  /** Wall clock in seconds, for display by usual clients only. */
+  readonly createdSeconds: number;
+}
+
+type FinishReason = 'length' | 'stop';
+
+/** Renders the usage as usual clients expect it, with the reuse details of protocols.md. */
+export const renderUsage = (usage: EngineUsage) => ({
+  prompt_tokens: usage.promptTokens,
+  completion_tokens: usage.completionTokens,
+  total_tokens: usage.promptTokens + usage.completionTokens,
+  prompt_tokens_details: {
+    cached_tokens: usage.cachedTokens,
+    imported_tokens: usage.importedTokens,
+  },
+});
+
+const renderHead = (head: CompletionHead, object: string) => ({
+  id: head.requestId,
+  object,
+  created: head.createdSeconds,
+  model: head.model,
+});
+
+/** Renders a whole answer. */
+export const renderCompletion = (
+  head: CompletionHead,
+  text: string,
+  finishReason: FinishReason,
+  usage: EngineUsage,
+) =>
+  head.kind === 'chat'
+    ? {
+        ...renderHead(head, 'chat.completion'),
+        choices: [
+          {
+            index: 0,
+            message: { role: 'assistant', content: text },
+            finish_reason: finishReason,
+          },
+        ],
+        usage: renderUsage(usage),
+      }
+    : {
+        ...renderHead(head, 'text_completion'),
+        choices: [{ index: 0, text, logprobs: null, finish_reason: finishReason }],
+        usage: renderUsage(usage),
+      };
+
+/** Renders the data of one event of a streamed answer. */
+export const renderTokenEvent = (head: CompletionHead, text: string) =>
+  head.kind === 'chat'
+    ? {
+        ...renderHead(head, 'chat.completion.chunk'),
+        choices: [{ index: 0, delta: { content: text }, finish_reason: null }],
+      }
+    : {
+        ...renderHead(head, 'text_completion'),
+        choices: [{ index: 0, text, logprobs: null, finish_reason: null }],
+      };
+
+/** Renders the last event of a streamed answer before `[DONE]`. */
+export const renderDoneEvent = (
+  head: CompletionHead,
+  finishReason: FinishReason,
+  usage: EngineUsage,
+) =>
+  head.kind === 'chat'
+    ? {
+        ...renderHead(head, 'chat.completion.chunk'),
+        choices: [{ index: 0, delta: {}, finish_reason: finishReason }],
+        usage: renderUsage(usage),
+      }
+    : {
+        ...renderHead(head, 'text_completion'),
+        choices: [{ index: 0, text: '', logprobs: null, finish_reason: finishReason }],
+        usage: renderUsage(usage),
+      };
--- /dev/null
+++ b/packages/entry/src/decisionLog.ts
@@ -0,0 +1,94 @@
+import type { CallerErrorType, Clock, Logger, RunState } from '@lovagearch/common';
+import { DECISION_LOG_ENTRIES } from './callerConstants.js';
+import { HistoryFile } from './historyFile.js';
+import { Ring } from './ring.js';
+
+/** What the entry process decided for a request. It holds neither prompts nor answers nor keys. */
+export type Decision =
+  | { readonly type: 'accepted'; readonly account: string; readonly service: string }
+  | {
+      readonly type: 'chosen';
+      readonly endpoint: string;
+      readonly streamId?: string;
+      readonly estimatedTtftMs?: number;
+      readonly estimatedRecomputedTokens?: number;
+      readonly reason: string;
+    }
+  | { readonly type: 'retried'; readonly endpoint: string; readonly reason: string }
+  | {
+      readonly type: 'resumed';
+      readonly endpoint: string;
+      readonly streamId: string;
+      readonly afterSeq: number;
+    }
+  | { readonly type: 'continued'; readonly endpoint: string; readonly offset: number }
+  | { readonly type: 'run_granted'; readonly attempt: string }
+  | { readonly type: 'run_recorded' }
+  | { readonly type: 'run_released'; readonly attempt: string }
+  | { readonly type: 'run_abandoned'; readonly attempt: string }
+  | { readonly type: 'sent'; readonly endpoint: string; readonly attempt?: string }
+  | { readonly type: 'caller_left'; readonly reason: 'disconnected' | 'stalled' }
+  | { readonly type: 'refused'; readonly error: CallerErrorType; readonly run: RunState }
+  | { readonly type: 'completed'; readonly status: number; readonly detail: string };
+
+export interface DecisionEntry {
+  readonly requestId: string;
+  /** Clock reading of this process; comparable with other entries of the same node only. */
+  readonly atMs: number;
+  readonly decision: Decision;
+}
+
+/**
+ * Recent decisions by request id and recent refusals, each in a ring of fixed size.
+ *
+ * @example
+ * decisions.record(requestId, { type: 'accepted', account: 'zamu', service: 'rota' });
+ */
+export class DecisionLog {
+  private readonly entries: Ring<DecisionEntry>;
+
+  private readonly refusals: Ring<DecisionEntry>;
+
+  private constructor(
+    private readonly clock: Clock,
+    private readonly history: HistoryFile | undefined,
+    capacity: number,
+  ) {
+    this.entries = Ring.create<DecisionEntry>(capacity);
+    this.refusals = Ring.create<DecisionEntry>(capacity);
+  }
+
+  /** @param historyFile path of a file that gets every decision as a JSON line; off if undefined */
+  static create(
+    clock: Clock,
+    log: Logger,
+    historyFile?: string,
+    capacity: number = DECISION_LOG_ENTRIES,
+  ): DecisionLog {
+    const history = historyFile === undefined ? undefined : HistoryFile.create(historyFile, log);
+    return new DecisionLog(clock, history, capacity);
+  }
+
+  record(requestId: string, decision: Decision): void {
+    const entry = { requestId, atMs: this.clock.nowMs(), decision };
+    this.entries.add(entry);
+    if (decision.type === 'refused') this.refusals.add(entry);
+    this.history?.write(entry);
+  }
+
+  /** Returns the decisions of one request or, without an id, all that are kept; oldest first. */
+  listDecisions(requestId?: string): DecisionEntry[] {
+    const entries = this.entries.list();
+    return requestId === undefined
+      ? entries
+      : entries.filter((entry) => entry.requestId === requestId);
+  }
+
+  listRefusals(): DecisionEntry[] {
+    return this.refusals.list();
+  }
+
+  async close(): Promise<void> {
+    await this.history?.close();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/engineStreamRelay.ts
@@ -0,0 +1,302 @@
+import { assertNever, createUnknownError } from '@lovagearch/common';
+import type { EngineStream, GenerateChunk } from '@lovagearch/engine-client';
+import { MAX_RESUME_ATTEMPTS } from './callerConstants.js';
+import type { GenerationParts, GenerationPlan } from './generationPlan.js';
+import type { GenerationStart, StartedStream } from './generationStart.js';
+import {
+  type ConnectionEnd,
+  type DoneChunk,
+  getFaultEnd,
+  NEW_ANSWER,
+  type RelayEvent,
+  type RelayOrigin,
+  type StepResult,
+} from './relayEvents.js';
+import { StreamVerifier } from './streamVerifier.js';
+
+/**
+ * Relays an answer from runners to one reader. It resumes the stream on a new connection when one is
+ * lost or silent, and continues the answer on another runner of the same weight version when the
+ * runner is gone. It never emits a token twice, and `done` only after the whole text was verified.
+ */
+export class EngineStreamRelay {
+  private verifier: StreamVerifier;
+
+  private offset: number;
+
+  private skip: number;
+
+  private earlierText: string | undefined;
+
+  private resumeAttempts = 0;
+
+  private isClosed = false;
+
+  private isAccepted: boolean;
+
+  private hasReportedPlacement = false;
+
+  /** Whether containment knows that the current stream no longer runs for this request. */
+  private hasRecordedEnd = false;
+
+  private constructor(
+    private readonly parts: GenerationParts,
+    private readonly plan: GenerationPlan,
+    private readonly starter: GenerationStart,
+    private current: StartedStream,
+    origin: RelayOrigin,
+  ) {
+    this.verifier = StreamVerifier.create(current.streamId, plan.weightVersion);
+    this.offset = origin.offset;
+    this.skip = origin.skip;
+    this.earlierText = origin.earlierText;
+    this.isAccepted = origin.isAccepted;
+  }
+
+  static create(
+    parts: GenerationParts,
+    plan: GenerationPlan,
+    starter: GenerationStart,
+    started: StartedStream,
+    origin: RelayOrigin = NEW_ANSWER,
+  ): EngineStreamRelay {
+    return new EngineStreamRelay(parts, plan, starter, started, origin);
+  }
+
+  /** The stream that is read now; it goes on in the runner after `close`. */
+  get stream(): StartedStream {
+    return this.current;
+  }
+
+  /** Closes the connection to the runner; `run` then ends without a further event. */
+  close(): void {
+    this.isClosed = true;
+    this.current.stream.close();
+  }
+
+  /** Yields the answer; the last event is `done` or `failed`, unless `close` was called. */
+  async *run(): AsyncGenerator<RelayEvent> {
+    try {
+      for (;;) {
+        const end = yield* this.readConnection(this.current.stream);
+        const outcome = this.isClosed ? 'closed' : await this.handleEnd(end);
+        if (outcome === 'closed') return;
+        if (outcome !== 'again') {
+          yield outcome;
+          return;
+        }
+      }
+    } finally {
+      if (!this.hasRecordedEnd) this.recordEnd('other');
+    }
+  }
+
+  private async *readConnection(stream: EngineStream): AsyncGenerator<RelayEvent, ConnectionEnd> {
+    for await (const chunk of stream.chunks) {
+      if (this.isClosed) return { type: 'closed' };
+      const step =
+        chunk.type === 'failed'
+          ? ({ type: 'reconnect', reason: chunk.error.type } as const)
+          : this.handleChunk(chunk);
+      if (step.type !== 'more') {
+        stream.close();
+        return step;
+      }
+      if (step.event !== undefined) yield step.event;
+    }
+    return { type: 'reconnect', reason: 'the connection ended without a final chunk' };
+  }
+
+  private handleChunk(chunk: GenerateChunk): StepResult {
+    if (chunk.type === 'token') return this.handleToken(chunk);
+    const checked = this.verifier.checkIdentity(chunk);
+    if (checked.isErr()) return getFaultEnd(checked.error, this.verifier.lastSeq);
+    switch (chunk.type) {
+      case 'accepted':
+        this.isAccepted = true;
+        this.parts.directory.updateLoad(this.current.runner.id, chunk.load);
+        return { type: 'more' };
+      case 'heartbeat':
+        this.parts.directory.updateLoad(this.current.runner.id, chunk.load);
+        return { type: 'more' };
+      case 'error':
+        return { type: 'move', reason: `engine error ${chunk.error.type}`, isRunnerUsable: false };
+      case 'done':
+        return this.handleDone(chunk);
+      default:
+        return assertNever(chunk);
+    }
+  }
+
+  private handleToken(chunk: Extract<GenerateChunk, { type: 'token' }>): StepResult {
+    // Nothing reaches the caller before the runner has echoed the weight version.
+    if (!this.isAccepted) {
+      return { type: 'move', reason: 'a token before acceptance', isRunnerUsable: false };
+    }
+    const added = this.verifier.addToken(chunk);
+    if (added.isErr()) return getFaultEnd(added.error, this.verifier.lastSeq);
+    this.resumeAttempts = 0;
+    this.reportPlacement();
+    if (chunk.seq <= this.skip) return { type: 'more' };
+    const { runner, streamId } = this.current;
+    const position = {
+      runner: runner.id,
+      url: runner.url,
+      streamId,
+      seq: chunk.seq,
+      offset: this.offset,
+    };
+    return { type: 'more', event: { type: 'token', text: chunk.text, position } };
+  }
+
+  private handleDone(chunk: DoneChunk): StepResult {
+    this.parts.directory.updateLoad(this.current.runner.id, chunk.load);
+    const whole = this.verifier.checkDone(chunk);
+    if (whole.isErr()) return getFaultEnd(whole.error, this.verifier.lastSeq);
+    // Another node may have cancelled the stream for a caller that has come back since.
+    if (chunk.finishReason === 'cancelled') {
+      return { type: 'move', reason: 'the stream was cancelled', isRunnerUsable: true };
+    }
+    return { type: 'completed', chunk };
+  }
+
+  private async handleEnd(end: ConnectionEnd): Promise<'again' | 'closed' | RelayEvent> {
+    switch (end.type) {
+      case 'closed':
+        return 'closed';
+      case 'completed':
+        this.recordEnd('completed');
+        return this.createDone(end.chunk);
+      case 'failed':
+        this.recordEnd('other');
+        await this.cancelCurrent();
+        return this.createLost(end.reason);
+      case 'reconnect':
+        return this.reconnect(end.reason);
+      case 'move':
+        this.recordEnd('other');
+        await this.cancelCurrent();
+        if (!end.isRunnerUsable) this.starter.addExcluded(this.current.runner.id);
+        return this.continueElsewhere(end.reason);
+      default:
+        return assertNever(end);
+    }
+  }
+
+  private async reconnect(reason: string): Promise<'again' | 'closed' | RelayEvent> {
+    const { parts, plan, current } = this;
+    let isGone = false;
+    while (!isGone && this.resumeAttempts < MAX_RESUME_ATTEMPTS) {
+      this.resumeAttempts += 1;
+      const afterSeq = this.verifier.lastSeq;
+      const resumed = await parts.engines.resume(current.address, current.streamId, afterSeq);
+      if (this.isClosed) {
+        if (resumed.isOk()) resumed.value.close();
+        return 'closed';
+      }
+      if (resumed.isOk()) {
+        const { id } = current.runner;
+        parts.log.info(`Resumed a stream of ${plan.requestId} on ${id} after ${reason}.`);
+        parts.decisions.record(plan.requestId, {
+          type: 'resumed',
+          endpoint: id,
+          streamId: current.streamId,
+          afterSeq,
+        });
+        this.current = { ...current, stream: resumed.value };
+        return 'again';
+      }
+      isGone = resumed.error.type === 'refused' || resumed.error.type === 'not_connected';
+    }
+    parts.directory.reportFailure(current.runner.id);
+    this.recordEnd(isGone ? 'crashed' : 'other');
+    this.starter.addExcluded(current.runner.id);
+    return this.continueElsewhere(reason);
+  }
+
+  private async continueElsewhere(reason: string): Promise<'again' | 'closed' | RelayEvent> {
+    const { parts, plan, verifier } = this;
+    // The new runner may generate other text than the part that this node has not seen.
+    if (this.earlierText === undefined || verifier.lastSeq < this.skip) {
+      return this.createLost('the runner is gone and the earlier text is not known');
+    }
+    const text = this.earlierText + verifier.text;
+    const tokens = this.offset + verifier.lastSeq;
+    if (tokens >= plan.maxTokens) return this.createLengthDone(tokens);
+    parts.decisions.record(plan.requestId, {
+      type: 'retried',
+      endpoint: this.current.runner.id,
+      reason,
+    });
+    const started = await this.starter.start({ text, tokens });
+    if (started.isErr()) {
+      return tokens === 0
+        ? { type: 'failed', error: createUnknownError('endpoint_failed', started.error.message) }
+        : this.createLost('the runner is gone and no other could continue');
+    }
+    this.current = started.value;
+    this.offset = tokens;
+    this.skip = 0;
+    this.earlierText = text;
+    this.isAccepted = false;
+    this.hasReportedPlacement = false;
+    this.hasRecordedEnd = false;
+    this.resumeAttempts = 0;
+    this.verifier = StreamVerifier.create(started.value.streamId, plan.weightVersion);
+    const endpoint = started.value.runner.id;
+    parts.decisions.record(plan.requestId, { type: 'continued', endpoint, offset: tokens });
+    if (!this.isClosed) return 'again';
+    started.value.stream.close();
+    return 'closed';
+  }
+
+  private reportPlacement(): void {
+    const { chain, account } = this.plan;
+    const tailKey = chain[chain.length - 1];
+    if (this.hasReportedPlacement || tailKey === undefined) return;
+    this.hasReportedPlacement = true;
+    const { runner, reusedDepth } = this.current;
+    const { id, region, boot } = runner;
+    if (region === undefined) return;
+    const depth = chain.length;
+    const location = {
+      kind: 'runner',
+      holder: id,
+      region,
+      depth,
+      tailKey,
+      sha256: '',
+      boot,
+    } as const;
+    this.parts.index.reportPlacement(chain, location, account, reusedDepth);
+  }
+
+  private recordEnd(outcome: 'completed' | 'crashed' | 'other'): void {
+    this.hasRecordedEnd = true;
+    const { runner } = this.current;
+    this.parts.containment.recordEnd(runner.id, this.plan.fingerprint, outcome);
+  }
+
+  private async cancelCurrent(): Promise<void> {
+    // The stream ends by itself if the cancellation fails.
+    await this.parts.engines.cancel(this.current.address, this.current.streamId);
+  }
+
+  private createDone({ finishReason, usage }: DoneChunk): RelayEvent {
+    return {
+      type: 'done',
+      finishReason: finishReason === 'length' ? 'length' : 'stop',
+      usage: { ...usage, completionTokens: this.offset + usage.completionTokens },
+    };
+  }
+
+  private createLengthDone(tokens: number): RelayEvent {
+    const { promptTokens } = this.plan;
+    const usage = { promptTokens, cachedTokens: 0, importedTokens: 0, completionTokens: tokens };
+    return { type: 'done', finishReason: 'length', usage };
+  }
+
+  private createLost(reason: string): RelayEvent {
+    return { type: 'failed', error: createUnknownError('stream_lost', reason) };
+  }
+}
--- /dev/null
+++ b/packages/entry/src/generationMetrics.ts
@@ -0,0 +1,54 @@
+import type { Clock, Metrics } from '@lovagearch/common';
+import type { EngineUsage } from '@lovagearch/engine-client';
+import type { GenerationPlan } from './generationPlan.js';
+
+/** Measures one generation: time to first token, time between tokens, and prompt work by source. */
+export class GenerationMetrics {
+  private lastTokenMs: number | undefined;
+
+  private readonly labels: { readonly account: string; readonly class: string };
+
+  private constructor(
+    private readonly metrics: Metrics,
+    private readonly clock: Clock,
+    private readonly startMs: number,
+    plan: Pick<GenerationPlan, 'account' | 'requestClass'>,
+  ) {
+    this.labels = { account: plan.account, class: plan.requestClass };
+  }
+
+  /** @param startMs clock reading at which the request arrived */
+  static create(
+    metrics: Metrics,
+    clock: Clock,
+    startMs: number,
+    plan: Pick<GenerationPlan, 'account' | 'requestClass'>,
+  ): GenerationMetrics {
+    return new GenerationMetrics(metrics, clock, startMs, plan);
+  }
+
+  /** Records the time that this process added before the call to a runner, without queueing. */
+  recordAddedDelay(queuedMs: number): void {
+    const addedMs = this.clock.nowMs() - this.startMs - queuedMs;
+    this.metrics.recordMs('added_delay_ms', addedMs, this.labels);
+  }
+
+  /** Records a token that is passed on to the caller. */
+  recordToken(): void {
+    const nowMs = this.clock.nowMs();
+    if (this.lastTokenMs === undefined) {
+      this.metrics.recordMs('ttft_ms', nowMs - this.startMs, this.labels);
+    } else {
+      this.metrics.recordMs('token_gap_ms', nowMs - this.lastTokenMs, this.labels);
+    }
+    this.lastTokenMs = nowMs;
+  }
+
+  /** Counts the prompt tokens by where their cache came from. */
+  recordUsage({ promptTokens, cachedTokens, importedTokens }: EngineUsage): void {
+    const recomputed = Math.max(0, promptTokens - cachedTokens - importedTokens);
+    this.metrics.addCount('prompt_tokens_recomputed', this.labels, recomputed);
+    this.metrics.addCount('prompt_tokens_cached', this.labels, cachedTokens);
+    this.metrics.addCount('prompt_tokens_imported', this.labels, importedTokens);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/generationOpening.ts
@@ -0,0 +1,225 @@
+import {
+  type CallerError,
+  createNotRunError,
+  createUnknownError,
+  type EndpointId,
+  type RequestId,
+  type StreamId,
+  toId,
+  type WeightVersion,
+} from '@lovagearch/common';
+import { err, ok, type Result } from 'neverthrow';
+import type { AbandonedStreams } from './abandonedStreams.js';
+import type { CallerAccount, CallerConfiguration } from './callerConfiguration.js';
+import { type CompletionRequest, getDeadlineMs } from './completionRequest.js';
+import { EngineStreamRelay } from './engineStreamRelay.js';
+import { type GenerationParts, type GenerationPlan, toEngineAddress } from './generationPlan.js';
+import {
+  buildDraft,
+  buildPlan,
+  computePromptHash,
+  findPermittedModel,
+  type GenerationDraft,
+  type PermittedModel,
+} from './generationPreparation.js';
+import { formatEngineError, GenerationStart, type StartedStream } from './generationStart.js';
+import type { ResumePosition, ResumeTokens } from './resumeToken.js';
+import type { AdmissionTicket } from './types.js';
+
+/** The caller of one request. */
+export interface CallerContext {
+  readonly requestId: RequestId;
+  readonly account: CallerAccount;
+  /** Clock reading at which the request arrived. */
+  readonly startMs: number;
+}
+
+/** A generation that a runner has accepted; `ticket.release` is still to be called. */
+export interface OpenedGeneration {
+  readonly plan: GenerationPlan;
+  readonly relay: EngineStreamRelay;
+  readonly ticket: AdmissionTicket;
+}
+
+/** Opens generations: checks, admission, choice of a runner and the start or resume of a stream. */
+export class GenerationOpening {
+  private constructor(
+    private readonly parts: GenerationParts,
+    private readonly configuration: CallerConfiguration,
+    private readonly tokens: ResumeTokens,
+    private readonly abandoned: AbandonedStreams,
+  ) {}
+
+  static create(
+    parts: GenerationParts,
+    configuration: CallerConfiguration,
+    tokens: ResumeTokens,
+    abandoned: AbandonedStreams,
+  ): GenerationOpening {
+    return new GenerationOpening(parts, configuration, tokens, abandoned);
+  }
+
+  /** Opens a new generation. Everything that can be refused is refused before a runner is called. */
+  async open(
+    context: CallerContext,
+    request: CompletionRequest,
+  ): Promise<Result<OpenedGeneration, CallerError>> {
+    const permitted = findPermittedModel(this.configuration, context.account, request.model);
+    if (permitted.isErr()) return err(permitted.error);
+    const draft = buildDraft(context.requestId, context.account, permitted.value, request);
+    const contained = this.checkContainment(draft);
+    if (contained.isErr()) return err(contained.error);
+    const admitted = await this.admit(draft, request, draft.promptTokens);
+    if (admitted.isErr()) return err(admitted.error);
+    const ticket = admitted.value;
+    try {
+      return await this.startOn(context, request, permitted.value, ticket);
+    } catch (error) {
+      ticket.release();
+      throw error;
+    }
+  }
+
+  /** Resumes the stream that a token names, for a caller that reconnected to any node. */
+  async resume(
+    context: CallerContext,
+    request: CompletionRequest,
+    lastEventId: string,
+  ): Promise<Result<OpenedGeneration, CallerError>> {
+    const decoded = this.tokens.decode(lastEventId);
+    if (decoded.isErr()) return err(decoded.error);
+    const position = decoded.value;
+    const permitted = findPermittedModel(this.configuration, context.account, request.model);
+    if (permitted.isErr()) return err(permitted.error);
+    if (
+      position.account !== context.account.id ||
+      position.model !== permitted.value.model.id ||
+      position.promptHash !== computePromptHash(request.prompt)
+    ) {
+      return err(createNotRunError('resume_invalid', 'Last-Event-ID belongs to another request'));
+    }
+    // The answer goes on with the weight version that it began with, also after a swap.
+    const model = {
+      ...permitted.value.model,
+      weightVersion: toId<WeightVersion>(position.weightVersion),
+    };
+    const draft = buildDraft(
+      context.requestId,
+      context.account,
+      { ...permitted.value, model },
+      request,
+    );
+    const contained = this.checkContainment(draft);
+    if (contained.isErr()) return err(contained.error);
+    // The prompt was admitted with the first request.
+    const admitted = await this.admit(draft, request, 0);
+    if (admitted.isErr()) return err(admitted.error);
+    const plan = buildPlan(draft, [], contained.value);
+    const joined = await this.joinStream(plan, position);
+    if (joined.isErr()) {
+      admitted.value.release();
+      return err(joined.error);
+    }
+    return ok({ plan, relay: joined.value, ticket: admitted.value });
+  }
+
+  private async startOn(
+    context: CallerContext,
+    request: CompletionRequest,
+    admittedFor: PermittedModel,
+    ticket: AdmissionTicket,
+  ): Promise<Result<OpenedGeneration, CallerError>> {
+    // A weight swap may have come into force while the request waited in the queue.
+    const permitted = findPermittedModel(this.configuration, context.account, request.model);
+    const draft = buildDraft(
+      context.requestId,
+      context.account,
+      permitted.unwrapOr(admittedFor),
+      request,
+    );
+    const contained = this.checkContainment(draft);
+    if (contained.isErr()) {
+      ticket.release();
+      return err(contained.error);
+    }
+    const locations = await this.parts.selection.findLocations(draft.chain);
+    const plan = buildPlan(draft, locations, contained.value);
+    const starter = GenerationStart.create(this.parts, plan);
+    const started = await starter.start();
+    if (started.isErr()) {
+      ticket.release();
+      return err(started.error);
+    }
+    const relay = EngineStreamRelay.create(this.parts, plan, starter, started.value);
+    return ok({ plan, relay, ticket });
+  }
+
+  private checkContainment(draft: GenerationDraft): Result<EndpointId | undefined, CallerError> {
+    const check = this.parts.containment.check(draft.fingerprint);
+    if (check.type === 'quarantined') return err(check.error);
+    return ok(check.type === 'only_on' ? check.endpoint : undefined);
+  }
+
+  private async admit(
+    draft: GenerationDraft,
+    request: CompletionRequest,
+    promptTokens: number,
+  ): Promise<Result<AdmissionTicket, CallerError>> {
+    const { requestId, account, service, requestClass } = draft;
+    this.parts.decisions.record(requestId, { type: 'accepted', account, service: service.id });
+    return this.parts.admission.admit({
+      requestId,
+      account,
+      service: service.id,
+      requestClass,
+      promptTokens,
+      deadlineMs: getDeadlineMs(request, requestClass),
+    });
+  }
+
+  private async joinStream(
+    plan: GenerationPlan,
+    position: ResumePosition,
+  ): Promise<Result<EngineStreamRelay, CallerError>> {
+    const { parts } = this;
+    const { streamId, seq, offset } = position;
+    this.abandoned.take(streamId);
+    const runner = this.getRunner(plan, position);
+    const address = toEngineAddress(parts, plan.service, runner);
+    // The stream is read from its beginning, so that its checksum can be verified.
+    const joined = await parts.engines.resume(address, streamId, 0);
+    if (joined.isErr()) {
+      const reason = formatEngineError(joined.error);
+      parts.log.info(`Can't resume a stream of ${runner.id} for ${plan.requestId}: ${reason}.`);
+      return err(createUnknownError('stream_lost', 'the stream is no longer available'));
+    }
+    const afterSeq = seq;
+    parts.decisions.record(plan.requestId, {
+      type: 'resumed',
+      endpoint: runner.id,
+      streamId,
+      afterSeq,
+    });
+    parts.containment.recordStart(runner.id, plan.fingerprint);
+    const started = {
+      runner,
+      address,
+      streamId: toId<StreamId>(streamId),
+      stream: joined.value,
+      reusedDepth: 0,
+    };
+    const starter = GenerationStart.create(parts, plan);
+    // Only the caller has the text of the streams before this one.
+    const earlierText = offset === 0 ? '' : undefined;
+    const origin = { offset, skip: seq, earlierText, isAccepted: true };
+    return ok(EngineStreamRelay.create(parts, plan, starter, started, origin));
+  }
+
+  private getRunner(plan: GenerationPlan, position: ResumePosition): StartedStream['runner'] {
+    const id = toId<EndpointId>(position.runner);
+    const known = this.parts.directory.getEndpoint(id);
+    if (known !== undefined && known.service === plan.service.id) return known;
+    // Nodes that don't watch the runner yet can still read its retained output.
+    return { id, url: position.url, region: undefined, boot: '' };
+  }
+}
--- /dev/null
+++ b/packages/entry/src/generationPlan.ts
@@ -0,0 +1,71 @@
+import type {
+  AccountId,
+  Clock,
+  EndpointId,
+  Fingerprint,
+  Logger,
+  Metrics,
+  ModelId,
+  RequestId,
+  WeightVersion,
+} from '@lovagearch/common';
+import type { EngineAddress, EngineClient } from '@lovagearch/engine-client';
+import type { ModelServiceView } from './callerConfiguration.js';
+import type { DecisionLog } from './decisionLog.js';
+import type { RunnerSelection } from './runnerSelection.js';
+import type {
+  Admission,
+  Containment,
+  EndpointDirectory,
+  EndpointView,
+  PromptIndex,
+  PromptLocation,
+  RequestClass,
+} from './types.js';
+
+/** Parts of the node that generation uses. */
+export interface GenerationParts {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly metrics: Metrics;
+  readonly decisions: DecisionLog;
+  readonly engines: EngineClient;
+  readonly directory: EndpointDirectory;
+  readonly index: PromptIndex;
+  readonly admission: Admission;
+  readonly containment: Containment;
+  readonly selection: RunnerSelection;
+  readonly serviceToken: string;
+}
+
+/** Everything about one generation that does not change between attempts. */
+export interface GenerationPlan {
+  readonly requestId: RequestId;
+  readonly account: AccountId;
+  readonly requestClass: RequestClass;
+  readonly service: ModelServiceView;
+  readonly model: ModelId;
+  readonly weightVersion: WeightVersion;
+  readonly prompt: string;
+  readonly chain: readonly string[];
+  readonly promptTokens: number;
+  readonly promptBytes: number;
+  readonly locations: readonly PromptLocation[];
+  readonly maxTokens: number;
+  readonly seed: number;
+  readonly fingerprint: Fingerprint;
+  readonly onlyOn: EndpointId | undefined;
+}
+
+/** The numeric priority that engines understand; 0 is the highest. */
+export const ENGINE_PRIORITY = { interactive: 0, standard: 1, background: 2 } as const;
+
+/** Returns where a runner listens, with the service token only if the service checks it. */
+export const toEngineAddress = (
+  { serviceToken }: GenerationParts,
+  service: ModelServiceView,
+  runner: Pick<EndpointView, 'url'>,
+): EngineAddress => ({
+  url: runner.url,
+  ...(service.checksCaller ? { serviceToken } : {}),
+});
--- /dev/null
+++ b/packages/entry/src/generationPreparation.ts
@@ -0,0 +1,101 @@
+import { createHash, randomInt } from 'node:crypto';
+import {
+  BYTES_PER_TOKEN,
+  type CallerError,
+  computeSha256Hex,
+  createNotRunError,
+  type EndpointId,
+  type Fingerprint,
+  type RequestId,
+  toId,
+} from '@lovagearch/common';
+import { computeBlockKeys } from '@lovagearch/reuse';
+import { err, ok, type Result } from 'neverthrow';
+import type {
+  CallerAccount,
+  CallerConfiguration,
+  ModelServiceView,
+  ModelView,
+} from './callerConfiguration.js';
+import type { CompletionRequest } from './completionRequest.js';
+import type { GenerationPlan } from './generationPlan.js';
+import type { RequestClass } from './types.js';
+
+const MAX_RANDOM_SEED = 2 ** 31;
+
+/** A model that an account may use. */
+export interface PermittedModel {
+  readonly model: ModelView;
+  readonly service: ModelServiceView;
+}
+
+/** Finds a model and checks that the account may use its service. */
+export const findPermittedModel = (
+  configuration: CallerConfiguration,
+  account: CallerAccount,
+  name: string,
+): Result<PermittedModel, CallerError> => {
+  const model = configuration.findModel(name);
+  const service = model === undefined ? undefined : configuration.findService(model.service);
+  if (model === undefined || service?.type !== 'model') {
+    return err(createNotRunError('unknown_model', `model ${JSON.stringify(name)} does not exist`));
+  }
+  if (!account.services.includes(service.id)) {
+    return err(createNotRunError('forbidden', `the account may not use service ${service.id}`));
+  }
+  return ok({ model, service });
+};
+
+/** Computes the identity of a request for the attribution of crashes (design 4.12). */
+export const computeFingerprint = (
+  account: string,
+  service: string,
+  body: string | Uint8Array,
+): Fingerprint => {
+  const hash = createHash('sha256')
+    .update(JSON.stringify([account, service]))
+    .update(body);
+  return toId<Fingerprint>(hash.digest('hex'));
+};
+
+/** Computes the identity of a prompt that a resume token is bound to. */
+export const computePromptHash = (prompt: string): string => computeSha256Hex(prompt).slice(0, 32);
+
+/** What is known of a request before its place in the cluster is looked up. */
+export type GenerationDraft = Omit<GenerationPlan, 'locations' | 'onlyOn'>;
+
+/** Builds the part of a plan that depends on the request and the configuration only. */
+export const buildDraft = (
+  requestId: RequestId,
+  account: CallerAccount,
+  { model, service }: PermittedModel,
+  request: CompletionRequest,
+): GenerationDraft => {
+  const { prompt, maxTokens } = request;
+  const promptBytes = Buffer.byteLength(prompt);
+  const identity = { account: account.id, model: model.id, weightVersion: model.weightVersion };
+  const requestClass: RequestClass = request.requestClass ?? account.defaultClass;
+  return {
+    requestId,
+    account: account.id,
+    requestClass,
+    service,
+    model: model.id,
+    weightVersion: model.weightVersion,
+    prompt,
+    chain: computeBlockKeys(identity, prompt),
+    promptTokens: Math.ceil(promptBytes / BYTES_PER_TOKEN),
+    promptBytes,
+    maxTokens,
+    seed: request.seed ?? randomInt(MAX_RANDOM_SEED),
+    // The seed is not part of it: a caller that sends a request again may leave the choice open.
+    fingerprint: computeFingerprint(account.id, service.id, `${model.id}\n${prompt}`),
+  };
+};
+
+/** Completes a plan. */
+export const buildPlan = (
+  draft: GenerationDraft,
+  locations: GenerationPlan['locations'],
+  onlyOn: EndpointId | undefined,
+): GenerationPlan => ({ ...draft, locations, onlyOn });
--- /dev/null
+++ b/packages/entry/src/historyFile.ts
@@ -0,0 +1,35 @@
+import { createWriteStream, type WriteStream } from 'node:fs';
+import type { Logger } from '@lovagearch/common';
+
+/** Bytes of history lines that wait for the disk; further lines are dropped and counted. */
+const MAX_HISTORY_BACKLOG_BYTES = 1_048_576;
+
+/** A file that gets entries as JSON lines, for checks of invariants in tests. */
+export class HistoryFile {
+  private dropped = 0;
+
+  private constructor(private readonly stream: WriteStream) {}
+
+  static create(path: string, log: Logger): HistoryFile {
+    const stream = createWriteStream(path, { flags: 'a' });
+    // The history is for tests; a full disk must not affect requests.
+    stream.on('error', (error) => log.warn(`Can't write the history file: ${error.message}.`));
+    return new HistoryFile(stream);
+  }
+
+  write(entry: object): void {
+    if (this.stream.destroyed || this.stream.writableLength > MAX_HISTORY_BACKLOG_BYTES) {
+      this.dropped += 1;
+      return;
+    }
+    this.stream.write(`${JSON.stringify({ ...entry, dropped: this.dropped })}\n`);
+  }
+
+  async close(): Promise<void> {
+    if (this.stream.destroyed) return;
+    await new Promise<void>((resolve) => {
+      this.stream.once('close', resolve);
+      this.stream.end();
+    });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/idempotentCall.ts
@@ -0,0 +1,42 @@
+import {
+  type CallerError,
+  createNotRunError,
+  createUnknownError,
+  type EndpointId,
+} from '@lovagearch/common';
+import type { ServiceResponse } from '@lovagearch/service-client';
+import { err, ok, type Result } from 'neverthrow';
+import { MAX_SERVICE_ATTEMPTS, RETRY_AFTER_MS } from './callerConstants.js';
+import type { ServiceCall } from './serviceCall.js';
+import type { ServiceSending } from './serviceSending.js';
+import type { Admission } from './types.js';
+
+/**
+ * Sends an idempotent call. After a failure it is repeated on another instance within the retry
+ * budget.
+ *
+ * @returns the answer; the error says `not_run` only if no attempt sent a byte
+ */
+export const sendIdempotentCall = async (
+  sending: ServiceSending,
+  admission: Admission,
+  call: ServiceCall,
+): Promise<Result<ServiceResponse, CallerError>> => {
+  const failed = new Set<EndpointId>();
+  let mayHaveRun = false;
+  for (let attempt = 1; attempt <= MAX_SERVICE_ATTEMPTS; attempt++) {
+    if (attempt > 1 && !admission.tryTakeRetry(call.account)) break;
+    const instance = await sending.choose(call, failed);
+    if (instance === undefined) break;
+    const sent = await sending.send(call, instance);
+    if (sent.isOk()) return ok(sent.value);
+    failed.add(instance.id);
+    if (sent.error.type !== 'not_connected') mayHaveRun = true;
+  }
+  if (mayHaveRun) {
+    const message = `no instance of service ${call.service.id} gave a whole answer`;
+    return err(createUnknownError('endpoint_failed', message));
+  }
+  const message = `no instance of service ${call.service.id} could be reached`;
+  return err(createNotRunError('no_endpoint', message, RETRY_AFTER_MS));
+};
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,4 +1,8 @@
 /**
  * The entry process: the caller API, the administration API and the duties of a node.
  */
-export {};
+export * from './adminServer.js';
+export * from './callerConfiguration.js';
+export * from './decisionLog.js';
+export * from './startEntry.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/entry/src/modelRequestHandler.ts
@@ -0,0 +1,170 @@
+import {
+  assertNever,
+  type CallerError,
+  createNotRunError,
+  MS_PER_SECOND,
+} from '@lovagearch/common';
+import type { FastifyReply } from 'fastify';
+import type { AbandonedStreams } from './abandonedStreams.js';
+import {
+  collectAnswer,
+  type Delivery,
+  type DeliveryEnd,
+  sendStreamedAnswer,
+} from './answerDelivery.js';
+import {
+  type CompletionKind,
+  type CompletionRequest,
+  parseCompletionRequest,
+} from './completionRequest.js';
+import { GenerationMetrics } from './generationMetrics.js';
+import type { CallerContext, GenerationOpening, OpenedGeneration } from './generationOpening.js';
+import type { GenerationParts } from './generationPlan.js';
+import { computePromptHash } from './generationPreparation.js';
+import type { ResumeTokens } from './resumeToken.js';
+import type { SseWriterOptions } from './sseWriter.js';
+
+/** What happened to a request: answered already, or to be answered with an error. */
+export type HandlerEnd =
+  { readonly type: 'answered' } | { readonly type: 'error'; readonly error: CallerError };
+
+/** Answers `/v1/completions` and `/v1/chat/completions`. */
+export class ModelRequestHandler {
+  private constructor(
+    private readonly parts: GenerationParts,
+    private readonly opening: GenerationOpening,
+    private readonly tokens: ResumeTokens,
+    private readonly abandoned: AbandonedStreams,
+    private readonly sseOptions: SseWriterOptions,
+  ) {}
+
+  static create(
+    parts: GenerationParts,
+    opening: GenerationOpening,
+    tokens: ResumeTokens,
+    abandoned: AbandonedStreams,
+    sseOptions: SseWriterOptions = {},
+  ): ModelRequestHandler {
+    return new ModelRequestHandler(parts, opening, tokens, abandoned, sseOptions);
+  }
+
+  /**
+   * Handles one request.
+   *
+   * @param lastEventId value of `Last-Event-ID`, if the caller resumes an answer
+   * @param headers headers of a streamed answer
+   */
+  async handle(
+    context: CallerContext,
+    kind: CompletionKind,
+    body: unknown,
+    lastEventId: string | undefined,
+    reply: FastifyReply,
+    headers: Readonly<Record<string, string>>,
+  ): Promise<HandlerEnd> {
+    const parsed = parseCompletionRequest(kind, body);
+    if (parsed.isErr()) return { type: 'error', error: parsed.error };
+    const request = parsed.value;
+    if (lastEventId !== undefined && !request.isStreamed) {
+      const message = 'Last-Event-ID needs "stream": true';
+      return { type: 'error', error: createNotRunError('resume_invalid', message) };
+    }
+    const opened =
+      lastEventId === undefined
+        ? await this.opening.open(context, request)
+        : await this.opening.resume(context, request, lastEventId);
+    if (opened.isErr()) return { type: 'error', error: opened.error };
+    try {
+      return await this.deliver(context, request, opened.value, reply, headers);
+    } finally {
+      opened.value.ticket.release();
+    }
+  }
+
+  private async deliver(
+    context: CallerContext,
+    request: CompletionRequest,
+    opened: OpenedGeneration,
+    reply: FastifyReply,
+    headers: Readonly<Record<string, string>>,
+  ): Promise<HandlerEnd> {
+    const delivery = this.createDelivery(context, request, opened);
+    delivery.metrics.recordAddedDelay(opened.ticket.queuedMs);
+    if (request.isStreamed) {
+      reply.hijack();
+      const end = await sendStreamedAnswer(delivery, reply.raw, headers, this.sseOptions);
+      this.recordEnd(opened, end);
+      // An error in a running stream was sent as an event.
+      return { type: 'answered' };
+    }
+    const collected = await collectAnswer(delivery, reply.raw);
+    switch (collected.type) {
+      case 'answer':
+        this.recordEnd(opened, { type: 'completed' });
+        await reply.send(collected.body);
+        return { type: 'answered' };
+      case 'caller_lost':
+        this.recordEnd(opened, collected);
+        reply.hijack();
+        return { type: 'answered' };
+      case 'failed':
+        this.recordEnd(opened, collected);
+        return { type: 'error', error: collected.error };
+      default:
+        return assertNever(collected);
+    }
+  }
+
+  private createDelivery(
+    context: CallerContext,
+    request: CompletionRequest,
+    { plan, relay }: OpenedGeneration,
+  ): Delivery {
+    const { account, model, weightVersion } = plan;
+    const promptHash = computePromptHash(plan.prompt);
+    return {
+      head: {
+        kind: request.kind,
+        requestId: context.requestId,
+        model,
+        createdSeconds: Math.floor(Date.now() / MS_PER_SECOND),
+      },
+      relay,
+      metrics: GenerationMetrics.create(
+        this.parts.metrics,
+        this.parts.clock,
+        context.startMs,
+        plan,
+      ),
+      encodeId: (position) =>
+        this.tokens.encode({ account, model, weightVersion, promptHash, ...position }),
+    };
+  }
+
+  private recordEnd({ plan, relay }: OpenedGeneration, end: DeliveryEnd): void {
+    const { decisions, log } = this.parts;
+    const { requestId } = plan;
+    switch (end.type) {
+      case 'completed':
+        decisions.record(requestId, { type: 'completed', status: 200, detail: 'whole answer' });
+        return;
+      case 'caller_lost': {
+        const { address, streamId } = relay.stream;
+        this.abandoned.add(address, streamId);
+        const error = end.loss === 'stalled' ? 'caller_stalled' : 'caller_disconnected';
+        log.info(`The caller of ${requestId} is gone: ${error}. Its stream is kept for a resume.`);
+        decisions.record(requestId, { type: 'caller_left', reason: end.loss });
+        return;
+      }
+      case 'failed':
+        decisions.record(requestId, {
+          type: 'refused',
+          error: end.error.type,
+          run: end.error.run,
+        });
+        return;
+      default:
+        assertNever(end);
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/onceOnlyCall.ts
@@ -0,0 +1,139 @@
+import {
+  type CallerError,
+  type Clock,
+  createNotRunError,
+  createUnknownError,
+  type EndpointId,
+  getErrorMessage,
+  type Logger,
+} from '@lovagearch/common';
+import { err, ok, type Result } from 'neverthrow';
+import { MAX_SERVICE_ATTEMPTS, RETRY_AFTER_MS } from './callerConstants.js';
+import type { DecisionLog } from './decisionLog.js';
+import { computeCallHash, type ServiceCall } from './serviceCall.js';
+import { selectAnswerHeaders } from './serviceHeaders.js';
+import type { ServiceSending } from './serviceSending.js';
+import type { Admission, RecordedResponse, RunCoordinator, RunGrant } from './types.js';
+
+/** Parts of the node that non-idempotent calls use. */
+export interface OnceOnlyParts {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly decisions: DecisionLog;
+  readonly admission: Admission;
+  readonly runs: RunCoordinator;
+  readonly sending: ServiceSending;
+}
+
+/** How the sending of a granted call ended. */
+type SendEnd =
+  | { readonly type: 'answered'; readonly response: RecordedResponse }
+  | { readonly type: 'not_sent'; readonly error: CallerError }
+  | { readonly type: 'unknown' };
+
+/** Sends non-idempotent calls at most once, over all nodes (design 4.7). */
+export class OnceOnlyCalls {
+  private constructor(private readonly parts: OnceOnlyParts) {}
+
+  static create(parts: OnceOnlyParts): OnceOnlyCalls {
+    return new OnceOnlyCalls(parts);
+  }
+
+  /**
+   * Runs a call under its idempotency key. The run is begun durably, sent once before its grant
+   * expires, and finished before the caller gets the answer.
+   *
+   * @returns the answer of this run or of the recorded one
+   */
+  async run(call: ServiceCall, key: string): Promise<Result<RecordedResponse, CallerError>> {
+    const { runs, decisions } = this.parts;
+    const begun = await runs.begin(call.account, key, computeCallHash(call));
+    if (begun.isErr()) return err(begun.error);
+    if (begun.value.type === 'recorded') {
+      decisions.record(call.requestId, { type: 'run_recorded' });
+      return ok(begun.value.response);
+    }
+    const { grant } = begun.value;
+    const { attempt } = grant;
+    decisions.record(call.requestId, { type: 'run_granted', attempt });
+    const end = await this.sendGranted(call, grant);
+    switch (end.type) {
+      case 'answered':
+        await this.finish(call, grant, end.response);
+        return ok(end.response);
+      case 'not_sent':
+        await this.release(call, grant);
+        return err(end.error);
+      default:
+        runs.abandon(grant);
+        decisions.record(call.requestId, { type: 'run_abandoned', attempt });
+        return err(
+          createUnknownError('outcome_unknown', 'the call may have run; no whole answer came back'),
+        );
+    }
+  }
+
+  private async sendGranted(call: ServiceCall, grant: RunGrant): Promise<SendEnd> {
+    try {
+      return await this.trySend(call, grant);
+    } catch (error) {
+      // After a fault of this process nothing proves that no byte was sent.
+      this.parts.log.error(`Call ${call.requestId} failed: ${getErrorMessage(error)}.`);
+      return { type: 'unknown' };
+    }
+  }
+
+  private async trySend(call: ServiceCall, grant: RunGrant): Promise<SendEnd> {
+    const { admission, clock, sending } = this.parts;
+    const unreachable = new Set<EndpointId>();
+    for (let attempt = 1; attempt <= MAX_SERVICE_ATTEMPTS; attempt++) {
+      if (attempt > 1 && !admission.tryTakeRetry(call.account)) break;
+      const instance = await sending.choose(call, unreachable);
+      if (instance === undefined) break;
+      // Nothing may run between this check and the send.
+      if (clock.nowMs() >= grant.sendBeforeMs) {
+        const message = 'the permission to run expired before the call was sent';
+        return {
+          type: 'not_sent',
+          error: createNotRunError('deadline_exceeded', message, RETRY_AFTER_MS),
+        };
+      }
+      const sent = await sending.send(call, instance, grant.attempt);
+      if (sent.isOk()) {
+        const { status, headers, body } = sent.value;
+        return {
+          type: 'answered',
+          response: { status, headers: selectAnswerHeaders(headers), body },
+        };
+      }
+      if (sent.error.type !== 'not_connected') return { type: 'unknown' };
+      unreachable.add(instance.id);
+    }
+    const message = `no instance of service ${call.service.id} could be reached`;
+    return {
+      type: 'not_sent',
+      error: createNotRunError('no_endpoint', message, RETRY_AFTER_MS),
+    };
+  }
+
+  private async finish(
+    call: ServiceCall,
+    grant: RunGrant,
+    response: RecordedResponse,
+  ): Promise<void> {
+    const finished = await this.parts.runs.finish(grant, response);
+    if (finished.isOk()) return;
+    // The caller gets the answer all the same; a repeated call will get `outcome_unknown`.
+    this.parts.log.warn(`Can't record the answer of ${call.requestId}: ${finished.error.type}.`);
+  }
+
+  private async release(call: ServiceCall, grant: RunGrant): Promise<void> {
+    const { attempt } = grant;
+    const released = await this.parts.runs.release(grant);
+    if (released.isErr()) {
+      this.parts.log.warn(`Can't release the run of ${call.requestId}: ${released.error.type}.`);
+      return;
+    }
+    this.parts.decisions.record(call.requestId, { type: 'run_released', attempt });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/routingChooser.ts
@@ -0,0 +1,127 @@
+import type { Clock, Random } from '@lovagearch/common';
+import type { KvSource } from '@lovagearch/engine-client';
+import {
+  type RunnerChoice as RoutingChoice,
+  chooseRunner,
+  type LinkBudget,
+  LoadEstimator,
+  type RunnerState,
+} from '@lovagearch/routing';
+import type { RunnerChoice, RunnerChooser, RunnerQuery } from './runnerSelection.js';
+import type { EndpointDirectory, EndpointView, NodeIdentity, PromptLocation } from './types.js';
+
+export interface RoutingChooserOptions {
+  readonly identity: NodeIdentity;
+  readonly directory: EndpointDirectory;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** This node's share of the link between regions; undefined for no limit. */
+  readonly linkBudget?: LinkBudget | undefined;
+}
+
+const getReason = (choice: RoutingChoice): string => {
+  if (choice.importFrom !== undefined) return `imports ${choice.reusedDepth} blocks`;
+  return choice.reusedDepth > 0 ? `holds ${choice.reusedDepth} blocks` : 'least cost without cache';
+};
+
+/** Chooses runners by the cost of the `routing` package, with the own work that reports lack. */
+export class RoutingChooser implements RunnerChooser {
+  private readonly estimator = LoadEstimator.create();
+
+  private sequence = 0;
+
+  private constructor(private readonly options: RoutingChooserOptions) {}
+
+  static create(options: RoutingChooserOptions): RoutingChooser {
+    return new RoutingChooser(options);
+  }
+
+  /** Chooses the runner of least cost; undefined without candidates. */
+  readonly choose = (
+    query: RunnerQuery,
+    candidates: readonly EndpointView[],
+    locations: readonly PromptLocation[],
+  ): RunnerChoice | undefined => {
+    const { identity, random } = this.options;
+    this.sequence += 1;
+    const [best] = chooseRunner({
+      request: { ...query, region: identity.region, zone: identity.zone },
+      runners: candidates.map((view) => this.createState(view)),
+      prefixes: this.selectUsable(locations),
+      speeds: query.service,
+      policy: { type: 'cost', weights: query.service.policy },
+      isLinkOpen: this.isLinkOpen(query),
+      random,
+      sequence: this.sequence,
+      affinityKey: query.chain[0] ?? '',
+    });
+    const runner = candidates.find(({ id }) => id === best?.runner);
+    if (best === undefined || runner === undefined) return undefined;
+    return {
+      runner,
+      kvSource: this.createKvSource(best, locations),
+      reusedDepth: best.reusedDepth,
+      estimatedTtftMs: best.ttftMs,
+      estimatedRecomputedTokens: best.recomputedTokens,
+      linkBytes: best.linkBytes,
+      reason: getReason(best),
+    };
+  };
+
+  readonly recordSent = (_query: RunnerQuery, choice: RunnerChoice): void => {
+    const { clock, linkBudget } = this.options;
+    const nowMs = clock.nowMs();
+    this.estimator.recordSent(choice.runner.id, choice.estimatedRecomputedTokens, nowMs);
+    if (choice.linkBytes > 0) linkBudget?.take(choice.linkBytes, nowMs);
+  };
+
+  private createState({ id, region, zone, load, confirmedAgeMs }: EndpointView): RunnerState {
+    const nowMs = this.options.clock.nowMs();
+    const sampleAgeMs = Math.max(load.ageMs, confirmedAgeMs);
+    const ownTokens = this.estimator.getUnreportedTokens(id, sampleAgeMs, nowMs);
+    return {
+      id,
+      region,
+      zone,
+      queuedPromptTokens: load.queuedPromptTokens + ownTokens,
+      activeSequences: load.activeSequences,
+    };
+  }
+
+  /** Drops locations on runners that have restarted since, and on store VMs that are gone. */
+  private selectUsable(locations: readonly PromptLocation[]): PromptLocation[] {
+    const { directory } = this.options;
+    return locations.filter(({ kind, holder, boot, region }) =>
+      kind === 'runner'
+        ? directory.getEndpoint(holder)?.boot === boot
+        : directory.listStores(region).some(({ id, isLive }) => id === holder && isLive),
+    );
+  }
+
+  private isLinkOpen({ requestClass, promptBytes }: RunnerQuery): boolean {
+    const { clock, linkBudget } = this.options;
+    return linkBudget?.hasRoom(requestClass, promptBytes, clock.nowMs()) ?? true;
+  }
+
+  private createKvSource(
+    { importFrom, runner }: RoutingChoice,
+    locations: readonly PromptLocation[],
+  ): KvSource | undefined {
+    if (importFrom === undefined) return undefined;
+    const { directory } = this.options;
+    const location = locations.find(
+      ({ kind, holder }) => kind === 'store' && holder === importFrom,
+    );
+    if (location === undefined) return undefined;
+    const store = directory.listStores(location.region).find(({ id }) => id === importFrom);
+    if (store === undefined) return undefined;
+    const own = locations.find(({ kind, holder }) => kind === 'runner' && holder === runner);
+    return {
+      url: store.url,
+      segmentId: location.tailKey,
+      sha256: location.sha256,
+      fromDepth: own?.depth ?? 0,
+      depth: location.depth,
+    };
+  }
+}
--- /dev/null
+++ b/packages/entry/src/runnerSelection.ts
@@ -0,0 +1,123 @@
+import type { ServiceId, ModelId, EndpointId, WeightVersion } from '@lovagearch/common';
+import type { KvSource } from '@lovagearch/engine-client';
+import type { ModelServiceView } from './callerConfiguration.js';
+import { MAX_VIEW_AGE_MS } from './callerConstants.js';
+import type {
+  EndpointDirectory,
+  EndpointView,
+  PromptIndex,
+  PromptLocation,
+  RequestClass,
+} from './types.js';
+
+/** What a choice of runner needs to know of a request. */
+export interface RunnerQuery {
+  readonly requestClass: RequestClass;
+  readonly service: ModelServiceView;
+  readonly model: ModelId;
+  readonly weightVersion: WeightVersion;
+  readonly chain: readonly string[];
+  readonly promptTokens: number;
+  readonly promptBytes: number;
+  readonly maxTokens: number;
+  /** Runners that already failed or refused this request. */
+  readonly excluded: ReadonlySet<EndpointId>;
+  /** Set if containment allows one endpoint only. */
+  readonly onlyOn: EndpointId | undefined;
+}
+
+/** A chosen runner with the estimates that led to it. */
+export interface RunnerChoice {
+  readonly runner: EndpointView;
+  readonly kvSource: KvSource | undefined;
+  /** Blocks that are expected to be reused from a cache. */
+  readonly reusedDepth: number;
+  readonly estimatedTtftMs: number;
+  readonly estimatedRecomputedTokens: number;
+  /** Estimated bytes on the link between regions. */
+  readonly linkBytes: number;
+  readonly reason: string;
+}
+
+/** Decides between runners; implemented with the `routing` package. */
+export interface RunnerChooser {
+  readonly choose: (
+    query: RunnerQuery,
+    candidates: readonly EndpointView[],
+    locations: readonly PromptLocation[],
+  ) => RunnerChoice | undefined;
+  /** Records that work goes to the chosen runner, which its load reports don't show yet. */
+  readonly recordSent: (query: RunnerQuery, choice: RunnerChoice) => void;
+}
+
+const listCandidates = (
+  directory: EndpointDirectory,
+  query: RunnerQuery,
+  service: ServiceId,
+): EndpointView[] =>
+  directory
+    .listEndpoints(service)
+    .filter(
+      (view) =>
+        view.kind === 'runner' &&
+        view.state === 'ready' &&
+        !query.excluded.has(view.id) &&
+        (query.onlyOn === undefined || query.onlyOn === view.id) &&
+        view.models.some(
+          ({ model, weightVersion }) =>
+            model === query.model && weightVersion === query.weightVersion,
+        ),
+    );
+
+/** Chooses a runner for each attempt of a request. */
+export class RunnerSelection {
+  private constructor(
+    private readonly directory: EndpointDirectory,
+    private readonly index: PromptIndex,
+    private readonly chooser: RunnerChooser,
+  ) {}
+
+  static create(
+    directory: EndpointDirectory,
+    index: PromptIndex,
+    chooser: RunnerChooser,
+  ): RunnerSelection {
+    return new RunnerSelection(directory, index, chooser);
+  }
+
+  /** Looks up where the prompt is cached. A failed lookup only costs cache hits. */
+  async findLocations(chain: readonly string[]): Promise<readonly PromptLocation[]> {
+    if (chain.length === 0) return [];
+    try {
+      return await this.index.lookup(chain);
+    } catch {
+      return [];
+    }
+  }
+
+  /**
+   * Chooses a ready runner. A runner whose view is older than 3 s is checked by a direct call first,
+   * so that a leaving runner gets no new work from a node that has not heard of it.
+   *
+   * @returns undefined if no runner is left
+   */
+  async choose(
+    query: RunnerQuery,
+    locations: readonly PromptLocation[],
+  ): Promise<RunnerChoice | undefined> {
+    const stale = new Set<EndpointId>();
+    for (;;) {
+      const candidates = listCandidates(this.directory, query, query.service.id).filter(
+        ({ id }) => !stale.has(id),
+      );
+      const choice = this.chooser.choose(query, candidates, locations);
+      if (choice === undefined) return undefined;
+      const { id, confirmedAgeMs } = choice.runner;
+      if (confirmedAgeMs <= MAX_VIEW_AGE_MS || (await this.directory.verifyFresh(id))) {
+        this.chooser.recordSent(query, choice);
+        return choice;
+      }
+      stale.add(id);
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/serviceHeaders.ts
@@ -0,0 +1,71 @@
+import type { IncomingHttpHeaders } from 'node:http';
+
+/** Headers that belong to one connection and are never passed on (RFC 9110, section 7.6.1). */
+const CONNECTION_HEADERS = new Set([
+  'connection',
+  'content-length',
+  'expect',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+/** Headers that the entry process sets itself or that carry the caller's key. */
+const OWN_HEADERS = new Set([
+  'authorization',
+  'cookie',
+  'host',
+  'idempotency-key',
+  'x-account',
+  'x-request-id',
+]);
+
+const getNominatedHeaders = (connection: string | undefined): Set<string> =>
+  new Set((connection ?? '').split(',').map((name) => name.trim().toLowerCase()));
+
+/** The headers that the entry process adds to a call. */
+export interface CallIdentity {
+  readonly requestId: string;
+  readonly account: string;
+  readonly idempotencyKey: string | undefined;
+  readonly serviceToken: string | undefined;
+}
+
+/** Builds the headers of a call to a plain service. The caller's own key never leaves this process. */
+export const buildCallHeaders = (
+  received: IncomingHttpHeaders,
+  identity: CallIdentity,
+): Record<string, string> => {
+  const headers: Record<string, string> = {};
+  const nominated = getNominatedHeaders(received.connection);
+  for (const [name, value] of Object.entries(received)) {
+    if (value === undefined || OWN_HEADERS.has(name)) continue;
+    if (CONNECTION_HEADERS.has(name) || nominated.has(name)) continue;
+    headers[name] = Array.isArray(value) ? value.join(', ') : value;
+  }
+  headers['x-request-id'] = identity.requestId;
+  headers['x-account'] = identity.account;
+  if (identity.idempotencyKey !== undefined) headers['idempotency-key'] = identity.idempotencyKey;
+  if (identity.serviceToken !== undefined) {
+    headers.authorization = `Bearer ${identity.serviceToken}`;
+  }
+  return headers;
+};
+
+/** Selects the headers of a service's answer that the caller receives and that a run records. */
+export const selectAnswerHeaders = (
+  received: Readonly<Record<string, string>>,
+): Record<string, string> => {
+  const headers: Record<string, string> = {};
+  const nominated = getNominatedHeaders(received.connection);
+  for (const [name, value] of Object.entries(received)) {
+    const lowerName = name.toLowerCase();
+    if (CONNECTION_HEADERS.has(lowerName) || nominated.has(lowerName)) continue;
+    if (lowerName !== 'x-request-id') headers[lowerName] = value;
+  }
+  return headers;
+};
--- /dev/null
+++ b/packages/entry/src/serviceInstances.ts
@@ -0,0 +1,81 @@
+import { chooseItem, type EndpointId, type Random, type ServiceId } from '@lovagearch/common';
+import { MAX_VIEW_AGE_MS } from './callerConstants.js';
+import type { EndpointDirectory, EndpointView, NodeIdentity } from './types.js';
+
+/** Calls that an instance in another zone or region must have fewer to be preferred. */
+const OTHER_ZONE_PENALTY = 2;
+const OTHER_REGION_PENALTY = 16;
+
+/** Chooses instances of plain services and counts the calls that this node has in flight. */
+export class ServiceInstances {
+  /** Bounded by the calls in flight: entries are removed when they reach zero. */
+  private readonly inFlight = new Map<EndpointId, number>();
+
+  private constructor(
+    private readonly directory: EndpointDirectory,
+    private readonly identity: NodeIdentity,
+    private readonly random: Random,
+  ) {}
+
+  static create(
+    directory: EndpointDirectory,
+    identity: NodeIdentity,
+    random: Random,
+  ): ServiceInstances {
+    return new ServiceInstances(directory, identity, random);
+  }
+
+  /**
+   * Chooses the least loaded ready instance; the own zone is preferred. An instance whose view is
+   * older than 3 s is checked first.
+   *
+   * @param onlyOn the only endpoint that containment allows, if it restricts the call
+   */
+  async choose(
+    service: ServiceId,
+    excluded: ReadonlySet<EndpointId>,
+    onlyOn: EndpointId | undefined,
+  ): Promise<EndpointView | undefined> {
+    const rejected = new Set(excluded);
+    for (;;) {
+      const chosen = this.chooseFrom(service, rejected, onlyOn);
+      if (chosen === undefined || chosen.confirmedAgeMs <= MAX_VIEW_AGE_MS) return chosen;
+      if (await this.directory.verifyFresh(chosen.id)) return chosen;
+      rejected.add(chosen.id);
+    }
+  }
+
+  /** Counts a call until the returned function is called. */
+  recordCall(id: EndpointId): () => void {
+    this.inFlight.set(id, (this.inFlight.get(id) ?? 0) + 1);
+    return () => {
+      const left = (this.inFlight.get(id) ?? 1) - 1;
+      if (left > 0) this.inFlight.set(id, left);
+      else this.inFlight.delete(id);
+    };
+  }
+
+  private chooseFrom(
+    service: ServiceId,
+    rejected: ReadonlySet<EndpointId>,
+    onlyOn: EndpointId | undefined,
+  ): EndpointView | undefined {
+    let bestCost = Infinity;
+    let best: EndpointView[] = [];
+    for (const view of this.directory.listEndpoints(service)) {
+      if (view.kind !== 'service' || view.state !== 'ready' || rejected.has(view.id)) continue;
+      if (onlyOn !== undefined && view.id !== onlyOn) continue;
+      const cost = this.computeCost(view);
+      if (cost > bestCost) continue;
+      best = cost === bestCost ? [...best, view] : [view];
+      bestCost = cost;
+    }
+    return chooseItem(best, this.random);
+  }
+
+  private computeCost({ id, load, region, zone }: EndpointView): number {
+    const calls = Math.max(load.activeSequences, this.inFlight.get(id) ?? 0);
+    if (region !== this.identity.region) return calls + OTHER_REGION_PENALTY;
+    return calls + (zone === this.identity.zone ? 0 : OTHER_ZONE_PENALTY);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/serviceSending.ts
@@ -0,0 +1,77 @@
+import type { EndpointId, Logger } from '@lovagearch/common';
+import type { ServiceClient, ServiceError, ServiceResponse } from '@lovagearch/service-client';
+import type { Result } from 'neverthrow';
+import type { DecisionLog } from './decisionLog.js';
+import type { ServiceCall } from './serviceCall.js';
+import { buildCallHeaders } from './serviceHeaders.js';
+import type { ServiceInstances } from './serviceInstances.js';
+import type { Containment, EndpointDirectory, EndpointView } from './types.js';
+
+/** Parts of the node that calls to plain services use. */
+export interface ServiceSendingParts {
+  readonly log: Logger;
+  readonly decisions: DecisionLog;
+  readonly services: ServiceClient;
+  readonly directory: EndpointDirectory;
+  readonly containment: Containment;
+  readonly instances: ServiceInstances;
+  readonly serviceToken: string;
+}
+
+/** Sends calls to instances of plain services, each once, and records what became of them. */
+export class ServiceSending {
+  private constructor(private readonly parts: ServiceSendingParts) {}
+
+  static create(parts: ServiceSendingParts): ServiceSending {
+    return new ServiceSending(parts);
+  }
+
+  async choose(
+    call: ServiceCall,
+    excluded: ReadonlySet<EndpointId>,
+  ): Promise<EndpointView | undefined> {
+    return this.parts.instances.choose(call.service.id, excluded, call.onlyOn);
+  }
+
+  /**
+   * Sends a call once.
+   *
+   * @param attempt id of the at-most-once attempt, for the decision log
+   * @returns the whole answer; the outcome is unknown after any error but `not_connected`
+   */
+  async send(
+    call: ServiceCall,
+    instance: EndpointView,
+    attempt?: string,
+  ): Promise<Result<ServiceResponse, ServiceError>> {
+    const { parts } = this;
+    const endpoint = instance.id;
+    parts.decisions.record(call.requestId, { type: 'sent', endpoint, attempt });
+    parts.containment.recordStart(endpoint, call.fingerprint);
+    const recordCallEnd = parts.instances.recordCall(endpoint);
+    const sent = await parts.services.send(instance.url, {
+      method: call.method,
+      path: call.path,
+      headers: buildCallHeaders(call.headers, {
+        requestId: call.requestId,
+        account: call.account,
+        idempotencyKey: call.idempotencyKey,
+        serviceToken: call.service.checksCaller ? parts.serviceToken : undefined,
+      }),
+      body: call.body,
+      timeoutMs: call.route.timeoutMs,
+    });
+    recordCallEnd();
+    if (sent.isErr()) this.recordFailure(call, endpoint, sent.error);
+    else parts.containment.recordEnd(endpoint, call.fingerprint, 'completed');
+    return sent;
+  }
+
+  private recordFailure(call: ServiceCall, endpoint: EndpointId, error: ServiceError): void {
+    const { containment, directory, log } = this.parts;
+    log.warn(`Call ${call.requestId} to ${endpoint} failed: ${error.type}.`);
+    const hasLostConnection = error.type === 'connection_lost';
+    containment.recordEnd(endpoint, call.fingerprint, hasLostConnection ? 'crashed' : 'other');
+    if (hasLostConnection || error.type === 'not_connected') directory.reportFailure(endpoint);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/sseWriter.ts
@@ -0,0 +1,128 @@
+import type { ServerResponse } from 'node:http';
+import { CALLER_BUFFER_BYTES, CALLER_STALL_LIMIT_MS, SSE_HEARTBEAT_MS } from './callerConstants.js';
+
+/** How a write or a stream ended: the caller closed the connection, or stopped reading. */
+export type CallerLoss = 'disconnected' | 'stalled';
+
+export interface SseWriterOptions {
+  readonly heartbeatMs?: number;
+  readonly stallLimitMs?: number;
+  readonly bufferBytes?: number;
+}
+
+/** Waits for the first of some events; `stop` ends the wait early. */
+const waitForEvent = (
+  response: ServerResponse,
+  names: readonly string[],
+): { readonly promise: Promise<void>; readonly stop: () => void } => {
+  let stop: () => void = () => undefined;
+  const promise = new Promise<void>((resolve) => {
+    stop = () => {
+      for (const name of names) response.off(name, stop);
+      resolve();
+    };
+    for (const name of names) response.on(name, stop);
+  });
+  return { promise, stop };
+};
+
+/**
+ * Writes server-sent events to one caller. At most `bufferBytes` wait for a slow caller; further
+ * writes wait until it reads, and a caller that reads nothing for `stallLimitMs` is disconnected.
+ * It owns the heartbeat timer and the stall timer.
+ */
+export class SseWriter {
+  private readonly heartbeat: NodeJS.Timeout;
+
+  private loss: CallerLoss | undefined;
+
+  private readonly lossListeners: (() => void)[] = [];
+
+  private constructor(
+    private readonly response: ServerResponse,
+    private readonly bufferBytes: number,
+    private readonly stallLimitMs: number,
+    heartbeatMs: number,
+  ) {
+    this.heartbeat = setInterval(() => this.writeHeartbeat(), heartbeatMs);
+    if (response.destroyed) this.markLost('disconnected');
+    response.on('close', () => this.markLost('disconnected'));
+    // A reset connection is reported by 'close' as well.
+    response.on('error', () => this.markLost('disconnected'));
+  }
+
+  /** Sends the response head and starts the heartbeat. */
+  static create(
+    response: ServerResponse,
+    headers: Readonly<Record<string, string>>,
+    options: SseWriterOptions = {},
+  ): SseWriter {
+    response.writeHead(200, {
+      'content-type': 'text/event-stream; charset=utf-8',
+      'cache-control': 'no-cache',
+      ...headers,
+    });
+    response.flushHeaders();
+    return new SseWriter(
+      response,
+      options.bufferBytes ?? CALLER_BUFFER_BYTES,
+      options.stallLimitMs ?? CALLER_STALL_LIMIT_MS,
+      options.heartbeatMs ?? SSE_HEARTBEAT_MS,
+    );
+  }
+
+  /** Calls a listener once when the caller is lost before `end`. */
+  onLoss(listener: () => void): void {
+    if (this.loss === undefined) this.lossListeners.push(listener);
+    else listener();
+  }
+
+  /** Returns how the caller was lost, if it was. */
+  getLoss(): CallerLoss | undefined {
+    return this.loss;
+  }
+
+  /** Writes one event; returns false once the caller is lost. `data` holds no line break. */
+  async write(event: { id?: string; event?: string; data: string }): Promise<boolean> {
+    if (this.loss !== undefined) return false;
+    const lines = [
+      ...(event.id === undefined ? [] : [`id: ${event.id}`]),
+      ...(event.event === undefined ? [] : [`event: ${event.event}`]),
+      `data: ${event.data}`,
+    ];
+    this.response.write(`${lines.join('\n')}\n\n`);
+    if (this.response.writableLength > this.bufferBytes) await this.waitForDrain();
+    return this.loss === undefined;
+  }
+
+  /** Ends the response and stops the timers. */
+  end(): void {
+    clearInterval(this.heartbeat);
+    this.lossListeners.length = 0;
+    if (this.loss === undefined) this.response.end();
+  }
+
+  private writeHeartbeat(): void {
+    if (this.loss === undefined && this.response.writableLength === 0) {
+      this.response.write(': heartbeat\n\n');
+    }
+  }
+
+  private async waitForDrain(): Promise<void> {
+    const { promise, stop } = waitForEvent(this.response, ['drain', 'close']);
+    const stallTimer = setTimeout(() => {
+      this.markLost('stalled');
+      this.response.destroy();
+      stop();
+    }, this.stallLimitMs);
+    await promise;
+    clearTimeout(stallTimer);
+  }
+
+  private markLost(loss: CallerLoss): void {
+    clearInterval(this.heartbeat);
+    if (this.loss !== undefined || this.response.writableEnded) return;
+    this.loss = loss;
+    for (const listener of this.lossListeners.splice(0)) listener();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/startEntry.ts
@@ -0,0 +1,179 @@
+import type { Clock, Logger, Metrics, Random } from '@lovagearch/common';
+import type { EngineClient } from '@lovagearch/engine-client';
+import type { LinkBudget } from '@lovagearch/routing';
+import type { ServiceClient } from '@lovagearch/service-client';
+import { AbandonedStreams } from './abandonedStreams.js';
+import { type AdminReaders, AdminServer } from './adminServer.js';
+import type { CallerConfiguration } from './callerConfiguration.js';
+import { CallerServer } from './callerServer.js';
+import { DecisionLog } from './decisionLog.js';
+import { Drain } from './drain.js';
+import { GenerationOpening } from './generationOpening.js';
+import { ModelRequestHandler } from './modelRequestHandler.js';
+import { OnceOnlyCalls } from './onceOnlyCall.js';
+import { ResumeTokens } from './resumeToken.js';
+import { RoutingChooser } from './routingChooser.js';
+import { RunnerSelection } from './runnerSelection.js';
+import { ServiceInstances } from './serviceInstances.js';
+import { ServiceRequestHandler } from './serviceRequestHandler.js';
+import { ServiceSending } from './serviceSending.js';
+import type { SseWriterOptions } from './sseWriter.js';
+import type {
+  Admission,
+  Containment,
+  EndpointDirectory,
+  NodeIdentity,
+  NodePart,
+  PromptIndex,
+  RunCoordinator,
+} from './types.js';
+
+/** Settings of the caller side; keys are used for signatures and calls only and never logged. */
+export interface EntryOptions {
+  readonly host: string;
+  readonly callerPort: number;
+  readonly adminPort: number;
+  readonly clusterKey: string;
+  readonly serviceToken: string;
+  readonly operatorKeySha256: readonly string[];
+  readonly maxBodyBytes: number;
+  readonly drainLimitMs: number;
+  /** Time without a request after which a draining node stops listening. */
+  readonly drainQuietMs?: number;
+  readonly historyFile?: string | undefined;
+  /** Time limits of streamed answers; the defaults are those of design.md. */
+  readonly sse?: SseWriterOptions;
+  /** Time for which the stream of a caller that left goes on. */
+  readonly resumeGraceMs?: number;
+}
+
+/** Readers of the administration API that other parts provide; the rest is built here. */
+export type EntryReaders = Omit<AdminReaders, 'decisions' | 'metrics' | 'node' | 'refusals'>;
+
+/** Parts of the node that were built before. */
+export interface EntryParts {
+  readonly identity: NodeIdentity;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+  readonly metrics: Metrics;
+  readonly configuration: CallerConfiguration;
+  readonly engines: EngineClient;
+  readonly services: ServiceClient;
+  readonly directory: EndpointDirectory;
+  readonly index: PromptIndex;
+  readonly runs: RunCoordinator;
+  readonly admission: Admission;
+  readonly containment: Containment;
+  readonly linkBudget?: LinkBudget | undefined;
+  readonly readers: EntryReaders;
+  /** Background parts, stopped in this order once no request runs. */
+  readonly background: readonly NodePart[];
+}
+
+/** A running entry process. */
+export interface RunningEntry {
+  readonly callerPort: number;
+  readonly adminPort: number;
+  readonly drain: Drain;
+  /** Stops as after SIGTERM: running requests finish within the drain limit. */
+  readonly stop: () => Promise<void>;
+}
+
+const createModelHandler = (
+  options: EntryOptions,
+  parts: EntryParts,
+  decisions: DecisionLog,
+  abandoned: AbandonedStreams,
+): ModelRequestHandler => {
+  const { directory, index } = parts;
+  const selection = RunnerSelection.create(directory, index, RoutingChooser.create(parts));
+  const log = parts.log.withTag('generation');
+  const { serviceToken } = options;
+  const generation = { ...parts, log, decisions, selection, serviceToken };
+  const tokens = ResumeTokens.create(Buffer.from(options.clusterKey));
+  const opening = GenerationOpening.create(generation, parts.configuration, tokens, abandoned);
+  return ModelRequestHandler.create(generation, opening, tokens, abandoned, options.sse);
+};
+
+const createServiceHandler = (
+  { serviceToken }: EntryOptions,
+  parts: EntryParts,
+  decisions: DecisionLog,
+): ServiceRequestHandler => {
+  const log = parts.log.withTag('services');
+  const instances = ServiceInstances.create(parts.directory, parts.identity, parts.random);
+  const sending = ServiceSending.create({ ...parts, log, decisions, instances, serviceToken });
+  const onceOnly = OnceOnlyCalls.create({ ...parts, log, decisions, sending });
+  return ServiceRequestHandler.create({ ...parts, decisions, sending, onceOnly });
+};
+
+const createReaders = (
+  parts: EntryParts,
+  decisions: DecisionLog,
+  drain: Drain,
+  abandoned: AbandonedStreams,
+): AdminReaders => ({
+  ...parts.readers,
+  refusals: () => ({ refusals: decisions.listRefusals() }),
+  decisions: (requestId) => decisions.listDecisions(requestId),
+  metrics: () => ({
+    counters: parts.metrics.getCounters(),
+    histograms: Object.fromEntries(
+      parts.metrics
+        .getHistogramNames()
+        .map((name) => [name, parts.metrics.getSummaries(name)] as const),
+    ),
+  }),
+  node: () => ({
+    ...parts.identity,
+    isDraining: drain.isDraining,
+    runningRequests: drain.runningRequests,
+    streamsAwaitingResume: abandoned.size,
+  }),
+});
+
+/**
+ * Puts the parts of the entry process together and starts both servers.
+ *
+ * @example
+ * const entry = await startEntry(options, parts);
+ * await entry.stop();
+ */
+export const startEntry = async (
+  options: EntryOptions,
+  parts: EntryParts,
+): Promise<RunningEntry> => {
+  const { clock, log } = parts;
+  const decisions = DecisionLog.create(clock, log.withTag('history'), options.historyFile);
+  const drain = Drain.create(log.withTag('drain'), options.drainQuietMs);
+  const abandoned = AbandonedStreams.create(
+    parts.engines,
+    log.withTag('streams'),
+    options.resumeGraceMs,
+  );
+  const caller = CallerServer.create({
+    ...parts,
+    log: log.withTag('caller'),
+    decisions,
+    drain,
+    models: createModelHandler(options, parts, decisions, abandoned),
+    services: createServiceHandler(options, parts, decisions),
+    maxBodyBytes: options.maxBodyBytes,
+  });
+  const readers = createReaders(parts, decisions, drain, abandoned);
+  const admin = AdminServer.create(readers, options.operatorKeySha256, log.withTag('admin'));
+  const callerPort = await caller.listen(options.host, options.callerPort);
+  const adminPort = await admin.listen(options.host, options.adminPort);
+  const stop = async (): Promise<void> => {
+    drain.start();
+    const isIdle = await drain.waitIdle(options.drainLimitMs);
+    await caller.close(!isIdle);
+    for (const part of parts.background) await part.stop();
+    abandoned.stop();
+    await admin.close();
+    await Promise.all([parts.engines.close(), parts.services.close(), decisions.close()]);
+    await parts.metrics.close();
+  };
+  return { callerPort, adminPort, drain, stop };
+};
