--- /dev/null
+++ b/packages/peering/src/peerConnection.ts
@@ -0,0 +1,231 @@
+import { WebSocket } from 'ws';
+import { assertNever, type NodeId } from '@lovagearch/common';
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
+import {
+  CHECK_INTERVAL_MS,
+  IDLE_LIMIT_MS,
+  MAX_FRAME_BYTES,
+  MAX_OPEN_REQUESTS,
+  MAX_SEND_BUFFER_BYTES,
+  PING_AFTER_MS,
+  SILENCE_LIMIT_MS,
+} from './constants.js';
+import { decodeFrame, encodeFrame, type PeerFrame } from './frames.js';
+import type { TopicRegistry } from './topicRegistry.js';
+import type { PeerError } from './types.js';
+
+/** Counters of bytes, shared by all connections of a mesh. */
+export interface Traffic {
+  sentBytes: number;
+  receivedBytes: number;
+}
+
+interface OpenRequest {
+  readonly finish: (result: Result<unknown, PeerError>) => void;
+  readonly timer: NodeJS.Timeout;
+}
+
+/** What the regular check of a connection asks for. */
+export type ConnectionDuty = 'close_idle' | 'close_silent' | 'none' | 'ping';
+
+/** One authenticated connection to a peer. */
+export class PeerConnection {
+  private readonly openRequests = new Map<number, OpenRequest>();
+
+  private nextId = 1;
+
+  private handling = 0;
+
+  private silentMs = 0;
+
+  private idleMs = 0;
+
+  private constructor(
+    readonly peer: NodeId,
+    readonly isOutgoing: boolean,
+    private readonly socket: WebSocket,
+    private readonly topics: TopicRegistry,
+    private readonly traffic: Traffic,
+  ) {}
+
+  /** Takes over an authenticated socket; `handleClose` is called once, when it is closed. */
+  static create(
+    peer: NodeId,
+    isOutgoing: boolean,
+    socket: WebSocket,
+    topics: TopicRegistry,
+    traffic: Traffic,
+    handleClose: (connection: PeerConnection) => void,
+  ): PeerConnection {
+    const connection = new PeerConnection(peer, isOutgoing, socket, topics, traffic);
+    socket.on('message', (data: Buffer) => connection.receive(data));
+    socket.on('close', () => {
+      connection.stopRequests();
+      handleClose(connection);
+    });
+    return connection;
+  }
+
+  get isOpen(): boolean {
+    return this.socket.readyState === WebSocket.OPEN;
+  }
+
+  /** Sends a message without an answer; false if it was dropped. */
+  send(topic: string, payload: unknown): boolean {
+    this.idleMs = 0;
+    return this.write({ type: 'one_way', topic, payload });
+  }
+
+  /**
+   * Sends a request and waits for its reply up to a time limit. `peer_busy` also stands for a
+   * payload that exceeds the size of a frame: in both cases nothing was sent.
+   */
+  request(topic: string, payload: unknown, timeoutMs: number): ResultAsync<unknown, PeerError> {
+    return new ResultAsync(
+      new Promise((resolve) => {
+        if (!this.isOpen) {
+          resolve(err({ type: 'not_connected', message: 'the connection is closed' }));
+          return;
+        }
+        const id = this.nextId++;
+        const isSent =
+          this.openRequests.size < MAX_OPEN_REQUESTS &&
+          this.write({ type: 'request', id, topic, payload });
+        if (!isSent) {
+          resolve(err({ type: 'peer_busy' }));
+          return;
+        }
+        this.idleMs = 0;
+        const finish = (result: Result<unknown, PeerError>): void => {
+          clearTimeout(this.openRequests.get(id)?.timer);
+          this.openRequests.delete(id);
+          resolve(result);
+        };
+        const timer = setTimeout(() => finish(err({ type: 'timeout', timeoutMs })), timeoutMs);
+        if (this.openRequests.size === 0) this.silentMs = 0;
+        this.openRequests.set(id, { finish, timer });
+      }),
+    );
+  }
+
+  /** Accounts for time that passed and acts on it: ping, or close on silence or idleness. */
+  runCheck(elapsedMs: number): ConnectionDuty {
+    // A pause of this process must not count as silence of the peer.
+    const countedMs = Math.min(elapsedMs, 2 * CHECK_INTERVAL_MS);
+    this.idleMs += countedMs;
+    this.silentMs = this.openRequests.size === 0 ? 0 : this.silentMs + countedMs;
+    const duty = this.getDuty();
+    if (duty === 'ping') this.write({ type: 'ping' });
+    if (duty === 'close_silent' || duty === 'close_idle') this.socket.terminate();
+    return duty;
+  }
+
+  close(): void {
+    // A peer that no longer reads would keep a graceful close waiting.
+    this.socket.terminate();
+  }
+
+  private getDuty(): ConnectionDuty {
+    if (this.silentMs >= SILENCE_LIMIT_MS) return 'close_silent';
+    if (this.silentMs >= PING_AFTER_MS) return 'ping';
+    const isUsed = this.openRequests.size > 0 || this.handling > 0;
+    return !isUsed && this.idleMs >= IDLE_LIMIT_MS ? 'close_idle' : 'none';
+  }
+
+  private write(frame: PeerFrame): boolean {
+    if (!this.isOpen) return false;
+    const bytes = encodeFrame(frame);
+    if (bytes.length > MAX_FRAME_BYTES) return false;
+    if (this.socket.bufferedAmount + bytes.length > MAX_SEND_BUFFER_BYTES) return false;
+    this.traffic.sentBytes += bytes.length;
+    // A failed write is followed by the close event, which ends the open requests.
+    this.socket.send(bytes, () => undefined);
+    return true;
+  }
+
+  /** Handles the bytes of one frame; bytes that are not a frame close the connection. */
+  receive(data: Buffer): void {
+    this.traffic.receivedBytes += data.length;
+    this.silentMs = 0;
+    const frame = decodeFrame(data);
+    if (frame === undefined) {
+      this.socket.terminate();
+      return;
+    }
+    this.handleFrame(frame);
+  }
+
+  private handleFrame(frame: PeerFrame): void {
+    switch (frame.type) {
+      case 'one_way':
+        this.idleMs = 0;
+        this.handleOneWay(frame.topic, frame.payload);
+        return;
+      case 'request':
+        this.idleMs = 0;
+        this.handleRequest(frame.id, frame.topic, frame.payload);
+        return;
+      case 'reply':
+        this.openRequests.get(frame.id)?.finish(ok(frame.payload));
+        return;
+      case 'error_reply':
+        this.openRequests
+          .get(frame.id)
+          ?.finish(err({ type: 'rejected', reason: frame.reason, message: frame.message }));
+        return;
+      case 'ping':
+        this.write({ type: 'pong' });
+        return;
+      case 'pong':
+        return;
+      default:
+        assertNever(frame);
+    }
+  }
+
+  private handleOneWay(topic: string, payload: unknown): void {
+    if (this.handling >= MAX_OPEN_REQUESTS) return;
+    this.handling++;
+    // The registry turns every failure into a value, so this promise never rejects.
+    this.topics.handle(this.peer, topic, payload).then(
+      () => {
+        this.handling--;
+      },
+      () => undefined,
+    );
+  }
+
+  private handleRequest(id: number, topic: string, payload: unknown): void {
+    if (this.handling >= MAX_OPEN_REQUESTS) {
+      this.write({ type: 'error_reply', id, reason: 'peer_busy', message: 'too many requests' });
+      return;
+    }
+    this.handling++;
+    // The registry turns every failure into a value, so this promise never rejects.
+    this.topics.handle(this.peer, topic, payload).then(
+      (result) => {
+        this.handling--;
+        this.writeReply(id, result);
+      },
+      () => undefined,
+    );
+  }
+
+  private writeReply(
+    id: number,
+    result: Result<unknown, { readonly reason: string; readonly message: string }>,
+  ): void {
+    const isWritten = result.isOk()
+      ? this.write({ type: 'reply', id, payload: result.value ?? null })
+      : this.write({ type: 'error_reply', id, ...result.error });
+    if (!isWritten) {
+      this.write({ type: 'error_reply', id, reason: 'reply_too_large', message: 'not sent' });
+    }
+  }
+
+  private stopRequests(): void {
+    for (const { finish } of [...this.openRequests.values()]) {
+      finish(err({ type: 'connection_lost' }));
+    }
+  }
+}
