Add the settings loader

Cause: processes need settings whose faults name file, line and key. Ruled out: JSON.parse with zod errors alone, which gives no positions; repeating wrong values of key fields, which could print a key. Conclusion: faults are typed errors with line and column.

--- /dev/null
+++ b/packages/settings/src/constants.ts
@@ -0,0 +1,20 @@
+/** Largest settings or configuration file that is read, in bytes. */
+export const MAX_FILE_BYTES = 1_048_576;
+/** Largest key file, in bytes. */
+export const MAX_KEY_FILE_BYTES = 4_096;
+/** Characters of a wrong value that an error repeats. */
+export const MAX_SHOWN_VALUE_LENGTH = 60;
+/** Faults that are reported for one file; the rest follow once these are mended. */
+export const MAX_REPORTED_FAULTS = 50;
+
+export const MAX_PORT = 65_535;
+export const MAX_SEEDS = 1_000;
+export const MAX_OPERATOR_KEYS = 100;
+export const MAX_RUN_SHARDS = 1_024;
+export const MAX_DRAIN_LIMIT_MS = 3_600_000;
+export const MAX_BODY_LIMIT_BYTES = 67_108_864;
+
+export const DEFAULT_RUN_SHARDS = 8;
+export const DEFAULT_DRAIN_LIMIT_MS = 600_000;
+export const DEFAULT_MAX_BODY_BYTES = 4_194_304;
+export const DEFAULT_STATSD_PORT = 8_125;
--- /dev/null
+++ b/packages/settings/src/jsonc.ts
@@ -0,0 +1,170 @@
+import {
+  findNodeAtLocation,
+  getNodeValue,
+  type Node,
+  type ParseError,
+  parseTree,
+  printParseErrorCode,
+} from 'jsonc-parser';
+import { err, ok, type Result } from 'neverthrow';
+import type { z } from 'zod';
+import { MAX_REPORTED_FAULTS, MAX_SHOWN_VALUE_LENGTH } from './constants.js';
+import type { SettingsError } from './errors.js';
+
+type Path = readonly (number | string)[];
+
+interface Source {
+  readonly text: string;
+  readonly file: string;
+  readonly root: Node;
+}
+
+// An operator may put the key itself where its digest belongs; errors must not repeat it.
+const SECRET_KEY_PATTERN = /key|token|secret|sha256/i;
+
+const getPosition = (text: string, offset: number) => {
+  const before = text.slice(0, offset);
+  const lineStart = before.lastIndexOf('\n') + 1;
+  return { line: before.split('\n').length, column: offset - lineStart + 1 };
+};
+
+/** Finds the node at a path, or its closest parent if the value is missing. */
+const findClosestNode = (root: Node, path: Path): Node => {
+  for (let { length } = path; length > 0; length--) {
+    const node = findNodeAtLocation(root, path.slice(0, length));
+    if (node !== undefined) return node;
+  }
+  return root;
+};
+
+const formatPath = (path: Path): string => {
+  let text = '';
+  for (const part of path) {
+    if (typeof part === 'number') text += `[${part}]`;
+    else text += text === '' ? part : `.${part}`;
+  }
+  return text;
+};
+
+const formatValue = (path: Path, value: unknown): string => {
+  if (path.some((part) => typeof part === 'string' && SECRET_KEY_PATTERN.test(part))) {
+    return typeof value === 'string' ? `a text of ${value.length} characters` : typeof value;
+  }
+  if (Array.isArray(value)) return 'a list';
+  if (typeof value === 'object' && value !== null) return 'an object';
+  const text = JSON.stringify(value);
+  return text.length <= MAX_SHOWN_VALUE_LENGTH ? text : `${text.slice(0, MAX_SHOWN_VALUE_LENGTH)}…`;
+};
+
+const createError = (
+  source: Source,
+  type: SettingsError['type'],
+  path: Path,
+  node: Node,
+  message: string,
+): SettingsError => ({
+  type,
+  file: source.file,
+  ...getPosition(source.text, node.offset),
+  key: formatPath(path),
+  message,
+});
+
+const getExpectation = (issue: z.core.$ZodIssue): string => {
+  if (issue.message.startsWith('expected ')) return issue.message;
+  if (issue.code === 'invalid_value') {
+    return `expected ${issue.values.map((value) => JSON.stringify(value)).join(' or ')}`;
+  }
+  if (issue.code === 'invalid_type') return `expected ${issue.expected}`;
+  return issue.message.charAt(0).toLowerCase() + issue.message.slice(1);
+};
+
+const toErrors = (source: Source, issue: z.core.$ZodIssue): SettingsError[] => {
+  const path = issue.path.map((part) => (typeof part === 'number' ? part : String(part)));
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map((key) => {
+      const value = findClosestNode(source.root, [...path, key]);
+      return createError(
+        source,
+        'unknown_key',
+        [...path, key],
+        value.parent ?? value,
+        'unknown key',
+      );
+    });
+  }
+  const node = findNodeAtLocation(source.root, path);
+  if (node === undefined) {
+    const parent = findClosestNode(source.root, path);
+    const message = `missing value: ${getExpectation(issue)}`;
+    return [createError(source, 'missing_value', path, parent, message)];
+  }
+  const got = formatValue(path, getNodeValue(node));
+  return [createError(source, 'wrong_value', path, node, `${getExpectation(issue)}, got ${got}`)];
+};
+
+const collectDuplicateKeys = (source: Source, node: Node, path: Path): SettingsError[] => {
+  const errors: SettingsError[] = [];
+  const seen = new Set<string>();
+  for (const [index, child] of (node.children ?? []).entries()) {
+    if (node.type === 'array')
+      errors.push(...collectDuplicateKeys(source, child, [...path, index]));
+    if (node.type !== 'object') continue;
+    const [name, value] = child.children ?? [];
+    if (name === undefined || value === undefined) continue;
+    const key = String(name.value);
+    const childPath = [...path, key];
+    if (seen.has(key))
+      errors.push(createError(source, 'duplicate_key', childPath, name, 'given twice'));
+    seen.add(key);
+    errors.push(...collectDuplicateKeys(source, value, childPath));
+  }
+  return errors;
+};
+
+const createSyntaxError = (text: string, file: string, fault: ParseError): SettingsError => ({
+  type: 'syntax',
+  file,
+  ...getPosition(text, fault.offset),
+  key: '',
+  message: `syntax error: ${printParseErrorCode(fault.error)}`,
+});
+
+/**
+ * Parses JSON with comments and trailing commas, and checks it against a schema.
+ *
+ * @param file name for error messages
+ * @returns the checked value, or all faults with their positions
+ * @example
+ * parseJsonc('{ "port": 80 } // web', 'a.jsonc', z.strictObject({ port: z.number() }));
+ */
+export const parseJsonc = <Schema extends z.ZodType>(
+  text: string,
+  file: string,
+  schema: Schema,
+): Result<z.infer<Schema>, readonly SettingsError[]> => {
+  const faults: ParseError[] = [];
+  const root = parseTree(text, faults, { allowTrailingComma: true });
+  if (faults.length > 0 || root === undefined) {
+    const shown = faults.slice(0, MAX_REPORTED_FAULTS);
+    const errors = shown.map((fault) => createSyntaxError(text, file, fault));
+    if (errors.length > 0) return err(errors);
+    return err([
+      { type: 'syntax', file, line: 1, column: 1, key: '', message: 'syntax error: empty file' },
+    ]);
+  }
+  const source: Source = { text, file, root };
+  const duplicates = collectDuplicateKeys(source, root, []);
+  if (duplicates.length > 0) return err(duplicates.slice(0, MAX_REPORTED_FAULTS));
+  const parsed = schema.safeParse(getNodeValue(root));
+  if (parsed.success) return ok(parsed.data);
+  const errors = parsed.error.issues.flatMap((issue) => toErrors(source, issue));
+  return err(errors.slice(0, MAX_REPORTED_FAULTS));
+};
+
+/** Returns the line and column (from 1) of a key in a text that was parsed before. */
+export const getKeyPosition = (text: string, path: Path) => {
+  const root = parseTree(text, [], { allowTrailingComma: true });
+  if (root === undefined) return { line: 1, column: 1 };
+  return getPosition(text, findClosestNode(root, path).offset);
+};
