--- /dev/null
+++ b/packages/configuration/src/source.ts
@@ -0,0 +1,109 @@
+import { errAsync, okAsync, type ResultAsync } from 'neverthrow';
+import {
+  bundleSchema,
+  type ConfigurationBundle,
+  type ConfigurationHead,
+  EMPTY_BUNDLE,
+  getObjectName,
+  headSchema,
+} from './bundle.js';
+import { computeDigest } from './canonicalJson.js';
+import { HEAD_KEY, MAX_BUNDLE_BYTES } from './constants.js';
+
+/** A row as the platform's table client returns it. */
+export interface ConfigurationRow {
+  readonly value: unknown;
+  readonly version: number;
+  readonly attemptId: string | null;
+}
+
+/** Errors of the table client that publishing tells apart. */
+export type ConfigurationTableError =
+  | { readonly type: 'conflict'; readonly current: ConfigurationRow | null }
+  | { readonly type: 'outcome_unknown'; readonly message: string }
+  | { readonly type: 'protocol_violation'; readonly message: string }
+  | { readonly type: 'unavailable'; readonly message: string };
+
+/** The part of the platform's table client that the configuration needs. */
+export interface ConfigurationTable {
+  readonly read: (key: string) => ResultAsync<ConfigurationRow | null, ConfigurationTableError>;
+  readonly write: (
+    key: string,
+    value: unknown,
+    ifVersion: number | undefined,
+    attemptId: string,
+  ) => ResultAsync<{ readonly version: number }, ConfigurationTableError>;
+}
+
+/** The part of the platform's object client that the configuration needs. */
+export interface ConfigurationObjects {
+  readonly read: (name: string) => ResultAsync<Uint8Array, { readonly type: string }>;
+  readonly write: (name: string, bytes: Uint8Array) => ResultAsync<void, { readonly type: string }>;
+}
+
+/**
+ * `unavailable`: the platform doesn't answer; `invalid`: it answered something that is not a
+ * configuration.
+ */
+export interface SourceError {
+  readonly type: 'invalid' | 'unavailable';
+  readonly message: string;
+}
+
+/** The head row with the version that a conditional write needs; null before the first one. */
+export interface VersionedHead {
+  readonly head: ConfigurationHead | null;
+  readonly version: number;
+  readonly attemptId: string | null;
+}
+
+const createSourceError = (type: SourceError['type'], message: string): SourceError => ({
+  type,
+  message,
+});
+
+/** Checks a row of `config/head`. */
+export const parseHeadRow = (
+  row: ConfigurationRow | null,
+): ResultAsync<VersionedHead, SourceError> => {
+  if (row === null) return okAsync({ head: null, version: 0, attemptId: null });
+  const head = headSchema.safeParse(row.value);
+  if (!head.success) {
+    return errAsync(createSourceError('invalid', `row ${HEAD_KEY} is not a configuration head`));
+  }
+  return okAsync({ head: head.data, version: row.version, attemptId: row.attemptId });
+};
+
+/** Reads the head row. */
+export const readHead = (table: ConfigurationTable): ResultAsync<VersionedHead, SourceError> =>
+  table
+    .read(HEAD_KEY)
+    .mapErr((error) => createSourceError('unavailable', `the table answered ${error.type}`))
+    .andThen(parseHeadRow);
+
+const parseBundle = (
+  bytes: Uint8Array,
+  digest: string,
+): ResultAsync<ConfigurationBundle, SourceError> => {
+  const invalid = createSourceError('invalid', `object ${getObjectName(digest)} is not its bundle`);
+  if (bytes.byteLength > MAX_BUNDLE_BYTES) return errAsync(invalid);
+  try {
+    const parsed = bundleSchema.safeParse(JSON.parse(Buffer.from(bytes).toString('utf8')));
+    if (!parsed.success || computeDigest(parsed.data) !== digest) return errAsync(invalid);
+    return okAsync(parsed.data);
+  } catch {
+    return errAsync(invalid);
+  }
+};
+
+/** Reads the bundle of a head and checks its digest; the empty bundle before the first head. */
+export const readBundle = (
+  objects: ConfigurationObjects,
+  head: ConfigurationHead | null,
+): ResultAsync<ConfigurationBundle, SourceError> => {
+  if (head === null) return okAsync(EMPTY_BUNDLE);
+  return objects
+    .read(getObjectName(head.digest))
+    .mapErr((error) => createSourceError('unavailable', `the object store answered ${error.type}`))
+    .andThen((bytes) => parseBundle(bytes, head.digest));
+};
