Follow the configuration head and pull changes from peers

Cause: a revision must reach every node, also when the store fails right after one node learnt it. Ruled out: reading the store only, which loses the revision in an outage. Change: ConfigurationFollower reads the head, exchanges with peers in each cycle and tells three peers about each new revision.

--- /dev/null
+++ b/packages/entry/src/configurationFollower.ts
@@ -0,0 +1,272 @@
+import { type Logger, MS_PER_SECOND, type NodeId, type Random } from '@lovagearch/common';
+import {
+  type ConfigurationDelta,
+  type ConfigurationObjects,
+  ConfigurationState,
+  type ConfigurationTable,
+  type ConfigurationView,
+  deltaSchema,
+  readBundle,
+  readHead,
+  type StateChange,
+  type StateError,
+} from '@lovagearch/configuration';
+import type { PeerMesh } from '@lovagearch/peering';
+import type { Result } from 'neverthrow';
+import { z } from 'zod';
+import type { NodePart } from './types.js';
+
+export const CONFIGURATION_PULL_TOPIC = 'configuration.pull';
+/** Mean time between two reads of the head. */
+const FOLLOW_INTERVAL_MS = 4_000;
+/** Share by which the interval varies, so that 350 nodes don't read at the same moment. */
+const FOLLOW_JITTER = 0.2;
+/** Time between two tries while the node has no configuration at all. */
+const FIRST_TRY_INTERVAL_MS = 500;
+const PULL_TIMEOUT_MS = 2 * MS_PER_SECOND;
+/** Peers that are asked in each cycle in which the store works. */
+const PEERS_PER_CYCLE = 1;
+/** Peers that are asked when the store fails, and told about a new revision. */
+const PEERS_WITHOUT_STORE = 3;
+/** Peers that a node without configuration asks. */
+const PEERS_AT_START = 8;
+/** Larger deltas don't fit the frame of a peer message (1 MiB); the asking node reads the store. */
+const MAX_DELTA_BYTES = 900_000;
+
+/** `revision` is the sender's own, so that the receiver learns of a newer one. */
+export const pullRequestSchema = z.strictObject({
+  since: z.number().int().nonnegative(),
+  revision: z.number().int().nonnegative(),
+});
+const pullReplySchema = deltaSchema.nullable();
+
+/** How the revision in force was learnt. */
+export type ConfigurationOrigin =
+  | { readonly type: 'none' }
+  | { readonly type: 'peer'; readonly node: NodeId }
+  | { readonly type: 'store' };
+
+/** What the administration API shows of the configuration. */
+export interface ConfigurationStatus {
+  readonly revision: number;
+  readonly digest: string;
+  readonly origin: ConfigurationOrigin;
+  readonly isStoreReachable: boolean;
+  /** Revision of a head that is below the one in force; null if the last head was not. */
+  readonly ignoredHeadRevision: number | null;
+}
+
+export interface ConfigurationFollowerOptions {
+  readonly table: ConfigurationTable;
+  readonly objects: ConfigurationObjects;
+  readonly mesh: PeerMesh;
+  /** Live members besides this node. */
+  readonly listPeers: () => readonly NodeId[];
+  readonly random: Random;
+  readonly log: Logger;
+}
+
+const choosePeers = (peers: readonly NodeId[], count: number, random: Random): NodeId[] => {
+  const rest = [...peers];
+  const chosen: NodeId[] = [];
+  while (chosen.length < count && rest.length > 0) {
+    chosen.push(...rest.splice(Math.floor(random() * rest.length), 1));
+  }
+  return chosen;
+};
+
+/**
+ * Keeps the newest configuration of a node in force: reads the head every 4 s and exchanges changed
+ * entries with peers, which also works while the store is down. It never moves to a lower revision.
+ *
+ * @example
+ * const follower = ConfigurationFollower.create({ table, objects, mesh, listPeers, random, log });
+ * await follower.start();
+ * follower.view.getAccountByKeyHash(hash);
+ */
+export class ConfigurationFollower implements NodePart {
+  private readonly state = ConfigurationState.create();
+
+  private origin: ConfigurationOrigin = { type: 'none' };
+
+  private isStoreReachable = false;
+
+  private ignoredHeadRevision: number | null = null;
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private isStopped = false;
+
+  private cycle: Promise<void> = Promise.resolve();
+
+  private pulling: Promise<void> | undefined;
+
+  private announcing: Promise<void> = Promise.resolve();
+
+  private newerPeer: { readonly node: NodeId; readonly revision: number } | undefined;
+
+  private constructor(private readonly options: ConfigurationFollowerOptions) {}
+
+  /** Creates a follower and registers its topic; `start` begins to follow. */
+  static create(options: ConfigurationFollowerOptions): ConfigurationFollower {
+    const follower = new ConfigurationFollower(options);
+    options.mesh.registerHandler(CONFIGURATION_PULL_TOPIC, pullRequestSchema, (from, payload) => {
+      follower.noteRevision(from, payload.revision);
+      return follower.getReply(payload.since);
+    });
+    return follower;
+  }
+
+  get view(): ConfigurationView {
+    return this.state.view;
+  }
+
+  get revision(): number {
+    return this.state.revision;
+  }
+
+  getStatus(): ConfigurationStatus {
+    const { origin, isStoreReachable, ignoredHeadRevision } = this;
+    const { revision, digest } = this.state;
+    return { revision, digest, origin, isStoreReachable, ignoredHeadRevision };
+  }
+
+  /** Runs the first cycle and then follows until `stop`. */
+  async start(): Promise<void> {
+    await this.runCycle();
+    this.scheduleCycle(0);
+  }
+
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    clearTimeout(this.timer);
+    await this.cycle;
+    await this.pulling;
+    await this.announcing;
+  }
+
+  /** Records the revision that a peer message or probe carried; pulls it if it is newer. */
+  noteRevision(node: NodeId, revision: number): void {
+    if (this.isStopped || revision <= this.state.revision) return;
+    if (revision <= (this.newerPeer?.revision ?? 0)) return;
+    this.newerPeer = { node, revision };
+    this.pulling ??= this.runPulls();
+  }
+
+  /** Reads the head and exchanges with peers once. It never rejects. */
+  async runCycle(): Promise<void> {
+    const isFirst = this.state.revision === 0;
+    const count = isFirst ? PEERS_AT_START : PEERS_PER_CYCLE;
+    const [isRead] = await Promise.all([this.readStore(), this.exchangeWithPeers(count)]);
+    if (isRead !== this.isStoreReachable) {
+      this.options.log.info(isRead ? 'The store is reachable.' : 'The store is not reachable.');
+    }
+    this.isStoreReachable = isRead;
+    if (!isRead && !isFirst) await this.exchangeWithPeers(PEERS_WITHOUT_STORE);
+  }
+
+  private scheduleCycle(elapsedMs: number): void {
+    if (this.isStopped) return;
+    const factor = 1 + FOLLOW_JITTER * (2 * this.options.random() - 1);
+    const intervalMs = this.state.revision === 0 ? FIRST_TRY_INTERVAL_MS : FOLLOW_INTERVAL_MS;
+    // A slow store counts towards the interval; else it would delay the next exchange with peers.
+    const delayMs = Math.max(FIRST_TRY_INTERVAL_MS, intervalMs * factor - elapsedMs);
+    this.timer = setTimeout(() => {
+      const startMs = performance.now();
+      this.cycle = this.runCycle().then(() => this.scheduleCycle(performance.now() - startMs));
+    }, delayMs);
+  }
+
+  /** Returns whether the store answered with a head whose bundle is in force or not needed. */
+  private async readStore(): Promise<boolean> {
+    const { table, objects, log } = this.options;
+    const read = await readHead(table);
+    if (read.isErr()) {
+      if (read.error.type === 'invalid') log.error(`The head is refused: ${read.error.message}.`);
+      return false;
+    }
+    const { head } = read.value;
+    const headRevision = head?.revision ?? 0;
+    if (headRevision < this.state.revision) {
+      if (this.ignoredHeadRevision !== headRevision) {
+        log.warn(`Head ${headRevision} is below revision ${this.state.revision} and is ignored.`);
+      }
+      this.ignoredHeadRevision = headRevision;
+      return true;
+    }
+    this.ignoredHeadRevision = null;
+    if (head === null) return true;
+    const offer = this.state.checkOffer(head.revision, head.digest);
+    if (offer.isErr() || offer.value === 'unchanged') {
+      this.handleChange(offer, { type: 'store' });
+      return true;
+    }
+    const bundle = await readBundle(objects, head);
+    if (bundle.isErr()) {
+      log.warn(`The bundle of revision ${head.revision} can't be read: ${bundle.error.message}.`);
+      return false;
+    }
+    // A peer may have been faster while the bundle was read.
+    if (head.revision <= this.state.revision) return true;
+    this.handleChange(this.state.applyBundle(bundle.value, head.digest), { type: 'store' });
+    return true;
+  }
+
+  /** Asks random peers for newer entries, and by the same message tells them this revision. */
+  private async exchangeWithPeers(count: number): Promise<void> {
+    const { listPeers, random } = this.options;
+    const peers = choosePeers(listPeers(), count, random);
+    await Promise.all(peers.map((node) => this.pullFrom(node, this.state.revision)));
+  }
+
+  private async runPulls(): Promise<void> {
+    for (let peer = this.newerPeer; peer !== undefined; peer = this.newerPeer) {
+      if (peer.revision > this.state.revision) await this.pullFrom(peer.node, this.state.revision);
+      // A failed pull is not repeated: the next message or cycle names the revision again.
+      if (this.newerPeer === peer) this.newerPeer = undefined;
+    }
+    this.pulling = undefined;
+  }
+
+  private async pullFrom(node: NodeId, since: number): Promise<void> {
+    if (this.isStopped) return;
+    const request = { since, revision: this.state.revision };
+    const { mesh, log } = this.options;
+    const reply = await mesh.request(node, CONFIGURATION_PULL_TOPIC, request, PULL_TIMEOUT_MS);
+    if (reply.isErr()) return;
+    const parsed = pullReplySchema.safeParse(reply.value);
+    if (!parsed.success) {
+      log.warn(`Node ${node} sent a configuration that is not valid.`);
+      return;
+    }
+    const delta = parsed.data;
+    if (delta === null || delta.revision <= this.state.revision) return;
+    const change = this.state.applyDelta(delta);
+    const isIncomplete = change.isErr() && this.needsWholeBundle(change.error);
+    if (isIncomplete && since > 0) await this.pullFrom(node, 0);
+    else this.handleChange(change, { type: 'peer', node });
+  }
+
+  private needsWholeBundle(error: StateError): boolean {
+    return error.type === 'delta_gap' || error.type === 'digest_mismatch';
+  }
+
+  private handleChange(change: Result<StateChange, StateError>, origin: ConfigurationOrigin): void {
+    const { log } = this.options;
+    if (change.isErr()) {
+      log.error(`A configuration from ${origin.type} is refused: ${JSON.stringify(change.error)}.`);
+      return;
+    }
+    if (change.value === 'unchanged') return;
+    this.origin = origin;
+    log.info(`Revision ${this.state.revision} is in force, learnt from ${origin.type}.`);
+    // If the store fails now, the other nodes still learn the revision from this node.
+    this.announcing = this.exchangeWithPeers(PEERS_WITHOUT_STORE);
+  }
+
+  private getReply(since: number): ConfigurationDelta | null {
+    const delta = this.state.getDelta(since);
+    if (delta === undefined) return null;
+    return JSON.stringify(delta).length <= MAX_DELTA_BYTES ? delta : null;
+  }
+}
