Add the at-most-once run log and its parts in the entry process

Ruled out: one table row for each call (200 writes/s at peak); a lease for each shard, which a paused holder breaks; removing takeover rows with the outcomes, since a paused owner's next write would find its sequence number free again. Change: records, segments, shard state, log sequence and expiry, batching and a history checker in `runs`; shard owner, router and coordinator in `entry`. A write without a clear end closes the shard until its log is read again and fenced by a takeover row. The parts in `entry` compile and are not tested yet.

--- /dev/null
+++ b/packages/entry/src/runCoordinator.ts
@@ -0,0 +1,218 @@
+import {
+  assertNever,
+  createId,
+  createNotRunError,
+  createUnknownError,
+  type AccountId,
+  type AttemptId,
+  type CallerError,
+  type Clock,
+  type Logger,
+} from '@lovagearch/common';
+import type { ObjectClient } from '@lovagearch/platform-client';
+import { GRANT_MS, MAX_KEY_LENGTH, type StoredResponse } from '@lovagearch/runs';
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
+import type { BeginMessage, BeginReply, EndReply, ReleaseMessage } from './runMessages.js';
+import { RunBacklog } from './runBacklog.js';
+import { readResponse, writeResponse } from './runResponses.js';
+import type { RouterError, RunShardRouter } from './runShardRouter.js';
+import type {
+  NodePart,
+  RecordedResponse,
+  RunBeginning,
+  RunCoordinator,
+  RunGrant,
+} from './types.js';
+
+/** Attempts of this node that have not ended; beyond it new runs are refused. */
+const MAX_OPEN_ATTEMPTS = 4_096;
+/** Advice to callers while the run log can't be written. */
+const STORE_RETRY_AFTER_MS = 2_000;
+
+type BegunRecord = BeginMessage['record'];
+
+export interface NodeRunCoordinatorOptions {
+  readonly router: RunShardRouter;
+  readonly objects: ObjectClient;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly self: BegunRecord['holder'];
+}
+
+const createStoreError = (message: string): CallerError =>
+  createNotRunError('run_store_unavailable', message, STORE_RETRY_AFTER_MS);
+
+/**
+ * At-most-once runs as the request path of this node sees them. It holds the grants of its own
+ * attempts; the owners of the shards hold the log.
+ */
+export class NodeRunCoordinator implements RunCoordinator, NodePart {
+  /** Records of open attempts, for `finish`, `release` and `abandon`. */
+  private readonly open = new Map<AttemptId, BegunRecord>();
+
+  private readonly backlog: RunBacklog;
+
+  private constructor(private readonly options: NodeRunCoordinatorOptions) {
+    this.backlog = RunBacklog.create(options.log);
+  }
+
+  static create(options: NodeRunCoordinatorOptions): NodeRunCoordinator {
+    return new NodeRunCoordinator(options);
+  }
+
+  /**
+   * Asks for permission to send a call once.
+   *
+   * @example
+   * const beginning = await coordinator.begin(account, 'claim-17', bodyHash);
+   */
+  readonly begin = (
+    account: AccountId,
+    key: string,
+    bodyHash: string,
+  ): ResultAsync<RunBeginning, CallerError> =>
+    new ResultAsync(this.runBegin(account, key, bodyHash));
+
+  readonly finish = (grant: RunGrant, response: RecordedResponse): ResultAsync<void, CallerError> =>
+    new ResultAsync(this.runFinish(grant, response));
+
+  readonly release = (grant: RunGrant): ResultAsync<void, CallerError> =>
+    new ResultAsync(this.runRelease(grant));
+
+  readonly abandon = (grant: RunGrant): void => {
+    const record = this.takeOpen(grant);
+    if (record !== undefined) this.addRelease({ ...record, type: 'abandoned' });
+  };
+
+  /** Records what waits, once more, and stops. */
+  async stop(): Promise<void> {
+    await this.backlog.stop();
+  }
+
+  private async runBegin(
+    account: AccountId,
+    key: string,
+    bodyHash: string,
+  ): Promise<Result<RunBeginning, CallerError>> {
+    if (key.length === 0 || key.length > MAX_KEY_LENGTH) {
+      return err(createNotRunError('bad_request', 'the idempotency key has 1 to 255 characters'));
+    }
+    if (this.open.size >= MAX_OPEN_ATTEMPTS) {
+      return err(createNotRunError('overloaded', 'too many runs are open', STORE_RETRY_AFTER_MS));
+    }
+    const { clock, router, self } = this.options;
+    const attempt = createId<AttemptId>('attempt');
+    const record: BegunRecord = { type: 'begun', account, key, bodyHash, attempt, holder: self };
+    const sendBeforeMs = clock.nowMs() + GRANT_MS;
+    this.open.set(attempt, record);
+    const reply = await router.requestBegin(record);
+    if (reply.isOk() && reply.value.type === 'granted' && clock.nowMs() < sendBeforeMs) {
+      return ok({ type: 'granted', grant: { account, key, attempt, sendBeforeMs } });
+    }
+    this.open.delete(attempt);
+    return this.handleNoGrant(record, reply);
+  }
+
+  private async handleNoGrant(
+    record: BegunRecord,
+    reply: Result<BeginReply, RouterError>,
+  ): Promise<Result<RunBeginning, CallerError>> {
+    // Without a grant in time nothing was sent, but `begun` may be in the log.
+    if (reply.isErr() || reply.value.type === 'granted') {
+      this.addRelease({ ...record, type: 'released' });
+      return err(createStoreError('the run log can not be written'));
+    }
+    switch (reply.value.type) {
+      case 'recorded':
+        return this.readRecorded(reply.value.response);
+      case 'in_progress':
+        return err(createUnknownError('run_in_progress', 'a call with this key is running'));
+      case 'unknown':
+        return err(createUnknownError('outcome_unknown', 'a call with this key may have run'));
+      case 'key_reused':
+        return err(
+          createNotRunError('idempotency_key_reused', 'the key was used with another body'),
+        );
+      case 'recorded_unreadable':
+        return err({
+          type: 'run_store_unavailable',
+          message: 'the call ran; its answer can not be read now',
+          run: 'ran',
+          retryAfterMs: STORE_RETRY_AFTER_MS,
+        });
+      case 'attempt_over':
+      case 'full':
+      case 'unavailable':
+      case 'wrong_owner':
+        return err(createStoreError(`the run log refused the call: ${reply.value.type}`));
+      default:
+        return assertNever(reply.value);
+    }
+  }
+
+  private async readRecorded(stored: StoredResponse): Promise<Result<RunBeginning, CallerError>> {
+    const response = await readResponse(this.options.objects, stored);
+    return response
+      .map((value): RunBeginning => ({ type: 'recorded', response: value }))
+      .mapErr(({ message }) => ({
+        type: 'run_store_unavailable' as const,
+        message: `the call ran; its answer can not be read now: ${message}`,
+        run: 'ran' as const,
+        retryAfterMs: STORE_RETRY_AFTER_MS,
+      }));
+  }
+
+  private async runFinish(
+    grant: RunGrant,
+    response: RecordedResponse,
+  ): Promise<Result<void, CallerError>> {
+    const record = this.takeOpen(grant);
+    if (record === undefined) return ok(undefined);
+    const tryRecord = async (): Promise<boolean> => {
+      const { objects, router } = this.options;
+      const stored = await writeResponse(objects, record.attempt, response);
+      if (stored.isErr()) return false;
+      const { holder, ...attempt } = record;
+      return this.isSettled(
+        await router.requestFinish({ ...attempt, type: 'finished', response: stored.value }),
+      );
+    };
+    if (await tryRecord()) return ok(undefined);
+    this.backlog.add(record.attempt, tryRecord, response.body.length);
+    return err({
+      type: 'run_store_unavailable',
+      message: 'the answer is not recorded yet',
+      run: 'ran',
+    });
+  }
+
+  private async runRelease(grant: RunGrant): Promise<Result<void, CallerError>> {
+    const record = this.takeOpen(grant);
+    if (record === undefined) return ok(undefined);
+    const released: ReleaseMessage['record'] = { ...record, type: 'released' };
+    if (this.isSettled(await this.options.router.requestRelease(released))) return ok(undefined);
+    this.addRelease(released);
+    return err(createStoreError('the key is not free yet'));
+  }
+
+  private addRelease(record: ReleaseMessage['record']): void {
+    const tryRecord = async (): Promise<boolean> =>
+      this.isSettled(await this.options.router.requestRelease(record));
+    this.backlog.add(record.attempt, tryRecord, 0);
+  }
+
+  private isSettled(reply: Result<EndReply, RouterError>): boolean {
+    if (reply.isErr()) return false;
+    if (reply.value.type === 'not_holder') {
+      this.options.log.warn('The end of a run was refused: the key belongs to another attempt.');
+    }
+    return true;
+  }
+
+  /** Takes an attempt out of the open ones, so that it ends only once. */
+  private takeOpen({ attempt }: RunGrant): BegunRecord | undefined {
+    const record = this.open.get(attempt);
+    this.open.delete(attempt);
+    return record;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/runMessages.ts
@@ -0,0 +1,52 @@
+import { runRecordSchema, storedResponseSchema } from '@lovagearch/runs';
+import { z } from 'zod';
+
+/** Topics of the run log between nodes. */
+export const RUN_TOPICS = {
+  begin: 'runs.begin',
+  finish: 'runs.finish',
+  release: 'runs.release',
+} as const;
+
+const [begunSchema, finishedSchema, releasedSchema, abandonedSchema] = runRecordSchema.options;
+
+/** The sender's number of shards; a node with another number must not decide about the key. */
+const shardsSchema = z.number().int().positive();
+
+export const beginMessageSchema = z.object({ shards: shardsSchema, record: begunSchema });
+export const finishMessageSchema = z.object({ shards: shardsSchema, record: finishedSchema });
+export const releaseMessageSchema = z.object({
+  shards: shardsSchema,
+  record: z.discriminatedUnion('type', [releasedSchema, abandonedSchema]),
+});
+
+export type BeginMessage = z.infer<typeof beginMessageSchema>;
+export type FinishMessage = z.infer<typeof finishMessageSchema>;
+export type ReleaseMessage = z.infer<typeof releaseMessageSchema>;
+
+/** Reasons for which the asked node did nothing. */
+const refusalSchemas = [
+  z.object({ type: z.literal('wrong_owner') }),
+  z.object({ type: z.literal('unavailable') }),
+] as const;
+
+export const beginReplySchema = z.discriminatedUnion('type', [
+  ...refusalSchemas,
+  z.object({ type: z.literal('granted') }),
+  z.object({ type: z.literal('recorded'), response: storedResponseSchema }),
+  z.object({ type: z.literal('recorded_unreadable') }),
+  z.object({ type: z.literal('in_progress') }),
+  z.object({ type: z.literal('unknown') }),
+  z.object({ type: z.literal('key_reused') }),
+  z.object({ type: z.literal('attempt_over') }),
+  z.object({ type: z.literal('full') }),
+]);
+/** `recorded_unreadable`: the call ran, but its answer can't be read from the store now. */
+export type BeginReply = z.infer<typeof beginReplySchema>;
+
+export const endReplySchema = z.discriminatedUnion('type', [
+  ...refusalSchemas,
+  z.object({ type: z.literal('recorded') }),
+  z.object({ type: z.literal('not_holder') }),
+]);
+export type EndReply = z.infer<typeof endReplySchema>;
--- /dev/null
+++ b/packages/entry/src/runShard.ts
@@ -0,0 +1,266 @@
+import {
+  assertNever,
+  getErrorMessage,
+  type Clock,
+  type Logger,
+  type NodeId,
+} from '@lovagearch/common';
+import type { ObjectClient } from '@lovagearch/platform-client';
+import {
+  computeRecordBytes,
+  getRunId,
+  PendingBatch,
+  WritePace,
+  type BeginDecision,
+  type RunRecord,
+  type Segment,
+} from '@lovagearch/runs';
+import type { BeginMessage, BeginReply, EndReply } from './runMessages.js';
+import { removeExpiredRows } from './runShardExpiry.js';
+import {
+  createEmptyShard,
+  loadShard,
+  readSegmentRow,
+  writeSegment,
+  type LoadedShard,
+  type ShardContext,
+} from './runShardReader.js';
+
+/** Pause after a failed opening, so that an outage or a rival owner costs few table calls. */
+const REOPEN_PAUSE_MS = 250;
+
+type BegunRecord = BeginMessage['record'];
+type EndRecord = Exclude<RunRecord, { type: 'begun' }>;
+
+interface Pending {
+  readonly record: RunRecord;
+  readonly resolve: (isDurable: boolean) => void;
+}
+
+export interface RunShardOptions extends ShardContext {
+  readonly objects: ObjectClient;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly isLive: (node: NodeId) => boolean;
+  /** Calls back once after a delay; returns a function that cancels it. */
+  readonly schedule: (callback: () => void, delayMs: number) => () => void;
+}
+
+/**
+ * One shard of the run log on the node that owns it. Nothing is granted before its `begun` record
+ * is durable. After a write without a clear end the shard closes, and it reads its log again
+ * before it decides anything.
+ */
+export class RunShard {
+  private loaded: LoadedShard;
+
+  private state: 'closed' | 'open' | 'stopped' = 'closed';
+
+  private opening: Promise<boolean> | undefined;
+
+  private reopenAtMs = -Infinity;
+
+  private lastWriteMs = 0;
+
+  private readonly pace = WritePace.create();
+
+  private readonly batch = PendingBatch.create<Pending>();
+
+  /** Begins that wait for their row, by run; bounded by the batch. */
+  private readonly begins = new Map<string, { record: BegunRecord; reply: Promise<BeginReply> }>();
+
+  private cancelFlush: (() => void) | undefined;
+
+  private writing: Promise<void> | undefined;
+
+  private constructor(private readonly options: RunShardOptions) {
+    this.loaded = createEmptyShard(options.shards);
+  }
+
+  static create(options: RunShardOptions): RunShard {
+    return new RunShard(options);
+  }
+
+  /** Answers a begin; `granted` only after the record is durable. */
+  async handleBegin(record: BegunRecord): Promise<BeginReply> {
+    const isOpen = await this.open();
+    const waiting = this.begins.get(getRunId(record));
+    if (waiting !== undefined) {
+      if (waiting.record.attempt === record.attempt) return waiting.reply;
+      const isSame = waiting.record.bodyHash === record.bodyHash;
+      return { type: isSame ? 'in_progress' : 'key_reused' };
+    }
+    const decision = this.loaded.state.getBeginDecision(record, this.options.isLive);
+    if (!isOpen && (decision.type === 'grant' || decision.type === 'granted_before')) {
+      return { type: 'unavailable' };
+    }
+    return this.applyDecision(record, decision);
+  }
+
+  /** Records the end of an attempt; only its holder may end it. */
+  async handleEnd(record: EndRecord, from: NodeId): Promise<EndReply> {
+    if (!(await this.open())) return { type: 'unavailable' };
+    const { state } = this.loaded;
+    if (state.getAttempt(record) === record.attempt) {
+      if (state.hasEnded(record)) return { type: 'recorded' };
+      if (!state.isHolder(record, from)) return { type: 'not_holder' };
+    } else if (record.type === 'finished' || !state.isFree(record)) {
+      return { type: 'not_holder' };
+    }
+    // A release of an attempt that never arrived is recorded as well: its begin may still come.
+    return { type: (await this.append(record)) ? 'recorded' : 'unavailable' };
+  }
+
+  /** Writes what waits and stops; the next owner takes over. */
+  async stop(): Promise<void> {
+    if (this.state === 'stopped') return;
+    await this.opening;
+    while (this.state === 'open' && (this.batch.size > 0 || this.writing !== undefined)) {
+      this.startFlush();
+      await this.writing;
+    }
+    this.close('stopped');
+  }
+
+  private async applyDecision(record: BegunRecord, decision: BeginDecision): Promise<BeginReply> {
+    switch (decision.type) {
+      case 'grant':
+        return this.writeBegun(record);
+      case 'granted_before':
+        return this.loaded.state.isHolder(record, record.holder)
+          ? { type: 'granted' }
+          : { type: 'in_progress' };
+      case 'recorded_in_row':
+        return this.readResponse(record, decision.sequence);
+      case 'recorded':
+      case 'in_progress':
+      case 'unknown':
+      case 'key_reused':
+      case 'attempt_over':
+      case 'full':
+        return decision;
+      default:
+        return assertNever(decision);
+    }
+  }
+
+  private async writeBegun(record: BegunRecord): Promise<BeginReply> {
+    const runId = getRunId(record);
+    const reply = this.append(record).then<BeginReply>((isDurable) => {
+      this.begins.delete(runId);
+      if (!isDurable) return { type: 'unavailable' };
+      // A release of the same attempt may have been written in the same segment.
+      const isHeld = this.loaded.state.isHolder(record, record.holder);
+      return { type: isHeld ? 'granted' : 'attempt_over' };
+    });
+    this.begins.set(runId, { record, reply });
+    return reply;
+  }
+
+  private async readResponse(record: BegunRecord, sequence: number): Promise<BeginReply> {
+    const segment = await readSegmentRow(this.options, sequence);
+    for (const stored of segment?.records ?? []) {
+      if (stored.type === 'finished' && getRunId(stored) === getRunId(record)) {
+        return { type: 'recorded', response: stored.response };
+      }
+    }
+    return { type: 'recorded_unreadable' };
+  }
+
+  private async open(): Promise<boolean> {
+    if (this.state !== 'closed') return this.state === 'open';
+    if (this.opening === undefined) {
+      if (this.options.clock.nowMs() < this.reopenAtMs) return false;
+      this.opening = this.runOpening().finally(() => {
+        this.opening = undefined;
+      });
+    }
+    return this.opening;
+  }
+
+  private async runOpening(): Promise<boolean> {
+    const { clock, log, shard } = this.options;
+    // A write that is still under way could apply its records after the log was read.
+    await this.writing;
+    this.pace.recordWrite(clock.nowMs());
+    const loaded = await loadShard(this.options, this.loaded);
+    this.lastWriteMs = clock.nowMs();
+    if (loaded.isErr()) {
+      log.warn(`Run shard ${shard} can't be opened: ${loaded.error.type}.`);
+      this.reopenAtMs = clock.nowMs() + REOPEN_PAUSE_MS;
+      return false;
+    }
+    this.loaded = loaded.value;
+    if (this.state === 'closed') this.state = 'open';
+    return this.state === 'open';
+  }
+
+  private async append(record: RunRecord): Promise<boolean> {
+    if (this.state !== 'open') return false;
+    return new Promise<boolean>((resolve) => {
+      if (this.batch.add({ record, resolve }, computeRecordBytes(record))) this.scheduleFlush();
+      else resolve(false);
+    });
+  }
+
+  private scheduleFlush(): void {
+    if (this.cancelFlush !== undefined || this.writing !== undefined) return;
+    const delayMs = this.pace.computeDelayMs(this.options.clock.nowMs());
+    this.cancelFlush = this.options.schedule(() => this.startFlush(), delayMs);
+  }
+
+  private startFlush(): void {
+    this.cancelFlush?.();
+    this.cancelFlush = undefined;
+    if (this.writing !== undefined || this.state !== 'open' || this.batch.size === 0) return;
+    const items = this.batch.takeSegment();
+    this.writing = this.runWrite(items);
+  }
+
+  private async runWrite(items: readonly Pending[]): Promise<void> {
+    try {
+      await this.writeItems(items);
+    } catch (error) {
+      this.options.log.error('A run segment failed:', getErrorMessage(error));
+      for (const { resolve } of items) resolve(false);
+      this.close('closed');
+    } finally {
+      this.writing = undefined;
+      if (this.batch.size > 0) this.scheduleFlush();
+    }
+  }
+
+  private async writeItems(items: readonly Pending[]): Promise<void> {
+    const { clock, log, shard, shards, self } = this.options;
+    const { shardLog, state } = this.loaded;
+    const nowMs = clock.nowMs();
+    this.pace.recordWrite(nowMs);
+    const segment: Segment = {
+      type: 'records',
+      owner: self,
+      shards,
+      elapsedMs: Math.max(0, nowMs - this.lastWriteMs),
+      records: items.map(({ record }) => record),
+    };
+    const sequence = shardLog.nextSequence;
+    const outcome = await writeSegment(this.options, sequence, segment);
+    if (outcome !== 'durable') {
+      log.warn(`Run shard ${shard} closes after a write with the outcome ${outcome}.`);
+      for (const { resolve } of items) resolve(false);
+      this.close('closed');
+      return;
+    }
+    this.lastWriteMs = nowMs;
+    shardLog.addSegment(sequence, segment);
+    for (const { record } of items) state.applyRecord(record, sequence);
+    for (const { resolve } of items) resolve(true);
+    await removeExpiredRows(this.options, this.loaded, clock.nowMs() - this.lastWriteMs);
+  }
+
+  private close(next: 'closed' | 'stopped'): void {
+    if (this.state !== 'stopped') this.state = next;
+    this.cancelFlush?.();
+    this.cancelFlush = undefined;
+    for (const { resolve } of this.batch.takeAll()) resolve(false);
+  }
+}
--- /dev/null
+++ b/packages/runs/src/shardState.ts
@@ -0,0 +1,204 @@
+import { assertNever, type AttemptId, type NodeId } from '@lovagearch/common';
+import { MAX_KEYS_PER_SHARD, MAX_RESPONSE_BYTES_PER_SHARD } from './constants.js';
+import { getRunId, type BeginRequest, type RunRecord, type StoredResponse } from './types.js';
+
+type Entry =
+  | {
+      readonly type: 'begun';
+      readonly sequence: number;
+      readonly attempt: AttemptId;
+      readonly bodyHash: string;
+      readonly holder: NodeId;
+    }
+  | {
+      readonly type: 'finished';
+      readonly sequence: number;
+      readonly attempt: AttemptId;
+      readonly bodyHash: string;
+      /** Undefined once it was dropped from memory; the row at `sequence` has it. */
+      readonly response: StoredResponse | undefined;
+    }
+  | {
+      readonly type: 'abandoned';
+      readonly sequence: number;
+      readonly attempt: AttemptId;
+      readonly bodyHash: string;
+    }
+  | {
+      readonly type: 'released';
+      readonly sequence: number;
+      readonly attempt: AttemptId;
+      readonly bodyHash: string;
+    };
+
+/** What a new begin gets. `grant`: write `begun` first, then answer. */
+export type BeginDecision =
+  | { readonly type: 'grant' }
+  | { readonly type: 'granted_before' }
+  | { readonly type: 'recorded'; readonly response: StoredResponse }
+  | { readonly type: 'recorded_in_row'; readonly sequence: number }
+  | { readonly type: 'in_progress' }
+  | { readonly type: 'unknown' }
+  | { readonly type: 'key_reused' }
+  /** The attempt was released; its requester has given up. */
+  | { readonly type: 'attempt_over' }
+  | { readonly type: 'full' };
+
+const getInlineBytes = (response: StoredResponse | undefined): number =>
+  response?.body.type === 'inline' ? response.body.bytes.length : 0;
+
+/**
+ * The runs of one shard, computed from its records in log order. Only durable records are applied.
+ *
+ * @example
+ * const state = ShardState.create();
+ * state.applyRecord(record, 17);
+ * state.getBeginDecision(request, (node) => liveMembers.has(node));
+ */
+export class ShardState {
+  /** In the order of each key's last record. */
+  private readonly entries = new Map<string, Entry>();
+
+  /** Ids of finished runs whose inline response is in memory, oldest first. */
+  private readonly cached = new Set<string>();
+
+  private cachedBytes = 0;
+
+  private constructor(
+    private readonly maxKeys: number,
+    private readonly maxResponseBytes: number,
+  ) {}
+
+  static create(
+    maxKeys = MAX_KEYS_PER_SHARD,
+    maxResponseBytes = MAX_RESPONSE_BYTES_PER_SHARD,
+  ): ShardState {
+    return new ShardState(maxKeys, maxResponseBytes);
+  }
+
+  get size(): number {
+    return this.entries.size;
+  }
+
+  /** Applies a durable record of the segment with this sequence number. */
+  applyRecord(record: RunRecord, sequence: number): void {
+    const id = getRunId(record);
+    const current = this.entries.get(id);
+    const { attempt, bodyHash } = record;
+    const isOwn = current === undefined || current.attempt === attempt;
+    switch (record.type) {
+      case 'begun':
+        // The owner grants a key only when it is free, so a later `begun` follows an expiry or a
+        // release, even if the older records are still in the log.
+        if (current?.attempt === attempt) return;
+        this.updateEntry(id, { type: 'begun', sequence, attempt, bodyHash, holder: record.holder });
+        return;
+      case 'finished':
+        if (!isOwn || current?.type === 'finished' || current?.type === 'released') return;
+        this.updateEntry(id, {
+          type: 'finished',
+          sequence,
+          attempt,
+          bodyHash,
+          response: record.response,
+        });
+        return;
+      case 'released':
+      case 'abandoned':
+        if (!isOwn || (current !== undefined && current.type !== 'begun')) return;
+        this.updateEntry(id, { type: record.type, sequence, attempt, bodyHash });
+        return;
+      default:
+        assertNever(record);
+    }
+  }
+
+  /** Decides what a begin gets. It changes nothing. */
+  getBeginDecision(request: BeginRequest, isLive: (holder: NodeId) => boolean): BeginDecision {
+    const entry = this.entries.get(getRunId(request));
+    if (entry === undefined) {
+      return this.entries.size < this.maxKeys ? { type: 'grant' } : { type: 'full' };
+    }
+    if (entry.type === 'released') {
+      return entry.attempt === request.attempt ? { type: 'attempt_over' } : { type: 'grant' };
+    }
+    if (entry.bodyHash !== request.bodyHash) return { type: 'key_reused' };
+    switch (entry.type) {
+      case 'begun':
+        if (entry.attempt === request.attempt) return { type: 'granted_before' };
+        return isLive(entry.holder) ? { type: 'in_progress' } : { type: 'unknown' };
+      case 'finished':
+        return entry.response === undefined
+          ? { type: 'recorded_in_row', sequence: entry.sequence }
+          : { type: 'recorded', response: entry.response };
+      case 'abandoned':
+        return { type: 'unknown' };
+      default:
+        return assertNever(entry);
+    }
+  }
+
+  /** Returns the attempt that a key's last record belongs to. */
+  getAttempt(run: { account: string; key: string }): AttemptId | undefined {
+    return this.entries.get(getRunId(run))?.attempt;
+  }
+
+  /** Tells whether no attempt holds or has used a key. */
+  isFree(run: { account: string; key: string }): boolean {
+    const entry = this.entries.get(getRunId(run));
+    return entry === undefined || entry.type === 'released';
+  }
+
+  /** Tells whether an end of this attempt is already in the log. */
+  hasEnded(request: { account: string; key: string; attempt: AttemptId }): boolean {
+    const entry = this.entries.get(getRunId(request));
+    return entry?.attempt === request.attempt && entry.type !== 'begun';
+  }
+
+  /** Tells whether a node may end an attempt: nobody but its holder. */
+  isHolder(request: { account: string; key: string; attempt: AttemptId }, node: NodeId): boolean {
+    const entry = this.entries.get(getRunId(request));
+    return entry?.type === 'begun' && entry.attempt === request.attempt && entry.holder === node;
+  }
+
+  /** Removes the runs whose last record is in a segment up to this sequence number. */
+  removeExpired(throughSequence: number): readonly string[] {
+    const objects: string[] = [];
+    for (const [id, entry] of this.entries) {
+      if (entry.sequence > throughSequence) break;
+      if (entry.type === 'finished' && entry.response?.body.type === 'object') {
+        objects.push(entry.response.body.name);
+      }
+      this.removeCached(id);
+      this.entries.delete(id);
+    }
+    return objects;
+  }
+
+  private updateEntry(id: string, entry: Entry): void {
+    this.removeCached(id);
+    this.entries.delete(id);
+    this.entries.set(id, entry);
+    if (entry.type !== 'finished' || getInlineBytes(entry.response) === 0) return;
+    this.cached.add(id);
+    this.cachedBytes += getInlineBytes(entry.response);
+    while (this.cachedBytes > this.maxResponseBytes && this.removeOldestResponse());
+  }
+
+  private removeCached(id: string): void {
+    if (!this.cached.delete(id)) return;
+    const entry = this.entries.get(id);
+    if (entry?.type === 'finished') this.cachedBytes -= getInlineBytes(entry.response);
+  }
+
+  private removeOldestResponse(): boolean {
+    const oldest = this.cached.values().next();
+    if (oldest.done) return false;
+    this.removeCached(oldest.value);
+    const entry = this.entries.get(oldest.value);
+    // Setting a known key keeps its place in the order of the map.
+    if (entry?.type === 'finished')
+      this.entries.set(oldest.value, { ...entry, response: undefined });
+    return true;
+  }
+}
