Handle messages of a node to itself locally

Cause: owners and watchers are chosen from a list that includes the node itself, and messages to it were dropped without a word. Ruled out: a check at each sender, which is easily forgotten. Change: WsPeerMesh hands such messages to the topic's handler. Conclusion: senders need not know whether they own a key.

--- a/packages/peering/src/wsPeerMesh.ts
+++ b/packages/peering/src/wsPeerMesh.ts
@@ -113,7 +113,13 @@
   }
 
   send(to: NodeId, topic: string, payload: unknown): void {
-    this.links.get(to)?.send(topic, payload);
+    if (to !== this.self) {
+      this.links.get(to)?.send(topic, payload);
+      return;
+    }
+    this.topics
+      .handle(to, topic, payload)
+      .catch((error: unknown) => this.log.error(getErrorMessage(error)));
   }
 
   request(
@@ -122,6 +128,7 @@
     payload: unknown,
     timeoutMs: number,
   ): ResultAsync<unknown, PeerError> {
+    if (to === this.self) return new ResultAsync(this.runLocally(topic, payload));
     const link = this.links.get(to);
     if (link === undefined) return new ResultAsync(Promise.resolve(err({ type: 'unknown_peer' })));
     return new ResultAsync(link.request(topic, payload, timeoutMs));
@@ -146,6 +153,11 @@
     this.topics.register(topic, schema, handler);
   }
 
+  private async runLocally(topic: string, payload: unknown): Promise<Result<unknown, PeerError>> {
+    const reply = await this.topics.handle(this.self, topic, payload);
+    return reply.mapErr((rejection) => ({ type: 'rejected', ...rejection }) as const);
+  }
+
   getTraffic(): { readonly sentBytes: number; readonly receivedBytes: number } {
     return { ...this.traffic };
   }
