Add the clients of outside systems and their stand-ins

Cause: entry, steward and the membership parts need clients of the platform, engines, store VMs and plain services, and tests need processes that speak the same protocols. Ruled out: kept connections for streams and non-idempotent calls, since on a connection that the far side closed it can't be decided whether bytes were sent; AbortController timers in undici's body timeout, which has a resolution of about one second. Change: HTTP implementations of the four client interfaces; isConnectError in common; stand-ins of platform, engine, store VM and service as processes; startProcess for tests; engines field in five packages, so that the lint rules know the Node.js version. Conclusion: the plain paths work; most faults are not tested yet.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -5,6 +5,7 @@
  */
 export * from './boundedMap.js';
 export * from './clock.js';
+export * from './connectErrors.js';
 export * from './constants.js';
 export * from './errors.js';
 export * from './hashing.js';
--- /dev/null
+++ b/packages/engine-client/src/chunkChecker.ts
@@ -0,0 +1,52 @@
+import { err, ok, type Result } from 'neverthrow';
+import { type EngineError, type GenerateChunk, generateChunkSchema } from './types.js';
+
+const createViolation = (message: string): Result<never, EngineError> =>
+  err({ type: 'protocol_violation', message });
+
+const parseLine = (line: string): unknown => {
+  try {
+    return JSON.parse(line) as unknown;
+  } catch {
+    return undefined;
+  }
+};
+
+/**
+ * Checks the chunks of one connection: the form, the stream id and the order of sequence numbers.
+ *
+ * @example
+ * const checker = ChunkChecker.create('stream-1', 0);
+ * const chunk = checker.check('{"type":"token","streamId":"stream-1","seq":1,"text":"a"}');
+ */
+export class ChunkChecker {
+  private isFirst = true;
+
+  private constructor(
+    private readonly streamId: string,
+    private lastSeq: number,
+  ) {}
+
+  /** @param afterSeq the last sequence number that was received before; 0 for a new stream */
+  static create(streamId: string, afterSeq: number): ChunkChecker {
+    return new ChunkChecker(streamId, afterSeq);
+  }
+
+  check(line: string): Result<GenerateChunk, EngineError> {
+    const parsed = generateChunkSchema.safeParse(parseLine(line));
+    if (!parsed.success) return createViolation('a line is not a chunk of a stream');
+    const chunk = parsed.data;
+    if (chunk.streamId !== this.streamId) return createViolation('a chunk has another stream id');
+    if (chunk.type === 'accepted' && !this.isFirst) {
+      return createViolation('a stream was accepted twice on one connection');
+    }
+    this.isFirst = false;
+    if (chunk.type !== 'token' && chunk.type !== 'done') return ok(chunk);
+    const expectedSeq = this.lastSeq + 1;
+    if (chunk.seq !== expectedSeq) {
+      return createViolation(`a chunk has seq ${chunk.seq} instead of ${expectedSeq}`);
+    }
+    this.lastSeq = chunk.seq;
+    return ok(chunk);
+  }
+}
--- a/packages/engine-client/src/index.ts
+++ b/packages/engine-client/src/index.ts
@@ -3,4 +3,5 @@
  * silent connections; it never decides where a request goes or whether it is retried.
  */
 export * from './engineClient.js';
+export * from './httpEngineClient.js';
 export * from './types.js';
--- /dev/null
+++ b/packages/engine-client/src/lineReader.ts
@@ -0,0 +1,41 @@
+const NEWLINE = 0x0a;
+
+/**
+ * Splits bytes into lines and holds at most one unfinished line of a bounded length.
+ *
+ * @example
+ * const lines = LineReader.create(262_144);
+ * lines.read(Buffer.from('{"a":1}\n{"b"')); // ['{"a":1}']
+ */
+export class LineReader {
+  private rest: Buffer[] = [];
+
+  private restBytes = 0;
+
+  private constructor(private readonly maxLineBytes: number) {}
+
+  static create(maxLineBytes: number): LineReader {
+    return new LineReader(maxLineBytes);
+  }
+
+  /** Returns the lines that these bytes complete, or undefined if a line exceeds the bound. */
+  read(bytes: Buffer): string[] | undefined {
+    const lines: string[] = [];
+    let start = 0;
+    for (
+      let end = bytes.indexOf(NEWLINE);
+      end >= 0;
+      start = end + 1, end = bytes.indexOf(NEWLINE, start)
+    ) {
+      if (this.restBytes + end - start > this.maxLineBytes) return undefined;
+      lines.push(Buffer.concat([...this.rest, bytes.subarray(start, end)]).toString('utf8'));
+      this.rest = [];
+      this.restBytes = 0;
+    }
+    if (start < bytes.length) {
+      this.rest.push(bytes.subarray(start));
+      this.restBytes += bytes.length - start;
+    }
+    return this.restBytes > this.maxLineBytes ? undefined : lines;
+  }
+}
--- /dev/null
+++ b/packages/service-client/src/constants.ts
@@ -0,0 +1,8 @@
+/** Time limit for opening a connection, in milliseconds. */
+export const CONNECT_TIMEOUT_MS = 1_000;
+/** Time limit of one health check, in milliseconds. */
+export const HEALTH_TIMEOUT_MS = 2_000;
+/** Largest answer that is read, in bytes. */
+export const MAX_RESPONSE_BYTES = 16_777_216;
+/** Kept connections to one instance. */
+export const MAX_CONNECTIONS = 256;
--- /dev/null
+++ b/packages/service-client/src/headers.ts
@@ -0,0 +1,52 @@
+/** Headers that concern one connection only, or that the HTTP library sets itself. */
+const CONNECTION_HEADERS = new Set([
+  'connection',
+  'content-length',
+  'expect',
+  'host',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/** Returns the headers to send on, in lower case and without those of a single connection. */
+export const selectRequestHeaders = (
+  headers: Readonly<Record<string, string>>,
+): Record<string, string> => {
+  const selected: Record<string, string> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    const lowerName = name.toLowerCase();
+    if (!CONNECTION_HEADERS.has(lowerName)) selected[lowerName] = value;
+  }
+  return selected;
+};
+
+/** Joins repeated response headers into one text each. */
+export const formatResponseHeaders = (
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): Record<string, string> => {
+  const formatted: Record<string, string> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined) continue;
+    formatted[name] = Array.isArray(value) ? value.join(', ') : value;
+  }
+  return formatted;
+};
+
+const STATUSES_WITHOUT_BODY = new Set([204, 304]);
+
+/** Returns false if a cut answer could not be told from a whole one. */
+export const hasMarkedEnd = (
+  method: string,
+  status: number,
+  headers: Readonly<Record<string, unknown>>,
+): boolean =>
+  method.toUpperCase() === 'HEAD' ||
+  STATUSES_WITHOUT_BODY.has(status) ||
+  headers['content-length'] !== undefined ||
+  headers['transfer-encoding'] !== undefined;
--- /dev/null
+++ b/packages/service-client/src/httpServiceClient.ts
@@ -0,0 +1,164 @@
+import { getErrorMessage, isConnectError } from '@lovagearch/common';
+import { err, ok, type Result, ResultAsync } from 'neverthrow';
+import { Agent, Client, type Dispatcher } from 'undici';
+import {
+  CONNECT_TIMEOUT_MS,
+  HEALTH_TIMEOUT_MS,
+  MAX_CONNECTIONS,
+  MAX_RESPONSE_BYTES,
+} from './constants.js';
+import { formatResponseHeaders, hasMarkedEnd, selectRequestHeaders } from './headers.js';
+import {
+  type ServiceClient,
+  type ServiceError,
+  type ServiceHealth,
+  serviceHealthSchema,
+  type ServiceRequest,
+  type ServiceResponse,
+} from './types.js';
+
+export interface ServiceClientOptions {
+  readonly connectTimeoutMs?: number;
+  readonly healthTimeoutMs?: number;
+  readonly maxResponseBytes?: number;
+}
+
+/** Codes of errors that undici raises while it builds a request, before anything is sent. */
+const UNSENT_CODES = new Set(['UND_ERR_INVALID_ARG', 'UND_ERR_NOT_SUPPORTED']);
+
+const isUnsent = (error: unknown): boolean =>
+  isConnectError(error) ||
+  (error instanceof Error && 'code' in error && UNSENT_CODES.has(String(error.code)));
+
+const parseHealth = ({ status, body }: ServiceResponse): Result<ServiceHealth, ServiceError> => {
+  const message = `the health check was answered with ${status} and an unexpected body`;
+  try {
+    const parsed = serviceHealthSchema.safeParse(JSON.parse(Buffer.from(body).toString('utf8')));
+    if (status === 200 && parsed.success) return ok(parsed.data);
+  } catch {
+    // A body that is not JSON is reported as any other unexpected body.
+  }
+  return err({ type: 'connection_lost', message });
+};
+
+/**
+ * Client of plain services over HTTP. Each call is sent once, and only whole answers are returned.
+ *
+ * @example
+ * const services = HttpServiceClient.create();
+ * const answer = await services.send('http://127.0.0.1:9200', {
+ *   method: 'POST', path: '/claims', headers: {}, body, timeoutMs: 5_000, freshConnection: true,
+ * });
+ */
+export class HttpServiceClient implements ServiceClient {
+  /** Connections of single calls; bounded by the number of calls that admission lets in. */
+  private readonly freshClients = new Set<Client>();
+
+  private constructor(
+    private readonly agent: Agent,
+    private readonly options: Required<ServiceClientOptions>,
+  ) {}
+
+  static create(options: ServiceClientOptions = {}): HttpServiceClient {
+    const allOptions = {
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      healthTimeoutMs: HEALTH_TIMEOUT_MS,
+      maxResponseBytes: MAX_RESPONSE_BYTES,
+      ...options,
+    };
+    const agent = new Agent({
+      connections: MAX_CONNECTIONS,
+      pipelining: 1,
+      connect: { timeout: allOptions.connectTimeoutMs },
+    });
+    return new HttpServiceClient(agent, allOptions);
+  }
+
+  readonly send = (
+    url: string,
+    request: ServiceRequest,
+  ): ResultAsync<ServiceResponse, ServiceError> =>
+    new ResultAsync(
+      request.freshConnection === true
+        ? this.runOnFreshConnection(url, request)
+        : this.runCall(this.agent, url, request),
+    );
+
+  readonly readHealth = (url: string): ResultAsync<ServiceHealth, ServiceError> =>
+    this.send(url, {
+      method: 'GET',
+      path: '/health',
+      headers: {},
+      body: undefined,
+      timeoutMs: this.options.healthTimeoutMs,
+    }).andThen(parseHealth);
+
+  readonly close = async (): Promise<void> => {
+    const clients = [...this.freshClients].map(async (client) => client.destroy());
+    await Promise.all([this.agent.destroy(), ...clients]);
+  };
+
+  private async runOnFreshConnection(
+    url: string,
+    request: ServiceRequest,
+  ): Promise<Result<ServiceResponse, ServiceError>> {
+    const client = new Client(url, {
+      pipelining: 1,
+      connect: { timeout: Math.min(this.options.connectTimeoutMs, request.timeoutMs) },
+    });
+    this.freshClients.add(client);
+    try {
+      return await this.runCall(client, url, request);
+    } finally {
+      this.freshClients.delete(client);
+      await client.destroy();
+    }
+  }
+
+  private async runCall(
+    dispatcher: Dispatcher,
+    url: string,
+    request: ServiceRequest,
+  ): Promise<Result<ServiceResponse, ServiceError>> {
+    const signal = AbortSignal.timeout(request.timeoutMs);
+    try {
+      const response = await dispatcher.request({
+        origin: url,
+        path: request.path,
+        method: request.method,
+        headers: selectRequestHeaders(request.headers),
+        body: request.body ?? null,
+        reset: request.freshConnection === true,
+        signal,
+      });
+      return await this.readResponse(request.method, response);
+    } catch (error) {
+      if (isUnsent(error)) return err({ type: 'not_connected', message: getErrorMessage(error) });
+      if (signal.aborted) return err({ type: 'timeout', timeoutMs: request.timeoutMs });
+      return err({ type: 'connection_lost', message: getErrorMessage(error) });
+    }
+  }
+
+  private async readResponse(
+    method: string,
+    response: Dispatcher.ResponseData,
+  ): Promise<Result<ServiceResponse, ServiceError>> {
+    const limitBytes = this.options.maxResponseBytes;
+    const pieces: Buffer[] = [];
+    let bytes = 0;
+    // Leaving the loop early destroys the body and its connection.
+    for await (const piece of response.body as AsyncIterable<Buffer>) {
+      bytes += piece.length;
+      if (bytes > limitBytes) return err({ type: 'response_too_large', limitBytes });
+      pieces.push(piece);
+    }
+    if (!hasMarkedEnd(method, response.statusCode, response.headers)) {
+      return err({ type: 'connection_lost', message: 'the answer has no marked end' });
+    }
+    return ok({
+      status: response.statusCode,
+      headers: formatResponseHeaders(response.headers),
+      body: Buffer.concat(pieces),
+    });
+  }
+}
--- a/packages/service-client/src/types.ts
+++ b/packages/service-client/src/types.ts
@@ -14,6 +14,11 @@
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Uint8Array | undefined;
   readonly timeoutMs: number;
+  /**
+   * Opens a connection for this call alone. Needed for non-idempotent calls: on a kept connection
+   * that the far side has closed it can't be decided whether bytes were sent.
+   */
+  readonly freshConnection?: boolean;
 }
 
 export interface ServiceResponse {
