Add account limits, fair queue, load shedding and containment

Ruled out: a central counter for limits; reserving unused share for silent nodes, which the design excludes; quarantine by the first report only, since two nodes may each see one of several suspects of the same crash. Change: decision packages `admission` and `containment`, and their controllers in `entry`.

--- /dev/null
+++ b/packages/admission/src/demandTable.ts
@@ -0,0 +1,79 @@
+import { BoundedMap, type AccountId, type NodeId } from '@lovagearch/common';
+import type { PeerDemand } from './accountShares.js';
+import {
+  DEMAND_BYTES_PER_SECOND,
+  DEMAND_FRAME_BYTES,
+  DEMAND_MAX_AGE_MS,
+  DEMAND_ROW_BYTES,
+  LARGE_REGION_CYCLE_MS,
+  MAX_DEMAND_NODES,
+  MAX_DEMAND_ROWS,
+  SMALL_REGION_CYCLE_MS,
+  SMALL_REGION_NODES,
+} from './constants.js';
+
+/** Demand of one account on one node: prompt tokens/s and requests at a time. */
+export interface DemandRow {
+  readonly account: AccountId;
+  readonly tokensPerSecond: number;
+  readonly concurrent: number;
+}
+
+interface NodeDemand {
+  readonly atMs: number;
+  readonly rows: ReadonlyMap<AccountId, DemandRow>;
+}
+
+/** Computes the time between two demand messages, in milliseconds. */
+export const computeDemandCycleMs = (nodes: number): number =>
+  nodes <= SMALL_REGION_NODES ? SMALL_REGION_CYCLE_MS : LARGE_REGION_CYCLE_MS;
+
+/** Computes how many rows a message may have so that a node stays below 1.5 KB/s. */
+export const computeMaxRows = (nodes: number): number => {
+  const peers = Math.max(1, nodes - 1);
+  const bytes = (DEMAND_BYTES_PER_SECOND * computeDemandCycleMs(nodes)) / 1_000 / peers;
+  const rows = Math.floor((bytes - DEMAND_FRAME_BYTES) / DEMAND_ROW_BYTES);
+  return Math.max(1, Math.min(MAX_DEMAND_ROWS, rows));
+};
+
+/** The last demand that each other node of the region reported. */
+export class DemandTable {
+  private readonly byNode = BoundedMap.create<NodeId, NodeDemand>(MAX_DEMAND_NODES);
+
+  static create(): DemandTable {
+    return new DemandTable();
+  }
+
+  /** Replaces what a node reported before. */
+  update(node: NodeId, rows: readonly DemandRow[], nowMs: number): void {
+    const kept = rows.slice(0, MAX_DEMAND_ROWS).map((row) => [row.account, row] as const);
+    this.byNode.set(node, { atMs: nowMs, rows: new Map(kept) });
+  }
+
+  /** Tells whether at least half of the other members were heard lately. */
+  isHeard(otherMembers: readonly NodeId[], nowMs: number): boolean {
+    let heard = 0;
+    for (const member of otherMembers) {
+      const atMs = this.byNode.peek(member)?.atMs ?? -Infinity;
+      if (nowMs - atMs <= DEMAND_MAX_AGE_MS) heard++;
+    }
+    return heard * 2 >= otherMembers.length;
+  }
+
+  /** Returns one measure of an account's demand on the other members. */
+  listDemands(
+    account: AccountId,
+    measure: 'concurrent' | 'tokensPerSecond',
+    otherMembers: readonly NodeId[],
+    nowMs: number,
+  ): PeerDemand[] {
+    const demands: PeerDemand[] = [];
+    for (const member of otherMembers) {
+      const known = this.byNode.peek(member);
+      const row = known?.rows.get(account);
+      if (known === undefined || row === undefined) continue;
+      demands.push({ demand: row[measure], ageMs: nowMs - known.atMs });
+    }
+    return demands;
+  }
+}
--- /dev/null
+++ b/packages/admission/src/tokenBucket.ts
@@ -0,0 +1,49 @@
+import { MS_PER_SECOND } from '@lovagearch/common';
+import { BURST_SECONDS } from './constants.js';
+
+/**
+ * A rate limit in tokens/s that allows short bursts. A request larger than the burst passes when
+ * the bucket is full and leaves it in debt, so that it is slowed and not refused for good.
+ */
+export class TokenBucket {
+  private constructor(
+    private ratePerSecond: number,
+    private tokens: number,
+    private updatedMs: number,
+  ) {}
+
+  /** Creates a full bucket. */
+  static create(ratePerSecond: number, nowMs: number): TokenBucket {
+    return new TokenBucket(ratePerSecond, ratePerSecond * BURST_SECONDS, nowMs);
+  }
+
+  /** Applies a new rate from now on. */
+  updateRate(ratePerSecond: number, nowMs: number): void {
+    this.updateTokens(nowMs);
+    this.ratePerSecond = ratePerSecond;
+    this.tokens = Math.min(this.tokens, ratePerSecond * BURST_SECONDS);
+  }
+
+  /** Takes tokens if the bucket allows it. */
+  tryTake(amount: number, nowMs: number): boolean {
+    this.updateTokens(nowMs);
+    if (this.computeWaitMs(amount, nowMs) > 0) return false;
+    this.tokens -= amount;
+    return true;
+  }
+
+  /** Computes the time until an amount can be taken, in milliseconds. */
+  computeWaitMs(amount: number, nowMs: number): number {
+    this.updateTokens(nowMs);
+    const needed = Math.min(amount, this.ratePerSecond * BURST_SECONDS) - this.tokens;
+    if (needed <= 0) return 0;
+    return this.ratePerSecond > 0 ? (needed / this.ratePerSecond) * MS_PER_SECOND : Infinity;
+  }
+
+  private updateTokens(nowMs: number): void {
+    const elapsedMs = Math.max(0, nowMs - this.updatedMs);
+    const added = (elapsedMs / MS_PER_SECOND) * this.ratePerSecond;
+    this.tokens = Math.min(this.ratePerSecond * BURST_SECONDS, this.tokens + added);
+    this.updatedMs = Math.max(nowMs, this.updatedMs);
+  }
+}
--- /dev/null
+++ b/packages/containment/src/crashHistory.ts
@@ -0,0 +1,50 @@
+import { BoundedMap, type EndpointId, type Fingerprint } from '@lovagearch/common';
+import {
+  CRASH_JOIN_MS,
+  CRASH_WINDOW_MS,
+  MAX_DISTINCT_CRASHES,
+  MAX_ENDPOINTS,
+} from './constants.js';
+
+interface Crash {
+  readonly fingerprint: Fingerprint;
+  readonly atMs: number;
+}
+
+/** Crashes of each endpoint, each with one of its suspects. */
+export class CrashHistory {
+  private readonly crashes = BoundedMap.create<EndpointId, readonly Crash[]>(MAX_ENDPOINTS);
+
+  private readonly faultyUntilMs = BoundedMap.create<EndpointId, number>(MAX_ENDPOINTS);
+
+  static create(): CrashHistory {
+    return new CrashHistory();
+  }
+
+  /**
+   * Records that an endpoint crashed with a fingerprint. Reports within 3 s are of one crash.
+   *
+   * @returns true when the endpoint has now crashed with 3 distinct fingerprints
+   */
+  recordCrash(endpoint: EndpointId, fingerprint: Fingerprint, nowMs: number): boolean {
+    const all = this.crashes.get(endpoint) ?? [];
+    if (all.some((crash) => nowMs - crash.atMs < CRASH_JOIN_MS)) return false;
+    const others = all.filter(
+      (crash) => nowMs - crash.atMs < CRASH_WINDOW_MS && crash.fingerprint !== fingerprint,
+    );
+    const crashes = [...others, { fingerprint, atMs: nowMs }].slice(-MAX_DISTINCT_CRASHES);
+    this.crashes.set(endpoint, crashes);
+    return crashes.length >= MAX_DISTINCT_CRASHES;
+  }
+
+  /** Takes an endpoint out of rotation for a time. */
+  markFaulty(endpoint: EndpointId, nowMs: number, durationMs: number): void {
+    this.crashes.delete(endpoint);
+    this.faultyUntilMs.set(endpoint, nowMs + durationMs);
+  }
+
+  /** Tells whether an endpoint is out of rotation because it crashes with any request. */
+  isFaulty(endpoint: EndpointId, nowMs: number): boolean {
+    return (this.faultyUntilMs.peek(endpoint) ?? -Infinity) > nowMs;
+  }
+}
--- /dev/null
+++ b/packages/containment/src/runningRequests.ts
@@ -0,0 +1,82 @@
+import { BoundedMap, type EndpointId, type Fingerprint } from '@lovagearch/common';
+import {
+  MAX_ENDPOINTS,
+  MAX_RUNNING_PER_ENDPOINT,
+  MAX_SUSPECTS_PER_CRASH,
+  TRIAL_MAX_MS,
+} from './constants.js';
+
+interface Running {
+  readonly count: number;
+  readonly isTrial: boolean;
+}
+
+interface RemoteTrial {
+  readonly fingerprint: Fingerprint;
+  readonly untilMs: number;
+}
+
+/** Requests of this node that run on each endpoint, and trials that other nodes reported. */
+export class RunningRequests {
+  private readonly byEndpoint = new Map<EndpointId, Map<Fingerprint, Running>>();
+
+  private readonly remoteTrials = BoundedMap.create<EndpointId, RemoteTrial>(MAX_ENDPOINTS);
+
+  static create(): RunningRequests {
+    return new RunningRequests();
+  }
+
+  add(endpoint: EndpointId, fingerprint: Fingerprint, isTrial: boolean): void {
+    const running = this.byEndpoint.get(endpoint) ?? new Map<Fingerprint, Running>();
+    if (!this.byEndpoint.has(endpoint) && this.byEndpoint.size >= MAX_ENDPOINTS) return;
+    if (!running.has(fingerprint) && running.size >= MAX_RUNNING_PER_ENDPOINT) return;
+    const known = running.get(fingerprint);
+    running.set(fingerprint, {
+      count: (known?.count ?? 0) + 1,
+      isTrial: isTrial || (known?.isTrial ?? false),
+    });
+    this.byEndpoint.set(endpoint, running);
+  }
+
+  /** Removes one run and tells whether it was a trial. */
+  remove(endpoint: EndpointId, fingerprint: Fingerprint): boolean {
+    const running = this.byEndpoint.get(endpoint);
+    const known = running?.get(fingerprint);
+    if (running === undefined || known === undefined) return false;
+    if (known.count > 1) running.set(fingerprint, { ...known, count: known.count - 1 });
+    else running.delete(fingerprint);
+    if (running.size === 0) this.byEndpoint.delete(endpoint);
+    return known.isTrial;
+  }
+
+  /** Returns the fingerprints on an endpoint, newest first. */
+  list(endpoint: EndpointId): Fingerprint[] {
+    const running = [...(this.byEndpoint.get(endpoint)?.keys() ?? [])].reverse();
+    return running.slice(0, MAX_SUSPECTS_PER_CRASH);
+  }
+
+  /** Returns the suspects that this node tries on an endpoint. */
+  listTrials(endpoint: EndpointId): Fingerprint[] {
+    const running = this.byEndpoint.get(endpoint) ?? new Map<Fingerprint, Running>();
+    return [...running].filter(([, { isTrial }]) => isTrial).map(([fingerprint]) => fingerprint);
+  }
+
+  /** Applies the news that another node tries a suspect. */
+  updateRemoteTrial(
+    endpoint: EndpointId,
+    fingerprint: Fingerprint,
+    isRunning: boolean,
+    nowMs: number,
+  ): void {
+    if (isRunning) this.remoteTrials.set(endpoint, { fingerprint, untilMs: nowMs + TRIAL_MAX_MS });
+    else if (this.remoteTrials.peek(endpoint)?.fingerprint === fingerprint) {
+      this.remoteTrials.delete(endpoint);
+    }
+  }
+
+  /** Tells whether any node is known to try a suspect on an endpoint. */
+  hasTrial(endpoint: EndpointId, nowMs: number): boolean {
+    if (this.listTrials(endpoint).length > 0) return true;
+    return (this.remoteTrials.peek(endpoint)?.untilMs ?? -Infinity) > nowMs;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/admissionController.ts
@@ -0,0 +1,287 @@
+import {
+  computeDemandCycleMs,
+  computeMaxRows,
+  computeWaitMs,
+  DEMAND_HEARTBEAT_MS,
+  DemandTable,
+  getShedDecision,
+  MAX_ACCOUNTS,
+  MAX_DEMAND_ROWS,
+  REQUEST_TOKENS,
+  RetryBudget,
+  tryTakeBoth,
+  type DemandRow,
+} from '@lovagearch/admission';
+import {
+  createNotRunError,
+  toId,
+  type AccountId,
+  type CallerError,
+  type Clock,
+  type NodeId,
+  type ServiceId,
+} from '@lovagearch/common';
+import type { PeerMesh } from '@lovagearch/peering';
+import { errAsync, ResultAsync, type Result, ok, err } from 'neverthrow';
+import { z } from 'zod';
+import { AccountGate, type AccountLimits, type GateContext } from './accountGate.js';
+import { ServiceGate, type ServiceCapacity, type WaitingRequest } from './serviceGate.js';
+import type { Admission, AdmissionRequest, AdmissionTicket, NodePart } from './types.js';
+
+const TOPIC = 'admission.demand';
+/** Time between two looks at the queues; completed requests cause further ones. */
+const TICK_MS = 100;
+/** Services with a queue on this node. */
+const MAX_SERVICES = 256;
+
+const demandSchema = z
+  .array(
+    z.object({
+      account: z
+        .string()
+        .max(200)
+        .transform((value) => toId<AccountId>(value)),
+      tokensPerSecond: z.number().nonnegative().finite(),
+      concurrent: z.number().nonnegative().finite(),
+    }),
+  )
+  .max(MAX_DEMAND_ROWS);
+
+export interface AdmissionControllerOptions {
+  readonly mesh: PeerMesh;
+  readonly clock: Clock;
+  readonly getAccountLimits: (account: AccountId) => AccountLimits;
+  readonly getServiceCapacity: (service: ServiceId) => ServiceCapacity;
+  /** Live members of this node's region, with or without this node. */
+  readonly listRegionMembers: () => readonly NodeId[];
+  /** Live nodes of all regions, this one included. */
+  readonly countLiveNodes: () => number;
+}
+
+/** Admission on one node: account limits, fair queues, load shedding and retry budgets. */
+export class AdmissionController implements Admission, NodePart {
+  private readonly accounts = new Map<AccountId, AccountGate>();
+
+  private readonly services = new Map<ServiceId, ServiceGate>();
+
+  private readonly demands = DemandTable.create();
+
+  private readonly systemRetries: RetryBudget;
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private sentMs = -Infinity;
+
+  private heartbeatMs = -Infinity;
+
+  private constructor(private readonly options: AdmissionControllerOptions) {
+    this.systemRetries = RetryBudget.create(options.clock.nowMs());
+  }
+
+  /** Creates the controller and starts its timer. */
+  static create(options: AdmissionControllerOptions): AdmissionController {
+    const controller = new AdmissionController(options);
+    options.mesh.registerHandler(TOPIC, demandSchema, (from, rows) => {
+      controller.demands.update(from, rows, options.clock.nowMs());
+    });
+    controller.timer = setInterval(() => controller.runTick(), TICK_MS);
+    return controller;
+  }
+
+  readonly admit: Admission['admit'] = (request) => {
+    const nowMs = this.options.clock.nowMs();
+    const account = this.getAccount(request.account);
+    const service = this.getService(request.service);
+    if (account === undefined || service === undefined) {
+      return errAsync(createNotRunError('overloaded', 'too many accounts are active', TICK_MS));
+    }
+    const tokens = request.promptTokens + REQUEST_TOKENS;
+    account.recordArrival(tokens, nowMs);
+    this.systemRetries.recordRequest();
+    service.updateCapacity(() => this.options.getServiceCapacity(request.service), nowMs);
+    const refusal = this.getRefusal(request, account, service);
+    if (refusal !== undefined) return errAsync(refusal);
+    return new ResultAsync(this.runWait(request, account, service));
+  };
+
+  readonly tryTakeRetry: Admission['tryTakeRetry'] = (accountId) => {
+    const account = this.getAccount(accountId);
+    if (account === undefined) return false;
+    return tryTakeBoth(account.retries, this.systemRetries, this.options.clock.nowMs());
+  };
+
+  async stop(): Promise<void> {
+    clearInterval(this.timer);
+    this.timer = undefined;
+  }
+
+  /** Starts what may start and reports demand; the timer and each completed request call it. */
+  runTick(): void {
+    const nowMs = this.options.clock.nowMs();
+    for (const [service, gate] of this.services) {
+      gate.updateCapacity(() => this.options.getServiceCapacity(service), nowMs);
+      this.startWaiting(gate);
+    }
+    this.sendDemand(nowMs);
+  }
+
+  private getRefusal(
+    request: AdmissionRequest,
+    account: AccountGate,
+    service: ServiceGate,
+  ): CallerError | undefined {
+    const { deadlineMs, requestClass } = request;
+    const nowMs = this.options.clock.nowMs();
+    const tokens = request.promptTokens + REQUEST_TOKENS;
+    const rateWaitMs = account.computeRateWaitMs(tokens, this.getContext(request.account));
+    if (rateWaitMs > deadlineMs) {
+      const message = 'the account is over its limit';
+      return createNotRunError('account_limit', message, Math.ceil(rateWaitMs));
+    }
+    const { queue } = service;
+    const waitMs = computeWaitMs({
+      queueClass: requestClass,
+      depths: queue.getDepths(),
+      accountDepth: queue.getAccountDepth(request.account, requestClass),
+      accountCount: queue.getAccountCount(requestClass),
+      completionsPerSecond: service.getCompletionsPerSecond(nowMs),
+      serviceQueueMs: service.getQueueMs(),
+    });
+    const decision = getShedDecision(requestClass, waitMs, deadlineMs);
+    if (decision.type === 'accept') return undefined;
+    const message = `class ${requestClass} can not meet its deadline`;
+    return createNotRunError('overloaded', message, decision.retryAfterMs);
+  }
+
+  private async runWait(
+    request: AdmissionRequest,
+    account: AccountGate,
+    service: ServiceGate,
+  ): Promise<Result<AdmissionTicket, CallerError>> {
+    const { clock } = this.options;
+    const arrivedMs = clock.nowMs();
+    return new Promise((resolve) => {
+      const cost = request.promptTokens + REQUEST_TOKENS;
+      let deadline: NodeJS.Timeout | undefined;
+      const item: WaitingRequest = {
+        id: request.requestId,
+        account: request.account,
+        queueClass: request.requestClass,
+        cost,
+        start: () => {
+          clearTimeout(deadline);
+          account.addWaiting(-1);
+          account.recordStart(cost, clock.nowMs());
+          service.recordStart();
+          resolve(ok(this.createTicket(request, account, service, arrivedMs)));
+        },
+      };
+      if (!service.queue.add(item)) {
+        const isFull = service.queue.getAccountDepth(item.account, item.queueClass) > 0;
+        const type = isFull ? 'account_limit' : 'overloaded';
+        resolve(err(createNotRunError(type, 'the queue is full', request.deadlineMs)));
+        return;
+      }
+      account.addWaiting(1);
+      deadline = setTimeout(() => {
+        if (!service.queue.remove(item)) return;
+        account.addWaiting(-1);
+        resolve(err(createNotRunError('deadline_exceeded', 'the request waited too long')));
+      }, request.deadlineMs);
+      this.startWaiting(service);
+    });
+  }
+
+  private createTicket(
+    { account: accountId }: AdmissionRequest,
+    account: AccountGate,
+    service: ServiceGate,
+    arrivedMs: number,
+  ): AdmissionTicket {
+    const { clock } = this.options;
+    const startedMs = clock.nowMs();
+    let isReleased = false;
+    return {
+      queuedMs: startedMs - arrivedMs,
+      release: () => {
+        if (isReleased) return;
+        isReleased = true;
+        const nowMs = clock.nowMs();
+        account.recordEnd(nowMs - startedMs, this.getContext(accountId));
+        service.recordEnd(nowMs);
+        this.startWaiting(service);
+      },
+    };
+  }
+
+  private startWaiting(service: ServiceGate): void {
+    while (service.hasRoom() && service.queue.size > 0) {
+      const item = service.queue.take(
+        ({ account, cost }) =>
+          this.accounts.get(account)?.canStart(cost, this.getContext(account)) ?? false,
+      );
+      if (item === undefined) return;
+      item.start();
+    }
+  }
+
+  private sendDemand(nowMs: number): void {
+    const others = this.listOthers();
+    const nodes = others.length + 1;
+    if (nowMs - this.sentMs < computeDemandCycleMs(nodes)) return;
+    this.sentMs = nowMs;
+    const rows: DemandRow[] = [];
+    for (const [account, gate] of this.accounts) {
+      const row = gate.getPressedDemand(this.getContext(account));
+      if (row !== undefined) rows.push(row);
+    }
+    if (rows.length === 0 && nowMs - this.heartbeatMs < DEMAND_HEARTBEAT_MS) return;
+    this.heartbeatMs = nowMs;
+    rows.sort((a, b) => b.tokensPerSecond - a.tokensPerSecond);
+    const sent = rows.slice(0, computeMaxRows(nodes));
+    for (const member of others) this.options.mesh.send(member, TOPIC, sent);
+  }
+
+  private listOthers(): NodeId[] {
+    const { listRegionMembers, mesh } = this.options;
+    return listRegionMembers().filter((member) => member !== mesh.self);
+  }
+
+  private getContext(account: AccountId): GateContext {
+    const { clock, countLiveNodes, getAccountLimits } = this.options;
+    return {
+      limits: getAccountLimits(account),
+      demands: this.demands,
+      otherMembers: this.listOthers(),
+      liveNodes: countLiveNodes(),
+      nowMs: clock.nowMs(),
+    };
+  }
+
+  private getAccount(account: AccountId): AccountGate | undefined {
+    const known = this.accounts.get(account);
+    if (known !== undefined) return known;
+    if (this.accounts.size >= MAX_ACCOUNTS && !this.removeIdleAccount()) return undefined;
+    const { clock, countLiveNodes, getAccountLimits } = this.options;
+    const share = getAccountLimits(account).promptTokensPerSecond / Math.max(1, countLiveNodes());
+    const created = AccountGate.create(account, share, clock.nowMs());
+    this.accounts.set(account, created);
+    return created;
+  }
+
+  private removeIdleAccount(): boolean {
+    for (const [account, gate] of this.accounts) {
+      if (gate.isIdle()) return this.accounts.delete(account);
+    }
+    return false;
+  }
+
+  private getService(service: ServiceId): ServiceGate | undefined {
+    const known = this.services.get(service);
+    if (known !== undefined) return known;
+    if (this.services.size >= MAX_SERVICES) return undefined;
+    const created = ServiceGate.create(this.options.clock.nowMs());
+    this.services.set(service, created);
+    return created;
+  }
+}
