Serve prompts end to end through real processes

Cause: the parts of the entry process were not put together. The returning prompt is not imported yet.

--- /dev/null
+++ b/packages/entry/bin/lovagearch-entry.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js';
--- /dev/null
+++ b/packages/entry/src/followedConfiguration.ts
@@ -0,0 +1,74 @@
+import {
+  toId,
+  type AccountId,
+  type ModelId,
+  type ServiceId,
+  type WeightVersion,
+} from '@lovagearch/common';
+import type { Account, ConfigurationView, Model, Service } from '@lovagearch/configuration';
+import type {
+  CallerAccount,
+  CallerConfiguration,
+  ModelView,
+  ServiceView,
+} from './callerConfiguration.js';
+
+export interface FollowedConfigurationOptions {
+  /** The view in force; a new revision is a new view. */
+  readonly getView: () => ConfigurationView;
+  /** Chooses the weight version that a new request of a model uses. */
+  readonly chooseVersion: (model: ModelView) => WeightVersion;
+}
+
+const toAccount = ({ name, services, defaultClass }: Account): CallerAccount => ({
+  id: toId<AccountId>(name),
+  services: services.map((service) => toId<ServiceId>(service)),
+  defaultClass,
+});
+
+const toService = (service: Service): ServiceView =>
+  service.type === 'model'
+    ? { ...service, type: 'model', id: toId<ServiceId>(service.name) }
+    : { ...service, type: 'plain', id: toId<ServiceId>(service.name) };
+
+const toModel = ({ name, service, weightVersion }: Model): ModelView => ({
+  id: toId<ModelId>(name),
+  service: toId<ServiceId>(service),
+  weightVersion: toId<WeightVersion>(weightVersion),
+});
+
+/** Shows the followed configuration to the caller path. */
+export class FollowedConfiguration implements CallerConfiguration {
+  private constructor(private readonly options: FollowedConfigurationOptions) {}
+
+  static create(options: FollowedConfigurationOptions): FollowedConfiguration {
+    return new FollowedConfiguration(options);
+  }
+
+  readonly isLoaded = (): boolean => this.view.revision > 0;
+
+  readonly findAccountByKeyHash = (keySha256: string): CallerAccount | undefined => {
+    const account = this.view.getAccountByKeyHash(keySha256);
+    return account === undefined ? undefined : toAccount(account);
+  };
+
+  readonly findService = (name: string): ServiceView | undefined => {
+    const service = this.view.getService(name);
+    return service === undefined ? undefined : toService(service);
+  };
+
+  readonly findModel = (name: string): ModelView | undefined => {
+    const model = this.view.getModel(name);
+    if (model === undefined) return undefined;
+    const view = toModel(model);
+    return { ...view, weightVersion: this.options.chooseVersion(view) };
+  };
+
+  readonly listModels = (): readonly ModelView[] => this.view.listModels().map(toModel);
+
+  readonly listServices = (): readonly ServiceView[] => this.view.listServices().map(toService);
+
+  private get view(): ConfigurationView {
+    return this.options.getView();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/main.ts
@@ -0,0 +1,68 @@
+import { parseArgs } from 'node:util';
+import { createLogger, getErrorMessage } from '@lovagearch/common';
+import { formatSettingsError, loadProcessSettings } from '@lovagearch/settings';
+import { buildNode } from './buildNode.js';
+
+const USAGE = `Usage: lovagearch-entry --settings FILE
+
+Serves callers and takes part in the cluster as one node.
+
+  --settings FILE  settings in JSON with comments (docs/operators.md)
+  --help           shows this text
+
+Prints one JSON line with its ports once it listens. SIGTERM drains it.
+`;
+
+/** Exit code of wrong usage or settings. */
+const EXIT_BAD_USAGE = 2;
+
+const readArguments = (): { readonly settings?: string; readonly help?: boolean } => {
+  try {
+    return parseArgs({
+      options: { settings: { type: 'string' }, help: { type: 'boolean' } },
+    }).values;
+  } catch (error) {
+    process.stderr.write(`${getErrorMessage(error)}\n${USAGE}`);
+    return {};
+  }
+};
+
+const runEntry = async (): Promise<number> => {
+  const { settings: file, help } = readArguments();
+  if (help === true) {
+    process.stdout.write(USAGE);
+    return 0;
+  }
+  if (file === undefined) {
+    process.stderr.write(`--settings FILE is required\n${USAGE}`);
+    return EXIT_BAD_USAGE;
+  }
+  const settings = await loadProcessSettings(file);
+  if (settings.isErr()) {
+    for (const error of settings.error) process.stderr.write(`${formatSettingsError(error)}\n`);
+    return EXIT_BAD_USAGE;
+  }
+  const log = createLogger(settings.value.logLevel);
+  const node = await buildNode(settings.value, log);
+  const { id, ports } = node;
+  process.stdout.write(`${JSON.stringify({ event: 'listening', id, ports })}\n`);
+  await new Promise<void>((resolve) => {
+    process.once('SIGTERM', resolve);
+    process.once('SIGINT', resolve);
+  });
+  log.withTag('entry').info('Draining.');
+  await node.stop();
+  return 0;
+};
+
+process.on('unhandledRejection', (error) => {
+  // A forgotten promise must not end the streams of all callers.
+  process.stderr.write(`unhandled rejection: ${getErrorMessage(error)}\n`);
+});
+
+try {
+  process.exitCode = await runEntry();
+} catch (error) {
+  process.stderr.write(`lovagearch-entry: ${getErrorMessage(error)}\n`);
+  process.exitCode = 1;
+}
--- /dev/null
+++ b/packages/entry/src/weightVersions.ts
@@ -0,0 +1,30 @@
+import type { ModelId, Random, WeightVersion } from '@lovagearch/common';
+import type { EndpointView } from './types.js';
+
+/**
+ * Chooses the weight version of a new request. While runners are swapped, both versions serve in
+ * proportion to the runners that are ready with them, so that capacity does not dip. Versions
+ * that are not configured any more are used only as long as the configured one has too few runners.
+ *
+ * @param configured version in the configuration in force
+ * @param endpoints endpoints of the model's service
+ * @example
+ * chooseWeightVersion('crop-8b', 'v2', directory.listEndpoints(service), random);
+ */
+export const chooseWeightVersion = (
+  model: ModelId,
+  configured: WeightVersion,
+  endpoints: readonly EndpointView[],
+  random: Random,
+): WeightVersion => {
+  const versions: WeightVersion[] = [];
+  for (const endpoint of endpoints) {
+    if (endpoint.state !== 'ready') continue;
+    for (const loaded of endpoint.models) {
+      if (loaded.model === model) versions.push(loaded.weightVersion);
+    }
+  }
+  const isComplete = versions.every((version) => version === configured);
+  if (isComplete) return configured;
+  return versions[Math.floor(random() * versions.length)] ?? configured;
+};
