Let a runner import a prefix that it no longer holds

Cause: in the demo the index still named the runner's own cache for a prompt that had been evicted: cache events lag by 300 ms and 5 in 100 are lost, and so the prompt was computed again although the store VM held it. Ruled out: waiting for the events, which would delay first tokens; choosing the store VM first, which moves bytes that the runner may hold. Change: a choice for a runner with a prefix also names the store VM, if an import of the whole segment is faster than computing it. Conclusion: a wrong hint no longer costs a recompute where a copy exists.

--- a/packages/entry/src/routingChooser.ts
+++ b/packages/entry/src/routingChooser.ts
@@ -104,16 +104,14 @@
   }
 
   private createKvSource(
-    { importFrom, runner }: RoutingChoice,
+    { importFrom, fallbackStore, runner }: RoutingChoice,
     locations: readonly PromptLocation[],
   ): KvSource | undefined {
-    if (importFrom === undefined) return undefined;
+    const holderId = importFrom ?? fallbackStore;
     const { directory } = this.options;
-    const location = locations.find(
-      ({ kind, holder }) => kind === 'store' && holder === importFrom,
-    );
+    const location = locations.find(({ kind, holder }) => kind === 'store' && holder === holderId);
     if (location === undefined) return undefined;
-    const store = directory.listStores(location.region).find(({ id }) => id === importFrom);
+    const store = directory.listStores(location.region).find(({ id }) => id === holderId);
     if (store === undefined) return undefined;
     const own = locations.find(({ kind, holder }) => kind === 'runner' && holder === runner);
     return {
--- a/packages/routing/src/chooseRunner.ts
+++ b/packages/routing/src/chooseRunner.ts
@@ -1,4 +1,10 @@
-import { assertNever, chooseItem, computeHash32, type Random } from '@lovagearch/common';
+import {
+  assertNever,
+  chooseItem,
+  computeHash32,
+  TOKENS_PER_BLOCK,
+  type Random,
+} from '@lovagearch/common';
 import { selectCandidates } from './candidates.js';
 import { NEAR_TIE_COST, NEAR_TIE_SHARE } from './constants.js';
 import {
@@ -68,6 +74,7 @@
   return {
     runner: runner.id,
     importFrom: prefix?.kind === 'store' ? prefix.holder : undefined,
+    fallbackStore: undefined,
     reusedDepth: prefix?.depth ?? 0,
     ttftMs,
     recomputedTokens,
@@ -79,6 +86,12 @@
   };
 };
 
+/** Returns a store VM if importing its whole segment is faster than computing the blocks. */
+const getFallbackStore = (store: CachedPrefix, speeds: ServiceSpeeds): string | undefined => {
+  const prefillMs = computePrefillMs(store.depth * TOKENS_PER_BLOCK, speeds);
+  return computeImportMs(store.depth, speeds) < prefillMs ? store.holder : undefined;
+};
+
 /** Returns the cheaper of the two ways to serve a request on one runner. */
 const createBestChoice = (
   input: RoutingInput,
@@ -90,8 +103,10 @@
     ownDepth > 0
       ? { kind: 'runner', holder: runner.id, region: runner.region, depth: ownDepth }
       : undefined;
-  const withOwn = createChoice(input, runner, own, 0, weights);
-  if (store === undefined || store.depth <= ownDepth) return withOwn;
+  const withoutStore = createChoice(input, runner, own, 0, weights);
+  if (store === undefined) return withoutStore;
+  const withOwn = { ...withoutStore, fallbackStore: getFallbackStore(store, input.speeds) };
+  if (store.depth <= ownDepth) return withOwn;
   const importMs = computeImportMs(store.depth - ownDepth, input.speeds);
   const withStore = createChoice(input, runner, store, importMs, weights);
   return withStore.cost < withOwn.cost ? withStore : withOwn;
--- a/packages/routing/src/routing.test.ts
+++ b/packages/routing/src/routing.test.ts
@@ -56,6 +56,15 @@
   t2.equal(choice?.importFrom, undefined);
 });
 
+t.test('a runner whose cache hint is wrong can still import the prefix', async (t2) => {
+  const prefixes = [
+    { kind: 'runner', holder: 'a', region: 'south', depth: 60 },
+    { kind: 'store', holder: 's', region: 'south', depth: 60 },
+  ] as const;
+  const [choice] = chooseRunner(createInput({ runners: [createRunner('a')], prefixes }));
+  t2.same([choice?.importFrom, choice?.fallbackStore], [undefined, 's']);
+});
+
 t.test('cache in the other region attracts the request, not the cache', async (t2) => {
   const prefixes = [{ kind: 'store', holder: 's', region: 'north', depth: 64 } as const];
   const runners = [createRunner('a'), createRunner('n', { region: 'north', zone: 'taoyuan' })];
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -52,6 +52,11 @@
   readonly runner: string;
   /** Store VM to import from; undefined when the runner's own cache or a recompute is cheaper. */
   readonly importFrom: string | undefined;
+  /**
+   * Store VM that the runner may import from if its own cache no longer holds the prefix, where that
+   * is faster than computing. Cache events are late and have gaps, so a hint may be wrong.
+   */
+  readonly fallbackStore: string | undefined;
   /** Blocks that are expected to be reused from the runner or the store VM. */
   readonly reusedDepth: number;
   readonly ttftMs: number;
