--- a/packages/proving/src/demo.ts
+++ b/packages/proving/src/demo.ts
@@ -1,5 +1,6 @@
 import { computeExpectedText } from '@lovagearch/standins';
 import { processClock } from '@lovagearch/common';
+import { request } from 'undici';
 import { CallerClient } from './callerClient.js';
 import { Cluster, type ClusterVm } from './cluster.js';
 import {
@@ -116,8 +117,8 @@
   const cold = await send(firstCaller, 0, prompt);
   await waitUntil('the prompt is exported', EXPORT_TIMEOUT_MS, async () => {
     await send(firstCaller, 0, createPrompt(Math.floor(processClock.nowMs()), 512));
-    const status = await fetch(`${cluster.getVm('store-1').process.url()}/v1/segments?limit=100`);
-    const { segments } = (await status.json()) as { segments: { depth: number }[] };
+    const status = await request(`${cluster.getVm('store-1').process.url()}/v1/segments?limit=100`);
+    const { segments } = (await status.body.json()) as { segments: { depth: number }[] };
     return segments.some(({ depth }) => depth >= PROMPT_TOKENS / 64);
   });
   for (let filler = 0; filler < FILLER_PROMPTS; filler++) {
