Add the decisions of membership, endpoint health and load dissemination

Cause: nodes must agree on who is alive and learn the load of each runner within a small byte budget. Ruled out: spreading the verdict of a watcher (two watchers would contradict each other; their observations are spread instead and every node combines them); an age in each row (2 B of 10; the rows of one poll share one age in the section header); sending unchanged rows to keep them young (a delta confirms them by its sequence number). Change: SWIM-style member list, grid with rows of even length, digest codec with 10 B a row, table of received rows, watchers, endpoint health, region summaries. Conclusion: the decisions are usable by the parts of the node.

--- /dev/null
+++ b/packages/membership/src/loadDigest.ts
@@ -0,0 +1,73 @@
+import { FULL_REFRESH_CYCLES } from './constants.js';
+import type { LoadRow, LoadSection } from './loadRows.js';
+
+/** Changes below these are not worth a row before the next full refresh. */
+const MIN_QUEUE_CHANGE_TOKENS = 256;
+const MIN_QUEUE_CHANGE_SHARE = 0.125;
+const MIN_SEQUENCES_CHANGE = 2;
+const MIN_CACHE_CHANGE = 0.06;
+const SEQ_MODULUS = 256;
+
+/** Whether a row differs enough from the one sent last. */
+export const isChanged = (row: LoadRow, sent: LoadRow | undefined): boolean => {
+  if (sent === undefined) return true;
+  if (row.state !== sent.state || row.versionTag !== sent.versionTag) return true;
+  const queueChange = Math.abs(row.queuedPromptTokens - sent.queuedPromptTokens);
+  const minQueueChange = Math.max(
+    MIN_QUEUE_CHANGE_TOKENS,
+    MIN_QUEUE_CHANGE_SHARE * sent.queuedPromptTokens,
+  );
+  return (
+    queueChange >= minQueueChange ||
+    Math.abs(row.activeSequences - sent.activeSequences) >= MIN_SEQUENCES_CHANGE ||
+    Math.abs(row.cacheUse - sent.cacheUse) >= MIN_CACHE_CHANGE
+  );
+};
+
+/** Makes the sections that a node sends about the endpoints that it watches itself. */
+export class LoadDigest {
+  private sent = new Map<number, LoadRow>();
+
+  private seq = 0;
+
+  private cycles = 0;
+
+  private constructor(private readonly source: number) {}
+
+  /** @param source hash of this node's id */
+  static create(source: number): LoadDigest {
+    return new LoadDigest(source);
+  }
+
+  /** Makes the next section full; called when the receivers change. */
+  requestFull(): void {
+    this.cycles = 0;
+  }
+
+  /**
+   * Creates the section of one cycle.
+   *
+   * @param rows all endpoints that this node watches
+   * @param ageMs age of the oldest of these rows
+   */
+  createSection(rows: readonly LoadRow[], ageMs: number): LoadSection {
+    const present = new Set(rows.map(({ endpoint }) => endpoint));
+    // Only a full section tells the receivers that an endpoint is no longer watched.
+    const isRemoved = [...this.sent.keys()].some((endpoint) => !present.has(endpoint));
+    const isFull = this.cycles % FULL_REFRESH_CYCLES === 0 || isRemoved;
+    this.cycles++;
+    this.seq = (this.seq + 1) % SEQ_MODULUS;
+    const chosen = isFull
+      ? rows
+      : rows.filter((row) => isChanged(row, this.sent.get(row.endpoint)));
+    if (isFull) this.sent = new Map();
+    for (const row of chosen) this.sent.set(row.endpoint, row);
+    const type = isFull ? 'full' : 'delta';
+    return { type, source: this.source, seq: this.seq, ageMs, rows: chosen };
+  }
+
+  /** Creates a section that is sent at once, outside the cycle. */
+  createUrgent(rows: readonly LoadRow[]): LoadSection {
+    return { type: 'urgent', source: this.source, seq: 0, ageMs: 0, rows };
+  }
+}
--- /dev/null
+++ b/packages/membership/src/loadRows.test.ts
@@ -0,0 +1,151 @@
+import { isDeepStrictEqual } from 'node:util';
+import t from 'tap';
+import { toId, type NodeId } from '@lovagearch/common';
+import fc from 'fast-check';
+import { STALE_AGE_MS } from './constants.js';
+import { computeEndpointState, ReturnGate } from './endpointHealth.js';
+import { computeGridPeers } from './grid.js';
+import { LoadDigest } from './loadDigest.js';
+import { decodeSections, encodeSections, ROW_STATES, type LoadRow } from './loadRows.js';
+import { LoadTable } from './loadTable.js';
+import { chooseCounterparts, decodeCapacities, encodeCapacities } from './regionSummary.js';
+
+const createRow = (endpoint: number, changes: Partial<LoadRow> = {}): LoadRow => ({
+  endpoint,
+  queuedPromptTokens: 640,
+  activeSequences: 3,
+  cacheUse: 1,
+  state: 'ready',
+  versionTag: 7,
+  ...changes,
+});
+
+const byteArbitrary = fc.nat({ max: 255 });
+const rowArbitrary = fc.record(
+  {
+    endpoint: fc.nat({ max: 0xffffffff }),
+    queuedPromptTokens: fc.nat({ max: 0xffff }).map((units) => units * 64),
+    activeSequences: byteArbitrary,
+    cacheUse: byteArbitrary.map((use) => use / 255),
+    state: fc.constantFrom(...ROW_STATES),
+    versionTag: byteArbitrary,
+  },
+  { noNullPrototype: true },
+);
+const sectionArbitrary = fc.record(
+  {
+    type: fc.constantFrom('delta' as const, 'full' as const, 'urgent' as const),
+    source: fc.nat({ max: 0xffffffff }),
+    seq: byteArbitrary,
+    ageMs: byteArbitrary.map((units) => units * 50),
+    rows: fc.array(rowArbitrary, { maxLength: 20 }),
+  },
+  { noNullPrototype: true },
+);
+
+t.test('sections and capacities survive the codec; other bytes never throw', async () => {
+  fc.assert(
+    fc.property(fc.array(sectionArbitrary, { maxLength: 8 }), (sections) =>
+      isDeepStrictEqual(decodeSections(encodeSections(sections)), sections),
+    ),
+  );
+  fc.assert(
+    fc.property(fc.uint8Array({ maxLength: 100 }), (bytes) => {
+      decodeSections(bytes);
+      const capacities = decodeCapacities(bytes);
+      return capacities === undefined || Buffer.compare(encodeCapacities(capacities), bytes) === 0;
+    }),
+  );
+});
+
+t.test('an age is never rounded to a younger one', async () => {
+  fc.assert(
+    fc.property(fc.integer({ min: 0, max: 12_000 }), (ageMs) => {
+      const section = { type: 'full' as const, source: 1, seq: 1, ageMs, rows: [] };
+      return decodeSections(encodeSections([section]))![0]!.ageMs >= ageMs;
+    }),
+  );
+});
+
+t.test('two hops over the grid reach every member, for any size of the region', async (t2) => {
+  for (let size = 1; size <= 70; size++) {
+    const members = Array.from({ length: size }, (_, index) => `m${index}`);
+    let largest = 0;
+    for (const origin of members) {
+      const { row, column } = computeGridPeers(members, origin);
+      largest = Math.max(largest, row.length, column.length);
+      const reached = new Set([origin, ...row, ...column]);
+      for (const hop of row) {
+        for (const next of computeGridPeers(members, hop).column) reached.add(next);
+      }
+      if (reached.size !== size) t2.fail(`${origin} of ${size} reaches ${reached.size}`);
+    }
+    if (largest > 2 * Math.ceil(Math.sqrt(size))) t2.fail(`${largest} peers of ${size}`);
+  }
+});
+
+t.test('the summaries of a region reach every node of the other one', async (t2) => {
+  const list = (count: number, prefix: string): NodeId[] =>
+    Array.from({ length: count }, (_, index) => toId<NodeId>(`${prefix}${index}`));
+  for (const [own, others] of [
+    [6, 3],
+    [3, 6],
+    [58, 57],
+    [1, 5],
+  ] as const) {
+    const [ids, targets] = [list(own, 'a'), list(others, 'b')];
+    const reached = new Set(ids.flatMap((id) => chooseCounterparts(ids, targets, id)));
+    t2.equal(reached.size, others);
+  }
+});
+
+t.test('a delta confirms unchanged rows, but not after a lost section', async (t2) => {
+  const digest = LoadDigest.create(1);
+  const table = LoadTable.create();
+  table.applySection(digest.createSection([createRow(5)], 0), 0);
+  const delta = digest.createSection([createRow(5)], 0);
+  t2.same(delta.rows, []);
+  table.applySection(delta, 2_000);
+  t2.equal(table.getWitnesses(5, 2_000)[0]!.ageMs, 0);
+  digest.createSection([createRow(5, { queuedPromptTokens: 64_000 })], 0);
+  table.applySection(
+    digest.createSection([createRow(5, { queuedPromptTokens: 64_000 })], 0),
+    6_000,
+  );
+  t2.ok(table.getWitnesses(5, 6_000)[0]!.ageMs > STALE_AGE_MS);
+});
+
+t.test('a row that was delayed does not replace a younger one', async (t2) => {
+  const table = LoadTable.create();
+  const digest = LoadDigest.create(1);
+  const [old, young] = [
+    digest.createSection([createRow(5)], 0),
+    digest.createSection([createRow(5, { activeSequences: 90 })], 0),
+  ];
+  t2.ok(table.applySection(young, 1_000));
+  t2.notOk(table.applySection({ ...old, ageMs: 900 }, 1_100));
+  t2.equal(table.getWitnesses(5, 1_100)[0]!.activeSequences, 90);
+});
+
+t.test('one failing watcher kills nothing; two, or one and the data path, do', async (t2) => {
+  const witness = { ...createRow(5), source: 1, ageMs: 100 };
+  const unseen = { ...witness, state: 'unseen' as const };
+  const own = { isLeavingInVmList: false };
+  t2.equal(computeEndpointState([unseen, { ...witness, source: 2 }], own), 'ready');
+  t2.equal(computeEndpointState([unseen, { ...unseen, source: 2 }], own), 'dead');
+  t2.equal(computeEndpointState([unseen, witness], { ...own, failureAgeMs: 10 }), 'dead');
+  t2.equal(computeEndpointState([witness], { ...own, failureAgeMs: 10 }), 'ready');
+  t2.equal(computeEndpointState([witness], { ...own, leavingMarkAgeMs: 10 }), 'leaving');
+  t2.equal(computeEndpointState([{ ...witness, state: 'leaving' }, witness], own), 'leaving');
+});
+
+t.test('a returned endpoint gets one request at a time until one is answered', async (t2) => {
+  const gate = ReturnGate.create();
+  gate.update('dead');
+  gate.update('ready');
+  t2.same([gate.tryTake(0), gate.tryTake(1)], [true, false]);
+  gate.recordResult(false);
+  t2.same([gate.tryTake(2), gate.tryTake(3)], [true, false]);
+  gate.recordResult(true);
+  t2.same([gate.tryTake(4), gate.tryTake(5)], [true, true]);
+});
--- /dev/null
+++ b/packages/membership/src/loadTable.ts
@@ -0,0 +1,121 @@
+import { FORGET_AGE_MS, MAX_ENDPOINTS, MAX_SOURCES, MAX_WITNESSES } from './constants.js';
+import type { LoadRow, LoadSection } from './loadRows.js';
+
+/** One source's row of an endpoint with its present age. */
+export interface WitnessRow extends LoadRow {
+  readonly source: number;
+  readonly ageMs: number;
+}
+
+interface KeptRow {
+  readonly row: LoadRow;
+  /** Reading of this process's clock at which the source saw it. */
+  readonly seenMs: number;
+  /** Whether the source reports the endpoint in its cycles; confirmations only renew such rows. */
+  readonly isRegular: boolean;
+}
+
+interface SourceState {
+  readonly seq: number;
+  readonly seenMs: number;
+  /** Whether every section since the last full one has arrived. */
+  readonly isComplete: boolean;
+}
+
+const SEQ_MODULUS = 256;
+
+/**
+ * The rows of all sources as one node has received them. Two sources report each endpoint; the
+ * younger row wins, while a state that one of them alone reports is left to endpoint health.
+ */
+export class LoadTable {
+  private readonly rows = new Map<number, Map<number, KeptRow>>();
+
+  private readonly sources = new Map<number, SourceState>();
+
+  static create(): LoadTable {
+    return new LoadTable();
+  }
+
+  get endpointCount(): number {
+    return this.rows.size;
+  }
+
+  /**
+   * Applies a section.
+   *
+   * @returns false if it was received before or is older than what is known of its source
+   */
+  applySection(section: LoadSection, nowMs: number): boolean {
+    const seenMs = nowMs - section.ageMs;
+    if (section.type === 'urgent') {
+      return section.rows.some((row) => this.setRow(section.source, row, seenMs, false));
+    }
+    const known = this.sources.get(section.source);
+    const isForgotten = known === undefined || nowMs - known.seenMs > FORGET_AGE_MS;
+    const step = isForgotten ? 1 : (section.seq - known.seq + SEQ_MODULUS) % SEQ_MODULUS;
+    // A source that restarted begins a new sequence with a full section.
+    const isRestarted = section.type === 'full' && seenMs > (known?.seenMs ?? 0);
+    if (step === 0 || (step > SEQ_MODULUS / 2 && !isRestarted)) return false;
+    if (known === undefined && this.sources.size >= MAX_SOURCES) return false;
+    const isContinued = !isForgotten && known.isComplete && step === 1;
+    const isComplete = section.type === 'full' || isContinued;
+    this.sources.set(section.source, { seq: section.seq, seenMs, isComplete });
+    if (section.type === 'full') this.removeMissing(section);
+    for (const row of section.rows) this.setRow(section.source, row, seenMs, true);
+    return true;
+  }
+
+  /** Returns the rows of an endpoint that are young enough to count, the youngest first. */
+  getWitnesses(endpoint: number, nowMs: number): WitnessRow[] {
+    const witnesses: WitnessRow[] = [];
+    for (const [source, kept] of this.rows.get(endpoint) ?? []) {
+      const ageMs = nowMs - this.getSeenMs(source, kept);
+      if (ageMs <= FORGET_AGE_MS) witnesses.push({ ...kept.row, source, ageMs });
+    }
+    return witnesses.sort((a, b) => a.ageMs - b.ageMs);
+  }
+
+  /** Forgets rows and sources that no longer count. */
+  removeOld(nowMs: number): void {
+    for (const [endpoint, bySource] of this.rows) {
+      for (const [source, kept] of bySource) {
+        if (nowMs - this.getSeenMs(source, kept) > FORGET_AGE_MS) bySource.delete(source);
+      }
+      if (bySource.size === 0) this.rows.delete(endpoint);
+    }
+    for (const [source, { seenMs }] of this.sources) {
+      if (nowMs - seenMs > FORGET_AGE_MS) this.sources.delete(source);
+    }
+  }
+
+  private getSeenMs(source: number, kept: KeptRow): number {
+    const state = this.sources.get(source);
+    const isConfirmed = kept.isRegular && state !== undefined && state.isComplete;
+    return isConfirmed ? Math.max(kept.seenMs, state.seenMs) : kept.seenMs;
+  }
+
+  private setRow(source: number, row: LoadRow, seenMs: number, isRegular: boolean): boolean {
+    let bySource = this.rows.get(row.endpoint);
+    if (bySource === undefined) {
+      if (this.rows.size >= MAX_ENDPOINTS) return false;
+      bySource = new Map();
+      this.rows.set(row.endpoint, bySource);
+    }
+    const known = bySource.get(source);
+    if (known !== undefined && known.seenMs > seenMs) return false;
+    if (known === undefined && bySource.size >= MAX_WITNESSES) return false;
+    bySource.set(source, { row, seenMs, isRegular: isRegular || (known?.isRegular ?? false) });
+    return true;
+  }
+
+  /** A full section without an endpoint means that its source no longer watches it. */
+  private removeMissing(section: LoadSection): void {
+    const present = new Set(section.rows.map(({ endpoint }) => endpoint));
+    for (const [endpoint, bySource] of this.rows) {
+      if (bySource.get(section.source)?.isRegular === true && !present.has(endpoint)) {
+        bySource.delete(section.source);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/membership/src/memberList.test.ts
@@ -0,0 +1,176 @@
+import t from 'tap';
+import { createRandom, toId, type NodeId, type Random, type Region } from '@lovagearch/common';
+import { PROBE_INTERVAL_MS } from './constants.js';
+import { MemberList } from './memberList.js';
+import type { MemberIdentity } from './memberUpdates.js';
+
+const createIdentity = (index: number, region: string): MemberIdentity => ({
+  id: toId(`node-${String(index).padStart(3, '0')}`),
+  region: toId(region),
+  zone: toId('zone-1'),
+  address: `127.0.0.1:${10_000 + index}`,
+});
+
+/** Members that exchange probes in lockstep over a network with losses, partitions and freezes. */
+class Simulation {
+  readonly lists = new Map<NodeId, MemberList>();
+
+  readonly down = new Set<NodeId>();
+
+  lossRate = 0;
+
+  isPartitioned = false;
+
+  private nowMs = 0;
+
+  private constructor(
+    readonly identities: readonly MemberIdentity[],
+    private readonly random: Random,
+  ) {}
+
+  static create(seed: number, north: number, south: number): Simulation {
+    const identities = Array.from({ length: north + south }, (_, index) =>
+      createIdentity(index, index < north ? 'north' : 'south'),
+    );
+    const simulation = new Simulation(identities, createRandom(seed));
+    const listed = new Set(identities.map(({ id }) => id));
+    for (const [index, identity] of identities.entries()) {
+      const list = MemberList.create(identity, createRandom(seed * 1_000 + index), 0);
+      for (const other of identities) list.addIntroduced(other);
+      list.updateListed(listed);
+      simulation.lists.set(identity.id, list);
+    }
+    return simulation;
+  }
+
+  /** Counts the views of live members, by state, that the others hold. */
+  countStates(of: (id: NodeId) => boolean = () => true): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const [viewer, list] of this.lists) {
+      if (this.down.has(viewer)) continue;
+      for (const { id, state } of list.listMembers()) {
+        if (id !== viewer && of(id)) counts[state] = (counts[state] ?? 0) + 1;
+      }
+    }
+    return counts;
+  }
+
+  runSteps(count: number, check: () => void = () => undefined): void {
+    for (let step = 0; step < count; step++) {
+      this.nowMs += PROBE_INTERVAL_MS;
+      for (const [id, list] of this.lists) {
+        if (this.down.has(id)) continue;
+        list.runCheck(this.nowMs);
+        for (const target of list.chooseProbeTargets()) this.runProbe(id, list, target);
+      }
+      check();
+    }
+  }
+
+  private runProbe(self: NodeId, list: MemberList, target: NodeId): void {
+    const isAnswered =
+      this.exchange(self, target) ||
+      list.chooseHelpers(target).some((helper) => {
+        const isHelped = this.exchange(self, helper) && this.exchange(helper, target);
+        return isHelped && this.exchange(self, helper);
+      });
+    if (isAnswered) list.recordSuccess(target);
+    else list.recordFailure(target);
+  }
+
+  private exchange(from: NodeId, to: NodeId): boolean {
+    const sender = this.lists.get(from)!;
+    const receiver = this.lists.get(to)!;
+    if (!this.isDelivered(from, to)) return false;
+    receiver.applyUpdates(sender.takeUpdates(to));
+    if (!this.isDelivered(to, from)) return false;
+    sender.applyUpdates(receiver.takeUpdates(from));
+    return true;
+  }
+
+  private isDelivered(from: NodeId, to: NodeId): boolean {
+    if (this.down.has(from) || this.down.has(to)) return false;
+    const isCut = this.getRegion(from) !== this.getRegion(to) && this.isPartitioned;
+    return !isCut && this.random() >= this.lossRate;
+  }
+
+  private getRegion(id: NodeId): Region {
+    return this.identities.find((identity) => identity.id === id)!.region;
+  }
+}
+
+const SEEDS = [1, 2, 3];
+
+for (const seed of SEEDS) {
+  t.test(`seed ${seed}: lost messages never kill a live member`, async (t2) => {
+    const simulation = Simulation.create(seed, 6, 3);
+    simulation.lossRate = 0.1;
+    simulation.runSteps(3_000, () => {
+      const { dead = 0 } = simulation.countStates();
+      if (dead > 0) t2.fail(`a live member was taken for dead, seed ${seed}`);
+    });
+  });
+
+  t.test(`seed ${seed}: a crashed member is dead everywhere, and nobody else is`, async (t2) => {
+    const simulation = Simulation.create(seed, 58, 0);
+    simulation.runSteps(5);
+    const { id } = simulation.identities[7]!;
+    simulation.down.add(id);
+    simulation.runSteps(40);
+    t2.same(
+      simulation.countStates((other) => other === id),
+      { dead: 57 },
+      `seed ${seed}`,
+    );
+    t2.same(
+      simulation.countStates((other) => other !== id),
+      { alive: 57 * 56 },
+      `seed ${seed}`,
+    );
+  });
+
+  t.test(`seed ${seed}: a partition between regions removes nobody and heals`, async (t2) => {
+    const simulation = Simulation.create(seed, 6, 3);
+    simulation.isPartitioned = true;
+    simulation.runSteps(300);
+    t2.same(simulation.countStates(), { alive: 30 + 6, unreachable: 36 }, `seed ${seed}`);
+    simulation.isPartitioned = false;
+    simulation.runSteps(60);
+    t2.same(simulation.countStates(), { alive: 72 }, `seed ${seed}`);
+  });
+
+  t.test(`seed ${seed}: a frozen member returns and accuses nobody`, async (t2) => {
+    const simulation = Simulation.create(seed, 6, 3);
+    const { id } = simulation.identities[2]!;
+    simulation.runSteps(5);
+    simulation.down.add(id);
+    simulation.runSteps(20);
+    t2.equal(simulation.countStates((other) => other === id).dead, 5, `seed ${seed}`);
+    simulation.down.delete(id);
+    simulation.runSteps(60, () => {
+      const { dead = 0 } = simulation.countStates((other) => other !== id);
+      if (dead > 0) t2.fail(`the frozen member killed another one, seed ${seed}`);
+    });
+    t2.same(simulation.countStates(), { alive: 72 }, `seed ${seed}`);
+  });
+}
+
+t.test('a leaving member is known everywhere and forgotten once it is off the list', async (t2) => {
+  const simulation = Simulation.create(4, 6, 3);
+  const { id } = simulation.identities[0]!;
+  simulation.lists.get(id)!.markSelfLeaving();
+  simulation.runSteps(5);
+  t2.same(
+    simulation.countStates((other) => other === id),
+    { leaving: 8 },
+  );
+  simulation.down.add(id);
+  const listed = new Set(simulation.identities.map((identity) => identity.id));
+  listed.delete(id);
+  for (const list of simulation.lists.values()) list.updateListed(listed);
+  simulation.runSteps(100);
+  t2.same(
+    simulation.countStates((other) => other === id),
+    {},
+  );
+});
--- /dev/null
+++ b/packages/membership/src/memberList.ts
@@ -0,0 +1,250 @@
+import { chooseItem, type NodeId, type Random, type Region } from '@lovagearch/common';
+import {
+  DEAD_KEEP_MS,
+  INDIRECT_PROBES,
+  MAX_COUNTED_MS,
+  MAX_MEMBERS,
+  MAX_MEMBERS_PROBED_AT_ONCE,
+  MAX_UPDATES_PER_MESSAGE,
+  RANDOM_RECORDS_PER_MESSAGE,
+  RECHECK_INTERVALS,
+  SUSPICION_MS,
+} from './constants.js';
+import {
+  isNewer,
+  type MemberIdentity,
+  type MemberState,
+  type MemberUpdate,
+} from './memberUpdates.js';
+import { UpdateQueue } from './updateQueue.js';
+
+interface MemberRecord {
+  update: MemberUpdate;
+  /** Time spent in the present state, without pauses of this process. */
+  stateMs: number;
+}
+
+const NO_CONTACT: ReadonlySet<MemberState> = new Set(['unreachable', 'dead']);
+
+/**
+ * A SWIM-style failure detector: who is a member and in which state. The caller sends the probes
+ * that it chooses and reports their results.
+ *
+ * @example
+ * const list = MemberList.create(identity, createRandom(1), clock.nowMs());
+ * list.addIntroduced(other);
+ * for (const target of list.chooseProbeTargets()) ...
+ */
+export class MemberList {
+  private readonly records = new Map<NodeId, MemberRecord>();
+
+  private readonly queue = UpdateQueue.create();
+
+  private listed: ReadonlySet<NodeId> = new Set();
+
+  private rotation: NodeId[] = [];
+
+  private intervals = 0;
+
+  private constructor(
+    private own: MemberUpdate,
+    private readonly random: Random,
+    private lastMs: number,
+  ) {}
+
+  static create(self: MemberIdentity, random: Random, nowMs: number): MemberList {
+    const own: MemberUpdate = { ...self, state: 'alive', incarnation: 0 };
+    const list = new MemberList(own, random, nowMs);
+    list.queue.add(self.id);
+    return list;
+  }
+
+  /** All members, this node included, sorted by id. */
+  listMembers(): MemberUpdate[] {
+    const others = [...this.records.values()].map(({ update }) => update);
+    return [...others, this.own].sort((a, b) => (a.id < b.id ? -1 : 1));
+  }
+
+  /** Members of a region that take part in duties: alive or suspect, this node included. */
+  listActive(region: Region): NodeId[] {
+    return this.listMembers()
+      .filter((member) => member.region === region)
+      .filter(({ state }) => state === 'alive' || state === 'suspect')
+      .map(({ id }) => id);
+  }
+
+  getMember(id: NodeId): MemberUpdate | undefined {
+    return id === this.own.id ? this.own : this.records.get(id)?.update;
+  }
+
+  /** Adds a member that the VM list or a seed names; what gossip says about it takes precedence. */
+  addIntroduced(identity: MemberIdentity): void {
+    if (identity.id === this.own.id || this.records.has(identity.id)) return;
+    this.addRecord({ ...identity, state: 'alive', incarnation: 0 });
+  }
+
+  /** Replaces the set of nodes that the VM list has. */
+  updateListed(ids: ReadonlySet<NodeId>): void {
+    this.listed = ids;
+  }
+
+  /** Marks this node as leaving; the others learn it with the next probes. */
+  markSelfLeaving(): void {
+    const { incarnation } = this.own;
+    this.own = { ...this.own, state: 'leaving', incarnation: incarnation + 1 };
+    this.queue.add(this.own.id);
+  }
+
+  /** Chooses the members to probe in this interval. */
+  chooseProbeTargets(): NodeId[] {
+    this.intervals++;
+    const reachable: NodeId[] = [];
+    const lost: NodeId[] = [];
+    for (const { update } of this.records.values()) {
+      (NO_CONTACT.has(update.state) ? lost : reachable).push(update.id);
+    }
+    const targets =
+      reachable.length <= MAX_MEMBERS_PROBED_AT_ONCE ? reachable : this.takeNext(reachable);
+    // Both sides of a healed partition may hold each other for lost; somebody has to try.
+    const isRecheck = this.intervals % RECHECK_INTERVALS === 0;
+    const recheck = isRecheck ? chooseItem(lost, this.random) : undefined;
+    return recheck === undefined ? targets : [...targets, recheck];
+  }
+
+  /** Chooses members to ask for an indirect probe, those of the target's region first. */
+  chooseHelpers(target: NodeId): NodeId[] {
+    const region = this.getMember(target)?.region;
+    const helpers = [...this.records.values()]
+      .map(({ update }) => update)
+      .filter(({ id, state }) => id !== target && state === 'alive')
+      .map((update) => ({ update, rank: (update.region === region ? 0 : 1) + this.random() }))
+      .sort((a, b) => a.rank - b.rank);
+    return helpers.slice(0, INDIRECT_PROBES).map(({ update }) => update.id);
+  }
+
+  /** Records that neither the direct nor the indirect probes of a member were answered. */
+  recordFailure(id: NodeId): void {
+    const record = this.records.get(id);
+    if (record === undefined) return;
+    const { state } = record.update;
+    if (state !== 'alive' && state !== 'leaving') return;
+    this.setState(record, 'suspect');
+  }
+
+  /**
+   * Records an answer of a member, direct or through a helper. The answer's own update refutes a
+   * suspicion; this only ends the local verdict `unreachable`, which is never spread.
+   */
+  recordSuccess(id: NodeId): void {
+    const record = this.records.get(id);
+    if (record?.update.state === 'unreachable') this.setState(record, 'alive');
+  }
+
+  /** Applies what another node states; refutes it if it is wrong about this node. */
+  applyUpdates(updates: readonly MemberUpdate[]): void {
+    for (const update of updates) this.applyUpdate(update);
+  }
+
+  /** Takes the updates for a message: the own record, what is held against `to`, and news. */
+  takeUpdates(to: NodeId): MemberUpdate[] {
+    const memberCount = this.records.size + 1;
+    const ids = new Set<NodeId>([this.own.id]);
+    if (this.getMember(to)?.state !== 'alive') ids.add(to);
+    for (const id of this.queue.take(MAX_UPDATES_PER_MESSAGE, memberCount)) ids.add(id);
+    const all = [...this.records.keys()];
+    for (let index = 0; index < RANDOM_RECORDS_PER_MESSAGE; index++) {
+      const id = chooseItem(all, this.random);
+      if (id !== undefined) ids.add(id);
+    }
+    const updates: MemberUpdate[] = [];
+    for (const id of ids) {
+      const update = this.getMember(id);
+      // `unreachable` is a view from one region; spread as a suspicion, it can be refuted.
+      if (update?.state === 'unreachable') updates.push({ ...update, state: 'suspect' });
+      else if (update !== undefined) updates.push(update);
+    }
+    return updates;
+  }
+
+  /** Turns old suspicions into verdicts and forgets members that died long ago. */
+  runCheck(nowMs: number): void {
+    const elapsedMs = Math.min(Math.max(0, nowMs - this.lastMs), MAX_COUNTED_MS);
+    this.lastMs = nowMs;
+    for (const record of [...this.records.values()]) {
+      record.stateMs += elapsedMs;
+      this.checkRecord(record);
+    }
+  }
+
+  private checkRecord(record: MemberRecord): void {
+    const { id, state } = record.update;
+    const isListed = this.listed.has(id);
+    if (state === 'suspect' && record.stateMs >= SUSPICION_MS) {
+      this.setState(record, this.getVerdict(record.update));
+    } else if (state === 'unreachable' && !isListed) {
+      this.setState(record, 'dead');
+    } else if (state === 'dead' && !isListed && record.stateMs >= DEAD_KEEP_MS) {
+      this.records.delete(id);
+      this.queue.remove(id);
+    }
+  }
+
+  private getVerdict(update: MemberUpdate): 'dead' | 'unreachable' {
+    const isForeign = update.region !== this.own.region;
+    return isForeign && this.listed.has(update.id) ? 'unreachable' : 'dead';
+  }
+
+  private applyUpdate(update: MemberUpdate): void {
+    if (update.id === this.own.id) {
+      this.checkOwn(update);
+      return;
+    }
+    const record = this.records.get(update.id);
+    if (record === undefined) {
+      if (update.state !== 'dead') this.addRecord(update);
+      return;
+    }
+    const known = record.update;
+    if (known.state === 'unreachable' && update.incarnation === known.incarnation) return;
+    if (!isNewer(update, known)) return;
+    const state = update.state === 'dead' ? this.getVerdict(update) : update.state;
+    record.update = { ...update, state };
+    if (state !== known.state) record.stateMs = 0;
+    this.queue.add(update.id);
+  }
+
+  private checkOwn(update: MemberUpdate): void {
+    const isOutdated = update.incarnation < this.own.incarnation;
+    const isSame = update.incarnation === this.own.incarnation && update.state === this.own.state;
+    if (isOutdated || isSame) return;
+    this.own = { ...this.own, incarnation: update.incarnation + 1 };
+    this.queue.add(this.own.id);
+  }
+
+  private addRecord(update: MemberUpdate): void {
+    if (this.records.size >= MAX_MEMBERS) return;
+    this.records.set(update.id, { update, stateMs: 0 });
+    this.queue.add(update.id);
+  }
+
+  private setState(record: MemberRecord, state: MemberState): void {
+    const { id } = record.update;
+    this.records.set(id, { update: { ...record.update, state }, stateMs: 0 });
+    if (state !== 'unreachable') this.queue.add(id);
+  }
+
+  /** Each round visits all members in a new random order, which bounds the time to detection. */
+  private takeNext(reachable: readonly NodeId[]): NodeId[] {
+    const isReachable = new Set(reachable);
+    for (;;) {
+      const next = this.rotation.pop();
+      if (next !== undefined && isReachable.has(next)) return [next];
+      if (next === undefined) {
+        this.rotation = reachable
+          .map((id) => ({ id, rank: this.random() }))
+          .sort((a, b) => a.rank - b.rank)
+          .map(({ id }) => id);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/membership/src/memberUpdates.ts
@@ -0,0 +1,66 @@
+import { toId, type NodeId, type Region, type Zone } from '@lovagearch/common';
+import { z } from 'zod';
+import { MAX_UPDATES_PER_MESSAGE, RANDOM_RECORDS_PER_MESSAGE } from './constants.js';
+
+/** States on the wire, in the order of precedence at the same incarnation. */
+export const MEMBER_STATES = ['alive', 'leaving', 'suspect', 'unreachable', 'dead'] as const;
+export type MemberState = (typeof MEMBER_STATES)[number];
+
+/** Who a node is and where it listens for peers. */
+export interface MemberIdentity {
+  readonly id: NodeId;
+  readonly region: Region;
+  readonly zone: Zone;
+  /** `host:port` */
+  readonly address: string;
+}
+
+/** What one node states about a member. */
+export interface MemberUpdate extends MemberIdentity {
+  readonly state: MemberState;
+  /** Raised by the member itself only, to refute a suspicion or to change its state. */
+  readonly incarnation: number;
+}
+
+const MAX_UPDATES_ACCEPTED = 2 + MAX_UPDATES_PER_MESSAGE + RANDOM_RECORDS_PER_MESSAGE;
+const textSchema = z.string().min(1).max(128);
+
+/** An update as `[id, region, zone, address, state, incarnation]`, which keeps probes small. */
+export const memberUpdateSchema = z
+  .tuple([textSchema, textSchema, textSchema, textSchema, z.enum(MEMBER_STATES), z.int().min(0)])
+  .transform(([id, region, zone, address, state, incarnation]): MemberUpdate => ({
+    id: toId<NodeId>(id),
+    region: toId<Region>(region),
+    zone: toId<Zone>(zone),
+    address,
+    state,
+    incarnation,
+  }));
+
+export const memberUpdatesSchema = z.array(memberUpdateSchema).max(MAX_UPDATES_ACCEPTED);
+/** Payload and reply of `membership.probe`. */
+export const probeSchema = z.object({ updates: memberUpdatesSchema });
+/** Payload of `membership.indirect`. */
+export const indirectProbeSchema = probeSchema.extend({ target: textSchema });
+/** Reply of `membership.indirect`. */
+export const indirectReplySchema = probeSchema.extend({ isAlive: z.boolean() });
+
+/** Returns the wire form of updates. */
+export const encodeUpdates = (updates: readonly MemberUpdate[]): unknown[] =>
+  updates.map(({ id, region, zone, address, state, incarnation }) => [
+    id,
+    region,
+    zone,
+    address,
+    state,
+    incarnation,
+  ]);
+
+/** Whether an update replaces what is known: a higher incarnation, else a higher precedence. */
+export const isNewer = (
+  update: Pick<MemberUpdate, 'incarnation' | 'state'>,
+  known: Pick<MemberUpdate, 'incarnation' | 'state'>,
+): boolean => {
+  if (update.incarnation !== known.incarnation) return update.incarnation > known.incarnation;
+  return MEMBER_STATES.indexOf(update.state) > MEMBER_STATES.indexOf(known.state);
+};
