--- a/packages/admission/src/constants.ts
+++ b/packages/admission/src/constants.ts
@@ -2,16 +2,14 @@
 export const PRESSED_SHARE = 0.5;
 /** Least share of an account on a node, as a part of limit / nodes. */
 export const MIN_SHARE = 0.25;
-/** Time between two demand messages of a node in a region of up to 16 nodes. */
-export const SMALL_REGION_CYCLE_MS = 500;
-/** Time between two demand messages of a node in a larger region. */
-export const LARGE_REGION_CYCLE_MS = 4_000;
-/** Nodes up to which a region is small. */
-export const SMALL_REGION_NODES = 16;
-/** Longest time between two demand messages, which also tell that the node is heard. */
+/** Shortest time between two demand messages of a node. */
+export const MIN_DEMAND_CYCLE_MS = 500;
+/** Rows for which a demand message has room; large regions send less often instead. */
+export const MIN_DEMAND_ROWS = 4;
+/** Time after which a node without pressed accounts sends an empty message, to be heard. */
 export const DEMAND_HEARTBEAT_MS = 4_000;
-/** Age after which a node's demand no longer counts: three long cycles. */
-export const DEMAND_MAX_AGE_MS = 12_000;
+/** Age after which a node's demand no longer counts: three cycles of 58 nodes. */
+export const DEMAND_MAX_AGE_MS = 20_000;
 /** Accounts in one demand message. */
 export const MAX_DEMAND_ROWS = 64;
 /** Bytes that a node sends each second for demand; part of its 6 KB/s for control. */
--- a/packages/admission/src/demandTable.ts
+++ b/packages/admission/src/demandTable.ts
@@ -1,15 +1,14 @@
-import { BoundedMap, type AccountId, type NodeId } from '@lovagearch/common';
+import { BoundedMap, MS_PER_SECOND, type AccountId, type NodeId } from '@lovagearch/common';
 import type { PeerDemand } from './accountShares.js';
 import {
   DEMAND_BYTES_PER_SECOND,
   DEMAND_FRAME_BYTES,
   DEMAND_MAX_AGE_MS,
   DEMAND_ROW_BYTES,
-  LARGE_REGION_CYCLE_MS,
   MAX_DEMAND_NODES,
   MAX_DEMAND_ROWS,
-  SMALL_REGION_CYCLE_MS,
-  SMALL_REGION_NODES,
+  MIN_DEMAND_CYCLE_MS,
+  MIN_DEMAND_ROWS,
 } from './constants.js';
 
 /** Demand of one account on one node: prompt tokens/s and requests at a time. */
@@ -24,16 +23,21 @@
   readonly rows: ReadonlyMap<AccountId, DemandRow>;
 }
 
-/** Computes the time between two demand messages, in milliseconds. */
-export const computeDemandCycleMs = (nodes: number): number =>
-  nodes <= SMALL_REGION_NODES ? SMALL_REGION_CYCLE_MS : LARGE_REGION_CYCLE_MS;
+/**
+ * Computes the time between two demand messages, in milliseconds: 0.5 s in a small region, longer
+ * where messages to all members would take more than 1.5 KB/s (about 6 s with 58 nodes).
+ */
+export const computeDemandCycleMs = (nodes: number): number => {
+  const bytes = (nodes - 1) * (DEMAND_FRAME_BYTES + MIN_DEMAND_ROWS * DEMAND_ROW_BYTES);
+  return Math.max(MIN_DEMAND_CYCLE_MS, (bytes / DEMAND_BYTES_PER_SECOND) * MS_PER_SECOND);
+};
 
 /** Computes how many rows a message may have so that a node stays below 1.5 KB/s. */
 export const computeMaxRows = (nodes: number): number => {
   const peers = Math.max(1, nodes - 1);
-  const bytes = (DEMAND_BYTES_PER_SECOND * computeDemandCycleMs(nodes)) / 1_000 / peers;
+  const bytes = (DEMAND_BYTES_PER_SECOND * computeDemandCycleMs(nodes)) / MS_PER_SECOND / peers;
   const rows = Math.floor((bytes - DEMAND_FRAME_BYTES) / DEMAND_ROW_BYTES);
-  return Math.max(1, Math.min(MAX_DEMAND_ROWS, rows));
+  return Math.max(MIN_DEMAND_ROWS, Math.min(MAX_DEMAND_ROWS, rows));
 };
 
 /** The last demand that each other node of the region reported. */
--- /dev/null
+++ b/packages/admission/src/fairness.test.ts
@@ -0,0 +1,165 @@
+import fc from 'fast-check';
+import t from 'tap';
+import { createRandom, toId, type AccountId, type NodeId } from '@lovagearch/common';
+import { computeShare } from './accountShares.js';
+import {
+  DEMAND_BYTES_PER_SECOND,
+  DEMAND_MAX_AGE_MS,
+  DEMAND_ROW_BYTES,
+  MAX_QUEUED_PER_ACCOUNT,
+} from './constants.js';
+import { computeDemandCycleMs, computeMaxRows, DemandTable } from './demandTable.js';
+import { FairQueue } from './fairQueue.js';
+import { computeWaitMs, getShedDecision } from './loadShedding.js';
+import { RetryBudget, tryTakeBoth } from './retryBudget.js';
+import { TokenBucket } from './tokenBucket.js';
+import { QUEUE_CLASSES, type QueueClass, type QueueItem } from './types.js';
+
+const createItem = (account: string, cost: number, queueClass: QueueClass): QueueItem => ({
+  id: account,
+  account: toId<AccountId>(account),
+  queueClass,
+  cost,
+});
+
+t.test('two large accounts never starve small ones', async (t2) => {
+  fc.assert(
+    fc.property(fc.integer(), (seed) => {
+      const random = createRandom(seed);
+      const queue = FairQueue.create<QueueItem>();
+      for (let index = 0; index < 1_000; index++) {
+        queue.add(createItem('large-1', 1 + random() * 8_000, 'standard'));
+        queue.add(createItem('large-2', 1 + random() * 8_000, 'standard'));
+      }
+      const small = Array.from({ length: 8 }, (_, index) => toId<AccountId>(`small-${index}`));
+      for (const account of small) queue.add(createItem(account, 1_000, 'standard'));
+      const waiting = new Set(small);
+      let work = 0;
+      while (waiting.size > 0) {
+        const item = queue.take(() => true);
+        if (item === undefined) throw new Error(`seed ${seed}: ${waiting.size} small ones wait`);
+        waiting.delete(item.account);
+        work += item.cost;
+      }
+      // All small requests fit into the first round, in which a large account has one quantum.
+      if (work > 8 * 1_000 + 2 * 2_048) throw new Error(`seed ${seed}: work ${work}`);
+    }),
+  );
+  t2.pass();
+});
+
+t.test('accounts with waiting work get equal work, whatever their request sizes', async (t2) => {
+  const seed = 11;
+  const random = createRandom(seed);
+  const queue = FairQueue.create<QueueItem>();
+  const work = new Map<string, number>([
+    ['long', 0],
+    ['short', 0],
+  ]);
+  for (let index = 0; index < 4_000; index++) {
+    queue.add(createItem('long', 2_000 + random() * 4_000, 'standard'));
+    queue.add(createItem('short', 100 + random() * 900, 'standard'));
+    const item = queue.take(() => true);
+    if (item) work.set(item.account, work.get(item.account)! + item.cost);
+  }
+  const ratio = work.get('long')! / work.get('short')!;
+  t2.ok(ratio > 0.9 && ratio < 1.1, `seed ${seed}: ratio ${ratio}`);
+});
+
+t.test('interactive work does not starve the lower classes', async (t2) => {
+  const queue = FairQueue.create<QueueItem>();
+  const served: Record<QueueClass, number> = { interactive: 0, standard: 0, background: 0 };
+  for (let index = 0; index < 1_000; index++) {
+    for (const name of QUEUE_CLASSES) queue.add(createItem('a', 64, name));
+    served[queue.take(() => true)!.queueClass]++;
+  }
+  t2.same(served, { interactive: 900, standard: 50, background: 50 });
+});
+
+t.test(
+  'an account that may not start keeps the others moving, and queues are bounded',
+  async (t2) => {
+    const queue = FairQueue.create<QueueItem>();
+    let added = 0;
+    while (queue.add(createItem('blocked', 1, 'standard'))) added++;
+    t2.equal(added, MAX_QUEUED_PER_ACCOUNT);
+    queue.add(createItem('free', 9_000, 'standard'));
+    t2.equal(queue.take(({ account }) => account !== 'blocked')?.account, 'free');
+    t2.equal(
+      queue.take(({ account }) => account !== 'blocked'),
+      undefined,
+    );
+  },
+);
+
+t.test('shares of all nodes together keep to the limit when the grid is heard', async (t2) => {
+  fc.assert(
+    fc.property(fc.array(fc.integer({ min: 1, max: 1_000 }), { minLength: 1 }), (demands) => {
+      const shares = demands.map((ownDemand, index) =>
+        computeShare({
+          limit: 100,
+          liveNodes: demands.length,
+          ownDemand,
+          peers: demands.filter((_, at) => at !== index).map((demand) => ({ demand, ageMs: 0 })),
+          isGridHeard: true,
+        }),
+      );
+      const total = shares.reduce((sum, share) => sum + share, 0);
+      // The minimum of a quarter of an even part may add up to a quarter of the limit.
+      return total >= 99.9 && total <= 125.1;
+    }),
+  );
+  const silent = { limit: 100, liveNodes: 4, ownDemand: 90, peers: [], isGridHeard: false };
+  t2.equal(computeShare(silent), 25, 'a silent grid gives the even part');
+});
+
+t.test('demand messages keep to their part of the control budget', async (t2) => {
+  for (let nodes = 2; nodes <= 60; nodes++) {
+    t2.ok(3 * computeDemandCycleMs(nodes) < DEMAND_MAX_AGE_MS, 'two lost messages are no silence');
+    const bytes = (nodes - 1) * (computeMaxRows(nodes) + 1) * DEMAND_ROW_BYTES;
+    const perSecond = bytes / (computeDemandCycleMs(nodes) / 1_000);
+    t2.ok(perSecond <= DEMAND_BYTES_PER_SECOND + 0.001, `${nodes} nodes: ${perSecond} B/s`);
+  }
+});
+
+t.test('old demand stops counting and a silent grid is noticed', async (t2) => {
+  const table = DemandTable.create();
+  const [account, node] = [toId<AccountId>('a'), toId<NodeId>('n')];
+  table.update(node, [{ account, tokensPerSecond: 5, concurrent: 1 }], 0);
+  t2.ok(table.isHeard([node], DEMAND_MAX_AGE_MS));
+  t2.notOk(table.isHeard([node], DEMAND_MAX_AGE_MS + 1));
+  t2.same(table.listDemands(account, 'concurrent', [], 0), [], 'a dead member does not count');
+});
+
+t.test('lower classes are refused first, with an advice that fits the wait', async (t2) => {
+  const decisions = QUEUE_CLASSES.map((name) => getShedDecision(name, 8_000, 10_000).type);
+  t2.same(decisions, ['accept', 'refuse', 'refuse']);
+  t2.match(getShedDecision('standard', 8_000, 10_000), { retryAfterMs: 1_000 });
+  const depths = { interactive: 10, standard: 500, background: 900 };
+  const input = { depths, accountDepth: 0, completionsPerSecond: 10, serviceQueueMs: 0 };
+  const waitMs = computeWaitMs({ ...input, queueClass: 'standard', accountCount: 5 });
+  t2.equal(waitMs, 1_500, 'a new account waits one turn of five others, not for 500 requests');
+});
+
+t.test('retries stay near a tenth of the requests, and a quiet account has some', async (t2) => {
+  const [account, system] = [RetryBudget.create(0), RetryBudget.create(0)];
+  let taken = 0;
+  for (let index = 0; index < 10_000; index++) {
+    account.recordRequest();
+    system.recordRequest();
+    if (tryTakeBoth(account, system, index)) taken++;
+  }
+  t2.ok(taken >= 1_000 && taken <= 1_010, `${taken} of 10,000`);
+  const quiet = RetryBudget.create(0);
+  t2.ok(quiet.tryTake(0) && quiet.tryTake(0) && quiet.tryTake(0));
+  t2.notOk(quiet.tryTake(0));
+  t2.ok(quiet.tryTake(10_000));
+});
+
+t.test('a request larger than the burst is slowed, not refused for good', async (t2) => {
+  const bucket = TokenBucket.create(100, 0);
+  t2.ok(bucket.tryTake(1_000, 0));
+  t2.equal(bucket.computeWaitMs(100, 0), 9_000);
+  t2.notOk(bucket.tryTake(100, 8_999));
+  t2.ok(bucket.tryTake(100, 9_000));
+});
