Test the clients against every fault of the stand-ins

Cause: only the plain paths had tests. Silent, crossed, repeated and broken streams, crashes, lost answers and cut answers decide whether a caller gets a wrong or a double answer. Ruled out: a fault mode for the whole table only, since then the read after a lost write fails as well and the resolved case can't be tested. Change: fault tests of all clients; `writesOnly` fault of the platform stand-in. Fault found and corrected in the engine stand-in: `dropConnectionAfterSeq` discarded the chunk it had written, so that a resumed stream met the same fault again and never ended. Conclusion: each failure ends in its typed error, and each stream is whole after it is resumed.

--- a/packages/engine-client/src/httpEngineClient.test.ts
+++ b/packages/engine-client/src/httpEngineClient.test.ts
@@ -2,10 +2,13 @@
 import {
   applyFaults,
   computeExpectedText,
+  getError,
   getStandinFile,
   getValue,
   startProcess,
 } from '@lovagearch/standins';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import t from 'tap';
 import { HttpEngineClient } from './httpEngineClient.js';
 import type { EngineStream } from './engineClient.js';
@@ -104,3 +107,126 @@
   const tailKey = createKeys(prompt).at(-1);
   t2.match(getValue(page).events, [{ type: 'stored', tailKey, depth: 4 }]);
 });
+
+/** Resumes a stream until it is whole; returns the text and the failures on the way. */
+const collectWhole = async (request: GenerateRequest, first: Chunk[]) => {
+  const failures: string[] = [];
+  let chunks = first;
+  let text = getText(chunks);
+  for (;;) {
+    const last = chunks.at(-1);
+    if (last?.type !== 'failed') return { text, failures, last };
+    failures.push(last.error.type);
+    const afterSeq = text.length / 4;
+    const resumed = await client.resume(address, request.streamId, afterSeq);
+    chunks = await collectChunks(getValue(resumed));
+    text += getText(chunks);
+  }
+};
+
+t.test('a connection that goes silent ends, and a new one has the rest', async (t2) => {
+  const impatient = HttpEngineClient.create({ silenceLimitMs: 500 });
+  await applyFaults(engine, { silentAfterSeq: 3 });
+  const request = createRequest();
+  const { text, failures } = await collectWhole(request, await run(request, impatient));
+  t2.same(failures, ['silent']);
+  t2.equal(text, computeExpectedText(request));
+  await impatient.close();
+});
+
+t.test('a stream whose connection broke is completed without loss or repetition', async (t2) => {
+  await applyFaults(engine, { dropConnectionAfterSeq: 5 });
+  const request = createRequest();
+  const { text, failures, last } = await collectWhole(request, await run(request));
+  t2.same(failures, ['connection_lost']);
+  t2.equal(text, computeExpectedText(request));
+  t2.match(last, { type: 'done', chunks: 8 });
+});
+
+t.test('chunks of another stream never reach the reader', async (t2) => {
+  const other = createRequest({ maxTokens: 100, prompt: 'another prompt' });
+  const otherStream = getValue(await client.generate(address, other));
+  for await (const chunk of otherStream.chunks) if (chunk.type === 'token') break;
+  await applyFaults(engine, { crossAnswers: true, slowFactor: 50 });
+  const request = createRequest();
+  const chunks = await run(request);
+  t2.match(chunks.at(-1), { type: 'failed', error: { type: 'protocol_violation' } });
+  t2.equal(getText(chunks), '');
+  await applyFaults(engine, {});
+  t2.ok((await client.cancel(address, other.streamId)).isOk());
+  t2.equal((await collectWhole(request, chunks)).text, computeExpectedText(request));
+});
+
+t.test('a repeated chunk is not passed on twice', async (t2) => {
+  await applyFaults(engine, { repeatChunks: true });
+  const chunks = await run(createRequest());
+  t2.match(chunks.at(-1), { type: 'failed', error: { type: 'protocol_violation' } });
+  t2.equal(chunks.filter(({ type }) => type === 'token').length, 1);
+});
+
+t.test('a refusal is known as not run and carries the load', async (t2) => {
+  await applyFaults(engine, { refuse: 'queue_full' });
+  const refused = getError(await client.generate(address, createRequest()));
+  t2.match(refused, { type: 'refused', status: 429, reason: 'queue_full', load: { ageMs: 0 } });
+  await applyFaults(engine, {});
+  const stale = await client.generate(address, createRequest({ weightVersion: 'v0' }));
+  t2.match(getError(stale), { type: 'refused', status: 409, reason: 'wrong_version' });
+  const unknown = getError(await client.resume(address, 'none', 0));
+  t2.match(unknown, { type: 'refused', status: 404, reason: 'unknown_stream' });
+});
+
+t.test('an engine that crashes while it runs a prompt leaves an unknown outcome', async (t2) => {
+  const victim = await startEngine({ faults: { crashOnPromptContaining: 'poison' } });
+  const request = createRequest({ prompt: 'a poison prompt' });
+  const accepted = await client.generate({ url: victim.url() }, request);
+  const last = accepted.isOk() ? (await collectChunks(accepted.value)).at(-1) : undefined;
+  const error = last?.type === 'failed' ? last.error : getError(accepted);
+  t2.equal(error.type, 'connection_lost');
+  t2.equal((await victim.waitForExit()).signal, 'SIGKILL');
+  const refused = getError(await client.generate({ url: victim.url() }, createRequest()));
+  t2.equal(refused.type, 'not_connected');
+});
+
+t.test('bytes of any form end a stream with a typed error', async (t2) => {
+  let answer = '';
+  const server = createServer((_request, response) => response.end(answer));
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+  for (const bytes of ['x'.repeat(300_000), '\n', '{"type":"token"}\n', '[]\n', 'null\n{']) {
+    answer = bytes;
+    const error = getError(await client.generate({ url }, createRequest()));
+    t2.equal(error.type, 'protocol_violation', bytes.slice(0, 20));
+    t2.equal(getError(await client.readStatus({ url })).type, 'protocol_violation');
+  }
+  answer = '';
+  t2.equal(getError(await client.generate({ url }, createRequest())).type, 'connection_lost');
+  server.close();
+});
+
+t.test('a draining engine refuses new prompts and interrupts no stream', async (t2) => {
+  const leaving = await startEngine({ stepMs: 20 });
+  const leavingAddress = { url: leaving.url() };
+  const request = createRequest({ maxTokens: 60 });
+  const stream = getValue(await client.generate(leavingAddress, request));
+  leaving.kill('SIGTERM');
+  for (;;) {
+    const status = await client.readStatus(leavingAddress);
+    if (getValue(status).state === 'draining') break;
+  }
+  const refused = getError(await client.generate(leavingAddress, createRequest()));
+  t2.match(refused, { type: 'refused', status: 503, reason: 'draining' });
+  t2.equal(getText(await collectChunks(stream)), computeExpectedText(request));
+  t2.same(await leaving.waitForExit(), { code: 0, signal: null });
+});
+
+t.test('a caller without the service token is refused before anything runs', async (t2) => {
+  const guarded = await startEngine({ checksCaller: true, serviceToken: 'secret' });
+  const refused = getError(await client.generate({ url: guarded.url() }, createRequest()));
+  t2.match(refused, { type: 'refused', status: 401 });
+  const withToken = { url: guarded.url(), serviceToken: 'secret' };
+  t2.ok((await client.readStatus(withToken)).isOk());
+  guarded.kill();
+  await guarded.waitForExit();
+});
--- a/packages/platform-client/src/tableClient.test.ts
+++ b/packages/platform-client/src/tableClient.test.ts
@@ -40,14 +40,54 @@
   t2.equal(second.next, null);
 });
 
-t.test('a write whose answer was lost is not repeated and not reported as failed', async (t2) => {
-  await applyFaults(platform, { table: 'error_after_effect' });
-  const lost = getError(await table.write('b', 1, 0, 'first'));
-  t2.equal(lost.type, 'outcome_unknown', 'reads fail as well');
+t.test('a write whose answer was lost is resolved by its attempt id, not repeated', async (t2) => {
+  for (const table2 of ['lost_answers', 'error_after_effect']) {
+    await applyFaults(platform, { table: table2, writesOnly: true });
+    t2.same(getValue(await table.write(table2, 1, 0, 'first')), { version: 1 });
+    await applyFaults(platform, {});
+    t2.match(getValue(await table.read(table2)), { version: 1, attemptId: 'first' });
+  }
+});
+
+t.test('a lost write is unknown, not failed, while reads fail as well', async (t2) => {
+  await applyFaults(platform, { table: 'lost_answers' });
+  t2.equal(getError(await table.write('b', 1, 0, 'first')).type, 'outcome_unknown');
+  t2.equal(getError(await table.remove('b', 9)).type, 'outcome_unknown');
   await applyFaults(platform, {});
   t2.match(getValue(await table.read('b')), { version: 1, attemptId: 'first' });
 });
 
+t.test('a write that is still on its way is unknown, not failed', async (t2) => {
+  const hasty = HttpTableClient.create({ url: platform.url(), timeoutMs: 100, readBackTries: 1 });
+  await applyFaults(platform, { table: 'slow', delayMs: 1_000, writesOnly: true });
+  t2.equal(getError(await hasty.write('d', 1, 0, 'late')).type, 'outcome_unknown');
+  await hasty.close();
+});
+
+t.test('the bound on concurrent calls refuses before anything is sent', async (t2) => {
+  const narrow = HttpTableClient.create({ url: platform.url(), maxConcurrentCalls: 1 });
+  const first = narrow.read('a');
+  t2.equal(getError(await narrow.write('e', 1, 0, 'x')).type, 'unavailable');
+  t2.ok((await first).isOk());
+  t2.ok((await narrow.write('e', 1, 0, 'x')).isOk(), 'the place is free again');
+  await narrow.close();
+});
+
+t.test('the rate limit of the table refuses without an effect', async (t2) => {
+  const limited = await startProcess(getStandinFile('platform'), { writesPerSecond: 1 });
+  const client = HttpTableClient.create({ url: limited.url() });
+  const results = await Promise.all(
+    Array.from({ length: 20 }, (_, index) => client.write('row', index, undefined, `a${index}`)),
+  );
+  const refused = results.filter((result) => result.isErr());
+  t2.ok(refused.length > 0);
+  for (const result of refused) t2.equal(getError(result).type, 'unavailable');
+  t2.equal(getValue(await client.read('row'))?.version, results.length - refused.length);
+  await client.close();
+  limited.kill();
+  t2.equal((await limited.waitForExit()).code, 0);
+});
+
 t.test('a table that is down before any effect does not count as written', async (t2) => {
   await applyFaults(platform, { table: 'down' });
   t2.equal(getError(await table.read('c')).type, 'unavailable');
--- a/packages/service-client/src/httpServiceClient.test.ts
+++ b/packages/service-client/src/httpServiceClient.test.ts
@@ -93,3 +93,41 @@
   t2.same(error, { type: 'response_too_large', limitBytes: 4_096 });
   server.close();
 });
+
+t.test('a call that takes too long is a timeout, whose outcome is unknown', async (t2) => {
+  const slow = await startProcess(getStandinFile('service'), {});
+  await applyFaults(slow, { delayMs: 60_000 });
+  const error = getError(await client.send(slow.url(), { ...claim, timeoutMs: 100 }));
+  t2.same(error, { type: 'timeout', timeoutMs: 100 });
+  slow.kill('SIGKILL');
+  t2.equal((await slow.waitForExit()).signal, 'SIGKILL');
+});
+
+t.test('a kept connection that the service closed is lost, not refused', async (t2) => {
+  let received = 0;
+  const server = createTcpServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', () => {
+      received += 1;
+    });
+    socket.once('data', () => {
+      socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok');
+      // A second call on the same connection finds it closed as soon as its bytes arrive.
+      socket.once('data', () => socket.destroy());
+    });
+  });
+  t2.teardown(() => server.close());
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const read: ServiceRequest = { ...claim, method: 'GET', body: undefined, freshConnection: false };
+  const types: string[] = [];
+  // The client may open more connections before it uses one again.
+  while (!types.includes('connection_lost') && types.length < 100) {
+    const result = await client.send(url, read);
+    types.push(result.isOk() ? 'ok' : result.error.type);
+  }
+  t2.equal(types.at(-1), 'connection_lost');
+  t2.equal(received, types.length, 'no call was repeated');
+});
--- a/packages/standins/src/objectStandin.ts
+++ b/packages/standins/src/objectStandin.ts
@@ -25,7 +25,9 @@
       exposeHeadRoute: false,
       handler: async (request, reply) => {
         const { name } = paramsSchema.parse(request.params);
-        return handlePlatformCall(reply, faults, 'objects', callDelayMs, () => {
+        const isWrite = request.method !== 'GET';
+        const call = { part: 'objects', isWrite, delayMs: callDelayMs } as const;
+        return handlePlatformCall(reply, faults, call, () => {
           if (request.method === 'GET') return store.read(name);
           if (request.method === 'DELETE') return store.remove(name);
           return store.write(name, getBytes(request.body), request.headers['x-sha256']);
--- a/packages/standins/src/platformCall.ts
+++ b/packages/standins/src/platformCall.ts
@@ -1,6 +1,6 @@
 import type { FastifyReply } from 'fastify';
 import { setTimeout as waitMs } from 'node:timers/promises';
-import type { PlatformFaultState, PlatformPart } from './platformFaults.js';
+import type { PlatformCall, PlatformFaultState } from './platformFaults.js';
 
 export interface PlatformAnswer {
   readonly status: number;
@@ -19,20 +19,19 @@
 export const handlePlatformCall = async (
   reply: FastifyReply,
   faults: PlatformFaultState,
-  part: PlatformPart,
-  baseDelayMs: number,
+  call: PlatformCall,
   run: () => PlatformAnswer,
 ): Promise<FastifyReply> => {
-  const delayMs = baseDelayMs + faults.getDelayMs(part);
+  const delayMs = call.delayMs + faults.getDelayMs(call);
   if (delayMs > 0) await waitMs(delayMs);
-  if (faults.getMode(part) === 'down') return reply.code(503).send(createError('down'));
+  if (faults.getMode(call) === 'down') return reply.code(503).send(createError('down'));
   const answer = run();
-  if (faults.getMode(part) === 'lost_answers') {
+  if (faults.getMode(call) === 'lost_answers') {
     reply.hijack();
     reply.raw.destroy();
     return reply;
   }
-  if (faults.getMode(part) === 'error_after_effect') {
+  if (faults.getMode(call) === 'error_after_effect') {
     return reply.code(500).send(createError('error_after_effect'));
   }
   reply.code(answer.status).headers(answer.headers ?? {});
--- a/packages/standins/src/platformFaults.ts
+++ b/packages/standins/src/platformFaults.ts
@@ -10,9 +10,17 @@
   vms: modeSchema.default('ok'),
   /** Added to each call of a part in mode `slow`, in milliseconds. */
   delayMs: z.number().nonnegative().default(0),
+  /** Leaves reads as they are, so that lost answers of writes can be resolved. */
+  writesOnly: z.boolean().default(false),
 });
 export type PlatformFaults = z.infer<typeof platformFaultsSchema>;
-export type PlatformPart = 'objects' | 'table' | 'vms';
+
+export interface PlatformCall {
+  readonly part: 'objects' | 'table' | 'vms';
+  readonly isWrite: boolean;
+  /** Delay of every call, without faults, in milliseconds. */
+  readonly delayMs: number;
+}
 
 /** The faults in force; each `POST /control/faults` replaces all of them. */
 export class PlatformFaultState {
@@ -27,11 +35,11 @@
     return state;
   }
 
-  getMode(part: PlatformPart): PlatformFaults['table'] {
-    return this.faults[part];
+  getMode({ part, isWrite }: PlatformCall): PlatformFaults['table'] {
+    return this.faults.writesOnly && !isWrite ? 'ok' : this.faults[part];
   }
 
-  getDelayMs(part: PlatformPart): number {
-    return this.faults[part] === 'slow' ? this.faults.delayMs : 0;
+  getDelayMs(call: PlatformCall): number {
+    return this.getMode(call) === 'slow' ? this.faults.delayMs : 0;
   }
 }
--- a/packages/standins/src/streamHub.ts
+++ b/packages/standins/src/streamHub.ts
@@ -136,8 +136,10 @@
     this.write(connection, chunk);
     if (faults.repeatChunks) this.write(connection, chunk);
     if (faults.silentAfterSeq === seq) Object.assign(connection, { isSilent: true });
-    // `end` alone would complete the chunked body; the far side must see a cut connection.
-    if (faults.dropConnectionAfterSeq === seq) connection.response.destroy();
+    if (faults.dropConnectionAfterSeq !== seq) return;
+    Object.assign(connection, { isSilent: true });
+    // Destroyed only after the chunk was handed to the socket; `end` would complete the body.
+    connection.response.write('', () => connection.response.destroy());
   }
 
   private findOtherStream(stream: Stream): Stream | undefined {
--- a/packages/standins/src/tableStandin.ts
+++ b/packages/standins/src/tableStandin.ts
@@ -2,7 +2,7 @@
 import type { FastifyInstance } from 'fastify';
 import { z } from 'zod';
 import { handlePlatformCall, type PlatformAnswer } from './platformCall.js';
-import type { PlatformFaultState } from './platformFaults.js';
+import type { PlatformCall, PlatformFaultState } from './platformFaults.js';
 import { RateLimiter } from './rateLimiter.js';
 import { parseBody } from './standinServer.js';
 
@@ -64,23 +64,25 @@
 
   private addRoutes(app: FastifyInstance, faults: PlatformFaultState): void {
     const delayMs = this.options.callDelayMs;
+    const readCall: PlatformCall = { part: 'table', isWrite: false, delayMs };
+    const writeCall: PlatformCall = { part: 'table', isWrite: true, delayMs };
     app.get('/v1/rows/:key', async (request, reply) => {
       const { key } = keySchema.parse(request.params);
-      return handlePlatformCall(reply, faults, 'table', delayMs, () => this.read(key));
+      return handlePlatformCall(reply, faults, readCall, () => this.read(key));
     });
     app.put('/v1/rows/:key', async (request, reply) => {
       const { key } = keySchema.parse(request.params);
       const put = parseBody(putSchema, request.body);
-      return handlePlatformCall(reply, faults, 'table', delayMs, () => this.write(key, put));
+      return handlePlatformCall(reply, faults, writeCall, () => this.write(key, put));
     });
     app.delete('/v1/rows/:key', async (request, reply) => {
       const { key } = keySchema.parse(request.params);
       const { ifVersion } = removeSchema.parse(request.query);
-      return handlePlatformCall(reply, faults, 'table', delayMs, () => this.remove(key, ifVersion));
+      return handlePlatformCall(reply, faults, writeCall, () => this.remove(key, ifVersion));
     });
     app.get('/v1/rows', async (request, reply) => {
       const query = listSchema.parse(request.query);
-      return handlePlatformCall(reply, faults, 'table', delayMs, () => this.list(query));
+      return handlePlatformCall(reply, faults, readCall, () => this.list(query));
     });
   }
 
--- a/packages/standins/src/vmListStandin.ts
+++ b/packages/standins/src/vmListStandin.ts
@@ -45,8 +45,9 @@
       list.update(parseBody(controlSchema, request.body).vms);
       return reply.code(204).send();
     });
+    const call = { part: 'vms', isWrite: false, delayMs: options.delayMs } as const;
     app.get('/v1/vms', async (_request, reply) =>
-      handlePlatformCall(reply, faults, 'vms', options.delayMs, () => ({
+      handlePlatformCall(reply, faults, call, () => ({
         status: 200,
         body: { vms: list.read() },
       })),
