--- a/packages/engine-client/src/httpEngineClient.test.ts
+++ b/packages/engine-client/src/httpEngineClient.test.ts
@@ -5,6 +5,7 @@
   getError,
   getStandinFile,
   getValue,
+  readControl,
   startProcess,
 } from '@lovagearch/standins';
 import { createServer } from 'node:http';
@@ -230,3 +231,64 @@
   guarded.kill();
   await guarded.waitForExit();
 });
+
+/** Waits until the engine serves a weight version. */
+const waitForVersion = async (target: EngineAddress, weightVersion: string): Promise<void> => {
+  for (;;) {
+    const { models } = getValue(await client.readStatus(target));
+    if (models.some((model) => model.weightVersion === weightVersion)) return;
+  }
+};
+
+t.test('a weight swap neither disturbs a running stream nor reuses old blocks', async (t2) => {
+  const swapped = await startEngine({ stepMs: 10 });
+  const target = { url: swapped.url() };
+  const prompt = 'q'.repeat(600);
+  const old = createRequest({ prompt, maxTokens: 200 });
+  const stream = getValue(await client.generate(target, old));
+  const order = { fencing: 1, type: 'load', model: MODEL.model, weightVersion: 'v2' } as const;
+  t2.ok((await client.sendOrder(target, { ...order, orderId: 'o1' })).isOk());
+  await waitForVersion(target, 'v2');
+  const refused = getError(await client.generate(target, createRequest({ prompt })));
+  t2.match(refused, { status: 409, reason: 'wrong_version' });
+  const blockKeys = createKeys(prompt.toUpperCase());
+  const fresh = createRequest({ prompt, blockKeys, weightVersion: 'v2' });
+  const chunks = await collectChunks(getValue(await client.generate(target, fresh)));
+  t2.equal(getText(chunks), computeExpectedText(fresh));
+  t2.match(chunks.at(-1), { weightVersion: 'v2', usage: { cachedTokens: 0 } });
+  const oldChunks = await collectChunks(stream);
+  t2.equal(getText(oldChunks), computeExpectedText(old));
+  t2.match(oldChunks.at(-1), { weightVersion: 'v1' });
+  t2.equal(getValue(await client.readStatus(target)).load.cacheUse, 2 / 512, 'old blocks are gone');
+  swapped.kill();
+  await swapped.waitForExit();
+});
+
+t.test('an order of an earlier lease holder is refused where fencing is checked', async (t2) => {
+  for (const checksFencing of [true, false]) {
+    const ordered = await startEngine({ checksFencing });
+    const target = { url: ordered.url() };
+    const order = { type: 'set_role', role: 'x' } as const;
+    t2.ok((await client.sendOrder(target, { ...order, orderId: 'o1', fencing: 5 })).isOk());
+    const late = await client.sendOrder(target, { ...order, orderId: 'o2', fencing: 4 });
+    if (checksFencing) t2.match(getError(late), { status: 409, reason: 'stale_fencing' });
+    else t2.ok(late.isOk());
+    t2.match(getValue(await client.readStatus(target)), { fencing: 5, checksFencing, role: 'x' });
+    ordered.kill();
+    await ordered.waitForExit();
+  }
+});
+
+t.test('a stream sent twice runs once, and a cancelled one says so', async (t2) => {
+  const request = createRequest();
+  const both = await Promise.all([run(request), run(request)]);
+  for (const chunks of both) t2.equal(getText(chunks), computeExpectedText(request));
+  const runs = (await readControl(engine, '/control/runs')) as { readonly streamId: string }[];
+  t2.equal(runs.filter(({ streamId }) => streamId === request.streamId).length, 1);
+  const long = createRequest({ maxTokens: 250 });
+  const stream = getValue(await client.generate(address, long));
+  t2.ok((await client.cancel(address, long.streamId)).isOk());
+  const last = (await collectChunks(stream)).at(-1);
+  t2.match(last, { type: 'done', finishReason: 'cancelled' });
+  t2.same(await readControl(engine, '/control/violations'), []);
+});
