Add the parts of a node that carry out membership and load dissemination

Cause: every node must know the other nodes and every endpoint, with two nodes polling each endpoint. Ruled out: models in load rows (10 B have no place for them; a tag in the row calls for the details from the node that sent it); one table slot for a node's watch row and its data-path mark (the mark would have replaced the row and deltas would have kept it young).

--- /dev/null
+++ b/packages/entry/src/nodeCluster.ts
@@ -0,0 +1,135 @@
+import {
+  BoundedMap,
+  type Clock,
+  type EndpointId,
+  type Logger,
+  type NodeId,
+  type Random,
+  type ServiceId,
+} from '@lovagearch/common';
+import type { EngineAddress, EngineClient } from '@lovagearch/engine-client';
+import { computeWatchers, LoadTable, MAX_SOURCES, type ZoneCapacity } from '@lovagearch/membership';
+import type { PeerMesh } from '@lovagearch/peering';
+import type { Vm, VmListClient } from '@lovagearch/platform-client';
+import type { ServiceClient } from '@lovagearch/service-client';
+import type { CacheEventHandler } from './nodeCacheEvents.js';
+import { NodeDetails } from './nodeDetails.js';
+import { NodeDissemination } from './nodeDissemination.js';
+import { NodeEndpoints } from './nodeEndpoints.js';
+import { NodeMembers } from './nodeMembers.js';
+import { NodeRegionView } from './nodeRegionView.js';
+import { NodeVmList } from './nodeVmList.js';
+import { NodeWatchers } from './nodeWatchers.js';
+import type { NodeIdentity, NodePart } from './types.js';
+
+export interface NodeClusterOptions {
+  /** `identity.id` is the id of this node in the VM list. */
+  readonly identity: NodeIdentity;
+  /** `host:port` at which the other nodes reach this one. */
+  readonly address: string;
+  readonly seeds: readonly string[];
+  readonly mesh: PeerMesh;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+  readonly vmList: VmListClient;
+  readonly engines: EngineClient;
+  readonly services: ServiceClient;
+  readonly toAddress: (service: ServiceId, url: string) => EngineAddress;
+  /** Prompt tokens a second that a runner of a service computes. */
+  readonly getPrefillRate: (service: ServiceId) => number;
+  readonly handleCacheEvents?: CacheEventHandler;
+}
+
+/** The parts of a node that know the other nodes and the endpoints, put together. */
+export class NodeCluster implements NodePart {
+  private parts: readonly NodePart[] = [];
+
+  private constructor(
+    private readonly options: NodeClusterOptions,
+    readonly members: NodeMembers,
+    readonly directory: NodeEndpoints,
+    private readonly capacities: BoundedMap<NodeId, readonly ZoneCapacity[]>,
+  ) {}
+
+  /**
+   * Starts all parts; the mesh and the clients stay with the caller.
+   *
+   * @example
+   * const cluster = NodeCluster.start({ identity, mesh, vmList, engines, services, ... });
+   * cluster.directory.listEndpoints(service);
+   */
+  static start(options: NodeClusterOptions): NodeCluster {
+    const { clock, identity } = options;
+    const table = LoadTable.create();
+    const members = NodeMembers.start(options);
+    // The parts refer to each other; messages are handled only after all of them exist.
+    let dissemination: NodeDissemination | undefined;
+    const directory = NodeEndpoints.create({
+      ...options,
+      table,
+      sendMark: (row) => dissemination?.sendMark(row),
+    });
+    const capacities = BoundedMap.create<NodeId, readonly ZoneCapacity[]>(MAX_SOURCES);
+    const cluster = new NodeCluster(options, members, directory, capacities);
+    const watchers = NodeWatchers.start({
+      ...options,
+      self: identity.id,
+      listTargets: () => directory.listRecords().filter(({ region }) => region === identity.region),
+      listActive: () => members.listActive(identity.region),
+      handleDetails: directory.applyDetails,
+      handleChange: (row) => dissemination?.sendChange(row),
+    });
+    const view = NodeRegionView.create(directory, identity.region, clock, options.getPrefillRate);
+    dissemination = NodeDissemination.start({
+      ...options,
+      table,
+      listActive: members.listActive,
+      listRegions: members.listRegions,
+      listOwnRows: () => watchers.listRows(),
+      listRegionRows: view.listRows,
+      listCapacities: view.listCapacities,
+      handleCapacities: (from, list) => capacities.set(from, list),
+    });
+    const details = NodeDetails.start({
+      ...options,
+      endpoints: directory,
+      listNodes: () => members.listMembers().map(({ id }) => id),
+      listActive: members.listActive,
+    });
+    const vmList = NodeVmList.start(options.vmList, options.log, (vms) => cluster.applyVms(vms));
+    cluster.parts = [vmList, watchers, dissemination, details, members];
+    return cluster;
+  }
+
+  /** The nodes that watch an endpoint, in its own region. */
+  readonly getWatchers = (endpoint: EndpointId): readonly NodeId[] => {
+    const region = this.directory.getRecord(endpoint)?.region;
+    return region === undefined ? [] : computeWatchers(endpoint, this.members.listActive(region));
+  };
+
+  /** Capacities that nodes of other regions reported last, by the node that sent them. */
+  readonly listCapacities = (): ReadonlyMap<NodeId, readonly ZoneCapacity[]> =>
+    new Map(this.capacities);
+
+  readonly stop = async (): Promise<void> => {
+    for (const part of this.parts) await part.stop();
+  };
+
+  private applyVms(vms: readonly Vm[]): void {
+    const { directory, members, options } = this;
+    const listLeaving = (): EndpointId[] =>
+      directory
+        .listRecords()
+        .filter(({ isLeavingInVmList }) => isLeavingInVmList)
+        .map(({ id }) => id);
+    const known = new Set(listLeaving());
+    members.applyVms(vms);
+    directory.applyVms(vms);
+    // Other nodes may read an older list; the watchers tell them.
+    for (const id of listLeaving()) {
+      if (known.has(id)) continue;
+      if (this.getWatchers(id).includes(options.identity.id)) directory.markLeaving(id);
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/nodeMembers.ts
@@ -0,0 +1,206 @@
+import {
+  toId,
+  type Clock,
+  type Logger,
+  type NodeId,
+  type Random,
+  type Region,
+  type Zone,
+} from '@lovagearch/common';
+import {
+  encodeUpdates,
+  INDIRECT_LIMIT_MS,
+  indirectProbeSchema,
+  indirectReplySchema,
+  MemberList,
+  PROBE_INTERVAL_MS,
+  PROBE_LIMIT_MS,
+  probeSchema,
+  type MemberUpdate,
+} from '@lovagearch/membership';
+import type { PeerMesh } from '@lovagearch/peering';
+import type { Vm } from '@lovagearch/platform-client';
+import { NODE_TOPICS } from './nodeTopics.js';
+import { NodeTimer } from './nodeTimer.js';
+import type { NodeIdentity, NodePart } from './types.js';
+
+/** Seeds are asked in every so many probe intervals while no other member is known. */
+const SEED_INTERVALS = 3;
+const SEED_LIMIT_MS = 1_000;
+
+export interface NodeMembersOptions {
+  readonly identity: NodeIdentity;
+  /** `host:port` at which the other nodes reach this one. */
+  readonly address: string;
+  readonly seeds: readonly string[];
+  readonly mesh: PeerMesh;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+}
+
+/** Runs the failure detector between nodes over the mesh. */
+export class NodeMembers implements NodePart {
+  private readonly list: MemberList;
+
+  private readonly mesh: PeerMesh;
+
+  private readonly log: Logger;
+
+  private readonly probing = new Set<NodeId>();
+
+  private addresses = new Map<NodeId, string>();
+
+  private timer: NodeTimer | undefined;
+
+  private intervals = 0;
+
+  private constructor(private readonly options: NodeMembersOptions) {
+    const { address, clock, identity, random } = options;
+    this.mesh = options.mesh;
+    this.log = options.log.withTag('members');
+    this.list = MemberList.create({ ...identity, address }, random, clock.nowMs());
+  }
+
+  /** Registers the handlers and starts probing. */
+  static start(options: NodeMembersOptions): NodeMembers {
+    const members = new NodeMembers(options);
+    members.registerHandlers();
+    members.timer = NodeTimer.start(
+      () => members.runInterval(),
+      () => PROBE_INTERVAL_MS,
+      members.log,
+    );
+    return members;
+  }
+
+  /** Sorted ids of the nodes of a region that take part in duties. */
+  readonly listActive = (region: Region): readonly NodeId[] => this.list.listActive(region);
+
+  /** Regions of all known members, sorted. */
+  readonly listRegions = (): readonly Region[] =>
+    [...new Set(this.list.listMembers().map(({ region }) => region))].sort();
+
+  readonly listMembers = (): readonly MemberUpdate[] => this.list.listMembers();
+
+  /** Introduces the nodes of the VM list; their state comes from probes only. */
+  readonly applyVms = (vms: readonly Vm[]): void => {
+    const nodes = vms.filter(({ role }) => role === 'entry');
+    this.list.updateListed(new Set(nodes.map(({ id }) => toId<NodeId>(id))));
+    for (const { host, id, ports, region, zone } of nodes) {
+      if (ports.peer === undefined) continue;
+      this.list.addIntroduced({
+        id: toId<NodeId>(id),
+        region: toId<Region>(region),
+        zone: toId<Zone>(zone),
+        address: `${host}:${ports.peer}`,
+      });
+    }
+    this.syncAddresses();
+  };
+
+  /** Tells all members that this node is leaving. */
+  readonly markLeaving = (): void => {
+    this.list.markSelfLeaving();
+    for (const target of this.list.chooseProbeTargets()) this.startProbe(target);
+  };
+
+  readonly stop = async (): Promise<void> => {
+    await this.timer?.stop();
+  };
+
+  private registerHandlers(): void {
+    const { list, mesh } = this;
+    mesh.registerHandler(NODE_TOPICS.probe, probeSchema, (from, { updates }) => {
+      this.applyUpdates(updates);
+      return { updates: encodeUpdates(list.takeUpdates(from)) };
+    });
+    mesh.registerHandler(
+      NODE_TOPICS.indirect,
+      indirectProbeSchema,
+      async (from, { target, updates }) => {
+        this.applyUpdates(updates);
+        const isAlive = await this.sendProbe(toId<NodeId>(target));
+        return { isAlive, updates: encodeUpdates(list.takeUpdates(from)) };
+      },
+    );
+  }
+
+  private async runInterval(): Promise<void> {
+    this.list.runCheck(this.options.clock.nowMs());
+    this.syncAddresses();
+    const isAlone = this.list.listMembers().length === 1;
+    if (isAlone && this.intervals++ % SEED_INTERVALS === 0) await this.askSeeds();
+    for (const target of this.list.chooseProbeTargets()) this.startProbe(target);
+  }
+
+  private async askSeeds(): Promise<void> {
+    const { address, seeds } = this.options;
+    const others = seeds.filter((seed) => seed !== address);
+    await Promise.all(
+      others.map(async (seed) => {
+        const node = await this.mesh.introduce(seed, SEED_LIMIT_MS);
+        if (node.isOk()) await this.sendProbe(node.value);
+      }),
+    );
+  }
+
+  private startProbe(target: NodeId): void {
+    if (this.probing.has(target)) return;
+    this.probing.add(target);
+    // A probe reports its failures as values, so this promise never rejects.
+    this.runProbe(target)
+      .catch(() => undefined)
+      .finally(() => this.probing.delete(target));
+  }
+
+  private async runProbe(target: NodeId): Promise<void> {
+    const isAlive = (await this.sendProbe(target)) || (await this.sendIndirectProbes(target));
+    const before = this.list.getMember(target)?.state;
+    if (isAlive) this.list.recordSuccess(target);
+    else this.list.recordFailure(target);
+    const after = this.list.getMember(target)?.state;
+    if (before !== after) this.log.info(`Node ${target} is ${after}.`);
+  }
+
+  private async sendProbe(target: NodeId): Promise<boolean> {
+    const payload = { updates: encodeUpdates(this.list.takeUpdates(target)) };
+    const reply = await this.mesh.request(target, NODE_TOPICS.probe, payload, PROBE_LIMIT_MS);
+    const parsed = probeSchema.safeParse(reply.unwrapOr(undefined));
+    if (parsed.success) this.applyUpdates(parsed.data.updates);
+    return parsed.success;
+  }
+
+  private async sendIndirectProbes(target: NodeId): Promise<boolean> {
+    const results = await Promise.all(
+      this.list.chooseHelpers(target).map(async (helper) => {
+        const payload = { target, updates: encodeUpdates(this.list.takeUpdates(target)) };
+        const topic = NODE_TOPICS.indirect;
+        const reply = await this.mesh.request(helper, topic, payload, INDIRECT_LIMIT_MS);
+        const parsed = indirectReplySchema.safeParse(reply.unwrapOr(undefined));
+        if (!parsed.success) return false;
+        this.applyUpdates(parsed.data.updates);
+        return parsed.data.isAlive;
+      }),
+    );
+    return results.includes(true);
+  }
+
+  private applyUpdates(updates: readonly MemberUpdate[]): void {
+    this.list.applyUpdates(updates);
+    this.syncAddresses();
+  }
+
+  private syncAddresses(): void {
+    const present = new Map<NodeId, string>();
+    for (const { address, id } of this.list.listMembers()) {
+      if (id === this.mesh.self) continue;
+      present.set(id, address);
+      if (this.addresses.get(id) !== address) this.mesh.setAddress(id, address);
+    }
+    for (const id of this.addresses.keys()) {
+      if (!present.has(id)) this.mesh.removeAddress(id);
+    }
+    this.addresses = present;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/nodeRegionView.ts
@@ -0,0 +1,91 @@
+import type { Clock, Region, ServiceId } from '@lovagearch/common';
+import {
+  computeModelHash,
+  computeZoneHash,
+  STALE_AGE_MS,
+  type LoadRow,
+  type ZoneCapacity,
+} from '@lovagearch/membership';
+import { computeRecordState, getSeenRow, type EndpointRecord } from './nodeEndpointRecord.js';
+import type { NodeEndpoints } from './nodeEndpoints.js';
+
+/** Sequences that a runner takes without a queue, for the summary only. */
+const SEQUENCES_PER_RUNNER = 8;
+const MS_PER_SECOND = 1_000;
+
+export interface RegionRows {
+  readonly rows: readonly LoadRow[];
+  /** Age of the oldest row. */
+  readonly ageMs: number;
+}
+
+/** Computes what this node tells other regions of the endpoints of its own. */
+export class NodeRegionView {
+  private constructor(
+    private readonly endpoints: NodeEndpoints,
+    private readonly region: Region,
+    private readonly clock: Clock,
+    private readonly getPrefillRate: (service: ServiceId) => number,
+  ) {}
+
+  /** @param getPrefillRate prompt tokens a second that a runner of a service computes */
+  static create(
+    endpoints: NodeEndpoints,
+    region: Region,
+    clock: Clock,
+    getPrefillRate: (service: ServiceId) => number,
+  ): NodeRegionView {
+    return new NodeRegionView(endpoints, region, clock, getPrefillRate);
+  }
+
+  /** One row for each endpoint with the state that all witnesses together give. */
+  readonly listRows = (): RegionRows => {
+    let oldestMs = 0;
+    const rows: LoadRow[] = [];
+    for (const record of this.listRecords()) {
+      const { row, ageMs } = this.createRow(record);
+      if (row === undefined || ageMs > STALE_AGE_MS) continue;
+      rows.push(row);
+      oldestMs = Math.max(oldestMs, ageMs);
+    }
+    return { rows, ageMs: oldestMs };
+  };
+
+  /** Capacity of each model version in each availability zone. */
+  readonly listCapacities = (): readonly ZoneCapacity[] => {
+    const capacities = new Map<string, ZoneCapacity>();
+    for (const record of this.listRecords()) {
+      const { row } = this.createRow(record);
+      if (row?.state !== 'ready') continue;
+      for (const { model, weightVersion } of record.details?.models ?? []) {
+        const key = `${model}@${weightVersion}/${record.zone}`;
+        const known = capacities.get(key);
+        const queueMs =
+          (row.queuedPromptTokens * MS_PER_SECOND) / this.getPrefillRate(record.service);
+        const free = Math.max(0, SEQUENCES_PER_RUNNER - row.activeSequences);
+        capacities.set(key, {
+          model: computeModelHash(model, weightVersion),
+          zone: computeZoneHash(record.zone),
+          readyRunners: (known?.readyRunners ?? 0) + 1,
+          freeSequences: (known?.freeSequences ?? 0) + free,
+          queueMs: Math.min(known?.queueMs ?? Infinity, queueMs),
+        });
+      }
+    }
+    return [...capacities.values()];
+  };
+
+  private listRecords(): EndpointRecord[] {
+    return this.endpoints.listRecords().filter(({ region }) => region === this.region);
+  }
+
+  private createRow(record: EndpointRecord): { row: LoadRow | undefined; ageMs: number } {
+    const witnesses = this.endpoints.getWitnesses(record);
+    const state = computeRecordState(record, witnesses, this.clock.nowMs());
+    const base = getSeenRow(witnesses) ?? witnesses[0];
+    if (state === 'unknown' || base === undefined) return { row: undefined, ageMs: 0 };
+    const { source, ageMs, ...row } = base;
+    if (state === 'ready' || state === 'loading') return { row: { ...row, state }, ageMs };
+    return { row: { ...row, state: state === 'dead' ? 'unseen' : 'leaving' }, ageMs: 0 };
+  }
+}
--- /dev/null
+++ b/packages/entry/src/nodeTopics.ts
@@ -0,0 +1,56 @@
+import { z } from 'zod';
+import type { ModelId, WeightVersion } from '@lovagearch/common';
+
+/** Topics of membership and load between nodes. */
+export const NODE_TOPICS = {
+  probe: 'membership.probe',
+  indirect: 'membership.indirect',
+  rows: 'load.rows',
+  merged: 'load.merged',
+  urgent: 'load.urgent',
+  region: 'load.region',
+  details: 'load.details',
+} as const;
+
+/** Endpoints whose details are asked for in one message. */
+export const MAX_DETAILS = 64;
+const MAX_MODELS = 64;
+/** Bytes of sections in one message: 4,096 rows and their headers. */
+const MAX_SECTION_BYTES = 65_536;
+
+const nameSchema = z.string().min(1).max(128);
+const hashSchema = z.int().min(0).max(0xffffffff);
+export const sectionBytesSchema = z
+  .instanceof(Uint8Array)
+  .refine((bytes) => bytes.length <= MAX_SECTION_BYTES, 'too many bytes');
+
+/** `hop` tells the receiver where to send the rows on. */
+export const urgentSchema = z.object({
+  hop: z.enum(['region', 'row', 'column']),
+  sections: sectionBytesSchema,
+});
+export type UrgentHop = z.infer<typeof urgentSchema>['hop'];
+
+export const regionSchema = z.object({
+  capacities: sectionBytesSchema,
+  sections: sectionBytesSchema,
+});
+
+export const detailsRequestSchema = z.object({ endpoints: z.array(hashSchema).max(MAX_DETAILS) });
+export const detailsReplySchema = z.object({
+  details: z
+    .array(
+      z.object({
+        endpoint: hashSchema,
+        boot: z.string().max(128),
+        models: z.array(z.object({ model: nameSchema, weightVersion: nameSchema })).max(MAX_MODELS),
+      }),
+    )
+    .max(MAX_DETAILS),
+});
+
+/** Which models a runner serves, under which boot. */
+export interface EndpointDetails {
+  readonly boot: string;
+  readonly models: readonly { readonly model: ModelId; readonly weightVersion: WeightVersion }[];
+}
--- a/packages/membership/src/loadDigest.ts
+++ b/packages/membership/src/loadDigest.ts
@@ -67,7 +67,7 @@
   }
 
   /** Creates a section that is sent at once, outside the cycle. */
-  createUrgent(rows: readonly LoadRow[]): LoadSection {
-    return { type: 'urgent', source: this.source, seq: 0, ageMs: 0, rows };
+  createUrgent(type: 'urgent' | 'mark', row: LoadRow): LoadSection {
+    return { type, source: this.source, seq: 0, ageMs: 0, rows: [row] };
   }
 }
--- a/packages/membership/src/loadRows.test.ts
+++ b/packages/membership/src/loadRows.test.ts
@@ -34,7 +34,7 @@
 );
 const sectionArbitrary = fc.record(
   {
-    type: fc.constantFrom('delta' as const, 'full' as const, 'urgent' as const),
+    type: fc.constantFrom(...(['delta', 'full', 'urgent', 'mark'] as const)),
     source: fc.nat({ max: 0xffffffff }),
     seq: byteArbitrary,
     ageMs: byteArbitrary.map((units) => units * 50),
--- a/packages/membership/src/loadRows.ts
+++ b/packages/membership/src/loadRows.ts
@@ -23,13 +23,14 @@
 
 /**
  * Rows of one source. `delta` has the rows that changed and confirms all others of the source;
- * `full` has all; `urgent` has state changes sent out of turn and confirms nothing else.
+ * `full` has all; `urgent` has state changes that a watcher sends out of turn; `mark` has what any
+ * node met on the data path. The last two confirm nothing else.
  */
 export interface LoadSection {
-  readonly type: 'delta' | 'full' | 'urgent';
+  readonly type: 'delta' | 'full' | 'urgent' | 'mark';
   /** 32-bit hash of the node id of the source. */
   readonly source: number;
-  /** Rises by one, modulo 256, with each section that is not urgent. */
+  /** Rises by one, modulo 256, with each section of the type `delta` or `full`. */
   readonly seq: number;
   /** Time since the source saw what it reports. */
   readonly ageMs: number;
@@ -40,7 +41,7 @@
 export const ROW_BYTES = 10;
 /** Bytes of the header of a section. */
 export const SECTION_BYTES = 9;
-const SECTION_TYPES = ['delta', 'full', 'urgent'] as const;
+const SECTION_TYPES = ['delta', 'full', 'urgent', 'mark'] as const;
 const MAX_BYTE = 255;
 
 /** Returns the hash that stands for an id on the wire. */
--- a/packages/membership/src/loadTable.ts
+++ b/packages/membership/src/loadTable.ts
@@ -3,6 +3,7 @@
 
 /** One source's row of an endpoint with its present age. */
 export interface WitnessRow extends LoadRow {
+  /** Hash of the source's node id; negative for marks from the data path. */
   readonly source: number;
   readonly ageMs: number;
 }
@@ -24,6 +25,9 @@
 
 const SEQ_MODULUS = 256;
 
+/** What a node met on the data path must not replace what it saw as a watcher. */
+const getMarkKey = (source: number): number => -1 - source;
+
 /**
  * The rows of all sources as one node has received them. Two sources report each endpoint; the
  * younger row wins, while a state that one of them alone reports is left to endpoint health.
@@ -48,8 +52,9 @@
    */
   applySection(section: LoadSection, nowMs: number): boolean {
     const seenMs = nowMs - section.ageMs;
-    if (section.type === 'urgent') {
-      return section.rows.some((row) => this.setRow(section.source, row, seenMs, false));
+    if (section.type === 'urgent' || section.type === 'mark') {
+      const key = section.type === 'mark' ? getMarkKey(section.source) : section.source;
+      return section.rows.filter((row) => this.setRow(key, row, seenMs, false)).length > 0;
     }
     const known = this.sources.get(section.source);
     const isForgotten = known === undefined || nowMs - known.seenMs > FORGET_AGE_MS;
--- a/packages/peering/src/wsPeerMesh.ts
+++ b/packages/peering/src/wsPeerMesh.ts
@@ -114,6 +114,11 @@
 
   send(to: NodeId, topic: string, payload: unknown): void {
     if (to !== this.self) {
+      if (to === this.self) {
+        // The registry turns every failure into a value, so this promise never rejects.
+        this.topics.handle(to, topic, payload).catch(() => undefined);
+        return;
+      }
       this.links.get(to)?.send(topic, payload);
       return;
     }
@@ -129,6 +134,12 @@
     timeoutMs: number,
   ): ResultAsync<unknown, PeerError> {
     if (to === this.self) return new ResultAsync(this.runLocally(topic, payload));
+    if (to === this.self) {
+      return new ResultAsync(this.topics.handle(to, topic, payload)).mapErr((error) => ({
+        type: 'rejected',
+        ...error,
+      }));
+    }
     const link = this.links.get(to);
     if (link === undefined) return new ResultAsync(Promise.resolve(err({ type: 'unknown_peer' })));
     return new ResultAsync(link.request(topic, payload, timeoutMs));
