Add leases with fencing tokens

Cause: one steward at a time may order the runners of a service and region. Ruled out: comparing wall clocks; counting a lease from the answer of a renewal.

--- /dev/null
+++ b/packages/leases/src/lease.ts
@@ -0,0 +1,171 @@
+import { BoundedMap } from '@lovagearch/common';
+import { CLOCK_RATE_MARGIN, MAX_OPEN_ATTEMPTS, RETRY_INTERVAL_MS } from './constants.js';
+import {
+  type LeaseRow,
+  type LeaseStep,
+  type LeaseTimes,
+  type LeaseValue,
+  leaseValueSchema,
+  type LeaseWrite,
+} from './types.js';
+
+/** The row as it was last read, and the clock reading since which its version is the same. */
+interface ObservedRow {
+  readonly value: LeaseValue | null;
+  readonly version: number;
+  readonly unchangedSinceMs: number;
+}
+
+/** A lease that this process holds; `confirmedMs` was read before the write was sent. */
+interface HeldLease {
+  readonly fencing: number;
+  readonly confirmedMs: number;
+}
+
+/**
+ * One lease as one process sees it: a pure state machine over rows and readings of the own
+ * monotonic clock.
+ *
+ * A holder counts its lease from before it sent the last write that took effect. A challenger
+ * counts the same time from the first read that showed the row unchanged, which is later; so the
+ * holder stops first. A row that can't be parsed counts as held for the own lease time.
+ *
+ * @example
+ * const lease = Lease.create('south-1/boot-7', times, () => createId('lease'));
+ * const step = lease.getNextStep(clock.nowMs());
+ */
+export class Lease {
+  private observed: ObservedRow | undefined;
+
+  private held: HeldLease | undefined;
+
+  private nextActionMs = Number.NEGATIVE_INFINITY;
+
+  private isReadNeeded = true;
+
+  private highestFencing = 0;
+
+  /** Send time of each write that may still turn out to have taken effect, by attempt id. */
+  private readonly openAttempts = BoundedMap.create<string, number>(MAX_OPEN_ATTEMPTS);
+
+  private constructor(
+    readonly holder: string,
+    private readonly times: LeaseTimes,
+    private readonly createAttemptId: () => string,
+  ) {}
+
+  /** @param holder unique for each start of a process, so that a restart is a new holder */
+  static create(holder: string, times: LeaseTimes, createAttemptId: () => string): Lease {
+    return new Lease(holder, times, createAttemptId);
+  }
+
+  /** Returns the fencing token, or undefined unless the lease is held and has time left. */
+  getFencing(nowMs: number): number | undefined {
+    return this.getRemainingMs(nowMs) > 0 ? this.held?.fencing : undefined;
+  }
+
+  /** Returns the time that the lease certainly still holds; 0 if it is not held. */
+  getRemainingMs(nowMs: number): number {
+    if (this.held === undefined) return 0;
+    const usableMs = this.times.durationMs * (1 - CLOCK_RATE_MARGIN);
+    return Math.max(0, this.held.confirmedMs + usableMs - nowMs);
+  }
+
+  /** Whether the lease certainly holds for so many more milliseconds. */
+  holdsFor(durationMs: number, nowMs: number): boolean {
+    return this.held !== undefined && this.getRemainingMs(nowMs) > durationMs;
+  }
+
+  /** Decides what to do now. A write is recorded as sent at `nowMs`. */
+  getNextStep(nowMs: number): LeaseStep {
+    if (nowMs < this.nextActionMs) return { type: 'wait', untilMs: this.nextActionMs };
+    const { observed } = this;
+    if (observed === undefined || this.isReadNeeded) return { type: 'read' };
+    const fencing = observed.value?.fencing ?? 0;
+    const isOwn = observed.value?.holder === this.holder;
+    if (!isOwn && nowMs < this.getFreeMs(observed)) return { type: 'read' };
+    const isTokenFresh = isOwn && fencing >= this.highestFencing;
+    const nextFencing = isTokenFresh ? fencing : Math.max(fencing, this.highestFencing) + 1;
+    return this.createWrite(observed, nextFencing, nowMs);
+  }
+
+  /**
+   * Records a fencing token that a receiver reported. If the row was lost or damaged, the next write
+   * still carries a token that receivers accept.
+   */
+  updateFencing(fencing: number): void {
+    this.highestFencing = Math.max(this.highestFencing, fencing);
+  }
+
+  /** Takes in a row that was read; `nowMs` is a reading after the read. */
+  updateRow(row: LeaseRow | null, nowMs: number): void {
+    this.isReadNeeded = false;
+    const version = row?.version ?? 0;
+    const parsed = leaseValueSchema.safeParse(row?.value);
+    const value = parsed.success ? parsed.data : null;
+    const isUnchanged = this.observed?.version === version;
+    const unchangedSinceMs = isUnchanged ? (this.observed?.unchangedSinceMs ?? nowMs) : nowMs;
+    this.observed = { value, version, unchangedSinceMs };
+    if (value !== null) this.updateFencing(value.fencing);
+    if (value?.holder !== this.holder) {
+      this.held = undefined;
+      const waitMs = Math.max(0, this.getFreeMs(this.observed) - nowMs);
+      this.nextActionMs = nowMs + Math.min(this.times.watchIntervalMs, waitMs);
+      return;
+    }
+    const sentMs = this.openAttempts.get(row?.attemptId ?? '');
+    if (sentMs !== undefined) this.confirm(value.fencing, sentMs);
+    // The next step renews, which needs the version that was just read.
+    this.nextActionMs = nowMs;
+  }
+
+  /** Records that a write took effect. */
+  recordWritten(write: LeaseWrite, version: number, nowMs: number): void {
+    const sentMs = this.openAttempts.get(write.attemptId);
+    this.observed = { value: write.value, version, unchangedSinceMs: nowMs };
+    if (sentMs !== undefined) this.confirm(write.value.fencing, sentMs);
+    this.openAttempts.delete(write.attemptId);
+    this.nextActionMs = (sentMs ?? nowMs) + this.times.renewalIntervalMs;
+  }
+
+  /** Records that another write came first; the row that won is taken in. */
+  recordConflict(current: LeaseRow | null, nowMs: number): void {
+    this.updateRow(current, nowMs);
+  }
+
+  /** Records that the table failed; the row is read again before anything else is decided. */
+  recordFailure(nowMs: number): void {
+    this.isReadNeeded = true;
+    this.nextActionMs = nowMs + RETRY_INTERVAL_MS;
+  }
+
+  /** Returns the write that gives the lease up, or undefined if it is not held. */
+  createReleaseWrite(): LeaseWrite | undefined {
+    const { held, observed } = this;
+    this.held = undefined;
+    if (held === undefined || observed === undefined) return undefined;
+    const value = { holder: '', fencing: held.fencing, durationMs: 0, renewals: 0 };
+    return { value, ifVersion: observed.version, attemptId: this.createAttemptId() };
+  }
+
+  private getFreeMs(observed: ObservedRow): number {
+    const { durationMs, takeoverDelayMs } = this.times;
+    if (observed.version === 0) return observed.unchangedSinceMs;
+    return observed.unchangedSinceMs + (observed.value?.durationMs ?? durationMs) + takeoverDelayMs;
+  }
+
+  private createWrite(observed: ObservedRow, fencing: number, nowMs: number): LeaseStep {
+    const attemptId = this.createAttemptId();
+    this.openAttempts.set(attemptId, nowMs);
+    const isRenewal = observed.value?.holder === this.holder;
+    const renewals = isRenewal ? (observed.value?.renewals ?? 0) + 1 : 0;
+    const { durationMs } = this.times;
+    const value = { holder: this.holder, fencing, durationMs, renewals };
+    return { type: 'write', write: { value, ifVersion: observed.version, attemptId } };
+  }
+
+  private confirm(fencing: number, sentMs: number): void {
+    const confirmedMs = Math.max(this.held?.confirmedMs ?? sentMs, sentMs);
+    this.held = { fencing, confirmedMs };
+  }
+}
--- /dev/null
+++ b/packages/leases/src/types.ts
@@ -0,0 +1,66 @@
+import type { ResultAsync } from 'neverthrow';
+import { z } from 'zod';
+import { MAX_LEASE_MS } from './constants.js';
+
+/** Value of a row `lease/<service>/<region>`. An empty holder means that the lease was given up. */
+export const leaseValueSchema = z.object({
+  holder: z.string(),
+  fencing: z.number().int().nonnegative(),
+  durationMs: z.number().nonnegative().max(MAX_LEASE_MS),
+  renewals: z.number().int().nonnegative(),
+});
+export type LeaseValue = z.infer<typeof leaseValueSchema>;
+
+/** A row as the platform's table client returns it. */
+export interface LeaseRow {
+  readonly value: unknown;
+  readonly version: number;
+  readonly attemptId: string | null;
+}
+
+export type LeaseTableError =
+  | { readonly type: 'conflict'; readonly current: LeaseRow | null }
+  | { readonly type: 'outcome_unknown'; readonly message: string }
+  | { readonly type: 'protocol_violation'; readonly message: string }
+  | { readonly type: 'unavailable'; readonly message: string };
+
+/** The part of the platform's table client that leases need. */
+export interface LeaseTable {
+  readonly read: (key: string) => ResultAsync<LeaseRow | null, LeaseTableError>;
+  readonly write: (
+    key: string,
+    value: unknown,
+    ifVersion: number | undefined,
+    attemptId: string,
+  ) => ResultAsync<{ readonly version: number }, LeaseTableError>;
+}
+
+/** A conditional write that the lease wants to be made. */
+export interface LeaseWrite {
+  readonly value: LeaseValue;
+  readonly ifVersion: number;
+  readonly attemptId: string;
+}
+
+/** What to do next; `wait` ends at a reading of the own clock. */
+export type LeaseStep =
+  | { readonly type: 'read' }
+  | { readonly type: 'wait'; readonly untilMs: number }
+  | { readonly type: 'write'; readonly write: LeaseWrite };
+
+export interface LeaseTimes {
+  readonly durationMs: number;
+  readonly renewalIntervalMs: number;
+  readonly watchIntervalMs: number;
+  /** Added to a challenger's wait; drawn by each process so that challengers don't collide. */
+  readonly takeoverDelayMs: number;
+}
+
+/**
+ * Returns the row key of the lease of a service in a region.
+ *
+ * @example
+ * getLeaseKey('estimator', 'south'); // 'lease/estimator/south'
+ */
+export const getLeaseKey = (service: string, region: string): string =>
+  `lease/${service}/${region}`;
