Add the steward process

Cause: runners must reach the weight version of the configuration without losing capacity. Change: planOrders, ServiceSteward, leases for each model service, the process.

--- /dev/null
+++ b/packages/steward/bin/lovagearch-steward.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runMain } from '../dist/main.js';
+
+await runMain();
--- a/packages/steward/src/index.ts
+++ b/packages/steward/src/index.ts
@@ -1,4 +1,9 @@
 /**
- * The steward process: model placement, weight swaps and role orders under a lease.
+ * The steward process: model placement and weight swaps under a lease. It owns the orders to the
+ * runners of its region and never serves requests or changes the configuration.
  */
-export {};
+export * from './constants.js';
+export * from './loadShare.js';
+export * from './planOrders.js';
+export * from './serviceSteward.js';
+export * from './startSteward.js';
--- /dev/null
+++ b/packages/steward/src/planOrders.ts
@@ -0,0 +1,174 @@
+import type { Model } from '@lovagearch/configuration';
+import type { EngineStatus } from '@lovagearch/engine-client';
+import { MIN_READY_SHARE } from './constants.js';
+
+/** A runner of the VM list; `status` is undefined if it did not answer in this cycle. */
+export interface RunnerState {
+  readonly id: string;
+  readonly isLeaving: boolean;
+  readonly status: EngineStatus | undefined;
+}
+
+export interface PlannedOrder {
+  readonly runner: string;
+  readonly type: 'load' | 'unload';
+  readonly model: string;
+  readonly weightVersion: string;
+}
+
+export interface PlanInput {
+  readonly models: readonly Model[];
+  readonly runners: readonly RunnerState[];
+  /** Loads that may run at once among these runners. */
+  readonly maxLoads: number;
+}
+
+interface LiveRunner {
+  readonly id: string;
+  readonly status: EngineStatus;
+}
+
+const isLoading = ({ status }: LiveRunner): boolean =>
+  status.state === 'loading' || status.loading.length > 0;
+
+const isReady = ({ status }: LiveRunner): boolean =>
+  status.state === 'ready' && status.loading.length === 0 && status.models.length > 0;
+
+const hasModel = ({ status }: LiveRunner, model: string, weightVersion?: string): boolean =>
+  status.models.some(
+    (held) =>
+      held.model === model && (weightVersion === undefined || held.weightVersion === weightVersion),
+  );
+
+const isLoadingModel = ({ status }: LiveRunner, model: string): boolean =>
+  status.loading.some((load) => load.model === model);
+
+/** Counts the runners that must stay ready; with few runners one may always be swapped. */
+const getRequiredReady = (holders: number): number =>
+  Math.max(1, Math.min(Math.ceil(holders * MIN_READY_SHARE), holders - 1));
+
+/** One planning pass; runners that get an order count as loading for the rest of it. */
+class OrderPlan {
+  readonly orders: PlannedOrder[] = [];
+
+  private readonly live: LiveRunner[] = [];
+
+  private readonly busy = new Set<string>();
+
+  private loads = 0;
+
+  constructor(private readonly input: PlanInput) {
+    for (const { id, isLeaving, status } of input.runners) {
+      if (status === undefined || status.state === 'draining') continue;
+      const runner = { id, status };
+      // A leaving runner takes no order, but its load still uses the weight store.
+      if (isLoading(runner)) this.loads += 1;
+      if (!isLeaving) this.live.push(runner);
+      if (isLoading(runner)) this.busy.add(id);
+    }
+    this.live.sort((a, b) => (a.id < b.id ? -1 : 1));
+  }
+
+  /** Fills runners that hold nothing; they serve nobody, so no capacity is lost. */
+  addIdleLoads(): void {
+    const idle = this.live.filter(
+      ({ id, status }) => status.models.length === 0 && !this.busy.has(id),
+    );
+    for (const runner of idle) {
+      const model = this.chooseNeediestModel();
+      if (model !== undefined) this.addLoad(runner, model);
+    }
+  }
+
+  /** Replaces old versions where enough other runners stay ready. */
+  addSwaps(model: Model): void {
+    for (const runner of this.live) {
+      const isOld =
+        hasModel(runner, model.name) && !hasModel(runner, model.name, model.weightVersion);
+      if (isOld && this.canTakeOut(runner)) this.addLoad(runner, model);
+    }
+  }
+
+  /** Adds the model to runners of others until `minRunners` hold it. */
+  addMissingRunners(model: Model): void {
+    for (const runner of this.live) {
+      if (this.countRunners(model) >= model.minRunners) return;
+      const isOther = !hasModel(runner, model.name) && runner.status.models.length > 0;
+      if (isOther && this.canTakeOut(runner)) this.addLoad(runner, model);
+    }
+  }
+
+  /** Removes versions that are not desired once the desired one is on the same runner. */
+  addUnloads(model: Model): void {
+    for (const runner of this.live) {
+      if (this.busy.has(runner.id) || !hasModel(runner, model.name, model.weightVersion)) continue;
+      for (const held of runner.status.models) {
+        if (held.model !== model.name || held.weightVersion === model.weightVersion) continue;
+        const { weightVersion } = held;
+        this.orders.push({ runner: runner.id, type: 'unload', model: model.name, weightVersion });
+      }
+    }
+  }
+
+  private addLoad(runner: LiveRunner, { name, weightVersion }: Model): void {
+    if (this.loads >= this.input.maxLoads || this.busy.has(runner.id)) return;
+    this.orders.push({ runner: runner.id, type: 'load', model: name, weightVersion });
+    this.busy.add(runner.id);
+    this.loads += 1;
+  }
+
+  /** Whether each model of the runner keeps enough ready runners without it. */
+  private canTakeOut(runner: LiveRunner): boolean {
+    if (this.busy.has(runner.id)) return false;
+    for (const { model } of runner.status.models) {
+      const holders = this.live.filter(
+        (other) => hasModel(other, model) || isLoadingModel(other, model),
+      );
+      const ready = holders.filter((other) => isReady(other) && !this.busy.has(other.id));
+      const remaining = ready.filter((other) => other.id !== runner.id).length;
+      // A runner that serves nobody takes no capacity away.
+      if (isReady(runner) && remaining < getRequiredReady(holders.length)) return false;
+    }
+    return true;
+  }
+
+  private countRunners(model: Model): number {
+    const ordered = this.orders.filter(
+      (order) => order.type === 'load' && order.model === model.name,
+    );
+    const orderedIds = new Set(ordered.map(({ runner }) => runner));
+    const holders = this.live.filter(
+      (runner) =>
+        hasModel(runner, model.name) ||
+        isLoadingModel(runner, model.name) ||
+        orderedIds.has(runner.id),
+    );
+    return holders.length;
+  }
+
+  private chooseNeediestModel(): Model | undefined {
+    let best: { readonly model: Model; readonly surplus: number } | undefined;
+    for (const model of this.input.models) {
+      const surplus = this.countRunners(model) - model.minRunners;
+      if (best === undefined || surplus < best.surplus) best = { model, surplus };
+    }
+    return best?.model;
+  }
+}
+
+/**
+ * Plans the orders of one cycle from reported states only: first idle runners, then swaps to the
+ * desired weight version, then models with too few runners, and last the removal of old versions.
+ *
+ * @example
+ * planOrders({ models, runners, maxLoads: 2 });
+ * // [{ runner: 'r1', type: 'load', model: 'crop-8b', weightVersion: 'v3' }]
+ */
+export const planOrders = (input: PlanInput): readonly PlannedOrder[] => {
+  const plan = new OrderPlan(input);
+  plan.addIdleLoads();
+  for (const model of input.models) plan.addSwaps(model);
+  for (const model of input.models) plan.addMissingRunners(model);
+  for (const model of input.models) plan.addUnloads(model);
+  return plan.orders;
+};
