Run the node on the failure detector and the watched endpoints

Cause: the node took its members and endpoints from the VM list alone, which lags, and polled every runner itself, which does not scale. Change: buildNode.ts uses NodeCluster; parts are grouped in nodeClients.ts, nodeReuse.ts and nodeRuns.ts; a drain announces the leaving node first; the link budget comes from a setting; the stand-alone directory is removed. Conclusion: the thin path runs on the design's membership.

--- a/packages/entry/src/accountGate.ts
+++ b/packages/entry/src/accountGate.ts
@@ -67,6 +67,12 @@
     this.retries.recordRequest();
   }
 
+  /** Returns the requests that run and wait on this node. */
+  getUse(): { readonly running: number; readonly waiting: number } {
+    const { running, waiting } = this;
+    return { running, waiting };
+  }
+
   addWaiting(delta: number): void {
     this.waiting += delta;
   }
--- a/packages/entry/src/admissionController.ts
+++ b/packages/entry/src/admissionController.ts
@@ -58,6 +58,13 @@
   readonly countLiveNodes: () => number;
 }
 
+/** Requests of an account on this node. */
+export interface AccountUse {
+  readonly account: AccountId;
+  readonly running: number;
+  readonly waiting: number;
+}
+
 /** Admission on one node: account limits, fair queues, load shedding and retry budgets. */
 export class AdmissionController implements Admission, NodePart {
   private readonly accounts = new Map<AccountId, AccountGate>();
@@ -113,6 +120,11 @@
     return tryTakeBoth(account.retries, this.systemRetries, this.options.clock.nowMs());
   };
 
+  /** Returns what the accounts use on this node, for the administration API. */
+  listAccounts(): AccountUse[] {
+    return [...this.accounts].map(([account, gate]) => ({ account, ...gate.getUse() }));
+  }
+
   /** Refuses what waits and stops the timer. Running requests keep their tickets. */
   async stop(): Promise<void> {
     clearInterval(this.timer);
--- a/packages/entry/src/buildNode.ts
+++ b/packages/entry/src/buildNode.ts
@@ -1,44 +1,36 @@
 import { randomInt } from 'node:crypto';
-import { setTimeout as waitMs } from 'node:timers/promises';
 import {
   createId,
   createRandom,
-  getRendezvousOwners,
   Metrics,
+  MS_PER_SECOND,
   processClock,
   toId,
-  type EndpointId,
   type Logger,
   type NodeId,
   type Region,
   type Zone,
 } from '@lovagearch/common';
-import { HttpEngineClient } from '@lovagearch/engine-client';
+import type { EngineAddress } from '@lovagearch/engine-client';
+import { LinkBudget } from '@lovagearch/routing';
 import { WsPeerMesh } from '@lovagearch/peering';
-import { HttpObjectClient, HttpTableClient, HttpVmListClient } from '@lovagearch/platform-client';
-import { HttpServiceClient } from '@lovagearch/service-client';
 import type { ProcessSettings } from '@lovagearch/settings';
-import { HttpStoreClient } from '@lovagearch/store-client';
 import { AdmissionController } from './admissionController.js';
 import { ConfigurationFollower } from './configurationFollower.js';
 import { ContainmentController } from './containmentController.js';
 import { FollowedConfiguration } from './followedConfiguration.js';
-import { LocalDirectory } from './localDirectory.js';
-import { LocalMembers } from './localMembers.js';
-import { PrefixWatch } from './prefixWatch.js';
-import { PromptIndexNode } from './promptIndexNode.js';
-import { NodeRunCoordinator } from './runCoordinator.js';
-import { RunShardOwner } from './runShardOwner.js';
-import { RunShardRouter } from './runShardRouter.js';
+import { createClientCloser, createNodeClients } from './nodeClients.js';
+import { NodeCluster } from './nodeCluster.js';
+import type { NodeContext } from './nodeContext.js';
+import { createNodeReuse, type NodeReuse } from './nodeReuse.js';
+import { createNodeRuns } from './nodeRuns.js';
 import { computeServiceCapacity } from './serviceCapacity.js';
 import { startEntry } from './startEntry.js';
-import { StoreWatch } from './storeWatch.js';
 import type { NodeIdentity } from './types.js';
 import { chooseWeightVersion } from './weightVersions.js';
 
-/** Nodes that watch each endpoint and store VM. */
-const WATCHER_COUNT = 2;
-const RETENTION_MS = 72 * 3_600_000;
+/** Prefill rate that is assumed of a service before its configuration is known, in tokens/s. */
+const DEFAULT_PREFILL_RATE = 8_000;
 
 /** A running node with its ports. */
 export interface RunningNode {
@@ -48,15 +40,55 @@
   readonly stop: () => Promise<void>;
 }
 
-const createClients = ({ platform }: ProcessSettings) => ({
-  table: HttpTableClient.create({ url: platform.tableUrl }),
-  objects: HttpObjectClient.create({ url: platform.objectUrl }),
-  vmList: HttpVmListClient.create({ url: platform.vmListUrl }),
-  engines: HttpEngineClient.create(),
-  services: HttpServiceClient.create(),
-  stores: HttpStoreClient.create(),
+const createIdentity = ({ nodeName, region, zone }: ProcessSettings): NodeIdentity => ({
+  id: nodeName === undefined ? createId<NodeId>('node') : toId<NodeId>(nodeName),
+  region: toId<Region>(region),
+  zone: toId<Zone>(zone),
 });
 
+const startCluster = (
+  { clients, clock, identity, log, mesh, random, settings, follower }: NodeContext,
+  address: string,
+  toAddress: (service: string, url: string) => EngineAddress,
+  handleCacheEvents: NodeReuse['handleCacheEvents'],
+): NodeCluster =>
+  NodeCluster.start({
+    ...clients,
+    identity,
+    address,
+    seeds: settings.seeds,
+    mesh,
+    clock,
+    random,
+    log,
+    toAddress,
+    getPrefillRate: (service) => {
+      const found = follower.view.getService(service);
+      return found?.type === 'model' ? found.prefillTokensPerSecond : DEFAULT_PREFILL_RATE;
+    },
+    handleCacheEvents,
+  });
+
+const createAdmission = (
+  { clock, follower, identity, mesh }: NodeContext,
+  configuration: FollowedConfiguration,
+  { directory, members }: NodeCluster,
+): AdmissionController =>
+  AdmissionController.create({
+    mesh,
+    clock,
+    getAccountLimits: (account) =>
+      follower.view.getAccount(account) ?? { promptTokensPerSecond: 0, maxConcurrent: 0 },
+    getServiceCapacity: (service) =>
+      computeServiceCapacity(
+        configuration.findService(service),
+        directory.listEndpoints(service),
+        members.listAllActive().length,
+      ),
+    listRegionMembers: () => members.listActive(identity.region),
+    countLiveNodes: () => members.listAllActive().length,
+  });
+
 /**
  * Puts the parts of a node together and starts them.
  *
@@ -65,160 +97,104 @@
  * await node.stop();
  */
 export const buildNode = async (settings: ProcessSettings, log: Logger): Promise<RunningNode> => {
-  const identity: NodeIdentity = {
-    id: toId<NodeId>(settings.nodeName ?? createId<NodeId>('node')),
-    region: toId<Region>(settings.region),
-    zone: toId<Zone>(settings.zone),
-  };
+  const identity = createIdentity(settings);
   const clock = processClock;
   const random = createRandom(randomInt(2 ** 31));
-  const clients = createClients(settings);
-  const { host } = settings.listen;
+  const clients = createNodeClients(settings);
+  const { host, callerPort, adminPort, peerPort } = settings.listen;
+  const clusterKey = Buffer.from(settings.clusterKey);
   const mesh = await WsPeerMesh.create({
     self: identity.id,
-    clusterKey: Buffer.from(settings.clusterKey),
+    clusterKey,
     host,
-    port: settings.listen.peerPort,
+    port: peerPort,
     log,
   });
-  const members = await LocalMembers.start(identity, mesh, clients.vmList, log);
+  // The parts refer to each other; they are called only after all of them exist.
+  let cluster: NodeCluster | undefined;
+  const getCluster = (): NodeCluster => {
+    if (cluster === undefined) throw new TypeError('the node is not put together yet');
+    return cluster;
+  };
+  const listPeers = (): readonly NodeId[] =>
+    cluster?.members.listAllActive().filter((node) => node !== identity.id) ?? [];
   const follower = ConfigurationFollower.create({
-    table: clients.table,
-    objects: clients.objects,
+    ...clients,
     mesh,
-    listPeers: () => members.listLive().filter((node) => node !== identity.id),
+    listPeers,
     random,
     log: log.withTag('configuration'),
   });
-  await follower.start();
-  const toAddress = (service: string, url: string) => {
+  const context = { settings, identity, clock, random, log, mesh, clients, follower };
+  const toAddress = (service: string, url: string): EngineAddress => {
     const checksCaller = follower.view.getService(service)?.checksCaller ?? true;
     return checksCaller ? { url, serviceToken: settings.serviceToken } : { url };
   };
-  const directory = await LocalDirectory.start({ ...clients, clock, log, toAddress });
-  const getWatchers = (endpoint: EndpointId): readonly NodeId[] => {
-    const region = directory.getEndpoint(endpoint)?.region ?? identity.region;
-    return getRendezvousOwners(endpoint, members.listLive(region), WATCHER_COUNT);
-  };
-  const index = PromptIndexNode.create({
-    mesh,
-    region: identity.region,
-    listRegions: members.listRegions,
-    listMembers: members.listLive,
-    getWatchers,
-  });
-  const prefixes = PrefixWatch.create({
-    mesh,
-    engine: clients.engines,
-    index,
-    directory,
-    clock,
-    log: log.withTag('prefixes'),
-    getAddress: ({ service, url }) => toAddress(service, url),
-    getWatchers,
-    listRegionMembers: members.listLive,
-    getStoreSpeeds: (service) => {
-      const found = follower.view.getService(service);
-      return found?.type === 'model' ? found : undefined;
-    },
-  });
-  const stores = StoreWatch.create({
-    mesh,
-    stores: clients.stores,
-    index,
+  let reuse: NodeReuse | undefined;
+  cluster = startCluster(context, `${host}:${mesh.port}`, toAddress, (runner, boot, batch) =>
+    reuse?.handleCacheEvents(runner, boot, batch),
+  );
+  const { directory, members } = cluster;
+  reuse = createNodeReuse({
+    context,
     directory,
-    clock,
-    log: log.withTag('stores'),
+    listActive: members.listActive,
     listRegions: members.listRegions,
-    getWatchers,
-    retentionMs: RETENTION_MS,
-  });
-  const runOwner = RunShardOwner.create({
-    ...clients,
-    shards: settings.runShards,
-    mesh,
-    clock,
-    log: log.withTag('runs'),
-    listLiveMembers: members.listLive,
-  });
-  const router = RunShardRouter.create({
-    shards: settings.runShards,
-    mesh,
-    owner: runOwner,
-    clock,
-    listLiveMembers: members.listLive,
-    wait: async (pauseMs) => waitMs(pauseMs),
-  });
-  const runs = NodeRunCoordinator.create({
-    router,
-    objects: clients.objects,
-    clock,
-    log: log.withTag('runs'),
-    self: identity.id,
+    getWatchers: (endpoint) => getCluster().getWatchers(endpoint),
+    toAddress,
   });
+  const runs = createNodeRuns(context, members.listAllActive);
   const configuration = FollowedConfiguration.create({
     getView: () => follower.view,
     chooseVersion: ({ id, service, weightVersion }) =>
       chooseWeightVersion(id, weightVersion, directory.listEndpoints(service), random),
   });
-  const admission = AdmissionController.create({
-    mesh,
-    clock,
-    getAccountLimits: (account) =>
-      follower.view.getAccount(account) ?? { promptTokensPerSecond: 0, maxConcurrent: 0 },
-    getServiceCapacity: (service) =>
-      computeServiceCapacity(
-        configuration.findService(service),
-        directory.listEndpoints(service),
-        members.listLive().length,
-      ),
-    listRegionMembers: () => members.listLive(identity.region),
-    countLiveNodes: () => members.listLive().length,
-  });
+  const admission = createAdmission(context, configuration, cluster);
   const containment = ContainmentController.create({
     mesh,
     clock,
     log: log.withTag('containment'),
-    listLiveMembers: members.listLive,
+    listLiveMembers: members.listAllActive,
     markFaulty: directory.markLeaving,
   });
+  await follower.start();
+  const { index, stores } = reuse;
   const entry = await startEntry(
-    {
-      ...settings,
-      host,
-      callerPort: settings.listen.callerPort,
-      adminPort: settings.listen.adminPort,
-    },
+    { ...settings, host, callerPort, adminPort },
     {
       ...clients,
-      identity,
-      clock,
-      random,
-      log,
+      ...context,
       metrics: Metrics.create(settings.statsd),
       configuration,
       directory,
       index,
-      runs,
+      runs: runs.coordinator,
       admission,
       containment,
+      linkBudget: LinkBudget.create(settings.linkBytesPerSecond, clock.nowMs()),
+      handleDrainStart: members.markLeaving,
       readers: {
         configuration: () => follower.getStatus(),
-        members: () => ({ members: members.listLive() }),
+        members: () => ({ members: members.listMembers() }),
         endpoints: () => ({ endpoints: directory.listAll() }),
         stores: () => ({ stores: stores.listFills() }),
-        accounts: () => ({ accounts: [] }),
-        runs: () => ({ shards: runOwner.listShards() }),
+        accounts: () => ({ accounts: admission.listAccounts() }),
+        runs: () => ({ shards: runs.owner.listShards() }),
         quarantine: () => ({ entries: containment.listEntries() }),
       },
-      background: [index, prefixes, stores, runs, runOwner, follower, directory, members],
+      background: [
+        ...runs.parts,
+        ...reuse.parts,
+        follower,
+        admission,
+        containment,
+        cluster,
+        createClientCloser(clients),
+        { stop: async () => mesh.close() },
+      ],
     },
   );
-  const stop = async (): Promise<void> => {
-    await entry.stop();
-    await Promise.all([clients.table.close(), clients.objects.close(), clients.vmList.close()]);
-    await Promise.all([clients.stores.close(), mesh.close()]);
-  };
+  log.withTag('entry').debug(`Up after ${Math.round(clock.nowMs() / MS_PER_SECOND)} s.`);
   const ports = { caller: entry.callerPort, admin: entry.adminPort, peer: mesh.port };
-  return { id: identity.id, ports, stop };
+  return { id: identity.id, ports, stop: entry.stop };
 };
--- a/packages/entry/src/nodeMembers.ts
+++ b/packages/entry/src/nodeMembers.ts
@@ -77,6 +77,12 @@
   /** Sorted ids of the nodes of a region that take part in duties. */
   readonly listActive = (region: Region): readonly NodeId[] => this.list.listActive(region);
 
+  /** Sorted ids of the nodes of all regions that take part in duties. */
+  readonly listAllActive = (): readonly NodeId[] =>
+    this.listRegions()
+      .flatMap((region) => [...this.list.listActive(region)])
+      .sort();
+
   /** Regions of all known members, sorted. */
   readonly listRegions = (): readonly Region[] =>
     [...new Set(this.list.listMembers().map(({ region }) => region))].sort();
--- /dev/null
+++ b/packages/entry/src/nodeReuse.ts
@@ -0,0 +1,75 @@
+import type { EndpointId, Logger, NodeId, Region } from '@lovagearch/common';
+import type { EngineAddress } from '@lovagearch/engine-client';
+import type { CacheEventHandler } from './nodeCacheEvents.js';
+import type { NodeContext } from './nodeContext.js';
+import { PrefixWatch } from './prefixWatch.js';
+import { PromptIndexNode } from './promptIndexNode.js';
+import { StoreWatch } from './storeWatch.js';
+import type { EndpointDirectory, NodePart } from './types.js';
+
+/** Segments are kept this long when no service says otherwise. */
+const DEFAULT_RETENTION_MS = 72 * 3_600_000;
+
+export interface NodeReuseOptions {
+  readonly context: NodeContext;
+  readonly directory: EndpointDirectory;
+  readonly listActive: (region: Region) => readonly NodeId[];
+  readonly listRegions: () => readonly Region[];
+  readonly getWatchers: (endpoint: EndpointId) => readonly NodeId[];
+  readonly toAddress: (service: string, url: string) => EngineAddress;
+}
+
+/** Prompt index, export of prefixes and care of store VMs of one node. */
+export interface NodeReuse {
+  readonly index: PromptIndexNode;
+  readonly stores: StoreWatch;
+  readonly handleCacheEvents: CacheEventHandler;
+  readonly parts: readonly NodePart[];
+}
+
+/** Creates the parts of a node that keep computed prompts in use. */
+export const createNodeReuse = (options: NodeReuseOptions): NodeReuse => {
+  const { context, directory, listActive, listRegions, getWatchers, toAddress } = options;
+  const { clients, clock, identity, mesh, follower } = context;
+  const createLog = (tag: string): Logger => context.log.withTag(tag);
+  const { region } = identity;
+  const index = PromptIndexNode.create({
+    mesh,
+    region,
+    listRegions,
+    listMembers: listActive,
+    getWatchers,
+  });
+  const prefixes = PrefixWatch.create({
+    mesh,
+    engine: clients.engines,
+    index,
+    directory,
+    clock,
+    log: createLog('prefixes'),
+    getAddress: ({ service, url }) => toAddress(service, url),
+    getWatchers,
+    listRegionMembers: listActive,
+    getStoreSpeeds: (service) => {
+      const found = follower.view.getService(service);
+      return found?.type === 'model' ? found : undefined;
+    },
+  });
+  const stores = StoreWatch.create({
+    mesh,
+    stores: clients.stores,
+    index,
+    directory,
+    clock,
+    log: createLog('stores'),
+    listRegions,
+    getWatchers,
+    retentionMs: DEFAULT_RETENTION_MS,
+  });
+  return {
+    index,
+    stores,
+    handleCacheEvents: (runner, _boot, batch) => prefixes.applyCacheEvents(runner, batch),
+    parts: [index, prefixes, stores],
+  };
+};
--- a/packages/entry/src/prefixWatch.ts
+++ b/packages/entry/src/prefixWatch.ts
@@ -1,4 +1,5 @@
 import {
+  assertNever,
   getErrorMessage,
   type Clock,
   type EndpointId,
@@ -13,6 +14,7 @@
 import { PrefixCatalog, ReturnHistory, type CatalogPrefix } from '@lovagearch/reuse';
 import { INDEX_TOPICS, placedSchema, type Placed, type Stored } from './promptIndexMessages.js';
 import type { PromptIndexNode } from './promptIndexNode.js';
+import type { CacheEventBatch } from './nodeCacheEvents.js';
 import type { EndpointDirectory, EndpointView, NodePart, StoreView } from './types.js';
 
 /** Interval between looks for prefixes to export. */
@@ -42,7 +44,6 @@
 
 interface WatchedRunner {
   readonly catalog: PrefixCatalog;
-  boot: string;
   /** Tail keys of the exports under way. */
   readonly exporting: Set<string>;
 }
@@ -93,22 +94,39 @@
     runner?.catalog.add(placed, this.options.clock.nowMs());
   }
 
-  /** Applies the cache events of a runner; a new boot means that its cache is empty. */
-  applyCacheEvents(id: EndpointId, boot: string, events: readonly CacheEvent[]): void {
+  /**
+   * Applies the cache events of a runner. After a gap the catalog may hold evicted prefixes; a request
+   * that is sent to one of them corrects the index.
+   */
+  applyCacheEvents(id: EndpointId, batch: CacheEventBatch): void {
     const runner = this.getRunner(id);
-    if (runner === undefined) return;
     const region = this.options.directory.getEndpoint(id)?.region;
-    if (region === undefined) return;
-    if (runner.boot !== '' && runner.boot !== boot) {
-      runner.catalog.removeAll();
-      this.options.index.removeHolder(region, id);
+    if (runner === undefined || region === undefined) return;
+    switch (batch.type) {
+      case 'events':
+        for (const event of batch.events) this.applyCacheEvent(id, region, runner, event);
+        return;
+      case 'new_boot':
+        if (batch.previous === undefined) return;
+        runner.catalog.removeAll();
+        this.options.index.removeHolder(region, id);
+        return;
+      case 'gap':
+        return;
+      default:
+        assertNever(batch);
     }
-    runner.boot = boot;
-    for (const event of events) {
-      if (event.type !== 'evicted') continue;
-      for (const prefix of runner.catalog.removeEvicted(event.keys)) {
-        this.options.index.remove(prefix.anchor, region, id, prefix.tailKey);
-      }
+  }
+
+  private applyCacheEvent(
+    id: EndpointId,
+    region: Region,
+    runner: WatchedRunner,
+    event: CacheEvent,
+  ): void {
+    if (event.type !== 'evicted') return;
+    for (const prefix of runner.catalog.removeEvicted(event.keys)) {
+      this.options.index.remove(prefix.anchor, region, id, prefix.tailKey);
     }
   }
 
--- a/packages/entry/src/startEntry.ts
+++ b/packages/entry/src/startEntry.ts
@@ -67,6 +67,8 @@
   readonly containment: Containment;
   readonly linkBudget?: LinkBudget | undefined;
   readonly readers: EntryReaders;
+  /** Called when the node begins to drain, so that its duties pass to other nodes. */
+  readonly handleDrainStart?: () => void;
   /** Background parts, stopped in this order once no request runs. */
   readonly background: readonly NodePart[];
 }
@@ -167,6 +169,7 @@
   const adminPort = await admin.listen(options.host, options.adminPort);
   const runStop = async (): Promise<void> => {
     drain.start();
+    parts.handleDrainStart?.();
     const isIdle = await drain.waitIdle(options.drainLimitMs);
     await caller.close(!isIdle);
     for (const part of parts.background) await part.stop();
--- a/packages/settings/src/constants.ts
+++ b/packages/settings/src/constants.ts
@@ -18,3 +18,6 @@
 export const DEFAULT_DRAIN_LIMIT_MS = 600_000;
 export const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 export const DEFAULT_STATSD_PORT = 8_125;
+/** One ninth of a link of 20 Mbit/s, for 9 entry VMs. */
+export const DEFAULT_LINK_BYTES_PER_SECOND = 277_000;
+export const MAX_LINK_BYTES_PER_SECOND = 1_000_000_000_000;
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -2,11 +2,13 @@
 import { z } from 'zod';
 import {
   DEFAULT_DRAIN_LIMIT_MS,
+  DEFAULT_LINK_BYTES_PER_SECOND,
   DEFAULT_MAX_BODY_BYTES,
   DEFAULT_RUN_SHARDS,
   DEFAULT_STATSD_PORT,
   MAX_BODY_LIMIT_BYTES,
   MAX_DRAIN_LIMIT_MS,
+  MAX_LINK_BYTES_PER_SECOND,
   MAX_OPERATOR_KEYS,
   MAX_PORT,
   MAX_RUN_SHARDS,
@@ -67,6 +69,10 @@
   maxBodyBytes: createIntegerField(1, MAX_BODY_LIMIT_BYTES, 'bytes').default(
     DEFAULT_MAX_BODY_BYTES,
   ),
+  /** This node's share of the link between regions. */
+  linkBytesPerSecond: createIntegerField(1, MAX_LINK_BYTES_PER_SECOND, 'bytes').default(
+    DEFAULT_LINK_BYTES_PER_SECOND,
+  ),
   historyFile: createTextField().optional(),
   statsd: statsdSchema.optional(),
   logLevel: z.enum(LOG_LEVEL_NAMES).default('info'),
