Return typed errors for malformed addresses and bound single-call connections

Cause: a malformed address made the service client reject its promise instead of returning an error, and the set of connections for single calls had no bound. A prompt that was cancelled while it was queued still counted as run in the engine stand-in. Ruled out: an error listener on unread bodies; undici already attaches one, and the test of closed streams passes without it. Change: both cases of the service client end in `not_connected`; cancelled prompts end before they start; `altered_read` for objects, with a test of the checksum; a test of streams that are closed while nobody reads them.

--- a/packages/engine-client/src/httpEngineClient.test.ts
+++ b/packages/engine-client/src/httpEngineClient.test.ts
@@ -292,3 +292,19 @@
   t2.match(last, { type: 'done', finishReason: 'cancelled' });
   t2.same(await readControl(engine, '/control/violations'), []);
 });
+
+t.test('a stream that is closed while nobody reads it does not crash the process', async (t2) => {
+  const closing = HttpEngineClient.create();
+  const open = async () =>
+    getValue(await closing.generate(address, createRequest({ maxTokens: 100 })));
+  const closed = await open();
+  const request = createRequest({ maxTokens: 100 });
+  await closing.generate(address, request);
+  const left = getValue(await closing.resume(address, request.streamId, 0));
+  closed.close();
+  t2.match((await collectChunks(closed)).at(-1), { error: { type: 'connection_lost' } });
+  await closing.close();
+  t2.match((await collectChunks(left)).at(-1), { error: { type: 'connection_lost' } });
+  const refused = await closing.generate({ url: 'no url' }, createRequest());
+  t2.equal(getError(refused).type, 'not_connected');
+});
--- a/packages/platform-client/src/tableClient.test.ts
+++ b/packages/platform-client/src/tableClient.test.ts
@@ -105,6 +105,8 @@
   t2.ok((await objects.write('configuration/ab', bytes)).isOk());
   t2.same(getValue(await objects.read('configuration/ab')), bytes);
   t2.equal(getError(await objects.read('none')).type, 'not_found');
+  await applyFaults(platform, { objects: 'altered_read' });
+  t2.equal(getError(await objects.read('configuration/ab')).type, 'checksum_mismatch');
   await applyFaults(platform, { objects: 'down' });
   t2.equal(getError(await objects.read('configuration/ab')).type, 'unavailable');
 });
--- a/packages/service-client/src/httpServiceClient.test.ts
+++ b/packages/service-client/src/httpServiceClient.test.ts
@@ -65,6 +65,10 @@
 t.test('a refused connection and a malformed call are known as not sent', async (t2) => {
   const refused = await client.send('http://127.0.0.1:1', claim);
   t2.equal(getError(refused).type, 'not_connected');
+  for (const freshConnection of [true, false]) {
+    const noUrl = await client.send('no url', { ...claim, freshConnection });
+    t2.equal(getError(noUrl).type, 'not_connected');
+  }
   const malformed = await client.send(service.url(), { ...claim, headers: { 'x-a': 'b\r\nc' } });
   t2.equal(getError(malformed).type, 'not_connected');
 });
--- a/packages/service-client/src/httpServiceClient.ts
+++ b/packages/service-client/src/httpServiceClient.ts
@@ -5,6 +5,7 @@
   CONNECT_TIMEOUT_MS,
   HEALTH_TIMEOUT_MS,
   MAX_CONNECTIONS,
+  MAX_FRESH_CONNECTIONS,
   MAX_RESPONSE_BYTES,
 } from './constants.js';
 import { formatResponseHeaders, hasMarkedEnd, selectRequestHeaders } from './headers.js';
@@ -23,8 +24,8 @@
   readonly maxResponseBytes?: number;
 }
 
-/** Codes of errors that undici raises while it builds a request, before anything is sent. */
-const UNSENT_CODES = new Set(['UND_ERR_INVALID_ARG', 'UND_ERR_NOT_SUPPORTED']);
+/** Codes of errors that are raised while a request is built, before anything is sent. */
+const UNSENT_CODES = new Set(['ERR_INVALID_URL', 'UND_ERR_INVALID_ARG', 'UND_ERR_NOT_SUPPORTED']);
 
 const isUnsent = (error: unknown): boolean =>
   isConnectError(error) ||
@@ -51,7 +52,7 @@
  * });
  */
 export class HttpServiceClient implements ServiceClient {
-  /** Connections of single calls; bounded by the number of calls that admission lets in. */
+  /** Connections of single calls. */
   private readonly freshClients = new Set<Client>();
 
   private constructor(
@@ -102,10 +103,11 @@
     url: string,
     request: ServiceRequest,
   ): Promise<Result<ServiceResponse, ServiceError>> {
-    const client = new Client(url, {
-      pipelining: 1,
-      connect: { timeout: Math.min(this.options.connectTimeoutMs, request.timeoutMs) },
-    });
+    if (this.freshClients.size >= MAX_FRESH_CONNECTIONS) {
+      return err({ type: 'not_connected', message: 'too many connections' });
+    }
+    const client = this.createClient(url, request.timeoutMs);
+    if (client === undefined) return err({ type: 'not_connected', message: 'malformed address' });
     this.freshClients.add(client);
     try {
       return await this.runCall(client, url, request);
@@ -115,6 +117,15 @@
     }
   }
 
+  private createClient(url: string, timeoutMs: number): Client | undefined {
+    const connectTimeoutMs = Math.min(this.options.connectTimeoutMs, timeoutMs);
+    try {
+      return new Client(url, { pipelining: 1, connect: { timeout: connectTimeoutMs } });
+    } catch {
+      return undefined;
+    }
+  }
+
   private async runCall(
     dispatcher: Dispatcher,
     url: string,
--- a/packages/standins/src/engineScheduler.ts
+++ b/packages/standins/src/engineScheduler.ts
@@ -94,6 +94,10 @@
 
   private start(sequence: Sequence): void {
     const { cache, getFaults } = this.parts;
+    if (sequence.isCancelled) {
+      this.end(sequence, 'cancelled');
+      return;
+    }
     const crashText = getFaults().crashOnPromptContaining;
     if (crashText !== null && sequence.call.prompt.includes(crashText)) {
       process.kill(process.pid, 'SIGKILL');
@@ -102,7 +106,7 @@
     const depth = cache.takePrefix(sequence.chain);
     Object.assign(sequence, { cachedDepth: depth, pinnedDepth: depth });
     const { kvSource } = sequence.call;
-    if (kvSource === undefined || kvSource.depth <= depth || sequence.isCancelled) {
+    if (kvSource === undefined || kvSource.depth <= depth) {
       this.startPrefill(sequence);
       return;
     }
--- a/packages/standins/src/objectStandin.ts
+++ b/packages/standins/src/objectStandin.ts
@@ -28,7 +28,8 @@
         const isWrite = request.method !== 'GET';
         const call = { part: 'objects', isWrite, delayMs: callDelayMs } as const;
         return handlePlatformCall(reply, faults, call, () => {
-          if (request.method === 'GET') return store.read(name);
+          const isAltered = faults.getMode(call) === 'altered_read';
+          if (request.method === 'GET') return store.read(name, isAltered);
           if (request.method === 'DELETE') return store.remove(name);
           return store.write(name, getBytes(request.body), request.headers['x-sha256']);
         });
@@ -37,10 +38,11 @@
     return store;
   }
 
-  private read(name: string): PlatformAnswer {
+  private read(name: string, isAltered: boolean): PlatformAnswer {
     const bytes = this.objects.get(name);
     if (bytes === undefined) return { status: 404, body: { error: { type: 'not_found' } } };
-    return { status: 200, body: bytes, headers: { 'x-sha256': computeSha256Hex(bytes) } };
+    const body = isAltered ? Buffer.concat([bytes, Buffer.from('x')]) : bytes;
+    return { status: 200, body, headers: { 'x-sha256': computeSha256Hex(bytes) } };
   }
 
   private write(name: string, bytes: Buffer, sha256: unknown): PlatformAnswer {
--- a/packages/standins/src/platformFaults.ts
+++ b/packages/standins/src/platformFaults.ts
@@ -2,7 +2,14 @@
 import { z } from 'zod';
 import { parseBody } from './standinServer.js';
 
-const modeSchema = z.enum(['ok', 'down', 'slow', 'lost_answers', 'error_after_effect']);
+const modeSchema = z.enum([
+  'ok',
+  'down',
+  'slow',
+  'lost_answers',
+  'error_after_effect',
+  'altered_read',
+]);
 
 export const platformFaultsSchema = z.object({
   table: modeSchema.default('ok'),
