--- a/packages/entry/src/nodeCluster.test.ts
+++ b/packages/entry/src/nodeCluster.test.ts
@@ -167,22 +167,35 @@
   }
 };
 
-const hasFullView = (cluster: TestCluster): boolean =>
-  [...cluster.statuses.keys()].every((id) =>
-    cluster
-      .listViews(id)
-      .every((view) => view?.state === 'ready' && view.models.length === 1 && view.boot !== ''),
+/** Waits for a number of polls of every runner by both of its watchers. */
+const waitForPolls = async (cluster: TestCluster, count: number): Promise<void> => {
+  const target = cluster.statusReads + count * 2 * cluster.statuses.size;
+  await waitUntil(() => cluster.statusReads >= target);
+};
+
+/** Waits until all nodes know each other and all runners, and have taken up their duties. */
+const waitForFullView = async (cluster: TestCluster): Promise<void> => {
+  await waitUntil(() =>
+    cluster.nodes.every((node) => node.cluster.members.listLive().length === cluster.nodes.length),
+  );
+  await waitForPolls(cluster, 2);
+  await waitUntil(() =>
+    [...cluster.statuses.keys()].every((id) =>
+      cluster
+        .listViews(id)
+        .every((view) => view?.state === 'ready' && view.models.length === 1 && view.boot !== ''),
+    ),
   );
+};
 
 t.test('every node learns every runner, though two nodes poll each', async (t2) => {
   const cluster = await TestCluster.create(t2, { north: 4, south: 2 });
-  await waitUntil(() => hasFullView(cluster));
+  await waitForFullView(cluster);
   await waitUntil(() =>
     cluster.listViews('north-runner-0').every((view) => view!.confirmedAgeMs < 3_000),
   );
   cluster.polls.forEach((nodes) => nodes.clear());
-  const reads = cluster.statusReads;
-  await waitUntil(() => cluster.statusReads >= reads + 24);
+  await waitForPolls(cluster, 2);
   for (const [runner, nodes] of cluster.polls) t2.equal(nodes.size, 2, runner);
   const view = cluster.listViews('north-runner-0')[5]!;
   t2.match(view.load, { queuedPromptTokens: 640, activeSequences: 2 });
@@ -190,7 +203,7 @@
 
 t.test('a leaving runner is known everywhere though the VM list lags', async (t2) => {
   const cluster = await TestCluster.create(t2, { north: 4, south: 2 });
-  await waitUntil(() => hasFullView(cluster));
+  await waitForFullView(cluster);
   const startMs = performance.now();
   const status = cluster.statuses.get('north-runner-1')!;
   cluster.statuses.set('north-runner-1', { ...status, state: 'draining' });
@@ -205,7 +218,7 @@
 t.test('a dead runner is dead everywhere and returns with one request at a time', async (t2) => {
   const cluster = await TestCluster.create(t2, { north: 3 });
   const id = toId<EndpointId>('north-runner-0');
-  await waitUntil(() => hasFullView(cluster));
+  await waitForFullView(cluster);
   const status = cluster.statuses.get(id)!;
   cluster.statuses.delete(id);
   await waitUntil(() => cluster.hasState(id, 'dead'));
@@ -224,7 +237,7 @@
 t.test('cache events come from one watcher, with gaps and restarts reported', async (t2) => {
   const cluster = await TestCluster.create(t2, { north: 3 });
   const runner = toId<EndpointId>('north-runner-0');
-  await waitUntil(() => hasFullView(cluster));
+  await waitForFullView(cluster);
   const listBatches = (type: CacheEventBatch['type'], node?: NodeId): CacheRead[] =>
     cluster.cacheReads.filter(
       (read) =>
--- a/packages/entry/src/nodeCluster.ts
+++ b/packages/entry/src/nodeCluster.ts
@@ -102,10 +102,10 @@
     return cluster;
   }
 
-  /** The nodes that watch an endpoint, in its own region. */
-  readonly getWatchers = (endpoint: EndpointId): readonly NodeId[] => {
-    const region = this.directory.getRecord(endpoint)?.region;
-    return region === undefined ? [] : computeWatchers(endpoint, this.members.listActive(region));
+  /** The nodes that watch an endpoint or a store VM, in its own region, the first one first. */
+  readonly getWatchers = (id: EndpointId): readonly NodeId[] => {
+    const region = this.directory.getRegion(id);
+    return region === undefined ? [] : computeWatchers(id, this.members.listActive(region));
   };
 
   /** Capacities that nodes of other regions reported last, by the node that sent them. */
--- a/packages/entry/src/nodeDetails.ts
+++ b/packages/entry/src/nodeDetails.ts
@@ -14,7 +14,7 @@
 } from './nodeTopics.js';
 import type { NodePart } from './types.js';
 
-const INTERVAL_MS = MS_PER_SECOND / 2;
+const INTERVAL_MS = MS_PER_SECOND;
 const REQUEST_LIMIT_MS = 1_000;
 /** Nodes that are asked in one interval. */
 const MAX_ASKED = 16;
--- a/packages/entry/src/nodeEndpoints.ts
+++ b/packages/entry/src/nodeEndpoints.ts
@@ -156,6 +156,10 @@
 
   readonly getRecord = (id: EndpointId): EndpointRecord | undefined => this.records.get(id);
 
+  /** Returns the region of an endpoint or a store VM. */
+  readonly getRegion = (id: EndpointId): Region | undefined =>
+    (this.records.get(id) ?? this.stores.find((store) => store.id === id))?.region;
+
   readonly getRecordByHash = (hash: number): EndpointRecord | undefined => {
     const id = this.byHash.get(hash);
     return id === undefined ? undefined : this.records.get(id);
--- a/packages/entry/src/nodeMembers.ts
+++ b/packages/entry/src/nodeMembers.ts
@@ -5,7 +5,6 @@
   type NodeId,
   type Random,
   type Region,
-  type Zone,
 } from '@lovagearch/common';
 import {
   encodeUpdates,
@@ -24,9 +23,11 @@
 import { NodeTimer } from './nodeTimer.js';
 import type { NodeIdentity, NodePart } from './types.js';
 
-/** Seeds are asked in every so many probe intervals while no other member is known. */
-const SEED_INTERVALS = 3;
-const SEED_LIMIT_MS = 1_000;
+/** Unknown addresses are tried in every so many probe intervals. */
+const INTRODUCE_INTERVALS = 2;
+/** Addresses that are tried at the same time; gossip brings the other members. */
+const MAX_INTRODUCTIONS = 16;
+const INTRODUCE_LIMIT_MS = 1_000;
 
 export interface NodeMembersOptions {
   readonly identity: NodeIdentity;
@@ -49,6 +50,11 @@
 
   private readonly probing = new Set<NodeId>();
 
+  private readonly introducing = new Set<string>();
+
+  /** Addresses of the VM list that no member has. */
+  private unknownAddresses: readonly string[] = [];
+
   private addresses = new Map<NodeId, string>();
 
   private timer: NodeTimer | undefined;
@@ -77,26 +83,40 @@
   /** Sorted ids of the nodes of a region that take part in duties. */
   readonly listActive = (region: Region): readonly NodeId[] => this.list.listActive(region);
 
+  /** Sorted ids of the active nodes of one region, or of all regions. */
+  readonly listLive = (region?: Region): readonly NodeId[] =>
+    region === undefined
+      ? this.listRegions()
+          .flatMap((each) => this.list.listActive(each))
+          .sort()
+      : this.list.listActive(region);
+
   /** Regions of all known members, sorted. */
   readonly listRegions = (): readonly Region[] =>
     [...new Set(this.list.listMembers().map(({ region }) => region))].sort();
 
   readonly listMembers = (): readonly MemberUpdate[] => this.list.listMembers();
 
-  /** Introduces the nodes of the VM list; their state comes from probes only. */
+  /**
+   * Introduces nodes of the VM list that no member stands for yet. Their ids come from the
+   * authenticated connection, and their state from probes only.
+   */
   readonly applyVms = (vms: readonly Vm[]): void => {
-    const nodes = vms.filter(({ role }) => role === 'entry');
-    this.list.updateListed(new Set(nodes.map(({ id }) => toId<NodeId>(id))));
-    for (const { host, id, ports, region, zone } of nodes) {
-      if (ports.peer === undefined) continue;
-      this.list.addIntroduced({
-        id: toId<NodeId>(id),
-        region: toId<Region>(region),
-        zone: toId<Zone>(zone),
-        address: `${host}:${ports.peer}`,
-      });
+    const { address: ownAddress } = this.options;
+    const listed = new Set<string>();
+    for (const { host, ports, role } of vms) {
+      if (role === 'entry' && ports.peer !== undefined) listed.add(`${host}:${ports.peer}`);
     }
-    this.syncAddresses();
+    listed.delete(ownAddress);
+    const members = this.list.listMembers();
+    const present = members.filter(({ state }) => state !== 'dead');
+    const taken = new Set(present.map(({ address }) => address));
+    // A dead member whose address another one has taken over is off the list.
+    const kept = members.filter(
+      ({ address, state }) => listed.has(address) && (state !== 'dead' || !taken.has(address)),
+    );
+    this.list.updateListed(new Set(kept.map(({ id }) => id)));
+    this.unknownAddresses = [...listed].filter((address) => !taken.has(address));
   };
 
   /** Tells all members that this node is leaving. */
@@ -126,23 +146,41 @@
     );
   }
 
-  private async runInterval(): Promise<void> {
+  private runInterval(): void {
     this.list.runCheck(this.options.clock.nowMs());
     this.syncAddresses();
-    const isAlone = this.list.listMembers().length === 1;
-    if (isAlone && this.intervals++ % SEED_INTERVALS === 0) await this.askSeeds();
+    if (this.intervals++ % INTRODUCE_INTERVALS === 0) this.startIntroductions();
     for (const target of this.list.chooseProbeTargets()) this.startProbe(target);
   }
 
-  private async askSeeds(): Promise<void> {
+  private startIntroductions(): void {
     const { address, seeds } = this.options;
-    const others = seeds.filter((seed) => seed !== address);
-    await Promise.all(
-      others.map(async (seed) => {
-        const node = await this.mesh.introduce(seed, SEED_LIMIT_MS);
-        if (node.isOk()) await this.sendProbe(node.value);
-      }),
-    );
+    const isAlone = this.list.listMembers().length === 1;
+    const others = isAlone ? seeds.filter((seed) => seed !== address) : [];
+    // At random, so that one address that does not answer can't keep the others waiting.
+    const unknown = this.unknownAddresses
+      .map((item) => ({ item, rank: this.options.random() }))
+      .sort((a, b) => a.rank - b.rank)
+      .map(({ item }) => item);
+    for (const target of new Set([...others, ...unknown])) {
+      if (this.introducing.size >= MAX_INTRODUCTIONS) return;
+      this.startIntroduction(target);
+    }
+  }
+
+  private startIntroduction(address: string): void {
+    if (this.introducing.has(address)) return;
+    this.introducing.add(address);
+    // An introduction reports its failures as values, so this promise never rejects.
+    this.introduce(address)
+      .catch(() => undefined)
+      .finally(() => this.introducing.delete(address));
+  }
+
+  private async introduce(address: string): Promise<void> {
+    const node = await this.mesh.introduce(address, INTRODUCE_LIMIT_MS);
+    // The reply to the probe has the node's own record.
+    if (node.isOk()) await this.sendProbe(node.value);
   }
 
   private startProbe(target: NodeId): void {
--- a/packages/membership/src/constants.ts
+++ b/packages/membership/src/constants.ts
@@ -17,7 +17,7 @@
 /** Updates on one message. */
 export const MAX_UPDATES_PER_MESSAGE = 8;
 /** Records of random members on one message, which repair lost updates. */
-export const RANDOM_RECORDS_PER_MESSAGE = 2;
+export const RANDOM_RECORDS_PER_MESSAGE = 1;
 /** Members that are kept; above the design size of 350. */
 export const MAX_MEMBERS = 1_024;
 /** Longest time between two checks that counts, so that a pause is not taken for silence. */
