Add the command line

Cause: operators publish and inspect through files and one tool. Ruled out: a default publisher name without the directories, which would let a publication of one directory delete the entries of another. Change: check, publish, show, status, decisions and hash-key on oclif.

--- /dev/null
+++ b/packages/cli/src/adminClient.ts
@@ -0,0 +1,61 @@
+import { getErrorMessage } from '@lovagearch/common';
+import type { Vm } from '@lovagearch/platform-client';
+import { err, ok, type Result } from 'neverthrow';
+import { Agent, request } from 'undici';
+import { ADMIN_TIMEOUT_MS, MAX_ADMIN_RESPONSE_BYTES } from './constants.js';
+
+export interface AdminError {
+  readonly type: 'no_admin_port' | 'refused' | 'unreachable';
+  readonly message: string;
+}
+
+/** Answer of one node. */
+export interface NodeAnswer {
+  readonly node: string;
+  readonly answer: Result<unknown, AdminError>;
+}
+
+/** Reads the administration API of nodes. */
+export class AdminClient {
+  private readonly agent = new Agent({
+    connect: { timeout: ADMIN_TIMEOUT_MS },
+    maxResponseSize: MAX_ADMIN_RESPONSE_BYTES,
+  });
+
+  private constructor(private readonly operatorKey: string) {}
+
+  /** @param operatorKey sent to nodes only, never printed */
+  static create(operatorKey: string): AdminClient {
+    return new AdminClient(operatorKey);
+  }
+
+  /** Reads one path of a node, for example `configuration`. */
+  async read(vm: Vm, path: string): Promise<Result<unknown, AdminError>> {
+    const port = vm.ports.admin;
+    if (port === undefined)
+      return err({ type: 'no_admin_port', message: 'no administration port' });
+    try {
+      const response = await request(`http://${vm.host}:${port}/v1/${path}`, {
+        dispatcher: this.agent,
+        headers: { authorization: `Bearer ${this.operatorKey}` },
+        headersTimeout: ADMIN_TIMEOUT_MS,
+        bodyTimeout: ADMIN_TIMEOUT_MS,
+      });
+      const body: unknown = JSON.parse(await response.body.text());
+      if (response.statusCode === 200) return ok(body);
+      return err({ type: 'refused', message: `status ${response.statusCode}` });
+    } catch (error) {
+      return err({ type: 'unreachable', message: getErrorMessage(error) });
+    }
+  }
+
+  /** Reads one path of several nodes at the same time. */
+  async readAll(vms: readonly Vm[], path: string): Promise<readonly NodeAnswer[]> {
+    const answers = vms.map(async (vm) => ({ node: vm.id, answer: await this.read(vm, path) }));
+    return Promise.all(answers);
+  }
+
+  async close(): Promise<void> {
+    await this.agent.close();
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands.ts
@@ -0,0 +1,16 @@
+import { CheckCommand } from './checkCommand.js';
+import { DecisionsCommand } from './decisionsCommand.js';
+import { HashKeyCommand } from './hashKeyCommand.js';
+import { PublishCommand } from './publishCommand.js';
+import { ShowCommand } from './showCommand.js';
+import { StatusCommand } from './statusCommand.js';
+
+/** Commands by name; oclif reads this table. */
+export const COMMANDS = {
+  check: CheckCommand,
+  decisions: DecisionsCommand,
+  'hash-key': HashKeyCommand,
+  publish: PublishCommand,
+  show: ShowCommand,
+  status: StatusCommand,
+};
--- /dev/null
+++ b/packages/cli/src/decisionsCommand.ts
@@ -0,0 +1,61 @@
+import { setTimeout as waitMs } from 'node:timers/promises';
+import { BoundedMap } from '@lovagearch/common';
+import type { Vm } from '@lovagearch/platform-client';
+import { Args, Flags } from '@oclif/core';
+import { z } from 'zod';
+import type { AdminClient } from './adminClient.js';
+import { BaseCommand, operatorKeyFileFlag, settingsFlag } from './baseCommand.js';
+import { EXIT_FAILED, MAX_FOLLOWED_DECISIONS, POLL_INTERVAL_MS } from './constants.js';
+
+const decisionsSchema = z.object({ decisions: z.array(z.unknown()) });
+
+interface NodeDecision {
+  readonly node: string;
+  readonly decision: unknown;
+}
+
+/** Shows what the nodes decided for a request. */
+export class DecisionsCommand extends BaseCommand {
+  static override summary = 'Show the decisions for a request, of all nodes.';
+
+  static override args = { requestId: Args.string({ description: 'request id', required: true }) };
+
+  static override flags = {
+    settings: settingsFlag,
+    'operator-key-file': operatorKeyFileFlag,
+    follow: Flags.boolean({ description: 'wait for further decisions until interrupted' }),
+  };
+
+  private readonly shown = BoundedMap.create<string, true>(MAX_FOLLOWED_DECISIONS);
+
+  async run() {
+    const { args, flags } = await this.parse(DecisionsCommand);
+    const platform = await this.openPlatform(flags.settings);
+    const admin = await this.openAdmin(flags['operator-key-file']);
+    const vms = await this.listNodes(platform);
+    let found = await this.readNew(admin, vms, args.requestId);
+    while (flags.follow) {
+      await waitMs(POLL_INTERVAL_MS);
+      found = await this.readNew(admin, vms, args.requestId);
+    }
+    if (found.length === 0) return this.fail(EXIT_FAILED, [`no node knows ${args.requestId}`]);
+    return { decisions: found };
+  }
+
+  /** Reads the decisions of all nodes and prints those that were not printed before. */
+  private async readNew(admin: AdminClient, vms: readonly Vm[], requestId: string) {
+    const path = `decisions?request_id=${encodeURIComponent(requestId)}`;
+    const found: NodeDecision[] = [];
+    for (const { node, answer } of await admin.readAll(vms, path)) {
+      if (answer.isErr()) this.messages.warn(`Node ${node}: ${answer.error.message}.`);
+      const parsed = decisionsSchema.safeParse(answer.unwrapOr(undefined));
+      for (const decision of parsed.success ? parsed.data.decisions : []) {
+        found.push({ node, decision });
+        const line = JSON.stringify({ node, decision });
+        if (!this.shown.has(line)) this.log(line);
+        this.shown.set(line, true);
+      }
+    }
+    return found;
+  }
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,4 +1,6 @@
 /**
- * The operators' command line.
+ * The operators' command line. It reads files and nodes and publishes configuration; it never
+ * changes anything on a VM and never prints a key.
  */
-export {};
+export * from './commands.js';
+export * from './constants.js';
--- /dev/null
+++ b/packages/cli/src/publishCommand.ts
@@ -0,0 +1,102 @@
+import { setTimeout as waitMs } from 'node:timers/promises';
+import { createId, processClock } from '@lovagearch/common';
+import { publishConfiguration } from '@lovagearch/configuration';
+import { Flags } from '@oclif/core';
+import { z } from 'zod';
+import type { AdminClient } from './adminClient.js';
+import { operatorKeyFileFlag, settingsFlag } from './baseCommand.js';
+import { ConfigurationCommand } from './configurationCommand.js';
+import {
+  EXIT_FAILED,
+  FIRST_RETRY_PAUSE_MS,
+  MAX_RETRY_PAUSE_MS,
+  MAX_WAIT_SECONDS,
+  POLL_INTERVAL_MS,
+} from './constants.js';
+import { formatPublishError } from './formatErrors.js';
+import type { PlatformClients } from './platformClients.js';
+import { getDefaultPublisher } from './publisherName.js';
+
+const MS_PER_SECOND = 1_000;
+const configurationAnswerSchema = z.object({ revision: z.number().int() });
+
+const waitBeforeRetry = async (attempt: number): Promise<void> => {
+  const longestMs = Math.min(MAX_RETRY_PAUSE_MS, FIRST_RETRY_PAUSE_MS * 2 ** attempt);
+  // Publishers that collided must not collide again.
+  await waitMs(longestMs * (0.5 + Math.random() / 2));
+};
+
+/** Publishes configuration files. */
+export class PublishCommand extends ConfigurationCommand {
+  static override summary = 'Check and publish configuration files.';
+
+  static override description =
+    'An entry whose file is gone is deleted only if the same name published it last. Exit codes: ' +
+    '0 published, 1 not in force everywhere in time, 2 bad usage or files, 3 conflict, ' +
+    '4 platform unavailable.';
+
+  static override flags = {
+    settings: settingsFlag,
+    name: Flags.string({
+      description: 'name of the publisher; default: user, machine, directories',
+    }),
+    wait: Flags.integer({
+      description: 'seconds to wait until every node reports the revision',
+      min: 0,
+      max: MAX_WAIT_SECONDS,
+    }),
+    'operator-key-file': operatorKeyFileFlag,
+  };
+
+  async run() {
+    const { argv, flags } = await this.parse(PublishCommand);
+    const directories = argv.map(String);
+    const { entries } = await this.collect(directories);
+    const platform = await this.openPlatform(flags.settings);
+    // A missing operator key is reported before anything is published.
+    const admin =
+      flags.wait === undefined ? undefined : await this.openAdmin(flags['operator-key-file']);
+    const published = await publishConfiguration({
+      table: platform.table,
+      objects: platform.objects,
+      entries,
+      publisher: flags.name ?? getDefaultPublisher(directories),
+      createAttemptId: () => createId('publish'),
+      waitBeforeRetry,
+    });
+    if (published.isErr()) {
+      const { exitCode, lines } = formatPublishError(published.error);
+      return this.fail(exitCode, lines);
+    }
+    const { revision, changed, deleted } = published.value;
+    for (const key of deleted) this.log(`deleted ${key}`);
+    this.log(`revision ${revision}, ${changed.length} entries changed`);
+    if (admin !== undefined) {
+      await this.waitForNodes(platform, admin, revision, (flags.wait ?? 0) * MS_PER_SECOND);
+      this.log('in force on every node');
+    }
+    return published.value;
+  }
+
+  private async waitForNodes(
+    platform: PlatformClients,
+    admin: AdminClient,
+    revision: number,
+    limitMs: number,
+  ): Promise<void> {
+    const endMs = processClock.nowMs() + limitMs;
+    for (;;) {
+      const answers = await admin.readAll(await this.listNodes(platform), 'configuration');
+      const late = answers.filter(({ answer }) => {
+        const parsed = configurationAnswerSchema.safeParse(answer.unwrapOr(undefined));
+        return !parsed.success || parsed.data.revision < revision;
+      });
+      if (late.length === 0 && answers.length > 0) return;
+      if (processClock.nowMs() >= endMs) {
+        const names = late.map(({ node }) => node).join(', ');
+        this.fail(EXIT_FAILED, [`revision ${revision} is not reported by: ${names || 'any node'}`]);
+      }
+      await waitMs(POLL_INTERVAL_MS);
+    }
+  }
+}
--- /dev/null
+++ b/packages/cli/src/statusCommand.ts
@@ -0,0 +1,29 @@
+import { BaseCommand, operatorKeyFileFlag, settingsFlag } from './baseCommand.js';
+import { EXIT_FAILED } from './constants.js';
+
+/** Shows the nodes, and endpoints and stores as the first node that answers knows them. */
+export class StatusCommand extends BaseCommand {
+  static override summary = 'Show nodes, endpoints and stores.';
+
+  static override flags = { settings: settingsFlag, 'operator-key-file': operatorKeyFileFlag };
+
+  async run() {
+    const { flags } = await this.parse(StatusCommand);
+    const platform = await this.openPlatform(flags.settings);
+    const admin = await this.openAdmin(flags['operator-key-file']);
+    const vms = await this.listNodes(platform);
+    const answers = await admin.readAll(vms, 'node');
+    const nodes = answers.map(({ node, answer }) =>
+      answer.isOk() ? { node, status: answer.value } : { node, error: answer.error },
+    );
+    for (const node of nodes) this.log(JSON.stringify(node));
+    const first = answers.findIndex(({ answer }) => answer.isOk());
+    const vm = vms[first];
+    if (vm === undefined) return this.fail(EXIT_FAILED, ['no node answers']);
+    const endpoints = (await admin.read(vm, 'endpoints')).unwrapOr(null);
+    const stores = (await admin.read(vm, 'stores')).unwrapOr(null);
+    this.log(`endpoints: ${JSON.stringify(endpoints)}`);
+    this.log(`stores: ${JSON.stringify(stores)}`);
+    return { nodes, endpoints, stores };
+  }
+}
