Let the commands read their directories

Cause: lovagearch publish and check refused every directory as an unexpected argument: oclif reads the own static properties of a command only, and args and strict were inherited. Change: both commands name the argument themselves.

--- a/packages/cli/src/checkCommand.ts
+++ b/packages/cli/src/checkCommand.ts
@@ -6,11 +6,15 @@
   readHead,
 } from '@lovagearch/configuration';
 import { Flags } from '@oclif/core';
-import { ConfigurationCommand } from './configurationCommand.js';
+import { ConfigurationCommand, directoryArgs } from './configurationCommand.js';
 import { EXIT_BAD_INPUT, EXIT_PLATFORM_UNAVAILABLE } from './constants.js';
 
 /** Checks configuration files without publishing them. */
 export class CheckCommand extends ConfigurationCommand {
+  static override args = directoryArgs;
+
+  static override strict = false;
+
   static override summary =
     'Check configuration files; with --settings, also against what is in force.';
 
--- a/packages/cli/src/configurationCommand.ts
+++ b/packages/cli/src/configurationCommand.ts
@@ -4,14 +4,13 @@
 import { EXIT_BAD_INPUT } from './constants.js';
 import { formatCollectionError } from './formatErrors.js';
 
+/** Argument of the commands below; each of them names it, since oclif reads own properties only. */
+export const directoryArgs = {
+  directory: Args.string({ description: 'directories with configuration files', required: true }),
+};
+
 /** A command that takes directories with configuration files. */
 export abstract class ConfigurationCommand extends BaseCommand {
-  static override strict = false;
-
-  static override args = {
-    directory: Args.string({ description: 'directories with configuration files', required: true }),
-  };
-
   /** Collects the directories; ends the command if a file has a fault or none is found. */
   protected async collect(directories: readonly string[]): Promise<CollectedConfiguration> {
     const collected = await collectConfiguration(directories);
--- a/packages/cli/src/publishCommand.ts
+++ b/packages/cli/src/publishCommand.ts
@@ -5,7 +5,7 @@
 import { z } from 'zod';
 import type { AdminClient } from './adminClient.js';
 import { operatorKeyFileFlag, settingsFlag } from './baseCommand.js';
-import { ConfigurationCommand } from './configurationCommand.js';
+import { ConfigurationCommand, directoryArgs } from './configurationCommand.js';
 import {
   EXIT_FAILED,
   FIRST_RETRY_PAUSE_MS,
@@ -28,6 +28,10 @@
 
 /** Publishes configuration files. */
 export class PublishCommand extends ConfigurationCommand {
+  static override args = directoryArgs;
+
+  static override strict = false;
+
   static override summary = 'Check and publish configuration files.';
 
   static override description =
--- a/packages/entry/src/buildNode.ts
+++ b/packages/entry/src/buildNode.ts
@@ -83,10 +83,10 @@
       computeServiceCapacity(
         configuration.findService(service),
         directory.listEndpoints(service),
-        members.listAllActive().length,
+        members.listLive().length,
       ),
     listRegionMembers: () => members.listActive(identity.region),
-    countLiveNodes: () => members.listAllActive().length,
+    countLiveNodes: () => members.listLive().length,
   });
 
 /**
@@ -117,7 +117,7 @@
     return cluster;
   };
   const listPeers = (): readonly NodeId[] =>
-    cluster?.members.listAllActive().filter((node) => node !== identity.id) ?? [];
+    cluster?.members.listLive().filter((node) => node !== identity.id) ?? [];
   const follower = ConfigurationFollower.create({
     ...clients,
     mesh,
@@ -143,7 +143,7 @@
     getWatchers: (endpoint) => getCluster().getWatchers(endpoint),
     toAddress,
   });
-  const runs = createNodeRuns(context, members.listAllActive);
+  const runs = createNodeRuns(context, members.listLive);
   const configuration = FollowedConfiguration.create({
     getView: () => follower.view,
     chooseVersion: ({ id, service, weightVersion }) =>
@@ -154,7 +154,7 @@
     mesh,
     clock,
     log: log.withTag('containment'),
-    listLiveMembers: members.listAllActive,
+    listLiveMembers: members.listLive,
     markFaulty: directory.markLeaving,
   });
   await follower.start();
--- a/packages/entry/src/nodeMembers.ts
+++ b/packages/entry/src/nodeMembers.ts
@@ -83,12 +83,6 @@
   /** Sorted ids of the nodes of a region that take part in duties. */
   readonly listActive = (region: Region): readonly NodeId[] => this.list.listActive(region);
 
-  /** Sorted ids of the nodes of all regions that take part in duties. */
-  readonly listAllActive = (): readonly NodeId[] =>
-    this.listRegions()
-      .flatMap((region) => [...this.list.listActive(region)])
-      .sort();
-
   /** Sorted ids of the active nodes of one region, or of all regions. */
   readonly listLive = (region?: Region): readonly NodeId[] =>
     region === undefined
