Keep answers whole through repeated stream faults

Cause: trials against the engine stand-in showed answers that ended early. The simple directory marked a runner dead after one failed call, so the next requests found none. A long answer used up its attempts although each made progress. When all runners mixed up chunks for a while, six of six concurrent answers ended with an error although their streams were intact in the engines.

Ruled out: more quick resumes (the fault outlasts them); an unlimited number of attempts (the retry budget must hold).

Change: the simple directory checks a runner at once after a failure; attempts are counted anew after progress; a stream that is alive and that no other runner can continue is resumed up to 5 more times with growing pauses.

Conclusion: a fault of all runners that passes costs time, not the answer.

--- a/packages/entry/src/callerConstants.ts
+++ b/packages/entry/src/callerConstants.ts
@@ -6,6 +6,13 @@
 export const MAX_GENERATE_ATTEMPTS = 4;
 /** New connections to one stream after a lost or silent one, without a token in between. */
 export const MAX_RESUME_ATTEMPTS = 3;
+/**
+ * Further connections to a stream that no other runner can continue, each after twice the pause
+ * before: 7.75 s in total, within the 60 s for which an engine keeps the output.
+ */
+export const MAX_LATE_RESUMES = 5;
+/** Pause before the first of them. */
+export const LATE_RESUME_PAUSE_MS = 250;
 /** Interval of SSE comments, so that callers and proxies notice a dead connection. */
 export const SSE_HEARTBEAT_MS = 1_000;
 /** A caller that reads nothing for this time is disconnected. */
--- a/packages/entry/src/engineStreamRelay.ts
+++ b/packages/entry/src/engineStreamRelay.ts
@@ -1,8 +1,9 @@
 import { assertNever, createUnknownError } from '@lovagearch/common';
 import type { EngineStream, GenerateChunk } from '@lovagearch/engine-client';
-import { MAX_RESUME_ATTEMPTS } from './callerConstants.js';
+import { LATE_RESUME_PAUSE_MS, MAX_LATE_RESUMES, MAX_RESUME_ATTEMPTS } from './callerConstants.js';
 import type { GenerationParts, GenerationPlan } from './generationPlan.js';
 import { type GenerationStart, hasLostStream, type StartedStream } from './generationStart.js';
+import { waitPause } from './pause.js';
 import {
   type ConnectionEnd,
   type DoneChunk,
@@ -30,7 +31,9 @@
 
   private resumeAttempts = 0;
 
-  private isClosed = false;
+  private lateResumes = 0;
+
+  private readonly closing = new AbortController();
 
   private isAccepted: boolean;
 
@@ -70,7 +73,7 @@
 
   /** Closes the connection to the runner; `run` then ends without a further event. */
   close(): void {
-    this.isClosed = true;
+    this.closing.abort();
     this.current.stream.close();
   }
 
@@ -136,6 +139,7 @@
     const added = this.verifier.addToken(chunk);
     if (added.isErr()) return getFaultEnd(added.error, this.verifier.lastSeq);
     this.resumeAttempts = 0;
+    this.lateResumes = 0;
     this.reportPlacement();
     if (chunk.seq <= this.skip) return { type: 'more' };
     const { runner, streamId } = this.current;
@@ -177,7 +181,7 @@
         this.recordEnd('other');
         await this.cancelCurrent();
         if (!end.isRunnerUsable) this.starter.addExcluded(this.current.runner.id);
-        return this.continueElsewhere(end.reason);
+        return this.continueElsewhere(end.reason, false);
       default:
         return assertNever(end);
     }
@@ -213,10 +217,13 @@
     parts.directory.reportFailure(current.runner.id);
     this.recordEnd(hasCrashed ? 'crashed' : 'other');
     this.starter.addExcluded(current.runner.id);
-    return this.continueElsewhere(reason);
+    return this.continueElsewhere(reason, !isGone);
   }
 
-  private async continueElsewhere(reason: string): Promise<'again' | 'closed' | RelayEvent> {
+  private async continueElsewhere(
+    reason: string,
+    isStreamAlive: boolean,
+  ): Promise<'again' | 'closed' | RelayEvent> {
     const { parts, plan, verifier } = this;
     // The new runner may generate other text than the part that this node has not seen.
     if (this.earlierText === undefined || verifier.lastSeq < this.skip) {
@@ -230,8 +237,10 @@
       endpoint: this.current.runner.id,
       reason,
     });
+    if (verifier.lastSeq > 0) this.starter.recordProgress(this.current.runner.id);
     const started = await this.starter.start({ text, tokens });
     if (started.isErr()) {
+      if (isStreamAlive && this.lateResumes < MAX_LATE_RESUMES) return this.resumeLate(reason);
       return tokens === 0
         ? { type: 'failed', error: createUnknownError('endpoint_failed', started.error.message) }
         : this.createLost('the runner is gone and no other could continue');
@@ -252,6 +261,19 @@
     return 'closed';
   }
 
+  /** Tries the same stream once more after a pause; its runner may have recovered. */
+  private async resumeLate(reason: string): Promise<'again' | 'closed' | RelayEvent> {
+    await waitPause(LATE_RESUME_PAUSE_MS * 2 ** this.lateResumes, this.closing.signal);
+    if (this.isClosed) return 'closed';
+    this.lateResumes += 1;
+    this.resumeAttempts = MAX_RESUME_ATTEMPTS - 1;
+    return this.reconnect(reason);
+  }
+
+  private get isClosed(): boolean {
+    return this.closing.signal.aborted;
+  }
+
   private reportPlacement(): void {
     const { chain, account } = this.plan;
     const tailKey = chain[chain.length - 1];
--- a/packages/entry/src/generation.test.ts
+++ b/packages/entry/src/generation.test.ts
@@ -376,6 +376,19 @@
   test.ok(resumed.isDone);
 });
 
+t.test('an answer that every runner mixes up for a while still ends whole', async (test) => {
+  const engines = new FakeEngines();
+  engines.play = (connection) => {
+    const chunks = playAnswer(connection);
+    const foreign = { type: 'token' as const, streamId: 'foreign', seq: 1, text: 'foreign ' };
+    return connection.index < 9 ? [...chunks.slice(0, 1), foreign] : chunks;
+  };
+  const { callerPort } = await startTestEntry(test, engines);
+  const { text, isDone } = parseSse((await call(callerPort, { body: STREAMED })).text);
+  test.equal(text, WHOLE);
+  test.ok(isDone);
+});
+
 t.test('a wrong checksum never ends in [DONE]', async (test) => {
   const engines = new FakeEngines();
   engines.play = (connection) =>
--- a/packages/entry/src/generationStart.ts
+++ b/packages/entry/src/generationStart.ts
@@ -92,6 +92,19 @@
     this.excluded.add(runner);
   }
 
+  /**
+   * Records that a stream made progress before it was lost. The attempts are counted anew, so that
+   * a long answer outlives several faults; the retry budget still limits them.
+   *
+   * @param lost the runner of that stream
+   */
+  recordProgress(lost: EndpointId): void {
+    this.attempts = 1;
+    const isLostExcluded = this.excluded.has(lost);
+    this.excluded.clear();
+    if (isLostExcluded) this.excluded.add(lost);
+  }
+
   /**
    * Starts a stream, or continues an answer on a new one.
    *
--- a/packages/entry/src/localDirectory.ts
+++ b/packages/entry/src/localDirectory.ts
@@ -50,6 +50,9 @@
 export class LocalDirectory implements EndpointDirectory, NodePart {
   private readonly entries = new Map<EndpointId, Entry>();
 
+  /** Endpoints that are checked after a failed call. */
+  private readonly checked = new Set<EndpointId>();
+
   private stores: StoreView[] = [];
 
   private timer: NodeJS.Timeout | undefined;
@@ -80,7 +83,16 @@
 
   readonly updateLoad = (id: EndpointId, load: EngineLoad): void => this.confirm(id, { load });
 
-  readonly reportFailure = (id: EndpointId): void => this.update(id, { state: 'dead' });
+  /** Checks the endpoint at once; one failed call alone does not prove that it is dead. */
+  readonly reportFailure = (id: EndpointId): void => {
+    if (this.checked.has(id)) return;
+    this.checked.add(id);
+    this.refresh(id)
+      .catch((error: unknown) => {
+        this.options.log.error(`Checking ${id} failed: ${getErrorMessage(error)}.`);
+      })
+      .finally(() => this.checked.delete(id));
+  };
 
   readonly markLeaving = (id: EndpointId): void => this.update(id, { state: 'leaving' });
 
@@ -171,8 +183,9 @@
     if (view === undefined) return;
     const changes =
       view.kind === 'runner' ? await this.readRunner(view) : await this.readService(view);
-    // The VM list may know that the endpoint is leaving before it does.
-    const isLeaving = this.entries.get(id)?.view.state === 'leaving';
+    // The VM list may know that the endpoint is leaving before it does; a restart ends that.
+    const known = this.entries.get(id)?.view;
+    const isLeaving = known?.state === 'leaving' && known.boot === (changes.boot ?? known.boot);
     this.confirm(id, isLeaving && changes.state === 'ready' ? { load: changes.load } : changes);
   }
 
