--- a/packages/proving/src/cluster.ts
+++ b/packages/proving/src/cluster.ts
@@ -134,7 +134,7 @@
       operatorKeySha256: [computeSha256Hex(OPERATOR_KEY)],
       runShards: 8,
       logLevel: process.env.LOVAGEARCH_LOG_LEVEL ?? 'error',
-      historyFile: `${id}.history`,
+      historyFile: join(this.folder, `${id}.history`),
       ...this.options.settings,
       ...settings,
     };
