Count the traffic between nodes by topic

Cause: the control budget of design.md 1.4 needs control and request path apart, and the mesh had one counter of bytes for both. MemoryMesh counted a reply for its receiver only. Ruled out: counting in each caller, which misses replies and pings. Change: TrafficMeter counts messages and bytes by topic in both meshes; /v1/node shows it.

--- a/packages/entry/src/buildNode.ts
+++ b/packages/entry/src/buildNode.ts
@@ -173,6 +173,7 @@
       containment,
       linkBudget: LinkBudget.create(settings.linkBytesPerSecond, clock.nowMs()),
       handleDrainStart: members.markLeaving,
+      listTopicTraffic: () => mesh.listTopicTraffic(),
       readers: {
         configuration: () => follower.getStatus(),
         members: () => ({ members: members.listMembers() }),
--- a/packages/entry/src/startEntry.ts
+++ b/packages/entry/src/startEntry.ts
@@ -1,6 +1,7 @@
 import type { Clock, Logger, Metrics, Random } from '@lovagearch/common';
 import type { EngineClient } from '@lovagearch/engine-client';
 import type { LinkBudget } from '@lovagearch/routing';
+import type { TopicTraffic } from '@lovagearch/peering';
 import type { ServiceClient } from '@lovagearch/service-client';
 import { AbandonedStreams } from './abandonedStreams.js';
 import { type AdminReaders, AdminServer } from './adminServer.js';
@@ -67,6 +68,8 @@
   readonly containment: Containment;
   readonly linkBudget?: LinkBudget | undefined;
   readonly readers: EntryReaders;
+  /** Traffic with the other nodes, for the administration API. */
+  readonly listTopicTraffic?: () => readonly TopicTraffic[];
   /** Called when the node begins to drain, so that its duties pass to other nodes. */
   readonly handleDrainStart?: () => void;
   /** Background parts, stopped in this order once no request runs. */
@@ -132,6 +135,7 @@
     isDraining: drain.isDraining,
     runningRequests: drain.runningRequests,
     streamsAwaitingResume: abandoned.size,
+    traffic: parts.listTopicTraffic?.() ?? [],
   }),
 });
 
--- a/packages/peering/src/index.ts
+++ b/packages/peering/src/index.ts
@@ -5,5 +5,6 @@
 export * from './constants.js';
 export * from './memoryMesh.js';
 export * from './memoryNetwork.js';
+export { TrafficMeter, type TopicTraffic } from './trafficMeter.js';
 export * from './types.js';
 export { WsPeerMesh, type WsPeerMeshOptions } from './wsPeerMesh.js';
--- a/packages/peering/src/memoryMesh.ts
+++ b/packages/peering/src/memoryMesh.ts
@@ -3,6 +3,7 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import type { z } from 'zod';
 import type { MemoryNetwork } from './memoryNetwork.js';
+import { TrafficMeter, type TopicTraffic } from './trafficMeter.js';
 import type { PeerError, PeerHandler, PeerMesh } from './types.js';
 
 interface Topic {
@@ -17,9 +18,7 @@
 export class MemoryMesh implements PeerMesh {
   private readonly topics = new Map<string, Topic>();
 
-  private sentBytes = 0;
-
-  private receivedBytes = 0;
+  private readonly traffic = TrafficMeter.create();
 
   private constructor(
     readonly self: NodeId,
@@ -38,7 +37,7 @@
 
   readonly send = (to: NodeId, topic: string, payload: unknown): void => {
     const bytes = pack(payload);
-    if (to !== this.self) this.sentBytes += bytes.length + FRAME_OVERHEAD_BYTES;
+    if (to !== this.self) this.traffic.addSent(topic, bytes.length + FRAME_OVERHEAD_BYTES);
     const peer = this.network.getReceiver(this.self, to);
     peer?.receive(this.self, topic, bytes).catch(() => undefined);
   };
@@ -62,10 +61,11 @@
     this.topics.set(topic, { schema, handler: handler as PeerHandler<unknown> });
   };
 
-  readonly getTraffic = (): { readonly sentBytes: number; readonly receivedBytes: number } => ({
-    sentBytes: this.sentBytes,
-    receivedBytes: this.receivedBytes,
-  });
+  readonly getTraffic = (): { readonly sentBytes: number; readonly receivedBytes: number } =>
+    this.traffic.getTotals();
+
+  /** Messages and bytes by topic. */
+  readonly listTopicTraffic = (): readonly TopicTraffic[] => this.traffic.listTopics();
 
   readonly close = async (): Promise<void> => {
     this.network.removeNode(this.self);
@@ -77,7 +77,7 @@
     topic: string,
     bytes: Uint8Array,
   ): Promise<Result<Uint8Array, PeerError>> {
-    if (from !== this.self) this.receivedBytes += bytes.length + FRAME_OVERHEAD_BYTES;
+    if (from !== this.self) this.traffic.addReceived(topic, bytes.length + FRAME_OVERHEAD_BYTES);
     const registered = this.topics.get(topic);
     const payload = registered?.schema.safeParse(unpack(bytes));
     if (registered === undefined || payload?.success !== true) {
@@ -90,6 +90,11 @@
     }
   }
 
+  /** Counts the bytes of a reply that this node sent. */
+  recordReply(topic: string, bytes: number): void {
+    this.traffic.addSent(topic, bytes);
+  }
+
   private async runRequest(
     to: NodeId,
     topic: string,
@@ -99,10 +104,14 @@
     const peer = this.network.getReceiver(this.self, to);
     if (peer === undefined) return err({ type: 'timeout', timeoutMs });
     const bytes = pack(payload);
-    if (to !== this.self) this.sentBytes += bytes.length + FRAME_OVERHEAD_BYTES;
+    if (to !== this.self) this.traffic.addSent(topic, bytes.length + FRAME_OVERHEAD_BYTES);
     const reply = await peer.receive(this.self, topic, bytes);
     if (reply.isErr()) return err(reply.error);
-    if (to !== this.self) this.receivedBytes += reply.value.length + FRAME_OVERHEAD_BYTES;
+    const replyBytes = reply.value.length + FRAME_OVERHEAD_BYTES;
+    if (to !== this.self) {
+      this.traffic.addReceived(topic, replyBytes);
+      peer.recordReply(topic, replyBytes);
+    }
     return ok(unpack(reply.value));
   }
 }
--- a/packages/peering/src/memoryNetwork.ts
+++ b/packages/peering/src/memoryNetwork.ts
@@ -9,6 +9,7 @@
     topic: string,
     bytes: Uint8Array,
   ) => Promise<Result<Uint8Array, PeerError>>;
+  readonly recordReply: (topic: string, bytes: number) => void;
 }
 
 /**
--- a/packages/peering/src/peerConnection.ts
+++ b/packages/peering/src/peerConnection.ts
@@ -12,15 +12,14 @@
 } from './constants.js';
 import { decodeFrame, encodeFrame, type PeerFrame } from './frames.js';
 import type { TopicRegistry } from './topicRegistry.js';
+import type { TrafficMeter } from './trafficMeter.js';
 import type { PeerError } from './types.js';
 
-/** Counters of bytes, shared by all connections of a mesh. */
-export interface Traffic {
-  sentBytes: number;
-  receivedBytes: number;
-}
+/** Topic under which pings and frames without an open request are counted. */
+const CONNECTION_TOPIC = 'connection';
 
 interface OpenRequest {
+  readonly topic: string;
   readonly finish: (result: Result<unknown, PeerError>) => void;
   readonly timer: NodeJS.Timeout;
 }
@@ -45,7 +44,7 @@
     readonly isOutgoing: boolean,
     private readonly socket: WebSocket,
     private readonly topics: TopicRegistry,
-    private readonly traffic: Traffic,
+    private readonly traffic: TrafficMeter,
   ) {}
 
   /** Takes over an authenticated socket; `handleClose` is called once, when it is closed. */
@@ -54,7 +53,7 @@
     isOutgoing: boolean,
     socket: WebSocket,
     topics: TopicRegistry,
-    traffic: Traffic,
+    traffic: TrafficMeter,
     handleClose: (connection: PeerConnection) => void,
   ): PeerConnection {
     const connection = new PeerConnection(peer, isOutgoing, socket, topics, traffic);
@@ -73,7 +72,7 @@
   /** Sends a message without an answer; false if it was dropped. */
   send(topic: string, payload: unknown): boolean {
     this.idleMs = 0;
-    return this.write({ type: 'one_way', topic, payload });
+    return this.write({ type: 'one_way', topic, payload }, topic);
   }
 
   /**
@@ -90,7 +89,7 @@
         const id = this.nextId++;
         const isSent =
           this.openRequests.size < MAX_OPEN_REQUESTS &&
-          this.write({ type: 'request', id, topic, payload });
+          this.write({ type: 'request', id, topic, payload }, topic);
         if (!isSent) {
           resolve(err({ type: 'peer_busy' }));
           return;
@@ -103,7 +102,7 @@
         };
         const timer = setTimeout(() => finish(err({ type: 'timeout', timeoutMs })), timeoutMs);
         if (this.openRequests.size === 0) this.silentMs = 0;
-        this.openRequests.set(id, { finish, timer });
+        this.openRequests.set(id, { topic, finish, timer });
       }),
     );
   }
@@ -115,7 +114,7 @@
     this.idleMs += countedMs;
     this.silentMs = this.openRequests.size === 0 ? 0 : this.silentMs + countedMs;
     const duty = this.getDuty();
-    if (duty === 'ping') this.write({ type: 'ping' });
+    if (duty === 'ping') this.write({ type: 'ping' }, CONNECTION_TOPIC);
     if (duty === 'close_silent' || duty === 'close_idle') this.socket.terminate();
     return duty;
   }
@@ -132,12 +131,13 @@
     return !isUsed && this.idleMs >= IDLE_LIMIT_MS ? 'close_idle' : 'none';
   }
 
-  private write(frame: PeerFrame): boolean {
+  /** @param topic under which the bytes are counted */
+  private write(frame: PeerFrame, topic: string): boolean {
     if (!this.isOpen) return false;
     const bytes = encodeFrame(frame);
     if (bytes.length > MAX_FRAME_BYTES) return false;
     if (this.socket.bufferedAmount + bytes.length > MAX_SEND_BUFFER_BYTES) return false;
-    this.traffic.sentBytes += bytes.length;
+    this.traffic.addSent(topic, bytes.length);
     // A failed write is followed by the close event, which ends the open requests.
     this.socket.send(bytes, () => undefined);
     return true;
@@ -145,9 +145,9 @@
 
   /** Handles the bytes of one frame; bytes that are not a frame close the connection. */
   receive(data: Buffer): void {
-    this.traffic.receivedBytes += data.length;
     this.silentMs = 0;
     const frame = decodeFrame(data);
+    this.traffic.addReceived(this.getTopic(frame), data.length);
     if (frame === undefined) {
       this.socket.terminate();
       return;
@@ -155,6 +155,15 @@
     this.handleFrame(frame);
   }
 
+  /** The topic that a received frame counts for; a reply counts for that of its request. */
+  private getTopic(frame: PeerFrame | undefined): string {
+    if (frame === undefined || frame.type === 'ping' || frame.type === 'pong') {
+      return CONNECTION_TOPIC;
+    }
+    if (frame.type === 'one_way' || frame.type === 'request') return frame.topic;
+    return this.openRequests.get(frame.id)?.topic ?? CONNECTION_TOPIC;
+  }
+
   private handleFrame(frame: PeerFrame): void {
     switch (frame.type) {
       case 'one_way':
@@ -174,7 +183,7 @@
           ?.finish(err({ type: 'rejected', reason: frame.reason, message: frame.message }));
         return;
       case 'ping':
-        this.write({ type: 'pong' });
+        this.write({ type: 'pong' }, CONNECTION_TOPIC);
         return;
       case 'pong':
         return;
@@ -197,7 +206,8 @@
 
   private handleRequest(id: number, topic: string, payload: unknown): void {
     if (this.handling >= MAX_OPEN_REQUESTS) {
-      this.write({ type: 'error_reply', id, reason: 'peer_busy', message: 'too many requests' });
+      const message = 'too many requests';
+      this.write({ type: 'error_reply', id, reason: 'peer_busy', message }, topic);
       return;
     }
     this.handling++;
@@ -205,7 +215,7 @@
     this.topics.handle(this.peer, topic, payload).then(
       (result) => {
         this.handling--;
-        this.writeReply(id, result);
+        this.writeReply(id, topic, result);
       },
       () => undefined,
     );
@@ -213,13 +223,15 @@
 
   private writeReply(
     id: number,
+    topic: string,
     result: Result<unknown, { readonly reason: string; readonly message: string }>,
   ): void {
     const isWritten = result.isOk()
-      ? this.write({ type: 'reply', id, payload: result.value ?? null })
-      : this.write({ type: 'error_reply', id, ...result.error });
+      ? this.write({ type: 'reply', id, payload: result.value ?? null }, topic)
+      : this.write({ type: 'error_reply', id, ...result.error }, topic);
     if (!isWritten) {
-      this.write({ type: 'error_reply', id, reason: 'reply_too_large', message: 'not sent' });
+      const reason = 'reply_too_large';
+      this.write({ type: 'error_reply', id, reason, message: 'not sent' }, topic);
     }
   }
 
--- /dev/null
+++ b/packages/peering/src/trafficMeter.ts
@@ -0,0 +1,72 @@
+/** Messages and bytes of one topic, in both directions. */
+export interface TopicTraffic {
+  readonly topic: string;
+  readonly sentMessages: number;
+  readonly sentBytes: number;
+  readonly receivedMessages: number;
+  readonly receivedBytes: number;
+}
+
+/** Topics that are counted apart; a peer that sends other names can't make the meter grow. */
+const MAX_TOPICS = 64;
+const OTHER_TOPIC = 'other';
+
+type Counters = { -readonly [Name in keyof TopicTraffic]: TopicTraffic[Name] };
+
+/**
+ * Counts messages and bytes by topic. A reply counts for the topic of its request.
+ *
+ * @example
+ * const meter = TrafficMeter.create();
+ * meter.addSent('load.rows', 120);
+ * meter.getTotals(); // { sentBytes: 120, receivedBytes: 0 }
+ */
+export class TrafficMeter {
+  private readonly topics = new Map<string, Counters>();
+
+  static create(): TrafficMeter {
+    return new TrafficMeter();
+  }
+
+  addSent(topic: string, bytes: number): void {
+    const counters = this.getCounters(topic);
+    counters.sentMessages += 1;
+    counters.sentBytes += bytes;
+  }
+
+  addReceived(topic: string, bytes: number): void {
+    const counters = this.getCounters(topic);
+    counters.receivedMessages += 1;
+    counters.receivedBytes += bytes;
+  }
+
+  /** Bytes of all topics. */
+  getTotals(): { readonly sentBytes: number; readonly receivedBytes: number } {
+    let [sentBytes, receivedBytes] = [0, 0];
+    for (const counters of this.topics.values()) {
+      sentBytes += counters.sentBytes;
+      receivedBytes += counters.receivedBytes;
+    }
+    return { sentBytes, receivedBytes };
+  }
+
+  listTopics(): readonly TopicTraffic[] {
+    return [...this.topics.values()].map((counters) => ({ ...counters }));
+  }
+
+  private getCounters(topic: string): Counters {
+    const isNew = !this.topics.has(topic);
+    const name = isNew && this.topics.size >= MAX_TOPICS - 1 ? OTHER_TOPIC : topic;
+    const known = this.topics.get(name);
+    if (known !== undefined) return known;
+    const created = {
+      topic: name,
+      sentMessages: 0,
+      sentBytes: 0,
+      receivedMessages: 0,
+      receivedBytes: 0,
+    };
+    this.topics.set(name, created);
+    return created;
+  }
+}
--- a/packages/peering/src/wsPeerMesh.ts
+++ b/packages/peering/src/wsPeerMesh.ts
@@ -19,9 +19,10 @@
 } from './constants.js';
 import { FrameReader } from './frameReader.js';
 import { receiveHandshake, sendHandshake } from './handshake.js';
-import { PeerConnection, type Traffic } from './peerConnection.js';
+import { PeerConnection } from './peerConnection.js';
 import { PeerLink } from './peerLink.js';
 import { TopicRegistry } from './topicRegistry.js';
+import { TrafficMeter, type TopicTraffic } from './trafficMeter.js';
 import type { PeerError, PeerHandler, PeerMesh } from './types.js';
 
 export interface WsPeerMeshOptions {
@@ -51,7 +52,7 @@
 
   private readonly topics = TopicRegistry.create();
 
-  private readonly traffic: Traffic = { sentBytes: 0, receivedBytes: 0 };
+  private readonly traffic = TrafficMeter.create();
 
   private readonly links = new Map<NodeId, PeerLink>();
 
@@ -170,7 +171,12 @@
   }
 
   getTraffic(): { readonly sentBytes: number; readonly receivedBytes: number } {
-    return { ...this.traffic };
+    return this.traffic.getTotals();
+  }
+
+  /** Messages and bytes by topic, without the handshakes and the headers of WebSocket and TCP. */
+  listTopicTraffic(): readonly TopicTraffic[] {
+    return this.traffic.listTopics();
   }
 
   async close(): Promise<void> {
