Keep the sorted member lists and look rows up without copies

A profile named three places: listActive sorted all members on each call (18%), NodeDetails copied and sorted the witnesses of every endpoint each second (24%), and the interval of the region summary computed all its rows only to count them (4%). Ruled out: longer intervals, which would delay details after a weight swap. Change: MemberList keeps its sorted lists until a record changes; LoadTable.getYoungestSeen finds one row without copies; the summary interval counts endpoints.

--- a/packages/entry/src/nodeCluster.ts
+++ b/packages/entry/src/nodeCluster.ts
@@ -88,6 +88,7 @@
       listRegions: members.listRegions,
       listOwnRows: () => watchers.listRows(),
       listRegionRows: view.listRows,
+      countRegionEndpoints: view.countEndpoints,
       listCapacities: view.listCapacities,
       handleCapacities: (from, list) => capacities.set(from, list),
     });
--- a/packages/entry/src/nodeDetails.ts
+++ b/packages/entry/src/nodeDetails.ts
@@ -2,7 +2,7 @@
 import type { Region, WeightVersion, Logger, ModelId, NodeId } from '@lovagearch/common';
 import { computeIdHash, computeWatchers } from '@lovagearch/membership';
 import type { PeerMesh } from '@lovagearch/peering';
-import { getSeenRow, hasOutdatedDetails, type EndpointRecord } from './nodeEndpointRecord.js';
+import { hasOutdatedDetails, type EndpointRecord } from './nodeEndpointRecord.js';
 import type { NodeEndpoints } from './nodeEndpoints.js';
 import { NodeTimer } from './nodeTimer.js';
 import {
@@ -68,7 +68,7 @@
     const nodes = new Map(listNodes().map((id) => [computeIdHash(id), id]));
     const wanted = new Map<NodeId, number[]>();
     for (const record of endpoints.listRecords()) {
-      const seen = getSeenRow(endpoints.getWitnesses(record));
+      const seen = endpoints.getYoungestSeen(record);
       if (!hasOutdatedDetails(record, seen)) continue;
       const node = nodes.get(seen?.source ?? -1) ?? this.getWatcher(record);
       if (node === undefined || node === mesh.self) continue;
--- a/packages/entry/src/nodeDissemination.ts
+++ b/packages/entry/src/nodeDissemination.ts
@@ -49,6 +49,7 @@
   readonly listOwnRows: () => { readonly rows: readonly LoadRow[]; readonly ageMs: number };
   /** This region's endpoints as other regions should see them. */
   readonly listRegionRows: () => { readonly rows: readonly LoadRow[]; readonly ageMs: number };
+  readonly countRegionEndpoints: () => number;
   readonly listCapacities: () => readonly ZoneCapacity[];
   readonly handleCapacities: (from: NodeId, capacities: readonly ZoneCapacity[]) => void;
 }
@@ -255,7 +256,7 @@
   }
 
   private getSummaryIntervalMs(): number {
-    const isSmall = this.options.listRegionRows().rows.length <= MAX_ENDPOINTS_IN_SUMMARY;
+    const isSmall = this.options.countRegionEndpoints() <= MAX_ENDPOINTS_IN_SUMMARY;
     return isSmall ? DETAILED_SUMMARY_INTERVAL_MS : SUMMARY_INTERVAL_MS;
   }
 
--- a/packages/entry/src/nodeEndpoints.ts
+++ b/packages/entry/src/nodeEndpoints.ts
@@ -168,6 +168,9 @@
   readonly getWitnesses = (record: EndpointRecord): WitnessRow[] =>
     this.options.table.getWitnesses(record.hash, this.options.clock.nowMs());
 
+  readonly getYoungestSeen = (record: EndpointRecord): WitnessRow | undefined =>
+    this.options.table.getYoungestSeen(record.hash, this.options.clock.nowMs());
+
   private updateOwn(id: EndpointId, changes: OwnContact): void {
     const record = this.records.get(id);
     if (record === undefined) return;
--- a/packages/entry/src/nodeMembers.ts
+++ b/packages/entry/src/nodeMembers.ts
@@ -84,16 +84,10 @@
   readonly listActive = (region: Region): readonly NodeId[] => this.list.listActive(region);
 
   /** Sorted ids of the active nodes of one region, or of all regions. */
-  readonly listLive = (region?: Region): readonly NodeId[] =>
-    region === undefined
-      ? this.listRegions()
-          .flatMap((each) => this.list.listActive(each))
-          .sort()
-      : this.list.listActive(region);
+  readonly listLive = (region?: Region): readonly NodeId[] => this.list.listActive(region);
 
   /** Regions of all known members, sorted. */
-  readonly listRegions = (): readonly Region[] =>
-    [...new Set(this.list.listMembers().map(({ region }) => region))].sort();
+  readonly listRegions = (): readonly Region[] => this.list.listRegions();
 
   readonly listMembers = (): readonly MemberUpdate[] => this.list.listMembers();
 
--- a/packages/entry/src/nodeParts.ts
+++ b/packages/entry/src/nodeParts.ts
@@ -7,3 +7,5 @@
 export { NodeCluster } from './nodeCluster.js';
 export { PromptIndexNode } from './promptIndexNode.js';
 export { createEmptyShard, loadShard } from './runShardReader.js';
+// The values that clients return, for the slope driver's clients that exist as values only.
+export { errAsync, okAsync } from 'neverthrow';
--- a/packages/entry/src/nodeRegionView.ts
+++ b/packages/entry/src/nodeRegionView.ts
@@ -51,6 +51,8 @@
     return { rows, ageMs: oldestMs };
   };
 
+  readonly countEndpoints = (): number => this.listRecords().length;
+
   /** Capacity of each model version in each availability zone. */
   readonly listCapacities = (): readonly ZoneCapacity[] => {
     const capacities = new Map<string, ZoneCapacity>();
--- a/packages/membership/src/loadTable.ts
+++ b/packages/membership/src/loadTable.ts
@@ -81,6 +81,21 @@
     return witnesses.sort((a, b) => a.ageMs - b.ageMs);
   }
 
+  /** Returns the youngest row of a watcher that saw the endpoint, if it is young enough to count. */
+  getYoungestSeen(endpoint: number, nowMs: number): WitnessRow | undefined {
+    let youngest: KeptRow | undefined;
+    let [youngestSource, youngestMs] = [0, -Infinity];
+    for (const [source, kept] of this.rows.get(endpoint) ?? []) {
+      const { state } = kept.row;
+      if (source < 0 || state === 'unseen' || state === 'failed') continue;
+      const seenMs = this.getSeenMs(source, kept);
+      if (seenMs > youngestMs) [youngest, youngestSource, youngestMs] = [kept, source, seenMs];
+    }
+    const ageMs = nowMs - youngestMs;
+    if (youngest === undefined || ageMs > FORGET_AGE_MS) return undefined;
+    return { ...youngest.row, source: youngestSource, ageMs };
+  }
+
   /** Forgets rows and sources that no longer count. */
   removeOld(nowMs: number): void {
     for (const [endpoint, bySource] of this.rows) {
--- a/packages/membership/src/memberList.test.ts
+++ b/packages/membership/src/memberList.test.ts
@@ -174,3 +174,22 @@
     {},
   );
 });
+
+t.test('a change of any kind shows in the lists that are kept between requests', async (t2) => {
+  const [self, near, far] = [
+    createIdentity(0, 'north'),
+    createIdentity(1, 'north'),
+    createIdentity(2, 'south'),
+  ] as const;
+  const list = MemberList.create(self, createRandom(1), 0);
+  t2.same(list.listActive(), [self.id]);
+  list.addIntroduced(near);
+  list.applyUpdates([{ ...far, state: 'alive', incarnation: 0 }]);
+  t2.same(list.listActive(), [self.id, near.id, far.id]);
+  t2.same(list.listRegions(), ['north', 'south']);
+  list.applyUpdates([{ ...near, state: 'dead', incarnation: 0 }]);
+  t2.same(list.listActive(self.region), [self.id]);
+  list.markSelfLeaving();
+  t2.same(list.listActive(), [far.id]);
+  t2.equal(list.listMembers()[0]?.state, 'leaving');
+});
--- a/packages/membership/src/memberList.ts
+++ b/packages/membership/src/memberList.ts
@@ -24,6 +24,14 @@
   stateMs: number;
 }
 
+/** Sorted lists that are kept until a record changes, because every request reads them. */
+interface MemberViews {
+  readonly members: readonly MemberUpdate[];
+  readonly regions: readonly Region[];
+  readonly active: readonly NodeId[];
+  readonly activeByRegion: ReadonlyMap<Region, readonly NodeId[]>;
+}
+
 const NO_CONTACT: ReadonlySet<MemberState> = new Set(['unreachable', 'dead']);
 
 /**
@@ -46,6 +54,8 @@
 
   private intervals = 0;
 
+  private views: MemberViews | undefined;
+
   private constructor(
     private own: MemberUpdate,
     private readonly random: Random,
@@ -60,17 +70,23 @@
   }
 
   /** All members, this node included, sorted by id. */
-  listMembers(): MemberUpdate[] {
-    const others = [...this.records.values()].map(({ update }) => update);
-    return [...others, this.own].sort((a, b) => (a.id < b.id ? -1 : 1));
+  listMembers(): readonly MemberUpdate[] {
+    return this.getViews().members;
   }
 
-  /** Members of a region that take part in duties: alive or suspect, this node included. */
-  listActive(region: Region): NodeId[] {
-    return this.listMembers()
-      .filter((member) => member.region === region)
-      .filter(({ state }) => state === 'alive' || state === 'suspect')
-      .map(({ id }) => id);
+  /** Regions of all members, sorted. */
+  listRegions(): readonly Region[] {
+    return this.getViews().regions;
+  }
+
+  /**
+   * Members that take part in duties, sorted by id: alive or suspect, this node included.
+   *
+   * @param region all regions without it
+   */
+  listActive(region?: Region): readonly NodeId[] {
+    const { active, activeByRegion } = this.getViews();
+    return region === undefined ? active : (activeByRegion.get(region) ?? []);
   }
 
   getMember(id: NodeId): MemberUpdate | undefined {
@@ -91,7 +107,7 @@
   /** Marks this node as leaving; the others learn it with the next probes. */
   markSelfLeaving(): void {
     const { incarnation } = this.own;
-    this.own = { ...this.own, state: 'leaving', incarnation: incarnation + 1 };
+    this.setOwn({ ...this.own, state: 'leaving', incarnation: incarnation + 1 });
     this.queue.add(this.own.id);
   }
 
@@ -185,6 +201,7 @@
       this.setState(record, 'dead');
     } else if (state === 'dead' && !isListed && record.stateMs >= DEAD_KEEP_MS) {
       this.records.delete(id);
+      this.views = undefined;
       this.queue.remove(id);
     }
   }
@@ -209,6 +226,7 @@
     if (!isNewer(update, known)) return;
     const state = update.state === 'dead' ? this.getVerdict(update) : update.state;
     record.update = { ...update, state };
+    this.views = undefined;
     if (state !== known.state) record.stateMs = 0;
     this.queue.add(update.id);
   }
@@ -217,19 +235,46 @@
     const isOutdated = update.incarnation < this.own.incarnation;
     const isSame = update.incarnation === this.own.incarnation && update.state === this.own.state;
     if (isOutdated || isSame) return;
-    this.own = { ...this.own, incarnation: update.incarnation + 1 };
+    this.setOwn({ ...this.own, incarnation: update.incarnation + 1 });
     this.queue.add(this.own.id);
   }
 
+  private setOwn(update: MemberUpdate): void {
+    this.own = update;
+    this.views = undefined;
+  }
+
+  private getViews(): MemberViews {
+    this.views ??= this.createViews();
+    return this.views;
+  }
+
+  private createViews(): MemberViews {
+    const others = [...this.records.values()].map(({ update }) => update);
+    const members = [...others, this.own].sort((a, b) => (a.id < b.id ? -1 : 1));
+    const active: NodeId[] = [];
+    const activeByRegion = new Map<Region, NodeId[]>();
+    for (const { id, region, state } of members) {
+      const ofRegion = activeByRegion.get(region) ?? [];
+      activeByRegion.set(region, ofRegion);
+      if (state !== 'alive' && state !== 'suspect') continue;
+      active.push(id);
+      ofRegion.push(id);
+    }
+    return { members, regions: [...activeByRegion.keys()].sort(), active, activeByRegion };
+  }
+
   private addRecord(update: MemberUpdate): void {
     if (this.records.size >= MAX_MEMBERS) return;
     this.records.set(update.id, { update, stateMs: 0 });
+    this.views = undefined;
     this.queue.add(update.id);
   }
 
   private setState(record: MemberRecord, state: MemberState): void {
     const { id } = record.update;
     this.records.set(id, { update: { ...record.update, state }, stateMs: 0 });
+    this.views = undefined;
     if (state !== 'unreachable') this.queue.add(id);
   }
 
