--- a/packages/cli/src/baseCommand.ts
+++ b/packages/cli/src/baseCommand.ts
@@ -44,7 +44,10 @@
 
   /** Ends the command with an exit code; `lines` say why. */
   protected fail(exitCode: number, lines: readonly string[]): never {
-    return this.error(lines.join('\n'), { exit: exitCode });
+    if (this.jsonEnabled()) return this.error(lines.join('\n'), { exit: exitCode });
+    // oclif wraps its errors at the width of the terminal, which breaks a fault into pieces.
+    for (const line of lines) this.logToStderr(line);
+    return this.exit(exitCode);
   }
 
   protected async loadSettings(file: string): Promise<Settings> {
--- a/packages/cli/src/checkCommand.ts
+++ b/packages/cli/src/checkCommand.ts
@@ -11,6 +11,9 @@
 
 /** Checks configuration files without publishing them. */
 export class CheckCommand extends ConfigurationCommand {
+  // oclif reads this field from the command's own class only.
+  static override strict = false;
+
   static override summary =
     'Check configuration files; with --settings, also against what is in force.';
 
--- a/packages/cli/src/configurationCommand.ts
+++ b/packages/cli/src/configurationCommand.ts
@@ -6,8 +6,6 @@
 
 /** A command that takes directories with configuration files. */
 export abstract class ConfigurationCommand extends BaseCommand {
-  static override strict = false;
-
   static override args = {
     directory: Args.string({ description: 'directories with configuration files', required: true }),
   };
--- a/packages/cli/src/publishCommand.ts
+++ b/packages/cli/src/publishCommand.ts
@@ -28,6 +28,9 @@
 
 /** Publishes configuration files. */
 export class PublishCommand extends ConfigurationCommand {
+  // oclif reads this field from the command's own class only.
+  static override strict = false;
+
   static override summary = 'Check and publish configuration files.';
 
   static override description =
