--- a/packages/admission/src/constants.ts
+++ b/packages/admission/src/constants.ts
@@ -2,16 +2,14 @@
 export const PRESSED_SHARE = 0.5;
 /** Least share of an account on a node, as a part of limit / nodes. */
 export const MIN_SHARE = 0.25;
-/** Time between two demand messages of a node in a region of up to 16 nodes. */
-export const SMALL_REGION_CYCLE_MS = 500;
-/** Time between two demand messages of a node in a larger region. */
-export const LARGE_REGION_CYCLE_MS = 4_000;
-/** Nodes up to which a region is small. */
-export const SMALL_REGION_NODES = 16;
-/** Longest time between two demand messages, which also tell that the node is heard. */
+/** Shortest time between two demand messages of a node. */
+export const MIN_DEMAND_CYCLE_MS = 500;
+/** Rows for which a demand message has room; large regions send less often instead. */
+export const MIN_DEMAND_ROWS = 4;
+/** Time after which a node without pressed accounts sends an empty message, to be heard. */
 export const DEMAND_HEARTBEAT_MS = 4_000;
-/** Age after which a node's demand no longer counts: three long cycles. */
-export const DEMAND_MAX_AGE_MS = 12_000;
+/** Age after which a node's demand no longer counts: three cycles of 58 nodes. */
+export const DEMAND_MAX_AGE_MS = 20_000;
 /** Accounts in one demand message. */
 export const MAX_DEMAND_ROWS = 64;
 /** Bytes that a node sends each second for demand; part of its 6 KB/s for control. */
@@ -29,8 +27,11 @@
 export const MAX_QUEUED = 4_096;
 /** Requests in the queue of one account on a node. */
 export const MAX_QUEUED_PER_ACCOUNT = 1_024;
-/** Prompt tokens that an account may use in one round of the fair queue. */
-export const QUANTUM_TOKENS = 2_048;
+/**
+ * Tokens that an account may use in one round of the fair queue. A round of 2,048 let a large
+ * account run a dozen short requests in a row, for which small accounts waited 4 to 6 s.
+ */
+export const QUANTUM_TOKENS = 512;
 /** Cost of a request beside its prompt, so that short prompts are not free. */
 export const REQUEST_TOKENS = 64;
 /** Of this many releases one goes to a waiting lower class, which keeps it from starving. */
