--- a/packages/cli/src/checkCommand.ts
+++ b/packages/cli/src/checkCommand.ts
@@ -6,12 +6,13 @@
   readHead,
 } from '@lovagearch/configuration';
 import { Flags } from '@oclif/core';
-import { ConfigurationCommand } from './configurationCommand.js';
+import { ConfigurationCommand, directoryArgs } from './configurationCommand.js';
 import { EXIT_BAD_INPUT, EXIT_PLATFORM_UNAVAILABLE } from './constants.js';
 
 /** Checks configuration files without publishing them. */
 export class CheckCommand extends ConfigurationCommand {
-  // oclif reads this field from the command's own class only.
+  static override args = directoryArgs;
+
   static override strict = false;
 
   static override summary =
