--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,6 +1,7 @@
 import { parseArgs } from 'node:util';
 import { createLogger, getErrorMessage } from '@lovagearch/common';
 import { formatSettingsError, loadProcessSettings } from '@lovagearch/settings';
+import { err, ok, type Result } from 'neverthrow';
 import { buildNode } from './buildNode.js';
 
 const USAGE = `Usage: lovagearch-entry --settings FILE
@@ -13,30 +14,41 @@
 Prints one JSON line with its ports once it listens. SIGTERM drains it.
 `;
 
+interface UsageError {
+  readonly type: 'usage';
+  readonly message: string;
+}
+
 /** Exit code of wrong usage or settings. */
 const EXIT_BAD_USAGE = 2;
 
-const readArguments = (): { readonly settings?: string; readonly help?: boolean } => {
+interface Arguments {
+  readonly settings?: string | undefined;
+  readonly help?: boolean | undefined;
+}
+
+const readArguments = (): Result<Arguments, UsageError> => {
   try {
-    return parseArgs({
-      options: { settings: { type: 'string' }, help: { type: 'boolean' } },
-    }).values;
+    const options = { settings: { type: 'string' }, help: { type: 'boolean' } } as const;
+    const { values } = parseArgs({ options });
+    const isUsable = values.help === true || values.settings !== undefined;
+    return isUsable ? ok(values) : err({ type: 'usage', message: '--settings FILE is required' });
   } catch (error) {
-    process.stderr.write(`${getErrorMessage(error)}\n${USAGE}`);
-    return {};
+    return err({ type: 'usage', message: getErrorMessage(error) });
   }
 };
 
 const runEntry = async (): Promise<number> => {
-  const { settings: file, help } = readArguments();
-  if (help === true) {
+  const parsed = readArguments();
+  if (parsed.isErr()) {
+    process.stderr.write(`${parsed.error.message}\n${USAGE}`);
+    return EXIT_BAD_USAGE;
+  }
+  const { settings: file, help } = parsed.value;
+  if (help === true || file === undefined) {
     process.stdout.write(USAGE);
     return 0;
   }
-  if (file === undefined) {
-    process.stderr.write(`--settings FILE is required\n${USAGE}`);
-    return EXIT_BAD_USAGE;
-  }
   const settings = await loadProcessSettings(file);
   if (settings.isErr()) {
     for (const error of settings.error) process.stderr.write(`${formatSettingsError(error)}\n`);
--- a/packages/proving/src/localCluster.ts
+++ b/packages/proving/src/localCluster.ts
@@ -10,6 +10,7 @@
 } from './deployments.js';
 
 const DEFAULT_PORT = '8080';
+const KEEP_ALIVE_INTERVAL_MS = 60_000;
 const MODEL = 'crop-8b';
 const PLACES = [
   { region: 'south', zone: 'chiayi' },
@@ -69,7 +70,10 @@
     'Ctrl-C ends it.',
   ];
   process.stdout.write(`${lines.join('\n')}\n`);
+  // Child processes alone do not keep this process alive.
+  const keepAlive = setInterval(() => undefined, KEEP_ALIVE_INTERVAL_MS);
   await Promise.race([once(process, 'SIGINT'), once(process, 'SIGTERM')]);
+  clearInterval(keepAlive);
   await cluster.stop();
 };
 
