Keep the configuration head small and show states as text

Cause: the head row listed every entry, about 100 B each; read every 4 s with 260 entries that is about 6.5 KB/s a node, above the 6 KB/s for control (an estimate of the part's author). The command line printed JSON lines to people. Ruled out: reading the head less often, which delays changes beyond 14 s when peers are cut off. Change: the head is {revision, digest, publisher}; a lost answer that was overtaken is resolved from the current bundle; show and status print a line for each node, endpoint and store; the administration API lists accounts with limits and stores of all regions. Conclusion: the head no longer grows with the configuration.

--- a/packages/cli/src/showCommand.ts
+++ b/packages/cli/src/showCommand.ts
@@ -1,4 +1,5 @@
-import { readHead } from '@lovagearch/configuration';
+import { readBundle, readHead } from '@lovagearch/configuration';
+import { formatConfigurationAnswer } from './formatAnswers.js';
 import { BaseCommand, operatorKeyFileFlag, settingsFlag } from './baseCommand.js';
 
 /** Shows which revision is in force, and where. */
@@ -15,14 +16,18 @@
     const head = read.isOk() ? read.value.head : null;
     if (read.isErr()) this.messages.warn(read.error.message);
     if (head !== null) this.log(`head: revision ${head.revision} by ${head.publisher}`);
-    for (const [key, { revision }] of Object.entries(head?.entries ?? {})) {
-      this.log(`  ${key} since revision ${revision}`);
+    const bundle = await readBundle(platform.objects, head);
+    if (bundle.isErr()) this.messages.warn(bundle.error.message);
+    const entries = bundle.isOk() ? Object.entries(bundle.value.entries) : [];
+    for (const [key, { revision, publisher, value }] of entries) {
+      if (value !== null)
+        this.log(`  ${key} since revision ${revision} by ${publisher ?? 'unknown'}`);
     }
     const answers = await admin.readAll(await this.listNodes(platform), 'configuration');
     const nodes = answers.map(({ node, answer }) =>
       answer.isOk() ? { node, configuration: answer.value } : { node, error: answer.error },
     );
-    for (const node of nodes) this.log(JSON.stringify(node));
+    for (const { node, answer } of answers) this.log(formatConfigurationAnswer(node, answer));
     return { head, nodes };
   }
 }
--- a/packages/cli/src/statusCommand.ts
+++ b/packages/cli/src/statusCommand.ts
@@ -1,4 +1,5 @@
 import { BaseCommand, operatorKeyFileFlag, settingsFlag } from './baseCommand.js';
+import { formatEndpoints, formatNodeAnswer, formatStores } from './formatAnswers.js';
 import { EXIT_FAILED } from './constants.js';
 
 /** Shows the nodes, and endpoints and stores as the first node that answers knows them. */
@@ -16,14 +17,14 @@
     const nodes = answers.map(({ node, answer }) =>
       answer.isOk() ? { node, status: answer.value } : { node, error: answer.error },
     );
-    for (const node of nodes) this.log(JSON.stringify(node));
+    for (const { node, answer } of answers) this.log(formatNodeAnswer(node, answer));
     const first = answers.findIndex(({ answer }) => answer.isOk());
     const vm = vms[first];
     if (vm === undefined) return this.fail(EXIT_FAILED, ['no node answers']);
     const endpoints = (await admin.read(vm, 'endpoints')).unwrapOr(null);
     const stores = (await admin.read(vm, 'stores')).unwrapOr(null);
-    this.log(`endpoints: ${JSON.stringify(endpoints)}`);
-    this.log(`stores: ${JSON.stringify(stores)}`);
+    for (const line of formatEndpoints(endpoints)) this.log(line);
+    for (const line of formatStores(stores)) this.log(line);
     return { nodes, endpoints, stores };
   }
 }
--- a/packages/configuration/src/bundle.ts
+++ b/packages/configuration/src/bundle.ts
@@ -27,10 +27,12 @@
 export const headSchema = z.object({
   revision: revisionSchema,
   digest: z.string().regex(/^[0-9a-f]{64}$/),
-  entries: z.record(z.string(), z.object({ revision: revisionSchema, digest: z.string() })),
   publisher: z.string(),
 });
-/** Value of the table row `config/head`. */
+/**
+ * Value of the table row `config/head`. It does not list the entries: 350 nodes read it every 4 s,
+ * and a list of 260 entries alone would use up the 6 KB/s that a node has for control.
+ */
 export type ConfigurationHead = z.infer<typeof headSchema>;
 
 /** The bundle before the first publication. */
@@ -67,13 +69,11 @@
 };
 
 /** Creates the head row of a bundle. */
-export const createHead = (bundle: ConfigurationBundle, publisher: string): ConfigurationHead => {
-  const entries: ConfigurationHead['entries'] = {};
-  for (const [key, { revision, value }] of Object.entries(bundle.entries)) {
-    entries[key] = { revision, digest: computeDigest(value) };
-  }
-  return { revision: bundle.revision, digest: computeDigest(bundle), entries, publisher };
-};
+export const createHead = (bundle: ConfigurationBundle, publisher: string): ConfigurationHead => ({
+  revision: bundle.revision,
+  digest: computeDigest(bundle),
+  publisher,
+});
 
 /** Encodes a bundle as the bytes of its object. */
 export const encodeBundle = (bundle: ConfigurationBundle): Uint8Array =>
--- a/packages/configuration/src/publish.ts
+++ b/packages/configuration/src/publish.ts
@@ -8,6 +8,7 @@
   type EntryChanges,
   getObjectName,
 } from './bundle.js';
+import { computeDigest } from './canonicalJson.js';
 import { HEAD_KEY, MAX_BUNDLE_BYTES, MAX_BUNDLE_ENTRIES, MAX_PUBLISH_TRIES } from './constants.js';
 import { checkEntries, type CrossCheckError } from './crossChecks.js';
 import { applyChanges, computeChanges, mergePublication, type PublishConflict } from './merge.js';
@@ -66,15 +67,12 @@
   deleted: [...changes].filter(([, value]) => value === null).map(([key]) => key),
 });
 
-/** Whether the head shows that an attempt took effect, be it overtaken by other entries or not. */
-const hasTakenEffect = (attempt: Attempt, current: VersionedHead): boolean => {
-  if (current.attemptId === attempt.attemptId) return true;
-  if (current.version <= attempt.ifVersion) return false;
-  for (const key of attempt.changes.keys()) {
-    const mine = attempt.head.entries[key];
-    const now = current.head?.entries[key];
-    const isMine = now?.revision === attempt.bundle.revision && now.digest === mine?.digest;
-    if (!isMine) return false;
+/** Whether a later bundle holds the changes of an attempt, which then took effect before it. */
+const hasChanges = (bundle: ConfigurationBundle, attempt: Attempt): boolean => {
+  for (const [key, value] of attempt.changes) {
+    const now = bundle.entries[key];
+    if (now?.revision !== attempt.bundle.revision) return false;
+    if (computeDigest(now.value) !== computeDigest(value)) return false;
   }
   return true;
 };
@@ -110,7 +108,9 @@
     const current = await readHead(this.options.table);
     if (current.isErr()) return this.recordFailure(current.error);
     if (this.pending !== undefined) {
-      if (hasTakenEffect(this.pending, current.value)) return ok(toPublication(this.pending));
+      const isEffective = await this.checkEffect(this.pending, current.value);
+      if (isEffective === undefined) return undefined;
+      if (isEffective) return ok(toPublication(this.pending));
       // The lost write may still arrive; the same write under the same condition can't add to it.
       if (current.value.version === this.pending.ifVersion) return this.runWrite(this.pending);
       this.pending = undefined;
@@ -181,8 +181,22 @@
       return undefined;
     }
     const current = await parseHeadRow(error.current);
-    if (current.isOk() && hasTakenEffect(attempt, current.value)) return ok(toPublication(attempt));
-    this.pending = undefined;
+    const isEffective = current.isOk() ? await this.checkEffect(attempt, current.value) : false;
+    if (isEffective === true) return ok(toPublication(attempt));
+    this.pending = isEffective === undefined ? attempt : undefined;
+    return undefined;
+  }
+
+  /** Returns whether an attempt took effect, or undefined while that can't be read. */
+  private async checkEffect(
+    attempt: Attempt,
+    current: VersionedHead,
+  ): Promise<boolean | undefined> {
+    if (current.attemptId === attempt.attemptId) return true;
+    if (current.version <= attempt.ifVersion) return false;
+    const bundle = await readBundle(this.options.objects, current.head);
+    if (bundle.isOk()) return hasChanges(bundle.value, attempt);
+    this.lastFailure = bundle.error.message;
     return undefined;
   }
 
--- /dev/null
+++ b/packages/entry/src/adminLists.ts
@@ -0,0 +1,36 @@
+import type { Region } from '@lovagearch/common';
+import type { Account, ConfigurationView } from '@lovagearch/configuration';
+import type { AccountUse, AdmissionController } from './admissionController.js';
+import type { StoreFill, StoreWatch } from './storeWatch.js';
+import type { EndpointDirectory, StoreView } from './types.js';
+
+/** An account's limits over all nodes and its use on this node. */
+export type AccountStatus = Omit<Account, 'keySha256' | 'kind'> & Omit<AccountUse, 'account'>;
+
+/** A store VM, with its fill where this node watches it. */
+export type StoreStatus = StoreView & { readonly fill: StoreFill | null };
+
+/** Lists the accounts in force with limits and use; key hashes are left out. */
+export const listAccounts = (
+  view: ConfigurationView,
+  admission: AdmissionController,
+): AccountStatus[] => {
+  const useByAccount = new Map<string, AccountUse>();
+  for (const use of admission.listAccounts()) useByAccount.set(use.account, use);
+  return view.listAccounts().map(({ keySha256, kind, ...account }) => {
+    const { running = 0, waiting = 0 } = useByAccount.get(account.name) ?? {};
+    return { ...account, running, waiting };
+  });
+};
+
+/** Lists the store VMs of all regions. */
+export const listStores = (
+  regions: readonly Region[],
+  directory: EndpointDirectory,
+  watch: StoreWatch,
+): StoreStatus[] => {
+  const fills = new Map(watch.listFills().map((fill) => [fill.id, fill]));
+  return regions
+    .flatMap((region) => directory.listStores(region))
+    .map((store) => ({ ...store, fill: fills.get(store.id) ?? null }));
+};
--- a/packages/entry/src/buildNode.ts
+++ b/packages/entry/src/buildNode.ts
@@ -19,6 +19,7 @@
 import { ConfigurationFollower } from './configurationFollower.js';
 import { ContainmentController } from './containmentController.js';
 import { FollowedConfiguration } from './followedConfiguration.js';
+import { listAccounts, listStores } from './adminLists.js';
 import { createClientCloser, createNodeClients } from './nodeClients.js';
 import { NodeCluster } from './nodeCluster.js';
 import type { NodeContext } from './nodeContext.js';
@@ -177,8 +178,8 @@
         configuration: () => follower.getStatus(),
         members: () => ({ members: members.listMembers() }),
         endpoints: () => ({ endpoints: directory.listAll() }),
-        stores: () => ({ stores: stores.listFills() }),
-        accounts: () => ({ accounts: admission.listAccounts() }),
+        stores: () => ({ stores: listStores(members.listRegions(), directory, stores) }),
+        accounts: () => ({ accounts: listAccounts(follower.view, admission) }),
         runs: () => ({ shards: runs.owner.listShards() }),
         quarantine: () => ({ entries: containment.listEntries() }),
       },
