Write the configuration back to a store that lost it

Cause: a table restored from a backup shows an older head. Nodes kept the newer configuration, but publications then counted up from the older head and every node refused them, for good. Ruled out: letting nodes accept a lower revision (an accepted configuration would revert); asking operators to publish until the head is high enough (the entries' revisions would still be refused as reverted). Change: after two reads in a row of an older head, one of two nodes writes bundle and head back by conditional write. Conclusion: a store that lost data catches up without an operator.

--- a/packages/configuration/src/state.ts
+++ b/packages/configuration/src/state.ts
@@ -102,6 +102,11 @@
     return this.currentView;
   }
 
+  /** The whole bundle in force. */
+  get currentBundle(): ConfigurationBundle {
+    return this.bundle;
+  }
+
   /** Checks that a revision is not below the one in force and doesn't contradict it. */
   checkOffer(revision: number, digest: string): Result<StateChange, StateError> {
     const current = this.bundle.revision;
--- a/packages/entry/src/configurationFollower.test.ts
+++ b/packages/entry/src/configurationFollower.test.ts
@@ -1,6 +1,7 @@
 import { createLogger, createRandom, type NodeId, toId } from '@lovagearch/common';
 import {
   type ConfigurationEntry,
+  type ConfigurationHead,
   createBundle,
   createHead,
   EMPTY_BUNDLE,
@@ -21,6 +22,8 @@
 
   revision = 0;
 
+  writes = 0;
+
   readonly heads = [EMPTY_BUNDLE];
 
   publish(weightVersion: string): void {
@@ -40,7 +43,15 @@
       const value = createHead(this.heads[this.revision]!, 'test');
       return okAsync({ value, version: this.revision + 1, attemptId: 'a' });
     },
-    write: () => errAsync({ type: 'unavailable' as const, message: 'read only' }),
+    write: (_key: string, value: unknown, ifVersion: number | undefined) => {
+      if (this.isDown) return errAsync({ type: 'unavailable' as const, message: 'down' });
+      if (ifVersion !== this.revision + 1) {
+        return errAsync({ type: 'conflict' as const, current: null });
+      }
+      this.revision = (value as ConfigurationHead).revision;
+      this.writes += 1;
+      return okAsync({ version: this.revision + 1 });
+    },
   };
 
   readonly objects = {
@@ -52,7 +63,7 @@
         ? errAsync({ type: 'unavailable' })
         : okAsync(encodeBundle(bundle));
     },
-    write: () => errAsync({ type: 'unavailable' }),
+    write: () => (this.isDown ? errAsync({ type: 'unavailable' }) : okAsync(undefined)),
   };
 }
 
@@ -131,3 +142,17 @@
   await Promise.all(nodes.map((node) => node.stop()));
   t2.equal(nodes[1]!.revision, 1);
 });
+
+t.test('a store that came back with an older head stays behind for good', async (t2) => {
+  const { nodes, store } = createCluster(3);
+  store.publish('v1');
+  store.publish('v2');
+  for (const node of nodes) await node.runCycle();
+  store.revision = 1;
+  for (let cycle = 0; cycle < 3; cycle++) for (const node of nodes) await node.runCycle();
+  t2.same([store.revision, store.writes], [2, 1], 'the head is written back once');
+  store.publish('v3');
+  for (const node of nodes) await node.runCycle();
+  await Promise.all(nodes.map((node) => node.stop()));
+  t2.ok(nodes.every((node) => node.view.getModel('m')?.weightVersion === 'v3'));
+});
--- a/packages/entry/src/configurationFollower.ts
+++ b/packages/entry/src/configurationFollower.ts
@@ -14,6 +14,7 @@
 import type { PeerMesh } from '@lovagearch/peering';
 import type { Result } from 'neverthrow';
 import { z } from 'zod';
+import { restoreHead, shouldRestoreHead } from './headRestoration.js';
 import type { NodePart } from './types.js';
 
 export const CONFIGURATION_PULL_TOPIC = 'configuration.pull';
@@ -93,6 +94,9 @@
 
   private ignoredHeadRevision: number | null = null;
 
+  /** Reads in a row that showed an older head. */
+  private olderReads = 0;
+
   private timer: NodeJS.Timeout | undefined;
 
   private isStopped = false;
@@ -185,16 +189,14 @@
       if (read.error.type === 'invalid') log.error(`The head is refused: ${read.error.message}.`);
       return false;
     }
-    const { head } = read.value;
+    const { head, version } = read.value;
     const headRevision = head?.revision ?? 0;
     if (headRevision < this.state.revision) {
-      if (this.ignoredHeadRevision !== headRevision) {
-        log.warn(`Head ${headRevision} is below revision ${this.state.revision} and is ignored.`);
-      }
-      this.ignoredHeadRevision = headRevision;
+      await this.handleOlderHead(headRevision, version);
       return true;
     }
     this.ignoredHeadRevision = null;
+    this.olderReads = 0;
     if (head === null) return true;
     const offer = this.state.checkOffer(head.revision, head.digest);
     if (offer.isErr() || offer.value === 'unchanged') {
@@ -212,6 +214,19 @@
     return true;
   }
 
+  /** Keeps the newer configuration, and writes it back if the store goes on showing an older one. */
+  private async handleOlderHead(headRevision: number, version: number): Promise<void> {
+    const { table, objects, mesh, listPeers, log } = this.options;
+    if (this.ignoredHeadRevision !== headRevision) {
+      log.warn(`Head ${headRevision} is below revision ${this.state.revision} and is ignored.`);
+    }
+    this.ignoredHeadRevision = headRevision;
+    this.olderReads += 1;
+    if (!shouldRestoreHead(this.olderReads, mesh.self, listPeers())) return;
+    const outcome = await restoreHead(table, objects, this.state.currentBundle, version);
+    log.warn(`Writing revision ${this.state.revision} back to the store: ${outcome}.`);
+  }
+
   /** Asks random peers for newer entries, and by the same message tells them this revision. */
   private async exchangeWithPeers(count: number): Promise<void> {
     const { listPeers, random } = this.options;
