Ask the holder whether it still has a run

Cause: an owner took an unfinished run for running while a node with the holder's id was alive. A draining holder was taken for gone, because the list of live members leaves it out. Ruled out: a boot id in each record, which a log of the previous format lacks and which says nothing about an attempt that the process gave up. Change: the owner asks with runs.holds; an attempt counts as held until its end is recorded, in the backlog as well. A dead member is not asked. Each node also checks every second which shards it owns; RunShardOwner.updateOwnership was called nowhere, so a shard that passed on kept its waiting records. Conclusion: such a run answers outcome_unknown at once.

--- a/packages/entry/src/buildNode.ts
+++ b/packages/entry/src/buildNode.ts
@@ -143,7 +143,7 @@
     getWatchers: (endpoint) => getCluster().getWatchers(endpoint),
     toAddress,
   });
-  const runs = createNodeRuns(context, members.listLive);
+  const runs = createNodeRuns(context, members.listLive, members.isPresent);
   const configuration = FollowedConfiguration.create({
     getView: () => follower.view,
     chooseVersion: ({ id, service, weightVersion }) =>
--- a/packages/entry/src/nodeMembers.ts
+++ b/packages/entry/src/nodeMembers.ts
@@ -95,6 +95,12 @@
   readonly listRegions = (): readonly Region[] =>
     [...new Set(this.list.listMembers().map(({ region }) => region))].sort();
 
+  /** Tells whether a node is a member that is not dead, draining or not. */
+  readonly isPresent = (node: NodeId): boolean => {
+    const state = this.list.getMember(node)?.state;
+    return state !== undefined && state !== 'dead';
+  };
+
   readonly listMembers = (): readonly MemberUpdate[] => this.list.listMembers();
 
   /**
--- a/packages/entry/src/nodeRuns.ts
+++ b/packages/entry/src/nodeRuns.ts
@@ -1,11 +1,16 @@
 import { setTimeout as waitMs } from 'node:timers/promises';
 import type { NodeId } from '@lovagearch/common';
 import type { NodeContext } from './nodeContext.js';
+import { NodeTimer } from './nodeTimer.js';
 import { NodeRunCoordinator } from './runCoordinator.js';
+import { registerHoldsHandler } from './runHolders.js';
 import { RunShardOwner } from './runShardOwner.js';
 import { RunShardRouter } from './runShardRouter.js';
 import type { NodePart } from './types.js';
 
+/** Time between two checks of which shards this node owns. */
+const OWNERSHIP_INTERVAL_MS = 1_000;
+
 /** At-most-once runs of one node. */
 export interface NodeRuns {
   readonly coordinator: NodeRunCoordinator;
@@ -17,6 +22,7 @@
 export const createNodeRuns = (
   { clients, clock, identity, log, mesh, settings }: NodeContext,
   listLiveMembers: () => readonly NodeId[],
+  isPresent: (node: NodeId) => boolean,
 ): NodeRuns => {
   const runLog = log.withTag('runs');
   const shards = settings.runShards;
@@ -27,6 +33,7 @@
     clock,
     log: runLog,
     listLiveMembers,
+    isPresent,
   });
   const router = RunShardRouter.create({
     shards,
@@ -43,5 +50,11 @@
     log: runLog,
     self: identity.id,
   });
-  return { coordinator, owner, parts: [coordinator, owner] };
+  registerHoldsHandler(mesh, coordinator.isHolding);
+  const ownership = NodeTimer.start(
+    async () => owner.updateOwnership(),
+    () => OWNERSHIP_INTERVAL_MS,
+    runLog,
+  );
+  return { coordinator, owner, parts: [coordinator, ownership, owner] };
 };
--- a/packages/entry/src/runBacklog.ts
+++ b/packages/entry/src/runBacklog.ts
@@ -52,6 +52,11 @@
     this.scheduleRound(0);
   }
 
+  /** Tells whether the end of an attempt still waits to be recorded. */
+  has(attempt: AttemptId): boolean {
+    return this.entries.has(attempt);
+  }
+
   /** Makes a last round and stops. */
   async stop(): Promise<void> {
     clearTimeout(this.timer);
--- a/packages/entry/src/runCoordinator.test.ts
+++ b/packages/entry/src/runCoordinator.test.ts
@@ -16,6 +16,7 @@
 import { findRunViolation, type RunEvent } from '@lovagearch/runs';
 import { errAsync, okAsync, ResultAsync, ok, err, type Result } from 'neverthrow';
 import { NodeRunCoordinator } from './runCoordinator.js';
+import { registerHoldsHandler } from './runHolders.js';
 import { RunShardOwner } from './runShardOwner.js';
 import { RunShardRouter } from './runShardRouter.js';
 import type { RunGrant } from './types.js';
@@ -186,6 +187,7 @@
       clock,
       log,
       listLiveMembers,
+      isPresent: (other) => other === id || node.members.includes(other),
       schedule: (callback, delayMs) => {
         const immediate = setImmediate(() => {
           clock.addMs(delayMs);
@@ -200,7 +202,8 @@
     };
     const router = RunShardRouter.create({ shards, mesh, owner, clock, listLiveMembers, wait });
     const coordinator = NodeRunCoordinator.create({ router, objects, clock, log, self: id });
-    return Object.assign(node, { owner, coordinator });
+    registerHoldsHandler(mesh, coordinator.isHolding);
+    return Object.assign(node, { owner, coordinator, mesh });
   });
   const stop = async (): Promise<void> => {
     faults.lost = 0;
@@ -359,6 +362,32 @@
   await cluster.stop();
 });
 
+t.test(
+  'a restarted holder with the same id leaves the outcome unknown, not running',
+  async (t2) => {
+    const cluster = createCluster(6, ['n1', 'n2']);
+    const [first, second] = cluster.nodes as [Node, Node];
+    const begin = async () => second.coordinator.begin(account, 'k', 'b');
+    t2.ok((await first.coordinator.begin(account, 'k', 'b')).isOk());
+    t2.match(await begin(), { error: { type: 'run_in_progress' } });
+    // The new process under the same name knows no attempt of the old one.
+    registerHoldsHandler(first.mesh, () => false);
+    t2.match(await begin(), { error: { type: 'outcome_unknown', run: 'unknown' } });
+    await cluster.stop();
+  },
+);
+
+t.test('an end that waits to be recorded keeps its attempt held', async (t2) => {
+  const cluster = createCluster(7, ['n1']);
+  const [node] = cluster.nodes as [Node];
+  const grant = await requestGrant(node, 'k');
+  cluster.faults.isTableDown = true;
+  t2.match(await node.coordinator.finish(grant, createResponse('done')), { error: { run: 'ran' } });
+  t2.ok(node.coordinator.isHolding(grant.attempt));
+  await cluster.stop();
+  t2.notOk(node.coordinator.isHolding(grant.attempt));
+});
+
 t.test('removal of expired rows leaves a log that the next owner can read', async (t2) => {
   const cluster = createCluster(4, ['n1', 'n2']);
   const [first, second] = cluster.nodes as [Node, Node];
--- a/packages/entry/src/runCoordinator.ts
+++ b/packages/entry/src/runCoordinator.ts
@@ -50,6 +50,9 @@
   /** Records of open attempts, for `finish`, `release` and `abandon`. */
   private readonly open = new Map<AttemptId, BegunRecord>();
 
+  /** Attempts whose end is being recorded. */
+  private readonly ending = new Set<AttemptId>();
+
   private readonly backlog: RunBacklog;
 
   private constructor(private readonly options: NodeRunCoordinatorOptions) {
@@ -84,6 +87,10 @@
     if (record !== undefined) this.addRelease({ ...record, type: 'abandoned' });
   };
 
+  /** Tells whether this process has an attempt whose end is not recorded yet. */
+  readonly isHolding = (attempt: AttemptId): boolean =>
+    this.open.has(attempt) || this.ending.has(attempt) || this.backlog.has(attempt);
+
   /** Records what waits, once more, and stops. */
   async stop(): Promise<void> {
     await this.backlog.stop();
@@ -97,7 +104,7 @@
     if (key.length === 0 || key.length > MAX_KEY_LENGTH) {
       return err(createNotRunError('bad_request', 'the idempotency key has 1 to 255 characters'));
     }
-    if (this.open.size >= MAX_OPEN_ATTEMPTS) {
+    if (this.open.size + this.ending.size >= MAX_OPEN_ATTEMPTS) {
       return err(createNotRunError('overloaded', 'too many runs are open', STORE_RETRY_AFTER_MS));
     }
     const { clock, router, self } = this.options;
@@ -177,8 +184,8 @@
         await router.requestFinish({ ...attempt, type: 'finished', response: stored.value }),
       );
     };
-    if (await tryRecord()) return ok(undefined);
-    this.backlog.add(record.attempt, tryRecord, response.body.length);
+    const isRecorded = await this.runEnding(record.attempt, tryRecord, response.body.length);
+    if (isRecorded) return ok(undefined);
     return err({
       type: 'run_store_unavailable',
       message: 'the answer is not recorded yet',
@@ -190,11 +197,28 @@
     const record = this.takeOpen(grant);
     if (record === undefined) return ok(undefined);
     const released: ReleaseMessage['record'] = { ...record, type: 'released' };
-    if (this.isSettled(await this.options.router.requestRelease(released))) return ok(undefined);
-    this.addRelease(released);
+    const tryRecord = async (): Promise<boolean> =>
+      this.isSettled(await this.options.router.requestRelease(released));
+    if (await this.runEnding(record.attempt, tryRecord, 0)) return ok(undefined);
     return err(createStoreError('the key is not free yet'));
   }
 
+  /** Records an end now, or later by the backlog; the attempt counts as held in between. */
+  private async runEnding(
+    attempt: AttemptId,
+    tryRecord: () => Promise<boolean>,
+    bytes: number,
+  ): Promise<boolean> {
+    this.ending.add(attempt);
+    try {
+      if (await tryRecord()) return true;
+      this.backlog.add(attempt, tryRecord, bytes);
+      return false;
+    } finally {
+      this.ending.delete(attempt);
+    }
+  }
+
   private addRelease(record: ReleaseMessage['record']): void {
     const tryRecord = async (): Promise<boolean> =>
       this.isSettled(await this.options.router.requestRelease(record));
--- a/packages/entry/src/runMessages.ts
+++ b/packages/entry/src/runMessages.ts
@@ -6,6 +6,7 @@
   begin: 'runs.begin',
   finish: 'runs.finish',
   release: 'runs.release',
+  holds: 'runs.holds',
 } as const;
 
 const [begunSchema, finishedSchema, releasedSchema, abandonedSchema] = runRecordSchema.options;
@@ -20,6 +21,10 @@
   record: z.discriminatedUnion('type', [releasedSchema, abandonedSchema]),
 });
 
+/** Asks a node whether it still holds an attempt. */
+export const holdsMessageSchema = z.object({ attempt: begunSchema.shape.attempt });
+export const holdsReplySchema = z.object({ isHeld: z.boolean() });
+
 export type BeginMessage = z.infer<typeof beginMessageSchema>;
 export type FinishMessage = z.infer<typeof finishMessageSchema>;
 export type ReleaseMessage = z.infer<typeof releaseMessageSchema>;
--- a/packages/entry/src/runShard.ts
+++ b/packages/entry/src/runShard.ts
@@ -1,6 +1,7 @@
 import {
   assertNever,
   getErrorMessage,
+  type AttemptId,
   type Clock,
   type Logger,
   type NodeId,
@@ -17,6 +18,7 @@
   type Segment,
 } from '@lovagearch/runs';
 import type { BeginMessage, BeginReply, EndReply } from './runMessages.js';
+import type { HolderState } from './runHolders.js';
 import { removeExpiredRows } from './runShardExpiry.js';
 import {
   createEmptyShard,
@@ -42,7 +44,7 @@
   readonly objects: ObjectClient;
   readonly clock: Clock;
   readonly log: Logger;
-  readonly isLive: (node: NodeId) => boolean;
+  readonly findHolderState: (holder: NodeId, attempt: AttemptId) => Promise<HolderState>;
   /** Calls back once after a delay; returns a function that cancels it. */
   readonly schedule: (callback: () => void, delayMs: number) => () => void;
 }
@@ -91,7 +93,7 @@
       const isSame = waiting.record.bodyHash === record.bodyHash;
       return { type: isSame ? 'in_progress' : 'key_reused' };
     }
-    const decision = this.loaded.state.getBeginDecision(record, this.options.isLive);
+    const decision = this.loaded.state.getBeginDecision(record);
     if (!isOpen && (decision.type === 'grant' || decision.type === 'granted_before')) {
       return { type: 'unavailable' };
     }
@@ -133,8 +135,9 @@
           : { type: 'in_progress' };
       case 'recorded_in_row':
         return this.readResponse(record, decision.sequence);
-      case 'recorded':
       case 'in_progress':
+        return this.checkHolder(record, decision);
+      case 'recorded':
       case 'unknown':
       case 'key_reused':
       case 'attempt_over':
@@ -145,6 +148,20 @@
     }
   }
 
+  /** Tells a run that still runs from one that its holder can't end any more. */
+  private async checkHolder(
+    record: BegunRecord,
+    { attempt, holder }: Extract<BeginDecision, { type: 'in_progress' }>,
+  ): Promise<BeginReply> {
+    if ((await this.options.findHolderState(holder, attempt)) !== 'gone') {
+      return { type: 'in_progress' };
+    }
+    // The end may have been recorded while the holder was asked.
+    const now = this.loaded.state.getBeginDecision(record);
+    if (now.type === 'in_progress' && now.attempt === attempt) return { type: 'unknown' };
+    return now.type === 'recorded' || now.type === 'unknown' ? now : { type: 'in_progress' };
+  }
+
   private async writeBegun(record: BegunRecord): Promise<BeginReply> {
     const runId = getRunId(record);
     const reply = this.append(record).then<BeginReply>((isDurable) => {
--- a/packages/entry/src/runShardOwner.ts
+++ b/packages/entry/src/runShardOwner.ts
@@ -8,6 +8,7 @@
 import type { PeerMesh } from '@lovagearch/peering';
 import type { ObjectClient, TableClient } from '@lovagearch/platform-client';
 import { getRunId } from '@lovagearch/runs';
+import { findHolderState } from './runHolders.js';
 import {
   beginMessageSchema,
   finishMessageSchema,
@@ -31,6 +32,8 @@
   readonly log: Logger;
   /** Live members of all regions, this node included unless it is leaving. */
   readonly listLiveMembers: () => readonly NodeId[];
+  /** Tells whether a node is a member that is not dead, draining or not. */
+  readonly isPresent: (node: NodeId) => boolean;
   /** Replaced by tests that move time by hand. */
   readonly schedule?: RunShardOptions['schedule'];
 }
@@ -138,13 +141,14 @@
   }
 
   private createShard(shard: number): RunShard {
-    const { mesh, listLiveMembers, schedule = scheduleTimer, ...rest } = this.options;
+    const { mesh, isPresent, schedule = scheduleTimer, ...rest } = this.options;
     return RunShard.create({
       ...rest,
       shard,
       self: mesh.self,
       schedule,
-      isLive: (node) => listLiveMembers().includes(node),
+      findHolderState: async (holder, attempt) =>
+        findHolderState({ mesh, isPresent }, holder, attempt),
     });
   }
 }
--- a/packages/runs/src/shardLog.test.ts
+++ b/packages/runs/src/shardLog.test.ts
@@ -79,18 +79,9 @@
     state.applyRecord({ type: 'finished', ...createRecord(key), response }, index + 1);
   }
   const retry = { ...createRecord('k1'), attempt: toId<AttemptId>('later') };
-  t2.match(
-    state.getBeginDecision(retry, () => true),
-    { type: 'recorded_in_row', sequence: 1 },
-  );
+  t2.match(state.getBeginDecision(retry), { type: 'recorded_in_row', sequence: 1 });
   const other = { ...createRecord('k2'), bodyHash: 'c' };
-  t2.match(
-    state.getBeginDecision(other, () => true),
-    { type: 'key_reused' },
-  );
+  t2.match(state.getBeginDecision(other), { type: 'key_reused' });
   state.removeExpired(1);
-  t2.match(
-    state.getBeginDecision(retry, () => true),
-    { type: 'grant' },
-  );
+  t2.match(state.getBeginDecision(retry), { type: 'grant' });
 });
--- a/packages/runs/src/shardState.ts
+++ b/packages/runs/src/shardState.ts
@@ -37,7 +37,8 @@
   | { readonly type: 'granted_before' }
   | { readonly type: 'recorded'; readonly response: StoredResponse }
   | { readonly type: 'recorded_in_row'; readonly sequence: number }
-  | { readonly type: 'in_progress' }
+  /** Whether the holder still has the attempt is not known here. */
+  | { readonly type: 'in_progress'; readonly holder: NodeId; readonly attempt: AttemptId }
   | { readonly type: 'unknown' }
   | { readonly type: 'key_reused' }
   /** The attempt was released; its requester has given up. */
@@ -53,7 +54,7 @@
  * @example
  * const state = ShardState.create();
  * state.applyRecord(record, 17);
- * state.getBeginDecision(request, (node) => liveMembers.has(node));
+ * state.getBeginDecision(request);
  */
 export class ShardState {
   /** In the order of each key's last record. */
@@ -114,7 +115,7 @@
   }
 
   /** Decides what a begin gets. It changes nothing. */
-  getBeginDecision(request: BeginRequest, isLive: (holder: NodeId) => boolean): BeginDecision {
+  getBeginDecision(request: BeginRequest): BeginDecision {
     const entry = this.entries.get(getRunId(request));
     if (entry === undefined) {
       return this.entries.size < this.maxKeys ? { type: 'grant' } : { type: 'full' };
@@ -126,7 +127,7 @@
     switch (entry.type) {
       case 'begun':
         if (entry.attempt === request.attempt) return { type: 'granted_before' };
-        return isLive(entry.holder) ? { type: 'in_progress' } : { type: 'unknown' };
+        return { type: 'in_progress', holder: entry.holder, attempt: entry.attempt };
       case 'finished':
         return entry.response === undefined
           ? { type: 'recorded_in_row', sequence: entry.sequence }
