Bring faulty endpoints back into rotation after their time

Cause: an endpoint that crashed with three distinct requests was marked as leaving, and that mark has no end, so a restarted runner never got work again. Ruled out: clearing the mark on a timer, since a mark by a watcher for a runner that really leaves would be cleared with it. Change: the choice of runners and service instances leaves out what ContainmentController.isFaulty names, which ends after 5 min. Conclusion: containment no longer writes the endpoint's state.

--- a/packages/entry/src/buildNode.ts
+++ b/packages/entry/src/buildNode.ts
@@ -18,6 +18,7 @@
 import { AdmissionController } from './admissionController.js';
 import { ConfigurationFollower } from './configurationFollower.js';
 import { ContainmentController } from './containmentController.js';
+import { createRotation } from './endpointRotation.js';
 import { FollowedConfiguration } from './followedConfiguration.js';
 import { createClientCloser, createNodeClients } from './nodeClients.js';
 import { NodeCluster } from './nodeCluster.js';
@@ -155,7 +156,6 @@
     clock,
     log: log.withTag('containment'),
     listLiveMembers: members.listLive,
-    markFaulty: directory.markLeaving,
   });
   await follower.start();
   const { index, stores } = reuse;
@@ -166,7 +166,7 @@
       ...context,
       metrics: Metrics.create(settings.statsd),
       configuration,
-      directory,
+      directory: createRotation(directory, (id) => containment.isFaulty(id)),
       index,
       runs: runs.coordinator,
       admission,
--- a/packages/entry/src/containmentController.ts
+++ b/packages/entry/src/containmentController.ts
@@ -61,8 +61,6 @@
   readonly log: Logger;
   /** Live members of this and of the other regions; this node may be among them. */
   readonly listLiveMembers: () => readonly NodeId[];
-  /** Called when an endpoint crashes with any request and must leave the rotation. */
-  readonly markFaulty: (endpoint: EndpointId) => void;
 }
 
 /** Containment on one node: asks and updates its list, and spreads news to all members. */
@@ -128,7 +126,6 @@
   private handleUpdate(events: readonly ContainmentEvent[]): void {
     const nowMs = this.options.clock.nowMs();
     for (const event of events) {
-      if (event.type === 'faulty') this.options.markFaulty(event.endpoint);
       this.publish(this.list.applyEvent(event, nowMs));
     }
   }
@@ -138,7 +135,6 @@
     for (const event of events) {
       if (event.type === 'faulty') {
         this.options.log.warn(`Endpoint ${event.endpoint} crashes with any request.`);
-        this.options.markFaulty(event.endpoint);
       }
     }
     this.waiting = [...this.waiting, ...events].slice(-MAX_WAITING_EVENTS);
