--- a/packages/entry/src/buildNode.ts
+++ b/packages/entry/src/buildNode.ts
@@ -18,6 +18,7 @@
 import { AdmissionController } from './admissionController.js';
 import { ConfigurationFollower } from './configurationFollower.js';
 import { ContainmentController } from './containmentController.js';
+import { createRotation } from './endpointRotation.js';
 import { FollowedConfiguration } from './followedConfiguration.js';
 import { listAccounts, listStores } from './adminLists.js';
 import { createClientCloser, createNodeClients } from './nodeClients.js';
@@ -144,7 +145,7 @@
     getWatchers: (endpoint) => getCluster().getWatchers(endpoint),
     toAddress,
   });
-  const runs = createNodeRuns(context, members.listLive);
+  const runs = createNodeRuns(context, members.listLive, members.isPresent);
   const configuration = FollowedConfiguration.create({
     getView: () => follower.view,
     chooseVersion: ({ id, service, weightVersion }) =>
@@ -156,7 +157,6 @@
     clock,
     log: log.withTag('containment'),
     listLiveMembers: members.listLive,
-    markFaulty: directory.markLeaving,
   });
   await follower.start();
   const { index, stores } = reuse;
@@ -167,7 +167,7 @@
       ...context,
       metrics: Metrics.create(settings.statsd),
       configuration,
-      directory,
+      directory: createRotation(directory, (id) => containment.isFaulty(id)),
       index,
       runs: runs.coordinator,
       admission,
