--- a/packages/entry/src/buildNode.ts
+++ b/packages/entry/src/buildNode.ts
@@ -171,6 +171,7 @@
       runs: runs.coordinator,
       admission,
       containment,
+      routingPolicy: settings.routingPolicy,
       linkBudget: LinkBudget.create(settings.linkBytesPerSecond, clock.nowMs()),
       handleDrainStart: members.markLeaving,
       readers: {
--- a/packages/entry/src/nodeReuse.ts
+++ b/packages/entry/src/nodeReuse.ts
@@ -46,6 +46,7 @@
     index,
     directory,
     clock,
+    hasExports: context.settings.routingPolicy === 'cost',
     log: createLog('prefixes'),
     getAddress: ({ service, url }) => toAddress(service, url),
     getWatchers,
--- a/packages/entry/src/prefixWatch.ts
+++ b/packages/entry/src/prefixWatch.ts
@@ -33,6 +33,8 @@
   readonly directory: EndpointDirectory;
   readonly clock: Clock;
   readonly log: Logger;
+  /** False in measurements of policies that use no store VM. */
+  readonly hasExports: boolean;
   readonly getAddress: (endpoint: EndpointView) => EngineAddress;
   readonly getWatchers: (endpoint: EndpointId) => readonly NodeId[];
   readonly listRegionMembers: (region: Region) => readonly NodeId[];
@@ -144,6 +146,7 @@
   }
 
   private startExports(): void {
+    if (!this.options.hasExports) return;
     for (const [id, runner] of this.runners) {
       const endpoint = this.options.directory.getEndpoint(id);
       if (endpoint === undefined) {
--- a/packages/entry/src/routingChooser.ts
+++ b/packages/entry/src/routingChooser.ts
@@ -5,6 +5,7 @@
   chooseRunner,
   type LinkBudget,
   LoadEstimator,
+  type RoutingPolicy,
   type RunnerState,
 } from '@lovagearch/routing';
 import type { RunnerChoice, RunnerChooser, RunnerQuery } from './runnerSelection.js';
@@ -15,6 +16,8 @@
   readonly directory: EndpointDirectory;
   readonly clock: Clock;
   readonly random: Random;
+  /** How runners are chosen; `cost` unless a measurement compares it with another. */
+  readonly routingPolicy?: RoutingPolicy['type'] | undefined;
   /** This node's share of the link between regions; undefined for no limit. */
   readonly linkBudget?: LinkBudget | undefined;
 }
@@ -42,14 +45,14 @@
     candidates: readonly EndpointView[],
     locations: readonly PromptLocation[],
   ): RunnerChoice | undefined => {
-    const { identity, random } = this.options;
+    const { identity, random, routingPolicy: type = 'cost' } = this.options;
     this.sequence += 1;
     const [best] = chooseRunner({
       request: { ...query, region: identity.region, zone: identity.zone },
       runners: candidates.map((view) => this.createState(view)),
       prefixes: this.selectUsable(locations),
       speeds: query.service,
-      policy: { type: 'cost', weights: query.service.policy },
+      policy: type === 'cost' ? { type, weights: query.service.policy } : { type },
       isLinkOpen: this.isLinkOpen(query),
       random,
       sequence: this.sequence,
--- a/packages/entry/src/startEntry.ts
+++ b/packages/entry/src/startEntry.ts
@@ -1,6 +1,6 @@
 import type { Clock, Logger, Metrics, Random } from '@lovagearch/common';
 import type { EngineClient } from '@lovagearch/engine-client';
-import type { LinkBudget } from '@lovagearch/routing';
+import type { LinkBudget, RoutingPolicy } from '@lovagearch/routing';
 import type { ServiceClient } from '@lovagearch/service-client';
 import { AbandonedStreams } from './abandonedStreams.js';
 import { type AdminReaders, AdminServer } from './adminServer.js';
@@ -66,6 +66,7 @@
   readonly admission: Admission;
   readonly containment: Containment;
   readonly linkBudget?: LinkBudget | undefined;
+  readonly routingPolicy?: RoutingPolicy['type'] | undefined;
   readonly readers: EntryReaders;
   /** Called when the node begins to drain, so that its duties pass to other nodes. */
   readonly handleDrainStart?: () => void;
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -73,6 +73,8 @@
   linkBytesPerSecond: createIntegerField(1, MAX_LINK_BYTES_PER_SECOND, 'bytes').default(
     DEFAULT_LINK_BYTES_PER_SECOND,
   ),
+  /** Choice of runners; all but `cost` exist for measurements and use no store VM. */
+  routingPolicy: z.enum(['cost', 'least_loaded', 'prefix_affinity', 'round_robin']).default('cost'),
   historyFile: createTextField().optional(),
   statsd: statsdSchema.optional(),
   logLevel: z.enum(LOG_LEVEL_NAMES).default('info'),
