--- a/packages/entry/src/generation.test.ts
+++ b/packages/entry/src/generation.test.ts
@@ -25,17 +25,32 @@
   GenerateChunk,
   GenerateRequest,
 } from '@lovagearch/engine-client';
+import { MemoryMesh, MemoryNetwork } from '@lovagearch/peering';
 import type { ServiceClient } from '@lovagearch/service-client';
 import { errAsync, okAsync } from 'neverthrow';
 import t, { type Test } from 'tap';
 import type { CallerConfiguration } from './callerConfiguration.js';
-import { createLocalAdmission } from './localAdmission.js';
-import { createLocalContainment } from './localContainment.js';
-import { LocalPromptIndex } from './localPromptIndex.js';
-import { createLocalRunCoordinator } from './localRunCoordinator.js';
+import { PromptIndexNode } from './promptIndexNode.js';
 import { type EntryOptions, type EntryParts, type RunningEntry, startEntry } from './startEntry.js';
+import {
+  createAdmissionFake,
+  createContainmentFake,
+  createRunCoordinatorFake,
+} from './testFakes.js';
 import type { EndpointDirectory, EndpointView } from './types.js';
 
+const createIndex = (): PromptIndexNode => {
+  const self = toId<NodeId>('node-1');
+  const region = toId<Region>('south');
+  return PromptIndexNode.create({
+    mesh: MemoryMesh.create(self, MemoryNetwork.create()),
+    region,
+    listRegions: () => [region],
+    listMembers: () => [self],
+    getWatchers: () => [],
+  });
+};
+
 type StreamValue = GenerateChunk | { readonly type: 'failed'; error: EngineError };
 /** `hang` waits until the connection is closed or the gate opens. */
 type Played = StreamValue | { readonly type: 'hang'; readonly gate?: Promise<void> };
@@ -262,10 +277,10 @@
       engines,
       services: NO_SERVICES,
       directory: DIRECTORY,
-      index: LocalPromptIndex.create(),
-      runs: createLocalRunCoordinator(),
-      admission: createLocalAdmission(),
-      containment: createLocalContainment(),
+      index: createIndex(),
+      runs: createRunCoordinatorFake(),
+      admission: createAdmissionFake(),
+      containment: createContainmentFake(),
       readers: READERS,
       background: [],
       ...parts,
--- a/packages/entry/src/serviceCalls.test.ts
+++ b/packages/entry/src/serviceCalls.test.ts
@@ -23,13 +23,12 @@
 import t from 'tap';
 import type { CallerConfiguration, PlainServiceView } from './callerConfiguration.js';
 import { DecisionLog } from './decisionLog.js';
-import { createLocalAdmission } from './localAdmission.js';
-import { createLocalContainment } from './localContainment.js';
 import { OnceOnlyCalls } from './onceOnlyCall.js';
 import { ServiceInstances } from './serviceInstances.js';
 import { type ReceivedCall, ServiceRequestHandler } from './serviceRequestHandler.js';
 import { findRoute, isPlainPath } from './serviceRoutes.js';
 import { ServiceSending } from './serviceSending.js';
+import { createAdmissionFake, createContainmentFake } from './testFakes.js';
 import type { EndpointDirectory, EndpointView, RunBeginning, RunCoordinator } from './types.js';
 
 const LEDGER: PlainServiceView = {
@@ -145,8 +144,8 @@
     },
   };
   const directory = createDirectory(instances);
-  const admission = createLocalAdmission();
-  const containment = createLocalContainment();
+  const admission = createAdmissionFake();
+  const containment = createContainmentFake();
   const decisions = DecisionLog.create(clock, log);
   const sending = ServiceSending.create({
     log,
--- /dev/null
+++ b/packages/entry/src/testFakes.ts
@@ -0,0 +1,24 @@
+import { createNotRunError } from '@lovagearch/common';
+import { errAsync, okAsync } from 'neverthrow';
+import type { Admission, Containment, RunCoordinator } from './types.js';
+
+/** Test only: admits every request and every retry. */
+export const createAdmissionFake = (): Admission => ({
+  admit: () => okAsync({ queuedMs: 0, release: () => undefined }),
+  tryTakeRetry: () => true,
+});
+
+/** Test only: attributes no crash to any request. */
+export const createContainmentFake = (): Containment => ({
+  check: () => ({ type: 'clear' }),
+  recordStart: () => undefined,
+  recordEnd: () => undefined,
+});
+
+/** Test only: refuses all non-idempotent calls. */
+export const createRunCoordinatorFake = (): RunCoordinator => ({
+  begin: () => errAsync(createNotRunError('run_store_unavailable', 'this node has no run log')),
+  finish: () => okAsync(undefined),
+  release: () => okAsync(undefined),
+  abandon: () => undefined,
+});
