Prove that non-idempotent calls run at most once under failure

Cause: invariants 5 and 6 were tested with simulated nodes only. Ruled out: counting runs at the entry processes, since the fault is what they do not know; the run logs of the service doubles are read instead, and those of an instance that is killed after its last connection broke.

--- a/packages/proving/src/proofs.ts
+++ b/packages/proving/src/proofs.ts
@@ -1,4 +1,5 @@
 import type { ProofCase } from './proofCase.js';
+import { RUN_PROOFS } from './proofsRuns.js';
 
 /** All cases of `npm run prove`, by promise. */
-export const PROOFS: readonly ProofCase[] = [];
+export const PROOFS: readonly ProofCase[] = [...RUN_PROOFS];
