--- a/packages/entry/src/buildNode.ts
+++ b/packages/entry/src/buildNode.ts
@@ -20,6 +20,7 @@
 import { ContainmentController } from './containmentController.js';
 import { createRotation } from './endpointRotation.js';
 import { FollowedConfiguration } from './followedConfiguration.js';
+import { listAccounts, listStores } from './adminLists.js';
 import { createClientCloser, createNodeClients } from './nodeClients.js';
 import { NodeCluster } from './nodeCluster.js';
 import type { NodeContext } from './nodeContext.js';
@@ -171,14 +172,16 @@
       runs: runs.coordinator,
       admission,
       containment,
+      routingPolicy: settings.routingPolicy,
       linkBudget: LinkBudget.create(settings.linkBytesPerSecond, clock.nowMs()),
       handleDrainStart: members.markLeaving,
+      listTopicTraffic: () => mesh.listTopicTraffic(),
       readers: {
         configuration: () => follower.getStatus(),
         members: () => ({ members: members.listMembers() }),
         endpoints: () => ({ endpoints: directory.listAll() }),
-        stores: () => ({ stores: stores.listFills() }),
-        accounts: () => ({ accounts: admission.listAccounts() }),
+        stores: () => ({ stores: listStores(members.listRegions(), directory, stores) }),
+        accounts: () => ({ accounts: listAccounts(follower.view, admission) }),
         runs: () => ({ shards: runs.owner.listShards() }),
         quarantine: () => ({ entries: containment.listEntries() }),
       },
