Prove that leaving endpoints receive no new work

Nodes gossip the address they listen on, so a proof could not put a proxy in front of a peer port; a node behind a translated address had the same fault. Ruled out: times of two processes are not compared, the stand-ins report ages of arrivals instead.

--- a/packages/entry/src/buildNode.ts
+++ b/packages/entry/src/buildNode.ts
@@ -131,8 +131,11 @@
     return checksCaller ? { url, serviceToken: settings.serviceToken } : { url };
   };
   let reuse: NodeReuse | undefined;
-  cluster = startCluster(context, `${host}:${mesh.port}`, toAddress, (runner, boot, batch) =>
-    reuse?.handleCacheEvents(runner, boot, batch),
+  cluster = startCluster(
+    context,
+    settings.peerAddress ?? `${host}:${mesh.port}`,
+    toAddress,
+    (runner, boot, batch) => reuse?.handleCacheEvents(runner, boot, batch),
   );
   const { directory, members } = cluster;
   reuse = createNodeReuse({
--- a/packages/proving/src/cluster.ts
+++ b/packages/proving/src/cluster.ts
@@ -25,6 +25,8 @@
   readonly settings?: object;
   /** Puts a fault proxy in front of each endpoint and store VM. */
   readonly hasProxies?: boolean;
+  /** Puts a fault proxy in front of the peer port of each entry process, as `<id>/peer`. */
+  readonly hasPeerProxies?: boolean;
   /** Puts a fault proxy between the system and the platform. */
   readonly hasPlatformProxy?: boolean;
 }
@@ -52,6 +54,8 @@
 
   readonly proxies = new Map<string, FaultProxy>();
 
+  private readonly stewards: StartedProcess[] = [];
+
   private constructor(
     readonly folder: string,
     readonly platform: StartedProcess,
@@ -107,11 +111,17 @@
     await this.addVm('store', null, id, place, started);
   }
 
-  async startService(id: string, place: Place, service: string): Promise<void> {
+  async startService(
+    id: string,
+    place: Place,
+    service: string,
+    options: object = {},
+  ): Promise<void> {
     const started = await startProcess(getStandinFile('service'), {
       id,
       checksCaller: true,
       serviceToken: SERVICE_TOKEN,
+      ...options,
     });
     await this.addVm('service', service, id, place, started);
   }
@@ -143,16 +153,22 @@
   }
 
   async startEntry(id: string, place: Place, settings: object = {}): Promise<ClusterVm> {
-    const file = await this.writeSettings(id, place, settings);
+    const proxy = await this.startPeerProxy(id);
+    const peerAddress = proxy === undefined ? {} : { peerAddress: `127.0.0.1:${proxy.port}` };
+    const file = await this.writeSettings(id, place, { ...peerAddress, ...settings });
     const program = getProgram('entry/bin/lovagearch-entry.js');
     const started = await startProcess(program, ['--settings', file]);
+    proxy?.setTargetPort(started.ports.peer ?? 0);
     await this.addVm('entry', null, id, place, started);
     return this.getVm(id);
   }
 
   async startSteward(id: string, place: Place): Promise<StartedProcess> {
     const file = await this.writeSettings(id, place);
-    return startProcess(getProgram('steward/bin/lovagearch-steward.js'), ['--settings', file]);
+    const program = getProgram('steward/bin/lovagearch-steward.js');
+    const started = await startProcess(program, ['--settings', file]);
+    this.stewards.push(started);
+    return started;
   }
 
   /** Runs the operators' command line. */
@@ -224,13 +240,21 @@
   async stop(): Promise<void> {
     for (const proxy of this.proxies.values()) await proxy.stop();
     await this.platformProxy?.stop();
-    for (const started of [...[...this.vms.values()].map((vm) => vm.process), this.platform]) {
+    const vms = [...this.vms.values()].map((vm) => vm.process);
+    for (const started of [...vms, ...this.stewards, this.platform]) {
       started.kill('SIGKILL');
       await started.waitForExit();
     }
     await rm(this.folder, { recursive: true, force: true });
   }
 
+  private async startPeerProxy(id: string): Promise<FaultProxy | undefined> {
+    if (this.options.hasPeerProxies !== true) return undefined;
+    const proxy = await FaultProxy.start({ targetHost: '127.0.0.1', targetPort: 0 });
+    this.proxies.set(`${id}/peer`, proxy);
+    return proxy;
+  }
+
   private async addVm(
     role: Vm['role'],
     service: string | null,
@@ -247,6 +271,8 @@
       this.proxies.set(id, proxy);
       ports = { main: proxy.port };
     }
+    const peerProxy = this.proxies.get(`${id}/peer`);
+    if (peerProxy !== undefined) ports = { ...ports, peer: peerProxy.port };
     const { region, zone } = place;
     this.vms.set(id, {
       id,
--- a/packages/proving/src/faultProxy.ts
+++ b/packages/proving/src/faultProxy.ts
@@ -36,10 +36,13 @@
 
   private mode: FaultMode = 'pass';
 
+  private targetPort: number;
+
   private constructor(
     private readonly server: Server,
     private readonly options: FaultProxyOptions,
   ) {
+    this.targetPort = options.targetPort;
     server.on('connection', (caller) => this.handleConnection(caller));
   }
 
@@ -59,6 +62,11 @@
     return this.connections.size;
   }
 
+  /** Leads new connections to another port, for a process that starts after its proxy. */
+  setTargetPort(port: number): void {
+    this.targetPort = port;
+  }
+
   setMode(mode: FaultMode): void {
     this.mode = mode;
     for (const connection of this.connections) {
@@ -84,7 +92,7 @@
       caller.resetAndDestroy();
       return;
     }
-    const target = connect(this.options.targetPort, this.options.targetHost);
+    const target = connect(this.targetPort, this.options.targetHost);
     const connection: ProxiedConnection = { caller, target, isSilent: false };
     this.connections.add(connection);
     caller.setNoDelay(true);
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -53,6 +53,8 @@
   nodeName: createNameField().optional(),
   listen: listenSchema,
   platform: platformSchema,
+  /** `host:port` at which other nodes reach the peer port; without it, where it listens. */
+  peerAddress: createPatternField(/^[^\s:]+:\d{1,5}$/, 'an address as host:port').optional(),
   /** Peers as `host:port` that introduce this node when the VM list is down. */
   seeds: z
     .array(createPatternField(/^[^\s:]+:\d{1,5}$/, 'an address as host:port'))
--- a/packages/standins/src/engineRoutes.ts
+++ b/packages/standins/src/engineRoutes.ts
@@ -70,7 +70,9 @@
   reply: FastifyReply,
 ): FastifyReply => {
   const order = parseBody(orderSchema, request.body);
-  if (engine.slots.apply(order)) return reply.code(202).send({ orderId: order.orderId });
+  const isAccepted = engine.slots.apply(order);
+  engine.orders.add({ ...order, isAccepted });
+  if (isAccepted) return reply.code(202).send({ orderId: order.orderId });
   return reply.code(409).send({
     error: { type: 'stale_fencing', message: 'a newer holder has sent orders' },
     fencing: engine.slots.fencing,
@@ -95,6 +97,8 @@
     return reply.code(204).send();
   });
   app.get('/control/runs', async () => engine.runs);
+  app.get('/control/arrivals', async () => engine.arrivals.list());
+  app.get('/control/orders', async () => engine.orders.list());
   app.get('/control/violations', async () => engine.violations);
 };
 
--- a/packages/standins/src/engineSchemas.ts
+++ b/packages/standins/src/engineSchemas.ts
@@ -70,6 +70,8 @@
     )
     .default([]),
   role: z.string().default('mixed'),
+  /** Shortest time between SIGTERM and the end of the process. */
+  minDrainMs: z.number().nonnegative().default(0),
   prefillTokensPerSecond: z.number().positive().default(20_000),
   stepMs: z.number().positive().default(10),
   maxBatch: z.number().int().positive().default(16),
--- a/packages/standins/src/serviceMain.ts
+++ b/packages/standins/src/serviceMain.ts
@@ -3,6 +3,7 @@
 import { createServer, parseOptions, standinOptionsSchema, startServer } from './standinServer.js';
 
 const optionsSchema = standinOptionsSchema.extend({
+  minDrainMs: z.number().nonnegative().default(0),
   checksCaller: z.boolean().default(false),
   serviceToken: z.string().default(''),
 });
