--- a/packages/entry/src/buildNode.ts
+++ b/packages/entry/src/buildNode.ts
@@ -18,7 +18,9 @@
 import { AdmissionController } from './admissionController.js';
 import { ConfigurationFollower } from './configurationFollower.js';
 import { ContainmentController } from './containmentController.js';
+import { createRotation } from './endpointRotation.js';
 import { FollowedConfiguration } from './followedConfiguration.js';
+import { listAccounts, listStores } from './adminLists.js';
 import { createClientCloser, createNodeClients } from './nodeClients.js';
 import { NodeCluster } from './nodeCluster.js';
 import type { NodeContext } from './nodeContext.js';
@@ -146,7 +148,7 @@
     getWatchers: (endpoint) => getCluster().getWatchers(endpoint),
     toAddress,
   });
-  const runs = createNodeRuns(context, members.listLive);
+  const runs = createNodeRuns(context, members.listLive, members.isPresent);
   const configuration = FollowedConfiguration.create({
     getView: () => follower.view,
     chooseVersion: ({ id, service, weightVersion }) =>
@@ -158,7 +160,6 @@
     clock,
     log: log.withTag('containment'),
     listLiveMembers: members.listLive,
-    markFaulty: directory.markLeaving,
   });
   await follower.start();
   const { index, stores } = reuse;
@@ -169,19 +170,20 @@
       ...context,
       metrics: Metrics.create(settings.statsd),
       configuration,
-      directory,
+      directory: createRotation(directory, (id) => containment.isFaulty(id)),
       index,
       runs: runs.coordinator,
       admission,
       containment,
+      routingPolicy: settings.routingPolicy,
       linkBudget: LinkBudget.create(settings.linkBytesPerSecond, clock.nowMs()),
       handleDrainStart: members.markLeaving,
       readers: {
         configuration: () => follower.getStatus(),
         members: () => ({ members: members.listMembers() }),
         endpoints: () => ({ endpoints: directory.listAll() }),
-        stores: () => ({ stores: stores.listFills() }),
-        accounts: () => ({ accounts: admission.listAccounts() }),
+        stores: () => ({ stores: listStores(members.listRegions(), directory, stores) }),
+        accounts: () => ({ accounts: listAccounts(follower.view, admission) }),
         runs: () => ({ shards: runs.owner.listShards() }),
         quarantine: () => ({ entries: containment.listEntries() }),
       },
