Give no duties back to a node that has left

Cause: a member that had announced that it leaves and then ended was taken for suspect, and suspect members have duties. For the 3 s of the suspicion its run shards were looked for on a process that was gone, and claims were refused with run_store_unavailable. Ruled out: the run shards were handed over in time; the router's tries went to the ended node. Change: a record remembers that the member is leaving until the member itself says otherwise. The new test fails without the filter in listActive. Conclusion: a suspicion no longer undoes a leave.

--- a/packages/membership/src/memberList.test.ts
+++ b/packages/membership/src/memberList.test.ts
@@ -155,6 +155,21 @@
   });
 }
 
+t.test('a leaving member gets no duties back when it stops answering', async (t2) => {
+  const simulation = Simulation.create(5, 6, 3);
+  const { id, region } = simulation.identities[0]!;
+  simulation.lists.get(id)!.markSelfLeaving();
+  simulation.runSteps(5);
+  simulation.down.add(id);
+  simulation.runSteps(20, () => {
+    for (const [viewer, list] of simulation.lists) {
+      if (viewer === id || !list.listActive(region).includes(id)) continue;
+      t2.fail(`${viewer} gives duties to a node that has left`);
+    }
+  });
+  t2.equal(simulation.countStates((other) => other === id).leaving, undefined);
+});
+
 t.test('a leaving member is known everywhere and forgotten once it is off the list', async (t2) => {
   const simulation = Simulation.create(4, 6, 3);
   const { id } = simulation.identities[0]!;
--- a/packages/membership/src/memberList.ts
+++ b/packages/membership/src/memberList.ts
@@ -22,6 +22,8 @@
   update: MemberUpdate;
   /** Time spent in the present state, without pauses of this process. */
   stateMs: number;
+  /** Whether it said that it leaves; a later suspicion doesn't give its duties back. */
+  isLeaving: boolean;
 }
 
 const NO_CONTACT: ReadonlySet<MemberState> = new Set(['unreachable', 'dead']);
@@ -65,11 +67,15 @@
     return [...others, this.own].sort((a, b) => (a.id < b.id ? -1 : 1));
   }
 
-  /** Members of a region that take part in duties: alive or suspect, this node included. */
+  /**
+   * Members of a region that take part in duties: alive, or suspect without having left before; this
+   * node included.
+   */
   listActive(region: Region): NodeId[] {
     return this.listMembers()
       .filter((member) => member.region === region)
       .filter(({ state }) => state === 'alive' || state === 'suspect')
+      .filter(({ id }) => this.records.get(id)?.isLeaving !== true)
       .map(({ id }) => id);
   }
 
@@ -137,7 +143,8 @@
    */
   recordSuccess(id: NodeId): void {
     const record = this.records.get(id);
-    if (record?.update.state === 'unreachable') this.setState(record, 'alive');
+    if (record?.update.state !== 'unreachable') return;
+    this.setState(record, record.isLeaving ? 'leaving' : 'alive');
   }
 
   /** Applies what another node states; refutes it if it is wrong about this node. */
@@ -209,6 +216,8 @@
     if (!isNewer(update, known)) return;
     const state = update.state === 'dead' ? this.getVerdict(update) : update.state;
     record.update = { ...update, state };
+    if (state === 'alive') record.isLeaving = false;
+    if (state === 'leaving') record.isLeaving = true;
     if (state !== known.state) record.stateMs = 0;
     this.queue.add(update.id);
   }
@@ -223,13 +232,13 @@
 
   private addRecord(update: MemberUpdate): void {
     if (this.records.size >= MAX_MEMBERS) return;
-    this.records.set(update.id, { update, stateMs: 0 });
+    this.records.set(update.id, { update, stateMs: 0, isLeaving: update.state === 'leaving' });
     this.queue.add(update.id);
   }
 
   private setState(record: MemberRecord, state: MemberState): void {
     const { id } = record.update;
-    this.records.set(id, { update: { ...record.update, state }, stateMs: 0 });
+    this.records.set(id, { ...record, update: { ...record.update, state }, stateMs: 0 });
     if (state !== 'unreachable') this.queue.add(id);
   }
 
