--- a/packages/entry/src/serviceSending.ts
+++ b/packages/entry/src/serviceSending.ts
@@ -40,7 +40,7 @@
   /**
    * Sends a call once.
    *
-   * @param attempt id of the at-most-once attempt, for the decision log
+   * @param attempt id of the at-most-once attempt, if the call is non-idempotent
    * @returns the whole answer; the outcome is unknown after any error but `not_connected`
    */
   async send(
@@ -64,6 +64,9 @@
       }),
       body: call.body,
       timeoutMs: call.route.timeoutMs,
+      // An idle connection may have been closed by the service; on a new one, a failure to connect
+      // proves that nothing was sent.
+      freshConnection: attempt !== undefined,
     });
     recordCallEnd();
     if (sent.isErr()) this.recordFailure(call, endpoint, sent.error);
--- a/packages/proving/src/proofs.ts
+++ b/packages/proving/src/proofs.ts
@@ -1,5 +1,6 @@
 import type { ProofCase } from './proofCase.js';
+import { PROOFS_LEAVING } from './proofsLeaving.js';
 import { RUN_PROOFS } from './proofsRuns.js';
 
 /** All cases of `npm run prove`, by promise. */
-export const PROOFS: readonly ProofCase[] = [...RUN_PROOFS];
+export const PROOFS: readonly ProofCase[] = [...RUN_PROOFS, ...PROOFS_LEAVING];
