Give the benchmark's engines room for a full batch

Cause: the emulated engine cache held 32,768 tokens, fewer than the running sequences of the design load pin (11 of 4,000 tokens), so that blocks could not be cached or exported at all, and the benchmark measured its own scale.

Change: the cache holds a full batch of 16; the warm-up is as long as the mean gap of a returning prompt; nodes start after the configuration is published.

--- a/packages/proving/src/bench.ts
+++ b/packages/proving/src/bench.ts
@@ -17,9 +17,12 @@
   },
 });
 
-/** Lengths of the warm-up, which introduces the prompts, and of the measured part. */
-const FULL = { warmUpMs: 16_000, measuredMs: 15_000 };
-const QUICK = { warmUpMs: 8_000, measuredMs: 7_000 };
+/**
+ * Lengths of the warm-up, which introduces the prompts, and of the measured part. A warm-up as long
+ * as the mean gap introduces them at the rate of the measured requests.
+ */
+const FULL = { warmUpMs: 20_000, measuredMs: 15_000, gapMs: 20_000 };
+const QUICK = { warmUpMs: 10_000, measuredMs: 6_000, gapMs: 10_000 };
 
 const isSelected = (name: string, selected: string): boolean =>
   selected === '' || selected === name;
--- a/packages/proving/src/benchCluster.ts
+++ b/packages/proving/src/benchCluster.ts
@@ -61,8 +61,9 @@
     const bench = new BenchCluster(await Cluster.start(), deployment);
     try {
       await bench.startEndpoints();
-      await bench.startEntries(policy);
+      // Nodes that start later read the configuration at once, without the interval of their polls.
       await bench.publish();
+      await bench.startEntries(policy);
       await bench.cluster.waitReady();
       await waitMs(SETTLE_MS);
       return bench;
@@ -96,15 +97,13 @@
 
   private async startEndpoints(): Promise<void> {
     const { regions, zones } = this.deployment;
-    for (const region of regions) {
+    const stores = regions.map(async (region) => {
       const zone = zones.find((other) => other.region === region)?.zone ?? '';
-      await this.cluster.startStore(
-        `store-${region}`,
-        { region, zone },
-        { bytesPerSecond: STORE_BYTES_PER_SECOND },
-      );
-    }
-    for (const zone of zones) await this.startZone(zone);
+      const options = { bytesPerSecond: STORE_BYTES_PER_SECOND };
+      return this.cluster.startStore(`store-${region}`, { region, zone }, options);
+    });
+    await Promise.all(stores);
+    await Promise.all(zones.map(async (zone) => this.startZone(zone)));
   }
 
   private async startZone({ region, zone, runners, instances }: BenchZone): Promise<void> {
--- a/packages/proving/src/benchDeployments.ts
+++ b/packages/proving/src/benchDeployments.ts
@@ -58,10 +58,10 @@
 /** Sequences that a runner decodes together. */
 export const MAX_BATCH = 16;
 /**
- * Tokens in a runner's cache: about eight prompts, so that at the design load a cached prompt is
- * evicted within seconds, before it returns.
+ * Tokens in a runner's cache: those of a full batch, which pins its blocks. At the design load a
+ * prompt that is no longer in use is evicted within about 9 s, before it returns.
  */
-export const CACHE_TOKENS = 32_768;
+export const CACHE_TOKENS = 98_304;
 /** KV bytes of a token; a prompt of 4,000 tokens has 256 kB. */
 export const KV_BYTES_PER_TOKEN = 64;
 /** Bandwidth of a store VM. */
--- a/packages/proving/src/benchPeak.ts
+++ b/packages/proving/src/benchPeak.ts
@@ -61,16 +61,17 @@
     cacheTokens: 1_048_576,
     checksCaller: false,
   };
-  for (let index = 1; index <= PEAK_ENGINES; index++) {
-    await cluster.startEngine(`runner-${index}`, PLACE, SERVICE, engine);
-  }
-  await cluster.startEntry('entry-1', PLACE);
+  const engines = Array.from({ length: PEAK_ENGINES }, async (_, index) =>
+    cluster.startEngine(`runner-${index + 1}`, PLACE, SERVICE, engine),
+  );
+  await Promise.all(engines);
   const published = await cluster.publish([
     createModelServiceFile(SERVICE, { checksCaller: false }),
     createModelFile(MODEL, SERVICE, WEIGHT_VERSION),
     createAccountFile(ACCOUNT, [SERVICE], { promptTokensPerSecond: 1_000_000 }),
   ]);
   if (published.exitCode !== 0) throw new Error(`publish failed: ${published.stderr}`);
+  await cluster.startEntry('entry-1', PLACE);
   await cluster.waitReady();
   await waitMs(SETTLE_MS);
   return cluster;
--- a/packages/proving/src/benchScenarios.ts
+++ b/packages/proving/src/benchScenarios.ts
@@ -22,31 +22,30 @@
   'least_loaded',
   'prefix_affinity',
 ];
-/** Mean time until a prompt returns at the design load. */
-const GAP_MS = 10_000;
 /** Share of the design load in the quiet scenario. */
 const QUIET_SHARE = 0.2;
 
 interface ScenarioLoad {
   readonly loadShare: number;
-  readonly gapMs: number;
+  /** Factor of the mean time until a prompt returns. */
+  readonly gapShare: number;
   readonly fault: BenchFault | undefined;
 }
 
 const getLoad = (scenario: ScenarioName): ScenarioLoad => {
   switch (scenario) {
     case 'quiet':
-      return { loadShare: QUIET_SHARE, gapMs: GAP_MS, fault: undefined };
+      return { loadShare: QUIET_SHARE, gapShare: 1, fault: undefined };
     case 'design':
-      return { loadShare: 1, gapMs: GAP_MS, fault: undefined };
+      return { loadShare: 1, gapShare: 1, fault: undefined };
     case 'twice':
       // The same prompts return twice as often, so that the runners' caches hold the same share.
-      return { loadShare: 2, gapMs: GAP_MS / 2, fault: undefined };
+      return { loadShare: 2, gapShare: 0.5, fault: undefined };
     case 'link_halved':
     case 'store_lost':
     case 'table_out':
     case 'zone_cut':
-      return { loadShare: 1, gapMs: GAP_MS, fault: scenario };
+      return { loadShare: 1, gapShare: 1, fault: scenario };
     default:
       return assertNever(scenario);
   }
@@ -63,12 +62,14 @@
   readonly seed: number;
   readonly warmUpMs: number;
   readonly measuredMs: number;
+  /** Mean time until a prompt returns at the design load; half of it is the shortest. */
+  readonly gapMs: number;
 }
 
 /** Runs one scenario with one policy; the requests depend on everything but the policy. */
 export const runScenario = async (options: ScenarioOptions): Promise<BenchResult> => {
   const { deployment, scenario, policy, seed, warmUpMs, measuredMs } = options;
-  const { loadShare, gapMs, fault } = getLoad(scenario);
+  const { loadShare, gapShare, fault } = getLoad(scenario);
   const requestsPerSecond = computeDesignRate(deployment) * loadShare;
   const requests = createWorkload({
     seed,
@@ -76,7 +77,7 @@
     warmUpMs,
     measuredMs,
     requestsPerSecond,
-    gapMs,
+    gapMs: options.gapMs * gapShare,
   });
   const outcome = await runBench({ deployment, policy, requests, warmUpMs, measuredMs, fault });
   const measures = computeMeasures(outcome);
--- a/packages/proving/src/cluster.ts
+++ b/packages/proving/src/cluster.ts
@@ -162,7 +162,10 @@
     });
   }
 
-  /** Publishes configuration files through the command line and waits until all nodes have them. */
+  /**
+   * Publishes configuration files through the command line and waits until all nodes have them;
+   * it doesn't wait before the first node.
+   */
   async publish(files: readonly ConfigurationFile[], name = 'tests'): Promise<CommandResult> {
     const folder = join(this.folder, `services-${name}`);
     await rm(folder, { recursive: true, force: true });
@@ -171,7 +174,8 @@
       await writeFile(join(folder, `${file.name}.lovagearch.jsonc`), JSON.stringify(file));
     }
     const settings = await this.writeSettings('operator', { region: 'any', zone: 'any' });
-    return this.runCli(['publish', folder, '--settings', settings, '--name', name, '--wait', '14']);
+    const wait = this.listEntries().length === 0 ? [] : ['--wait', '14'];
+    return this.runCli(['publish', folder, '--settings', settings, '--name', name, ...wait]);
   }
 
   /** Tells the VM list that a VM is leaving or gone. */
