--- a/packages/entry/src/nodeMembers.ts
+++ b/packages/entry/src/nodeMembers.ts
@@ -89,6 +89,12 @@
   /** Regions of all known members, sorted. */
   readonly listRegions = (): readonly Region[] => this.list.listRegions();
 
+  /** Tells whether a node is a member that is not dead, draining or not. */
+  readonly isPresent = (node: NodeId): boolean => {
+    const state = this.list.getMember(node)?.state;
+    return state !== undefined && state !== 'dead';
+  };
+
   readonly listMembers = (): readonly MemberUpdate[] => this.list.listMembers();
 
   /**
--- a/packages/entry/src/startEntry.ts
+++ b/packages/entry/src/startEntry.ts
@@ -1,7 +1,7 @@
 import type { Clock, Logger, Metrics, Random } from '@lovagearch/common';
 import type { EngineClient } from '@lovagearch/engine-client';
-import type { LinkBudget } from '@lovagearch/routing';
 import type { TopicTraffic } from '@lovagearch/peering';
+import type { LinkBudget, RoutingPolicy } from '@lovagearch/routing';
 import type { ServiceClient } from '@lovagearch/service-client';
 import { AbandonedStreams } from './abandonedStreams.js';
 import { type AdminReaders, AdminServer } from './adminServer.js';
@@ -67,6 +67,7 @@
   readonly admission: Admission;
   readonly containment: Containment;
   readonly linkBudget?: LinkBudget | undefined;
+  readonly routingPolicy?: RoutingPolicy['type'] | undefined;
   readonly readers: EntryReaders;
   /** Traffic with the other nodes, for the administration API. */
   readonly listTopicTraffic?: () => readonly TopicTraffic[];
--- a/packages/membership/src/memberList.ts
+++ b/packages/membership/src/memberList.ts
@@ -22,6 +22,8 @@
   update: MemberUpdate;
   /** Time spent in the present state, without pauses of this process. */
   stateMs: number;
+  /** Whether it said that it leaves; a later suspicion doesn't give its duties back. */
+  isLeaving: boolean;
 }
 
 /** Sorted lists that are kept until a record changes, because every request reads them. */
@@ -74,6 +76,18 @@
     return this.getViews().members;
   }
 
+<<<<<<< HEAD
+  /**
+   * Members of a region that take part in duties: alive, or suspect without having left before; this
+   * node included.
+   */
+  listActive(region: Region): NodeId[] {
+    return this.listMembers()
+      .filter((member) => member.region === region)
+      .filter(({ state }) => state === 'alive' || state === 'suspect')
+      .filter(({ id }) => this.records.get(id)?.isLeaving !== true)
+      .map(({ id }) => id);
+=======
   /** Regions of all members, sorted. */
   listRegions(): readonly Region[] {
     return this.getViews().regions;
@@ -87,6 +101,7 @@
   listActive(region?: Region): readonly NodeId[] {
     const { active, activeByRegion } = this.getViews();
     return region === undefined ? active : (activeByRegion.get(region) ?? []);
+>>>>>>> slopes
   }
 
   getMember(id: NodeId): MemberUpdate | undefined {
@@ -153,7 +168,8 @@
    */
   recordSuccess(id: NodeId): void {
     const record = this.records.get(id);
-    if (record?.update.state === 'unreachable') this.setState(record, 'alive');
+    if (record?.update.state !== 'unreachable') return;
+    this.setState(record, record.isLeaving ? 'leaving' : 'alive');
   }
 
   /** Applies what another node states; refutes it if it is wrong about this node. */
@@ -226,7 +242,20 @@
     if (!isNewer(update, known)) return;
     const state = update.state === 'dead' ? this.getVerdict(update) : update.state;
     record.update = { ...update, state };
-    this.views = undefined;
+  /** Regions of all members, sorted. */
+  listRegions(): readonly Region[] {
+    return this.getViews().regions;
+  }
+
+  /**
+   * Members that take part in duties, sorted by id: alive, or suspect without having left before; this
+   * node included.
+   *
+   * @param region all regions without it
+   */
+  listActive(region?: Region): readonly NodeId[] {
+    const { active, activeByRegion } = this.getViews();
+    return region === undefined ? active : (activeByRegion.get(region) ?? []);
     if (state !== known.state) record.stateMs = 0;
     this.queue.add(update.id);
   }
@@ -258,6 +287,7 @@
       const ofRegion = activeByRegion.get(region) ?? [];
       activeByRegion.set(region, ofRegion);
       if (state !== 'alive' && state !== 'suspect') continue;
+      if (this.records.get(id)?.isLeaving === true) continue;
       active.push(id);
       ofRegion.push(id);
     }
@@ -266,14 +296,15 @@
 
   private addRecord(update: MemberUpdate): void {
     if (this.records.size >= MAX_MEMBERS) return;
-    this.records.set(update.id, { update, stateMs: 0 });
+    if (state === 'alive') record.isLeaving = false;
+    if (state === 'leaving') record.isLeaving = true;
     this.views = undefined;
     this.queue.add(update.id);
   }
 
   private setState(record: MemberRecord, state: MemberState): void {
     const { id } = record.update;
-    this.records.set(id, { update: { ...record.update, state }, stateMs: 0 });
+    this.records.set(update.id, { update, stateMs: 0, isLeaving: update.state === 'leaving' });
     this.views = undefined;
     if (state !== 'unreachable') this.queue.add(id);
   }
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -53,6 +53,8 @@
   nodeName: createNameField().optional(),
   listen: listenSchema,
   platform: platformSchema,
+  /** `host:port` at which other nodes reach the peer port; without it, where it listens. */
+  peerAddress: createPatternField(/^[^\s:]+:\d{1,5}$/, 'an address as host:port').optional(),
   /** Peers as `host:port` that introduce this node when the VM list is down. */
   seeds: z
     .array(createPatternField(/^[^\s:]+:\d{1,5}$/, 'an address as host:port'))
@@ -73,6 +75,8 @@
   linkBytesPerSecond: createIntegerField(1, MAX_LINK_BYTES_PER_SECOND, 'bytes').default(
     DEFAULT_LINK_BYTES_PER_SECOND,
   ),
+  /** Choice of runners; all but `cost` exist for measurements and use no store VM. */
+  routingPolicy: z.enum(['cost', 'least_loaded', 'prefix_affinity', 'round_robin']).default('cost'),
   historyFile: createTextField().optional(),
   statsd: statsdSchema.optional(),
   logLevel: z.enum(LOG_LEVEL_NAMES).default('info'),
