Repair the merge of the member list

Cause: a merge left conflict markers in memberList.ts, since the change that caches sorted views and the change that remembers leaving members touch the same lines. Change: both changes stand together; the cached views leave out members that have said that they leave.

--- a/packages/membership/src/memberList.ts
+++ b/packages/membership/src/memberList.ts
@@ -76,32 +76,20 @@
     return this.getViews().members;
   }
 
-<<<<<<< HEAD
-  /**
-   * Members of a region that take part in duties: alive, or suspect without having left before; this
-   * node included.
-   */
-  listActive(region: Region): NodeId[] {
-    return this.listMembers()
-      .filter((member) => member.region === region)
-      .filter(({ state }) => state === 'alive' || state === 'suspect')
-      .filter(({ id }) => this.records.get(id)?.isLeaving !== true)
-      .map(({ id }) => id);
-=======
   /** Regions of all members, sorted. */
   listRegions(): readonly Region[] {
     return this.getViews().regions;
   }
 
   /**
-   * Members that take part in duties, sorted by id: alive or suspect, this node included.
+   * Members that take part in duties, sorted by id: alive, or suspect without having left before;
+   * this node included.
    *
    * @param region all regions without it
    */
   listActive(region?: Region): readonly NodeId[] {
     const { active, activeByRegion } = this.getViews();
     return region === undefined ? active : (activeByRegion.get(region) ?? []);
->>>>>>> slopes
   }
 
   getMember(id: NodeId): MemberUpdate | undefined {
@@ -242,20 +230,9 @@
     if (!isNewer(update, known)) return;
     const state = update.state === 'dead' ? this.getVerdict(update) : update.state;
     record.update = { ...update, state };
-  /** Regions of all members, sorted. */
-  listRegions(): readonly Region[] {
-    return this.getViews().regions;
-  }
-
-  /**
-   * Members that take part in duties, sorted by id: alive, or suspect without having left before; this
-   * node included.
-   *
-   * @param region all regions without it
-   */
-  listActive(region?: Region): readonly NodeId[] {
-    const { active, activeByRegion } = this.getViews();
-    return region === undefined ? active : (activeByRegion.get(region) ?? []);
+    if (state === 'alive') record.isLeaving = false;
+    if (state === 'leaving') record.isLeaving = true;
+    this.views = undefined;
     if (state !== known.state) record.stateMs = 0;
     this.queue.add(update.id);
   }
@@ -296,15 +273,14 @@
 
   private addRecord(update: MemberUpdate): void {
     if (this.records.size >= MAX_MEMBERS) return;
-    if (state === 'alive') record.isLeaving = false;
-    if (state === 'leaving') record.isLeaving = true;
+    this.records.set(update.id, { update, stateMs: 0, isLeaving: update.state === 'leaving' });
     this.views = undefined;
     this.queue.add(update.id);
   }
 
   private setState(record: MemberRecord, state: MemberState): void {
     const { id } = record.update;
-    this.records.set(update.id, { update, stateMs: 0, isLeaving: update.state === 'leaving' });
+    this.records.set(id, { ...record, update: { ...record.update, state }, stateMs: 0 });
     this.views = undefined;
     if (state !== 'unreachable') this.queue.add(id);
   }
