Bring quarantines to nodes that missed the news

Cause: containment.update is sent once. A node that started after the crash, or was frozen while the news was sent, had no quarantine and would have lost a further engine to the same request. Ruled out: sending the list to each new member, which a process that restarts under the same name does not look like; repeating all news, which would count the crashes again. Change: containment.pull asks two peers for all that is in force after the start and after a pause of more than 3 s. A copy reports no crash and is not joined with other reports. Conclusion: a request may still cost an engine in the first second of a process, before the answer to the pull.

--- a/packages/containment/src/containmentEntries.ts
+++ b/packages/containment/src/containmentEntries.ts
@@ -61,6 +61,11 @@
     return joined;
   }
 
+  /** Adds an entry that another node has in force; what is known here stands. */
+  addCopy(fingerprint: Fingerprint, entry: ContainmentEntry, nowMs: number): void {
+    if (this.get(fingerprint, nowMs) === undefined) this.entries.set(fingerprint, entry);
+  }
+
   delete(fingerprint: Fingerprint): void {
     this.entries.delete(fingerprint);
   }
--- a/packages/containment/src/crashHistory.ts
+++ b/packages/containment/src/crashHistory.ts
@@ -43,6 +43,13 @@
     this.faultyUntilMs.set(endpoint, nowMs + durationMs);
   }
 
+  /** Returns the endpoints that are out of rotation, with the time that remains. */
+  listFaulty(nowMs: number): { endpoint: EndpointId; remainingMs: number }[] {
+    return [...this.faultyUntilMs]
+      .filter(([, untilMs]) => untilMs > nowMs)
+      .map(([endpoint, untilMs]) => ({ endpoint, remainingMs: untilMs - nowMs }));
+  }
+
   /** Tells whether an endpoint is out of rotation because it crashes with any request. */
   isFaulty(endpoint: EndpointId, nowMs: number): boolean {
     return (this.faultyUntilMs.peek(endpoint) ?? -Infinity) > nowMs;
--- a/packages/containment/src/index.ts
+++ b/packages/containment/src/index.ts
@@ -3,5 +3,6 @@
  * readings; it never sees a request's content, sends a message or takes an endpoint out itself.
  */
 export * from './constants.js';
+export * from './containmentCopy.js';
 export * from './quarantineList.js';
 export * from './types.js';
--- a/packages/containment/src/quarantineList.ts
+++ b/packages/containment/src/quarantineList.ts
@@ -1,5 +1,6 @@
 import { assertNever, type EndpointId, type Fingerprint } from '@lovagearch/common';
 import { FAULTY_MS, QUARANTINE_MS, SUSPECT_MS } from './constants.js';
+import type { ContainmentCopy } from './containmentCopy.js';
 import { ContainmentEntries } from './containmentEntries.js';
 import { CrashHistory } from './crashHistory.js';
 import { RunningRequests } from './runningRequests.js';
@@ -47,6 +48,36 @@
     return this.entries.listAll(nowMs);
   }
 
+  /** Returns all that is in force, for a node that missed the news. */
+  getCopy(nowMs: number): ContainmentCopy {
+    const entries = this.entries
+      .listAll(nowMs)
+      .map(([fingerprint, { endpoint, isTrial, type, untilMs }]) => ({
+        type,
+        fingerprint,
+        endpoint,
+        isTrial,
+        remainingMs: untilMs - nowMs,
+      }));
+    return { entries, faulty: this.history.listFaulty(nowMs) };
+  }
+
+  /** Adds what another node has in force and this one does not know. */
+  applyCopy({ entries, faulty }: ContainmentCopy, nowMs: number): void {
+    for (const { endpoint, remainingMs } of faulty) {
+      if (this.isFaulty(endpoint, nowMs)) continue;
+      this.history.markFaulty(endpoint, nowMs, Math.min(remainingMs, FAULTY_MS));
+    }
+    for (const { endpoint, fingerprint, isTrial, remainingMs, type } of entries) {
+      const limitMs = type === 'suspect' ? SUSPECT_MS : QUARANTINE_MS;
+      const untilMs = nowMs + Math.min(remainingMs, limitMs);
+      // An old crash must not be joined with one that is reported now.
+      const sinceMs = nowMs - Math.max(0, limitMs - remainingMs);
+      const entry = { type, endpoint, isTrial, sinceMs, untilMs };
+      this.entries.addCopy(fingerprint, entry, nowMs);
+    }
+  }
+
   recordStart(
     endpoint: EndpointId,
     fingerprint: Fingerprint,
--- a/packages/entry/src/buildNode.ts
+++ b/packages/entry/src/buildNode.ts
@@ -18,6 +18,7 @@
 import { AdmissionController } from './admissionController.js';
 import { ConfigurationFollower } from './configurationFollower.js';
 import { ContainmentController } from './containmentController.js';
+import { ContainmentPull } from './containmentPull.js';
 import { createRotation } from './endpointRotation.js';
 import { FollowedConfiguration } from './followedConfiguration.js';
 import { listAccounts, listStores } from './adminLists.js';
@@ -158,6 +159,11 @@
     log: log.withTag('containment'),
     listLiveMembers: members.listLive,
   });
+  const containmentPull = ContainmentPull.start({
+    ...context,
+    listLiveMembers: members.listLive,
+    ...containment,
+  });
   await follower.start();
   const { index, stores } = reuse;
   const entry = await startEntry(
@@ -190,6 +196,7 @@
         ...reuse.parts,
         follower,
         admission,
+        containmentPull,
         containment,
         cluster,
         createClientCloser(clients),
--- a/packages/entry/src/containmentController.test.ts
+++ b/packages/entry/src/containmentController.test.ts
@@ -122,6 +122,34 @@
   await stop();
 });
 
+t.test(
+  'a node that missed the news gets quarantines and faulty endpoints from a peer',
+  async (t2) => {
+    const { clock, nodes, stop } = createCluster(2);
+    nodes[0]!.recordStart(r1, f1);
+    nodes[0]!.recordEnd(r1, f1, 'crashed');
+    clock.addMs(20_000);
+    nodes[0]!.recordStart(r1, f2);
+    nodes[0]!.recordEnd(r1, f2, 'crashed');
+    clock.addMs(1_000);
+    nodes[1]!.applyCopy(nodes[0]!.getCopy());
+    for (const fingerprint of [f1, f2])
+      t2.match(nodes[1]!.check(fingerprint), { type: 'quarantined' });
+    clock.addMs(QUARANTINE_MS - 1_000);
+    t2.match(nodes[1]!.check(f2), { type: 'clear' }, 'the copy ends with the original');
+    nodes[0]!.recordStart(r2, f3);
+    nodes[0]!.recordEnd(r2, f3, 'crashed');
+    for (const fingerprint of [f1, f2]) {
+      clock.addMs(4_000);
+      nodes[0]!.recordStart(r2, fingerprint);
+      nodes[0]!.recordEnd(r2, fingerprint, 'crashed');
+    }
+    nodes[1]!.applyCopy(nodes[0]!.getCopy());
+    t2.ok(nodes[1]!.isFaulty(r2));
+    await stop();
+  },
+);
+
 t.test('a wave of crashes sends a bounded number of messages at once', async (t2) => {
   const { nodes, getSent, stop } = createCluster(3);
   for (let index = 0; index < 200; index++) {
--- a/packages/entry/src/containmentController.ts
+++ b/packages/entry/src/containmentController.ts
@@ -11,6 +11,7 @@
   MAX_UPDATE_ENTRIES,
   QuarantineList,
   TRIAL_RETRY_AFTER_MS,
+  type ContainmentCopy,
   type ContainmentEvent,
 } from '@lovagearch/containment';
 import type { PeerMesh } from '@lovagearch/peering';
@@ -111,6 +112,13 @@
     return this.list.isFaulty(endpoint, this.options.clock.nowMs());
   }
 
+  /** Returns all that is in force, for a node that missed the news. */
+  readonly getCopy = (): ContainmentCopy => this.list.getCopy(this.options.clock.nowMs());
+
+  /** Adds what another node has in force and this one does not know. */
+  readonly applyCopy = (copy: ContainmentCopy): void =>
+    this.list.applyCopy(copy, this.options.clock.nowMs());
+
   /** Returns suspects and quarantines in force, for the administration API. */
   listEntries(): { fingerprint: Fingerprint; type: string; endpoint: EndpointId }[] {
     const entries = this.list.listEntries(this.options.clock.nowMs());
--- /dev/null
+++ b/packages/entry/src/containmentPull.ts
@@ -0,0 +1,112 @@
+import {
+  getRendezvousOwners,
+  toId,
+  type Clock,
+  type EndpointId,
+  type Fingerprint,
+  type Logger,
+  type NodeId,
+} from '@lovagearch/common';
+import { MAX_ENDPOINTS, MAX_FINGERPRINTS, type ContainmentCopy } from '@lovagearch/containment';
+import type { PeerMesh } from '@lovagearch/peering';
+import { z } from 'zod';
+import { NodeTimer } from './nodeTimer.js';
+import type { NodePart } from './types.js';
+
+const TOPIC = 'containment.pull';
+const PULL_TIMEOUT_MS = 1_000;
+/** Peers that are asked; each has all that is in force. */
+const PULL_PEERS = 2;
+const CHECK_INTERVAL_MS = 1_000;
+/** A process that did not run for this time may have missed news. */
+const PAUSE_MS = 3_000;
+
+const fingerprintSchema = z
+  .string()
+  .max(128)
+  .transform((value) => toId<Fingerprint>(value));
+const endpointSchema = z
+  .string()
+  .max(200)
+  .transform((value) => toId<EndpointId>(value));
+const remainingMs = z.number().nonnegative().finite();
+const copySchema = z.object({
+  entries: z
+    .array(
+      z.object({
+        type: z.enum(['quarantined', 'suspect']),
+        fingerprint: fingerprintSchema,
+        endpoint: endpointSchema,
+        isTrial: z.boolean(),
+        remainingMs,
+      }),
+    )
+    .max(MAX_FINGERPRINTS),
+  faulty: z.array(z.object({ endpoint: endpointSchema, remainingMs })).max(MAX_ENDPOINTS),
+});
+
+export interface ContainmentPullOptions {
+  readonly mesh: PeerMesh;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly listLiveMembers: () => readonly NodeId[];
+  readonly getCopy: () => ContainmentCopy;
+  readonly applyCopy: (copy: ContainmentCopy) => void;
+}
+
+/**
+ * Asks peers for the quarantines in force after the start and after a pause of the process. News is
+ * sent only once, and a node without it would lose an engine to a request that is known elsewhere.
+ *
+ * @example
+ * const pull = ContainmentPull.start(options);
+ */
+export class ContainmentPull implements NodePart {
+  private isNeeded = true;
+
+  private lastMs: number;
+
+  private timer: NodeTimer | undefined;
+
+  private constructor(private readonly options: ContainmentPullOptions) {
+    this.lastMs = options.clock.nowMs();
+  }
+
+  static start(options: ContainmentPullOptions): ContainmentPull {
+    const pull = new ContainmentPull(options);
+    options.mesh.registerHandler(TOPIC, z.object({}), () => options.getCopy());
+    pull.timer = NodeTimer.start(
+      async () => pull.runCheck(),
+      () => CHECK_INTERVAL_MS,
+      options.log,
+    );
+    return pull;
+  }
+
+  async stop(): Promise<void> {
+    await this.timer?.stop();
+  }
+
+  /** Pulls if news may have been missed; it is repeated until a peer answers. */
+  async runCheck(): Promise<void> {
+    const nowMs = this.options.clock.nowMs();
+    if (nowMs - this.lastMs > PAUSE_MS) this.isNeeded = true;
+    this.lastMs = nowMs;
+    if (!this.isNeeded) return;
+    const { listLiveMembers, mesh } = this.options;
+    const others = listLiveMembers().filter((node) => node !== mesh.self);
+    const peers = getRendezvousOwners(`containment/${mesh.self}`, others, PULL_PEERS);
+    const results = await Promise.all(peers.map(async (peer) => this.pullFrom(peer)));
+    if (results.includes(true)) this.isNeeded = false;
+    // The wait for an answer is no pause of the process.
+    this.lastMs = this.options.clock.nowMs();
+  }
+
+  private async pullFrom(peer: NodeId): Promise<boolean> {
+    const { applyCopy, mesh } = this.options;
+    const answer = await mesh.request(peer, TOPIC, {}, PULL_TIMEOUT_MS);
+    const copy = copySchema.safeParse(answer.unwrapOr(undefined));
+    if (copy.success) applyCopy(copy.data);
+    return copy.success;
+  }
+}
