Prove the spread of configurations and the containment of crashes

Cause: invariant 9 and the containment of design 4.12 had no proof with real processes. Ruled out: reading the revision alone, since a node can report a revision without serving it; a new account must be served by each node. Proofs of containment carry the name 'containment' in place of the number of an invariant. Conclusion: a publication between the return of an older head and its restoration is not covered.

--- a/packages/proving/src/proofCase.ts
+++ b/packages/proving/src/proofCase.ts
@@ -1,7 +1,7 @@
 import type { Random } from '@lovagearch/common';
 
-/** Number of a promise in docs/promises.md. */
-export type PromiseNumber = 1 | 2 | 3 | 4 | 5 | 6 | 7 | 8 | 9;
+/** Number of a promise in docs/promises.md, or the section on requests that crash endpoints. */
+export type PromiseNumber = 1 | 2 | 3 | 4 | 5 | 6 | 7 | 8 | 9 | 'containment';
 
 export interface ProofContext {
   readonly seed: number;
--- a/packages/proving/src/proofs.ts
+++ b/packages/proving/src/proofs.ts
@@ -1,5 +1,11 @@
 import type { ProofCase } from './proofCase.js';
+import { CONFIGURATION_PROOFS } from './proofsConfiguration.js';
+import { CONTAINMENT_PROOFS } from './proofsContainment.js';
 import { RUN_PROOFS } from './proofsRuns.js';
 
 /** All cases of `npm run prove`, by promise. */
-export const PROOFS: readonly ProofCase[] = [...RUN_PROOFS];
+export const PROOFS: readonly ProofCase[] = [
+  ...RUN_PROOFS,
+  ...CONFIGURATION_PROOFS,
+  ...CONTAINMENT_PROOFS,
+];
