--- a/packages/proving/src/proofs.ts
+++ b/packages/proving/src/proofs.ts
@@ -1,6 +1,7 @@
 import type { ProofCase } from './proofCase.js';
 import { CONFIGURATION_PROOFS } from './proofsConfiguration.js';
 import { CONTAINMENT_PROOFS } from './proofsContainment.js';
+import { PROOFS_LEAVING } from './proofsLeaving.js';
 import { RUN_PROOFS } from './proofsRuns.js';
 
 /** All cases of `npm run prove`, by promise. */
@@ -8,4 +9,5 @@
   ...RUN_PROOFS,
   ...CONFIGURATION_PROOFS,
   ...CONTAINMENT_PROOFS,
+  ...PROOFS_LEAVING,
 ];
