Count runs, admission and containment

Cause: the administration API showed no counts of runs, admission and crashes, and no time in the queue. Ruled out: counting inside the controllers, whose tests and duties do not need metrics. Change: measuredParts.ts wraps the three interfaces that the request path uses. Test: npx tap packages/entry/dist/measuredParts.test.js: passed; no idempotency key reaches a label. Conclusion: /v1/metrics shows them beside the counts of generations.

--- a/packages/entry/src/buildNode.ts
+++ b/packages/entry/src/buildNode.ts
@@ -23,6 +23,11 @@
 import { FollowedConfiguration } from './followedConfiguration.js';
 import { listAccounts, listStores } from './adminLists.js';
 import { createClientCloser, createNodeClients } from './nodeClients.js';
+import {
+  createMeasuredAdmission,
+  createMeasuredContainment,
+  createMeasuredRuns,
+} from './measuredParts.js';
 import { NodeCluster } from './nodeCluster.js';
 import type { NodeContext } from './nodeContext.js';
 import { createNodeReuse, type NodeReuse } from './nodeReuse.js';
@@ -162,6 +167,7 @@
     log: log.withTag('containment'),
     listLiveMembers: members.listLive,
   });
+  const metrics = Metrics.create(settings.statsd);
   const containmentPull = ContainmentPull.start({
     ...context,
     listLiveMembers: members.listLive,
@@ -174,13 +180,13 @@
     {
       ...clients,
       ...context,
-      metrics: Metrics.create(settings.statsd),
+      metrics,
       configuration,
       directory: createRotation(directory, (id) => containment.isFaulty(id)),
       index,
-      runs: runs.coordinator,
-      admission,
-      containment,
+      runs: createMeasuredRuns(runs.coordinator, metrics),
+      admission: createMeasuredAdmission(admission, metrics),
+      containment: createMeasuredContainment(containment, metrics),
       routingPolicy: settings.routingPolicy,
       linkBudget: LinkBudget.create(settings.linkBytesPerSecond, clock.nowMs()),
       handleDrainStart: members.markLeaving,
