--- a/packages/entry/src/callerConstants.ts
+++ b/packages/entry/src/callerConstants.ts
@@ -41,6 +41,8 @@
 export const MAX_SERVICE_ATTEMPTS = 3;
 /** Recent decisions and refusals that are kept for the administration API. */
 export const DECISION_LOG_ENTRIES = 4_096;
+/** Hex digits of a segment's id in decisions: 48 bits, enough to tell the segments of a test apart. */
+export const SEGMENT_TAG_DIGITS = 12;
 /** Advice to callers after a refusal that a short wait may resolve. */
 export const RETRY_AFTER_MS = 1_000;
 /** Time without a request after which a draining node stops listening: two readiness checks. */
--- a/packages/entry/src/decisionLog.ts
+++ b/packages/entry/src/decisionLog.ts
@@ -12,6 +12,9 @@
       readonly streamId?: string;
       readonly estimatedTtftMs?: number;
       readonly estimatedRecomputedTokens?: number;
+      readonly weightVersion?: string;
+      /** Start of the id of the segment that the runner may import, and its depth in blocks. */
+      readonly segment?: { readonly tag: string; readonly depth: number };
       readonly reason: string;
     }
   | { readonly type: 'retried'; readonly endpoint: string; readonly reason: string }
@@ -22,6 +25,14 @@
       readonly afterSeq: number;
     }
   | { readonly type: 'continued'; readonly endpoint: string; readonly offset: number }
+  /** The whole text of an answer was checked; `tokens` counts those of all its streams. */
+  | {
+      readonly type: 'verified';
+      readonly streamId: string;
+      readonly tokens: number;
+      readonly cachedTokens: number;
+      readonly importedTokens: number;
+    }
   | { readonly type: 'run_granted'; readonly attempt: string }
   | { readonly type: 'run_recorded' }
   | { readonly type: 'run_released'; readonly attempt: string }
--- a/packages/entry/src/engineStreamRelay.ts
+++ b/packages/entry/src/engineStreamRelay.ts
@@ -307,15 +307,26 @@
   }
 
   private createDone({ finishReason, usage }: DoneChunk): RelayEvent {
+    const { cachedTokens, importedTokens, completionTokens } = usage;
+    this.parts.decisions.record(this.plan.requestId, {
+      type: 'verified',
+      streamId: this.current.streamId,
+      tokens: this.offset + completionTokens,
+      cachedTokens,
+      importedTokens,
+    });
     return {
       type: 'done',
       finishReason: finishReason === 'length' ? 'length' : 'stop',
-      usage: { ...usage, completionTokens: this.offset + usage.completionTokens },
+      usage: { ...usage, completionTokens: this.offset + completionTokens },
     };
   }
 
   private createLengthDone(tokens: number): RelayEvent {
-    const { promptTokens } = this.plan;
+    const { promptTokens, requestId } = this.plan;
+    const { streamId } = this.current;
+    const reused = { cachedTokens: 0, importedTokens: 0 };
+    this.parts.decisions.record(requestId, { type: 'verified', streamId, tokens, ...reused });
     const usage = { promptTokens, cachedTokens: 0, importedTokens: 0, completionTokens: tokens };
     return { type: 'done', finishReason: 'length', usage };
   }
--- a/packages/entry/src/generationStart.ts
+++ b/packages/entry/src/generationStart.ts
@@ -12,9 +12,10 @@
   EngineError,
   EngineStream,
   GenerateRequest,
+  KvSource,
 } from '@lovagearch/engine-client';
 import { err, ok, type Result } from 'neverthrow';
-import { MAX_GENERATE_ATTEMPTS, RETRY_AFTER_MS } from './callerConstants.js';
+import { MAX_GENERATE_ATTEMPTS, RETRY_AFTER_MS, SEGMENT_TAG_DIGITS } from './callerConstants.js';
 import {
   ENGINE_PRIORITY,
   type GenerationParts,
@@ -64,6 +65,12 @@
 export const formatEngineError = (error: EngineError): string =>
   error.type === 'refused' ? `refused ${error.status} ${error.reason}` : error.type;
 
+/** Names a segment by the start of its id; the whole id would identify a prompt. */
+const formatSegment = ({ segmentId, depth }: KvSource) => ({
+  tag: segmentId.slice(0, SEGMENT_TAG_DIGITS),
+  depth,
+});
+
 /**
  * Starts a generation on a runner. It tries other runners while that is allowed: each further
  * attempt takes one from the retry budget, and attempts are bounded. One instance serves one
@@ -182,12 +189,15 @@
   }
 
   private recordChoice(choice: RunnerChoice, streamId: StreamId): void {
+    const { kvSource } = choice;
     this.parts.decisions.record(this.plan.requestId, {
       type: 'chosen',
       endpoint: choice.runner.id,
       streamId,
       estimatedTtftMs: Math.round(choice.estimatedTtftMs),
       estimatedRecomputedTokens: choice.estimatedRecomputedTokens,
+      weightVersion: this.plan.weightVersion,
+      ...(kvSource === undefined ? {} : { segment: formatSegment(kvSource) }),
       reason: choice.reason,
     });
   }
--- a/packages/proving/src/callerClient.ts
+++ b/packages/proving/src/callerClient.ts
@@ -15,6 +15,8 @@
   readonly text: string;
   /** Whether `[DONE]` or a whole body arrived. */
   readonly isComplete: boolean;
+  /** Number of `[DONE]` events; 0 for an answer that was not streamed. */
+  readonly doneCount: number;
   readonly lastEventId: string;
   readonly usage: CallerUsage | undefined;
   readonly failure: CallerFailure | undefined;
@@ -40,6 +42,10 @@
   /** Called for each text that arrives. */
   readonly onText?: (text: string) => void;
   readonly signal?: AbortSignal;
+  /** Time without a byte after which the caller gives the connection up, in milliseconds. */
+  readonly silenceLimitMs?: number;
+  /** Called after each read; the caller reads on when the promise ends. */
+  readonly waitBeforeRead?: () => Promise<void> | undefined;
 }
 
 /**
@@ -80,18 +86,19 @@
         ...(options.requestId === undefined ? {} : { 'x-request-id': options.requestId }),
       },
       body: JSON.stringify(body),
-      bodyTimeout: 30_000,
-      headersTimeout: 120_000,
+      bodyTimeout: options.silenceLimitMs ?? 30_000,
+      headersTimeout: options.silenceLimitMs ?? 120_000,
       signal: options.signal ?? null,
     });
     const reader = new StreamReader(options.onText);
-    await this.readBody(response, reader, body.stream === true);
+    await this.readBody(response, reader, body.stream === true, options);
     const requestId = response.headers['x-request-id'];
     return {
       status: response.statusCode,
       requestId: typeof requestId === 'string' ? requestId : '',
       text: reader.text,
       isComplete: reader.isComplete,
+      doneCount: reader.doneCount,
       lastEventId: reader.lastEventId,
       usage: reader.usage,
       failure: reader.failure,
@@ -141,6 +148,7 @@
     response: Dispatcher.ResponseData,
     reader: StreamReader,
     isStream: boolean,
+    options: SendOptions,
   ): Promise<void> {
     if (response.statusCode !== 200 || !isStream) {
       await this.readWholeBody(response, reader);
@@ -154,6 +162,7 @@
         const blocks = buffered.split('\n\n');
         buffered = blocks.pop() ?? '';
         for (const block of blocks) reader.handleEvent(block);
+        await options.waitBeforeRead?.();
       }
     } catch {
       // The connection broke; what arrived so far is in the reader.
--- a/packages/proving/src/streamReader.ts
+++ b/packages/proving/src/streamReader.ts
@@ -33,6 +33,8 @@
 
   isComplete = false;
 
+  doneCount = 0;
+
   usage: CallerUsage | undefined;
 
   failure: CallerFailure | undefined;
@@ -56,6 +58,7 @@
     if (data === undefined) return;
     if (data === '[DONE]') {
       this.isComplete = true;
+      this.doneCount += 1;
       return;
     }
     if (fields.get('event') === 'error') {
