--- a/packages/membership/src/memberList.test.ts
+++ b/packages/membership/src/memberList.test.ts
@@ -155,6 +155,21 @@
   });
 }
 
+t.test('a leaving member gets no duties back when it stops answering', async (t2) => {
+  const simulation = Simulation.create(5, 6, 3);
+  const { id, region } = simulation.identities[0]!;
+  simulation.lists.get(id)!.markSelfLeaving();
+  simulation.runSteps(5);
+  simulation.down.add(id);
+  simulation.runSteps(20, () => {
+    for (const [viewer, list] of simulation.lists) {
+      if (viewer === id || !list.listActive(region).includes(id)) continue;
+      t2.fail(`${viewer} gives duties to a node that has left`);
+    }
+  });
+  t2.equal(simulation.countStates((other) => other === id).leaving, undefined);
+});
+
 t.test('a leaving member is known everywhere and forgotten once it is off the list', async (t2) => {
   const simulation = Simulation.create(4, 6, 3);
   const { id } = simulation.identities[0]!;
@@ -174,3 +189,22 @@
     {},
   );
 });
+
+t.test('a change of any kind shows in the lists that are kept between requests', async (t2) => {
+  const [self, near, far] = [
+    createIdentity(0, 'north'),
+    createIdentity(1, 'north'),
+    createIdentity(2, 'south'),
+  ] as const;
+  const list = MemberList.create(self, createRandom(1), 0);
+  t2.same(list.listActive(), [self.id]);
+  list.addIntroduced(near);
+  list.applyUpdates([{ ...far, state: 'alive', incarnation: 0 }]);
+  t2.same(list.listActive(), [self.id, near.id, far.id]);
+  t2.same(list.listRegions(), ['north', 'south']);
+  list.applyUpdates([{ ...near, state: 'dead', incarnation: 0 }]);
+  t2.same(list.listActive(self.region), [self.id]);
+  list.markSelfLeaving();
+  t2.same(list.listActive(), [far.id]);
+  t2.equal(list.listMembers()[0]?.state, 'leaving');
+});
--- a/packages/proving/src/proofs.ts
+++ b/packages/proving/src/proofs.ts
@@ -1,5 +1,7 @@
 import type { ProofCase } from './proofCase.js';
+import { PROOFS_LEAVING } from './proofsLeaving.js';
+import { RUN_PROOFS } from './proofsRuns.js';
 import { STREAM_PROOFS } from './proofsStreams.js';
 
 /** All cases of `npm run prove`, by promise. */
-export const PROOFS: readonly ProofCase[] = [...STREAM_PROOFS];
+export const PROOFS: readonly ProofCase[] = [...STREAM_PROOFS, ...RUN_PROOFS, ...PROOFS_LEAVING];
