Sign resume tokens once for each stream

Cause: each event's id was signed and encoded anew: 6 us and 360 bytes for a token of text, at 8,300 tokens a second 5% of a core. Ruled out: an id without account and runner, which needs shared state for a resume at another node. Change: account, model, version, prompt hash, runner, stream id and offset are signed once for each stream; the sequence number follows unsigned, since a changed one only makes a caller read its own stream from another place.

--- a/packages/entry/src/resumeToken.ts
+++ b/packages/entry/src/resumeToken.ts
@@ -1,28 +1,47 @@
 import { createHmac, timingSafeEqual } from 'node:crypto';
-import { type CallerError, createNotRunError } from '@lovagearch/common';
+import { BoundedMap, type CallerError, createNotRunError } from '@lovagearch/common';
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
 
 const MAX_TOKEN_LENGTH = 2_048;
 const KEY_LABEL = 'lovagearch resume token v1';
 
-const positionSchema = z.object({
-  account: z.string(),
-  model: z.string(),
-  weightVersion: z.string(),
+/** Bytes of the MAC; 128 bits can't be guessed within the 60 s for which a stream is kept. */
+const MAC_BYTES = 16;
+/** Streams whose signed part is kept; above the streams that one node serves at a time. */
+const MAX_SIGNED_STREAMS = 4_096;
+
+/**
+ * The signed part of a token, which is the same for all events of a stream: account, model, weight
+ * version, prompt hash, runner, URL, stream id and offset.
+ */
+const signedSchema = z.tuple([
+  z.string(),
+  z.string(),
+  z.string(),
+  z.string(),
+  z.string(),
+  z.string(),
+  z.string(),
+  z.number().int().nonnegative(),
+]);
+const seqSchema = z.coerce.number().int().nonnegative();
+
+/** A place in an answer at which it can be resumed by any node. */
+export interface ResumePosition {
+  readonly account: string;
+  readonly model: string;
+  readonly weightVersion: string;
   /** Identity of the prompt, so that a token never continues another prompt. */
-  promptHash: z.string(),
-  runner: z.string(),
-  url: z.string(),
-  streamId: z.string(),
+  readonly promptHash: string;
+  readonly runner: string;
+  readonly url: string;
+  readonly streamId: string;
   /** Last chunk of the stream that the caller received; 0 for none. */
-  seq: z.number().int().nonnegative(),
+  readonly seq: number;
   /** Chunks that the caller received from earlier streams of the same answer. */
-  offset: z.number().int().nonnegative(),
-});
-
-/** A place in an answer at which it can be resumed by any node. */
-export type ResumePosition = z.infer<typeof positionSchema>;
+  readonly offset: number;
+}
 
 const parseJson = (text: string): unknown => {
   try {
@@ -34,9 +53,12 @@
 
 /**
  * Signs and checks resume tokens, the ids of SSE events. The key is derived from the cluster key, so
- * a token of one node is valid at every node.
+ * a token of one node is valid at every node. The sequence number is not signed: each event would
+ * need a signature of its own, and with another number a caller only reads its own stream again.
  */
 export class ResumeTokens {
+  private readonly signedParts = BoundedMap.create<string, string>(MAX_SIGNED_STREAMS);
+
   private constructor(private readonly key: Buffer) {}
 
   /**
@@ -47,10 +69,14 @@
     return new ResumeTokens(createHmac('sha256', clusterKey).update(KEY_LABEL).digest());
   }
 
-  /** Encodes a position as base64url text with an HMAC-SHA-256. */
+  /** Encodes a position as signed part, MAC and sequence number, separated by dots. */
   encode(position: ResumePosition): string {
-    const payload = Buffer.from(JSON.stringify(position)).toString('base64url');
-    return `${payload}.${this.computeMac(payload).toString('base64url')}`;
+    const cacheKey = `${position.streamId}/${position.offset}`;
+    const known = this.signedParts.get(cacheKey);
+    if (known !== undefined) return `${known}.${position.seq}`;
+    const signed = this.createSignedPart(position);
+    this.signedParts.set(cacheKey, signed);
+    return `${signed}.${position.seq}`;
   }
 
   /**
@@ -61,17 +87,28 @@
   decode(token: string): Result<ResumePosition, CallerError> {
     const invalid = err(createNotRunError('resume_invalid', 'Last-Event-ID is not a valid token'));
     if (token.length > MAX_TOKEN_LENGTH) return invalid;
-    const [payload = '', mac = ''] = token.split('.');
+    const [payload = '', mac = '', seqText = ''] = token.split('.');
     const received = Buffer.from(mac, 'base64url');
     const expected = this.computeMac(payload);
     if (received.length !== expected.length || !timingSafeEqual(received, expected)) return invalid;
-    const parsed = positionSchema.safeParse(
-      parseJson(Buffer.from(payload, 'base64url').toString('utf8')),
-    );
-    return parsed.success ? ok(parsed.data) : invalid;
+    const text = Buffer.from(payload, 'base64url').toString('utf8');
+    const signed = signedSchema.safeParse(parseJson(text));
+    const seq = seqSchema.safeParse(seqText);
+    if (!signed.success || !seq.success || seqText === '') return invalid;
+    const [account, model, weightVersion, promptHash, runner, url, streamId, offset] = signed.data;
+    const stream = { account, model, weightVersion, promptHash, runner, url, streamId };
+    return ok({ ...stream, seq: seq.data, offset });
+  }
+
+  private createSignedPart(position: ResumePosition): string {
+    const { account, model, weightVersion, promptHash, runner, url, streamId, offset } = position;
+    const fields = [account, model, weightVersion, promptHash, runner, url, streamId, offset];
+    const payload = Buffer.from(JSON.stringify(fields)).toString('base64url');
+    return `${payload}.${this.computeMac(payload).toString('base64url')}`;
   }
 
   private computeMac(payload: string): Buffer {
-    return createHmac('sha256', this.key).update(payload).digest();
+    const mac = createHmac('sha256', this.key).update(payload).digest();
+    return mac.subarray(0, MAC_BYTES);
   }
 }
