--- a/packages/proving/src/benchBounds.ts
+++ b/packages/proving/src/benchBounds.ts
@@ -86,6 +86,8 @@
     createVerdict(run, 'first token p50, ms', measures.ttftMs.p50),
     createVerdict(run, 'first token p95, ms', measures.ttftMs.p95, forDesign(BOUNDS.ttftP95Ms)),
     createVerdict(run, 'first token p99, ms', measures.ttftMs.p99),
+    createVerdict(run, 'first token p95 new prompt, ms', measures.ttftMsNew.p95),
+    createVerdict(run, 'first token p95 returning, ms', measures.ttftMsReturning.p95),
     ...classes,
     createVerdict(
       run,
--- a/packages/proving/src/benchMeasures.ts
+++ b/packages/proving/src/benchMeasures.ts
@@ -1,4 +1,4 @@
-import { MS_PER_SECOND } from '@lovagearch/common';
+import { BYTES_PER_TOKEN, MS_PER_SECOND } from '@lovagearch/common';
 import type { PromptOutcome, RunOutcome } from './benchRun.js';
 
 /** Percentiles of a time, in milliseconds. */
@@ -16,6 +16,9 @@
   readonly goodputPerSecond: number;
   readonly ttftMs: Percentiles;
   readonly ttftMsByClass: Readonly<Record<string, Percentiles>>;
+  /** First tokens of prompts that no runner had seen, and of returning ones. */
+  readonly ttftMsNew: Percentiles;
+  readonly ttftMsReturning: Percentiles;
   readonly tokenGapMs: Percentiles;
   /** Prompt tokens that runners computed, and those that nobody could have avoided. */
   readonly computedTokens: number;
@@ -52,6 +55,10 @@
 const isLost = ({ result }: PromptOutcome): boolean =>
   result === undefined || (!result.isComplete && result.failure?.run !== 'not_run');
 
+/** Whether most of a prompt occurred for the first time. */
+const isNew = ({ planned, floorTokens }: PromptOutcome): boolean =>
+  floorTokens * BYTES_PER_TOKEN * 2 > planned.prompt.length;
+
 const computeTtfts = (prompts: readonly PromptOutcome[]): Percentiles =>
   computePercentiles(
     prompts.map(({ result }) => result?.ttftMs ?? 0).filter((ttftMs) => ttftMs > 0),
@@ -86,6 +93,8 @@
         computeTtfts(measured.filter(({ planned }) => planned.requestClass === name)),
       ]),
     ),
+    ttftMsNew: computeTtfts(measured.filter(isNew)),
+    ttftMsReturning: computeTtfts(measured.filter((outcome) => !isNew(outcome))),
     tokenGapMs: computePercentiles(measured.flatMap(({ result }) => result?.gapsMs ?? [])),
     computedTokens: work.computed,
     floorTokens: work.floor,
