Report imports to the watchers of the store VM

Cause: nothing called `StoreWatch.reportImport`, so that a store VM that fills up ranked a segment in daily use like one that nobody had read.

Ruled out: reading the use from the store VM; its status doesn't have it.

Change: the prompt index tells the watchers of the store VM when the last chunk of an answer says that tokens were imported.

The test `a segment that was imported is not dropped as unused` covers the report.

Conclusion: drops now follow the last use.

--- a/packages/entry/src/engineStreamRelay.ts
+++ b/packages/entry/src/engineStreamRelay.ts
@@ -161,6 +161,7 @@
     if (chunk.finishReason === 'cancelled') {
       return { type: 'move', reason: 'the stream was cancelled', isRunnerUsable: true };
     }
+    if (chunk.usage.importedTokens > 0) this.reportImport();
     return { type: 'completed', chunk };
   }
 
@@ -295,6 +296,15 @@
     this.parts.index.reportPlacement(chain, location, account, reusedDepth);
   }
 
+  /** Tells the watchers of the store VM that its segment was of use. */
+  private reportImport(): void {
+    const { segmentId } = this.current;
+    const source = this.plan.locations.find(
+      ({ kind, tailKey }) => kind === 'store' && tailKey === segmentId,
+    );
+    if (source !== undefined) this.parts.index.reportImport(source.holder, source.tailKey);
+  }
+
   private recordEnd(outcome: 'completed' | 'crashed' | 'other'): void {
     this.hasRecordedEnd = true;
     const { runner } = this.current;
--- a/packages/entry/src/generation.test.ts
+++ b/packages/entry/src/generation.test.ts
@@ -34,7 +34,7 @@
 import { LocalPromptIndex } from './localPromptIndex.js';
 import { createLocalRunCoordinator } from './localRunCoordinator.js';
 import { type EntryOptions, type EntryParts, type RunningEntry, startEntry } from './startEntry.js';
-import type { EndpointDirectory, EndpointView } from './types.js';
+import type { EndpointDirectory, EndpointView, PromptLocation } from './types.js';
 
 type StreamValue = GenerateChunk | { readonly type: 'failed'; error: EngineError };
 /** `hang` waits until the connection is closed or the gate opens. */
@@ -650,3 +650,20 @@
   }
   test.ok(completed > 0, `seed ${seed}: some answers complete`);
 });
+
+t.test('a segment that was imported is not dropped as unused', async (test) => {
+  const store = { id: toId<EndpointId>('store-1'), url: 'http://store-1', isLive: true };
+  const { region, zone } = RUNNERS[0]!;
+  const segment = { kind: 'store', holder: store.id, region, depth: 32, tailKey: 'segment-1' };
+  const reports: unknown[] = [];
+  const index = {
+    lookup: async () => [{ ...segment, sha256: 'a'.repeat(64), boot: '' } as PromptLocation],
+    reportPlacement: () => undefined,
+    removeLocation: () => undefined,
+    reportImport: (...report: unknown[]) => reports.push(report),
+  };
+  const directory = { ...DIRECTORY, listStores: () => [{ ...store, region, zone }] };
+  const { callerPort } = await startTestEntry(test, new FakeEngines(), {}, { index, directory });
+  await call(callerPort, { body: { ...PROMPT, prompt: 'x'.repeat(32 * 256) } });
+  test.same(reports, [['store-1', 'segment-1']]);
+});
--- a/packages/entry/src/generationOpening.ts
+++ b/packages/entry/src/generationOpening.ts
@@ -209,6 +209,7 @@
       streamId: toId<StreamId>(streamId),
       stream: joined.value,
       reusedDepth: 0,
+      segmentId: undefined,
     };
     const starter = GenerationStart.create(parts, plan);
     // Only the caller has the text of the streams before this one.
--- a/packages/entry/src/generationStart.ts
+++ b/packages/entry/src/generationStart.ts
@@ -37,6 +37,8 @@
   readonly stream: EngineStream;
   /** Blocks of the prompt that were expected to be reused from a cache. */
   readonly reusedDepth: number;
+  /** Segment that the runner was told to import; undefined for none. */
+  readonly segmentId: string | undefined;
 }
 
 /** The part of an answer that earlier streams produced. */
@@ -141,21 +143,23 @@
     generated: GeneratedPart,
   ): Promise<Result<StartedStream, StartFailure>> {
     const { parts, plan } = this;
-    const { runner, reusedDepth } = choice;
+    const { runner, reusedDepth, kvSource } = choice;
+    const segmentId = kvSource?.segmentId;
     const address = toEngineAddress(parts, plan.service, runner);
     const streamId = createId<StreamId>('stream');
     this.recordChoice(choice, streamId);
     parts.containment.recordStart(runner.id, plan.fingerprint);
     const request = this.createRequest(choice, streamId, generated);
     const sent = await parts.engines.generate(address, request);
-    if (sent.isOk()) return ok({ runner, address, streamId, stream: sent.value, reusedDepth });
+    const started = { runner, address, streamId, reusedDepth, segmentId };
+    if (sent.isOk()) return ok({ ...started, stream: sent.value });
     const { error } = sent;
     if (isProvenNotRun(error)) return err({ error, hasCrashed: false });
     this.hasUnknownOutcome = true;
     // The runner may have accepted the stream although its answer was lost. The prompt is not sent
     // again before containment knows whether the runner crashed.
     const joined = await parts.engines.resume(address, streamId, 0);
-    if (joined.isOk()) return ok({ runner, address, streamId, stream: joined.value, reusedDepth });
+    if (joined.isOk()) return ok({ ...started, stream: joined.value });
     return err({ error, hasCrashed: hasLostStream(joined.error) });
   }
 
--- a/packages/entry/src/localPromptIndex.ts
+++ b/packages/entry/src/localPromptIndex.ts
@@ -32,6 +32,9 @@
     if (anchor !== undefined) this.shard.add(anchor.key, location);
   };
 
+  /** A node alone watches no store VM. */
+  readonly reportImport = (): void => undefined;
+
   readonly removeLocation = (chain: readonly string[], location: PromptLocation): void => {
     for (const { key } of listDeepestAnchors(chain)) {
       this.shard.remove(key, location.holder, location.tailKey);
--- a/packages/entry/src/promptIndexNode.ts
+++ b/packages/entry/src/promptIndexNode.ts
@@ -134,6 +134,12 @@
     }
   };
 
+  readonly reportImport = (store: EndpointId, segmentId: string): void => {
+    for (const watcher of this.options.getWatchers(store)) {
+      this.options.mesh.send(watcher, INDEX_TOPICS.imported, { store, segmentId });
+    }
+  };
+
   readonly removeLocation = (chain: readonly string[], location: PromptLocation): void => {
     const anchor = getIndexAnchor(chain.slice(0, location.depth));
     if (anchor !== undefined) {
--- a/packages/entry/src/storeWatch.ts
+++ b/packages/entry/src/storeWatch.ts
@@ -81,13 +81,6 @@
     }));
   }
 
-  /** Tells the watchers of a store VM that a request imported a segment. */
-  reportImport(store: EndpointId, segmentId: string): void {
-    for (const watcher of this.options.getWatchers(store)) {
-      this.options.mesh.send(watcher, INDEX_TOPICS.imported, { store, segmentId });
-    }
-  }
-
   private recordStored({ store, ...segment }: Stored): void {
     this.getWatched(store).ledger.add({ ...segment, usedAtMs: this.options.clock.nowMs() });
   }
--- a/packages/entry/src/types.ts
+++ b/packages/entry/src/types.ts
@@ -85,6 +85,8 @@
     account: AccountId,
     reusedDepth: number,
   ) => void;
+  /** Reports that a runner imported a segment of a store VM, so that the store VM keeps it. */
+  readonly reportImport: (store: EndpointId, segmentId: string) => void;
   /** Removes a location that proved wrong. */
   readonly removeLocation: (chain: readonly string[], location: PromptLocation) => void;
 }
