--- a/packages/proving/src/benchMeasures.ts
+++ b/packages/proving/src/benchMeasures.ts
@@ -94,7 +94,7 @@
       ]),
     ),
     ttftMsNew: computeTtfts(measured.filter(isNew)),
-    ttftMsReturning: computeTtfts(measured.filter((outcome) => !isNew(outcome))),
+    ttftMsReturning: computeTtfts(measured.filter((prompt) => !isNew(prompt))),
     tokenGapMs: computePercentiles(measured.flatMap(({ result }) => result?.gapsMs ?? [])),
     computedTokens: work.computed,
     floorTokens: work.floor,
