--- a/packages/entry/src/generation.test.ts
+++ b/packages/entry/src/generation.test.ts
@@ -37,7 +37,7 @@
   createContainmentFake,
   createRunCoordinatorFake,
 } from './testFakes.js';
-import type { EndpointDirectory, EndpointView } from './types.js';
+import type { EndpointDirectory, EndpointView, PromptLocation } from './types.js';
 
 const createIndex = (): PromptIndexNode => {
   const self = toId<NodeId>('node-1');
@@ -665,3 +665,20 @@
   }
   test.ok(completed > 0, `seed ${seed}: some answers complete`);
 });
+
+t.test('a segment that was imported is not dropped as unused', async (test) => {
+  const store = { id: toId<EndpointId>('store-1'), url: 'http://store-1', isLive: true };
+  const { region, zone } = RUNNERS[0]!;
+  const segment = { kind: 'store', holder: store.id, region, depth: 32, tailKey: 'segment-1' };
+  const reports: unknown[] = [];
+  const index = {
+    lookup: async () => [{ ...segment, sha256: 'a'.repeat(64), boot: '' } as PromptLocation],
+    reportPlacement: () => undefined,
+    removeLocation: () => undefined,
+    reportImport: (...report: unknown[]) => reports.push(report),
+  };
+  const directory = { ...DIRECTORY, listStores: () => [{ ...store, region, zone }] };
+  const { callerPort } = await startTestEntry(test, new FakeEngines(), {}, { index, directory });
+  await call(callerPort, { body: { ...PROMPT, prompt: 'x'.repeat(32 * 256) } });
+  test.same(reports, [['store-1', 'segment-1']]);
+});
