Measure idle entry processes

Cause: the limits for memory and processor time are per process, which the simulation can't show. Ruled out: stand-in engines, of which 20 take more memory than this machine has for one task. Change: npm run slopes starts entry processes before runners that are ports of the driver, and reads /proc/PID/stat, VmRSS and the traffic of /v1/node.

--- a/packages/proving/src/slopesPolls.ts
+++ b/packages/proving/src/slopesPolls.ts
@@ -4,9 +4,12 @@
 
 const RUNS = 5;
 
-const STATUS = JSON.stringify({
-  endpointId: 'runner-1234',
-  boot: 'boot-0a1b2c3d',
+const BOOT = 'boot-0a1b2c3d';
+const NO_EVENTS = { boot: BOOT, events: [], nextSeq: 123_456 };
+
+const createStatus = (endpointId: string) => ({
+  endpointId,
+  boot: BOOT,
   state: 'ready',
   role: 'both',
   models: [{ model: 'crop-8b', weightVersion: 'v3', adapters: [] }],
@@ -15,7 +18,10 @@
   fencing: 17,
   checksFencing: true,
 });
-const NO_EVENTS = JSON.stringify({ boot: 'boot-0a1b2c3d', events: [], nextSeq: 123_456 });
+
+/** Answers the regular calls of a watcher as a quiet runner does. */
+export const createStatusBody = (path: string, endpointId: string): string =>
+  JSON.stringify(path === '/v1/status' ? createStatus(endpointId) : NO_EVENTS);
 
 /** What one regular call to a runner costs. */
 export interface PollCost {
@@ -28,7 +34,7 @@
 
 /** Measures the calls that a watcher makes to each of its runners, on kept connections. */
 export const computePollCosts = async (polls: number): Promise<readonly PollCost[]> => {
-  const server = await CountingServer.start((path) => (path === '/v1/status' ? STATUS : NO_EVENTS));
+  const server = await CountingServer.start((path) => createStatusBody(path, 'runner-1234'));
   const engines = HttpEngineClient.create();
   const address = { url: server.url, serviceToken: 'service-token-of-32-characters-00' };
   const measure = async (
@@ -51,7 +57,7 @@
   const costs = [
     await measure('status', async () => (await engines.readStatus(address)).isOk()),
     await measure('cache events', async () =>
-      (await engines.readCacheEvents(address, { boot: 'boot-0a1b2c3d', seq: 123_456 })).isOk(),
+      (await engines.readCacheEvents(address, { boot: BOOT, seq: 123_456 })).isOk(),
     ),
   ];
   await engines.close();
--- a/packages/proving/src/slopesSections.ts
+++ b/packages/proving/src/slopesSections.ts
@@ -2,6 +2,7 @@
 import { computeEndpointListCost, type EndpointListCost } from './slopesEndpoints.js';
 import { computeAt, computeFit, formatFit, formatTable } from './slopesMeasure.js';
 import { computePollCosts } from './slopesPolls.js';
+import { computeProcessCost, type ProcessCost, type ProcessSize } from './slopesProcess.js';
 import type { SimulationSize } from './slopesRegion.js';
 import {
   computeIndexBytes,
@@ -172,6 +173,35 @@
   ];
 };
 
+const PROCESS_SIZES: readonly ProcessSize[] = [
+  { nodes: 1, runners: 0, farRunners: 0 },
+  { nodes: 1, runners: 20, farRunners: 0 },
+  { nodes: 1, runners: 20, farRunners: 3_500 },
+  { nodes: 8, runners: 20, farRunners: 0 },
+];
+
+const runProcesses = async (isQuick: boolean): Promise<readonly string[]> => {
+  const costs: ProcessCost[] = [];
+  const sizes = isQuick ? PROCESS_SIZES.slice(1, 2) : PROCESS_SIZES;
+  for (const size of sizes) {
+    costs.push(await computeProcessCost(size, isQuick ? 6_000 : 10_000));
+  }
+  return [
+    formatTable(
+      ['nodes', 'runners', 'far runners', 'processor ms/s', 'resident MiB', 'poll B/s', 'peer B/s'],
+      costs.map((cost) => [
+        cost.nodes,
+        cost.runners,
+        cost.farRunners,
+        cost.cpuMsPerSecond,
+        cost.residentBytes / KIB / KIB,
+        cost.pollBytesPerSecond,
+        cost.peerBytesPerSecond,
+      ]),
+    ),
+  ];
+};
+
 /** The parts of the report in their order. */
 export const SECTIONS: readonly SlopeSection[] = [
   { name: 'Control between the nodes of a region', run: runControl },
@@ -180,4 +210,5 @@
   { name: 'VM list', run: runVmList },
   { name: 'Prompt index', run: runIndex },
   { name: 'Run log', run: runRunLog },
+  { name: 'Idle entry processes', run: runProcesses },
 ];
--- a/packages/proving/src/slopesServer.ts
+++ b/packages/proving/src/slopesServer.ts
@@ -33,8 +33,12 @@
     return counting;
   }
 
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
   get url(): string {
-    return `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    return `http://127.0.0.1:${this.port}`;
   }
 
   /** Bytes of HTTP in both directions, without the headers of TCP and IP. */
