Prove cache blocks, isolation and weight versions under faults

Cause: promises 1 to 3 had no proof with real processes. The cluster takes delay and bandwidth for the proxy of a VM.

--- a/packages/proving/src/cluster.ts
+++ b/packages/proving/src/cluster.ts
@@ -8,7 +8,7 @@
 import { request } from 'undici';
 import { runCommand, type CommandResult } from './commands.js';
 import type { ConfigurationFile } from './deployments.js';
-import { FaultProxy } from './faultProxy.js';
+import { FaultProxy, type FaultProxyOptions } from './faultProxy.js';
 import { waitUntil } from './waiting.js';
 
 /** Where a VM of the cluster stands. */
@@ -25,6 +25,8 @@
   readonly settings?: object;
   /** Puts a fault proxy in front of each endpoint and store VM. */
   readonly hasProxies?: boolean;
+  /** Returns delay and bandwidth of the proxy in front of a VM; none without it. */
+  readonly getLinks?: (id: string) => Pick<FaultProxyOptions, 'towardsCaller' | 'towardsTarget'>;
   /** Puts a fault proxy in front of the peer port of each entry process, as `<id>/peer`. */
   readonly hasPeerProxies?: boolean;
   /** Puts a fault proxy between the system and the platform. */
@@ -81,6 +83,10 @@
     return new Cluster(folder, platform, proxy, options);
   }
 
+  get serviceToken(): string {
+    return SERVICE_TOKEN;
+  }
+
   get operatorKey(): string {
     return OPERATOR_KEY;
   }
@@ -271,6 +277,7 @@
       const proxy = await FaultProxy.start({
         targetHost: '127.0.0.1',
         targetPort: ports.main ?? 0,
+        ...this.options.getLinks?.(id),
       });
       this.proxies.set(id, proxy);
       ports = { main: proxy.port };
--- a/packages/proving/src/proofs.ts
+++ b/packages/proving/src/proofs.ts
@@ -1,7 +1,13 @@
 import type { ProofCase } from './proofCase.js';
+import { CACHE_PROOFS } from './proofsCache.js';
 import { PROOFS_LEAVING } from './proofsLeaving.js';
 import { RUN_PROOFS } from './proofsRuns.js';
 import { STREAM_PROOFS } from './proofsStreams.js';
 
 /** All cases of `npm run prove`, by promise. */
-export const PROOFS: readonly ProofCase[] = [...STREAM_PROOFS, ...RUN_PROOFS, ...PROOFS_LEAVING];
+export const PROOFS: readonly ProofCase[] = [
+  ...CACHE_PROOFS,
+  ...STREAM_PROOFS,
+  ...RUN_PROOFS,
+  ...PROOFS_LEAVING,
+];
