Plan a request anew when its weight version was swapped

Cause: during a swap a node chooses a version from its own view of the runners. Right after the last runner was swapped the view still showed the old version, every runner refused with wrong_version, and the caller got no_endpoint although all runners were ready. Ruled out: a shorter cycle of load rows, which only narrows the window. Change: a request that was refused for its version, and that provably ran nowhere, checks the runner that refused it directly and chooses its version anew, at most twice and within the retry budget. Conclusion: a swap no longer refuses requests of a node whose view is late.

--- a/packages/entry/src/callerConstants.ts
+++ b/packages/entry/src/callerConstants.ts
@@ -4,6 +4,8 @@
 export const MAX_VIEW_AGE_MS = 3_000;
 /** Generation attempts for one request, the first included. */
 export const MAX_GENERATE_ATTEMPTS = 4;
+/** Times that a request chooses its weight version anew after a swap; each takes a retry. */
+export const MAX_REPLANS = 2;
 /** New connections to one stream after a lost or silent one, without a token in between. */
 export const MAX_RESUME_ATTEMPTS = 3;
 /**
--- a/packages/entry/src/decisionLog.ts
+++ b/packages/entry/src/decisionLog.ts
@@ -24,6 +24,8 @@
       readonly streamId: string;
       readonly afterSeq: number;
     }
+  /** No runner took the request, so it chose its weight version anew. */
+  | { readonly type: 'replanned'; readonly reason: string }
   | { readonly type: 'continued'; readonly endpoint: string; readonly offset: number }
   /** The whole text of an answer was checked; `tokens` counts those of all its streams. */
   | {
--- a/packages/entry/src/generation.test.ts
+++ b/packages/entry/src/generation.test.ts
@@ -435,6 +435,36 @@
   test.equal(engines.cancelled.length, 1, 'the useless stream is cancelled');
 });
 
+t.test('a request with a view from before a swap is served at the new version', async (test) => {
+  const engines = new FakeEngines();
+  engines.play = (connection) =>
+    connection.request.weightVersion === 'v2'
+      ? playAnswer(connection)
+      : { type: 'refused', status: 409, reason: 'wrong_version', message: '' };
+  let version = MODEL.weightVersion;
+  let runners = RUNNERS;
+  const handleVerified = async () => {
+    version = toId<WeightVersion>('v2');
+    const models = [{ model: MODEL.id, weightVersion: version }];
+    runners = RUNNERS.map((runner) => ({ ...runner, models }));
+    return true;
+  };
+  const findModel = (name: string) =>
+    name === MODEL.id ? { ...MODEL, weightVersion: version } : undefined;
+  const { callerPort } = await startTestEntry(
+    test,
+    engines,
+    {},
+    {
+      configuration: { ...CONFIGURATION, findModel },
+      directory: { ...DIRECTORY, listEndpoints: () => runners, verifyFresh: handleVerified },
+    },
+  );
+  const { text, isDone } = parseSse((await call(callerPort, { body: STREAMED })).text);
+  test.equal(text, WHOLE);
+  test.ok(isDone);
+});
+
 t.test('not_run is said only when every runner provably refused', async (test) => {
   const engines = new FakeEngines();
   const { callerPort } = await startTestEntry(test, engines);
--- a/packages/entry/src/generationOpening.ts
+++ b/packages/entry/src/generationOpening.ts
@@ -11,6 +11,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { AbandonedStreams } from './abandonedStreams.js';
 import type { CallerAccount, CallerConfiguration } from './callerConfiguration.js';
+import { MAX_REPLANS } from './callerConstants.js';
 import { type CompletionRequest, getDeadlineMs } from './completionRequest.js';
 import { EngineStreamRelay } from './engineStreamRelay.js';
 import { type GenerationParts, type GenerationPlan, toEngineAddress } from './generationPlan.js';
@@ -127,6 +128,7 @@
     request: CompletionRequest,
     admittedFor: PermittedModel,
     ticket: AdmissionTicket,
+    replans = 0,
   ): Promise<Result<OpenedGeneration, CallerError>> {
     // A weight swap may have come into force while the request waited in the queue.
     const permitted = findPermittedModel(this.configuration, context.account, request.model);
@@ -141,13 +143,38 @@
     const starter = GenerationStart.create(this.parts, plan);
     const started = await starter.start();
     if (started.isErr()) {
+      const { error } = started;
+      if (replans < MAX_REPLANS && (await this.canReplan(plan, starter, error))) {
+        return this.startOn(context, request, admittedFor, ticket, replans + 1);
+      }
       ticket.release();
-      return err(started.error);
+      return err(error);
     }
     const relay = EngineStreamRelay.create(this.parts, plan, starter, started.value);
     return ok({ plan, relay, ticket });
   }
 
+  /**
+   * Whether a request that no runner took may choose its weight version anew: only if a runner
+   * refused the version, so that this node's view was older than a swap, and nothing was accepted.
+   */
+  private async canReplan(
+    plan: GenerationPlan,
+    starter: GenerationStart,
+    error: CallerError,
+  ): Promise<boolean> {
+    const { admission, decisions, directory } = this.parts;
+    const { swappedRunner } = starter;
+    if (swappedRunner === undefined || error.run !== 'not_run') return false;
+    if (!admission.tryTakeRetry(plan.account)) return false;
+    await directory.verifyFresh(swappedRunner);
+    decisions.record(plan.requestId, {
+      type: 'replanned',
+      reason: 'the weight version was swapped',
+    });
+    return true;
+  }
+
   private checkContainment(draft: GenerationDraft): Result<void, CallerError> {
     const check = this.parts.containment.check(draft.fingerprint);
     return check.type === 'quarantined' ? err(check.error) : ok();
--- a/packages/entry/src/generationStart.ts
+++ b/packages/entry/src/generationStart.ts
@@ -83,6 +83,8 @@
 
   private hasUnknownOutcome = false;
 
+  private swapped: EndpointId | undefined;
+
   private lastError: EngineError | undefined;
 
   private constructor(
@@ -94,6 +96,11 @@
     return new GenerationStart(parts, plan);
   }
 
+  /** The last runner that refused the weight version, which it no longer holds. */
+  get swappedRunner(): EndpointId | undefined {
+    return this.swapped;
+  }
+
   /** Keeps a runner from getting this request again. */
   addExcluded(runner: EndpointId): void {
     this.excluded.add(runner);
@@ -213,6 +220,7 @@
     switch (error.type) {
       case 'refused':
         if (error.load !== undefined) parts.directory.updateLoad(runner, error.load);
+        if (error.reason === 'wrong_version') this.swapped = runner;
         if (error.reason === 'draining') parts.directory.markLeaving(runner);
         return;
       case 'not_connected':
--- a/packages/proving/src/historyCheckers.test.ts
+++ b/packages/proving/src/historyCheckers.test.ts
@@ -72,6 +72,11 @@
 t.test('finds an answer of two versions and a segment of another version', async (test) => {
   const mixed = toEvents('a', [chosen('s1', 'v1'), chosen('s2', 'v2')]);
   test.match(findVersionViolation(mixed), { type: 'version_changed' });
+  const replanned: HistoryDecision = { type: 'replanned' };
+  const late = toEvents('a', [chosen('s1', 'v1'), continued(3), replanned, chosen('s2', 'v2')]);
+  test.match(findVersionViolation(late), { type: 'version_changed' });
+  const early = toEvents('a', [chosen('s1', 'v1'), replanned, chosen('s2', 'v2')]);
+  test.equal(findVersionViolation(early), undefined, 'no runner took the request at v1');
   const first = toEvents('a', [chosen('s1', 'v1', 'aa')]);
   const old = toEvents('b', [chosen('s2', 'v2', 'aa')]);
   test.match(findVersionViolation([...first, ...old]), { type: 'segment_of_other_version' });
--- a/packages/proving/src/historyLines.ts
+++ b/packages/proving/src/historyLines.ts
@@ -15,6 +15,7 @@
     streamId: z.string(),
     afterSeq: z.number(),
   }),
+  z.object({ type: z.literal('replanned') }),
   z.object({ type: z.literal('continued'), endpoint: z.string(), offset: z.number() }),
   z.object({
     type: z.literal('verified'),
--- a/packages/proving/src/weightVersionProofs.ts
+++ b/packages/proving/src/weightVersionProofs.ts
@@ -25,7 +25,7 @@
 const STORED_PROMPTS = 2;
 const OLD_STREAMS = 4;
 /** Longer than the swap of one runner, so that some streams begin before it and end after it. */
-const OLD_STREAM_TOKENS = 1_000;
+const OLD_STREAM_TOKENS = 600;
 const LOAD_SEED = 2_000;
 const LOAD_PAUSE_MS = 40;
 const SWAP_TIMEOUT_MS = 40_000;
