--- a/packages/entry/src/buildNode.ts
+++ b/packages/entry/src/buildNode.ts
@@ -18,10 +18,16 @@
 import { AdmissionController } from './admissionController.js';
 import { ConfigurationFollower } from './configurationFollower.js';
 import { ContainmentController } from './containmentController.js';
+import { ContainmentPull } from './containmentPull.js';
 import { createRotation } from './endpointRotation.js';
 import { FollowedConfiguration } from './followedConfiguration.js';
 import { listAccounts, listStores } from './adminLists.js';
 import { createClientCloser, createNodeClients } from './nodeClients.js';
+import {
+  createMeasuredAdmission,
+  createMeasuredContainment,
+  createMeasuredRuns,
+} from './measuredParts.js';
 import { NodeCluster } from './nodeCluster.js';
 import type { NodeContext } from './nodeContext.js';
 import { createNodeReuse, type NodeReuse } from './nodeReuse.js';
@@ -161,6 +167,12 @@
     log: log.withTag('containment'),
     listLiveMembers: members.listLive,
   });
+  const metrics = Metrics.create(settings.statsd);
+  const containmentPull = ContainmentPull.start({
+    ...context,
+    listLiveMembers: members.listLive,
+    ...containment,
+  });
   await follower.start();
   const { index, stores } = reuse;
   const entry = await startEntry(
@@ -168,13 +180,13 @@
     {
       ...clients,
       ...context,
-      metrics: Metrics.create(settings.statsd),
+      metrics,
       configuration,
       directory: createRotation(directory, (id) => containment.isFaulty(id)),
       index,
-      runs: runs.coordinator,
-      admission,
-      containment,
+      runs: createMeasuredRuns(runs.coordinator, metrics),
+      admission: createMeasuredAdmission(admission, metrics),
+      containment: createMeasuredContainment(containment, metrics),
       routingPolicy: settings.routingPolicy,
       linkBudget: LinkBudget.create(settings.linkBytesPerSecond, clock.nowMs()),
       handleDrainStart: members.markLeaving,
@@ -193,6 +205,7 @@
         ...reuse.parts,
         follower,
         admission,
+        containmentPull,
         containment,
         cluster,
         createClientCloser(clients),
--- a/packages/proving/src/proofs.ts
+++ b/packages/proving/src/proofs.ts
@@ -1,5 +1,7 @@
 import type { ProofCase } from './proofCase.js';
 import { CACHE_PROOFS } from './proofsCache.js';
+import { CONFIGURATION_PROOFS } from './proofsConfiguration.js';
+import { CONTAINMENT_PROOFS } from './proofsContainment.js';
 import { PROOFS_LEAVING } from './proofsLeaving.js';
 import { RUN_PROOFS } from './proofsRuns.js';
 import { STREAM_PROOFS } from './proofsStreams.js';
@@ -9,5 +11,7 @@
   ...CACHE_PROOFS,
   ...STREAM_PROOFS,
   ...RUN_PROOFS,
+  ...CONFIGURATION_PROOFS,
+  ...CONTAINMENT_PROOFS,
   ...PROOFS_LEAVING,
 ];
