--- a/packages/proving/src/proofs.ts
+++ b/packages/proving/src/proofs.ts
@@ -1,4 +1,5 @@
 import type { ProofCase } from './proofCase.js';
+import { CACHE_PROOFS } from './proofsCache.js';
 import { CONFIGURATION_PROOFS } from './proofsConfiguration.js';
 import { CONTAINMENT_PROOFS } from './proofsContainment.js';
 import { PROOFS_LEAVING } from './proofsLeaving.js';
@@ -7,6 +8,7 @@
 
 /** All cases of `npm run prove`, by promise. */
 export const PROOFS: readonly ProofCase[] = [
+  ...CACHE_PROOFS,
   ...STREAM_PROOFS,
   ...RUN_PROOFS,
   ...CONFIGURATION_PROOFS,
