Let the demo wait until its prompt is evicted

Cause: the demo sent twelve prompts and took the eviction for granted. Once the choice of runners spread them differently, the first prompt was still in its runner's cache, and the step failed though nothing was recomputed. Ruled out: a fault of import: 2,048 tokens came from the runner's own cache. Change: the demo sends prompts until a runner reports the eviction. Conclusion: the step shows what it says.

--- a/packages/proving/src/demo.ts
+++ b/packages/proving/src/demo.ts
@@ -1,5 +1,7 @@
 import { computeExpectedText } from '@lovagearch/standins';
 import { processClock } from '@lovagearch/common';
+import { HttpEngineClient, type EngineAddress } from '@lovagearch/engine-client';
+import { computeBlockKeys } from '@lovagearch/reuse';
 import { request } from 'undici';
 import { CallerClient } from './callerClient.js';
 import { Cluster, type ClusterVm } from './cluster.js';
@@ -34,7 +36,7 @@
 const PLACE = { region: 'south', zone: 'chiayi' };
 const OTHER_PLACE = { region: 'south', zone: 'tainan' };
 const PROMPT_TOKENS = 2_048;
-const FILLER_PROMPTS = 12;
+const MAX_FILLER_PROMPTS = 60;
 const EXPORT_TIMEOUT_MS = 10_000;
 
 const assertThat = (condition: boolean, message: string): void => {
@@ -68,6 +70,35 @@
   return cluster;
 };
 
+/** Reads all cache events of a runner and tells whether it evicted one of the blocks. */
+const hasEvicted = async (
+  engines: HttpEngineClient,
+  address: EngineAddress,
+  keys: ReadonlySet<string>,
+): Promise<boolean> => {
+  let after = { boot: '', seq: 0 };
+  for (;;) {
+    const page = await engines.readCacheEvents(address, after);
+    if (page.isErr() || page.value.events.length === 0) return false;
+    for (const event of page.value.events) {
+      if (event.type === 'evicted' && event.keys.some((key) => keys.has(key))) return true;
+    }
+    after = { boot: page.value.boot, seq: page.value.nextSeq };
+  }
+};
+
+/** Tells whether a runner reported that it evicted a block of a prompt. */
+const isEvicted = async (cluster: Cluster, keys: ReadonlySet<string>): Promise<boolean> => {
+  const engines = HttpEngineClient.create();
+  const evictions = ['runner-1', 'runner-2'].map((id) => {
+    const address = { url: cluster.getVm(id).process.url(), serviceToken: cluster.serviceToken };
+    return hasEvicted(engines, address, keys);
+  });
+  const results = await Promise.all(evictions);
+  await engines.close();
+  return results.includes(true);
+};
+
 const publishConfiguration = async ({ cluster }: Demo): Promise<string> => {
   const result = await cluster.publish([
     createModelServiceFile('estimator'),
@@ -121,7 +152,10 @@
     const { segments } = (await status.body.json()) as { segments: { depth: number }[] };
     return segments.some(({ depth }) => depth >= PROMPT_TOKENS / 64);
   });
-  for (let filler = 0; filler < FILLER_PROMPTS; filler++) {
+  const identity = { account: 'jianan-01', model: MODEL, weightVersion: 'v1' };
+  const keys = new Set<string>(computeBlockKeys(identity, prompt));
+  for (let filler = 0; !(await isEvicted(cluster, keys)); filler++) {
+    assertThat(filler < MAX_FILLER_PROMPTS, 'the prompt was not evicted');
     const caller = filler % 2 === 0 ? firstCaller : secondCaller;
     await send(caller, filler % 3, createPrompt(200 + filler, PROMPT_TOKENS));
   }
