Give a plain service all its work again once it answers

Cause: an endpoint that returns from death gets one probe request at a time until an answer opens its gate. Only updateLoad opened it, which answers of plain services never call, so a service instance that had been dead served one request in 10 s for as long as the entry process lived. Ruled out: the fresh connections of non-idempotent calls, and connections that stay silent; the calls ended with no_endpoint, not with a timeout. Change: EndpointDirectory.reportAnswer, called for each answer of a service. Test: 'an answered call ends the probing of an instance that returned, a lost one not' (npx tap packages/entry/dist/serviceCalls.test.js: passed). Conclusion: instances are used again after the first answer.

--- a/packages/entry/src/endpointRotation.ts
+++ b/packages/entry/src/endpointRotation.ts
@@ -15,6 +15,7 @@
   listStores: directory.listStores,
   getEndpoint: directory.getEndpoint,
   updateLoad: directory.updateLoad,
+  reportAnswer: directory.reportAnswer,
   reportFailure: directory.reportFailure,
   markLeaving: directory.markLeaving,
   verifyFresh: directory.verifyFresh,
--- a/packages/entry/src/serviceCalls.test.ts
+++ b/packages/entry/src/serviceCalls.test.ts
@@ -65,11 +65,15 @@
   boot: '',
   confirmedAgeMs: 0,
 });
-const createDirectory = (views: EndpointView[]): EndpointDirectory => ({
+const createDirectory = (
+  views: EndpointView[],
+  answered: EndpointId[] = [],
+): EndpointDirectory => ({
   listEndpoints: () => views,
   listStores: () => [],
   getEndpoint: (id) => views.find((view) => view.id === id),
   updateLoad: () => undefined,
+  reportAnswer: (id) => answered.push(id),
   reportFailure: () => undefined,
   markLeaving: () => undefined,
   verifyFresh: async () => false,
@@ -143,7 +147,8 @@
       runCalls.push('abandon');
     },
   };
-  const directory = createDirectory(instances);
+  const answered: EndpointId[] = [];
+  const directory = createDirectory(instances, answered);
   const admission = createAdmissionFake();
   const containment = createContainmentFake();
   const decisions = DecisionLog.create(clock, log);
@@ -165,7 +170,7 @@
     sending,
     onceOnly,
   });
-  return { handler, clock, sent, runCalls, hashes, beginning };
+  return { handler, clock, sent, answered, runCalls, hashes, beginning };
 };
 
 /** Returns the value of a result; an error fails the test. */
@@ -184,6 +189,17 @@
 const LOST: ServiceError = { type: 'connection_lost', message: '' };
 const TIMEOUT: ServiceError = { type: 'timeout', timeoutMs: 1 };
 
+t.test(
+  'an answered call ends the probing of an instance that returned, a lost one not',
+  async (test) => {
+    const { handler, answered } = createFixture([PAID, LOST], [createInstance('a')]);
+    getValue(await handler.handle(CONTEXT, CLAIM));
+    test.strictSame(answered, ['a']);
+    getError(await handler.handle(CONTEXT, CLAIM));
+    test.strictSame(answered, ['a']);
+  },
+);
+
 t.test('a non-idempotent call without a key is not sent', async (test) => {
   const { handler, sent } = createFixture([]);
   const refused = await handler.handle(CONTEXT, { ...CLAIM, headers: {} });
--- a/packages/entry/src/serviceSending.ts
+++ b/packages/entry/src/serviceSending.ts
@@ -70,7 +70,10 @@
     });
     recordCallEnd();
     if (sent.isErr()) this.recordFailure(call, endpoint, sent.error);
-    else parts.containment.recordEnd(endpoint, call.fingerprint, 'completed');
+    else {
+      parts.containment.recordEnd(endpoint, call.fingerprint, 'completed');
+      parts.directory.reportAnswer(endpoint);
+    }
     return sent;
   }
 
--- a/packages/entry/src/types.ts
+++ b/packages/entry/src/types.ts
@@ -50,6 +50,8 @@
   readonly getEndpoint: (id: EndpointId) => EndpointView | undefined;
   /** Records the load that an answer carried. */
   readonly updateLoad: (id: EndpointId, load: EngineLoad) => void;
+  /** Records that the endpoint answered a call; a returning endpoint gets all its work again. */
+  readonly reportAnswer: (id: EndpointId) => void;
   /** Records that a call to the endpoint failed on the connection. */
   readonly reportFailure: (id: EndpointId) => void;
   /** Records that the endpoint said it is draining; spread at once. */
