Make the proofs of runs show faults that they missed

Cause: with one line of onceOnlyCall.ts broken, so that an unknown outcome is said as not_run, runs-service-killed held: no call was under way at the kill. Ruled out: the checkers, which name the violation in runs-service-drops-answers. Change: the instance is slow and runs a call when it is killed. A case that does not serve again names its last outcomes. A cluster whose start fails is stopped.

--- a/packages/proving/src/configurationProof.ts
+++ b/packages/proving/src/configurationProof.ts
@@ -47,29 +47,17 @@
     private readonly settings: string,
   ) {}
 
-  /** Starts three entry processes with a first configuration in force. */
-  static async start(random: Random): Promise<ConfigurationProof> {
-    const cluster = await Cluster.start({ hasPlatformProxy: true });
-    for (const [index, place] of PLACES.entries()) {
-      await cluster.startEntry(`entry-${index + 1}`, place);
-    }
-    const settings = await cluster.writeSettings('operators', { region: 'any', zone: 'any' });
-    const proof = new ConfigurationProof(cluster, random, settings);
-    const files = [createModelServiceFile(SERVICE), createModelFile('crop-8b', SERVICE)];
-    const first = await proof.publish('association', [...files, proof.createAccount('first')]);
-    assertProof(first.exitCode === 0, `not published: ${first.stderr}`);
-    await proof.waitInForce('first', cluster.listEntries());
-    proof.reading = proof.runReadings();
-    return proof;
-  }
-
   /** Runs a case with a cluster and ends it, whatever happens. */
   static async run(
     random: Random,
     body: (proof: ConfigurationProof) => Promise<string>,
   ): Promise<string> {
-    const proof = await ConfigurationProof.start(random);
+    const cluster = await Cluster.start({ hasPlatformProxy: true });
+    const settings = await cluster.writeSettings('operators', { region: 'any', zone: 'any' });
+    const proof = new ConfigurationProof(cluster, random, settings);
     try {
+      await proof.startEntries();
+      proof.reading = proof.runReadings();
       const detail = await body(proof);
       proof.checkReverts();
       return detail;
@@ -149,6 +137,18 @@
     return statuses[0]?.revision ?? 0;
   }
 
+  /** Starts three entry processes with a first configuration in force. */
+  private async startEntries(): Promise<void> {
+    const { cluster } = this;
+    for (const [index, place] of PLACES.entries()) {
+      await cluster.startEntry(`entry-${index + 1}`, place);
+    }
+    const files = [createModelServiceFile(SERVICE), createModelFile('crop-8b', SERVICE)];
+    const first = await this.publish('association', [...files, this.createAccount('first')]);
+    assertProof(first.exitCode === 0, `not published: ${first.stderr}`);
+    await this.waitInForce('first', cluster.listEntries());
+  }
+
   private checkReverts(): void {
     const reverted = findReverts(this.readings);
     assertProof(reverted.length === 0, `reverted to an older revision: ${reverted.join(', ')}`);
--- a/packages/proving/src/keyedCalls.ts
+++ b/packages/proving/src/keyedCalls.ts
@@ -36,7 +36,8 @@
  * record what each of them was told.
  *
  * @example
- * const calls = KeyedCalls.start(options);
+ * const calls = KeyedCalls.create(options);
+ * calls.start();
  * await calls.stop();
  * const lastCalls = await calls.settle();
  */
@@ -53,11 +54,14 @@
 
   private constructor(private readonly options: KeyedCallsOptions) {}
 
-  static start(options: KeyedCallsOptions): KeyedCalls {
-    const calls = new KeyedCalls(options);
-    const workers = Array.from({ length: WORKERS }, async () => calls.runWorker());
-    calls.workers = Promise.all([calls.runKeys(), ...workers]);
-    return calls;
+  static create(options: KeyedCallsOptions): KeyedCalls {
+    return new KeyedCalls(options);
+  }
+
+  /** Begins to send calls. */
+  start(): void {
+    const workers = Array.from({ length: WORKERS }, async () => this.runWorker());
+    this.workers = Promise.all([this.runKeys(), ...workers]);
   }
 
   /** Sends no further call and waits for those that run. */
--- a/packages/proving/src/runFaults.ts
+++ b/packages/proving/src/runFaults.ts
@@ -5,6 +5,7 @@
   findShardOwner,
   readRuns,
   RUN_PLACES,
+  waitBusy,
   waitIdle,
   type RunFault,
   type RunProof,
@@ -134,6 +135,9 @@
     const { cluster, random, savedRuns } = proof;
     await waitRandom(random);
     const instance = chooseService(proof);
+    // The kill must meet calls under way.
+    await cluster.setFaults(instance.id, { mode: 'slow', delayMs: SLOW_SERVICE_MS });
+    await waitBusy(instance);
     cluster.proxies.get(instance.id)?.setMode('refuse');
     await waitIdle(instance);
     savedRuns.push(...(await readRuns(instance)));
--- a/packages/proving/src/runProof.ts
+++ b/packages/proving/src/runProof.ts
@@ -1,14 +1,15 @@
-import type { Random } from '@lovagearch/common';
+import { getErrorMessage, type Random } from '@lovagearch/common';
 import { request } from 'undici';
 import { z } from 'zod';
 import { Cluster, type ClusterVm } from './cluster.js';
 import { createAccountFile, createPlainServiceFile, getAccountKey } from './deployments.js';
 import { KeyedCalls } from './keyedCalls.js';
-import { assertProof, type ProofContext } from './proofCase.js';
+import { assertProof, ProofError, type ProofContext } from './proofCase.js';
 import {
   findRunPromiseViolations,
   findUnsettledKeys,
   type KeyedCall,
+  type KeyedOutcome,
   type ServiceRun,
 } from './runCheckers.js';
 import { waitUntil } from './waiting.js';
@@ -26,7 +27,8 @@
 const RUN_MS = 150;
 const SERVING_TIMEOUT_MS = 20_000;
 const HEALTHY_CALLS = 12;
-const IDLE_TIMEOUT_MS = 5_000;
+const MAX_REPORTED_OUTCOMES = 5;
+const ACTIVE_TIMEOUT_MS = 5_000;
 
 const runsSchema = z.array(
   z.object({
@@ -60,13 +62,22 @@
   return runsSchema.parse(await response.body.json());
 };
 
+const readActiveCalls = async (vm: ClusterVm): Promise<number> => {
+  const response = await request(`${vm.process.url()}/health`);
+  const health = z.object({ load: z.object({ active: z.number() }) });
+  return health.parse(await response.body.json()).load.active;
+};
+
+/** Waits until an instance runs a call. */
+export const waitBusy = async (vm: ClusterVm): Promise<void> => {
+  const check = async (): Promise<boolean> => (await readActiveCalls(vm)) > 0;
+  await waitUntil(`${vm.id} runs a call`, ACTIVE_TIMEOUT_MS, check);
+};
+
 /** Waits until an instance runs no call. */
 export const waitIdle = async (vm: ClusterVm): Promise<void> => {
-  await waitUntil(`${vm.id} is idle`, IDLE_TIMEOUT_MS, async () => {
-    const response = await request(`${vm.process.url()}/health`);
-    const health = z.object({ load: z.object({ active: z.number() }) });
-    return health.parse(await response.body.json()).load.active === 0;
-  });
+  const check = async (): Promise<boolean> => (await readActiveCalls(vm)) === 0;
+  await waitUntil(`${vm.id} is idle`, ACTIVE_TIMEOUT_MS, check);
 };
 
 /** Returns the entry process that has most run shards in memory. */
@@ -82,8 +93,8 @@
   return first.entry;
 };
 
-const startCluster = async (): Promise<Cluster> => {
-  const cluster = await Cluster.start({ hasProxies: true });
+/** Starts the processes of a cluster and publishes its configuration. */
+const startProcesses = async (cluster: Cluster): Promise<void> => {
   await Promise.all(
     INSTANCES.map(async (id, index) =>
       cluster.startService(id, RUN_PLACES[index] ?? RUN_PLACES[0], SERVICE),
@@ -99,18 +110,25 @@
   assertProof(published.exitCode === 0, `not published: ${published.stderr}`);
   for (const id of INSTANCES) await cluster.setFaults(id, { mode: 'slow', delayMs: RUN_MS });
   await cluster.waitReady();
-  return cluster;
 };
 
 /** Waits until each entry process runs a call with a new key. */
 export const waitServing = async ({ calls, cluster }: RunProof, name: string): Promise<void> => {
   for (const entry of cluster.listEntries()) {
-    await waitUntil(`${entry.id} serves new calls`, SERVING_TIMEOUT_MS, async () => {
+    const outcomes: KeyedOutcome[] = [];
+    const check = async (): Promise<boolean> => {
       // The number of calls so far makes the key new.
       const key = `${name}-${entry.id}-${calls.calls.length}`;
       const { outcome } = await calls.send(cluster.getCallerUrl(entry), key);
+      outcomes.push(outcome);
       return outcome.type === 'answered';
-    });
+    };
+    try {
+      await waitUntil(`${entry.id} serves new calls`, SERVING_TIMEOUT_MS, check);
+    } catch (error) {
+      const last = JSON.stringify(outcomes.slice(-MAX_REPORTED_OUTCOMES));
+      throw new ProofError(`${getErrorMessage(error)}; last outcomes: ${last}`);
+    }
   }
 };
 
@@ -148,9 +166,9 @@
   { random }: ProofContext,
   faults: readonly RunFault[],
 ): Promise<string> => {
-  const cluster = await startCluster();
+  const cluster = await Cluster.start({ hasProxies: true });
   const hidden = new Set<string>();
-  const calls = KeyedCalls.start({
+  const calls = KeyedCalls.create({
     accountKey: getAccountKey(ACCOUNT),
     path: `${SERVICE}/claims`,
     random,
@@ -161,6 +179,8 @@
         .map((entry) => cluster.getCallerUrl(entry)),
   });
   try {
+    await startProcesses(cluster);
+    calls.start();
     const proof: RunProof = { cluster, random, calls, savedRuns: [], hidden };
     await waitUntil('calls are answered', SERVING_TIMEOUT_MS, async () => {
       const answered = calls.calls.filter(({ outcome }) => outcome.type === 'answered');
