--- a/packages/entry/src/callerConstants.ts
+++ b/packages/entry/src/callerConstants.ts
@@ -4,6 +4,8 @@
 export const MAX_VIEW_AGE_MS = 3_000;
 /** Generation attempts for one request, the first included. */
 export const MAX_GENERATE_ATTEMPTS = 4;
+/** Times that a request chooses its weight version anew after a swap; each takes a retry. */
+export const MAX_REPLANS = 2;
 /** New connections to one stream after a lost or silent one, without a token in between. */
 export const MAX_RESUME_ATTEMPTS = 3;
 /**
@@ -41,6 +43,8 @@
 export const MAX_SERVICE_ATTEMPTS = 3;
 /** Recent decisions and refusals that are kept for the administration API. */
 export const DECISION_LOG_ENTRIES = 4_096;
+/** Hex digits of a segment's id in decisions: 48 bits, enough to tell the segments of a test apart. */
+export const SEGMENT_TAG_DIGITS = 12;
 /** Advice to callers after a refusal that a short wait may resolve. */
 export const RETRY_AFTER_MS = 1_000;
 /** Time without a request after which a draining node stops listening: two readiness checks. */
--- a/packages/entry/src/engineStreamRelay.ts
+++ b/packages/entry/src/engineStreamRelay.ts
@@ -161,6 +161,7 @@
     if (chunk.finishReason === 'cancelled') {
       return { type: 'move', reason: 'the stream was cancelled', isRunnerUsable: true };
     }
+    if (chunk.usage.importedTokens > 0) this.reportImport();
     return { type: 'completed', chunk };
   }
 
@@ -295,6 +296,15 @@
     this.parts.index.reportPlacement(chain, location, account, reusedDepth);
   }
 
+  /** Tells the watchers of the store VM that its segment was of use. */
+  private reportImport(): void {
+    const { segmentId } = this.current;
+    const source = this.plan.locations.find(
+      ({ kind, tailKey }) => kind === 'store' && tailKey === segmentId,
+    );
+    if (source !== undefined) this.parts.index.reportImport(source.holder, source.tailKey);
+  }
+
   private recordEnd(outcome: 'completed' | 'crashed' | 'other'): void {
     this.hasRecordedEnd = true;
     const { runner } = this.current;
@@ -307,15 +317,26 @@
   }
 
   private createDone({ finishReason, usage }: DoneChunk): RelayEvent {
+    const { cachedTokens, importedTokens, completionTokens } = usage;
+    this.parts.decisions.record(this.plan.requestId, {
+      type: 'verified',
+      streamId: this.current.streamId,
+      tokens: this.offset + completionTokens,
+      cachedTokens,
+      importedTokens,
+    });
     return {
       type: 'done',
       finishReason: finishReason === 'length' ? 'length' : 'stop',
-      usage: { ...usage, completionTokens: this.offset + usage.completionTokens },
+      usage: { ...usage, completionTokens: this.offset + completionTokens },
     };
   }
 
   private createLengthDone(tokens: number): RelayEvent {
-    const { promptTokens } = this.plan;
+    const { promptTokens, requestId } = this.plan;
+    const { streamId } = this.current;
+    const reused = { cachedTokens: 0, importedTokens: 0 };
+    this.parts.decisions.record(requestId, { type: 'verified', streamId, tokens, ...reused });
     const usage = { promptTokens, cachedTokens: 0, importedTokens: 0, completionTokens: tokens };
     return { type: 'done', finishReason: 'length', usage };
   }
--- a/packages/entry/src/generationStart.ts
+++ b/packages/entry/src/generationStart.ts
@@ -12,9 +12,10 @@
   EngineError,
   EngineStream,
   GenerateRequest,
+  KvSource,
 } from '@lovagearch/engine-client';
 import { err, ok, type Result } from 'neverthrow';
-import { MAX_GENERATE_ATTEMPTS, RETRY_AFTER_MS } from './callerConstants.js';
+import { MAX_GENERATE_ATTEMPTS, RETRY_AFTER_MS, SEGMENT_TAG_DIGITS } from './callerConstants.js';
 import {
   ENGINE_PRIORITY,
   type GenerationParts,
@@ -37,6 +38,8 @@
   readonly stream: EngineStream;
   /** Blocks of the prompt that were expected to be reused from a cache. */
   readonly reusedDepth: number;
+  /** Segment that the runner was told to import; undefined for none. */
+  readonly segmentId: string | undefined;
 }
 
 /** The part of an answer that earlier streams produced. */
@@ -64,6 +67,12 @@
 export const formatEngineError = (error: EngineError): string =>
   error.type === 'refused' ? `refused ${error.status} ${error.reason}` : error.type;
 
+/** Names a segment by the start of its id; the whole id would identify a prompt. */
+const formatSegment = ({ segmentId, depth }: KvSource) => ({
+  tag: segmentId.slice(0, SEGMENT_TAG_DIGITS),
+  depth,
+});
+
 /**
  * Starts a generation on a runner. It tries other runners while that is allowed: each further
  * attempt takes one from the retry budget, and attempts are bounded. One instance serves one
@@ -76,6 +85,8 @@
 
   private hasUnknownOutcome = false;
 
+  private swapped: EndpointId | undefined;
+
   private lastError: EngineError | undefined;
 
   private constructor(
@@ -87,6 +98,11 @@
     return new GenerationStart(parts, plan);
   }
 
+  /** The last runner that refused the weight version, which it no longer holds. */
+  get swappedRunner(): EndpointId | undefined {
+    return this.swapped;
+  }
+
   /** Keeps a runner from getting this request again. */
   addExcluded(runner: EndpointId): void {
     this.excluded.add(runner);
@@ -141,21 +157,23 @@
     generated: GeneratedPart,
   ): Promise<Result<StartedStream, StartFailure>> {
     const { parts, plan } = this;
-    const { runner, reusedDepth } = choice;
+    const { runner, reusedDepth, kvSource } = choice;
+    const segmentId = kvSource?.segmentId;
     const address = toEngineAddress(parts, plan.service, runner);
     const streamId = createId<StreamId>('stream');
     this.recordChoice(choice, streamId);
     parts.containment.recordStart(runner.id, plan.fingerprint);
     const request = this.createRequest(choice, streamId, generated);
     const sent = await parts.engines.generate(address, request);
-    if (sent.isOk()) return ok({ runner, address, streamId, stream: sent.value, reusedDepth });
+    const started = { runner, address, streamId, reusedDepth, segmentId };
+    if (sent.isOk()) return ok({ ...started, stream: sent.value });
     const { error } = sent;
     if (isProvenNotRun(error)) return err({ error, hasCrashed: false });
     this.hasUnknownOutcome = true;
     // The runner may have accepted the stream although its answer was lost. The prompt is not sent
     // again before containment knows whether the runner crashed.
     const joined = await parts.engines.resume(address, streamId, 0);
-    if (joined.isOk()) return ok({ runner, address, streamId, stream: joined.value, reusedDepth });
+    if (joined.isOk()) return ok({ ...started, stream: joined.value });
     return err({ error, hasCrashed: hasLostStream(joined.error) });
   }
 
@@ -182,12 +200,15 @@
   }
 
   private recordChoice(choice: RunnerChoice, streamId: StreamId): void {
+    const { kvSource } = choice;
     this.parts.decisions.record(this.plan.requestId, {
       type: 'chosen',
       endpoint: choice.runner.id,
       streamId,
       estimatedTtftMs: Math.round(choice.estimatedTtftMs),
       estimatedRecomputedTokens: choice.estimatedRecomputedTokens,
+      weightVersion: this.plan.weightVersion,
+      ...(kvSource === undefined ? {} : { segment: formatSegment(kvSource) }),
       reason: choice.reason,
     });
   }
@@ -203,6 +224,7 @@
     switch (error.type) {
       case 'refused':
         if (error.load !== undefined) parts.directory.updateLoad(runner, error.load);
+        if (error.reason === 'wrong_version') this.swapped = runner;
         if (error.reason === 'draining') parts.directory.markLeaving(runner);
         return;
       case 'not_connected':
--- a/packages/entry/src/types.ts
+++ b/packages/entry/src/types.ts
@@ -45,8 +45,10 @@
 
 /** Runners, service instances and store VMs as known to this node. */
 export interface EndpointDirectory {
+  /** Views whose ages may be up to a second old; states that were reported are present. */
   readonly listEndpoints: (service: ServiceId) => readonly EndpointView[];
   readonly listStores: (region: Region) => readonly StoreView[];
+  /** The view at this moment. */
   readonly getEndpoint: (id: EndpointId) => EndpointView | undefined;
   /** Records the load that an answer carried. */
   readonly updateLoad: (id: EndpointId, load: EngineLoad) => void;
@@ -87,6 +89,8 @@
     account: AccountId,
     reusedDepth: number,
   ) => void;
+  /** Reports that a runner imported a segment of a store VM, so that the store VM keeps it. */
+  readonly reportImport: (store: EndpointId, segmentId: string) => void;
   /** Removes a location that proved wrong. */
   readonly removeLocation: (chain: readonly string[], location: PromptLocation) => void;
 }
--- a/packages/proving/src/slopesSections.ts
+++ b/packages/proving/src/slopesSections.ts
@@ -1,6 +1,8 @@
 import { computeControlCost, getTopicBytes, type ControlCost } from './slopesControl.js';
+import { computeEndpointListCost, type EndpointListCost } from './slopesEndpoints.js';
 import { computeAt, computeFit, formatFit, formatTable } from './slopesMeasure.js';
 import { computePollCosts } from './slopesPolls.js';
+import { computeProcessCost, type ProcessCost, type ProcessSize } from './slopesProcess.js';
 import type { SimulationSize } from './slopesRegion.js';
 import {
   computeIndexBytes,
@@ -154,11 +156,59 @@
   ];
 };
 
+const runEndpoints = async (isQuick: boolean): Promise<readonly string[]> => {
+  const sizes = isQuick ? [50, 200, 583] : [50, 100, 200, 400, 583];
+  const costs: EndpointListCost[] = [];
+  for (const runners of sizes) costs.push(await computeEndpointListCost(runners));
+  const created = computeFit(
+    costs.map(({ createdMs, endpoints }) => ({ x: endpoints, y: createdMs })),
+  );
+  const kept = computeFit(costs.map(({ endpoints, keptMs }) => ({ x: endpoints, y: keptMs })));
+  return [
+    formatTable(
+      ['endpoints', 'ms with new views', 'ms with kept views'],
+      costs.map(({ createdMs, endpoints, keptMs }) => [endpoints, createdMs, keptMs]),
+    ),
+    `New views: ${formatFit(created, 'endpoints')} ms; kept: ${formatFit(kept, 'endpoints')} ms.`,
+  ];
+};
+
+const PROCESS_SIZES: readonly ProcessSize[] = [
+  { nodes: 1, runners: 0, farRunners: 0 },
+  { nodes: 1, runners: 20, farRunners: 0 },
+  { nodes: 1, runners: 20, farRunners: 3_500 },
+  { nodes: 8, runners: 20, farRunners: 0 },
+];
+
+const runProcesses = async (isQuick: boolean): Promise<readonly string[]> => {
+  const costs: ProcessCost[] = [];
+  const sizes = isQuick ? PROCESS_SIZES.slice(1, 2) : PROCESS_SIZES;
+  for (const size of sizes) {
+    costs.push(await computeProcessCost(size, isQuick ? 6_000 : 10_000));
+  }
+  return [
+    formatTable(
+      ['nodes', 'runners', 'far runners', 'processor ms/s', 'resident MiB', 'poll B/s', 'peer B/s'],
+      costs.map((cost) => [
+        cost.nodes,
+        cost.runners,
+        cost.farRunners,
+        cost.cpuMsPerSecond,
+        cost.residentBytes / KIB / KIB,
+        cost.pollBytesPerSecond,
+        cost.peerBytesPerSecond,
+      ]),
+    ),
+  ];
+};
+
 /** The parts of the report in their order. */
 export const SECTIONS: readonly SlopeSection[] = [
   { name: 'Control between the nodes of a region', run: runControl },
   { name: 'Calls to a runner', run: runPolls },
+  { name: 'Endpoint lists', run: runEndpoints },
   { name: 'VM list', run: runVmList },
   { name: 'Prompt index', run: runIndex },
   { name: 'Run log', run: runRunLog },
+  { name: 'Idle entry processes', run: runProcesses },
 ];
