Don't spread suspicions of nodes that are leaving

Cause: the member list turned a leaving member that ended into a suspect one and spread that. Nodes that started later knew nothing of the leave, took the ended node for active and asked it for run shards; claims were refused with run_store_unavailable during a rolling update. Ruled out: a flag in the own record alone; it does not reach nodes that learn of the member later. Change: a leaving member that is silent for the suspicion time is dead, without a suspicion before; it is probed in every interval meanwhile. The test fails with the former member list. Conclusion: a leave stays known until the node is forgotten.

--- a/packages/membership/src/memberList.test.ts
+++ b/packages/membership/src/memberList.test.ts
@@ -163,6 +163,8 @@
   simulation.down.add(id);
   simulation.runSteps(20, () => {
     for (const [viewer, list] of simulation.lists) {
+      const told = list.takeUpdates(id).find((update) => update.id === id);
+      if (told?.state === 'suspect') t2.fail(`${viewer} tells new nodes that it is a member`);
       if (viewer === id || !list.listActive(region).includes(id)) continue;
       t2.fail(`${viewer} gives duties to a node that has left`);
     }
--- a/packages/membership/src/memberList.ts
+++ b/packages/membership/src/memberList.ts
@@ -22,8 +22,8 @@
   update: MemberUpdate;
   /** Time spent in the present state, without pauses of this process. */
   stateMs: number;
-  /** Whether it said that it leaves; a later suspicion doesn't give its duties back. */
-  isLeaving: boolean;
+  /** Time since a leaving member stopped answering; undefined while it answers. */
+  silentMs?: number | undefined;
 }
 
 /** Sorted lists that are kept until a record changes, because every request reads them. */
@@ -82,8 +82,7 @@
   }
 
   /**
-   * Members that take part in duties, sorted by id: alive, or suspect without having left before;
-   * this node included.
+   * Members that take part in duties, sorted by id: alive or suspect, this node included.
    *
    * @param region all regions without it
    */
@@ -119,11 +118,16 @@
     this.intervals++;
     const reachable: NodeId[] = [];
     const lost: NodeId[] = [];
-    for (const { update } of this.records.values()) {
+    const silent: NodeId[] = [];
+    for (const { update, silentMs } of this.records.values()) {
       (NO_CONTACT.has(update.state) ? lost : reachable).push(update.id);
+      if (silentMs !== undefined) silent.push(update.id);
     }
+    // A leaving member is not asked to refute, so it is probed until it answers or is dead.
     const targets =
-      reachable.length <= MAX_MEMBERS_PROBED_AT_ONCE ? reachable : this.takeNext(reachable);
+      reachable.length <= MAX_MEMBERS_PROBED_AT_ONCE
+        ? reachable
+        : [...new Set([...this.takeNext(reachable), ...silent])];
     // Both sides of a healed partition may hold each other for lost; somebody has to try.
     const isRecheck = this.intervals % RECHECK_INTERVALS === 0;
     const recheck = isRecheck ? chooseItem(lost, this.random) : undefined;
@@ -146,8 +150,9 @@
     const record = this.records.get(id);
     if (record === undefined) return;
     const { state } = record.update;
-    if (state !== 'alive' && state !== 'leaving') return;
-    this.setState(record, 'suspect');
+    if (state === 'alive') this.setState(record, 'suspect');
+    // Suspect members have duties; a member that left must not get them back while it ends.
+    if (state === 'leaving') record.silentMs ??= 0;
   }
 
   /**
@@ -156,8 +161,8 @@
    */
   recordSuccess(id: NodeId): void {
     const record = this.records.get(id);
-    if (record?.update.state !== 'unreachable') return;
-    this.setState(record, record.isLeaving ? 'leaving' : 'alive');
+    if (record !== undefined) record.silentMs = undefined;
+    if (record?.update.state === 'unreachable') this.setState(record, 'alive');
   }
 
   /** Applies what another node states; refutes it if it is wrong about this node. */
@@ -192,6 +197,7 @@
     this.lastMs = nowMs;
     for (const record of [...this.records.values()]) {
       record.stateMs += elapsedMs;
+      if (record.silentMs !== undefined) record.silentMs += elapsedMs;
       this.checkRecord(record);
     }
   }
@@ -201,6 +207,8 @@
     const isListed = this.listed.has(id);
     if (state === 'suspect' && record.stateMs >= SUSPICION_MS) {
       this.setState(record, this.getVerdict(record.update));
+    } else if (state === 'leaving' && (record.silentMs ?? 0) >= SUSPICION_MS) {
+      this.setState(record, 'dead');
     } else if (state === 'unreachable' && !isListed) {
       this.setState(record, 'dead');
     } else if (state === 'dead' && !isListed && record.stateMs >= DEAD_KEEP_MS) {
@@ -228,10 +236,11 @@
     const known = record.update;
     if (known.state === 'unreachable' && update.incarnation === known.incarnation) return;
     if (!isNewer(update, known)) return;
-    const state = update.state === 'dead' ? this.getVerdict(update) : update.state;
+    // A leaving member of another region is not kept as unreachable; it does not return.
+    const isVerdict = update.state === 'dead' && known.state !== 'leaving';
+    const state = isVerdict ? this.getVerdict(update) : update.state;
     record.update = { ...update, state };
-    if (state === 'alive') record.isLeaving = false;
-    if (state === 'leaving') record.isLeaving = true;
+    if (state !== 'leaving') record.silentMs = undefined;
     this.views = undefined;
     if (state !== known.state) record.stateMs = 0;
     this.queue.add(update.id);
@@ -264,7 +273,6 @@
       const ofRegion = activeByRegion.get(region) ?? [];
       activeByRegion.set(region, ofRegion);
       if (state !== 'alive' && state !== 'suspect') continue;
-      if (this.records.get(id)?.isLeaving === true) continue;
       active.push(id);
       ofRegion.push(id);
     }
@@ -273,14 +281,14 @@
 
   private addRecord(update: MemberUpdate): void {
     if (this.records.size >= MAX_MEMBERS) return;
-    this.records.set(update.id, { update, stateMs: 0, isLeaving: update.state === 'leaving' });
+    this.records.set(update.id, { update, stateMs: 0 });
     this.views = undefined;
     this.queue.add(update.id);
   }
 
   private setState(record: MemberRecord, state: MemberState): void {
     const { id } = record.update;
-    this.records.set(id, { ...record, update: { ...record.update, state }, stateMs: 0 });
+    this.records.set(id, { update: { ...record.update, state }, stateMs: 0 });
     this.views = undefined;
     if (state !== 'unreachable') this.queue.add(id);
   }
