Serve without a gap while nodes are replaced

Change: readiness waits until each service has an endpoint in use, 10 s at most; whole answers of plain services are recorded; an empty shard asks the other owner, entries are handed over when the drain begins.

--- a/packages/entry/src/buildNode.ts
+++ b/packages/entry/src/buildNode.ts
@@ -1,6 +1,7 @@
 import { randomInt } from 'node:crypto';
 import {
   createId,
+  getErrorMessage,
   createRandom,
   Metrics,
   MS_PER_SECOND,
@@ -177,7 +178,12 @@
       containment,
       routingPolicy: settings.routingPolicy,
       linkBudget: LinkBudget.create(settings.linkBytesPerSecond, clock.nowMs()),
-      handleDrainStart: members.markLeaving,
+      isReady: cluster.isReady,
+      handleDrainStart: () => {
+        members.markLeaving();
+        // From now on other nodes ask the next owners, long before this node ends.
+        index.sendEntries().catch((error: unknown) => log.error(getErrorMessage(error)));
+      },
       listTopicTraffic: () => mesh.listTopicTraffic(),
       readers: {
         configuration: () => follower.getStatus(),
--- a/packages/entry/src/callerServer.ts
+++ b/packages/entry/src/callerServer.ts
@@ -38,6 +38,8 @@
   readonly configuration: CallerConfiguration;
   readonly drain: Drain;
   readonly models: ModelRequestHandler;
+  /** Whether the node knows enough endpoints; always, if absent. */
+  readonly isReady?: () => boolean;
   readonly services: ServiceRequestHandler;
   /** Largest body, in bytes. */
   readonly maxBodyBytes: number;
@@ -168,10 +170,13 @@
   }
 
   private getReadinessError(): CallerError | undefined {
-    const { drain, configuration } = this.parts;
+    const { drain, configuration, isReady } = this.parts;
     if (drain.isDraining) return createNotRunError('draining', 'this node is leaving');
-    if (configuration.isLoaded()) return undefined;
-    return createNotRunError('not_ready', 'no configuration is known yet', RETRY_AFTER_MS);
+    if (!configuration.isLoaded()) {
+      return createNotRunError('not_ready', 'no configuration is known yet', RETRY_AFTER_MS);
+    }
+    if (isReady?.() !== false) return undefined;
+    return createNotRunError('not_ready', 'the endpoints are not known yet', RETRY_AFTER_MS);
   }
 
   private authenticate(request: FastifyRequest): CallerError | undefined {
--- a/packages/entry/src/endpointRotation.ts
+++ b/packages/entry/src/endpointRotation.ts
@@ -15,6 +15,7 @@
   listStores: directory.listStores,
   getEndpoint: directory.getEndpoint,
   updateLoad: directory.updateLoad,
+  recordAnswer: directory.recordAnswer,
   reportFailure: directory.reportFailure,
   markLeaving: directory.markLeaving,
   verifyFresh: directory.verifyFresh,
--- a/packages/entry/src/generation.test.ts
+++ b/packages/entry/src/generation.test.ts
@@ -224,6 +224,7 @@
   listStores: () => [],
   getEndpoint: (id) => RUNNERS.find((runner) => runner.id === id),
   updateLoad: () => undefined,
+  recordAnswer: () => undefined,
   reportFailure: () => undefined,
   markLeaving: () => undefined,
   verifyFresh: async () => true,
--- a/packages/entry/src/nodeCluster.test.ts
+++ b/packages/entry/src/nodeCluster.test.ts
@@ -234,6 +234,31 @@
   t2.same(await Promise.all(joint), [true, true]);
 });
 
+t.test(
+  'a returned endpoint without load stays out of use until an answer is recorded',
+  async (t2) => {
+    const cluster = await TestCluster.create(t2, { north: 3 });
+    const id = toId<EndpointId>('north-runner-0');
+    await waitForFullView(cluster);
+    const status = cluster.statuses.get(id)!;
+    cluster.statuses.delete(id);
+    await waitUntil(() => cluster.hasState(id, 'dead'));
+    cluster.statuses.set(id, status);
+    await waitUntil(() => cluster.hasState(id, 'ready'));
+    const { directory } = cluster.nodes[0]!.cluster;
+    t2.same(await Promise.all([directory.verifyFresh(id), directory.verifyFresh(id)]), [
+      true,
+      false,
+    ]);
+    directory.recordAnswer(id);
+    t2.ok(directory.getEndpoint(id)!.confirmedAgeMs <= 3_000);
+    t2.same(await Promise.all([directory.verifyFresh(id), directory.verifyFresh(id)]), [
+      true,
+      true,
+    ]);
+  },
+);
+
 t.test('cache events come from one watcher, with gaps and restarts reported', async (t2) => {
   const cluster = await TestCluster.create(t2, { north: 3 });
   const runner = toId<EndpointId>('north-runner-0');
--- a/packages/entry/src/nodeCluster.ts
+++ b/packages/entry/src/nodeCluster.ts
@@ -17,6 +17,7 @@
 import { NodeDissemination } from './nodeDissemination.js';
 import { NodeEndpoints } from './nodeEndpoints.js';
 import { NodeMembers } from './nodeMembers.js';
+import { NodeReadiness } from './nodeReadiness.js';
 import { NodeRegionView } from './nodeRegionView.js';
 import { NodeVmList } from './nodeVmList.js';
 import { NodeWatchers } from './nodeWatchers.js';
@@ -50,6 +51,7 @@
     readonly members: NodeMembers,
     readonly directory: NodeEndpoints,
     private readonly capacities: BoundedMap<NodeId, readonly ZoneCapacity[]>,
+    private readonly readiness: NodeReadiness,
   ) {}
 
   /**
@@ -71,7 +73,8 @@
       sendMark: (row) => dissemination?.sendMark(row),
     });
     const capacities = BoundedMap.create<NodeId, readonly ZoneCapacity[]>(MAX_SOURCES);
-    const cluster = new NodeCluster(options, members, directory, capacities);
+    const readiness = NodeReadiness.create(clock, directory.listAll);
+    const cluster = new NodeCluster(options, members, directory, capacities, readiness);
     const watchers = NodeWatchers.start({
       ...options,
       self: identity.id,
@@ -113,6 +116,9 @@
   readonly listCapacities = (): ReadonlyMap<NodeId, readonly ZoneCapacity[]> =>
     new Map(this.capacities);
 
+  /** Whether this node knows enough endpoints to be sent requests. */
+  readonly isReady = (): boolean => this.readiness.check();
+
   readonly stop = async (): Promise<void> => {
     for (const part of this.parts) await part.stop();
   };
@@ -127,6 +133,7 @@
     const known = new Set(listLeaving());
     members.applyVms(vms);
     directory.applyVms(vms);
+    this.readiness.recordVmList();
     // Other nodes may read an older list; the watchers tell them.
     for (const id of listLeaving()) {
       if (known.has(id)) continue;
--- a/packages/entry/src/nodeEndpoints.ts
+++ b/packages/entry/src/nodeEndpoints.ts
@@ -98,6 +98,11 @@
     this.records.get(id)?.gate.recordResult(true);
   };
 
+  readonly recordAnswer = (id: EndpointId): void => {
+    this.updateOwn(id, { successMs: this.options.clock.nowMs() });
+    this.records.get(id)?.gate.recordResult(true);
+  };
+
   readonly reportFailure = (id: EndpointId): void => {
     const nowMs = this.options.clock.nowMs();
     const record = this.records.get(id);
--- /dev/null
+++ b/packages/entry/src/nodeReadiness.ts
@@ -0,0 +1,48 @@
+import { MS_PER_SECOND, type Clock, type ServiceId } from '@lovagearch/common';
+import type { EndpointView } from './types.js';
+
+/** Time after which a node that starts serves with what it knows, in milliseconds. */
+const READY_LIMIT_MS = 10 * MS_PER_SECOND;
+
+/**
+ * Whether a node that starts knows enough endpoints to serve. Full load rows arrive only every few
+ * seconds, and until then requests would be refused with `no_endpoint` although endpoints are ready.
+ */
+export class NodeReadiness {
+  private hasVmList = false;
+
+  private isReady = false;
+
+  private constructor(
+    private readonly clock: Clock,
+    private readonly listEndpoints: () => readonly EndpointView[],
+    private readonly startMs: number,
+  ) {}
+
+  static create(clock: Clock, listEndpoints: () => readonly EndpointView[]): NodeReadiness {
+    return new NodeReadiness(clock, listEndpoints, clock.nowMs());
+  }
+
+  /** Records that a VM list was read. */
+  recordVmList(): void {
+    this.hasVmList = true;
+  }
+
+  /** True from the first time on that every service has an endpoint in use, or after 10 s. */
+  check(): boolean {
+    if (this.isReady) return true;
+    const isLate = this.clock.nowMs() - this.startMs >= READY_LIMIT_MS;
+    this.isReady = isLate || (this.hasVmList && this.hasEndpointOfEachService());
+    return this.isReady;
+  }
+
+  private hasEndpointOfEachService(): boolean {
+    const missing = new Set<ServiceId>();
+    const found = new Set<ServiceId>();
+    for (const { kind, models, service, state } of this.listEndpoints()) {
+      const isUsable = state === 'ready' && (kind === 'service' || models.length > 0);
+      (isUsable ? found : missing).add(service);
+    }
+    return [...missing].every((service) => found.has(service));
+  }
+}
--- a/packages/entry/src/promptIndexNode.test.ts
+++ b/packages/entry/src/promptIndexNode.test.ts
@@ -84,6 +84,19 @@
   t2.equal((await nodes.get(asking)!.lookup(chain)).length, 1);
 });
 
+t.test('a new owner without entries asks the other owner', async (t2) => {
+  const { nodes, regions } = createNodes();
+  const members = regions.get(SOUTH)!;
+  const [joining, staying] = getRendezvousOwners(chain[31]!, members, 2);
+  regions.set(
+    SOUTH,
+    members.filter((node) => node !== joining),
+  );
+  nodes.get(staying!)!.reportPlacement(chain, createLocation(40, SOUTH), ACCOUNT, 0);
+  regions.set(SOUTH, members);
+  t2.equal((await nodes.get(joining!)!.lookup(chain)).length, 1);
+});
+
 t.test('a cut owner costs the hint only, never the answer', async (t2) => {
   const { network, nodes, regions } = createNodes();
   nodes.get('s1' as NodeId)!.reportPlacement(chain, createLocation(40, SOUTH), ACCOUNT, 0);
--- a/packages/entry/src/promptIndexNode.ts
+++ b/packages/entry/src/promptIndexNode.ts
@@ -169,8 +169,11 @@
     }
   }
 
-  /** Hands the entries of this shard to their next owners, before this node leaves. */
-  readonly stop = async (): Promise<void> => {
+  /** Hands over what arrived since the drain began. */
+  readonly stop = async (): Promise<void> => this.sendEntries();
+
+  /** Hands the entries of this shard to their next owners, when this node starts to leave. */
+  async sendEntries(): Promise<void> {
     const { mesh, region, listMembers } = this.options;
     const others = listMembers(region).filter((member) => member !== mesh.self);
     const byOwner = new Map<NodeId, ReturnType<IndexShard['list']>>();
@@ -185,7 +188,7 @@
         await mesh.request(owner, INDEX_TOPICS.handover, { entries: page }, HANDOVER_TIMEOUT_MS);
       }
     }
-  };
+  }
 
   private registerHandlers(): void {
     const { mesh } = this.options;
@@ -258,7 +261,14 @@
     timeoutMs: number,
   ): Promise<readonly Location[]> {
     const { self } = this.options.mesh;
-    if (first === self || second === self) return this.readShard(anchors);
+    if (first === self || second === self) {
+      const own = this.readShard(anchors);
+      const other = first === self ? second : first;
+      // A node that became an owner a moment ago has an empty shard; the other owner may know more.
+      return own.length > 0 || other === undefined
+        ? own
+        : this.lookupOwner(other, anchors, timeoutMs);
+    }
     const primary = this.lookupOwner(first, anchors, timeoutMs);
     if (second === undefined) return primary;
     let hedge: NodeJS.Timeout | undefined;
--- a/packages/entry/src/serviceCalls.test.ts
+++ b/packages/entry/src/serviceCalls.test.ts
@@ -70,6 +70,7 @@
   listStores: () => [],
   getEndpoint: (id) => views.find((view) => view.id === id),
   updateLoad: () => undefined,
+  recordAnswer: () => undefined,
   reportFailure: () => undefined,
   markLeaving: () => undefined,
   verifyFresh: async () => false,
--- a/packages/entry/src/serviceSending.ts
+++ b/packages/entry/src/serviceSending.ts
@@ -69,8 +69,12 @@
       freshConnection: attempt !== undefined,
     });
     recordCallEnd();
-    if (sent.isErr()) this.recordFailure(call, endpoint, sent.error);
-    else parts.containment.recordEnd(endpoint, call.fingerprint, 'completed');
+    if (sent.isErr()) {
+      this.recordFailure(call, endpoint, sent.error);
+      return sent;
+    }
+    parts.directory.recordAnswer(endpoint);
+    parts.containment.recordEnd(endpoint, call.fingerprint, 'completed');
     return sent;
   }
 
--- a/packages/entry/src/startEntry.ts
+++ b/packages/entry/src/startEntry.ts
@@ -71,6 +71,8 @@
   readonly readers: EntryReaders;
   /** Traffic with the other nodes, for the administration API. */
   readonly listTopicTraffic?: () => readonly TopicTraffic[];
+  /** Whether the node knows enough endpoints to be sent requests. */
+  readonly isReady?: () => boolean;
   /** Called when the node begins to drain, so that its duties pass to other nodes. */
   readonly handleDrainStart?: () => void;
   /** Background parts, stopped in this order once no request runs. */
--- a/packages/entry/src/types.ts
+++ b/packages/entry/src/types.ts
@@ -50,6 +50,8 @@
   readonly getEndpoint: (id: EndpointId) => EndpointView | undefined;
   /** Records the load that an answer carried. */
   readonly updateLoad: (id: EndpointId, load: EngineLoad) => void;
+  /** Records a whole answer of an endpoint that carries no load, such as a plain service. */
+  readonly recordAnswer: (id: EndpointId) => void;
   /** Records that a call to the endpoint failed on the connection. */
   readonly reportFailure: (id: EndpointId) => void;
   /** Records that the endpoint said it is draining; spread at once. */
