--- a/packages/proving/src/drainCluster.ts
+++ b/packages/proving/src/drainCluster.ts
@@ -55,13 +55,22 @@
 const listNames = (role: string, count: number): string[] =>
   Array.from({ length: count }, (_item, index) => `${role}-${index}`);
 
+/** A read on a connection that went silent is repeated elsewhere after its time limit. */
+const createServiceFile = (): ConfigurationFile => ({
+  ...createPlainServiceFile(PLAIN_SERVICE, []),
+  routes: [
+    { method: 'POST', path: '/claims', idempotent: false, timeoutMs: 5_000 },
+    { method: 'GET', path: '/reads', idempotent: true, timeoutMs: 3_000 },
+  ],
+});
+
 /** Configuration files of the cluster with a weight version of the model. */
 export const createDrainFiles = (
   weightVersion: string,
   modelService: object = {},
 ): ConfigurationFile[] => [
   createModelServiceFile(MODEL_SERVICE, modelService),
-  createPlainServiceFile(PLAIN_SERVICE, ['/claims']),
+  createServiceFile(),
   createModelFile(PROOF_MODEL, MODEL_SERVICE, weightVersion),
   createAccountFile(ACCOUNT, [MODEL_SERVICE, PLAIN_SERVICE]),
 ];
