--- a/packages/proving/src/proofs.ts
+++ b/packages/proving/src/proofs.ts
@@ -4,6 +4,8 @@
 import { CONTAINMENT_PROOFS } from './proofsContainment.js';
 import { PROOFS_LEAVING } from './proofsLeaving.js';
 import { RUN_PROOFS } from './proofsRuns.js';
+import { PROOFS_SHUTDOWN } from './proofsShutdown.js';
+import { PROOFS_SILENT } from './proofsSilent.js';
 import { STREAM_PROOFS } from './proofsStreams.js';
 
 /** All cases of `npm run prove`, by promise. */
@@ -14,4 +16,6 @@
   ...CONFIGURATION_PROOFS,
   ...CONTAINMENT_PROOFS,
   ...PROOFS_LEAVING,
+  ...PROOFS_SHUTDOWN,
+  ...PROOFS_SILENT,
 ];
