Count the places of a runner's batch in the queue estimate

Cause: a runner whose batch of 16 was full cost only 4 ms a sequence, although the next prompt waits there until an answer ends, and prompts that this node had just sent did not count as sequences at all.

Ruled out: reading the batch size from the load report, which doesn't have it.

Change: each sequence beyond 16 costs 500 ms, and unreported own prompts count as active sequences.

Recomputed work stays beyond its bound.

--- a/packages/entry/src/routingChooser.ts
+++ b/packages/entry/src/routingChooser.ts
@@ -87,7 +87,8 @@
       region,
       zone,
       queuedPromptTokens: load.queuedPromptTokens + ownTokens,
-      activeSequences: load.activeSequences,
+      activeSequences:
+        load.activeSequences + this.estimator.getUnreportedSequences(id, sampleAgeMs, nowMs),
     };
   }
 
--- a/packages/routing/src/constants.ts
+++ b/packages/routing/src/constants.ts
@@ -16,6 +16,13 @@
 export const OTHER_REGION_COUNT = 2;
 /** Decode steps slow down with the sequences of a batch; cost of one active sequence, in milliseconds. */
 export const ACTIVE_SEQUENCE_MS = 4;
+/** Sequences that a runner decodes together; a further one waits until another ends. */
+export const FULL_BATCH_SEQUENCES = 16;
+/**
+ * Wait for a place in a full batch, in milliseconds for each sequence that waits: an answer of 100 to
+ * 300 tokens at 50 ms frees one of 16 places every 300 to 900 ms.
+ */
+export const BATCH_PLACE_WAIT_MS = 500;
 /** Age after which an estimate of own work no longer waits for a report, in milliseconds. */
 export const OWN_WORK_MAX_AGE_MS = 2_000;
 /** Bytes of an answer on the link for each requested token. */
--- a/packages/routing/src/estimates.ts
+++ b/packages/routing/src/estimates.ts
@@ -2,6 +2,8 @@
 import {
   ACTIVE_SEQUENCE_MS,
   ANSWER_BYTES_PER_TOKEN,
+  BATCH_PLACE_WAIT_MS,
+  FULL_BATCH_SEQUENCES,
   IMPORT_LINK_SHARE,
   LINK_ROUND_TRIP_MS,
   REGION_ROUND_TRIP_MS,
@@ -18,7 +20,8 @@
 /** Estimates the wait before a runner starts on a new prompt, in milliseconds. */
 export const computeQueueMs = (runner: RunnerState, speeds: ServiceSpeeds): number =>
   (runner.queuedPromptTokens * MS_PER_SECOND) / speeds.prefillTokensPerSecond +
-  runner.activeSequences * ACTIVE_SEQUENCE_MS;
+  runner.activeSequences * ACTIVE_SEQUENCE_MS +
+  Math.max(0, runner.activeSequences + 1 - FULL_BATCH_SEQUENCES) * BATCH_PLACE_WAIT_MS;
 
 /** Estimates the time to compute prompt tokens, in milliseconds. */
 export const computePrefillMs = (tokens: number, speeds: ServiceSpeeds): number =>
--- a/packages/routing/src/loadEstimator.ts
+++ b/packages/routing/src/loadEstimator.ts
@@ -40,11 +40,18 @@
    * @param sampleAgeMs age of that sample in milliseconds
    */
   getUnreportedTokens(runner: string, sampleAgeMs: number, nowMs: number): number {
+    let unreported = 0;
+    for (const { tokens } of this.listUnreported(runner, sampleAgeMs, nowMs)) unreported += tokens;
+    return unreported;
+  }
+
+  /** Returns the number of requests sent after the runner's last load sample was taken. */
+  getUnreportedSequences(runner: string, sampleAgeMs: number, nowMs: number): number {
+    return this.listUnreported(runner, sampleAgeMs, nowMs).length;
+  }
+
+  private listUnreported(runner: string, sampleAgeMs: number, nowMs: number): SentWork[] {
     const horizonMs = nowMs - Math.min(sampleAgeMs, OWN_WORK_MAX_AGE_MS);
-    let tokens = 0;
-    for (const sent of this.sentByRunner.peek(runner) ?? []) {
-      if (sent.sentAtMs > horizonMs) tokens += sent.tokens;
-    }
-    return tokens;
+    return (this.sentByRunner.peek(runner) ?? []).filter(({ sentAtMs }) => sentAtMs > horizonMs);
   }
 }
--- a/packages/routing/src/routing.test.ts
+++ b/packages/routing/src/routing.test.ts
@@ -74,6 +74,14 @@
   t2.same([closed?.runner, closed?.importFrom], ['a', undefined]);
 });
 
+t.test('a prompt does not wait for a full batch while another runner has a place', async (t2) => {
+  const prefixes = [{ kind: 'runner', holder: 'a', region: 'south', depth: 40 } as const];
+  const runners = [createRunner('a', { activeSequences: 16 }), createRunner('b')];
+  t2.equal(chooseRunner(createInput({ runners, prefixes }))[0]?.runner, 'b');
+  const free = [createRunner('a', { activeSequences: 12 }), createRunner('b')];
+  t2.equal(chooseRunner(createInput({ runners: free, prefixes }))[0]?.runner, 'a');
+});
+
 t.test('nodes with the same view do not all choose the same runner', async (t2) => {
   const runners = Array.from({ length: 40 }, (_, index) => createRunner(`r${index}`));
   const counts = new Map<string, number>();
