--- a/packages/entry/src/buildNode.ts
+++ b/packages/entry/src/buildNode.ts
@@ -18,9 +18,16 @@
 import { AdmissionController } from './admissionController.js';
 import { ConfigurationFollower } from './configurationFollower.js';
 import { ContainmentController } from './containmentController.js';
+import { ContainmentPull } from './containmentPull.js';
+import { createRotation } from './endpointRotation.js';
 import { FollowedConfiguration } from './followedConfiguration.js';
 import { listAccounts, listStores } from './adminLists.js';
 import { createClientCloser, createNodeClients } from './nodeClients.js';
+import {
+  createMeasuredAdmission,
+  createMeasuredContainment,
+  createMeasuredRuns,
+} from './measuredParts.js';
 import { NodeCluster } from './nodeCluster.js';
 import type { NodeContext } from './nodeContext.js';
 import { createNodeReuse, type NodeReuse } from './nodeReuse.js';
@@ -132,8 +139,11 @@
     return checksCaller ? { url, serviceToken: settings.serviceToken } : { url };
   };
   let reuse: NodeReuse | undefined;
-  cluster = startCluster(context, `${host}:${mesh.port}`, toAddress, (runner, boot, batch) =>
-    reuse?.handleCacheEvents(runner, boot, batch),
+  cluster = startCluster(
+    context,
+    settings.peerAddress ?? `${host}:${mesh.port}`,
+    toAddress,
+    (runner, boot, batch) => reuse?.handleCacheEvents(runner, boot, batch),
   );
   const { directory, members } = cluster;
   reuse = createNodeReuse({
@@ -144,7 +154,7 @@
     getWatchers: (endpoint) => getCluster().getWatchers(endpoint),
     toAddress,
   });
-  const runs = createNodeRuns(context, members.listLive);
+  const runs = createNodeRuns(context, members.listLive, members.isPresent);
   const configuration = FollowedConfiguration.create({
     getView: () => follower.view,
     chooseVersion: ({ id, service, weightVersion }) =>
@@ -156,7 +166,12 @@
     clock,
     log: log.withTag('containment'),
     listLiveMembers: members.listLive,
-    markFaulty: directory.markLeaving,
+  });
+  const metrics = Metrics.create(settings.statsd);
+  const containmentPull = ContainmentPull.start({
+    ...context,
+    listLiveMembers: members.listLive,
+    ...containment,
   });
   await follower.start();
   const { index, stores } = reuse;
@@ -165,16 +180,17 @@
     {
       ...clients,
       ...context,
-      metrics: Metrics.create(settings.statsd),
+      metrics,
       configuration,
-      directory,
+      directory: createRotation(directory, (id) => containment.isFaulty(id)),
       index,
-      runs: runs.coordinator,
-      admission,
-      containment,
+      runs: createMeasuredRuns(runs.coordinator, metrics),
+      admission: createMeasuredAdmission(admission, metrics),
+      containment: createMeasuredContainment(containment, metrics),
       routingPolicy: settings.routingPolicy,
       linkBudget: LinkBudget.create(settings.linkBytesPerSecond, clock.nowMs()),
       handleDrainStart: members.markLeaving,
+      listTopicTraffic: () => mesh.listTopicTraffic(),
       readers: {
         configuration: () => follower.getStatus(),
         members: () => ({ members: members.listMembers() }),
@@ -189,6 +205,7 @@
         ...reuse.parts,
         follower,
         admission,
+        containmentPull,
         containment,
         cluster,
         createClientCloser(clients),
--- a/packages/entry/src/containmentController.ts
+++ b/packages/entry/src/containmentController.ts
@@ -11,6 +11,7 @@
   MAX_UPDATE_ENTRIES,
   QuarantineList,
   TRIAL_RETRY_AFTER_MS,
+  type ContainmentCopy,
   type ContainmentEvent,
 } from '@lovagearch/containment';
 import type { PeerMesh } from '@lovagearch/peering';
@@ -61,8 +62,6 @@
   readonly log: Logger;
   /** Live members of this and of the other regions; this node may be among them. */
   readonly listLiveMembers: () => readonly NodeId[];
-  /** Called when an endpoint crashes with any request and must leave the rotation. */
-  readonly markFaulty: (endpoint: EndpointId) => void;
 }
 
 /** Containment on one node: asks and updates its list, and spreads news to all members. */
@@ -113,6 +112,13 @@
     return this.list.isFaulty(endpoint, this.options.clock.nowMs());
   }
 
+  /** Returns all that is in force, for a node that missed the news. */
+  readonly getCopy = (): ContainmentCopy => this.list.getCopy(this.options.clock.nowMs());
+
+  /** Adds what another node has in force and this one does not know. */
+  readonly applyCopy = (copy: ContainmentCopy): void =>
+    this.list.applyCopy(copy, this.options.clock.nowMs());
+
   /** Returns suspects and quarantines in force, for the administration API. */
   listEntries(): { fingerprint: Fingerprint; type: string; endpoint: EndpointId }[] {
     const entries = this.list.listEntries(this.options.clock.nowMs());
@@ -128,7 +134,6 @@
   private handleUpdate(events: readonly ContainmentEvent[]): void {
     const nowMs = this.options.clock.nowMs();
     for (const event of events) {
-      if (event.type === 'faulty') this.options.markFaulty(event.endpoint);
       this.publish(this.list.applyEvent(event, nowMs));
     }
   }
@@ -138,7 +143,6 @@
     for (const event of events) {
       if (event.type === 'faulty') {
         this.options.log.warn(`Endpoint ${event.endpoint} crashes with any request.`);
-        this.options.markFaulty(event.endpoint);
       }
     }
     this.waiting = [...this.waiting, ...events].slice(-MAX_WAITING_EVENTS);
--- a/packages/entry/src/nodeMembers.ts
+++ b/packages/entry/src/nodeMembers.ts
@@ -84,16 +84,16 @@
   readonly listActive = (region: Region): readonly NodeId[] => this.list.listActive(region);
 
   /** Sorted ids of the active nodes of one region, or of all regions. */
-  readonly listLive = (region?: Region): readonly NodeId[] =>
-    region === undefined
-      ? this.listRegions()
-          .flatMap((each) => this.list.listActive(each))
-          .sort()
-      : this.list.listActive(region);
+  readonly listLive = (region?: Region): readonly NodeId[] => this.list.listActive(region);
 
   /** Regions of all known members, sorted. */
-  readonly listRegions = (): readonly Region[] =>
-    [...new Set(this.list.listMembers().map(({ region }) => region))].sort();
+  readonly listRegions = (): readonly Region[] => this.list.listRegions();
+
+  /** Tells whether a node is a member that is not dead, draining or not. */
+  readonly isPresent = (node: NodeId): boolean => {
+    const state = this.list.getMember(node)?.state;
+    return state !== undefined && state !== 'dead';
+  };
 
   readonly listMembers = (): readonly MemberUpdate[] => this.list.listMembers();
 
