Count goodput by the answers that end within the measured time

Cause: at twice the design load the benchmark counted every answer that ever completed, up to 12 s after the load, as goodput of the measured 15 s.

Ruled out: nothing else; the other figures are of single requests.

Change: an answer counts if it ended within the measured time.

The new count has not been run at this load yet.

Conclusion: the bound on goodput compares what was served.

--- a/packages/proving/src/benchMeasures.ts
+++ b/packages/proving/src/benchMeasures.ts
@@ -13,6 +13,7 @@
 export interface RunMeasures {
   readonly sent: number;
   readonly completed: number;
+  /** Whole answers that ended within the measured time, also of requests that began before it. */
   readonly goodputPerSecond: number;
   readonly ttftMs: Percentiles;
   readonly ttftMsByClass: Readonly<Record<string, Percentiles>>;
@@ -64,6 +65,17 @@
     prompts.map(({ result }) => result?.ttftMs ?? 0).filter((ttftMs) => ttftMs > 0),
   );
 
+/** Answers that end after the measured time only show that a queue had built up. */
+const computeGoodput = ({ prompts, warmUpMs, measuredMs }: RunOutcome): number => {
+  const ended = prompts.filter(
+    (outcome) =>
+      isCompleted(outcome) &&
+      outcome.endedAtMs >= warmUpMs &&
+      outcome.endedAtMs < warmUpMs + measuredMs,
+  );
+  return (ended.length * MS_PER_SECOND) / measuredMs;
+};
+
 /** Computes the figures of a run from its outcome. */
 export const computeMeasures = (outcome: RunOutcome): RunMeasures => {
   const measured = outcome.prompts.filter(({ planned }) => planned.isMeasured);
@@ -85,7 +97,7 @@
   return {
     sent: measured.length,
     completed: completed.length,
-    goodputPerSecond: (completed.length * MS_PER_SECOND) / outcome.measuredMs,
+    goodputPerSecond: computeGoodput(outcome),
     ttftMs: computeTtfts(measured),
     ttftMsByClass: Object.fromEntries(
       classes.map((name) => [
--- a/packages/proving/src/benchRun.ts
+++ b/packages/proving/src/benchRun.ts
@@ -19,6 +19,8 @@
   /** Undefined when the call failed before an answer. */
   readonly result: CallerResult | undefined;
   readonly isRight: boolean;
+  /** Time of the end since the start of the run. */
+  readonly endedAtMs: number;
 }
 
 export interface CallOutcome {
@@ -37,6 +39,7 @@
   /** Bytes on the link from the first measured request to the end. */
   readonly linkBytes: number;
   readonly entrySeconds: number;
+  readonly warmUpMs: number;
   readonly measuredMs: number;
 }
 
@@ -66,6 +69,8 @@
 
   private readonly calls: Promise<CallOutcome>[] = [];
 
+  private startMs = 0;
+
   constructor(
     private readonly bench: BenchCluster,
     private readonly options: RunOptions,
@@ -73,7 +78,8 @@
 
   async run(): Promise<RunOutcome> {
     const { warmUpMs, measuredMs, requests, fault } = this.options;
-    const startMs = processClock.nowMs();
+    this.startMs = processClock.nowMs();
+    const { startMs } = this;
     const warmUp = requests.filter(({ atMs }) => atMs < warmUpMs);
     await this.sendAll(warmUp, startMs);
     const { linkBytes } = this.bench;
@@ -94,6 +100,7 @@
       repeatedRuns: await this.countRepeatedRuns(),
       linkBytes: this.bench.linkBytes - linkBytes,
       entrySeconds: (await readTotalSeconds(pids)) - entrySeconds,
+      warmUpMs,
       measuredMs,
     };
     for (const caller of this.callers.values()) await caller.close();
@@ -155,9 +162,18 @@
       const isRight = result.isComplete
         ? result.text === expected
         : expected.startsWith(result.text);
-      return { type: 'prompt', planned, floorTokens, result, isRight };
+      const endedAtMs = processClock.nowMs() - this.startMs;
+      return { type: 'prompt', planned, floorTokens, result, isRight, endedAtMs };
     } catch {
-      return { type: 'prompt', planned, floorTokens, result: undefined, isRight: true };
+      const endedAtMs = processClock.nowMs() - this.startMs;
+      return {
+        type: 'prompt',
+        planned,
+        floorTokens,
+        result: undefined,
+        isRight: true,
+        endedAtMs,
+      };
     }
   }
 
