Export several prefixes of a runner at the same time

Cause: a runner had one export under way and the next began at the next interval, so that one slow export kept all other prefixes waiting until they were evicted.

Ruled out: the time limit of the look-up; the owners of these anchors were the nodes that asked.

Change: up to four exports of a runner run at the same time; the budget of the store link still limits them.

--- /dev/null
+++ b/packages/entry/src/prefixWatch.test.ts
@@ -0,0 +1,82 @@
+import {
+  createLogger,
+  processClock,
+  toId,
+  type EndpointId,
+  type NodeId,
+  type Region,
+  type ServiceId,
+  type Zone,
+} from '@lovagearch/common';
+import type { EngineClient, EngineError, ExportResult } from '@lovagearch/engine-client';
+import { MemoryMesh, MemoryNetwork } from '@lovagearch/peering';
+import { ResultAsync } from 'neverthrow';
+import t from 'tap';
+import { PrefixWatch } from './prefixWatch.js';
+import { PromptIndexNode } from './promptIndexNode.js';
+import type { EndpointDirectory, EndpointView } from './types.js';
+
+const SELF = toId<NodeId>('node-1');
+const REGION = toId<Region>('south');
+const RUNNER: EndpointView = {
+  id: toId<EndpointId>('runner-1'),
+  service: toId<ServiceId>('estimator'),
+  kind: 'runner',
+  url: 'http://runner-1',
+  region: REGION,
+  zone: toId<Zone>('chiayi'),
+  state: 'ready',
+  models: [],
+  load: { queuedPromptTokens: 0, activeSequences: 0, cacheUse: 0.9, ageMs: 0 },
+  boot: 'boot-1',
+  confirmedAgeMs: 0,
+};
+const STORE = { id: toId<EndpointId>('store-1'), url: 'http://store-1', isLive: true };
+const DIRECTORY = {
+  getEndpoint: () => RUNNER,
+  listStores: () => [{ ...STORE, region: REGION, zone: RUNNER.zone }],
+} as unknown as EndpointDirectory;
+
+t.test('a slow export does not keep other prompts until they are evicted', async (test) => {
+  const exported = new Set<string>();
+  let handleAll: () => void = () => undefined;
+  const allStarted = new Promise<void>((resolve) => {
+    handleAll = resolve;
+  });
+  const engine = {
+    exportSegment: (_address: unknown, { tailKey }: { readonly tailKey: string }) => {
+      exported.add(tailKey);
+      if (exported.size === 3) handleAll();
+      // The store VM never answers.
+      return new ResultAsync<ExportResult, EngineError>(new Promise(() => {}));
+    },
+  } as unknown as EngineClient;
+  const mesh = MemoryMesh.create(SELF, MemoryNetwork.create());
+  const getWatchers = (): NodeId[] => [SELF];
+  const listMembers = (): NodeId[] => [SELF];
+  const place = { region: REGION, listRegions: () => [REGION], listMembers };
+  const index = PromptIndexNode.create({ mesh, ...place, getWatchers });
+  const watch = PrefixWatch.create({
+    mesh,
+    engine,
+    index,
+    directory: DIRECTORY,
+    clock: processClock,
+    log: createLogger('error'),
+    hasExports: true,
+    getAddress: ({ url }) => ({ url }),
+    getWatchers,
+    listRegionMembers: listMembers,
+    getStoreSpeeds: () => ({ storeBytesPerSecond: 1e9, kvBytesPerToken: 1 }),
+  });
+  test.teardown(watch.stop);
+  for (const tailKey of ['aaaaaaaa1', 'bbbbbbbb2', 'cccccccc3']) {
+    const placed = { runner: RUNNER.id, account: 'zamu', anchor: tailKey, tailKey, depth: 32 };
+    watch.recordPlaced(placed);
+  }
+  // The timer of the watch does not keep this process alive.
+  const keepAlive = setInterval(() => undefined, 1_000);
+  await allStarted;
+  clearInterval(keepAlive);
+  test.equal(exported.size, 3);
+});
--- a/packages/entry/src/prefixWatch.ts
+++ b/packages/entry/src/prefixWatch.ts
@@ -21,8 +21,11 @@
 const EXPORT_INTERVAL_MS = 200;
 /** Share of the store link that exports may use; imports for waiting first tokens use the rest. */
 const EXPORT_LINK_SHARE = 0.5;
-/** Exports of one runner at the same time. */
-const MAX_EXPORTS_PER_RUNNER = 1;
+/**
+ * Exports of one runner at the same time. The budget of the store link is the real limit; with one
+ * export an interval, prompts of large accounts were evicted before their turn.
+ */
+const MAX_EXPORTS_PER_RUNNER = 4;
 /** Time over which unused export budget accumulates. */
 const BUDGET_BURST_SECONDS = 2;
 
@@ -155,19 +158,25 @@
       }
       const isFirstWatcher = this.options.getWatchers(id)[0] === this.options.mesh.self;
       if (!isFirstWatcher || endpoint.state === 'dead') continue;
-      if (runner.exporting.size >= MAX_EXPORTS_PER_RUNNER) continue;
-      const prefix = runner.catalog.chooseExport(endpoint.load.cacheUse);
-      if (prefix !== undefined) this.startExport(endpoint, runner, prefix);
+      while (runner.exporting.size < MAX_EXPORTS_PER_RUNNER) {
+        const prefix = runner.catalog.chooseExport(endpoint.load.cacheUse);
+        if (prefix === undefined || !this.startExport(endpoint, runner, prefix)) break;
+      }
     }
   }
 
-  private startExport(endpoint: EndpointView, runner: WatchedRunner, prefix: CatalogPrefix): void {
+  /** Starts an export; returns false if no store VM or no budget is left. */
+  private startExport(
+    endpoint: EndpointView,
+    runner: WatchedRunner,
+    prefix: CatalogPrefix,
+  ): boolean {
     const speeds = this.options.getStoreSpeeds(endpoint.service);
     const stores = this.options.directory.listStores(endpoint.region);
     const store = chooseStore(stores, prefix.tailKey);
-    if (speeds === undefined || store === undefined) return;
+    if (speeds === undefined || store === undefined) return false;
     const bytes = prefix.depth * TOKENS_PER_BLOCK * speeds.kvBytesPerToken;
-    if (!this.tryTakeBudget(endpoint.region, bytes, speeds.storeBytesPerSecond)) return;
+    if (!this.tryTakeBudget(endpoint.region, bytes, speeds.storeBytesPerSecond)) return false;
     runner.exporting.add(prefix.tailKey);
     runner.catalog.updateExport(prefix.tailKey, 'exporting');
     this.exportPrefix(endpoint, runner, prefix, store)
@@ -178,6 +187,7 @@
       .finally(() => {
         runner.exporting.delete(prefix.tailKey);
       });
+    return true;
   }
 
   private async exportPrefix(
