Read cache events every fourth poll in large regions

Cause: a watcher of 10 runners read the cache events of each in each second: 434 B a read, 4.3 KB/s, and 0.42 ms of processor time for both sides (npm run slopes, section Calls to a runner). Ruled out: fewer status polls. The second watcher's rows would reach 2 s before the cycle of 2 s, so that runners would pass the age of 3 s from which each use needs a direct check. Figures: 10 to 2.5 reads a second, 4.3 to 1.1 KB/s per node, by calculation from the same section. Conclusion: an eviction is known up to 3 s later in a large region, which costs a cache miss.

--- a/packages/entry/src/nodeCacheEvents.ts
+++ b/packages/entry/src/nodeCacheEvents.ts
@@ -1,11 +1,27 @@
-import type { EndpointId } from '@lovagearch/common';
+import { computeHash32, type EndpointId } from '@lovagearch/common';
 import type { CacheEvent, EngineAddress, EngineClient } from '@lovagearch/engine-client';
+import { MAX_NODES_SHORT_CYCLE } from '@lovagearch/membership';
 
 /** Events handed over at once. */
 const MAX_BATCH_EVENTS = 256;
 /** Pages read from one runner in one poll. */
 const MAX_PAGES = 4;
 
+/**
+ * Polls for each read of a runner's cache events in a large region, where reading them in each poll
+ * takes 4.3 KB/s (docs/CAPACITY.md). The events only correct hints.
+ */
+const POLLS_PER_EVENT_READ = 4;
+
+/**
+ * Whether a runner's cache events are read in a round of polls; the runners of a large region have
+ * their turns in different rounds.
+ *
+ * @param nodes active nodes of the region
+ */
+export const isEventRound = (runner: EndpointId, round: number, nodes: number): boolean =>
+  nodes <= MAX_NODES_SHORT_CYCLE || (round + computeHash32(runner)) % POLLS_PER_EVENT_READ === 0;
+
 /**
  * What is known of a runner's cache events. `new_boot`: the runner restarted with an empty cache,
  * or, without `previous`, this node begins to read. `gap`: events between the two sequence numbers
--- a/packages/entry/src/nodeWatchers.ts
+++ b/packages/entry/src/nodeWatchers.ts
@@ -17,7 +17,7 @@
   type LoadRow,
 } from '@lovagearch/membership';
 import type { ServiceClient } from '@lovagearch/service-client';
-import { NodeCacheEvents, type CacheEventHandler } from './nodeCacheEvents.js';
+import { isEventRound, NodeCacheEvents, type CacheEventHandler } from './nodeCacheEvents.js';
 import { NodeTimer } from './nodeTimer.js';
 import type { EndpointDetails } from './nodeTopics.js';
 import type { NodePart } from './types.js';
@@ -78,6 +78,8 @@
 
   private offset = 0;
 
+  private rounds = 0;
+
   private timer: NodeTimer | undefined;
 
   private constructor(private readonly options: NodeWatchersOptions) {
@@ -121,6 +123,7 @@
 
   private startPolls(): void {
     this.updateDuties();
+    this.rounds += 1;
     const count = this.duties.length;
     for (let index = 0; index < count && this.polling.size < MAX_POLLS; index++) {
       const duty = this.duties[(this.offset + index) % count];
@@ -167,8 +170,10 @@
     }
     const address = this.options.toAddress(target.service, target.url);
     const boot = await this.pollRunner(target, address);
+    const nodes = this.options.listActive().length;
     const isRead = isFirst && boot !== undefined && this.options.handleCacheEvents !== undefined;
-    if (isRead) await this.cacheEvents.read(target.id, address, boot);
+    if (isRead && isEventRound(target.id, this.rounds, nodes))
+      await this.cacheEvents.read(target.id, address, boot);
   }
 
   private async pollRunner(
