--- a/packages/entry/src/generation.test.ts
+++ b/packages/entry/src/generation.test.ts
@@ -37,7 +37,7 @@
   createContainmentFake,
   createRunCoordinatorFake,
 } from './testFakes.js';
-import type { EndpointDirectory, EndpointView } from './types.js';
+import type { EndpointDirectory, EndpointView, PromptLocation } from './types.js';
 
 const createIndex = (): PromptIndexNode => {
   const self = toId<NodeId>('node-1');
@@ -435,6 +435,36 @@
   test.equal(engines.cancelled.length, 1, 'the useless stream is cancelled');
 });
 
+t.test('a request with a view from before a swap is served at the new version', async (test) => {
+  const engines = new FakeEngines();
+  engines.play = (connection) =>
+    connection.request.weightVersion === 'v2'
+      ? playAnswer(connection)
+      : { type: 'refused', status: 409, reason: 'wrong_version', message: '' };
+  let version = MODEL.weightVersion;
+  let runners = RUNNERS;
+  const handleVerified = async () => {
+    version = toId<WeightVersion>('v2');
+    const models = [{ model: MODEL.id, weightVersion: version }];
+    runners = RUNNERS.map((runner) => ({ ...runner, models }));
+    return true;
+  };
+  const findModel = (name: string) =>
+    name === MODEL.id ? { ...MODEL, weightVersion: version } : undefined;
+  const { callerPort } = await startTestEntry(
+    test,
+    engines,
+    {},
+    {
+      configuration: { ...CONFIGURATION, findModel },
+      directory: { ...DIRECTORY, listEndpoints: () => runners, verifyFresh: handleVerified },
+    },
+  );
+  const { text, isDone } = parseSse((await call(callerPort, { body: STREAMED })).text);
+  test.equal(text, WHOLE);
+  test.ok(isDone);
+});
+
 t.test('not_run is said only when every runner provably refused', async (test) => {
   const engines = new FakeEngines();
   const { callerPort } = await startTestEntry(test, engines);
@@ -665,3 +695,20 @@
   }
   test.ok(completed > 0, `seed ${seed}: some answers complete`);
 });
+
+t.test('a segment that was imported is not dropped as unused', async (test) => {
+  const store = { id: toId<EndpointId>('store-1'), url: 'http://store-1', isLive: true };
+  const { region, zone } = RUNNERS[0]!;
+  const segment = { kind: 'store', holder: store.id, region, depth: 32, tailKey: 'segment-1' };
+  const reports: unknown[] = [];
+  const index = {
+    lookup: async () => [{ ...segment, sha256: 'a'.repeat(64), boot: '' } as PromptLocation],
+    reportPlacement: () => undefined,
+    removeLocation: () => undefined,
+    reportImport: (...report: unknown[]) => reports.push(report),
+  };
+  const directory = { ...DIRECTORY, listStores: () => [{ ...store, region, zone }] };
+  const { callerPort } = await startTestEntry(test, new FakeEngines(), {}, { index, directory });
+  await call(callerPort, { body: { ...PROMPT, prompt: 'x'.repeat(32 * 256) } });
+  test.same(reports, [['store-1', 'segment-1']]);
+});
--- a/packages/entry/src/generationOpening.ts
+++ b/packages/entry/src/generationOpening.ts
@@ -11,6 +11,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { AbandonedStreams } from './abandonedStreams.js';
 import type { CallerAccount, CallerConfiguration } from './callerConfiguration.js';
+import { MAX_REPLANS } from './callerConstants.js';
 import { type CompletionRequest, getDeadlineMs } from './completionRequest.js';
 import { EngineStreamRelay } from './engineStreamRelay.js';
 import { type GenerationParts, type GenerationPlan, toEngineAddress } from './generationPlan.js';
@@ -19,7 +20,6 @@
   computePromptHash,
   findPermittedModel,
   type GenerationDraft,
-  type PermittedModel,
 } from './generationPreparation.js';
 import { formatEngineError, GenerationStart, type StartedStream } from './generationStart.js';
 import type { ResumePosition, ResumeTokens } from './resumeToken.js';
@@ -72,7 +72,7 @@
     if (admitted.isErr()) return err(admitted.error);
     const ticket = admitted.value;
     try {
-      return await this.startOn(context, request, permitted.value, ticket);
+      return await this.startOn(context, request, draft, ticket);
     } catch (error) {
       ticket.release();
       throw error;
@@ -125,29 +125,65 @@
   private async startOn(
     context: CallerContext,
     request: CompletionRequest,
-    admittedFor: PermittedModel,
+    admitted: GenerationDraft,
     ticket: AdmissionTicket,
+    replans = 0,
   ): Promise<Result<OpenedGeneration, CallerError>> {
-    // A weight swap may have come into force while the request waited in the queue.
-    const permitted = findPermittedModel(this.configuration, context.account, request.model);
-    const draft = buildDraft(
-      context.requestId,
-      context.account,
-      permitted.unwrapOr(admittedFor),
-      request,
-    );
+    const draft = this.updateDraft(context, request, admitted);
     const locations = await this.parts.selection.findLocations(draft.chain);
     const plan = { ...draft, locations };
     const starter = GenerationStart.create(this.parts, plan);
     const started = await starter.start();
     if (started.isErr()) {
+      const { error } = started;
+      if (replans < MAX_REPLANS && (await this.canReplan(plan, starter, error))) {
+        return this.startOn(context, request, admitted, ticket, replans + 1);
+      }
       ticket.release();
-      return err(started.error);
+      return err(error);
     }
     const relay = EngineStreamRelay.create(this.parts, plan, starter, started.value);
     return ok({ plan, relay, ticket });
   }
 
+  /** Builds the draft again if a weight swap came into force while the request waited in the queue. */
+  private updateDraft(
+    context: CallerContext,
+    request: CompletionRequest,
+    admitted: GenerationDraft,
+  ): GenerationDraft {
+    const permitted = findPermittedModel(this.configuration, context.account, request.model);
+    if (permitted.isErr()) return admitted;
+    const { model, service } = permitted.value;
+    const isSame =
+      service.id === admitted.service.id && model.weightVersion === admitted.weightVersion;
+    // The keys of all blocks are hashed again only where the version changed.
+    return isSame
+      ? { ...admitted, service }
+      : buildDraft(context.requestId, context.account, permitted.value, request);
+  }
+
+  /**
+   * Whether a request that no runner took may choose its weight version anew: only if a runner
+   * refused the version, so that this node's view was older than a swap, and nothing was accepted.
+   */
+  private async canReplan(
+    plan: GenerationPlan,
+    starter: GenerationStart,
+    error: CallerError,
+  ): Promise<boolean> {
+    const { admission, decisions, directory } = this.parts;
+    const { swappedRunner } = starter;
+    if (swappedRunner === undefined || error.run !== 'not_run') return false;
+    if (!admission.tryTakeRetry(plan.account)) return false;
+    await directory.verifyFresh(swappedRunner);
+    decisions.record(plan.requestId, {
+      type: 'replanned',
+      reason: 'the weight version was swapped',
+    });
+    return true;
+  }
+
   private checkContainment(draft: GenerationDraft): Result<void, CallerError> {
     const check = this.parts.containment.check(draft.fingerprint);
     return check.type === 'quarantined' ? err(check.error) : ok();
@@ -200,6 +236,7 @@
       streamId: toId<StreamId>(streamId),
       stream: joined.value,
       reusedDepth: 0,
+      segmentId: undefined,
     };
     const starter = GenerationStart.create(parts, plan);
     // Only the caller has the text of the streams before this one.
--- a/packages/entry/src/generationStart.ts
+++ b/packages/entry/src/generationStart.ts
@@ -38,6 +38,8 @@
   readonly stream: EngineStream;
   /** Blocks of the prompt that were expected to be reused from a cache. */
   readonly reusedDepth: number;
+  /** Segment that the runner was told to import; undefined for none. */
+  readonly segmentId: string | undefined;
 }
 
 /** The part of an answer that earlier streams produced. */
@@ -83,6 +85,8 @@
 
   private hasUnknownOutcome = false;
 
+  private swapped: EndpointId | undefined;
+
   private lastError: EngineError | undefined;
 
   private constructor(
@@ -94,6 +98,11 @@
     return new GenerationStart(parts, plan);
   }
 
+  /** The last runner that refused the weight version, which it no longer holds. */
+  get swappedRunner(): EndpointId | undefined {
+    return this.swapped;
+  }
+
   /** Keeps a runner from getting this request again. */
   addExcluded(runner: EndpointId): void {
     this.excluded.add(runner);
@@ -148,21 +157,23 @@
     generated: GeneratedPart,
   ): Promise<Result<StartedStream, StartFailure>> {
     const { parts, plan } = this;
-    const { runner, reusedDepth } = choice;
+    const { runner, reusedDepth, kvSource } = choice;
+    const segmentId = kvSource?.segmentId;
     const address = toEngineAddress(parts, plan.service, runner);
     const streamId = createId<StreamId>('stream');
     this.recordChoice(choice, streamId);
     parts.containment.recordStart(runner.id, plan.fingerprint);
     const request = this.createRequest(choice, streamId, generated);
     const sent = await parts.engines.generate(address, request);
-    if (sent.isOk()) return ok({ runner, address, streamId, stream: sent.value, reusedDepth });
+    const started = { runner, address, streamId, reusedDepth, segmentId };
+    if (sent.isOk()) return ok({ ...started, stream: sent.value });
     const { error } = sent;
     if (isProvenNotRun(error)) return err({ error, hasCrashed: false });
     this.hasUnknownOutcome = true;
     // The runner may have accepted the stream although its answer was lost. The prompt is not sent
     // again before containment knows whether the runner crashed.
     const joined = await parts.engines.resume(address, streamId, 0);
-    if (joined.isOk()) return ok({ runner, address, streamId, stream: joined.value, reusedDepth });
+    if (joined.isOk()) return ok({ ...started, stream: joined.value });
     return err({ error, hasCrashed: hasLostStream(joined.error) });
   }
 
@@ -213,6 +224,7 @@
     switch (error.type) {
       case 'refused':
         if (error.load !== undefined) parts.directory.updateLoad(runner, error.load);
+        if (error.reason === 'wrong_version') this.swapped = runner;
         if (error.reason === 'draining') parts.directory.markLeaving(runner);
         return;
       case 'not_connected':
