--- a/packages/proving/src/proofsRuns.ts
+++ b/packages/proving/src/proofsRuns.ts
@@ -31,7 +31,7 @@
  * Every case checks both; the number names the one that its fault threatens most.
  */
 export const RUN_PROOFS: readonly ProofCase[] = [
-  createCase('runs-owner-killed', 6, [ownerKilled], true),
+  createCase('runs-owner-killed', 6, [ownerKilled]),
   createCase('runs-table-lost-answers', 5, [tableLostAnswers]),
   createCase('runs-table-error-after-effect', 6, [tableErrorAfterEffect]),
   createCase('runs-table-outage', 5, [tableOutage]),
