--- a/packages/entry/src/nodeCluster.test.ts
+++ b/packages/entry/src/nodeCluster.test.ts
@@ -250,7 +250,7 @@
       true,
       false,
     ]);
-    directory.recordAnswer(id);
+    directory.reportAnswer(id);
     t2.ok(directory.getEndpoint(id)!.confirmedAgeMs <= 3_000);
     t2.same(await Promise.all([directory.verifyFresh(id), directory.verifyFresh(id)]), [
       true,
