Prove orders to engines under leases, in part

Cause: orders under leases had no proof with real processes. The three cases of a frozen or killed holder were not run after the layout got a second runner in the north; before, no case could end, since the only runner of a region is never swapped. Broken on purpose: in nodeWatchers.js a draining service reported as ready; leaving-service-sigterm then fails: 50 calls later than 3 s, the last after 5975 ms. Conclusion: the limit of loads and the race for the lease are shown once; the rest is open.

--- a/packages/proving/src/cluster.ts
+++ b/packages/proving/src/cluster.ts
@@ -85,6 +85,10 @@
     return OPERATOR_KEY;
   }
 
+  get serviceToken(): string {
+    return SERVICE_TOKEN;
+  }
+
   /** Returns the entry processes that the VM list names as live. */
   listEntries(): ClusterVm[] {
     return [...this.vms.values()].filter(({ role, state }) => role === 'entry' && state === 'live');
--- a/packages/proving/src/proofs.ts
+++ b/packages/proving/src/proofs.ts
@@ -1,5 +1,6 @@
 import type { ProofCase } from './proofCase.js';
 import { PROOFS_LEAVING } from './proofsLeaving.js';
+import { PROOFS_ORDERS } from './proofsOrders.js';
 import { RUN_PROOFS } from './proofsRuns.js';
 import { PROOFS_SHUTDOWN } from './proofsShutdown.js';
 import { PROOFS_SILENT } from './proofsSilent.js';
@@ -10,4 +11,5 @@
   ...PROOFS_LEAVING,
   ...PROOFS_SHUTDOWN,
   ...PROOFS_SILENT,
+  ...PROOFS_ORDERS,
 ];
