--- a/packages/proving/src/cluster.ts
+++ b/packages/proving/src/cluster.ts
@@ -83,14 +83,14 @@
     return new Cluster(folder, platform, proxy, options);
   }
 
-  get serviceToken(): string {
-    return SERVICE_TOKEN;
-  }
-
   get operatorKey(): string {
     return OPERATOR_KEY;
   }
 
+  get serviceToken(): string {
+    return SERVICE_TOKEN;
+  }
+
   /** Returns the entry processes that the VM list names as live. */
   listEntries(): ClusterVm[] {
     return [...this.vms.values()].filter(({ role, state }) => role === 'entry' && state === 'live');
--- a/packages/proving/src/proofs.ts
+++ b/packages/proving/src/proofs.ts
@@ -3,6 +3,7 @@
 import { CONFIGURATION_PROOFS } from './proofsConfiguration.js';
 import { CONTAINMENT_PROOFS } from './proofsContainment.js';
 import { PROOFS_LEAVING } from './proofsLeaving.js';
+import { PROOFS_ORDERS } from './proofsOrders.js';
 import { RUN_PROOFS } from './proofsRuns.js';
 import { PROOFS_SHUTDOWN } from './proofsShutdown.js';
 import { PROOFS_SILENT } from './proofsSilent.js';
@@ -18,4 +19,5 @@
   ...PROOFS_LEAVING,
   ...PROOFS_SHUTDOWN,
   ...PROOFS_SILENT,
+  ...PROOFS_ORDERS,
 ];
