--- a/packages/proving/src/benchMeasures.test.ts
+++ b/packages/proving/src/benchMeasures.test.ts
@@ -43,7 +43,7 @@
       usage: undefined,
       failure: undefined,
       doneCount: 1,
-    ttftMs: 10,
+      ttftMs: 10,
       gapsMs: [],
     };
     const outcome = { type: 'prompt', planned, floorTokens: 1, isRight: true } as const;
