Let streams go on elsewhere when their runner dies

Ruled out: letting every request go on, since a request that crashes its endpoint would cost one for each repeat. Change: a request that was producing text is an unlikely cause. It goes on at another runner and is quarantined when a second endpoint dies under it; requests without text are suspects as before.

--- a/packages/containment/src/constants.ts
+++ b/packages/containment/src/constants.ts
@@ -26,3 +26,9 @@
 export const MAX_SUSPECTS_PER_CRASH = 64;
 /** Entries in one message to other nodes. */
 export const MAX_UPDATE_ENTRIES = 64;
+/**
+ * Endpoints that may die under a request which was producing text before it is quarantined. Such
+ * a request is an unlikely cause: a crashing request as a rule does so when it starts to run. It
+ * must go on elsewhere, or each failed VM would cut off all its streams.
+ */
+export const MAX_CRASHES_WITH_OUTPUT = 2;
--- a/packages/containment/src/quarantineList.ts
+++ b/packages/containment/src/quarantineList.ts
@@ -1,8 +1,9 @@
 import { assertNever, type EndpointId, type Fingerprint } from '@lovagearch/common';
-import { FAULTY_MS, QUARANTINE_MS, SUSPECT_MS } from './constants.js';
+import { FAULTY_MS, MAX_CRASHES_WITH_OUTPUT, QUARANTINE_MS, SUSPECT_MS } from './constants.js';
 import type { ContainmentCopy } from './containmentCopy.js';
 import { ContainmentEntries } from './containmentEntries.js';
 import { CrashHistory } from './crashHistory.js';
+import { CrashStrikes } from './crashStrikes.js';
 import { RunningRequests } from './runningRequests.js';
 import type { ContainmentDecision, ContainmentEntry, ContainmentEvent } from './types.js';
 
@@ -25,6 +26,8 @@
 
   private readonly history = CrashHistory.create();
 
+  private readonly strikes = CrashStrikes.create();
+
   static create(): QuarantineList {
     return new QuarantineList();
   }
@@ -89,6 +92,11 @@
     return isTrial ? [{ type: 'trial', fingerprint, endpoint, isRunning: true }] : [];
   }
 
+  /** Records that a request has produced text, which makes it an unlikely cause of a crash. */
+  recordOutput(endpoint: EndpointId, fingerprint: Fingerprint): void {
+    this.running.markOutput(endpoint, fingerprint);
+  }
+
   /** Records how a run ended. A completed run clears a suspect that ran where it had to. */
   recordEnd(
     endpoint: EndpointId,
@@ -133,8 +141,11 @@
     fingerprint: Fingerprint,
     nowMs: number,
   ): readonly ContainmentEvent[] {
-    const candidates = [...new Set([fingerprint, ...this.running.list(endpoint)])];
     const trials = this.running.listTrials(endpoint);
+    const isUnlikely =
+      this.running.hasOutput(endpoint, fingerprint) && !trials.includes(fingerprint);
+    if (isUnlikely) return this.recordUnlikelyCrash(endpoint, fingerprint, nowMs);
+    const candidates = [...new Set([fingerprint, ...this.running.listWithoutOutput(endpoint)])];
     this.running.remove(endpoint, fingerprint);
     if (this.isFaulty(endpoint, nowMs)) return [];
     if (this.history.recordCrash(endpoint, trials[0] ?? fingerprint, nowMs)) {
@@ -148,6 +159,21 @@
     return this.addEntries(endpoint, candidates, type, false, nowMs);
   }
 
+  private recordUnlikelyCrash(
+    endpoint: EndpointId,
+    fingerprint: Fingerprint,
+    nowMs: number,
+  ): readonly ContainmentEvent[] {
+    this.running.remove(endpoint, fingerprint);
+    if (this.isFaulty(endpoint, nowMs)) return [];
+    if (this.history.recordCrash(endpoint, fingerprint, nowMs)) {
+      return this.markFaulty(endpoint, nowMs);
+    }
+    const crashes = this.strikes.record(fingerprint, endpoint, nowMs);
+    if (crashes < MAX_CRASHES_WITH_OUTPUT) return [];
+    return this.addEntries(endpoint, [fingerprint], 'quarantined', true, nowMs);
+  }
+
   private addEntries(
     endpoint: EndpointId,
     fingerprints: readonly Fingerprint[],
--- a/packages/containment/src/runningRequests.ts
+++ b/packages/containment/src/runningRequests.ts
@@ -9,6 +9,8 @@
 interface Running {
   readonly count: number;
   readonly isTrial: boolean;
+  /** Whether each run of it has produced text. */
+  readonly hasOutput: boolean;
 }
 
 interface RemoteTrial {
@@ -34,10 +36,23 @@
     running.set(fingerprint, {
       count: (known?.count ?? 0) + 1,
       isTrial: isTrial || (known?.isTrial ?? false),
+      hasOutput: false,
     });
     this.byEndpoint.set(endpoint, running);
   }
 
+  /** Records that a request has produced text on an endpoint. */
+  markOutput(endpoint: EndpointId, fingerprint: Fingerprint): void {
+    const running = this.byEndpoint.get(endpoint);
+    const known = running?.get(fingerprint);
+    if (known?.count === 1) running?.set(fingerprint, { ...known, hasOutput: true });
+  }
+
+  /** Tells whether a request has produced text on an endpoint. */
+  hasOutput(endpoint: EndpointId, fingerprint: Fingerprint): boolean {
+    return this.byEndpoint.get(endpoint)?.get(fingerprint)?.hasOutput ?? false;
+  }
+
   /** Removes one run and tells whether it was a trial. */
   remove(endpoint: EndpointId, fingerprint: Fingerprint): boolean {
     const running = this.byEndpoint.get(endpoint);
@@ -49,10 +64,13 @@
     return known.isTrial;
   }
 
-  /** Returns the fingerprints on an endpoint, newest first. */
-  list(endpoint: EndpointId): Fingerprint[] {
-    const running = [...(this.byEndpoint.get(endpoint)?.keys() ?? [])].reverse();
-    return running.slice(0, MAX_SUSPECTS_PER_CRASH);
+  /** Returns the fingerprints on an endpoint that have not produced text yet, newest first. */
+  listWithoutOutput(endpoint: EndpointId): Fingerprint[] {
+    const running = [...(this.byEndpoint.get(endpoint) ?? [])].reverse();
+    return running
+      .filter(([, { hasOutput }]) => !hasOutput)
+      .map(([fingerprint]) => fingerprint)
+      .slice(0, MAX_SUSPECTS_PER_CRASH);
   }
 
   /** Returns the suspects that this node tries on an endpoint. */
--- a/packages/entry/src/containmentController.test.ts
+++ b/packages/entry/src/containmentController.test.ts
@@ -160,3 +160,30 @@
   t2.equal(getSent(), 20, 'ten messages to each of two peers');
   await stop();
 });
+
+t.test('a failed VM cuts off the streams that were producing text on it', async (t2) => {
+  const { nodes, deliver, stop } = createCluster(2);
+  nodes[0]!.recordStart(r1, f1);
+  nodes[0]!.recordOutput(r1, f1);
+  nodes[0]!.recordStart(r1, f2);
+  nodes[0]!.recordEnd(r1, f1, 'crashed');
+  deliver();
+  for (const node of nodes) t2.match(node.check(f1), { type: 'clear' });
+  t2.match(nodes[1]!.check(f2), { type: 'clear' }, 'nobody reported the other request yet');
+  nodes[0]!.recordEnd(r1, f2, 'crashed');
+  deliver();
+  for (const node of nodes) t2.match(node.check(f2), { type: 'quarantined' });
+  await stop();
+});
+
+t.test('a request that crashes endpoints while it produces text costs a third one', async (t2) => {
+  const { nodes, deliver, stop } = createCluster(2);
+  for (const endpoint of [r1, r2]) {
+    nodes[0]!.recordStart(endpoint, f1);
+    nodes[0]!.recordOutput(endpoint, f1);
+    nodes[0]!.recordEnd(endpoint, f1, 'crashed');
+  }
+  deliver();
+  for (const node of nodes) t2.match(node.check(f1), { type: 'quarantined' });
+  await stop();
+});
--- a/packages/entry/src/containmentController.ts
+++ b/packages/entry/src/containmentController.ts
@@ -104,6 +104,9 @@
   readonly recordStart: Containment['recordStart'] = (endpoint, fingerprint) =>
     this.publish(this.list.recordStart(endpoint, fingerprint, this.options.clock.nowMs()));
 
+  readonly recordOutput: Containment['recordOutput'] = (endpoint, fingerprint) =>
+    this.list.recordOutput(endpoint, fingerprint);
+
   readonly recordEnd: Containment['recordEnd'] = (endpoint, fingerprint, outcome) =>
     this.publish(this.list.recordEnd(endpoint, fingerprint, outcome, this.options.clock.nowMs()));
 
--- a/packages/entry/src/engineStreamRelay.ts
+++ b/packages/entry/src/engineStreamRelay.ts
@@ -39,6 +39,8 @@
 
   private hasReportedPlacement = false;
 
+  private hasRecordedOutput = false;
+
   /** Whether containment knows that the current stream no longer runs for this request. */
   private hasRecordedEnd = false;
 
@@ -141,6 +143,7 @@
     this.resumeAttempts = 0;
     this.lateResumes = 0;
     this.reportPlacement();
+    this.recordOutput();
     if (chunk.seq <= this.skip) return { type: 'more' };
     const { runner, streamId } = this.current;
     const position = {
@@ -252,6 +255,7 @@
     this.earlierText = text;
     this.isAccepted = false;
     this.hasReportedPlacement = false;
+    this.hasRecordedOutput = false;
     this.hasRecordedEnd = false;
     this.resumeAttempts = 0;
     this.verifier = StreamVerifier.create(started.value.streamId, plan.weightVersion);
@@ -305,6 +309,12 @@
     if (source !== undefined) this.parts.index.reportImport(source.holder, source.tailKey);
   }
 
+  private recordOutput(): void {
+    if (this.hasRecordedOutput) return;
+    this.hasRecordedOutput = true;
+    this.parts.containment.recordOutput(this.current.runner.id, this.plan.fingerprint);
+  }
+
   private recordEnd(outcome: 'completed' | 'crashed' | 'other'): void {
     this.hasRecordedEnd = true;
     const { runner } = this.current;
--- a/packages/entry/src/generation.test.ts
+++ b/packages/entry/src/generation.test.ts
@@ -490,6 +490,7 @@
   const containment: EntryParts['containment'] = {
     check: () => (hasCrashed ? { type: 'quarantined', error } : { type: 'clear' }),
     recordStart: () => undefined,
+    recordOutput: () => undefined,
     recordEnd: (_endpoint, _fingerprint, outcome) => {
       hasCrashed ||= outcome === 'crashed';
     },
--- a/packages/entry/src/measuredParts.ts
+++ b/packages/entry/src/measuredParts.ts
@@ -68,6 +68,7 @@
     return decision;
   },
   recordStart: containment.recordStart,
+  recordOutput: containment.recordOutput,
   recordEnd: (endpoint, fingerprint, outcome) => {
     if (outcome === 'crashed') metrics.addCount('endpoint_crashes');
     containment.recordEnd(endpoint, fingerprint, outcome);
--- a/packages/entry/src/testFakes.ts
+++ b/packages/entry/src/testFakes.ts
@@ -12,6 +12,7 @@
 export const createContainmentFake = (): Containment => ({
   check: () => ({ type: 'clear' }),
   recordStart: () => undefined,
+  recordOutput: () => undefined,
   recordEnd: () => undefined,
 });
 
--- a/packages/entry/src/types.ts
+++ b/packages/entry/src/types.ts
@@ -160,6 +160,8 @@
     | { readonly type: 'only_on'; readonly endpoint: EndpointId }
     | { readonly type: 'quarantined'; readonly error: CallerError };
   readonly recordStart: (endpoint: EndpointId, fingerprint: Fingerprint) => void;
+  /** Records that the request has produced text on the endpoint. */
+  readonly recordOutput: (endpoint: EndpointId, fingerprint: Fingerprint) => void;
   /** Records the end; `crashed` when the endpoint died while the request ran. */
   readonly recordEnd: (
     endpoint: EndpointId,
