Let owners of parted regions back off from each other's run shards

Cause: regions that are parted each have an owner for every shard, and owners that take a shard from each other wrote a takeover row 4 times a second for each shard, 1,536 writes a second at the design size by calculation, beyond what the table gives. Ruled out: a lease for each shard, which adds writes and is not needed for safety. Messages of a node to itself were handled in two places of WsPeerMesh; one is left.

--- a/packages/entry/src/runShard.ts
+++ b/packages/entry/src/runShard.ts
@@ -28,9 +28,7 @@
   type LoadedShard,
   type ShardContext,
 } from './runShardReader.js';
-
-/** Pause after a failed opening, so that an outage or a rival owner costs few table calls. */
-const REOPEN_PAUSE_MS = 250;
+import { ReopenPause } from './reopenPause.js';
 
 type BegunRecord = BeginMessage['record'];
 type EndRecord = Exclude<RunRecord, { type: 'begun' }>;
@@ -63,6 +61,8 @@
 
   private reopenAtMs = -Infinity;
 
+  private readonly reopening = ReopenPause.create();
+
   private lastWriteMs = 0;
 
   private readonly pace = WritePace.create();
@@ -205,10 +205,11 @@
     this.lastWriteMs = clock.nowMs();
     if (loaded.isErr()) {
       log.warn(`Run shard ${shard} can't be opened: ${loaded.error.type}.`);
-      this.reopenAtMs = clock.nowMs() + REOPEN_PAUSE_MS;
+      this.reopenAtMs = this.reopening.recordFailure(clock.nowMs());
       return false;
     }
     this.loaded = loaded.value;
+    this.reopening.recordOpening(clock.nowMs());
     if (this.state === 'closed') this.state = 'open';
     return this.state === 'open';
   }
@@ -268,6 +269,7 @@
       log.warn(`Run shard ${shard} closes after a write with the outcome ${outcome}.`);
       for (const { resolve } of items) resolve(false);
       this.close('closed');
+      this.reopenAtMs = this.reopening.recordLoss(clock.nowMs());
       return;
     }
     this.lastWriteMs = nowMs;
--- a/packages/peering/src/wsPeerMesh.ts
+++ b/packages/peering/src/wsPeerMesh.ts
@@ -115,17 +115,11 @@
 
   send(to: NodeId, topic: string, payload: unknown): void {
     if (to !== this.self) {
-      if (to === this.self) {
-        // The registry turns every failure into a value, so this promise never rejects.
-        this.topics.handle(to, topic, payload).catch(() => undefined);
-        return;
-      }
       this.links.get(to)?.send(topic, payload);
       return;
     }
-    this.topics
-      .handle(to, topic, payload)
-      .catch((error: unknown) => this.log.error(getErrorMessage(error)));
+    // The registry turns every failure into a value, so this promise never rejects.
+    this.topics.handle(to, topic, payload).catch(() => undefined);
   }
 
   request(
@@ -134,7 +128,6 @@
     payload: unknown,
     timeoutMs: number,
   ): ResultAsync<unknown, PeerError> {
-    if (to === this.self) return new ResultAsync(this.runLocally(topic, payload));
     if (to === this.self) {
       return new ResultAsync(this.topics.handle(to, topic, payload)).mapErr((error) => ({
         type: 'rejected',
@@ -165,11 +158,6 @@
     this.topics.register(topic, schema, handler);
   }
 
-  private async runLocally(topic: string, payload: unknown): Promise<Result<unknown, PeerError>> {
-    const reply = await this.topics.handle(this.self, topic, payload);
-    return reply.mapErr((rejection) => ({ type: 'rejected', ...rejection }) as const);
-  }
-
   getTraffic(): { readonly sentBytes: number; readonly receivedBytes: number } {
     return this.traffic.getTotals();
   }
