Don't take answers for a check of readiness

Cause: a whole answer of an endpoint refreshed the age of its view. A draining plain service goes on answering the calls that it runs, so that a node cut from its peers kept sending it new ones: 10 calls later than 3 s, the last after 4.5 s. Ruled out: fewer polls; the node asked nobody because the view looked fresh. Change: answers and loads of heartbeats show that an endpoint is alive; only a watcher's row or a direct check confirms that it takes new work.

--- /dev/null
+++ b/packages/entry/src/nodeEndpointRecord.test.ts
@@ -0,0 +1,31 @@
+import t from 'tap';
+import { toId, type Region } from '@lovagearch/common';
+import { createRecord, createView } from './nodeEndpointRecord.js';
+
+const VM = {
+  id: 'ledger-1',
+  role: 'service',
+  service: 'ledger',
+  host: '127.0.0.1',
+  ports: { main: 9_000 },
+  zone: 'chiayi',
+  region: 'south',
+  state: 'live',
+} as const;
+const SOUTH = toId<Region>('south');
+
+t.test('answers of a draining endpoint to running calls keep it in use', async (t2) => {
+  const record = createRecord(VM, 'service', undefined);
+  const answered = { ...record, own: { answerMs: 10_000 } };
+  t2.ok(createView(answered, [], SOUTH, 10_000).confirmedAgeMs > 3_000);
+  const checked = { ...record, own: { answerMs: 10_000, checkMs: 9_000 } };
+  t2.equal(createView(checked, [], SOUTH, 10_000).confirmedAgeMs, 1_000);
+});
+
+t.test('the load of a heartbeat is not used, or counts as a check of readiness', async (t2) => {
+  const record = createRecord(VM, 'runner', undefined);
+  const load = { queuedPromptTokens: 70, activeSequences: 2, cacheUse: 0.5, ageMs: 0 };
+  const view = createView({ ...record, own: { load, loadMs: 9_990 } }, [], SOUTH, 10_000);
+  t2.match(view.load, { queuedPromptTokens: 70, ageMs: 10 });
+  t2.ok(view.confirmedAgeMs > 3_000);
+});
--- a/packages/entry/src/nodeEndpointRecord.ts
+++ b/packages/entry/src/nodeEndpointRecord.ts
@@ -22,8 +22,14 @@
 /** What this node itself met on an endpoint; readings of its own clock. */
 export interface OwnContact {
   readonly load?: EngineLoad;
-  /** Last answer or successful direct check. */
-  readonly successMs?: number;
+  readonly loadMs?: number;
+  /**
+   * Last answer to a call. It shows that the endpoint is alive, not that it takes new work: a
+   * draining endpoint goes on answering the calls that it runs.
+   */
+  readonly answerMs?: number;
+  /** Last direct check that found the endpoint ready. */
+  readonly checkMs?: number;
   readonly failureMs?: number;
   readonly leavingMs?: number;
 }
@@ -84,7 +90,7 @@
     isLeavingInVmList,
     leavingMarkAgeMs: getAgeMs(own.leavingMs, nowMs),
     failureAgeMs: getAgeMs(own.failureMs, nowMs),
-    successAgeMs: getAgeMs(own.successMs, nowMs),
+    successAgeMs: getAgeMs(Math.max(own.answerMs ?? -Infinity, own.checkMs ?? -Infinity), nowMs),
   });
   gate.update(state);
   return state;
@@ -137,11 +143,12 @@
   const { details, gate, own } = record;
   const state = computeRecordState(record, witnesses, nowMs);
   const seen = getSeenRow(witnesses);
-  const ownAgeMs = getAgeMs(own.successMs, nowMs) ?? UNCONFIRMED_AGE_MS;
+  const checkAgeMs = getAgeMs(own.checkMs, nowMs) ?? UNCONFIRMED_AGE_MS;
+  const loadAgeMs = getAgeMs(own.loadMs, nowMs) ?? UNCONFIRMED_AGE_MS;
   const seenAgeMs = seen?.ageMs ?? UNCONFIRMED_AGE_MS;
-  const isOwnYounger = own.load !== undefined && ownAgeMs <= seenAgeMs;
-  const ageMs = Math.min(ownAgeMs, seenAgeMs);
+  const isOwnYounger = own.load !== undefined && loadAgeMs <= seenAgeMs;
   const load = (isOwnYounger ? own.load : seen) ?? EMPTY_LOAD;
+  const confirmedAgeMs = Math.min(checkAgeMs, seenAgeMs);
   return {
     id: record.id,
     service: record.service,
@@ -149,16 +156,16 @@
     url: record.url,
     region: record.region,
     zone: record.zone,
-    state: toViewState(state, record.region !== ownRegion, ownAgeMs < UNCONFIRMED_AGE_MS),
+    state: toViewState(state, record.region !== ownRegion, checkAgeMs < UNCONFIRMED_AGE_MS),
     models: details?.models ?? [],
     load: {
       queuedPromptTokens: load.queuedPromptTokens,
       activeSequences: load.activeSequences,
       cacheUse: load.cacheUse,
-      ageMs,
+      ageMs: Math.min(loadAgeMs, seenAgeMs),
     },
     boot: details?.boot ?? '',
     // A returning endpoint takes one request at a time, which `verifyFresh` decides.
-    confirmedAgeMs: gate.isClosed ? UNCONFIRMED_AGE_MS : ageMs,
+    confirmedAgeMs: gate.isClosed ? UNCONFIRMED_AGE_MS : confirmedAgeMs,
   };
 };
--- a/packages/entry/src/nodeEndpoints.ts
+++ b/packages/entry/src/nodeEndpoints.ts
@@ -104,12 +104,13 @@
     [...this.records.keys()].flatMap((id) => this.getEndpoint(id) ?? []);
 
   readonly updateLoad = (id: EndpointId, load: EngineLoad): void => {
-    this.updateOwn(id, { load, successMs: this.options.clock.nowMs() });
+    const nowMs = this.options.clock.nowMs();
+    this.updateOwn(id, { load, loadMs: nowMs, answerMs: nowMs });
     this.records.get(id)?.gate.recordResult(true);
   };
 
   readonly reportAnswer = (id: EndpointId): void => {
-    this.updateOwn(id, { successMs: this.options.clock.nowMs() });
+    this.updateOwn(id, { answerMs: this.options.clock.nowMs() });
     this.records.get(id)?.gate.recordResult(true);
   };
 
@@ -231,7 +232,8 @@
     });
     if (state === 'draining') this.markLeaving(id);
     if (state !== 'ready') return false;
-    this.updateOwn(id, { load, successMs: clock.nowMs() });
+    const nowMs = clock.nowMs();
+    this.updateOwn(id, { load, loadMs: nowMs, checkMs: nowMs });
     return true;
   }
 
@@ -245,7 +247,7 @@
       this.markLeaving(id);
       return false;
     }
-    this.updateOwn(id, { successMs: this.options.clock.nowMs() });
+    this.updateOwn(id, { checkMs: this.options.clock.nowMs() });
     return true;
   }
 }
--- a/packages/entry/src/routingChooser.ts
+++ b/packages/entry/src/routingChooser.ts
@@ -78,9 +78,9 @@
     if (choice.linkBytes > 0) linkBudget?.take(choice.linkBytes, nowMs);
   };
 
-  private createState({ id, region, zone, load, confirmedAgeMs }: EndpointView): RunnerState {
+  private createState({ id, region, zone, load }: EndpointView): RunnerState {
     const nowMs = this.options.clock.nowMs();
-    const sampleAgeMs = Math.max(load.ageMs, confirmedAgeMs);
+    const sampleAgeMs = load.ageMs;
     const ownTokens = this.estimator.getUnreportedTokens(id, sampleAgeMs, nowMs);
     return {
       id,
