Plan a request again when no runner is ready for a moment

Cause: during a weight swap a node chose a version whose runners stopped being ready before the choice of a runner, and the caller got no_endpoint although others were ready or became so within a second. Ruled out: the retry budget (nothing was sent); choosing the version later only, which makes the gap shorter and does not close it. Change: a request for which no runner is ready chooses version and runner again every 200 ms for 2 s, before it is refused. The load of a proof that fails no longer ends the prover.

--- a/packages/entry/src/callerConstants.ts
+++ b/packages/entry/src/callerConstants.ts
@@ -6,6 +6,13 @@
 export const MAX_GENERATE_ATTEMPTS = 4;
 /** Times that a request chooses its weight version anew after a swap; each takes a retry. */
 export const MAX_REPLANS = 2;
+/** Pause before a request for which no runner was ready is planned again, in milliseconds. */
+export const NO_RUNNER_PAUSE_MS = 200;
+/**
+ * Times that such a request is planned again: 2 s in all. During a weight swap, or while nodes are
+ * parted, a runner is often not ready for a moment only.
+ */
+export const MAX_NO_RUNNER_PAUSES = 10;
 /** New connections to one stream after a lost or silent one, without a token in between. */
 export const MAX_RESUME_ATTEMPTS = 3;
 /**
--- a/packages/entry/src/generationOpening.ts
+++ b/packages/entry/src/generationOpening.ts
@@ -1,3 +1,4 @@
+import { setTimeout as waitMs } from 'node:timers/promises';
 import {
   type CallerError,
   createNotRunError,
@@ -11,7 +12,8 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { AbandonedStreams } from './abandonedStreams.js';
 import type { CallerAccount, CallerConfiguration } from './callerConfiguration.js';
-import { MAX_REPLANS } from './callerConstants.js';
+import { NO_RUNNER_PAUSE_MS } from './callerConstants.js';
+import { ReplanLimit } from './replanLimit.js';
 import { type CompletionRequest, getDeadlineMs } from './completionRequest.js';
 import { EngineStreamRelay } from './engineStreamRelay.js';
 import { type GenerationParts, type GenerationPlan, toEngineAddress } from './generationPlan.js';
@@ -127,7 +129,7 @@
     request: CompletionRequest,
     admitted: GenerationDraft,
     ticket: AdmissionTicket,
-    replans = 0,
+    replans = new ReplanLimit(),
   ): Promise<Result<OpenedGeneration, CallerError>> {
     const draft = this.updateDraft(context, request, admitted);
     const locations = await this.parts.selection.findLocations(draft.chain);
@@ -136,8 +138,8 @@
     const started = await starter.start();
     if (started.isErr()) {
       const { error } = started;
-      if (replans < MAX_REPLANS && (await this.canReplan(plan, starter, error))) {
-        return this.startOn(context, request, admitted, ticket, replans + 1);
+      if (await this.canReplan(plan, starter, error, replans)) {
+        return this.startOn(context, request, admitted, ticket, replans);
       }
       ticket.release();
       return err(error);
@@ -164,23 +166,30 @@
   }
 
   /**
-   * Whether a request that no runner took may choose its weight version anew: only if a runner
-   * refused the version, so that this node's view was older than a swap, and nothing was accepted.
+   * Whether a request that no runner took may choose its weight version and runner anew. That needs
+   * proof that nothing was accepted, and a reason why the next choice may succeed: a runner that
+   * refused a swapped version, or no runner that was ready.
    */
   private async canReplan(
     plan: GenerationPlan,
     starter: GenerationStart,
     error: CallerError,
+    replans: ReplanLimit,
   ): Promise<boolean> {
     const { admission, decisions, directory } = this.parts;
+    if (error.run !== 'not_run') return false;
     const { swappedRunner } = starter;
-    if (swappedRunner === undefined || error.run !== 'not_run') return false;
-    if (!admission.tryTakeRetry(plan.account)) return false;
-    await directory.verifyFresh(swappedRunner);
-    decisions.record(plan.requestId, {
-      type: 'replanned',
-      reason: 'the weight version was swapped',
-    });
+    if (swappedRunner !== undefined) {
+      if (!replans.tryTakeSwap() || !admission.tryTakeRetry(plan.account)) return false;
+      await directory.verifyFresh(swappedRunner);
+      const reason = 'the weight version was swapped';
+      decisions.record(plan.requestId, { type: 'replanned', reason });
+      return true;
+    }
+    // Nothing was sent, so that this takes nothing from the retry budget.
+    if (error.type !== 'no_endpoint' || !replans.tryTakePause()) return false;
+    await waitMs(NO_RUNNER_PAUSE_MS);
+    decisions.record(plan.requestId, { type: 'replanned', reason: 'no runner was ready' });
     return true;
   }
 
--- a/packages/proving/src/weightVersionProofs.ts
+++ b/packages/proving/src/weightVersionProofs.ts
@@ -73,6 +73,8 @@
     private readonly context: ProofContext,
   ) {
     this.tasks = [this.runSamples(), this.runLoad(0), this.runLoad(1)];
+    // `stop` reports a failure; until then it must not end the process.
+    for (const task of this.tasks) task.catch(() => undefined);
   }
 
   static create(stage: ProofStage, context: ProofContext): SwapWatch {
