--- a/packages/proving/src/proofs.ts
+++ b/packages/proving/src/proofs.ts
@@ -2,11 +2,11 @@
 import { CACHE_PROOFS } from './proofsCache.js';
 import { CONFIGURATION_PROOFS } from './proofsConfiguration.js';
 import { CONTAINMENT_PROOFS } from './proofsContainment.js';
-import { PROOFS_LEAVING } from './proofsLeaving.js';
+import { LEAVING_PROOFS } from './proofsLeaving.js';
 import { PROOFS_ORDERS } from './proofsOrders.js';
 import { RUN_PROOFS } from './proofsRuns.js';
-import { PROOFS_SHUTDOWN } from './proofsShutdown.js';
-import { PROOFS_SILENT } from './proofsSilent.js';
+import { SHUTDOWN_PROOFS } from './proofsShutdown.js';
+import { SILENT_PROOFS } from './proofsSilent.js';
 import { STREAM_PROOFS } from './proofsStreams.js';
 
 /** All cases of `npm run prove`, by promise. */
@@ -16,8 +16,8 @@
   ...RUN_PROOFS,
   ...CONFIGURATION_PROOFS,
   ...CONTAINMENT_PROOFS,
-  ...PROOFS_LEAVING,
-  ...PROOFS_SHUTDOWN,
-  ...PROOFS_SILENT,
+  ...LEAVING_PROOFS,
+  ...SHUTDOWN_PROOFS,
+  ...SILENT_PROOFS,
   ...PROOFS_ORDERS,
 ];
--- a/packages/proving/src/proofsLeaving.ts
+++ b/packages/proving/src/proofsLeaving.ts
@@ -131,7 +131,7 @@
 };
 
 /** Invariant 7: a leaving endpoint receives no new work after 3 s. */
-export const PROOFS_LEAVING: readonly ProofCase[] = [
+export const LEAVING_PROOFS: readonly ProofCase[] = [
   {
     name: 'leaving-engine-sigterm',
     promise: 7,
--- a/packages/proving/src/proofsShutdown.ts
+++ b/packages/proving/src/proofsShutdown.ts
@@ -150,7 +150,7 @@
   };
 
 /** Invariant 8: a graceful shutdown interrupts no request. */
-export const PROOFS_SHUTDOWN: readonly ProofCase[] = [
+export const SHUTDOWN_PROOFS: readonly ProofCase[] = [
   {
     name: 'shutdown-one-entry-and-one-engine',
     promise: 8,
--- a/packages/proving/src/proofsSilent.ts
+++ b/packages/proving/src/proofsSilent.ts
@@ -86,7 +86,7 @@
 };
 
 /** Connections that are open go silent for good while new ones work. */
-export const PROOFS_SILENT: readonly ProofCase[] = [
+export const SILENT_PROOFS: readonly ProofCase[] = [
   {
     name: 'silent-connections-to-engines',
     promise: 4,
