Check the fields of containment messages in one place

Cause: containmentController.ts and containmentPull.ts each had schemas of fingerprint, endpoint and remaining time, which have to agree. Ruled out: moving them into the containment package, which has no wire format. Change: containmentFields.ts holds them. Conclusion: one place to change the limits.

--- a/packages/entry/src/containmentController.ts
+++ b/packages/entry/src/containmentController.ts
@@ -1,6 +1,5 @@
 import {
   createNotRunError,
-  toId,
   type Clock,
   type EndpointId,
   type Fingerprint,
@@ -16,6 +15,7 @@
 } from '@lovagearch/containment';
 import type { PeerMesh } from '@lovagearch/peering';
 import { z } from 'zod';
+import { endpointSchema, fingerprintSchema, remainingMsSchema } from './containmentFields.js';
 import type { Containment, NodePart } from './types.js';
 
 const TOPIC = 'containment.update';
@@ -25,17 +25,8 @@
 const MAX_WAITING_EVENTS = 1_024;
 const SECOND_MS = 1_000;
 
-const fields = {
-  fingerprint: z
-    .string()
-    .max(128)
-    .transform((value) => toId<Fingerprint>(value)),
-  endpoint: z
-    .string()
-    .max(200)
-    .transform((value) => toId<EndpointId>(value)),
-};
-const remainingMs = z.number().nonnegative().finite();
+const fields = { fingerprint: fingerprintSchema, endpoint: endpointSchema };
+const remainingMs = remainingMsSchema;
 
 const updateSchema = z.object({
   events: z
--- a/packages/entry/src/containmentPull.ts
+++ b/packages/entry/src/containmentPull.ts
@@ -1,15 +1,8 @@
-import {
-  getRendezvousOwners,
-  toId,
-  type Clock,
-  type EndpointId,
-  type Fingerprint,
-  type Logger,
-  type NodeId,
-} from '@lovagearch/common';
+import { getRendezvousOwners, type Clock, type Logger, type NodeId } from '@lovagearch/common';
 import { MAX_ENDPOINTS, MAX_FINGERPRINTS, type ContainmentCopy } from '@lovagearch/containment';
 import type { PeerMesh } from '@lovagearch/peering';
 import { z } from 'zod';
+import { endpointSchema, fingerprintSchema, remainingMsSchema } from './containmentFields.js';
 import { NodeTimer } from './nodeTimer.js';
 import type { NodePart } from './types.js';
 
@@ -21,15 +14,7 @@
 /** A process that did not run for this time may have missed news. */
 const PAUSE_MS = 3_000;
 
-const fingerprintSchema = z
-  .string()
-  .max(128)
-  .transform((value) => toId<Fingerprint>(value));
-const endpointSchema = z
-  .string()
-  .max(200)
-  .transform((value) => toId<EndpointId>(value));
-const remainingMs = z.number().nonnegative().finite();
+const remainingMs = remainingMsSchema;
 const copySchema = z.object({
   entries: z
     .array(
