--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -12,3 +12,4 @@
 export * from './retryBudget.js';
 export * from './tokenBucket.js';
 export * from './types.js';
+export * from './windowRetryBudget.js';
--- a/packages/containment/src/index.ts
+++ b/packages/containment/src/index.ts
@@ -5,4 +5,5 @@
 export * from './constants.js';
 export * from './containmentCopy.js';
 export * from './quarantineList.js';
+export * from './strikeLedger.js';
 export * from './types.js';
--- /dev/null
+++ b/packages/endpoints/src/chooseEndpoint.ts
@@ -0,0 +1,146 @@
+import type { Random } from '@lovagearch/common';
+import {
+  CROSS_REGION_PENALTY_MS,
+  CROSS_REGION_ROUND_TRIP_MS,
+  CROSS_ZONE_PENALTY_MS,
+  FAILURE_COST_MS,
+  NEAR_TIE_SHARE,
+  PREFILL_COST_WEIGHT,
+  PREFILL_TOKENS_PER_MS,
+  RUNNING_REQUEST_MS,
+  SAME_REGION_ROUND_TRIP_MS,
+  SAME_ZONE_ROUND_TRIP_MS,
+  SILENT_HEARTBEATS,
+  WAITING_REQUEST_MS,
+} from './constants.js';
+import type { Endpoint } from './endpoint.js';
+import { chooseOwner, getAffinityPart, type PromptMemory } from './promptMemory.js';
+import type { Placement, PlacementRequest } from './types.js';
+
+/** Where this process stands. */
+export interface Place {
+  readonly zone: string;
+  readonly region: string;
+  readonly regionByZone: ReadonlyMap<string, string>;
+}
+
+export interface ChoiceInput {
+  readonly request: PlacementRequest;
+  readonly endpoints: readonly Endpoint[];
+  readonly memory: PromptMemory;
+  readonly place: Place;
+  /** Interval of the endpoints' heartbeats, in milliseconds. */
+  readonly heartbeatMs: number;
+  /** Whether registrations are up to date, so that a missing heartbeat tells something. */
+  readonly areHeartbeatsCurrent: boolean;
+  readonly nowMs: number;
+  readonly random: Random;
+}
+
+interface LinkCost {
+  readonly roundTripMs: number;
+  readonly penaltyMs: number;
+}
+
+const computeLinkCost = (endpoint: Endpoint, place: Place): LinkCost => {
+  const { zone } = endpoint.record;
+  if (zone === place.zone) return { roundTripMs: SAME_ZONE_ROUND_TRIP_MS, penaltyMs: 0 };
+  if (place.regionByZone.get(zone) === place.region) {
+    return { roundTripMs: SAME_REGION_ROUND_TRIP_MS, penaltyMs: CROSS_ZONE_PENALTY_MS };
+  }
+  return { roundTripMs: CROSS_REGION_ROUND_TRIP_MS, penaltyMs: CROSS_REGION_PENALTY_MS };
+};
+
+const computePlacement = (
+  input: ChoiceInput,
+  endpoint: Endpoint,
+  ownerId: string | undefined,
+): Placement => {
+  const { request, memory, nowMs, place } = input;
+  const { roundTripMs, penaltyMs } = computeLinkCost(endpoint, place);
+  const { running, waiting } = endpoint.estimateRequests(nowMs);
+  const failureMs = endpoint.recentFailureShare * FAILURE_COST_MS;
+  const promptTokens = request.parts.reduce((sum, { tokens }) => sum + tokens, 0);
+  if (promptTokens === 0) {
+    const workMs = endpoint.meanWorkMs;
+    const slots = Math.max(1, endpoint.record.slots);
+    const queueMs = (Math.max(0, running + waiting + 1 - slots) / slots) * workMs;
+    // Endpoints slow down when they are nearly full.
+    const crowdingMs = (running / slots) * workMs * 0.5;
+    const expectedMs = roundTripMs + queueMs + workMs;
+    const costMs = expectedMs + crowdingMs + penaltyMs + failureMs;
+    return { endpointId: endpoint.record.id, expectedMs, uncachedTokens: 0, costMs, candidates: 0 };
+  }
+  const salt = request.cacheSalt ?? '';
+  const cached = memory.estimateCachedTokens(
+    request.parts,
+    salt,
+    endpoint.record.id,
+    ownerId,
+    nowMs,
+  );
+  const uncachedTokens = promptTokens - cached;
+  const prefillMs = uncachedTokens / PREFILL_TOKENS_PER_MS;
+  const pendingMs = endpoint.pendingTokens / PREFILL_TOKENS_PER_MS;
+  const queueMs =
+    Math.max(waiting * WAITING_REQUEST_MS, pendingMs) + running * RUNNING_REQUEST_MS;
+  const expectedMs = roundTripMs + queueMs + prefillMs;
+  const costMs =
+    roundTripMs + penaltyMs + queueMs + prefillMs * PREFILL_COST_WEIGHT + failureMs;
+  return { endpointId: endpoint.record.id, expectedMs, uncachedTokens, costMs, candidates: 0 };
+};
+
+const isSilent = (input: ChoiceInput, endpoint: Endpoint): boolean =>
+  input.areHeartbeatsCurrent &&
+  endpoint.getHeartbeatAgeMs(input.nowMs) > input.heartbeatMs * SILENT_HEARTBEATS;
+
+const hasWeights = ({ request }: ChoiceInput, endpoint: Endpoint): boolean => {
+  if (request.model === undefined || request.minWeightVersion === 0) return true;
+  return (endpoint.record.weights.get(request.model) ?? 0) >= request.minWeightVersion;
+};
+
+/** Returns the endpoints in the best state that has any: trusted, then silent, then suspended. */
+const selectUsable = (input: ChoiceInput): readonly Endpoint[] => {
+  const { request, nowMs } = input;
+  const allowed = input.endpoints.filter(
+    (endpoint) => !request.excluded.has(endpoint.record.id) && hasWeights(input, endpoint),
+  );
+  const unsuspended = allowed.filter((endpoint) => !endpoint.isSuspended(nowMs));
+  const trusted = unsuspended.filter((endpoint) => !isSilent(input, endpoint));
+  if (trusted.length > 0) return trusted;
+  return unsuspended.length > 0 ? unsuspended : allowed;
+};
+
+/**
+ * Chooses the endpoint with the least cost: waiting, reading what is not cached, distance and the
+ * share of failed answers. Near ties are drawn, so that nodes with the same view don't all choose the
+ * same endpoint.
+ *
+ * @returns undefined if no endpoint may take the request
+ * @example
+ * const placement = chooseEndpoint(input);
+ * if (placement === undefined) return refuse('no_endpoint');
+ */
+export const chooseEndpoint = (input: ChoiceInput): Placement | undefined => {
+  const usable = selectUsable(input);
+  if (usable.length === 0) return undefined;
+  const affinityPart = getAffinityPart(input.request.parts);
+  // All ready endpoints take part, so that a short suspension doesn't move every prompt.
+  const ownerId =
+    affinityPart === undefined
+      ? undefined
+      : chooseOwner(
+          `${input.request.cacheSalt ?? ''}/${affinityPart.id}`,
+          input.endpoints.map(({ record }) => record.id),
+        );
+  const placements = usable.map((endpoint) => computePlacement(input, endpoint, ownerId));
+  const best = placements.reduce((least, placement) =>
+    placement.costMs < least.costMs ? placement : least,
+  );
+  const limit = best.costMs * (1 + NEAR_TIE_SHARE);
+  const ties = placements.filter(
+    ({ costMs, uncachedTokens }) => costMs <= limit && uncachedTokens <= best.uncachedTokens,
+  );
+  const chosen = ties[Math.floor(input.random() * ties.length)] ?? best;
+  return { ...chosen, candidates: usable.length };
+};
--- /dev/null
+++ b/packages/endpoints/src/constants.ts
@@ -0,0 +1,51 @@
+/** Round trip within an availability zone, in milliseconds; from the users' description of places. */
+export const SAME_ZONE_ROUND_TRIP_MS = 0.2;
+/** Round trip between two availability zones of a region, in milliseconds. */
+export const SAME_REGION_ROUND_TRIP_MS = 3;
+/** Round trip between regions, in milliseconds. */
+export const CROSS_REGION_ROUND_TRIP_MS = 16;
+/**
+ * Cost of the link between regions beside its delay, in milliseconds of the caller's time: the link
+ * is narrow, shared by all traffic and billed by volume.
+ */
+export const CROSS_REGION_PENALTY_MS = 60;
+/** Cost of leaving the availability zone beside the delay, in milliseconds; billed by volume. */
+export const CROSS_ZONE_PENALTY_MS = 12;
+/** Prompt tokens that an engine reads in a millisecond; from the engines' data sheet. */
+export const PREFILL_TOKENS_PER_MS = 81.9;
+/**
+ * Weight of the engine's time for a prompt against waiting time: reading a prompt also delays the
+ * requests behind it.
+ */
+export const PREFILL_COST_WEIGHT = 2;
+/** Time that each running request adds to the first token of a new one, in milliseconds. */
+export const RUNNING_REQUEST_MS = 1.5;
+/** Time that each waiting request of an engine adds, in milliseconds: a mean prompt's prefill. */
+export const WAITING_REQUEST_MS = 30;
+/** Time constant in which a load report of an endpoint loses its weight, in milliseconds. */
+export const LOAD_REPORT_DECAY_MS = 3_000;
+/** First guess of the work of a plain call, in milliseconds, until answers were measured. */
+export const DEFAULT_WORK_MS = 20;
+/** Weight of a new measurement in the mean work time. */
+export const WORK_EWMA_WEIGHT = 0.1;
+/** Share of a prompt that its affinity owner is expected to hold; memory is short everywhere. */
+export const OWNER_HOLD_SHARE = 0.7;
+/** Time for which a prompt part that was sent to an endpoint counts as kept there. */
+export const PART_MEMORY_MS = 30_000;
+/** Prompt parts whose last endpoint is remembered. */
+export const MAX_REMEMBERED_PARTS = 8_192;
+/** First pause of an endpoint after a failure in transport, in milliseconds; doubles up to the next. */
+export const FIRST_SUSPENSION_MS = 400;
+export const MAX_SUSPENSION_MS = 4_000;
+/** Pause after an endpoint rejected a request as full or busy with an order, in milliseconds. */
+export const REJECTION_PAUSE_MS = 150;
+/** Failed answers among the last ones, as a share, from which an endpoint is avoided. */
+export const GREY_FAILURE_SHARE = 0.5;
+/** Weight of one answer in the share of failed answers. */
+export const FAILURE_EWMA_WEIGHT = 0.15;
+/** Cost of a certain failure, in milliseconds of a caller's time: another try and its delay. */
+export const FAILURE_COST_MS = 400;
+/** Missed heartbeat intervals after which an endpoint is used only if nothing else is left. */
+export const SILENT_HEARTBEATS = 2.2;
+/** Difference of cost below which endpoints count as equal, as a share of the best. */
+export const NEAR_TIE_SHARE = 0.05;
--- /dev/null
+++ b/packages/endpoints/src/types.ts
@@ -0,0 +1,58 @@
+export type EndpointState = 'draining' | 'ready';
+
+/** What an endpoint's registration says. */
+export interface EndpointRecord {
+  readonly id: string;
+  /** Start of the process in Unix milliseconds; differs between two starts under one id. */
+  readonly startedUnixMs: number;
+  readonly service: string;
+  /** Host and port. */
+  readonly address: string;
+  readonly zone: string;
+  readonly slots: number;
+  readonly state: EndpointState;
+  /** Time until the endpoint runs at full speed, in milliseconds. */
+  readonly warmupRemainingMs: number;
+  readonly heartbeat: number;
+  /** Weight version by model. */
+  readonly weights: ReadonlyMap<string, number>;
+}
+
+/** Load as an endpoint reported it with an answer. */
+export interface LoadReport {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+}
+
+/** A part of a prompt in order; equal ids mean equal text. */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
+/** What a choice needs to know of a request. */
+export interface PlacementRequest {
+  readonly service: string;
+  /** Empty for plain calls. */
+  readonly parts: readonly PromptPart[];
+  /** Cached parts are found only under the same value. */
+  readonly cacheSalt: string | undefined;
+  readonly model: string | undefined;
+  /** Endpoints that had this request before. */
+  readonly excluded: ReadonlySet<string>;
+  /** Least weight version that may serve the request, if any. */
+  readonly minWeightVersion: number;
+}
+
+/** Where a request goes and what that is expected to cost. */
+export interface Placement {
+  readonly endpointId: string;
+  /** Expected time to the first byte of the answer, in milliseconds. */
+  readonly expectedMs: number;
+  /** Prompt tokens that the endpoint is expected to read. */
+  readonly uncachedTokens: number;
+  /** Why this one: its cost and the number of endpoints compared. */
+  readonly costMs: number;
+  readonly candidates: number;
+}
--- /dev/null
+++ b/packages/exchange/src/connectionPool.ts
@@ -0,0 +1,101 @@
+import { EndpointConnection } from './endpointConnection.js';
+import type { EndpointRequest, Exchange, ExchangeListener } from './types.js';
+
+interface AddressConnections {
+  /** The one used last is at the end and is taken first, so that the others grow idle and close. */
+  readonly idle: EndpointConnection[];
+  readonly all: Set<EndpointConnection>;
+}
+
+/**
+ * Connections to all endpoints, kept for reuse.
+ *
+ * @example
+ * const exchange = pool.send('i-7f3a', '10.1.2.3:8080', 40, request, listener);
+ * if (exchange === undefined) return refuse('no free connection');
+ */
+export class ConnectionPool {
+  private readonly byEndpoint = new Map<string, AddressConnections>();
+
+  private openedTotal = 0;
+
+  static create(): ConnectionPool {
+    return new ConnectionPool();
+  }
+
+  /** Connections opened since the start. */
+  get opened(): number {
+    return this.openedTotal;
+  }
+
+  /** Whether an exchange could begin now. */
+  hasRoom(endpointId: string, maxConnections: number): boolean {
+    const connections = this.byEndpoint.get(endpointId);
+    if (connections === undefined) return maxConnections > 0;
+    return connections.idle.length > 0 || connections.all.size < maxConnections;
+  }
+
+  /**
+   * Sends a request on an idle connection or a new one.
+   *
+   * @param endpointId names one start of an endpoint; connections are not shared between starts
+   * @returns undefined if all connections that the endpoint grants are busy
+   */
+  send(
+    endpointId: string,
+    address: string,
+    maxConnections: number,
+    request: EndpointRequest,
+    listener: ExchangeListener,
+  ): Exchange | undefined {
+    const connection = this.takeConnection(endpointId, address, maxConnections);
+    return connection?.send(request, listener, (released) => this.release(endpointId, released));
+  }
+
+  /** Closes the idle connections of an endpoint that takes no more requests. */
+  closeIdle(endpointId: string): void {
+    const connections = this.byEndpoint.get(endpointId);
+    if (connections === undefined) return;
+    for (const connection of [...connections.idle]) connection.close();
+  }
+
+  /** Closes all connections and fails what is under way. */
+  closeAll(): void {
+    for (const { all } of [...this.byEndpoint.values()]) {
+      for (const connection of [...all]) connection.close();
+    }
+  }
+
+  private takeConnection(
+    endpointId: string,
+    address: string,
+    maxConnections: number,
+  ): EndpointConnection | undefined {
+    const connections = this.byEndpoint.get(endpointId) ?? { idle: [], all: new Set() };
+    this.byEndpoint.set(endpointId, connections);
+    for (let idle = connections.idle.pop(); idle !== undefined; idle = connections.idle.pop()) {
+      if (idle.isUsable) return idle;
+      idle.close();
+    }
+    if (connections.all.size >= maxConnections) return undefined;
+    const created = EndpointConnection.create(address, (closed) => this.remove(endpointId, closed));
+    connections.all.add(created);
+    this.openedTotal += 1;
+    return created;
+  }
+
+  private release(endpointId: string, connection: EndpointConnection): void {
+    const connections = this.byEndpoint.get(endpointId);
+    if (connections?.all.has(connection)) connections.idle.push(connection);
+    else connection.close();
+  }
+
+  private remove(endpointId: string, connection: EndpointConnection): void {
+    const connections = this.byEndpoint.get(endpointId);
+    if (connections === undefined) return;
+    connections.all.delete(connection);
+    const position = connections.idle.indexOf(connection);
+    if (position >= 0) connections.idle.splice(position, 1);
+    if (connections.all.size === 0) this.byEndpoint.delete(endpointId);
+  }
+}
--- /dev/null
+++ b/packages/exchange/src/decideNext.ts
@@ -0,0 +1,81 @@
+/** What an attempt at an endpoint led to, as far as it decides what comes next. */
+export type AttemptResult =
+  /** A whole answer. `isFailure`: its status says that the endpoint failed. */
+  | { readonly type: 'answered'; readonly isFailure: boolean }
+  /** The endpoint certainly did not run the request and never will. */
+  | { readonly type: 'not_run'; readonly wasReceived: boolean }
+  /** The request may have run and there is no whole answer. */
+  | { readonly type: 'broken' }
+  /** The endpoint has been silent for longer than the caller can wait; the run was cancelled. */
+  | { readonly type: 'stalled' };
+
+export interface RetryInput {
+  readonly result: AttemptResult;
+  /** Whether the request may run more than once. */
+  readonly isRepeatable: boolean;
+  /** Endpoints that may have run the request so far. */
+  readonly runs: number;
+  /** Endpoints that the request was sent to so far. */
+  readonly sends: number;
+  readonly maxRuns: number;
+  readonly remainingMs: number;
+  /** Expected time of another attempt. */
+  readonly expectedMs: number;
+  /** Whether another endpoint could take the request. */
+  readonly hasAlternative: boolean;
+  /** Whether the budget that all nodes share allows another send. */
+  readonly hasBudget: boolean;
+  /** Whether events have been passed on to the caller. */
+  readonly hasDelivered: boolean;
+}
+
+export type NextStep =
+  | { readonly type: 'deliver' }
+  | { readonly type: 'fail'; readonly reason: string }
+  | { readonly type: 'refuse'; readonly reason: string }
+  | { readonly type: 'retry'; readonly reason: string };
+
+/** Sends of one request after rejections; more would load endpoints that are full. */
+export const MAX_SENDS_PER_REQUEST = 3;
+
+/** Returns why a request can't be sent once more, or undefined if it can. */
+const findObstacle = (input: RetryInput): string | undefined => {
+  if (input.sends >= Math.max(MAX_SENDS_PER_REQUEST, input.maxRuns)) return 'sends used up';
+  if (input.runs >= input.maxRuns) return 'attempts used up';
+  if (input.remainingMs <= input.expectedMs) return 'time is short';
+  if (!input.hasAlternative) return 'no other endpoint';
+  if (!input.hasBudget) return 'retry budget used up';
+  return undefined;
+};
+
+/**
+ * Decides what follows an attempt. A request that may have run is sent again only if it is repeatable;
+ * "refuse" is only returned when it certainly has not run.
+ *
+ * @example
+ * const step = decideNext(input);
+ * if (step.type === 'retry') await sendElsewhere();
+ */
+export const decideNext = (input: RetryInput): NextStep => {
+  const { result, isRepeatable, runs, hasDelivered } = input;
+  const obstacle = findObstacle(input);
+  switch (result.type) {
+    case 'answered':
+      if (result.isFailure && isRepeatable && !hasDelivered && obstacle === undefined) {
+        return { type: 'retry', reason: 'endpoint failed' };
+      }
+      return { type: 'deliver' };
+    case 'not_run':
+      if (obstacle === undefined) return { type: 'retry', reason: 'not run' };
+      return runs === 0 && !hasDelivered
+        ? { type: 'refuse', reason: obstacle }
+        : { type: 'fail', reason: obstacle };
+    case 'broken':
+    case 'stalled':
+      if (!isRepeatable) return { type: 'fail', reason: 'may have run' };
+      if (obstacle !== undefined) return { type: 'fail', reason: obstacle };
+      return { type: 'retry', reason: result.type };
+    default:
+      return result satisfies never;
+  }
+};
--- /dev/null
+++ b/packages/exchange/src/endpointConnection.ts
@@ -0,0 +1,173 @@
+import { connect as connectSocket, type Socket } from 'node:net';
+import { Client, type Dispatcher } from 'undici';
+import {
+  CONNECT_TIMEOUT_MS,
+  IDLE_CONNECTION_MS,
+  IDLE_MARGIN_MS,
+  MAX_ANSWER_HEADER_BYTES,
+  MAX_IDLE_CONNECTION_MS,
+  TCP_KEEP_ALIVE_MS,
+} from './constants.js';
+import type { EndpointRequest, Exchange, ExchangeListener } from './types.js';
+
+/** Ends an exchange on our side; never reported to the listener. */
+class CancelledError extends Error {}
+
+/**
+ * One connection to an endpoint, which carries one exchange at a time. It is used until it closes and
+ * never opened again.
+ */
+export class EndpointConnection {
+  private socket: Socket | undefined;
+
+  private hasSocketFailed = false;
+
+  private isEnded = false;
+
+  private readonly client: Client;
+
+  private constructor(
+    address: string,
+    private readonly onClosed: (connection: EndpointConnection) => void,
+  ) {
+    this.client = new Client(`http://${address}`, {
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: IDLE_CONNECTION_MS,
+      keepAliveMaxTimeout: MAX_IDLE_CONNECTION_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      maxHeaderSize: MAX_ANSWER_HEADER_BYTES,
+      connect: (options, callback) => this.openSocket(options.hostname, Number(options.port), callback),
+    });
+    this.client.on('disconnect', () => this.close());
+    this.client.on('connectionError', () => this.close());
+  }
+
+  /** @param onClosed called once, when the connection can't be used any more */
+  static create(
+    address: string,
+    onClosed: (connection: EndpointConnection) => void,
+  ): EndpointConnection {
+    return new EndpointConnection(address, onClosed);
+  }
+
+  /** Whether another exchange may begin. */
+  get isUsable(): boolean {
+    return !this.isEnded && this.socket !== undefined && !this.socket.destroyed;
+  }
+
+  /** Closes the connection and fails the exchange on it. */
+  close(): void {
+    if (this.isEnded) return;
+    this.isEnded = true;
+    this.onClosed(this);
+    // The rejection repeats what the listener of the exchange has been told.
+    this.client.destroy().catch(() => undefined);
+  }
+
+  /**
+   * Sends a request. After `onEnd` the connection may be used again, unless it has closed.
+   *
+   * @param onReleased called when an exchange has ended and the connection may carry another one
+   */
+  send(
+    request: EndpointRequest,
+    listener: ExchangeListener,
+    onReleased: (connection: EndpointConnection) => void,
+  ): Exchange {
+    let isSent = false;
+    let isOver = false;
+    let controller: Dispatcher.DispatchController | undefined;
+    const fail = (error: Error) => {
+      if (isOver) return;
+      isOver = true;
+      const type = isSent ? 'broken' : 'not_sent';
+      listener.onFailure({ type, reason: error.message });
+      this.close();
+    };
+    const handler: Dispatcher.DispatchHandler = {
+      onRequestStart: (startController) => {
+        controller = startController;
+        // The client would write a request again after some failures; it may have run by then.
+        if (isOver || isSent) startController.abort(new CancelledError('not sent twice'));
+        else isSent = true;
+      },
+      onResponseStart: (_controller, status, headers) => {
+        if (!isOver && status >= 200) listener.onHead(status, headers);
+      },
+      onResponseData: (_controller, chunk) => {
+        if (!isOver) listener.onData(chunk);
+      },
+      onResponseEnd: () => {
+        if (isOver) return;
+        // The client takes a reset for the end of an answer that has no length.
+        if (this.hasSocketFailed) {
+          fail(new Error('reset before the end of the answer'));
+          return;
+        }
+        isOver = true;
+        listener.onEnd();
+        // What arrives with the end of an answer belongs to no request and closes the connection.
+        setImmediate(() => {
+          if (this.isUsable) onReleased(this);
+          else this.close();
+        });
+      },
+      onResponseError: (_controller, error) => fail(error),
+    };
+    this.client.dispatch(
+      {
+        method: request.method as Dispatcher.HttpMethod,
+        path: request.path,
+        headers: request.headers as string[],
+        body: request.body ?? null,
+      },
+      handler,
+    );
+    return {
+      get isSent() {
+        return isSent;
+      },
+      cancel: () => {
+        if (isOver) return;
+        isOver = true;
+        controller?.abort(new CancelledError('cancelled'));
+        this.close();
+      },
+      pause: () => controller?.pause(),
+      resume: () => controller?.resume(),
+    };
+  }
+
+  private openSocket(
+    host: string,
+    port: number,
+    callback: (...args: [Error, null] | [null, Socket]) => void,
+  ): void {
+    const socket = connectSocket({
+      host,
+      port,
+      noDelay: true,
+      keepAlive: true,
+      keepAliveInitialDelay: TCP_KEEP_ALIVE_MS,
+    });
+    this.socket = socket;
+    const timer = setTimeout(() => {
+      socket.destroy(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`));
+    }, CONNECT_TIMEOUT_MS);
+    let isAnswered = false;
+    const answer = (...args: [Error, null] | [null, Socket]) => {
+      if (isAnswered) return;
+      isAnswered = true;
+      clearTimeout(timer);
+      callback(...args);
+    };
+    socket.on('error', (error) => {
+      this.hasSocketFailed = true;
+      answer(error, null);
+    });
+    socket.once('close', () => answer(new Error('closed while connecting'), null));
+    socket.once('connect', () => answer(null, socket));
+  }
+}
--- /dev/null
+++ b/packages/exchange/src/eventFraming.ts
@@ -0,0 +1,97 @@
+import { MAX_EVENT_BYTES } from './constants.js';
+
+const EVENT_END = '\n\n';
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+const ID_FIELD = 'id:';
+
+/** Whole events of a stream and the id of the last one, if it bears a number. */
+export interface WholeEvents {
+  readonly bytes: Buffer;
+  readonly lastId: number | undefined;
+}
+
+export type FramingFault =
+  | { readonly type: 'event_too_large' }
+  | { readonly type: 'order'; readonly previousId: number; readonly id: number };
+
+export type FramingResult =
+  | { readonly type: 'events'; readonly events: WholeEvents }
+  | { readonly type: 'fault'; readonly fault: FramingFault }
+  | { readonly type: 'incomplete' };
+
+/** Returns the id of an event (`id: 12`), or undefined if it has none or one that is no number. */
+const readEventId = (bytes: Buffer, start: number, end: number): number | undefined => {
+  for (let lineStart = start; lineStart < end; ) {
+    let lineEnd = bytes.indexOf(LINE_FEED, lineStart);
+    if (lineEnd < 0 || lineEnd > end) lineEnd = end;
+    if (bytes.toString('latin1', lineStart, lineStart + ID_FIELD.length) === ID_FIELD) {
+      const textEnd = bytes[lineEnd - 1] === CARRIAGE_RETURN ? lineEnd - 1 : lineEnd;
+      const text = bytes.toString('latin1', lineStart + ID_FIELD.length, textEnd).trim();
+      return /^\d{1,15}$/.test(text) ? Number(text) : undefined;
+    }
+    lineStart = lineEnd + 1;
+  }
+  return undefined;
+};
+
+/**
+ * Cuts the bytes of a stream of events into whole events, so that a stream which breaks off inside an
+ * event can go on elsewhere. Ids have to increase, also across two runs.
+ *
+ * @example
+ * const framing = EventFraming.create(12);
+ * const result = framing.addBytes(chunk);
+ * if (result.type === 'events') caller.write(result.events.bytes);
+ */
+export class EventFraming {
+  private rest: Buffer | undefined;
+
+  private constructor(private lastId: number) {}
+
+  /** @param lastId id of the last event that the caller has; 0 at the beginning */
+  static create(lastId: number): EventFraming {
+    return new EventFraming(lastId);
+  }
+
+  /** Id of the last whole event; 0 if there was none. */
+  get lastEventId(): number {
+    return this.lastId;
+  }
+
+  /** Whether bytes of an unfinished event are waiting. */
+  get hasRest(): boolean {
+    return this.rest !== undefined;
+  }
+
+  /** Forgets an unfinished event; another run sends it again from its beginning. */
+  dropRest(): void {
+    this.rest = undefined;
+  }
+
+  addBytes(chunk: Buffer): FramingResult {
+    const bytes = this.rest === undefined ? chunk : Buffer.concat([this.rest, chunk]);
+    let start = 0;
+    for (
+      let end = bytes.indexOf(EVENT_END, 0, 'latin1');
+      end >= 0;
+      end = bytes.indexOf(EVENT_END, start, 'latin1')
+    ) {
+      const id = readEventId(bytes, start, end);
+      if (id !== undefined) {
+        if (id <= this.lastId) {
+          return { type: 'fault', fault: { type: 'order', previousId: this.lastId, id } };
+        }
+        this.lastId = id;
+      }
+      start = end + EVENT_END.length;
+    }
+    this.rest = start < bytes.length ? bytes.subarray(start) : undefined;
+    if (this.rest !== undefined && this.rest.length > MAX_EVENT_BYTES) {
+      return { type: 'fault', fault: { type: 'event_too_large' } };
+    }
+    if (start === 0) return { type: 'incomplete' };
+    const lastId = this.lastId > 0 ? this.lastId : undefined;
+    return { type: 'events', events: { bytes: bytes.subarray(0, start), lastId } };
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/beliefs.ts
@@ -0,0 +1,233 @@
+import { type Clock, type Fingerprint, toId } from '@lovagearch/common';
+import { StrikeLedger } from '@lovagearch/containment';
+import { EndpointTable, PromptMemory } from '@lovagearch/endpoints';
+import type { MirroredRow } from '@lovagearch/mirror';
+import type { AnnouncedOrder, WeightTarget } from '@lovagearch/rollout';
+import { ANNOUNCED_ORDER_MS } from '@lovagearch/rollout';
+import { TrafficRules } from '@lovagearch/traffic';
+import { z } from 'zod';
+import { LAPSE_GRACE_MS, LAPSE_WINDOW_MS } from './constants.js';
+import type { DecisionLog } from './decisionLog.js';
+import type { RowCodec } from './types.js';
+
+/** Keys of the shared table. */
+export const PEER_PREFIX = 'peer/';
+export const STRIKES_PREFIX = 'strikes/';
+export const ORDER_PREFIX = 'order/';
+export const LEASE_KEY = 'lease/orders';
+
+const peerSchema = z.object({ address: z.string() });
+const strikesSchema = z.object({ strikes: z.array(z.tuple([z.string(), z.string()])) });
+const orderSchema = z.object({ model: z.string(), version: z.number().int() });
+
+/** A named weight version and when this process learned of it. */
+export interface NamedWeights extends WeightTarget {
+  readonly sinceMs: number;
+}
+
+/**
+ * What the process believes of the world, from the rows of the mirrored tables. Each belief moves
+ * forward only: an older configuration or weight version is ignored.
+ */
+export class Beliefs {
+  readonly endpoints = EndpointTable.create();
+
+  readonly memory = PromptMemory.create();
+
+  readonly strikes = StrikeLedger.create();
+
+  private currentRules: TrafficRules | undefined;
+
+  private readonly weights = new Map<string, NamedWeights>();
+
+  private readonly peers = new Map<string, string>();
+
+  private readonly announced = new Map<string, AnnouncedOrder & { readonly endsMs: number }>();
+
+  private storeRegainedMs = Number.NEGATIVE_INFINITY;
+
+  private isStoreLost = false;
+
+  private constructor(
+    private readonly codec: RowCodec,
+    private readonly clock: Clock,
+    private readonly log: DecisionLog,
+  ) {}
+
+  static create(codec: RowCodec, clock: Clock, log: DecisionLog): Beliefs {
+    return new Beliefs(codec, clock, log);
+  }
+
+  get rules(): TrafficRules | undefined {
+    return this.currentRules;
+  }
+
+  /** Number of nodes that share budgets and connections, this one included; at least one. */
+  get nodes(): number {
+    return Math.max(1, this.peers.size);
+  }
+
+  /** Addresses of the peers that have announced themselves. */
+  listPeerAddresses(): string[] {
+    return [...this.peers.values()];
+  }
+
+  listWeightTargets(): NamedWeights[] {
+    return [...this.weights.values()];
+  }
+
+  findNamedWeights(model: string): NamedWeights | undefined {
+    return this.weights.get(model);
+  }
+
+  /** Whether an order is under way at an endpoint, which then rejects requests. */
+  isChangingWeights(endpointId: string, nowMs: number): boolean {
+    const order = this.announced.get(endpointId);
+    if (order === undefined) return false;
+    const version = this.endpoints.findEndpoint(endpointId)?.record.weights.get(order.model) ?? 0;
+    if (nowMs < order.endsMs && version < order.version) return true;
+    this.announced.delete(endpointId);
+    return false;
+  }
+
+  recordStoreLost(): void {
+    this.isStoreLost = true;
+  }
+
+  recordStoreRegained(): void {
+    this.isStoreLost = false;
+    this.storeRegainedMs = this.clock.nowMs();
+  }
+
+  applyOperatorRow({ key, value, version }: MirroredRow): void {
+    if (value === undefined) return;
+    const configuration = this.codec.decodeConfiguration(key, value);
+    if (configuration.type === 'fault') this.logFault('configuration', key, configuration.reason);
+    if (configuration.type === 'value') {
+      const known = this.currentRules?.version ?? -1;
+      if (configuration.value.version <= known) return;
+      this.currentRules = TrafficRules.create(configuration.value);
+      this.log.recordChange('configuration_applied', {
+        version: configuration.value.version,
+        previous: known,
+        rowVersion: version,
+        routes: configuration.value.routes.length,
+      });
+      return;
+    }
+    const target = this.codec.decodeWeightTarget(key, value);
+    if (target.type === 'fault') this.logFault('weight_target', key, target.reason);
+    if (target.type !== 'value') return;
+    const known = this.weights.get(target.value.model);
+    if (known !== undefined && known.version >= target.value.version) return;
+    this.weights.set(target.value.model, { ...target.value, sinceMs: this.clock.nowMs() });
+    this.log.recordChange('weights_named', { ...target.value, rowVersion: version });
+  }
+
+  applyEndpointRow({ key, value, version }: MirroredRow): void {
+    const nowMs = this.clock.nowMs();
+    if (value === undefined) {
+      this.applyEndpointRemoval(key, version, nowMs);
+      return;
+    }
+    const record = this.codec.decodeEndpoint(key, value);
+    if (record.type === 'fault') {
+      this.logFault('endpoint', key, record.reason);
+      this.applyEndpointRemoval(key, version, nowMs);
+    }
+    if (record.type !== 'value') return;
+    const change = this.endpoints.applyRecord(record.value, nowMs);
+    if (change === undefined) return;
+    this.log.recordChange(`endpoint_${change.type}`, {
+      endpoint: key,
+      service: change.record.service,
+      address: change.record.address,
+      zone: change.record.zone,
+      rowVersion: version,
+    });
+  }
+
+  applySharedRow({ key, value }: MirroredRow): void {
+    if (key.startsWith(PEER_PREFIX)) this.applyPeer(key.slice(PEER_PREFIX.length), value);
+    else if (value === undefined) return;
+    else if (key.startsWith(STRIKES_PREFIX)) this.applyStrikes(value);
+    else if (key.startsWith(ORDER_PREFIX)) this.applyOrder(key.slice(ORDER_PREFIX.length), value);
+  }
+
+  /** Takes in that an order has been given or announced by this process. */
+  recordAnnounced(order: AnnouncedOrder): void {
+    this.announced.set(order.endpointId, {
+      ...order,
+      endsMs: this.clock.nowMs() + ANNOUNCED_ORDER_MS,
+    });
+  }
+
+  /** Takes in the weights that an endpoint reported or answered with, which registrations lag behind. */
+  recordWeights(endpointId: string, model: string, version: number): void {
+    const endpoint = this.endpoints.findEndpoint(endpointId);
+    if (endpoint === undefined) return;
+    const known = endpoint.record.weights.get(model) ?? 0;
+    if (known >= version) return;
+    const weights = new Map(endpoint.record.weights).set(model, version);
+    endpoint.updateRecord({ ...endpoint.record, weights }, this.clock.nowMs());
+  }
+
+  /** Drops endpoints whose entries did not come back after an outage of the store. */
+  removeLapsed(): void {
+    for (const { type, record } of this.endpoints.removeLapsed(this.clock.nowMs())) {
+      this.log.recordChange(`endpoint_${type}`, { endpoint: record.id, reason: 'lapse not renewed' });
+    }
+  }
+
+  private applyEndpointRemoval(key: string, version: number, nowMs: number): void {
+    // Entries lapse while the store is away and come back soon after, if the endpoint lives.
+    const sinceRegainedMs = nowMs - this.storeRegainedMs;
+    const mayHaveLapsed = this.isStoreLost || sinceRegainedMs < LAPSE_WINDOW_MS;
+    const graceMs = mayHaveLapsed ? Math.max(1, LAPSE_GRACE_MS - Math.max(0, sinceRegainedMs)) : 0;
+    const change = this.endpoints.applyRemoval(key, graceMs, nowMs);
+    if (change === undefined) return;
+    this.log.recordChange(`endpoint_${change.type}`, {
+      endpoint: key,
+      service: change.record.service,
+      rowVersion: version,
+      graceMs,
+    });
+  }
+
+  private applyPeer(name: string, value: string | undefined): void {
+    if (value === undefined) {
+      this.peers.delete(name);
+      return;
+    }
+    const peer = peerSchema.safeParse(this.codec.decodeSharedValue(value));
+    if (!peer.success) {
+      this.logFault('peer', name, peer.error.message);
+      return;
+    }
+    if (this.peers.get(name) === peer.data.address) return;
+    this.peers.set(name, peer.data.address);
+    this.log.recordChange('peer_known', { peer: name, nodes: this.peers.size });
+  }
+
+  private applyStrikes(value: string): void {
+    const row = strikesSchema.safeParse(this.codec.decodeSharedValue(value));
+    if (!row.success) {
+      this.logFault('strikes', STRIKES_PREFIX, row.error.message);
+      return;
+    }
+    const nowMs = this.clock.nowMs();
+    for (const [fingerprint, endpointStart] of row.data.strikes) {
+      this.strikes.recordStrike({ fingerprint: toId<Fingerprint>(fingerprint), endpointStart }, nowMs);
+    }
+  }
+
+  private applyOrder(endpointId: string, value: string): void {
+    const order = orderSchema.safeParse(this.codec.decodeSharedValue(value));
+    if (order.success) this.recordAnnounced({ endpointId, ...order.data });
+    else this.logFault('order', endpointId, order.error.message);
+  }
+
+  private logFault(kind: string, key: string, reason: string): void {
+    this.log.recordChange('row_rejected', { kind, key, reason });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/constants.ts
@@ -0,0 +1,63 @@
+/** Advice to callers while the process knows no configuration or no endpoint, in milliseconds. */
+export const NOT_READY_RETRY_MS = 1_000;
+/** Advice to callers of a process that is shutting down; others take the next attempt. */
+export const DRAINING_RETRY_MS = 50;
+/** Shortest and longest advice to callers of a service without room, in milliseconds. */
+export const MIN_RETRY_AFTER_MS = 300;
+export const MAX_RETRY_AFTER_MS = 4_000;
+/** Time limit of a request that names none, in milliseconds. */
+export const DEFAULT_TIME_LIMIT_MS = 30_000;
+/** Time beyond a request's limit in which the endpoint's own timeout answer may arrive, in milliseconds. */
+export const TIMEOUT_ANSWER_MS = 120;
+/** Remaining time below which a request is no longer sent, in milliseconds. */
+export const MIN_SEND_MS = 10;
+/** Share of the connections that endpoints grant which the nodes use together. */
+export const CONNECTION_SHARE = 0.9;
+/** Least number of connections to one endpoint that a node may open. */
+export const MIN_CONNECTIONS = 2;
+/** Silence of an endpoint after which a repeatable request is sent elsewhere, in milliseconds. */
+export const STREAM_STALL_MS = 1_200;
+/** The same for plain calls, as a factor of the time that callers expect. */
+export const CALL_STALL_FACTOR = 2.5;
+/** Bytes of an answer that is held back until it is complete; longer ones are passed on. */
+export const MAX_HELD_ANSWER_BYTES = 1_048_576;
+/** Bytes waiting for a slow caller from which the endpoint is no longer read. */
+export const MAX_UNSENT_BYTES = 131_072;
+/** Share of the memory limit that bodies of waiting requests may take. */
+export const BODY_MEMORY_SHARE = 0.15;
+/** Weight versions older than the named one are avoided from this age of the name, in milliseconds. */
+export const OLD_WEIGHTS_AVOID_MS = 300;
+/** Time before the bound on new weights from which no request begins on older ones, in milliseconds. */
+export const OLD_WEIGHTS_MARGIN_MS = 1_500;
+/** Time that entries which lapsed while the store was away have to come back, in milliseconds. */
+export const LAPSE_GRACE_MS = 2_200;
+/** Removals are taken for lapses if the store came back within this time, in milliseconds. */
+export const LAPSE_WINDOW_MS = 2_500;
+/** Interval of periodic checks, in milliseconds. */
+export const HOUSEKEEPING_MS = 200;
+/** Interval in which strikes are published, in milliseconds; each publication is a store call. */
+export const STRIKE_PUBLISH_MS = 400;
+/** Strikes that one node publishes at most. */
+export const MAX_PUBLISHED_STRIKES = 48;
+/** Time after SIGTERM in which new requests are still served, in milliseconds; the balancer needs it. */
+export const DRAIN_ACCEPT_MS = 2_700;
+/** Time between the start of shutdown and its earliest end, in milliseconds. */
+export const DRAIN_MIN_MS = 3_200;
+/** Time before the end of the grace period at which the process exits, in milliseconds. */
+export const DRAIN_END_MARGIN_MS = 400;
+/** Log lines a second for requests that went well; further ones are counted only. */
+export const MAX_LOG_LINES_PER_SECOND = 150;
+/** Log bytes that may wait for standard output; beyond it lines are dropped and counted. */
+export const MAX_LOG_BUFFER_BYTES = 1_048_576;
+/** Interval in which waiting log lines are written, in milliseconds. */
+export const LOG_FLUSH_MS = 250;
+/** Time limit of a call to a peer, in milliseconds. */
+export const PEER_TIMEOUT_MS = 500;
+/** Peers that are asked in turn while the store is away. */
+export const PEERS_ASKED = 3;
+/** Age of a peer's copy beyond which it is not used, in milliseconds. */
+export const PEER_COPY_MAX_AGE_MS = 60_000;
+/** Shared table of the nodes: addresses, strikes, the lease on orders and announced orders. */
+export const SHARED_TABLE = 'lovagearch';
+/** Pause after this node's address could not be written to the shared table, in milliseconds. */
+export const ANNOUNCE_RETRY_MS = 1_000;
--- /dev/null
+++ b/packages/gateway/src/gatewayContext.ts
@@ -0,0 +1,30 @@
+import type { WindowRetryBudget } from '@lovagearch/admission';
+import type { Clock, Random } from '@lovagearch/common';
+import type { ConnectionPool } from '@lovagearch/exchange';
+import type { Beliefs } from './beliefs.js';
+import type { DecisionLog } from './decisionLog.js';
+import type { GatewayMetrics } from './gatewayMetrics.js';
+import type { BodyMemory } from './requestBody.js';
+import type { StrikePublisher } from './strikePublisher.js';
+import type { GatewaySettings, HeaderCodec } from './types.js';
+
+/** What all requests of a process share. */
+export interface GatewayContext {
+  readonly settings: GatewaySettings;
+  readonly headers: HeaderCodec;
+  readonly beliefs: Beliefs;
+  readonly pool: ConnectionPool;
+  readonly bodyMemory: BodyMemory;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: DecisionLog;
+  readonly metrics: GatewayMetrics;
+  readonly strikes: StrikePublisher;
+  /** Whether registrations are up to date. */
+  readonly areHeartbeatsCurrent: () => boolean;
+  readonly getRetryBudget: (service: string) => WindowRetryBudget;
+  readonly getPhase: () => ServingPhase;
+}
+
+/** `draining`: new requests are still served; `closing`: they are refused. */
+export type ServingPhase = 'closing' | 'draining' | 'serving';
--- /dev/null
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -0,0 +1,82 @@
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+/** Upper bounds of latency histograms, in milliseconds: from a cached read to the longest stream. */
+const LATENCY_BUCKETS_MS = [5, 10, 20, 40, 80, 160, 320, 640, 1_280, 2_560, 5_120, 15_000];
+
+/** Counters and latency histograms of the process, in the text format of Prometheus. */
+export class GatewayMetrics {
+  private readonly registry = new Registry();
+
+  private readonly requests = new Counter({
+    name: 'lovagearch_requests_total',
+    help: 'Requests by route and outcome',
+    labelNames: ['route', 'outcome'],
+    registers: [this.registry],
+  });
+
+  private readonly attempts = new Counter({
+    name: 'lovagearch_attempts_total',
+    help: 'Sends to endpoints by service and result',
+    labelNames: ['service', 'result'],
+    registers: [this.registry],
+  });
+
+  private readonly droppedLines = new Counter({
+    name: 'lovagearch_log_lines_dropped_total',
+    help: 'Log lines that were not written',
+    registers: [this.registry],
+  });
+
+  private readonly firstByte = new Histogram({
+    name: 'lovagearch_first_byte_ms',
+    help: 'Time to the first byte of an answer, by route',
+    labelNames: ['route'],
+    buckets: LATENCY_BUCKETS_MS,
+    registers: [this.registry],
+  });
+
+  private readonly duration = new Histogram({
+    name: 'lovagearch_request_ms',
+    help: 'Time to the end of a request, by client account',
+    labelNames: ['account'],
+    buckets: LATENCY_BUCKETS_MS,
+    registers: [this.registry],
+  });
+
+  private readonly gauges = new Gauge({
+    name: 'lovagearch_state',
+    help: 'Current sizes and versions, by name',
+    labelNames: ['name'],
+    registers: [this.registry],
+  });
+
+  static create(): GatewayMetrics {
+    return new GatewayMetrics();
+  }
+
+  recordRequest(route: string, account: string, outcome: string, totalMs: number): void {
+    this.requests.inc({ route, outcome });
+    this.duration.observe({ account }, totalMs);
+  }
+
+  recordFirstByte(route: string, firstByteMs: number): void {
+    this.firstByte.observe({ route }, firstByteMs);
+  }
+
+  recordAttempt(service: string, result: string): void {
+    this.attempts.inc({ service, result });
+  }
+
+  recordDroppedLines(lines: number): void {
+    this.droppedLines.inc(lines);
+  }
+
+  setGauge(name: string, value: number): void {
+    this.gauges.set({ name }, value);
+  }
+
+  /** Renders all series as text. */
+  render(): Promise<string> {
+    return this.registry.metrics();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/managementServer.ts
@@ -0,0 +1,45 @@
+import { fastify, type FastifyInstance } from 'fastify';
+import type { Clock } from '@lovagearch/common';
+import type { TableMirror } from '@lovagearch/mirror';
+import type { GatewayMetrics } from './gatewayMetrics.js';
+import { registerPeerRoutes } from './peerExchange.js';
+import type { Address } from './types.js';
+
+const listen = async (server: FastifyInstance, { host, port }: Address) => {
+  await server.listen({ host, port });
+  return server;
+};
+
+/** Answers the balancer's question whether this node takes new connections. */
+export const startReadinessServer = (
+  address: Address,
+  path: string,
+  isReady: () => boolean,
+): Promise<FastifyInstance> => {
+  const server = fastify();
+  server.get(path, (_request, reply) => reply.code(isReady() ? 200 : 503).send());
+  return listen(server, address);
+};
+
+/** Serves this node's copies of the store's tables to peers. */
+export const startPeerServer = (
+  address: Address,
+  mirrors: readonly TableMirror[],
+  clock: Clock,
+): Promise<FastifyInstance> => {
+  const server = fastify();
+  registerPeerRoutes(server, mirrors, clock);
+  return listen(server, address);
+};
+
+/** Serves counters and latency histograms as text. */
+export const startMetricsServer = (
+  address: Address,
+  metrics: GatewayMetrics,
+): Promise<FastifyInstance> => {
+  const server = fastify();
+  server.get('/metrics', async (_request, reply) =>
+    reply.type('text/plain; version=0.0.4').send(await metrics.render()),
+  );
+  return listen(server, address);
+};
--- /dev/null
+++ b/packages/gateway/src/startGateway.ts
@@ -0,0 +1,264 @@
+import { WindowRetryBudget } from '@lovagearch/admission';
+import { createRandom, getErrorMessage, processClock } from '@lovagearch/common';
+import { ConnectionPool } from '@lovagearch/exchange';
+import { type FollowEvent, type FollowOptions, MirrorFollower, TableMirror } from '@lovagearch/mirror';
+import { createSuspensionClock, OrderLease, RolloutCoordinator } from '@lovagearch/rollout';
+import { Beliefs, LEASE_KEY, PEER_PREFIX } from './beliefs.js';
+import { CallerServer } from './callerServer.js';
+import {
+  ANNOUNCE_RETRY_MS,
+  BODY_MEMORY_SHARE,
+  DRAIN_ACCEPT_MS,
+  DRAIN_END_MARGIN_MS,
+  DRAIN_MIN_MS,
+  HOUSEKEEPING_MS,
+  SHARED_TABLE,
+  STRIKE_PUBLISH_MS,
+} from './constants.js';
+import { createDecisionLog } from './decisionLog.js';
+import type { GatewayContext, ServingPhase } from './gatewayContext.js';
+import { GatewayMetrics } from './gatewayMetrics.js';
+import { startMetricsServer, startPeerServer, startReadinessServer } from './managementServer.js';
+import { createPeerSource } from './peerExchange.js';
+import { BodyMemory } from './requestBody.js';
+import { StrikePublisher } from './strikePublisher.js';
+import type { GatewayPorts, GatewaySettings } from './types.js';
+
+const BYTES_PER_MB = 1_048_576;
+
+/** Changes of the configuration are rare and urgent: a long wait, and no pause after one. */
+const OPERATOR_FOLLOWING: FollowOptions = {
+  waitMs: 2_000,
+  paceMs: 100,
+  retryMs: 250,
+  peerAfterMs: 1_000,
+};
+/** Heartbeats change the table all the time, and each call is billed: changes are read together. */
+const ENDPOINT_FOLLOWING: FollowOptions = {
+  waitMs: 1_500,
+  paceMs: 700,
+  retryMs: 250,
+  peerAfterMs: 1_500,
+};
+const SHARED_FOLLOWING: FollowOptions = {
+  waitMs: 3_000,
+  paceMs: 300,
+  retryMs: 400,
+  peerAfterMs: 4_000,
+};
+
+/** A running gateway process. */
+export interface Gateway {
+  /** Shuts down within the grace period, without cutting off a request that can end in it. */
+  readonly drain: (reason: string) => Promise<void>;
+  /** Logs that the settings file was named as changed. */
+  readonly recordReload: () => void;
+  readonly callerPort: number;
+}
+
+/**
+ * Starts the gateway: it follows the store's tables, serves callers as soon as it knows a configuration
+ * and an endpoint, and takes part in orders to endpoints.
+ *
+ * @param readinessPath path of the balancer's question
+ */
+export const startGateway = async (
+  settings: GatewaySettings,
+  ports: GatewayPorts,
+  readinessPath: string,
+): Promise<Gateway> => {
+  const clock = processClock;
+  const random = createRandom(Math.floor(Math.random() * 2 ** 32));
+  const metrics = GatewayMetrics.create();
+  const log = createDecisionLog(settings.nodeName, clock, (lines) =>
+    metrics.recordDroppedLines(lines),
+  );
+  const beliefs = Beliefs.create(ports.rows, clock, log);
+  const operatorMirror = TableMirror.create(ports.rows.operatorTable);
+  const endpointMirror = TableMirror.create(ports.rows.endpointTable);
+  const sharedMirror = TableMirror.create(SHARED_TABLE);
+  operatorMirror.addListener((row) => beliefs.applyOperatorRow(row));
+  endpointMirror.addListener((row) => beliefs.applyEndpointRow(row));
+  sharedMirror.addListener((row) => beliefs.applySharedRow(row));
+
+  const ownPeerAddress = `${settings.peerAddress.host}:${settings.peerAddress.port}`;
+  const peers = createPeerSource(() => {
+    const known = new Set([...settings.seeds, ...beliefs.listPeerAddresses()]);
+    known.delete(ownPeerAddress);
+    return [...known];
+  }, random);
+  const onFollowEvent = (event: FollowEvent) => {
+    if (event.type === 'store_lost') beliefs.recordStoreLost();
+    if (event.type === 'store_regained') beliefs.recordStoreRegained();
+    const { type, ...fields } = event;
+    log.recordChange(type, fields);
+  };
+  const createFollower = (mirror: TableMirror, options: FollowOptions) =>
+    MirrorFollower.create({
+      mirror,
+      source: ports.tables,
+      peers,
+      clock,
+      options,
+      onEvent: onFollowEvent,
+    });
+  const endpointFollower = createFollower(endpointMirror, ENDPOINT_FOLLOWING);
+  const followers = [
+    createFollower(operatorMirror, OPERATOR_FOLLOWING),
+    endpointFollower,
+    createFollower(sharedMirror, SHARED_FOLLOWING),
+  ];
+
+  let phase: ServingPhase = 'serving';
+  const { bounds } = settings;
+  const retryBounds = {
+    ratio: bounds.retryRatio,
+    slack: bounds.retrySlack,
+    windowS: bounds.retryWindowS,
+  };
+  const budgets = new Map<string, WindowRetryBudget>();
+  const strikes = StrikePublisher.create(settings.nodeName, ports.shared, log);
+  const context: GatewayContext = {
+    settings,
+    headers: ports.headers,
+    beliefs,
+    pool: ConnectionPool.create(),
+    bodyMemory: BodyMemory.create(settings.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE),
+    clock,
+    random,
+    log,
+    metrics,
+    strikes,
+    areHeartbeatsCurrent: () =>
+      endpointFollower.isStoreReachable &&
+      endpointMirror.getAgeMs(clock.nowMs()) < ENDPOINT_FOLLOWING.waitMs + ENDPOINT_FOLLOWING.paceMs,
+    getRetryBudget: (service) => {
+      const known = budgets.get(service);
+      if (known !== undefined) return known;
+      const created = WindowRetryBudget.create(retryBounds);
+      budgets.set(service, created);
+      return created;
+    },
+    getPhase: () => phase,
+  };
+  const server = CallerServer.create(context);
+  operatorMirror.addListener(() => {
+    if (beliefs.rules !== undefined) server.applyLimits(beliefs.rules.limits);
+  });
+
+  const lease = OrderLease.create({
+    holder: `${settings.nodeName}/${process.pid}/${Date.now()}`,
+    store: ports.lease,
+    clock,
+    suspensionClock: createSuspensionClock(clock, Date.now),
+    turnMs: bounds.orderTurnMs,
+    random,
+    onChange: ({ type, ...fields }) => log.recordChange(`order_lease_${type}`, fields),
+  });
+  sharedMirror.addListener((row) => {
+    if (row.key !== LEASE_KEY || row.value === undefined) return;
+    const value = ports.rows.decodeSharedValue(row.value);
+    const attemptId =
+      typeof value === 'object' && value !== null && 'attemptId' in value
+        ? String(value.attemptId)
+        : null;
+    lease.updateRow({ value, version: row.version, attemptId });
+  });
+  const rollout = RolloutCoordinator.create({
+    lease,
+    client: ports.orders,
+    clock,
+    random,
+    listEndpoints: () =>
+      [...beliefs.endpoints.listAll()]
+        .map(({ record }) => record)
+        .filter(({ state, weights }) => state === 'ready' && weights.size > 0),
+    listTargets: () => beliefs.listWeightTargets(),
+    onEvent: (event) => {
+      const { type, ...fields } = event;
+      const result = 'result' in event ? event.result.type : undefined;
+      const detail = 'result' in event && 'reason' in event.result ? event.result.reason : undefined;
+      log.recordChange(`order_${type}`, { ...fields, result, detail });
+    },
+    onWeights: (endpoint, weights) => {
+      for (const [model, version] of weights) beliefs.recordWeights(endpoint.id, model, version);
+    },
+  });
+
+  const isReady = () =>
+    phase === 'serving' && beliefs.rules !== undefined && beliefs.endpoints.size > 0;
+  const management = [
+    await startReadinessServer(settings.readinessAddress, readinessPath, isReady),
+    await startPeerServer(settings.peerAddress, [operatorMirror, endpointMirror, sharedMirror], clock),
+    await startMetricsServer({ host: settings.callerAddress.host, port: settings.metricsPort }, metrics),
+  ];
+  await server.listen(settings.callerAddress);
+  log.recordChange('started', {
+    zone: settings.zone,
+    region: settings.region,
+    callerAddress: `${settings.callerAddress.host}:${server.getPort()}`,
+    memoryMb: settings.memoryMb,
+  });
+
+  const announce = async () => {
+    const isWritten = await ports.shared.write(`${PEER_PREFIX}${settings.nodeName}`, {
+      address: ownPeerAddress,
+    });
+    log.recordChange('announced', { isWritten });
+    return isWritten;
+  };
+  let isAnnounced = false;
+  let announceAtMs = clock.nowMs();
+  const housekeeping = setInterval(() => {
+    beliefs.removeLapsed();
+    metrics.setGauge('active_requests', server.active);
+    metrics.setGauge('endpoints', beliefs.endpoints.size);
+    metrics.setGauge('nodes', beliefs.nodes);
+    metrics.setGauge('connections_opened', context.pool.opened);
+    metrics.setGauge('configuration_version', beliefs.rules?.version ?? 0);
+    if (isAnnounced || clock.nowMs() < announceAtMs) return;
+    announceAtMs = clock.nowMs() + ANNOUNCE_RETRY_MS;
+    announce()
+      .then((isWritten) => {
+        isAnnounced = isWritten;
+      })
+      .catch((error: unknown) => log.recordChange('announce_failed', { reason: getErrorMessage(error) }));
+  }, HOUSEKEEPING_MS);
+  const publishing = setInterval(() => {
+    strikes.publish().catch((error: unknown) => {
+      log.recordChange('strikes_not_published', { reason: getErrorMessage(error) });
+    });
+  }, STRIKE_PUBLISH_MS);
+  for (const follower of followers) void follower.run();
+  void rollout.run();
+
+  const drain = async (reason: string): Promise<void> => {
+    if (phase !== 'serving') return;
+    const startMs = clock.nowMs();
+    phase = 'draining';
+    rollout.stop();
+    log.recordChange('stopping', { reason, active: server.active });
+    const waitUntil = async (isDone: () => boolean) => {
+      while (!isDone()) await new Promise((resolve) => {
+        setTimeout(resolve, HOUSEKEEPING_MS / 4);
+      });
+    };
+    const getElapsedMs = () => clock.nowMs() - startMs;
+    await waitUntil(() => getElapsedMs() >= DRAIN_ACCEPT_MS);
+    phase = 'closing';
+    await waitUntil(() => getElapsedMs() >= DRAIN_MIN_MS);
+    server.stopListening();
+    server.closeIdle();
+    await waitUntil(
+      () => server.active === 0 || getElapsedMs() >= bounds.graceMs - DRAIN_END_MARGIN_MS,
+    );
+    log.recordChange('stopped', { active: server.active, elapsedMs: Math.round(getElapsedMs()) });
+    for (const follower of followers) follower.stop();
+    clearInterval(housekeeping);
+    clearInterval(publishing);
+    await Promise.all(management.map((managementServer) => managementServer.close()));
+    log.flush();
+  };
+  const recordReload = () => log.recordChange('reloaded', { changed: false });
+  return { drain, recordReload, callerPort: server.getPort() };
+};
--- /dev/null
+++ b/packages/gateway/src/strikePublisher.ts
@@ -0,0 +1,56 @@
+import { createHash } from 'node:crypto';
+import { type Fingerprint, toId } from '@lovagearch/common';
+import type { Strike } from '@lovagearch/containment';
+import { STRIKES_PREFIX } from './beliefs.js';
+import { MAX_PUBLISHED_STRIKES } from './constants.js';
+import type { DecisionLog } from './decisionLog.js';
+import type { SharedTable } from './types.js';
+
+/** Identifies a request that comes again: the same caller, path and body. */
+export const computeFingerprint = (
+  account: string,
+  path: string,
+  body: Buffer | undefined,
+): Fingerprint => {
+  const hash = createHash('sha1').update(account).update('\n').update(path).update('\n');
+  if (body !== undefined) hash.update(body);
+  return toId<Fingerprint>(hash.digest('base64url'));
+};
+
+/** Publishes the strikes that this node saw, several with one write. */
+export class StrikePublisher {
+  private readonly recent: Strike[] = [];
+
+  private hasNews = false;
+
+  private isWriting = false;
+
+  private constructor(
+    private readonly nodeName: string,
+    private readonly shared: SharedTable,
+    private readonly log: DecisionLog,
+  ) {}
+
+  static create(nodeName: string, shared: SharedTable, log: DecisionLog): StrikePublisher {
+    return new StrikePublisher(nodeName, shared, log);
+  }
+
+  addStrike(strike: Strike): void {
+    this.recent.push(strike);
+    if (this.recent.length > MAX_PUBLISHED_STRIKES) this.recent.shift();
+    this.hasNews = true;
+  }
+
+  /** Writes what is new; a failed write is tried again with the next call. */
+  async publish(): Promise<void> {
+    if (!this.hasNews || this.isWriting) return;
+    this.isWriting = true;
+    this.hasNews = false;
+    const strikes = this.recent.map(({ fingerprint, endpointStart }) => [fingerprint, endpointStart]);
+    const isWritten = await this.shared.write(`${STRIKES_PREFIX}${this.nodeName}`, { strikes });
+    this.isWriting = false;
+    if (isWritten) return;
+    this.hasNews = true;
+    this.log.recordChange('strikes_not_published', { strikes: strikes.length });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/types.ts
@@ -0,0 +1,139 @@
+import type { EndpointRecord, LoadReport, PromptPart } from '@lovagearch/endpoints';
+import type { TableSource } from '@lovagearch/mirror';
+import type { LeaseStore, OrderClient, WeightTarget } from '@lovagearch/rollout';
+import type { TrafficConfiguration } from '@lovagearch/traffic';
+
+/** The head of a caller's request, decoded. */
+export interface CallerHead {
+  readonly requestId: string;
+  readonly method: string;
+  /** Path and query as the caller sent them. */
+  readonly path: string;
+  readonly host: string;
+  readonly key: string | undefined;
+  /** Time that the caller waits, in milliseconds. */
+  readonly timeLimitMs: number | undefined;
+  /** Last event of a stream that the caller has; 0 without one. */
+  readonly lastEventId: number;
+  readonly model: string | undefined;
+  readonly parts: readonly PromptPart[];
+  readonly promptTokens: number;
+  readonly maxOutputTokens: number;
+  /** Headers that endpoints receive unchanged: names and values in turn. */
+  readonly passedHeaders: readonly string[];
+}
+
+/** What the product adds to a request for an endpoint. */
+export interface SendingDetails {
+  readonly endpointId: string;
+  readonly accountName: string | undefined;
+  readonly remainingMs: number;
+  readonly cacheSalt: string | undefined;
+  /** From 0, the most urgent, to 9; undefined for plain calls. */
+  readonly enginePriority: number | undefined;
+  readonly lastEventId: number;
+}
+
+/** The head of an endpoint's answer, decoded. */
+export interface AnswerHead {
+  readonly status: number;
+  /** The request that the answer belongs to. */
+  readonly requestId: string | undefined;
+  /** Whether the answer bears the endpoint's proof of origin. */
+  readonly isSealed: boolean;
+  /** The endpoint promises that it did not run the request. */
+  readonly isNotRun: boolean;
+  /** The request reached another endpoint than the one that was meant. */
+  readonly isMisdirected: boolean;
+  readonly load: LoadReport | undefined;
+  readonly isEventStream: boolean;
+  readonly weightVersion: number | undefined;
+  /** Headers for the caller: names and values in turn. */
+  readonly callerHeaders: readonly string[];
+}
+
+export type HeadFault = { readonly type: 'bad_request'; readonly reason: string };
+export type HeadResult =
+  | { readonly type: 'fault'; readonly fault: HeadFault }
+  | { readonly type: 'head'; readonly head: CallerHead };
+
+/** Translates between the headers on the wire and the product's types. */
+export interface HeaderCodec {
+  /** Name of the header that bears the id of a request. */
+  readonly requestIdHeader: string;
+  readonly decodeCallerHead: (
+    method: string,
+    path: string,
+    rawHeaders: readonly string[],
+  ) => HeadResult;
+  readonly encodeEndpointHeaders: (head: CallerHead, details: SendingDetails) => string[];
+  readonly decodeAnswerHead: (
+    status: number,
+    headers: Readonly<Record<string, string | string[] | undefined>>,
+  ) => AnswerHead;
+}
+
+export type DecodeResult<Value> =
+  | { readonly type: 'fault'; readonly reason: string }
+  | { readonly type: 'ignored' }
+  | { readonly type: 'value'; readonly value: Value };
+
+/** Translates the rows of the store's tables. */
+export interface RowCodec {
+  /** Table of the configuration and of named weight versions. */
+  readonly operatorTable: string;
+  /** Table of the endpoints' registrations. */
+  readonly endpointTable: string;
+  readonly decodeConfiguration: (key: string, value: string) => DecodeResult<TrafficConfiguration>;
+  readonly decodeWeightTarget: (key: string, value: string) => DecodeResult<WeightTarget>;
+  readonly decodeEndpoint: (key: string, value: string) => DecodeResult<EndpointRecord>;
+  readonly decodeSharedValue: (value: string) => unknown;
+}
+
+/** Writes rows of the shared table. */
+export interface SharedTable {
+  readonly write: (key: string, value: unknown) => Promise<boolean>;
+}
+
+/** Limits that the deployment states for all nodes. */
+export interface GatewayBounds {
+  readonly retryRatio: number;
+  readonly retryWindowS: number;
+  readonly retrySlack: number;
+  readonly graceMs: number;
+  /** Time within which new weights have to be in use. */
+  readonly weightsMs: number;
+  /** Least time between the orders of two holders. */
+  readonly orderTurnMs: number;
+}
+
+export interface GatewaySettings {
+  readonly nodeName: string;
+  readonly zone: string;
+  readonly region: string;
+  readonly regionByZone: ReadonlyMap<string, string>;
+  readonly callerAddress: Address;
+  readonly readinessAddress: Address;
+  readonly peerAddress: Address;
+  readonly metricsPort: number;
+  /** Peers that may introduce this node. */
+  readonly seeds: readonly string[];
+  readonly memoryMb: number;
+  readonly heartbeatMs: number;
+  readonly bounds: GatewayBounds;
+}
+
+export interface Address {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Everything outside the process that the gateway uses. */
+export interface GatewayPorts {
+  readonly headers: HeaderCodec;
+  readonly rows: RowCodec;
+  readonly tables: TableSource;
+  readonly shared: SharedTable;
+  readonly lease: LeaseStore;
+  readonly orders: OrderClient;
+}
--- /dev/null
+++ b/packages/mirror/src/types.ts
@@ -0,0 +1,40 @@
+/** A row of a store table; `value` is undefined if the row was removed. */
+export interface MirroredRow {
+  readonly key: string;
+  /** The store's counter at the row's last change. */
+  readonly version: number;
+  readonly value: string | undefined;
+}
+
+/** Rows of a table as of a version of the store. */
+export interface RowBatch {
+  readonly rows: readonly MirroredRow[];
+  /** Version up to which the rows are complete. */
+  readonly version: number;
+  /** False if the batch holds all rows of the table, true if only those that changed. */
+  readonly isPartial: boolean;
+  /** Age of the batch at its source when it was sent, in milliseconds; 0 from the store itself. */
+  readonly ageMs: number;
+}
+
+export type ReadFailure =
+  | { readonly type: 'history_lost' }
+  | { readonly type: 'unavailable'; readonly reason: string };
+
+export type ReadResult =
+  | { readonly type: 'rows'; readonly batch: RowBatch }
+  | { readonly type: 'failure'; readonly failure: ReadFailure };
+
+/** Where a mirror reads a table from. */
+export interface TableSource {
+  /** Reads all rows. */
+  readonly readAll: (table: string) => Promise<ReadResult>;
+  /** Waits up to `waitMs` for rows that changed after a version. */
+  readonly readChanges: (table: string, afterVersion: number, waitMs: number) => Promise<ReadResult>;
+}
+
+/** Where a mirror reads a table from while the store does not answer. */
+export interface PeerSource {
+  /** Reads what changed after a version, or all rows for version 0, from any peer that answers. */
+  readonly readChanges: (table: string, afterVersion: number) => Promise<ReadResult>;
+}
--- /dev/null
+++ b/packages/rollout/src/constants.ts
@@ -0,0 +1,29 @@
+/**
+ * Time that one confirmation of the lease allows orders, in milliseconds. It is short so that another
+ * node can take over within the bound on new weights.
+ */
+export const ORDER_LEASE_MS = 1_500;
+/** Age of a confirmation from which it is renewed before another order, in milliseconds. */
+export const CONFIRMATION_MAX_AGE_MS = 700;
+/** Added to the receivers' own bound between two holders, in milliseconds. */
+export const TAKEOVER_MARGIN_MS = 300;
+/** Challengers of the lease spread their writes over this time, in milliseconds. */
+export const CHALLENGE_SPREAD_MS = 400;
+/** Time between two looks at what has to be ordered, in milliseconds. */
+export const ROLLOUT_TICK_MS = 150;
+/**
+ * Share of a service's endpoints that may load or wait to load at once. Loads slow each other down
+ * beyond about 0.29 of the endpoints (3 of 13, 2 of 6, 28 of 98 on the users' sheets); those that still
+ * finish their runs don't count among them.
+ */
+export const MAX_CHANGING_SHARE = 0.4;
+/** Time between two looks at an endpoint that is loading, in milliseconds. */
+export const REPORT_INTERVAL_MS = 250;
+/** Time after which an order without effect is given again, in milliseconds. */
+export const ORDER_EFFECT_MS = 5_000;
+/** Pause after an endpoint could not be asked, in milliseconds. */
+export const ORDER_RETRY_MS = 400;
+/** Time that an announced order keeps requests away from an endpoint, in milliseconds. */
+export const ANNOUNCED_ORDER_MS = 4_000;
+/** Least time between two reads of the lease's row beside the mirror, in milliseconds; reads are billed. */
+export const LEASE_READ_INTERVAL_MS = 1_500;
--- /dev/null
+++ b/packages/rollout/src/orderLease.ts
@@ -0,0 +1,195 @@
+import { type Clock, createId, getErrorMessage } from '@lovagearch/common';
+import { Lease, type LeaseRow } from '@lovagearch/leases';
+import {
+  CHALLENGE_SPREAD_MS,
+  CONFIRMATION_MAX_AGE_MS,
+  LEASE_READ_INTERVAL_MS,
+  ORDER_LEASE_MS,
+  TAKEOVER_MARGIN_MS,
+} from './constants.js';
+
+/** Result of a conditional write; after `unknown` it may take effect, also later. */
+export type LeaseWriteResult =
+  | { readonly type: 'conflict'; readonly current: LeaseRow | null }
+  | { readonly type: 'unknown'; readonly reason: string }
+  | { readonly type: 'written'; readonly version: number };
+
+export type LeaseReadResult =
+  | { readonly type: 'row'; readonly row: LeaseRow | null }
+  | { readonly type: 'unavailable'; readonly reason: string };
+
+/** A row that is written together with the lease, or not at all. */
+export interface AnnouncedOrder {
+  readonly endpointId: string;
+  readonly model: string;
+  readonly version: number;
+}
+
+/** The store calls that the lease needs. */
+export interface LeaseStore {
+  readonly read: () => Promise<LeaseReadResult>;
+  readonly write: (
+    value: unknown,
+    ifVersion: number,
+    attemptId: string,
+    announced: AnnouncedOrder | undefined,
+  ) => Promise<LeaseWriteResult>;
+}
+
+export interface OrderLeaseParts {
+  readonly holder: string;
+  readonly store: LeaseStore;
+  readonly clock: Clock;
+  /** Counts time in which the VM was suspended. */
+  readonly suspensionClock: Clock;
+  /** Least time between orders of two holders that receivers accept, in milliseconds. */
+  readonly turnMs: number;
+  readonly random: () => number;
+  readonly onChange: (event: LeaseEvent) => void;
+}
+
+export type LeaseEvent =
+  | { readonly type: 'acquired'; readonly fencing: number }
+  | { readonly type: 'failed'; readonly reason: string }
+  | { readonly type: 'lost'; readonly holder: string };
+
+/** Permission to give orders, which ends by itself. */
+export interface OrderPermit {
+  readonly fencing: number;
+}
+
+/**
+ * The lease on giving orders. It is only kept while there is something to order: each permit is backed
+ * by a conditional write that is younger than a second, also by a clock that counts suspensions.
+ */
+export class OrderLease {
+  private readonly lease: Lease;
+
+  private seenVersion = -1;
+
+  private heldFencing: number | undefined;
+
+  /** Reading of the suspension clock before the last write that took effect was sent. */
+  private confirmedMs = Number.NEGATIVE_INFINITY;
+
+  private nextReadMs = Number.NEGATIVE_INFINITY;
+
+  private constructor(private readonly parts: OrderLeaseParts) {
+    const takeoverDelayMs =
+      parts.turnMs + TAKEOVER_MARGIN_MS + Math.floor(parts.random() * CHALLENGE_SPREAD_MS);
+    const times = {
+      durationMs: ORDER_LEASE_MS,
+      renewalIntervalMs: 0,
+      watchIntervalMs: 0,
+      takeoverDelayMs,
+    };
+    this.lease = Lease.create(parts.holder, times, () => createId('lease'));
+  }
+
+  static create(parts: OrderLeaseParts): OrderLease {
+    return new OrderLease(parts);
+  }
+
+  get holder(): string {
+    return this.parts.holder;
+  }
+
+  /** Whether this process was the last one known to hold the lease. */
+  get isHolder(): boolean {
+    return this.heldFencing !== undefined;
+  }
+
+  /** Takes in the row as the mirror shows it, which may lag behind own writes. */
+  updateRow(row: LeaseRow | null): void {
+    const version = row?.version ?? 0;
+    if (version <= this.seenVersion) return;
+    this.applyRow(row);
+  }
+
+  /** Returns a permit if the last confirmation is young enough for one more order. */
+  getPermit(): OrderPermit | undefined {
+    const { clock, suspensionClock } = this.parts;
+    const fencing = this.lease.getFencing(clock.nowMs());
+    if (fencing === undefined) return undefined;
+    const ageMs = suspensionClock.nowMs() - this.confirmedMs;
+    return ageMs < CONFIRMATION_MAX_AGE_MS ? { fencing } : undefined;
+  }
+
+  /**
+   * Acquires or confirms the lease and announces an order with the same write.
+   *
+   * @returns undefined if another process holds the lease or the store did not confirm it
+   */
+  async confirm(announced: AnnouncedOrder | undefined): Promise<OrderPermit | undefined> {
+    const { clock, store, suspensionClock } = this.parts;
+    const step = this.lease.getNextStep(clock.nowMs());
+    if (step.type === 'wait') return undefined;
+    if (step.type === 'read') {
+      await this.readRow();
+      return undefined;
+    }
+    const sentMs = suspensionClock.nowMs();
+    const { write } = step;
+    const result = await this.tryStore(() =>
+      store.write(write.value, write.ifVersion, write.attemptId, announced),
+    );
+    const nowMs = clock.nowMs();
+    switch (result.type) {
+      case 'written':
+        this.lease.recordWritten(write, result.version, nowMs);
+        this.seenVersion = Math.max(this.seenVersion, result.version);
+        this.confirmedMs = sentMs;
+        this.recordHolding(write.value.fencing);
+        return this.getPermit();
+      case 'conflict':
+        this.applyRow(result.current);
+        return undefined;
+      case 'unknown':
+        this.lease.recordFailure(nowMs);
+        this.parts.onChange({ type: 'failed', reason: result.reason });
+        return undefined;
+      default:
+        return result satisfies never;
+    }
+  }
+
+  private async readRow(): Promise<void> {
+    const nowMs = this.parts.clock.nowMs();
+    if (nowMs < this.nextReadMs) return;
+    this.nextReadMs = nowMs + LEASE_READ_INTERVAL_MS;
+    const result = await this.parts.store.read();
+    if (result.type === 'row') this.applyRow(result.row);
+    else {
+      this.lease.recordFailure(this.parts.clock.nowMs());
+      this.parts.onChange({ type: 'failed', reason: result.reason });
+    }
+  }
+
+  private applyRow(row: LeaseRow | null): void {
+    this.seenVersion = Math.max(this.seenVersion, row?.version ?? 0);
+    this.lease.updateRow(row, this.parts.clock.nowMs());
+    if (this.heldFencing === undefined) return;
+    if (this.lease.getFencing(this.parts.clock.nowMs()) !== undefined) return;
+    const holder =
+      typeof row?.value === 'object' && row.value !== null && 'holder' in row.value
+        ? String(row.value.holder)
+        : '';
+    if (holder === this.parts.holder) return;
+    this.heldFencing = undefined;
+    this.parts.onChange({ type: 'lost', holder });
+  }
+
+  private recordHolding(fencing: number): void {
+    if (this.heldFencing === fencing) return;
+    this.heldFencing = fencing;
+    this.parts.onChange({ type: 'acquired', fencing });
+  }
+
+  private async tryStore(call: () => Promise<LeaseWriteResult>): Promise<LeaseWriteResult> {
+    try {
+      return await call();
+    } catch (error) {
+      return { type: 'unknown', reason: getErrorMessage(error) };
+    }
+  }
+}
--- /dev/null
+++ b/packages/rollout/src/rolloutCoordinator.ts
@@ -0,0 +1,160 @@
+import { setTimeout as waitMs } from 'node:timers/promises';
+import type { Clock } from '@lovagearch/common';
+import {
+  CHALLENGE_SPREAD_MS,
+  ORDER_EFFECT_MS,
+  ORDER_RETRY_MS,
+  REPORT_INTERVAL_MS,
+  ROLLOUT_TICK_MS,
+} from './constants.js';
+import type { OrderLease } from './orderLease.js';
+import { type PlannedOrder, planOrders } from './planOrders.js';
+import type { OrderClient, OrderResult, RolloutEndpoint, WeightTarget } from './types.js';
+
+export type RolloutEvent =
+  | { readonly type: 'finished'; readonly endpointId: string; readonly version: number; readonly tookMs: number }
+  | {
+      readonly type: 'ordered';
+      readonly endpointId: string;
+      readonly version: number;
+      readonly fencing: number;
+      readonly result: OrderResult;
+    }
+  | { readonly type: 'unfinished'; readonly endpointId: string; readonly version: number; readonly reason: string };
+
+export interface RolloutParts {
+  readonly lease: OrderLease;
+  readonly client: OrderClient;
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly listEndpoints: () => readonly RolloutEndpoint[];
+  readonly listTargets: () => readonly WeightTarget[];
+  readonly onEvent: (event: RolloutEvent) => void;
+  /** Called when an endpoint reports weights, which is sooner than its registration does. */
+  readonly onWeights: (endpoint: RolloutEndpoint, weights: ReadonlyMap<string, number>) => void;
+}
+
+/**
+ * Brings endpoints to the weight versions that operators name. All nodes run it; the holder of the
+ * lease gives orders, the others wait until the lease is free.
+ */
+export class RolloutCoordinator {
+  private readonly changing = new Set<string>();
+
+  private isStopped = false;
+
+  /** Confirmations go one after another, as each needs the row version of the one before. */
+  private confirmation: Promise<unknown> = Promise.resolve();
+
+  private challengeMs = 0;
+
+  private hadWork = false;
+
+  private constructor(private readonly parts: RolloutParts) {}
+
+  static create(parts: RolloutParts): RolloutCoordinator {
+    return new RolloutCoordinator(parts);
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  /** Runs until `stop` is called. It never throws. */
+  async run(): Promise<void> {
+    while (!this.isStopped) {
+      await waitMs(ROLLOUT_TICK_MS, undefined, { ref: false });
+      if (!this.isStopped) await this.runOnce();
+    }
+  }
+
+  private async runOnce(): Promise<void> {
+    const { listEndpoints, listTargets, lease, clock, random } = this.parts;
+    const { changing } = this;
+    const planned = planOrders({ endpoints: listEndpoints(), targets: listTargets(), changing });
+    if (planned.length === 0) {
+      this.hadWork = changing.size > 0;
+      return;
+    }
+    if (!this.hadWork) {
+      this.hadWork = true;
+      // The last holder goes first; the others would only collide with it.
+      this.challengeMs = clock.nowMs() + (lease.isHolder ? 0 : random() * CHALLENGE_SPREAD_MS);
+    }
+    if (clock.nowMs() < this.challengeMs) return;
+    if (!lease.isHolder && (await this.confirmLease(undefined)) === undefined) return;
+    for (const order of planned) {
+      if (!lease.isHolder) return;
+      changing.add(order.endpoint.id);
+      void this.carryOut(order).finally(() => changing.delete(order.endpoint.id));
+    }
+  }
+
+  private confirmLease(order: PlannedOrder | undefined) {
+    const { lease } = this.parts;
+    const announced =
+      order === undefined
+        ? undefined
+        : { endpointId: order.endpoint.id, ...order.target };
+    const next = this.confirmation.then(() => lease.confirm(announced));
+    this.confirmation = next.catch(() => undefined);
+    return next;
+  }
+
+  /** Gives one order and follows it until it shows or its time is up. */
+  private async carryOut(order: PlannedOrder): Promise<void> {
+    const { clock, onEvent } = this.parts;
+    const { endpoint, target } = order;
+    const startMs = clock.nowMs();
+    let isOrdered = false;
+    while (!this.isStopped && clock.nowMs() - startMs < ORDER_EFFECT_MS) {
+      const report = await this.parts.client.readReport(endpoint);
+      if (report !== undefined) this.parts.onWeights(endpoint, report.weights);
+      if (report === undefined) await waitMs(ORDER_RETRY_MS);
+      else if ((report.weights.get(target.model) ?? 0) >= target.version) {
+        onEvent({
+          type: 'finished',
+          endpointId: endpoint.id,
+          version: target.version,
+          tookMs: Math.round(clock.nowMs() - startMs),
+        });
+        return;
+      } else if (report.isBusy) await waitMs(REPORT_INTERVAL_MS);
+      else {
+        const result = await this.giveOrder(order, report.acceptedOrders);
+        if (result === undefined || result.type === 'fenced') return;
+        isOrdered ||= result.type === 'accepted';
+        await waitMs(result.type === 'accepted' ? REPORT_INTERVAL_MS : ORDER_RETRY_MS);
+      }
+    }
+    const reason = isOrdered ? 'no effect in time' : 'no order accepted in time';
+    onEvent({ type: 'unfinished', endpointId: endpoint.id, version: target.version, reason });
+  }
+
+  private async giveOrder(
+    order: PlannedOrder,
+    ifAcceptedOrders: number,
+  ): Promise<OrderResult | undefined> {
+    const { lease, client, onEvent } = this.parts;
+    const { endpoint, target } = order;
+    if ((await this.confirmLease(order)) === undefined) return undefined;
+    // Read again right before the effect: the process may have been suspended meanwhile.
+    const permit = lease.getPermit();
+    if (permit === undefined) return undefined;
+    const result = await client.sendOrder({
+      endpoint,
+      target,
+      holder: lease.holder,
+      fencing: permit.fencing,
+      ifAcceptedOrders,
+    });
+    onEvent({
+      type: 'ordered',
+      endpointId: endpoint.id,
+      version: target.version,
+      fencing: permit.fencing,
+      result,
+    });
+    return result;
+  }
+}
--- /dev/null
+++ b/packages/traffic/src/trafficRules.ts
@@ -0,0 +1,108 @@
+import type {
+  Account,
+  CallerLimits,
+  Route,
+  RouteTarget,
+  Service,
+  TrafficConfiguration,
+} from './types.js';
+
+/** Lookups on one version of the configuration. They take constant time in the number of routes. */
+export class TrafficRules {
+  private constructor(
+    readonly version: number,
+    readonly limits: CallerLimits,
+    /** False if requests carry no keys. */
+    readonly hasAccounts: boolean,
+    private readonly routesByHost: ReadonlyMap<string, ReadonlyMap<string, Route>>,
+    private readonly accountsByKey: ReadonlyMap<string, Account>,
+    private readonly services: ReadonlyMap<string, Service>,
+  ) {}
+
+  /**
+   * @example
+   * const rules = TrafficRules.create(configuration);
+   * const route = rules.findRoute('pule25.example', '/puxa400/2f');
+   */
+  static create(configuration: TrafficConfiguration): TrafficRules {
+    const routesByHost = new Map<string, Map<string, Route>>();
+    for (const route of configuration.routes) {
+      const host = route.host.toLowerCase();
+      const routes = routesByHost.get(host) ?? new Map<string, Route>();
+      routes.set(route.prefix, route);
+      routesByHost.set(host, routes);
+    }
+    const accountsByKey = new Map<string, Account>();
+    for (const account of configuration.accounts ?? []) {
+      for (const key of account.keys) accountsByKey.set(key, account);
+    }
+    return new TrafficRules(
+      configuration.version,
+      configuration.limits,
+      configuration.accounts !== undefined,
+      routesByHost,
+      accountsByKey,
+      new Map(configuration.services.map((service) => [service.name, service])),
+    );
+  }
+
+  /** Finds the route with the longest prefix that begins the path; the query doesn't count. */
+  findRoute(host: string, pathWithQuery: string): Route | undefined {
+    const routes = this.routesByHost.get(host.toLowerCase());
+    if (routes === undefined) return undefined;
+    const queryStart = pathWithQuery.indexOf('?');
+    const path = queryStart < 0 ? pathWithQuery : pathWithQuery.slice(0, queryStart);
+    for (let end = path.lastIndexOf('/'); end >= 0; end = path.lastIndexOf('/', end - 1)) {
+      const route = routes.get(path.slice(0, end + 1));
+      if (route !== undefined) return route;
+      // lastIndexOf takes a negative position for 0 and would find the first slash again.
+      if (end === 0) return undefined;
+    }
+    return undefined;
+  }
+
+  findAccount(key: string): Account | undefined {
+    return this.accountsByKey.get(key);
+  }
+
+  findService(name: string): Service | undefined {
+    return this.services.get(name);
+  }
+
+  listServices(): IterableIterator<Service> {
+    return this.services.values();
+  }
+}
+
+/**
+ * Chooses the service of a request by the weights of a route's targets.
+ *
+ * @param draw a number from 0 (included) to 1 (excluded)
+ */
+export const chooseTarget = (
+  targets: readonly RouteTarget[],
+  draw: number,
+): RouteTarget | undefined => {
+  const total = targets.reduce((sum, { weight }) => sum + weight, 0);
+  let left = draw * total;
+  for (const target of targets) {
+    if (target.weight <= 0) continue;
+    left -= target.weight;
+    if (left < 0) return target;
+  }
+  return targets.findLast(({ weight }) => weight > 0);
+};
+
+/** Returns whether a request of a route may run more than once. */
+export const isRepeatable = (route: Route): boolean => {
+  switch (route.kind) {
+    case 'idempotent':
+      return true;
+    case 'non_idempotent':
+      return false;
+    case 'streaming':
+      return route.isResumable;
+    default:
+      return route.kind satisfies never;
+  }
+};
--- /dev/null
+++ b/scripts/build-target.mjs
@@ -0,0 +1,29 @@
+// Bundles the gateway for deployment into target/, from sources, so that nothing else has to be built.
+import { fileURLToPath } from 'node:url';
+import { dirname, join } from 'node:path';
+import { build } from 'esbuild';
+
+const root = dirname(dirname(fileURLToPath(import.meta.url)));
+
+const workspacePlugin = {
+  name: 'workspace',
+  setup({ onResolve }) {
+    onResolve({ filter: /^@lovagearch\// }, ({ path }) => ({
+      path: join(root, 'packages', path.split('/')[1], 'src', 'index.ts'),
+      // Modules of the workspace only define things, so unused ones and their libraries are left out.
+      sideEffects: false,
+    }));
+  },
+};
+
+await build({
+  entryPoints: { 'lovagearch-gateway': join(root, 'platform/src/main.ts') },
+  outdir: join(root, 'target'),
+  outExtension: { '.js': '.cjs' },
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  logLevel: 'warning',
+  plugins: [workspacePlugin],
+});
