--- a/packages/gateway/src/beliefs.ts
+++ b/packages/gateway/src/beliefs.ts
@@ -5,7 +5,7 @@
 import type { AnnouncedOrder, WeightTarget } from '@lovagearch/rollout';
 import { ANNOUNCED_ORDER_MS } from '@lovagearch/rollout';
 import { TrafficRules } from '@lovagearch/traffic';
-import { z } from 'zod';
+import * as z from 'zod';
 import { LAPSE_GRACE_MS, LAPSE_WINDOW_MS } from './constants.js';
 import type { DecisionLog } from './decisionLog.js';
 import type { RowCodec } from './types.js';
--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -39,7 +39,7 @@
   const destination = pino.destination({
     fd: 1,
     sync: false,
-    minLength: 16_384,
+    minLength: 8_192,
     maxLength: MAX_LOG_BUFFER_BYTES,
     periodicFlush: LOG_FLUSH_MS,
   });
--- a/packages/gateway/src/peerExchange.ts
+++ b/packages/gateway/src/peerExchange.ts
@@ -3,7 +3,7 @@
 import { type Clock, getErrorMessage } from '@lovagearch/common';
 import type { PeerSource, ReadResult, RowBatch, TableMirror } from '@lovagearch/mirror';
 import { Agent, request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import { PEER_COPY_MAX_AGE_MS, PEER_TIMEOUT_MS, PEERS_ASKED } from './constants.js';
 
 const batchSchema = z.object({
--- a/packages/leases/src/types.ts
+++ b/packages/leases/src/types.ts
@@ -1,5 +1,5 @@
 import type { ResultAsync } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import { MAX_LEASE_MS } from './constants.js';
 
 /** Value of a row `lease/<service>/<region>`. An empty holder means that the lease was given up. */
--- a/scripts/build-target.mjs
+++ b/scripts/build-target.mjs
@@ -13,6 +13,10 @@
       // Modules of the workspace only define things, so unused ones and their libraries are left out.
       sideEffects: false,
     }));
+    // Each package has its own copy of undici, as a development tool holds an older one at the root.
+    onResolve({ filter: /^undici$/ }, () => ({
+      path: join(root, 'packages/exchange/node_modules/undici/index.js'),
+    }));
   },
 };
 
