--- a/packages/endpoints/src/chooseEndpoint.ts
+++ b/packages/endpoints/src/chooseEndpoint.ts
@@ -3,6 +3,7 @@
   CROSS_REGION_PENALTY_MS,
   CROSS_REGION_ROUND_TRIP_MS,
   CROSS_ZONE_PENALTY_MS,
+  CROSS_ZONE_TRANSFER_FACTOR,
   FAILURE_COST_MS,
   NEAR_TIE_SHARE,
   PREFILL_COST_WEIGHT,
@@ -11,6 +12,7 @@
   SAME_REGION_ROUND_TRIP_MS,
   SAME_ZONE_ROUND_TRIP_MS,
   SILENT_HEARTBEATS,
+  STORE_HOLD_SHARE,
   WAITING_REQUEST_MS,
 } from './constants.js';
 import type { Endpoint } from './endpoint.js';
@@ -51,6 +53,34 @@
   return { roundTripMs: CROSS_REGION_ROUND_TRIP_MS, penaltyMs: CROSS_REGION_PENALTY_MS };
 };
 
+interface ReadTimes {
+  readonly prefillMs: number;
+  readonly transferMs: number;
+}
+
+/** Splits the tokens that an endpoint lacks into those that a store VM near it may hold and the rest. */
+const computeReadTimes = (
+  { request, place }: ChoiceInput,
+  endpoint: Endpoint,
+  uncachedTokens: number,
+): ReadTimes => {
+  const { store, parts } = request;
+  const ownTokens = parts.at(-1)?.tokens ?? 0;
+  const sharedTokens = Math.max(0, uncachedTokens - ownTokens);
+  const storeRegion = store === undefined ? undefined : place.regionByZone.get(store.zone);
+  const isNear =
+    storeRegion !== undefined && storeRegion === place.regionByZone.get(endpoint.record.zone);
+  if (store === undefined || !isNear || sharedTokens === 0) {
+    return { prefillMs: uncachedTokens / PREFILL_TOKENS_PER_MS, transferMs: 0 };
+  }
+  const factor = store.zone === endpoint.record.zone ? 1 : CROSS_ZONE_TRANSFER_FACTOR;
+  const storedTokens = sharedTokens * STORE_HOLD_SHARE;
+  return {
+    prefillMs: (uncachedTokens - storedTokens) / PREFILL_TOKENS_PER_MS,
+    transferMs: store.firstMs + storedTokens * store.msPerToken * factor,
+  };
+};
+
 const computePlacement = (
   input: ChoiceInput,
   endpoint: Endpoint,
@@ -80,13 +110,12 @@
     nowMs,
   );
   const uncachedTokens = promptTokens - cached;
-  const prefillMs = uncachedTokens / PREFILL_TOKENS_PER_MS;
+  const { prefillMs, transferMs } = computeReadTimes(input, endpoint, uncachedTokens);
   const pendingMs = endpoint.pendingTokens / PREFILL_TOKENS_PER_MS;
-  const queueMs =
-    Math.max(waiting * WAITING_REQUEST_MS, pendingMs) + running * RUNNING_REQUEST_MS;
-  const expectedMs = roundTripMs + queueMs + prefillMs;
+  const queueMs = Math.max(waiting * WAITING_REQUEST_MS, pendingMs) + running * RUNNING_REQUEST_MS;
+  const expectedMs = roundTripMs + queueMs + prefillMs + transferMs;
   const costMs =
-    roundTripMs + penaltyMs + queueMs + prefillMs * PREFILL_COST_WEIGHT + failureMs;
+    roundTripMs + penaltyMs + queueMs + prefillMs * PREFILL_COST_WEIGHT + transferMs + failureMs;
   return { endpointId: endpoint.record.id, expectedMs, uncachedTokens, costMs, candidates: 0 };
 };
 
@@ -111,6 +140,19 @@
   return unsuspended.length > 0 ? unsuspended : allowed;
 };
 
+/** Returns the endpoint that holds a prompt's shared parts, if any does; one near their store. */
+const chooseOwnerId = ({ request, endpoints }: ChoiceInput): string | undefined => {
+  const part = getAffinityPart(request.parts);
+  if (part === undefined) return undefined;
+  const near = endpoints.filter(({ record }) => record.zone === request.store?.zone);
+  // All ready endpoints take part, so that a short suspension doesn't move every prompt.
+  const candidates = near.length > 0 ? near : endpoints;
+  return chooseOwner(
+    `${request.cacheSalt ?? ''}/${part.id}`,
+    candidates.map(({ record }) => record.id),
+  );
+};
+
 /**
  * Chooses the endpoint with the least cost: waiting, reading what is not cached, distance and the
  * share of failed answers. Near ties are drawn, so that nodes with the same view don't all choose the
@@ -124,15 +166,7 @@
 export const chooseEndpoint = (input: ChoiceInput): Placement | undefined => {
   const usable = selectUsable(input);
   if (usable.length === 0) return undefined;
-  const affinityPart = getAffinityPart(input.request.parts);
-  // All ready endpoints take part, so that a short suspension doesn't move every prompt.
-  const ownerId =
-    affinityPart === undefined
-      ? undefined
-      : chooseOwner(
-          `${input.request.cacheSalt ?? ''}/${affinityPart.id}`,
-          input.endpoints.map(({ record }) => record.id),
-        );
+  const ownerId = chooseOwnerId(input);
   const placements = usable.map((endpoint) => computePlacement(input, endpoint, ownerId));
   const best = placements.reduce((least, placement) =>
     placement.costMs < least.costMs ? placement : least,
--- a/packages/endpoints/src/constants.ts
+++ b/packages/endpoints/src/constants.ts
@@ -30,6 +30,10 @@
 export const WORK_EWMA_WEIGHT = 0.1;
 /** Share of a prompt that its affinity owner is expected to hold; memory is short everywhere. */
 export const OWNER_HOLD_SHARE = 0.7;
+/** Share of prompts whose shared parts a store VM is expected to hold. */
+export const STORE_HOLD_SHARE = 0.6;
+/** Factor of a transfer's time between two availability zones of a region. */
+export const CROSS_ZONE_TRANSFER_FACTOR = 2;
 /** Time for which a prompt part that was sent to an endpoint counts as kept there. */
 export const PART_MEMORY_MS = 30_000;
 /** Prompt parts whose last endpoint is remembered. */
--- a/packages/endpoints/src/endpoint.ts
+++ b/packages/endpoints/src/endpoint.ts
@@ -115,7 +115,8 @@
       case 'answered':
         this.transportFailures = 0;
         this.suspendedUntilMs = Number.NEGATIVE_INFINITY;
-        this.failureShare += ((outcome.isFailure ? 1 : 0) - this.failureShare) * FAILURE_EWMA_WEIGHT;
+        this.failureShare +=
+          ((outcome.isFailure ? 1 : 0) - this.failureShare) * FAILURE_EWMA_WEIGHT;
         if (!outcome.isFailure) this.workMs += (outcome.workMs - this.workMs) * WORK_EWMA_WEIGHT;
         return;
       case 'rejected':
--- /dev/null
+++ b/packages/endpoints/src/endpoints.test.ts
@@ -0,0 +1,176 @@
+import fc from 'fast-check';
+import t from 'tap';
+import { createRandom } from '@lovagearch/common';
+import {
+  chooseEndpoint,
+  type ChoiceInput,
+  chooseOwner,
+  Endpoint,
+  type EndpointRecord,
+  EndpointTable,
+  FIRST_SUSPENSION_MS,
+  MAX_SUSPENSION_MS,
+  PromptMemory,
+} from './index.js';
+
+const createRecord = (id: string, overrides: Partial<EndpointRecord> = {}): EndpointRecord => ({
+  id,
+  startedUnixMs: 1,
+  service: 'llm',
+  address: '10.0.0.1:80',
+  zone: 'z1',
+  slots: 4,
+  state: 'ready',
+  warmupRemainingMs: 0,
+  heartbeat: 1,
+  weights: new Map(),
+  ...overrides,
+});
+
+const PLACE = {
+  zone: 'z1',
+  region: 'r1',
+  regionByZone: new Map([
+    ['z1', 'r1'],
+    ['z2', 'r1'],
+    ['z3', 'r2'],
+  ]),
+};
+
+const createInput = (
+  endpoints: readonly Endpoint[],
+  overrides: Partial<ChoiceInput['request']> = {},
+): ChoiceInput => ({
+  request: {
+    service: 'llm',
+    parts: [],
+    cacheSalt: undefined,
+    store: undefined,
+    model: undefined,
+    excluded: new Set(),
+    minWeightVersion: 0,
+    ...overrides,
+  },
+  endpoints,
+  memory: PromptMemory.create(),
+  place: PLACE,
+  heartbeatMs: 1_000,
+  areHeartbeatsCurrent: true,
+  nowMs: 0,
+  random: createRandom(1),
+});
+
+t.test(
+  'an entry that lapsed while the store was away stays in use until it had time to return',
+  async (t2) => {
+    const table = EndpointTable.create();
+    table.applyRecord(createRecord('i-1'), 0);
+    t2.equal(table.applyRemoval('i-1', 2_000, 100)?.type, 'lapsed');
+    t2.equal(table.listReady('llm').length, 1);
+    t2.strictSame(table.removeLapsed(2_000), []);
+    t2.equal(table.removeLapsed(2_100)[0]?.type, 'removed');
+    t2.equal(table.listReady('llm').length, 0);
+  },
+);
+
+t.test('a lapsed entry that comes back is kept', async (t2) => {
+  const table = EndpointTable.create();
+  table.applyRecord(createRecord('i-1'), 0);
+  table.applyRemoval('i-1', 2_000, 100);
+  table.applyRecord(createRecord('i-1', { heartbeat: 2 }), 500);
+  t2.strictSame(table.removeLapsed(5_000), []);
+  t2.equal(table.size, 1);
+});
+
+t.test('a heartbeat of an earlier start or an earlier moment changes nothing', async (t2) => {
+  const table = EndpointTable.create();
+  table.applyRecord(createRecord('i-1', { startedUnixMs: 10, heartbeat: 5, state: 'draining' }), 0);
+  t2.equal(
+    table.applyRecord(createRecord('i-1', { startedUnixMs: 9, heartbeat: 9 }), 1),
+    undefined,
+  );
+  t2.equal(
+    table.applyRecord(createRecord('i-1', { startedUnixMs: 10, heartbeat: 4 }), 1),
+    undefined,
+  );
+  t2.equal(table.listReady('llm').length, 0);
+  const restart = table.applyRecord(createRecord('i-1', { startedUnixMs: 11, heartbeat: 1 }), 2);
+  t2.equal(restart?.type, 'restarted');
+  t2.equal(table.listReady('llm').length, 1);
+});
+
+t.test(
+  'failures of one crash suspend an endpoint once, and repeated crashes for longer',
+  async (t2) => {
+    const endpoint = Endpoint.create(createRecord('i-1'), 0);
+    endpoint.recordTransportFailure(0);
+    endpoint.recordTransportFailure(1);
+    t2.ok(endpoint.isSuspended(FIRST_SUSPENSION_MS - 1));
+    t2.notOk(endpoint.isSuspended(FIRST_SUSPENSION_MS));
+    let nowMs = FIRST_SUSPENSION_MS;
+    for (let crash = 0; crash < 12; crash++) {
+      endpoint.recordTransportFailure(nowMs);
+      nowMs += MAX_SUSPENSION_MS;
+      t2.notOk(endpoint.isSuspended(nowMs));
+    }
+  },
+);
+
+t.test(
+  'an excluded endpoint is never chosen, and a suspended one only if nothing else is left',
+  async (t2) => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.record({ isExcluded: fc.boolean(), isSuspended: fc.boolean() }), {
+          maxLength: 6,
+        }),
+        (states) => {
+          const endpoints = states.map((_, index) =>
+            Endpoint.create(createRecord(`i-${index}`), 0),
+          );
+          const excluded = new Set<string>();
+          for (const [index, state] of states.entries()) {
+            if (state.isExcluded) excluded.add(`i-${index}`);
+            if (state.isSuspended) endpoints[index]!.recordTransportFailure(0);
+          }
+          const placement = chooseEndpoint(createInput(endpoints, { excluded }));
+          const usable = states.filter(({ isExcluded }) => !isExcluded);
+          if (usable.length === 0) t2.equal(placement, undefined);
+          else {
+            const index = Number(placement!.endpointId.slice(2));
+            t2.notOk(states[index]!.isExcluded);
+            const hasSteady = usable.some(({ isSuspended }) => !isSuspended);
+            if (hasSteady) t2.notOk(states[index]!.isSuspended);
+          }
+        },
+      ),
+    );
+  },
+);
+
+t.test(
+  'a returning prompt goes to the endpoint that read it, unless that one is crowded',
+  async (t2) => {
+    const endpoints = ['i-1', 'i-2', 'i-3'].map((id) =>
+      Endpoint.create(createRecord(id, { slots: 64 }), 0),
+    );
+    const parts = [
+      { id: 'system', tokens: 500 },
+      { id: 'session', tokens: 8_000 },
+      { id: 'own', tokens: 2_000 },
+    ];
+    const owner = chooseOwner('/session', ['i-1', 'i-2', 'i-3']);
+    t2.equal(chooseEndpoint(createInput(endpoints, { parts }))?.endpointId, owner);
+    const crowded = endpoints.find(({ record }) => record.id === owner)!;
+    crowded.recordLoad({ running: 64, waiting: 40, slots: 64 }, 0);
+    t2.not(chooseEndpoint(createInput(endpoints, { parts }))?.endpointId, owner);
+  },
+);
+
+t.test('a plain call stays in its zone unless the endpoints there are full', async (t2) => {
+  const near = Endpoint.create(createRecord('near'), 0);
+  const far = Endpoint.create(createRecord('far', { zone: 'z3' }), 0);
+  t2.equal(chooseEndpoint(createInput([near, far]))?.endpointId, 'near');
+  near.recordLoad({ running: 4, waiting: 30, slots: 4 }, 0);
+  t2.equal(chooseEndpoint(createInput([near, far]))?.endpointId, 'far');
+});
--- a/packages/endpoints/src/types.ts
+++ b/packages/endpoints/src/types.ts
@@ -31,6 +31,14 @@
   readonly tokens: number;
 }
 
+/** The store VM that keeps the shared parts of a prompt, and the speed of a transfer from it. */
+export interface StoreReach {
+  readonly zone: string;
+  readonly firstMs: number;
+  /** Within a zone; longer between zones. */
+  readonly msPerToken: number;
+}
+
 /** What a choice needs to know of a request. */
 export interface PlacementRequest {
   readonly service: string;
@@ -38,6 +46,7 @@
   readonly parts: readonly PromptPart[];
   /** Cached parts are found only under the same value. */
   readonly cacheSalt: string | undefined;
+  readonly store: StoreReach | undefined;
   readonly model: string | undefined;
   /** Endpoints that had this request before. */
   readonly excluded: ReadonlySet<string>;
--- a/packages/exchange/src/endpointConnection.ts
+++ b/packages/exchange/src/endpointConnection.ts
@@ -38,7 +38,8 @@
       keepAliveMaxTimeout: MAX_IDLE_CONNECTION_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
       maxHeaderSize: MAX_ANSWER_HEADER_BYTES,
-      connect: (options, callback) => this.openSocket(options.hostname, Number(options.port), callback),
+      connect: (options, callback) =>
+        this.openSocket(options.hostname, Number(options.port), callback),
     });
     this.client.on('disconnect', () => this.close());
     this.client.on('connectionError', () => this.close());
@@ -167,6 +168,11 @@
       this.hasSocketFailed = true;
       answer(error, null);
     });
+    socket.once('end', () => {
+      // libuv reports the end of the stream for a reset that arrives with data. A connection that was
+      // reset has no peer any more, while one that the peer ended still has.
+      if (socket.remotePort === undefined) this.hasSocketFailed = true;
+    });
     socket.once('close', () => answer(new Error('closed while connecting'), null));
     socket.once('connect', () => answer(null, socket));
   }
--- a/packages/exchange/src/eventFraming.ts
+++ b/packages/exchange/src/eventFraming.ts
@@ -22,7 +22,7 @@
 
 /** Returns the id of an event (`id: 12`), or undefined if it has none or one that is no number. */
 const readEventId = (bytes: Buffer, start: number, end: number): number | undefined => {
-  for (let lineStart = start; lineStart < end; ) {
+  for (let lineStart = start; lineStart < end;) {
     let lineEnd = bytes.indexOf(LINE_FEED, lineStart);
     if (lineEnd < 0 || lineEnd > end) lineEnd = end;
     if (bytes.toString('latin1', lineStart, lineStart + ID_FIELD.length) === ID_FIELD) {
--- /dev/null
+++ b/packages/exchange/src/exchange.test.ts
@@ -0,0 +1,175 @@
+import { createServer, type Socket } from 'node:net';
+import { once } from 'node:events';
+import fc from 'fast-check';
+import t from 'tap';
+import { ConnectionPool, decideNext, EventFraming, type RetryInput } from './index.js';
+
+const BASE: RetryInput = {
+  result: { type: 'broken' },
+  isRepeatable: true,
+  runs: 1,
+  sends: 1,
+  maxRuns: 2,
+  remainingMs: 1_000,
+  expectedMs: 100,
+  hasAlternative: true,
+  hasBudget: true,
+  hasDelivered: false,
+};
+
+t.test(
+  'a request that may have run is never refused as not run, nor repeated if unsafe',
+  async (t2) => {
+    const input = fc.record({
+      result: fc.constantFrom<RetryInput['result']>(
+        { type: 'answered', isFailure: true },
+        { type: 'answered', isFailure: false },
+        { type: 'not_run', wasReceived: true },
+        { type: 'not_run', wasReceived: false },
+        { type: 'broken' },
+        { type: 'stalled' },
+      ),
+      isRepeatable: fc.boolean(),
+      runs: fc.integer({ min: 0, max: 3 }),
+      sends: fc.integer({ min: 1, max: 4 }),
+      maxRuns: fc.integer({ min: 1, max: 3 }),
+      remainingMs: fc.integer({ min: 0, max: 500 }),
+      expectedMs: fc.integer({ min: 0, max: 500 }),
+      hasAlternative: fc.boolean(),
+      hasBudget: fc.boolean(),
+      hasDelivered: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(input, (one) => {
+        const step = decideNext(one);
+        const hasRun = one.runs > 0 || one.result.type !== 'not_run';
+        if (step.type === 'refuse') t2.notOk(one.runs > 0 || one.hasDelivered);
+        if (step.type === 'retry') {
+          t2.ok(one.hasBudget && one.hasAlternative && one.runs < one.maxRuns);
+          t2.notOk(hasRun && !one.isRepeatable && one.result.type !== 'not_run');
+        }
+      }),
+    );
+  },
+);
+
+t.test('an answer of the endpoint is delivered when nothing better is left', async (t2) => {
+  const result = { type: 'answered', isFailure: true } as const;
+  t2.equal(decideNext({ ...BASE, result }).type, 'retry');
+  t2.equal(decideNext({ ...BASE, result, hasBudget: false }).type, 'deliver');
+  t2.equal(decideNext({ ...BASE, result, isRepeatable: false }).type, 'deliver');
+});
+
+const createEvent = (id: number) => `id: ${id}\ndata: piece ${id}\n\n`;
+
+t.test('events cut at any byte come out whole and in order', async (t2) => {
+  fc.assert(
+    fc.property(
+      fc.integer({ min: 1, max: 12 }),
+      fc.array(fc.integer({ min: 1, max: 40 }), { maxLength: 20 }),
+      (count, cuts) => {
+        const text = Array.from({ length: count }, (_, index) => createEvent(index + 1)).join('');
+        const framing = EventFraming.create(0);
+        let out = '';
+        let rest = Buffer.from(text);
+        for (const cut of [...cuts, text.length]) {
+          const result = framing.addBytes(rest.subarray(0, cut));
+          rest = rest.subarray(cut);
+          if (result.type === 'events') out += result.events.bytes.toString();
+          t2.not(result.type, 'fault');
+          t2.ok(out === '' || out.endsWith('\n\n'));
+        }
+        t2.equal(out, text);
+        t2.equal(framing.lastEventId, count);
+      },
+    ),
+  );
+});
+
+t.test('a second run that begins again does not repeat events', async (t2) => {
+  const framing = EventFraming.create(0);
+  framing.addBytes(Buffer.from(createEvent(1) + createEvent(2) + 'id: 3\nda'));
+  framing.dropRest();
+  t2.equal(framing.addBytes(Buffer.from(createEvent(2))).type, 'fault');
+  t2.equal(framing.addBytes(Buffer.from(createEvent(3))).type, 'events');
+});
+
+/** Serves one raw answer for each connection. */
+const startRawServer = async (answer: (socket: Socket) => void) => {
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => answer(socket));
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const address = server.address();
+  return { server, port: typeof address === 'object' && address !== null ? address.port : 0 };
+};
+
+const sendOnce = (pool: ConnectionPool, port: number): Promise<string> =>
+  new Promise((resolve) => {
+    let body = '';
+    const request = { method: 'GET', path: '/', headers: ['host', 'x'], body: undefined };
+    pool.send('i-1', `127.0.0.1:${port}`, 4, request, {
+      onHead: () => undefined,
+      onData: (chunk) => {
+        body += chunk.toString();
+      },
+      onEnd: () => resolve(`end:${body}`),
+      onFailure: ({ type }) => resolve(type),
+    });
+  });
+
+t.test('an answer without length that is reset is not taken for whole', async (t2) => {
+  const { server, port } = await startRawServer((socket) => {
+    socket.write('HTTP/1.1 200 OK\r\n\r\npart', () => {
+      setImmediate(() => socket.resetAndDestroy());
+    });
+  });
+  const pool = ConnectionPool.create();
+  t2.equal(await sendOnce(pool, port), 'broken');
+  pool.closeAll();
+  server.close();
+});
+
+t.test('an answer without length that ends is whole', async (t2) => {
+  const { server, port } = await startRawServer((socket) => {
+    socket.end('HTTP/1.1 200 OK\r\n\r\nwhole');
+  });
+  const pool = ConnectionPool.create();
+  t2.equal(await sendOnce(pool, port), 'end:whole');
+  pool.closeAll();
+  server.close();
+});
+
+t.test('an answer that breaks off before its length is not whole', async (t2) => {
+  const { server, port } = await startRawServer((socket) => {
+    socket.end('HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart');
+  });
+  const pool = ConnectionPool.create();
+  t2.equal(await sendOnce(pool, port), 'broken');
+  pool.closeAll();
+  server.close();
+});
+
+t.test('a refused connection proves that nothing was sent', async (t2) => {
+  const { server, port } = await startRawServer(() => undefined);
+  server.close();
+  await once(server, 'close');
+  const pool = ConnectionPool.create();
+  t2.equal(await sendOnce(pool, port), 'not_sent');
+  pool.closeAll();
+});
+
+t.test('bytes behind a whole answer do not become the next answer', async (t2) => {
+  const extra = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra';
+  const { server, port } = await startRawServer((socket) => {
+    socket.write(`HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst${extra}`);
+  });
+  const pool = ConnectionPool.create();
+  t2.equal(await sendOnce(pool, port), 'end:first');
+  t2.equal(await sendOnce(pool, port), 'end:first');
+  t2.equal(pool.opened, 2);
+  pool.closeAll();
+  server.close();
+});
--- a/packages/exchange/src/types.ts
+++ b/packages/exchange/src/types.ts
@@ -18,7 +18,10 @@
 
 /** Receives the events of one exchange. Either `onEnd` or `onFailure` is called, once, unless cancelled. */
 export interface ExchangeListener {
-  readonly onHead: (status: number, headers: Readonly<Record<string, string | string[] | undefined>>) => void;
+  readonly onHead: (
+    status: number,
+    headers: Readonly<Record<string, string | string[] | undefined>>,
+  ) => void;
   readonly onData: (chunk: Buffer) => void;
   readonly onEnd: () => void;
   readonly onFailure: (failure: ExchangeFailure) => void;
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -15,7 +15,13 @@
 export type AttemptOutcome =
   | { readonly type: 'answered'; readonly head: AnswerHead; readonly body: Buffer }
   | { readonly type: 'broken'; readonly reason: string }
-  | { readonly type: 'not_run'; readonly wasReceived: boolean; readonly reason: string }
+  | {
+      readonly type: 'not_run';
+      readonly wasReceived: boolean;
+      readonly reason: string;
+      /** The endpoint has other weights than expected; its version if it says so. */
+      readonly otherWeights?: { readonly version: number | undefined };
+    }
   | { readonly type: 'passed_on' }
   | { readonly type: 'stalled' }
   | { readonly type: 'stopped'; readonly wasSent: boolean };
@@ -227,8 +233,7 @@
       return;
     }
     if (head.isNotRun || head.isMisdirected) {
-      const reason = head.isMisdirected ? 'misdirected' : `rejected with ${head.status}`;
-      this.finish({ type: 'not_run', wasReceived: true, reason }, { type: 'rejected' });
+      this.handleRejection(head);
       return;
     }
     const workMs = this.parts.clock.nowMs() - this.startMs;
@@ -246,6 +251,22 @@
     } else this.finish({ type: 'answered', head, body: Buffer.concat(this.held) }, outcome);
   }
 
+  private handleRejection(head: AnswerHead): void {
+    const hasOtherWeights =
+      head.isMisdirected && head.answeringEndpoint === this.input.endpoint.record.id;
+    if (hasOtherWeights) {
+      const otherWeights = { version: head.weightVersion };
+      const reason = 'other weights';
+      this.finish(
+        { type: 'not_run', wasReceived: true, reason, otherWeights },
+        { type: 'cancelled' },
+      );
+      return;
+    }
+    const reason = head.isMisdirected ? 'misdirected' : `rejected with ${head.status}`;
+    this.finish({ type: 'not_run', wasReceived: true, reason }, { type: 'rejected' });
+  }
+
   private handleFailure(failure: ExchangeFailure): void {
     const { reason } = failure;
     switch (failure.type) {
@@ -293,4 +314,3 @@
     this.resolve(outcome);
   }
 }
-
--- a/packages/gateway/src/beliefs.ts
+++ b/packages/gateway/src/beliefs.ts
@@ -4,7 +4,7 @@
 import type { MirroredRow } from '@lovagearch/mirror';
 import type { AnnouncedOrder, WeightTarget } from '@lovagearch/rollout';
 import { ANNOUNCED_ORDER_MS } from '@lovagearch/rollout';
-import { TrafficRules } from '@lovagearch/traffic';
+import { type CacheStore, TrafficRules } from '@lovagearch/traffic';
 import * as z from 'zod';
 import { LAPSE_GRACE_MS, LAPSE_WINDOW_MS } from './constants.js';
 import type { DecisionLog } from './decisionLog.js';
@@ -16,7 +16,12 @@
 export const ORDER_PREFIX = 'order/';
 export const LEASE_KEY = 'lease/orders';
 
-const peerSchema = z.object({ address: z.string() });
+/** Followed by the address of a store VM. */
+export const STORE_PREFIX = 'store/';
+
+const peerSchema = z.object({ address: z.string(), zone: z.string() });
+const storeStateSchema = z.object({ isUp: z.boolean(), epoch: z.number() });
+type StoreState = z.infer<typeof storeStateSchema>;
 const strikesSchema = z.object({ strikes: z.array(z.tuple([z.string(), z.string()])) });
 const orderSchema = z.object({ model: z.string(), version: z.number().int() });
 
@@ -40,7 +45,11 @@
 
   private readonly weights = new Map<string, NamedWeights>();
 
-  private readonly peers = new Map<string, string>();
+  private readonly peers = new Map<string, z.infer<typeof peerSchema>>();
+
+  private readonly storeStates = new Map<string, StoreState>();
+
+  private readonly storeListeners: ((address: string) => void)[] = [];
 
   private readonly announced = new Map<string, AnnouncedOrder & { readonly endsMs: number }>();
 
@@ -69,7 +78,41 @@
 
   /** Addresses of the peers that have announced themselves. */
   listPeerAddresses(): string[] {
-    return [...this.peers.values()];
+    return [...this.peers.values()].map(({ address }) => address);
+  }
+
+  /** Lists the names of the nodes in a zone, or of all nodes. */
+  listPeerNames(zone: string | undefined): string[] {
+    const names: string[] = [];
+    for (const [name, peer] of this.peers) {
+      if (zone === undefined || peer.zone === zone) names.push(name);
+    }
+    return names;
+  }
+
+  findStoreState(address: string): StoreState | undefined {
+    return this.storeStates.get(address);
+  }
+
+  /** Lists the store VMs of prompt parts that are not known to be down. */
+  listLiveStores(): readonly CacheStore[] {
+    const stores = this.currentRules?.cacheStores ?? [];
+    if (this.storeStates.size === 0) return stores;
+    return stores.filter(({ address }) => this.storeStates.get(address)?.isUp !== false);
+  }
+
+  /** @param listener called with the address of a store VM that has lost what it kept */
+  addStoreListener(listener: (address: string) => void): void {
+    this.storeListeners.push(listener);
+  }
+
+  recordStoreState(address: string, state: StoreState): void {
+    const known = this.storeStates.get(address);
+    if (known?.isUp === state.isUp && known.epoch === state.epoch) return;
+    this.storeStates.set(address, state);
+    this.log.recordChange('cache_store_state', { store: address, ...state });
+    if (known === undefined || known.epoch === state.epoch) return;
+    for (const listener of this.storeListeners) listener(address);
   }
 
   listWeightTargets(): NamedWeights[] {
@@ -150,6 +193,8 @@
   applySharedRow({ key, value }: MirroredRow): void {
     if (key.startsWith(PEER_PREFIX)) this.applyPeer(key.slice(PEER_PREFIX.length), value);
     else if (value === undefined) return;
+    else if (key.startsWith(STORE_PREFIX))
+      this.applyStoreState(key.slice(STORE_PREFIX.length), value);
     else if (key.startsWith(STRIKES_PREFIX)) this.applyStrikes(value);
     else if (key.startsWith(ORDER_PREFIX)) this.applyOrder(key.slice(ORDER_PREFIX.length), value);
   }
@@ -175,7 +220,10 @@
   /** Drops endpoints whose entries did not come back after an outage of the store. */
   removeLapsed(): void {
     for (const { type, record } of this.endpoints.removeLapsed(this.clock.nowMs())) {
-      this.log.recordChange(`endpoint_${type}`, { endpoint: record.id, reason: 'lapse not renewed' });
+      this.log.recordChange(`endpoint_${type}`, {
+        endpoint: record.id,
+        reason: 'lapse not renewed',
+      });
     }
   }
 
@@ -204,11 +252,17 @@
       this.logFault('peer', name, peer.error.message);
       return;
     }
-    if (this.peers.get(name) === peer.data.address) return;
-    this.peers.set(name, peer.data.address);
+    if (this.peers.get(name)?.address === peer.data.address) return;
+    this.peers.set(name, peer.data);
     this.log.recordChange('peer_known', { peer: name, nodes: this.peers.size });
   }
 
+  private applyStoreState(address: string, value: string): void {
+    const state = storeStateSchema.safeParse(this.codec.decodeSharedValue(value));
+    if (state.success) this.recordStoreState(address, state.data);
+    else this.logFault('cache_store', address, state.error.message);
+  }
+
   private applyStrikes(value: string): void {
     const row = strikesSchema.safeParse(this.codec.decodeSharedValue(value));
     if (!row.success) {
@@ -217,7 +271,10 @@
     }
     const nowMs = this.clock.nowMs();
     for (const [fingerprint, endpointStart] of row.data.strikes) {
-      this.strikes.recordStrike({ fingerprint: toId<Fingerprint>(fingerprint), endpointStart }, nowMs);
+      this.strikes.recordStrike(
+        { fingerprint: toId<Fingerprint>(fingerprint), endpointStart },
+        nowMs,
+      );
     }
   }
 
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -65,13 +65,16 @@
   listen(address: Address): Promise<void> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
-      this.server.listen({ host: address.host, port: address.port, backlog: LISTEN_BACKLOG }, () => {
-        this.server.off('error', reject);
-        this.server.on('error', (error) => {
-          this.context.log.recordProblem('listener_failed', { reason: error.message });
-        });
-        resolve();
-      });
+      this.server.listen(
+        { host: address.host, port: address.port, backlog: LISTEN_BACKLOG },
+        () => {
+          this.server.off('error', reject);
+          this.server.on('error', (error) => {
+            this.context.log.recordProblem('listener_failed', { reason: error.message });
+          });
+          resolve();
+        },
+      );
     });
   }
 
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -61,3 +61,19 @@
 export const SHARED_TABLE = 'lovagearch';
 /** Pause after this node's address could not be written to the shared table, in milliseconds. */
 export const ANNOUNCE_RETRY_MS = 1_000;
+/** Smallest prompt part that is kept at a store; a shorter one is read faster than it is moved. */
+export const MIN_STORED_TOKENS = 128;
+/** Time that a store may hold an event call open, in milliseconds; the platform's limit is 1,000. */
+export const STORE_EVENT_WAIT_MS = 1_000;
+/** Least time between two event calls to one store, in milliseconds. */
+export const STORE_EVENT_PACE_MS = 500;
+/** Failed event calls in a row after which a store counts as down. */
+export const STORE_DOWN_FAILURES = 2;
+/** Pause after a failed event call, in milliseconds. */
+export const STORE_RETRY_MS = 300;
+/** Nodes that watch one store. */
+export const STORE_WATCHERS = 2;
+/** Time after which no endpoint with older weights was seen, and their parts are freed, in milliseconds. */
+export const OLD_PARTS_FREE_MS = 3_000;
+/** Parts that one call frees. */
+export const MAX_FREED_PARTS = 200;
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -1,6 +1,7 @@
 import type { WindowRetryBudget } from '@lovagearch/admission';
 import type { Clock, Random } from '@lovagearch/common';
 import type { ConnectionPool } from '@lovagearch/exchange';
+import type { SavedParts } from '@lovagearch/reuse';
 import type { Beliefs } from './beliefs.js';
 import type { DecisionLog } from './decisionLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
@@ -20,6 +21,7 @@
   readonly log: DecisionLog;
   readonly metrics: GatewayMetrics;
   readonly strikes: StrikePublisher;
+  readonly savedParts: SavedParts;
   /** Whether registrations are up to date. */
   readonly areHeartbeatsCurrent: () => boolean;
   readonly getRetryBudget: (service: string) => WindowRetryBudget;
--- a/packages/gateway/src/placeRequest.ts
+++ b/packages/gateway/src/placeRequest.ts
@@ -1,8 +1,14 @@
 import { chooseEndpoint, type Endpoint, type Placement } from '@lovagearch/endpoints';
 import type { Account, Route } from '@lovagearch/traffic';
-import { CONNECTION_SHARE, MIN_CONNECTIONS, OLD_WEIGHTS_AVOID_MS, OLD_WEIGHTS_MARGIN_MS } from './constants.js';
+import {
+  CONNECTION_SHARE,
+  MIN_CONNECTIONS,
+  OLD_WEIGHTS_AVOID_MS,
+  OLD_WEIGHTS_MARGIN_MS,
+} from './constants.js';
 import { getStartKey } from './attempt.js';
 import type { GatewayContext } from './gatewayContext.js';
+import { createCacheSalt, findStoreReach } from './reusePlan.js';
 import type { CallerHead } from './types.js';
 
 /** The endpoint for a request, with what was expected of it. */
@@ -12,13 +18,6 @@
   readonly maxConnections: number;
 }
 
-/**
- * Returns the cache salt of a request: engines find cached parts only under the same salt, so an
- * isolated account gets its own.
- */
-export const getCacheSalt = (account: Account | undefined): string | undefined =>
-  account?.isIsolated === true ? `account-${account.name}` : undefined;
-
 /** Returns this node's part of the connections that each endpoint of a service grants. */
 const computeMaxConnections = (context: GatewayContext, service: string): number => {
   const granted = context.beliefs.rules?.findService(service)?.maxConnections ?? 0;
@@ -61,12 +60,15 @@
   const ready = selectByWeights(context, beliefs.endpoints.listReady(service), head.model);
   const reachable = ready.filter((endpoint) => pool.hasRoom(getStartKey(endpoint), maxConnections));
   const steady = reachable.filter(({ record }) => !beliefs.isChangingWeights(record.id, nowMs));
-  const cacheSalt = getCacheSalt(account);
+  const parts = route.hasPromptParts ? head.parts : [];
+  const engine = beliefs.rules?.findService(service)?.engine;
   const placement = chooseEndpoint({
     request: {
       service,
-      parts: route.hasPromptParts ? head.parts : [],
-      cacheSalt,
+      parts,
+      // Where a prompt belongs doesn't change with the weights.
+      cacheSalt: createCacheSalt(account, undefined),
+      store: findStoreReach(context, parts, engine),
       model: head.model,
       excluded,
       minWeightVersion: 0,
--- /dev/null
+++ b/packages/gateway/src/reusePlan.ts
@@ -0,0 +1,116 @@
+import {
+  getAffinityPart,
+  type Endpoint,
+  type PromptPart,
+  type StoreReach,
+} from '@lovagearch/endpoints';
+import { chooseStore } from '@lovagearch/reuse';
+import type { Account, CacheStore, EngineSizes } from '@lovagearch/traffic';
+import { MIN_STORED_TOKENS } from './constants.js';
+import type { GatewayContext } from './gatewayContext.js';
+import type { CallerHead } from './types.js';
+
+/** Where an engine finds and keeps the parts of a prompt, and what the result is valid for. */
+export interface ReusePlan {
+  readonly cacheSalt: string | undefined;
+  readonly expectedWeights: number | undefined;
+  readonly fetchFrom: readonly (string | undefined)[];
+  readonly saveTo: readonly (string | undefined)[];
+}
+
+/**
+ * Returns the cache salt of a request. Engines and stores find cached parts only under the same salt;
+ * the weight version in it keeps parts of other weights out of stores, and the account's name walls an
+ * isolated account off.
+ */
+export const createCacheSalt = (
+  account: Account | undefined,
+  weightVersion: number | undefined,
+): string | undefined => {
+  const version = weightVersion === undefined ? undefined : `v${weightVersion}`;
+  if (account?.isIsolated !== true) return version;
+  return `${version ?? 'v'}/${account.name}`;
+};
+
+/** Returns the weight version of a salt, or undefined if this system did not make it. */
+export const parseSaltVersion = (salt: string): number | undefined => {
+  const match = /^v(\d{1,15})(\/|$)/.exec(salt);
+  return match?.[1] === undefined ? undefined : Number(match[1]);
+};
+
+/** Whether the weights of an endpoint are the newest that were named. */
+const hasNamedWeights = (context: GatewayContext, endpoint: Endpoint, model: string): boolean => {
+  const named = context.beliefs.findNamedWeights(model);
+  return named === undefined || (endpoint.record.weights.get(model) ?? 0) >= named.version;
+};
+
+const getPartKey = (salt: string | undefined, part: PromptPart) => `${salt ?? ''}/${part.id}`;
+
+/** Returns the store VM of a prompt's shared part, with the time that a transfer takes. */
+export const findStoreReach = (
+  context: GatewayContext,
+  parts: readonly PromptPart[],
+  engine: EngineSizes | undefined,
+): StoreReach | undefined => {
+  const part = getAffinityPart(parts);
+  if (part === undefined || engine === undefined) return undefined;
+  // The store doesn't depend on the salt, so that a new weight version moves no prompt.
+  const store = chooseStore(part.id, context.beliefs.listLiveStores());
+  if (store === undefined) return undefined;
+  const bitsPerToken = engine.bytesPerToken * 8;
+  const linkBitsPerMs = Math.max(1, Math.min(store.linkMbps, engine.linkMbps)) * 1_000;
+  return { zone: store.zone, firstMs: store.firstMs, msPerToken: bitsPerToken / linkBitsPerMs };
+};
+
+/**
+ * Plans the reuse of a prompt at an endpoint. Parts are read from and kept at the store of the
+ * endpoint's region only; a transfer between regions takes longer than reading the prompt.
+ */
+export const planReuse = (
+  context: GatewayContext,
+  head: CallerHead,
+  account: Account | undefined,
+  endpoint: Endpoint,
+): ReusePlan => {
+  const { beliefs, settings, savedParts, clock } = context;
+  const { model, parts } = head;
+  const weights = model === undefined ? undefined : endpoint.record.weights.get(model);
+  const cacheSalt = createCacheSalt(account, weights);
+  const plan = { cacheSalt, expectedWeights: weights, fetchFrom: [], saveTo: [] };
+  if (model === undefined || weights === undefined || parts.length < 2) return plan;
+  // Parts of weights that are being replaced are of no use soon.
+  if (!hasNamedWeights(context, endpoint, model)) return plan;
+  const region = settings.regionByZone.get(endpoint.record.zone);
+  const stores = beliefs.listLiveStores();
+  const nowMs = clock.nowMs();
+  const fetchFrom: (string | undefined)[] = [];
+  const saveTo: (string | undefined)[] = [];
+  for (const [index, part] of parts.entries()) {
+    const isShared = index < parts.length - 1;
+    const store: CacheStore | undefined =
+      isShared && part.tokens >= MIN_STORED_TOKENS ? chooseStore(part.id, stores) : undefined;
+    const isNear = store !== undefined && settings.regionByZone.get(store.zone) === region;
+    fetchFrom.push(isNear ? store.address : undefined);
+    const partKey = getPartKey(cacheSalt, part);
+    const isSaved = store !== undefined && savedParts.isSaved(store.address, partKey, nowMs);
+    saveTo.push(isNear && !isSaved ? store.address : undefined);
+  }
+  return { ...plan, fetchFrom, saveTo };
+};
+
+/** Remembers what a completed request had kept at stores. */
+export const recordSaved = (
+  context: GatewayContext,
+  parts: readonly PromptPart[],
+  plan: ReusePlan,
+): void => {
+  for (const [index, address] of plan.saveTo.entries()) {
+    const part = parts[index];
+    if (address === undefined || part === undefined) continue;
+    context.savedParts.recordSaved(
+      address,
+      getPartKey(plan.cacheSalt, part),
+      context.clock.nowMs(),
+    );
+  }
+};
--- a/packages/gateway/src/servedRequest.ts
+++ b/packages/gateway/src/servedRequest.ts
@@ -15,8 +15,9 @@
   TIMEOUT_ANSWER_MS,
 } from './constants.js';
 import type { GatewayContext } from './gatewayContext.js';
-import { type ChosenEndpoint, getCacheSalt, placeRequest } from './placeRequest.js';
+import { type ChosenEndpoint, placeRequest } from './placeRequest.js';
 import { createFailure, createRefusal, type OwnAnswer, sendOwnAnswer } from './refusal.js';
+import { createCacheSalt, planReuse, recordSaved } from './reusePlan.js';
 import { readBody } from './requestBody.js';
 import { computeFingerprint } from './strikePublisher.js';
 import type { CallerHead } from './types.js';
@@ -180,13 +181,15 @@
       }
     }
     context.getRetryBudget(service).recordRequest(context.clock.nowMs());
-    const framing =
-      route.kind === 'streaming' ? EventFraming.create(head.lastEventId) : undefined;
+    const framing = route.kind === 'streaming' ? EventFraming.create(head.lastEventId) : undefined;
     let chosen = this.choose(admitted);
     while (this.stopReason === undefined) {
       const remainingMs = this.limitMs - this.getElapsedMs();
       if (chosen === undefined || remainingMs < MIN_SEND_MS) {
-        this.refuseOrFail(admitted, chosen === undefined ? 'no endpoint is ready' : 'time is short');
+        this.refuseOrFail(
+          admitted,
+          chosen === undefined ? 'no endpoint is ready' : 'time is short',
+        );
         return;
       }
       const outcome = await this.runAttempt(admitted, chosen, framing, remainingMs);
@@ -209,7 +212,7 @@
     const { context } = this;
     const { head, route, service, account, body } = admitted;
     const { endpoint, placement, maxConnections } = chosen;
-    const cacheSalt = getCacheSalt(account);
+    const reuse = planReuse(context, head, account, endpoint);
     this.sends += 1;
     this.excluded.add(endpoint.record.id);
     this.tried.push(endpoint.record.id);
@@ -226,7 +229,12 @@
         loadAgeMs: Math.round(endpoint.getLoadAgeMs(nowMs)),
       });
     }
-    context.beliefs.memory.recordSent(head.parts, cacheSalt ?? '', endpoint.record.id, nowMs);
+    context.beliefs.memory.recordSent(
+      head.parts,
+      createCacheSalt(account, undefined) ?? '',
+      endpoint.record.id,
+      nowMs,
+    );
     const isStream = route.kind === 'streaming';
     const attempt = Attempt.create(
       {
@@ -245,7 +253,10 @@
             endpointId: endpoint.record.id,
             accountName: account?.name,
             remainingMs: Math.max(1, Math.floor(remainingMs)),
-            cacheSalt,
+            cacheSalt: reuse.cacheSalt,
+            expectedWeights: reuse.expectedWeights,
+            fetchFrom: reuse.fetchFrom,
+            saveTo: reuse.saveTo,
             enginePriority: isStream ? (account?.priority ?? route.priority) : undefined,
             lastEventId: framing?.lastEventId ?? head.lastEventId,
           }),
@@ -263,6 +274,7 @@
     this.attempt = attempt;
     const outcome = await attempt.run();
     context.metrics.recordAttempt(service, outcome.type);
+    if (outcome.type === 'passed_on') recordSaved(context, head.parts, reuse);
     const mayHaveCrashed = outcome.type === 'broken' && !attempt.hasOutput;
     if (mayHaveCrashed) this.recordStrike(admitted, chosen);
     return outcome;
@@ -293,6 +305,9 @@
       return undefined;
     }
     if (outcome.type !== 'not_run') this.runs += 1;
+    else if (outcome.otherWeights !== undefined) {
+      this.applyOtherWeights(head, chosen, outcome.otherWeights.version);
+    }
     const result: AttemptResult =
       outcome.type === 'answered'
         ? { type: 'answered', isFailure: outcome.head.status >= 500 }
@@ -347,6 +362,20 @@
     }
   }
 
+  /** Learns the weights of an endpoint that rejected a request for them, and lets it be tried again. */
+  private applyOtherWeights(
+    head: CallerHead,
+    { endpoint }: ChosenEndpoint,
+    version: number | undefined,
+  ): void {
+    const { beliefs } = this.context;
+    if (head.model === undefined) return;
+    const actual = version ?? beliefs.findNamedWeights(head.model)?.version;
+    if (actual === undefined) return;
+    beliefs.recordWeights(endpoint.record.id, head.model, actual);
+    this.excluded.delete(endpoint.record.id);
+  }
+
   private recordFirstByte(route: Route): void {
     if (this.firstByteMs !== undefined) return;
     this.firstByteMs = this.getElapsedMs();
@@ -380,7 +409,11 @@
       this.relay.breakOff();
       this.logEnd(head, route, 'broken_off', undefined, 'time limit');
     } else if (this.runs > 0) {
-      this.answer(head, route, createFailure('deadline_exceeded', 'no answer within the time limit'));
+      this.answer(
+        head,
+        route,
+        createFailure('deadline_exceeded', 'no answer within the time limit'),
+      );
     } else {
       const message = 'the time limit passed before an endpoint took the request';
       this.answer(head, route, createRefusal('overloaded', message, MIN_RETRY_AFTER_MS));
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -1,7 +1,13 @@
 import { WindowRetryBudget } from '@lovagearch/admission';
 import { createRandom, getErrorMessage, processClock } from '@lovagearch/common';
 import { ConnectionPool } from '@lovagearch/exchange';
-import { type FollowEvent, type FollowOptions, MirrorFollower, TableMirror } from '@lovagearch/mirror';
+import {
+  type FollowEvent,
+  type FollowOptions,
+  MirrorFollower,
+  TableMirror,
+} from '@lovagearch/mirror';
+import { SavedParts } from '@lovagearch/reuse';
 import { createSuspensionClock, OrderLease, RolloutCoordinator } from '@lovagearch/rollout';
 import { Beliefs, LEASE_KEY, PEER_PREFIX } from './beliefs.js';
 import { CallerServer } from './callerServer.js';
@@ -21,6 +27,7 @@
 import { startMetricsServer, startPeerServer, startReadinessServer } from './managementServer.js';
 import { createPeerSource } from './peerExchange.js';
 import { BodyMemory } from './requestBody.js';
+import { StoreWatch } from './storeWatch.js';
 import { StrikePublisher } from './strikePublisher.js';
 import type { GatewayPorts, GatewaySettings } from './types.js';
 
@@ -129,9 +136,11 @@
     log,
     metrics,
     strikes,
+    savedParts: SavedParts.create(),
     areHeartbeatsCurrent: () =>
       endpointFollower.isStoreReachable &&
-      endpointMirror.getAgeMs(clock.nowMs()) < ENDPOINT_FOLLOWING.waitMs + ENDPOINT_FOLLOWING.paceMs,
+      endpointMirror.getAgeMs(clock.nowMs()) <
+        ENDPOINT_FOLLOWING.waitMs + ENDPOINT_FOLLOWING.paceMs,
     getRetryBudget: (service) => {
       const known = budgets.get(service);
       if (known !== undefined) return known;
@@ -141,6 +150,8 @@
     },
     getPhase: () => phase,
   };
+  beliefs.addStoreListener((address) => context.savedParts.removeStore(address));
+  const storeWatch = StoreWatch.create(context, ports.cacheStores, ports.shared);
   const server = CallerServer.create(context);
   operatorMirror.addListener(() => {
     if (beliefs.rules !== undefined) server.applyLimits(beliefs.rules.limits);
@@ -177,7 +188,8 @@
     onEvent: (event) => {
       const { type, ...fields } = event;
       const result = 'result' in event ? event.result.type : undefined;
-      const detail = 'result' in event && 'reason' in event.result ? event.result.reason : undefined;
+      const detail =
+        'result' in event && 'reason' in event.result ? event.result.reason : undefined;
       log.recordChange(`order_${type}`, { ...fields, result, detail });
     },
     onWeights: (endpoint, weights) => {
@@ -189,8 +201,15 @@
     phase === 'serving' && beliefs.rules !== undefined && beliefs.endpoints.size > 0;
   const management = [
     await startReadinessServer(settings.readinessAddress, readinessPath, isReady),
-    await startPeerServer(settings.peerAddress, [operatorMirror, endpointMirror, sharedMirror], clock),
-    await startMetricsServer({ host: settings.callerAddress.host, port: settings.metricsPort }, metrics),
+    await startPeerServer(
+      settings.peerAddress,
+      [operatorMirror, endpointMirror, sharedMirror],
+      clock,
+    ),
+    await startMetricsServer(
+      { host: settings.callerAddress.host, port: settings.metricsPort },
+      metrics,
+    ),
   ];
   await server.listen(settings.callerAddress);
   log.recordChange('started', {
@@ -203,6 +222,7 @@
   const announce = async () => {
     const isWritten = await ports.shared.write(`${PEER_PREFIX}${settings.nodeName}`, {
       address: ownPeerAddress,
+      zone: settings.zone,
     });
     log.recordChange('announced', { isWritten });
     return isWritten;
@@ -222,7 +242,9 @@
       .then((isWritten) => {
         isAnnounced = isWritten;
       })
-      .catch((error: unknown) => log.recordChange('announce_failed', { reason: getErrorMessage(error) }));
+      .catch((error: unknown) =>
+        log.recordChange('announce_failed', { reason: getErrorMessage(error) }),
+      );
   }, HOUSEKEEPING_MS);
   const publishing = setInterval(() => {
     strikes.publish().catch((error: unknown) => {
@@ -231,17 +253,20 @@
   }, STRIKE_PUBLISH_MS);
   for (const follower of followers) void follower.run();
   void rollout.run();
+  void storeWatch.run();
 
   const drain = async (reason: string): Promise<void> => {
     if (phase !== 'serving') return;
     const startMs = clock.nowMs();
     phase = 'draining';
     rollout.stop();
+    storeWatch.stop();
     log.recordChange('stopping', { reason, active: server.active });
     const waitUntil = async (isDone: () => boolean) => {
-      while (!isDone()) await new Promise((resolve) => {
-        setTimeout(resolve, HOUSEKEEPING_MS / 4);
-      });
+      while (!isDone())
+        await new Promise((resolve) => {
+          setTimeout(resolve, HOUSEKEEPING_MS / 4);
+        });
     };
     const getElapsedMs = () => clock.nowMs() - startMs;
     await waitUntil(() => getElapsedMs() >= DRAIN_ACCEPT_MS);
--- a/packages/gateway/src/strikePublisher.ts
+++ b/packages/gateway/src/strikePublisher.ts
@@ -46,7 +46,10 @@
     if (!this.hasNews || this.isWriting) return;
     this.isWriting = true;
     this.hasNews = false;
-    const strikes = this.recent.map(({ fingerprint, endpointStart }) => [fingerprint, endpointStart]);
+    const strikes = this.recent.map(({ fingerprint, endpointStart }) => [
+      fingerprint,
+      endpointStart,
+    ]);
     const isWritten = await this.shared.write(`${STRIKES_PREFIX}${this.nodeName}`, { strikes });
     this.isWriting = false;
     if (isWritten) return;
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -32,6 +32,11 @@
   /** From 0, the most urgent, to 9; undefined for plain calls. */
   readonly enginePriority: number | undefined;
   readonly lastEventId: number;
+  /** Weight version that the request has to begin on. */
+  readonly expectedWeights: number | undefined;
+  /** Store VMs by prompt part, to read it from and to keep it at. */
+  readonly fetchFrom: readonly (string | undefined)[];
+  readonly saveTo: readonly (string | undefined)[];
 }
 
 /** The head of an endpoint's answer, decoded. */
@@ -45,6 +50,8 @@
   readonly isNotRun: boolean;
   /** The request reached another endpoint than the one that was meant. */
   readonly isMisdirected: boolean;
+  /** The endpoint that answered, where it says so. */
+  readonly answeringEndpoint: string | undefined;
   readonly load: LoadReport | undefined;
   readonly isEventStream: boolean;
   readonly weightVersion: number | undefined;
@@ -90,6 +97,39 @@
   readonly decodeSharedValue: (value: string) => unknown;
 }
 
+/** A part that a store VM keeps whole. */
+export interface StoredPart {
+  readonly salt: string;
+  readonly id: string;
+  readonly tokens: number;
+  readonly model: string;
+}
+
+/** What changed at a store VM since an earlier call. */
+export interface StoreEvents {
+  /** Differs between two starts of the store. */
+  readonly epoch: number;
+  /** Where the next call goes on. */
+  readonly next: number;
+  readonly events: readonly { readonly isAdded: boolean; readonly part: StoredPart }[];
+}
+
+/** Calls to the store VMs of prompt parts. */
+export interface CacheStoreClient {
+  /** Returns undefined if the store doesn't answer. */
+  readonly readEvents: (
+    address: string,
+    since: number,
+    waitMs: number,
+  ) => Promise<StoreEvents | undefined>;
+  /** Frees parts unless the store has restarted since; returns whether it did. */
+  readonly freeParts: (
+    address: string,
+    parts: readonly StoredPart[],
+    epoch: number,
+  ) => Promise<boolean>;
+}
+
 /** Writes rows of the shared table. */
 export interface SharedTable {
   readonly write: (key: string, value: unknown) => Promise<boolean>;
@@ -136,4 +176,5 @@
   readonly shared: SharedTable;
   readonly lease: LeaseStore;
   readonly orders: OrderClient;
+  readonly cacheStores: CacheStoreClient;
 }
--- /dev/null
+++ b/packages/mirror/src/mirror.test.ts
@@ -0,0 +1,132 @@
+import fc from 'fast-check';
+import t from 'tap';
+import { ManualClock } from '@lovagearch/common';
+import {
+  type FollowEvent,
+  MirrorFollower,
+  type MirroredRow,
+  type ReadResult,
+  TableMirror,
+} from './index.js';
+
+const OPTIONS = { waitMs: 1, paceMs: 0, retryMs: 0, peerAfterMs: 0 };
+
+const createRows = (
+  rows: readonly MirroredRow[],
+  version: number,
+  isPartial = true,
+): ReadResult => ({
+  type: 'rows',
+  batch: { rows, version, isPartial, ageMs: 0 },
+});
+const UNAVAILABLE: ReadResult = {
+  type: 'failure',
+  failure: { type: 'unavailable', reason: 'down' },
+};
+const HISTORY_LOST: ReadResult = { type: 'failure', failure: { type: 'history_lost' } };
+
+t.test('a late copy of a peer never takes back a newer row', async (t2) => {
+  const mirror = TableMirror.create('op');
+  const seen: (string | undefined)[] = [];
+  mirror.addListener(({ value }) => seen.push(value));
+  const old = { key: 'config', version: 3, value: 'old' };
+  const current = { key: 'config', version: 7, value: 'new' };
+  mirror.applyBatch({ rows: [current], version: 7, isPartial: true, ageMs: 0 }, 0);
+  t2.equal(mirror.applyBatch({ rows: [old], version: 5, isPartial: false, ageMs: 0 }, 1), false);
+  mirror.applyBatch({ rows: [old], version: 9, isPartial: true, ageMs: 0 }, 2);
+  t2.equal(mirror.getRow('config')?.value, 'new');
+  t2.strictSame(seen, ['new']);
+});
+
+t.test('a copy that follows changes ends with the same rows as the store', async (t2) => {
+  const change = fc.record({
+    key: fc.constantFrom('a', 'b', 'c'),
+    isRemoved: fc.boolean(),
+    isWhole: fc.boolean(),
+  });
+  fc.assert(
+    fc.property(fc.array(change, { maxLength: 40 }), (changes) => {
+      const store = new Map<string, MirroredRow>();
+      const mirror = TableMirror.create('servers');
+      const follower = TableMirror.create('servers');
+      let version = 0;
+      for (const { key, isRemoved, isWhole } of changes) {
+        version += 1;
+        const row = { key, version, value: isRemoved ? undefined : `v${version}` };
+        if (isRemoved) store.delete(key);
+        else store.set(key, row);
+        const rows = isWhole ? [...store.values()] : [row];
+        mirror.applyBatch({ rows, version, isPartial: !isWhole, ageMs: 0 }, version);
+        const batch = mirror.createBatch(follower.version, version);
+        if (version % 3 === 0) follower.applyBatch(batch, version);
+      }
+      follower.applyBatch(mirror.createBatch(follower.version, version), version);
+      const expected = [...store.values()].map(({ key, value }) => `${key}=${value}`).sort();
+      for (const copy of [mirror, follower]) {
+        const actual = [...copy.listRows()].map(({ key, value }) => `${key}=${value}`).sort();
+        t2.strictSame(actual, expected);
+      }
+    }),
+  );
+});
+
+t.test('rows that went while the history was lost are removed', async (t2) => {
+  const clock = ManualClock.create();
+  const mirror = TableMirror.create('servers');
+  const events: FollowEvent[] = [];
+  const answers = [
+    createRows([{ key: 'i-1', version: 1, value: 'x' }], 1, false),
+    HISTORY_LOST,
+    createRows([{ key: 'i-2', version: 8, value: 'y' }], 9, false),
+  ];
+  const follower = MirrorFollower.create({
+    mirror,
+    clock,
+    options: OPTIONS,
+    source: {
+      readAll: async () => answers.shift() ?? UNAVAILABLE,
+      readChanges: async () => answers.shift() ?? UNAVAILABLE,
+    },
+    peers: { readChanges: async () => UNAVAILABLE },
+    onEvent: (event) => {
+      events.push(event);
+      if (event.type === 'store_lost') follower.stop();
+    },
+  });
+  await follower.run();
+  t2.strictSame(
+    [...mirror.listRows()].map(({ key }) => key),
+    ['i-2'],
+  );
+  t2.equal(events[0]?.type, 'history_lost');
+});
+
+t.test('a peer supplies changes while the store turns this node away', async (t2) => {
+  const clock = ManualClock.create();
+  const mirror = TableMirror.create('op');
+  const events: FollowEvent[] = [];
+  const answers = [createRows([{ key: 'config', version: 1, value: 'old' }], 1, false)];
+  const follower = MirrorFollower.create({
+    mirror,
+    clock,
+    options: OPTIONS,
+    source: {
+      readAll: async () => answers.shift() ?? UNAVAILABLE,
+      readChanges: async () => UNAVAILABLE,
+    },
+    peers: {
+      readChanges: async (_table, afterVersion) =>
+        createRows([{ key: 'config', version: 2, value: `after ${afterVersion}` }], 2),
+    },
+    onEvent: (event) => {
+      events.push(event);
+      if (event.type === 'peer_used') follower.stop();
+    },
+  });
+  await follower.run();
+  t2.equal(mirror.getRow('config')?.value, 'after 1');
+  t2.strictSame(
+    events.map(({ type }) => type),
+    ['store_lost', 'peer_used'],
+  );
+});
--- a/packages/mirror/src/mirrorFollower.ts
+++ b/packages/mirror/src/mirrorFollower.ts
@@ -8,7 +8,12 @@
   | { readonly type: 'store_lost'; readonly table: string; readonly reason: string }
   | { readonly type: 'store_regained'; readonly table: string; readonly lostForMs: number }
   | { readonly type: 'history_lost'; readonly table: string; readonly afterVersion: number }
-  | { readonly type: 'peer_used'; readonly table: string; readonly version: number; readonly ageMs: number };
+  | {
+      readonly type: 'peer_used';
+      readonly table: string;
+      readonly version: number;
+      readonly ageMs: number;
+    };
 
 export interface FollowOptions {
   /** Time that the store may keep a call open without changes. */
@@ -126,6 +131,11 @@
     const { batch } = result;
     const isApplied = mirror.applyBatch(batch, clock.nowMs());
     if (!isApplied || mirror.version === before) return;
-    onEvent({ type: 'peer_used', table: mirror.table, version: mirror.version, ageMs: batch.ageMs });
+    onEvent({
+      type: 'peer_used',
+      table: mirror.table,
+      version: mirror.version,
+      ageMs: batch.ageMs,
+    });
   }
 }
--- a/packages/mirror/src/tableMirror.ts
+++ b/packages/mirror/src/tableMirror.ts
@@ -75,7 +75,12 @@
     if (isPartial) {
       for (const row of this.removed.values()) if (row.version > afterVersion) rows.push(row);
     }
-    return { rows, version: this.knownVersion, isPartial, ageMs: Math.max(0, this.getAgeMs(nowMs)) };
+    return {
+      rows,
+      version: this.knownVersion,
+      isPartial,
+      ageMs: Math.max(0, this.getAgeMs(nowMs)),
+    };
   }
 
   private applyRow(row: MirroredRow): void {
--- a/packages/mirror/src/types.ts
+++ b/packages/mirror/src/types.ts
@@ -18,8 +18,7 @@
 }
 
 export type ReadFailure =
-  | { readonly type: 'history_lost' }
-  | { readonly type: 'unavailable'; readonly reason: string };
+  { readonly type: 'history_lost' } | { readonly type: 'unavailable'; readonly reason: string };
 
 export type ReadResult =
   | { readonly type: 'rows'; readonly batch: RowBatch }
@@ -30,7 +29,11 @@
   /** Reads all rows. */
   readonly readAll: (table: string) => Promise<ReadResult>;
   /** Waits up to `waitMs` for rows that changed after a version. */
-  readonly readChanges: (table: string, afterVersion: number, waitMs: number) => Promise<ReadResult>;
+  readonly readChanges: (
+    table: string,
+    afterVersion: number,
+    waitMs: number,
+  ) => Promise<ReadResult>;
 }
 
 /** Where a mirror reads a table from while the store does not answer. */
--- a/packages/reuse/src/index.ts
+++ b/packages/reuse/src/index.ts
@@ -10,3 +10,4 @@
 export * from './prefixCatalog.js';
 export * from './returnHistory.js';
 export * from './segmentLedger.js';
+export * from './storePlacement.js';
--- /dev/null
+++ b/packages/rollout/src/rollout.test.ts
@@ -0,0 +1,123 @@
+import t from 'tap';
+import { createRandom, ManualClock } from '@lovagearch/common';
+import type { LeaseRow } from '@lovagearch/leases';
+import {
+  computeMaxChanging,
+  createSuspensionClock,
+  type LeaseStore,
+  type LeaseWriteResult,
+  ORDER_LEASE_MS,
+  OrderLease,
+  planOrders,
+  type RolloutEndpoint,
+} from './index.js';
+
+const TURN_MS = 3_000;
+const HISTORIES = 300;
+const STEPS = 400;
+const STEP_MS = 100;
+
+const createEndpoint = (id: string, version: number): RolloutEndpoint => ({
+  id,
+  startedUnixMs: 0,
+  address: 'x:1',
+  weights: new Map([['m0', version]]),
+});
+
+t.test('endpoints are not all taken out of service at once', async (t2) => {
+  const endpoints = Array.from({ length: 13 }, (_, index) => createEndpoint(`i-${index}`, 1));
+  const targets = [{ model: 'm0', version: 2 }];
+  const first = planOrders({ endpoints, targets, changing: new Set() });
+  t2.equal(first.length, computeMaxChanging(13));
+  const changing = new Set(first.map(({ endpoint }) => endpoint.id));
+  t2.strictSame(planOrders({ endpoints, targets, changing }), []);
+});
+
+t.test('endpoints with the named weights, newer ones or another model get no order', async (t2) => {
+  const endpoints = [createEndpoint('i-1', 2), createEndpoint('i-2', 3)];
+  const targets = [
+    { model: 'm0', version: 2 },
+    { model: 'm1', version: 9 },
+  ];
+  t2.strictSame(planOrders({ endpoints, targets, changing: new Set() }), []);
+});
+
+/** The lease's row, whose answers may be lost. */
+const createFakeStore = (lose: () => boolean) => {
+  let row: LeaseRow | null = null;
+  const store: LeaseStore = {
+    read: async () => ({ type: 'row', row }),
+    write: async (value, ifVersion, attemptId): Promise<LeaseWriteResult> => {
+      if ((row?.version ?? 0) !== ifVersion) return { type: 'conflict', current: row };
+      row = { value, version: ifVersion + 1, attemptId };
+      return lose()
+        ? { type: 'unknown', reason: 'lost' }
+        : { type: 'written', version: row.version };
+    },
+  };
+  return { store, getRow: () => row };
+};
+
+t.test('two holders never have permits within the time between turns', async (t2) => {
+  for (let seed = 1; seed <= HISTORIES; seed++) {
+    const random = createRandom(seed);
+    const clock = ManualClock.create();
+    const { store, getRow } = createFakeStore(() => random() < 0.2);
+    const leases = ['a', 'b', 'c'].map((holder) =>
+      OrderLease.create({
+        holder,
+        store,
+        clock,
+        suspensionClock: clock,
+        turnMs: TURN_MS,
+        random,
+        onChange: () => undefined,
+      }),
+    );
+    let last: { holder: string; atMs: number } | undefined;
+    for (let step = 0; step < STEPS; step++) {
+      clock.addMs(STEP_MS);
+      const lease = leases[Math.floor(random() * leases.length)]!;
+      if (random() < 0.5) lease.updateRow(getRow());
+      if (random() < 0.5) await lease.confirm(undefined);
+      const permit = lease.getPermit();
+      if (permit === undefined) continue;
+      const nowMs = clock.nowMs();
+      const isTurn = last !== undefined && last.holder !== lease.holder;
+      if (isTurn) t2.ok(nowMs - last!.atMs >= TURN_MS, `seed ${seed} step ${step}`);
+      last = { holder: lease.holder, atMs: nowMs };
+    }
+  }
+});
+
+t.test('a holder that was suspended has no permit until it confirms the lease', async (t2) => {
+  const steady = ManualClock.create();
+  let unixMs = 1_000_000;
+  const { store } = createFakeStore(() => false);
+  const lease = OrderLease.create({
+    holder: 'a',
+    store,
+    clock: steady,
+    suspensionClock: createSuspensionClock(steady, () => unixMs),
+    turnMs: TURN_MS,
+    random: () => 0,
+    onChange: () => undefined,
+  });
+  await lease.confirm(undefined);
+  t2.ok(await lease.confirm(undefined));
+  t2.ok(lease.getPermit());
+  unixMs += ORDER_LEASE_MS;
+  t2.equal(lease.getPermit(), undefined);
+  t2.ok(await lease.confirm(undefined));
+});
+
+t.test('a time of day that steps backwards ends no lease', async (t2) => {
+  const steady = ManualClock.create();
+  let unixMs = 1_000_000;
+  const clock = createSuspensionClock(steady, () => unixMs);
+  const before = clock.nowMs();
+  unixMs -= 2_400;
+  t2.equal(clock.nowMs(), before);
+  unixMs += 2_400;
+  t2.equal(clock.nowMs(), before + 2_400);
+});
--- a/packages/rollout/src/rolloutCoordinator.ts
+++ b/packages/rollout/src/rolloutCoordinator.ts
@@ -12,7 +12,12 @@
 import type { OrderClient, OrderResult, RolloutEndpoint, WeightTarget } from './types.js';
 
 export type RolloutEvent =
-  | { readonly type: 'finished'; readonly endpointId: string; readonly version: number; readonly tookMs: number }
+  | {
+      readonly type: 'finished';
+      readonly endpointId: string;
+      readonly version: number;
+      readonly tookMs: number;
+    }
   | {
       readonly type: 'ordered';
       readonly endpointId: string;
@@ -20,7 +25,12 @@
       readonly fencing: number;
       readonly result: OrderResult;
     }
-  | { readonly type: 'unfinished'; readonly endpointId: string; readonly version: number; readonly reason: string };
+  | {
+      readonly type: 'unfinished';
+      readonly endpointId: string;
+      readonly version: number;
+      readonly reason: string;
+    };
 
 export interface RolloutParts {
   readonly lease: OrderLease;
@@ -93,9 +103,7 @@
   private confirmLease(order: PlannedOrder | undefined) {
     const { lease } = this.parts;
     const announced =
-      order === undefined
-        ? undefined
-        : { endpointId: order.endpoint.id, ...order.target };
+      order === undefined ? undefined : { endpointId: order.endpoint.id, ...order.target };
     const next = this.confirmation.then(() => lease.confirm(announced));
     this.confirmation = next.catch(() => undefined);
     return next;
--- a/packages/traffic/src/trafficRules.ts
+++ b/packages/traffic/src/trafficRules.ts
@@ -1,5 +1,6 @@
 import type {
   Account,
+  CacheStore,
   CallerLimits,
   Route,
   RouteTarget,
@@ -17,6 +18,7 @@
     private readonly routesByHost: ReadonlyMap<string, ReadonlyMap<string, Route>>,
     private readonly accountsByKey: ReadonlyMap<string, Account>,
     private readonly services: ReadonlyMap<string, Service>,
+    readonly cacheStores: readonly CacheStore[],
   ) {}
 
   /**
@@ -43,6 +45,7 @@
       routesByHost,
       accountsByKey,
       new Map(configuration.services.map((service) => [service.name, service])),
+      configuration.cacheStores,
     );
   }
 
--- a/packages/traffic/src/types.ts
+++ b/packages/traffic/src/types.ts
@@ -35,9 +35,26 @@
   readonly slots: number;
   /** Tokens that running requests and cached parts of one engine share. */
   readonly memoryTokens: number;
+  readonly bytesPerToken: number;
+  readonly linkMbps: number;
   readonly models: readonly string[];
 }
 
+/** A store VM that keeps prompt parts of the model services. */
+export interface CacheStore {
+  readonly name: string;
+  readonly address: string;
+  readonly zone: string;
+  readonly capacityTokens: number;
+  readonly linkMbps: number;
+  /** Time that each transfer waits beside its size. */
+  readonly firstMs: number;
+  /** Event calls that it serves at once. */
+  readonly maxEventCalls: number;
+  /** Whether it keeps everything until it is told to free it. */
+  readonly isManaged: boolean;
+}
+
 export interface Service {
   readonly name: string;
   /** Connections that one endpoint accepts from all callers together. */
@@ -68,6 +85,7 @@
   readonly version: number;
   readonly routes: readonly Route[];
   readonly services: readonly Service[];
+  readonly cacheStores: readonly CacheStore[];
   readonly limits: CallerLimits;
   /** Undefined if requests carry no keys. */
   readonly accounts?: readonly Account[];
