--- a/packages/gateway/src/beliefs.ts
+++ b/packages/gateway/src/beliefs.ts
@@ -4,7 +4,7 @@
 import type { MirroredRow } from '@lovagearch/mirror';
 import type { AnnouncedOrder, WeightTarget } from '@lovagearch/rollout';
 import { ANNOUNCED_ORDER_MS } from '@lovagearch/rollout';
-import { type CacheStore, TrafficRules } from '@lovagearch/traffic';
+import { TrafficRules } from '@lovagearch/traffic';
 import * as z from 'zod';
 import { LAPSE_GRACE_MS, LAPSE_WINDOW_MS } from './constants.js';
 import type { DecisionLog } from './decisionLog.js';
@@ -16,12 +16,7 @@
 export const ORDER_PREFIX = 'order/';
 export const LEASE_KEY = 'lease/orders';
 
-/** Followed by the address of a store VM. */
-export const STORE_PREFIX = 'store/';
-
 const peerSchema = z.object({ address: z.string(), zone: z.string() });
-const storeStateSchema = z.object({ isUp: z.boolean(), epoch: z.number() });
-type StoreState = z.infer<typeof storeStateSchema>;
 const strikesSchema = z.object({ strikes: z.array(z.tuple([z.string(), z.string()])) });
 const orderSchema = z.object({ model: z.string(), version: z.number().int() });
 
@@ -47,10 +42,6 @@
 
   private readonly peers = new Map<string, z.infer<typeof peerSchema>>();
 
-  private readonly storeStates = new Map<string, StoreState>();
-
-  private readonly storeListeners: ((address: string) => void)[] = [];
-
   private readonly announced = new Map<string, AnnouncedOrder & { readonly endsMs: number }>();
 
   private storeRegainedMs = Number.NEGATIVE_INFINITY;
@@ -81,38 +72,9 @@
     return [...this.peers.values()].map(({ address }) => address);
   }
 
-  /** Lists the names of the nodes in a zone, or of all nodes. */
-  listPeerNames(zone: string | undefined): string[] {
-    const names: string[] = [];
-    for (const [name, peer] of this.peers) {
-      if (zone === undefined || peer.zone === zone) names.push(name);
-    }
-    return names;
-  }
-
-  findStoreState(address: string): StoreState | undefined {
-    return this.storeStates.get(address);
-  }
-
-  /** Lists the store VMs of prompt parts that are not known to be down. */
-  listLiveStores(): readonly CacheStore[] {
-    const stores = this.currentRules?.cacheStores ?? [];
-    if (this.storeStates.size === 0) return stores;
-    return stores.filter(({ address }) => this.storeStates.get(address)?.isUp !== false);
-  }
-
-  /** @param listener called with the address of a store VM that has lost what it kept */
-  addStoreListener(listener: (address: string) => void): void {
-    this.storeListeners.push(listener);
-  }
-
-  recordStoreState(address: string, state: StoreState): void {
-    const known = this.storeStates.get(address);
-    if (known?.isUp === state.isUp && known.epoch === state.epoch) return;
-    this.storeStates.set(address, state);
-    this.log.recordChange('cache_store_state', { store: address, ...state });
-    if (known === undefined || known.epoch === state.epoch) return;
-    for (const listener of this.storeListeners) listener(address);
+  /** Lists the names of the nodes that have announced themselves. */
+  listPeerNames(): string[] {
+    return [...this.peers.keys()];
   }
 
   listWeightTargets(): NamedWeights[] {
@@ -193,8 +155,6 @@
   applySharedRow({ key, value }: MirroredRow): void {
     if (key.startsWith(PEER_PREFIX)) this.applyPeer(key.slice(PEER_PREFIX.length), value);
     else if (value === undefined) return;
-    else if (key.startsWith(STORE_PREFIX))
-      this.applyStoreState(key.slice(STORE_PREFIX.length), value);
     else if (key.startsWith(STRIKES_PREFIX)) this.applyStrikes(value);
     else if (key.startsWith(ORDER_PREFIX)) this.applyOrder(key.slice(ORDER_PREFIX.length), value);
   }
@@ -257,12 +217,6 @@
     this.log.recordChange('peer_known', { peer: name, nodes: this.peers.size });
   }
 
-  private applyStoreState(address: string, value: string): void {
-    const state = storeStateSchema.safeParse(this.codec.decodeSharedValue(value));
-    if (state.success) this.recordStoreState(address, state.data);
-    else this.logFault('cache_store', address, state.error.message);
-  }
-
   private applyStrikes(value: string): void {
     const row = strikesSchema.safeParse(this.codec.decodeSharedValue(value));
     if (!row.success) {
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -67,12 +67,10 @@
 export const STORE_EVENT_WAIT_MS = 1_000;
 /** Least time between two event calls to one store, in milliseconds. */
 export const STORE_EVENT_PACE_MS = 500;
-/** Failed event calls in a row after which a store counts as down. */
-export const STORE_DOWN_FAILURES = 2;
 /** Pause after a failed event call, in milliseconds. */
 export const STORE_RETRY_MS = 300;
-/** Nodes that watch one store. */
-export const STORE_WATCHERS = 2;
+/** Event calls that a store keeps free for others, of those that it serves at once. */
+export const SPARE_EVENT_CALLS = 3;
 /** Time after which no endpoint with older weights was seen, and their parts are freed, in milliseconds. */
 export const OLD_PARTS_FREE_MS = 3_000;
 /** Parts that one call frees. */
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -1,7 +1,7 @@
 import type { WindowRetryBudget } from '@lovagearch/admission';
 import type { Clock, Random } from '@lovagearch/common';
 import type { ConnectionPool } from '@lovagearch/exchange';
-import type { SavedParts } from '@lovagearch/reuse';
+import type { StoreIndex } from '@lovagearch/reuse';
 import type { Beliefs } from './beliefs.js';
 import type { DecisionLog } from './decisionLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
@@ -21,7 +21,10 @@
   readonly log: DecisionLog;
   readonly metrics: GatewayMetrics;
   readonly strikes: StrikePublisher;
-  readonly savedParts: SavedParts;
+  /** Returns what a store VM keeps, if this node watches it. */
+  readonly findStoreIndex: (address: string) => StoreIndex | undefined;
+  /** Also counts time in which the VM was suspended. */
+  readonly suspensionClock: Clock;
   /** Whether registrations are up to date. */
   readonly areHeartbeatsCurrent: () => boolean;
   readonly getRetryBudget: (service: string) => WindowRetryBudget;
--- a/packages/gateway/src/reusePlan.ts
+++ b/packages/gateway/src/reusePlan.ts
@@ -5,7 +5,7 @@
   type StoreReach,
 } from '@lovagearch/endpoints';
 import { chooseStore } from '@lovagearch/reuse';
-import type { Account, CacheStore, EngineSizes } from '@lovagearch/traffic';
+import type { Account, EngineSizes } from '@lovagearch/traffic';
 import { MIN_STORED_TOKENS } from './constants.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { CallerHead } from './types.js';
@@ -44,8 +44,6 @@
   return named === undefined || (endpoint.record.weights.get(model) ?? 0) >= named.version;
 };
 
-const getPartKey = (salt: string | undefined, part: PromptPart) => `${salt ?? ''}/${part.id}`;
-
 /** Returns the store VM of a prompt's shared part, with the time that a transfer takes. */
 export const findStoreReach = (
   context: GatewayContext,
@@ -55,7 +53,7 @@
   const part = getAffinityPart(parts);
   if (part === undefined || engine === undefined) return undefined;
   // The store doesn't depend on the salt, so that a new weight version moves no prompt.
-  const store = chooseStore(part.id, context.beliefs.listLiveStores());
+  const store = chooseStore(part.id, context.beliefs.rules?.cacheStores ?? []);
   if (store === undefined) return undefined;
   const bitsPerToken = engine.bytesPerToken * 8;
   const linkBitsPerMs = Math.max(1, Math.min(store.linkMbps, engine.linkMbps)) * 1_000;
@@ -72,45 +70,30 @@
   account: Account | undefined,
   endpoint: Endpoint,
 ): ReusePlan => {
-  const { beliefs, settings, savedParts, clock } = context;
+  const { beliefs, settings, suspensionClock } = context;
   const { model, parts } = head;
   const weights = model === undefined ? undefined : endpoint.record.weights.get(model);
   const cacheSalt = createCacheSalt(account, weights);
   const plan = { cacheSalt, expectedWeights: weights, fetchFrom: [], saveTo: [] };
-  if (model === undefined || weights === undefined || parts.length < 2) return plan;
+  if (model === undefined || cacheSalt === undefined) return plan;
   // Parts of weights that are being replaced are of no use soon.
   if (!hasNamedWeights(context, endpoint, model)) return plan;
   const region = settings.regionByZone.get(endpoint.record.zone);
-  const stores = beliefs.listLiveStores();
-  const nowMs = clock.nowMs();
+  const stores = beliefs.rules?.cacheStores ?? [];
+  const nowMs = suspensionClock.nowMs();
   const fetchFrom: (string | undefined)[] = [];
   const saveTo: (string | undefined)[] = [];
   for (const [index, part] of parts.entries()) {
-    const isShared = index < parts.length - 1;
-    const store: CacheStore | undefined =
-      isShared && part.tokens >= MIN_STORED_TOKENS ? chooseStore(part.id, stores) : undefined;
+    // The last part belongs to one request only.
+    const isKept = index < parts.length - 1 && part.tokens >= MIN_STORED_TOKENS;
+    const store = isKept ? chooseStore(part.id, stores) : undefined;
     const isNear = store !== undefined && settings.regionByZone.get(store.zone) === region;
-    fetchFrom.push(isNear ? store.address : undefined);
-    const partKey = getPartKey(cacheSalt, part);
-    const isSaved = store !== undefined && savedParts.isSaved(store.address, partKey, nowMs);
-    saveTo.push(isNear && !isSaved ? store.address : undefined);
+    const storeIndex = isNear ? context.findStoreIndex(store.address) : undefined;
+    const canRead = storeIndex?.canRead(cacheSalt, part.id, nowMs) === true;
+    const shouldSave = storeIndex?.shouldSave(cacheSalt, part.id, nowMs) === true;
+    if (shouldSave) storeIndex.recordSave(cacheSalt, part.id, nowMs);
+    fetchFrom.push(canRead ? store?.address : undefined);
+    saveTo.push(shouldSave ? store?.address : undefined);
   }
   return { ...plan, fetchFrom, saveTo };
 };
-
-/** Remembers what a completed request had kept at stores. */
-export const recordSaved = (
-  context: GatewayContext,
-  parts: readonly PromptPart[],
-  plan: ReusePlan,
-): void => {
-  for (const [index, address] of plan.saveTo.entries()) {
-    const part = parts[index];
-    if (address === undefined || part === undefined) continue;
-    context.savedParts.recordSaved(
-      address,
-      getPartKey(plan.cacheSalt, part),
-      context.clock.nowMs(),
-    );
-  }
-};
--- a/packages/gateway/src/servedRequest.ts
+++ b/packages/gateway/src/servedRequest.ts
@@ -17,7 +17,7 @@
 import type { GatewayContext } from './gatewayContext.js';
 import { type ChosenEndpoint, placeRequest } from './placeRequest.js';
 import { createFailure, createRefusal, type OwnAnswer, sendOwnAnswer } from './refusal.js';
-import { createCacheSalt, planReuse, recordSaved } from './reusePlan.js';
+import { createCacheSalt, planReuse } from './reusePlan.js';
 import { readBody } from './requestBody.js';
 import { computeFingerprint } from './strikePublisher.js';
 import type { CallerHead } from './types.js';
@@ -274,7 +274,6 @@
     this.attempt = attempt;
     const outcome = await attempt.run();
     context.metrics.recordAttempt(service, outcome.type);
-    if (outcome.type === 'passed_on') recordSaved(context, head.parts, reuse);
     const mayHaveCrashed = outcome.type === 'broken' && !attempt.hasOutput;
     if (mayHaveCrashed) this.recordStrike(admitted, chosen);
     return outcome;
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -7,7 +7,6 @@
   MirrorFollower,
   TableMirror,
 } from '@lovagearch/mirror';
-import { SavedParts } from '@lovagearch/reuse';
 import { createSuspensionClock, OrderLease, RolloutCoordinator } from '@lovagearch/rollout';
 import { Beliefs, LEASE_KEY, PEER_PREFIX } from './beliefs.js';
 import { CallerServer } from './callerServer.js';
@@ -125,6 +124,14 @@
   };
   const budgets = new Map<string, WindowRetryBudget>();
   const strikes = StrikePublisher.create(settings.nodeName, ports.shared, log);
+  const suspensionClock = createSuspensionClock(clock, Date.now);
+  const storeWatch = StoreWatch.create({
+    nodeName: settings.nodeName,
+    beliefs,
+    client: ports.cacheStores,
+    clock: suspensionClock,
+    log,
+  });
   const context: GatewayContext = {
     settings,
     headers: ports.headers,
@@ -136,7 +143,8 @@
     log,
     metrics,
     strikes,
-    savedParts: SavedParts.create(),
+    suspensionClock,
+    findStoreIndex: (address) => storeWatch.findIndex(address),
     areHeartbeatsCurrent: () =>
       endpointFollower.isStoreReachable &&
       endpointMirror.getAgeMs(clock.nowMs()) <
@@ -150,8 +158,6 @@
     },
     getPhase: () => phase,
   };
-  beliefs.addStoreListener((address) => context.savedParts.removeStore(address));
-  const storeWatch = StoreWatch.create(context, ports.cacheStores, ports.shared);
   const server = CallerServer.create(context);
   operatorMirror.addListener(() => {
     if (beliefs.rules !== undefined) server.applyLimits(beliefs.rules.limits);
@@ -161,7 +167,7 @@
     holder: `${settings.nodeName}/${process.pid}/${Date.now()}`,
     store: ports.lease,
     clock,
-    suspensionClock: createSuspensionClock(clock, Date.now),
+    suspensionClock,
     turnMs: bounds.orderTurnMs,
     random,
     onChange: ({ type, ...fields }) => log.recordChange(`order_lease_${type}`, fields),
--- a/packages/gateway/src/storeWatch.ts
+++ b/packages/gateway/src/storeWatch.ts
@@ -1,59 +1,61 @@
 import { setTimeout as waitMs } from 'node:timers/promises';
-import { getErrorMessage, getRendezvousOwners } from '@lovagearch/common';
+import { type Clock, getErrorMessage, getRendezvousOwners } from '@lovagearch/common';
+import { type StoredPart, StoreIndex } from '@lovagearch/reuse';
 import type { CacheStore } from '@lovagearch/traffic';
-import { STORE_PREFIX } from './beliefs.js';
+import type { Beliefs } from './beliefs.js';
 import {
   HOUSEKEEPING_MS,
   MAX_FREED_PARTS,
   OLD_PARTS_FREE_MS,
-  STORE_DOWN_FAILURES,
+  SPARE_EVENT_CALLS,
   STORE_EVENT_PACE_MS,
   STORE_EVENT_WAIT_MS,
   STORE_RETRY_MS,
-  STORE_WATCHERS,
 } from './constants.js';
-import type { GatewayContext } from './gatewayContext.js';
+import type { DecisionLog } from './decisionLog.js';
 import { parseSaltVersion } from './reusePlan.js';
-import type { CacheStoreClient, SharedTable, StoredPart } from './types.js';
+import type { CacheStoreClient } from './types.js';
 
 interface WatchedStore {
   store: CacheStore;
+  readonly index: StoreIndex;
   next: number;
-  epoch: number;
-  failures: number;
   isUp: boolean | undefined;
-  /** Complete parts by salt and id. */
-  readonly parts: Map<string, StoredPart>;
+  /** Whether this node is the one that frees parts there. */
+  isManager: boolean;
   isRunning: boolean;
 }
 
-const getPartKey = ({ salt, id }: StoredPart) => `${salt}/${id}`;
+export interface StoreWatchParts {
+  readonly nodeName: string;
+  readonly beliefs: Beliefs;
+  readonly client: CacheStoreClient;
+  /** Also counts time in which the VM was suspended. */
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+}
 
 /**
- * Watches some store VMs on behalf of all nodes: tells when one is down or has restarted empty, and
- * frees the parts of weights that no endpoint uses any more. Each store has a few watchers, so that
- * their number doesn't grow with the nodes.
+ * Keeps an index of what each store VM holds, and frees the parts of weights that no endpoint uses any
+ * more. A store serves few event calls at once; where there are more nodes, only some of them watch it.
  */
 export class StoreWatch {
   private readonly watched = new Map<string, WatchedStore>();
 
   /** Clock reading since which all endpoints have at least a version, by model. */
-  private readonly settledMs = new Map<string, { version: number; sinceMs: number }>();
+  private readonly settled = new Map<string, { version: number; sinceMs: number }>();
 
   private isStopped = false;
 
-  private constructor(
-    private readonly context: GatewayContext,
-    private readonly client: CacheStoreClient,
-    private readonly shared: SharedTable,
-  ) {}
-
-  static create(
-    context: GatewayContext,
-    client: CacheStoreClient,
-    shared: SharedTable,
-  ): StoreWatch {
-    return new StoreWatch(context, client, shared);
+  private constructor(private readonly parts: StoreWatchParts) {}
+
+  static create(parts: StoreWatchParts): StoreWatch {
+    return new StoreWatch(parts);
+  }
+
+  /** Returns what a store VM keeps, or undefined if this node doesn't watch it. */
+  findIndex(address: string): StoreIndex | undefined {
+    return this.watched.get(address)?.index;
   }
 
   stop(): void {
@@ -65,99 +67,83 @@
     while (!this.isStopped) {
       await waitMs(HOUSEKEEPING_MS);
       this.updateSettled();
-      const own = this.selectOwnStores();
-      for (const [address, watched] of this.watched) {
-        if (!own.has(address)) {
-          watched.isRunning = false;
-          this.watched.delete(address);
-        }
-      }
-      for (const [address, store] of own) {
-        const known = this.watched.get(address);
-        if (known !== undefined) known.store = store;
-        else this.startWatching(store);
-      }
+      this.updateWatched();
     }
   }
 
-  private selectOwnStores(): Map<string, CacheStore> {
-    const { beliefs, settings } = this.context;
-    const own = new Map<string, CacheStore>();
+  private updateWatched(): void {
+    const { beliefs, nodeName } = this.parts;
+    const nodes = beliefs.listPeerNames();
+    const wanted = new Set<string>();
     for (const store of beliefs.rules?.cacheStores ?? []) {
-      // Nodes of the store's zone come first, to keep events off the links between zones.
-      const near = beliefs.listPeerNames(store.zone);
-      const candidates = near.length > 0 ? near : beliefs.listPeerNames(undefined);
-      const count = Math.min(STORE_WATCHERS, store.maxEventCalls);
-      const watchers = getRendezvousOwners(store.address, candidates, count);
-      if (watchers.includes(settings.nodeName)) own.set(store.address, store);
+      const count = Math.max(1, store.maxEventCalls - SPARE_EVENT_CALLS);
+      const watchers = getRendezvousOwners(store.address, nodes, count);
+      if (!watchers.includes(nodeName)) continue;
+      wanted.add(store.address);
+      const known = this.watched.get(store.address) ?? this.startWatching(store);
+      known.store = store;
+      known.isManager = watchers[0] === nodeName;
+    }
+    for (const [address, watched] of this.watched) {
+      if (wanted.has(address)) continue;
+      watched.isRunning = false;
+      this.watched.delete(address);
     }
-    return own;
   }
 
-  private startWatching(store: CacheStore): void {
+  private startWatching(store: CacheStore): WatchedStore {
     const watched: WatchedStore = {
       store,
+      index: StoreIndex.create(),
       next: 0,
-      epoch: 0,
-      failures: 0,
       isUp: undefined,
-      parts: new Map(),
+      isManager: false,
       isRunning: true,
     };
     this.watched.set(store.address, watched);
     this.follow(watched).catch((error: unknown) => {
-      this.context.log.recordProblem('store_watch_failed', { reason: getErrorMessage(error) });
+      this.parts.log.recordProblem('cache_store_watch_failed', { reason: getErrorMessage(error) });
       this.watched.delete(store.address);
     });
+    return watched;
   }
 
   private async follow(watched: WatchedStore): Promise<void> {
-    const { clock } = this.context;
+    const { clock, client } = this.parts;
     while (watched.isRunning && !this.isStopped) {
       const startMs = clock.nowMs();
       const { address } = watched.store;
-      const events = await this.client.readEvents(address, watched.next, STORE_EVENT_WAIT_MS);
-      if (!watched.isRunning) return;
-      if (events === undefined) {
-        watched.failures += 1;
-        if (watched.failures === STORE_DOWN_FAILURES) await this.publish(watched, false);
+      const answer = await client.readEvents(address, watched.next, STORE_EVENT_WAIT_MS);
+      if (answer === undefined) {
+        watched.index.recordFailure();
+        this.logState(watched, false);
         await waitMs(STORE_RETRY_MS);
         continue;
       }
-      watched.failures = 0;
-      if (events.epoch !== watched.epoch) {
-        watched.epoch = events.epoch;
-        watched.parts.clear();
-        watched.next = 0;
-        await this.publish(watched, true);
-        continue;
-      }
-      if (watched.isUp !== true) await this.publish(watched, true);
-      watched.next = events.next;
-      for (const { isAdded, part } of events.events) {
-        if (isAdded) watched.parts.set(getPartKey(part), part);
-        else watched.parts.delete(getPartKey(part));
-      }
-      await this.freeOldParts(watched);
+      const nowMs = clock.nowMs();
+      watched.index.recordReturn(nowMs);
+      const isSameStart = watched.index.applyAnswer(answer.epoch, answer.events, nowMs);
+      watched.next = isSameStart ? answer.next : 0;
+      this.logState(watched, true);
+      if (isSameStart && watched.isManager) await this.freeOldParts(watched);
       const pauseMs = STORE_EVENT_PACE_MS - (clock.nowMs() - startMs);
-      if (pauseMs > 0) await waitMs(pauseMs);
+      if (isSameStart && pauseMs > 0) await waitMs(pauseMs);
     }
   }
 
-  private async publish(watched: WatchedStore, isUp: boolean): Promise<void> {
+  private logState(watched: WatchedStore, isUp: boolean): void {
+    if (watched.isUp === isUp) return;
     watched.isUp = isUp;
-    const { address } = watched.store;
-    const { beliefs } = this.context;
-    const known = beliefs.findStoreState(address);
-    // The other watcher of the store may have said the same.
-    if (known?.isUp === isUp && known.epoch === watched.epoch) return;
-    beliefs.recordStoreState(address, { isUp, epoch: watched.epoch });
-    await this.shared.write(`${STORE_PREFIX}${address}`, { isUp, epoch: watched.epoch });
+    this.parts.log.recordChange(isUp ? 'cache_store_regained' : 'cache_store_lost', {
+      store: watched.store.address,
+      epoch: watched.index.epoch,
+      knownParts: watched.index.size,
+    });
   }
 
   /** Records since when no endpoint has weights older than the newest that were named. */
   private updateSettled(): void {
-    const { beliefs, clock } = this.context;
+    const { beliefs, clock } = this.parts;
     const nowMs = clock.nowMs();
     for (const { model, version } of beliefs.listWeightTargets()) {
       let isSettled = true;
@@ -165,9 +151,9 @@
         const own = record.weights.get(model);
         if (own !== undefined && own < version) isSettled = false;
       }
-      const known = this.settledMs.get(model);
-      if (!isSettled) this.settledMs.delete(model);
-      else if (known?.version !== version) this.settledMs.set(model, { version, sinceMs: nowMs });
+      const known = this.settled.get(model);
+      if (!isSettled) this.settled.delete(model);
+      else if (known?.version !== version) this.settled.set(model, { version, sinceMs: nowMs });
     }
   }
 
@@ -175,13 +161,12 @@
    * Frees parts of replaced weights. No request reads them any more: endpoints run none that expects
    * those weights, and nodes name parts of the newest weights only.
    */
-  private async freeOldParts(watched: WatchedStore): Promise<void> {
-    const { store, parts, epoch } = watched;
-    if (!store.isManaged) return;
-    const nowMs = this.context.clock.nowMs();
+  private async freeOldParts({ store, index }: WatchedStore): Promise<void> {
+    if (!store.isManaged || index.epoch === undefined) return;
+    const nowMs = this.parts.clock.nowMs();
     const old: StoredPart[] = [];
-    for (const part of parts.values()) {
-      const settled = this.settledMs.get(part.model);
+    for (const part of index.listParts()) {
+      const settled = this.settled.get(part.model);
       const version = parseSaltVersion(part.salt);
       if (settled === undefined || version === undefined || version >= settled.version) continue;
       if (nowMs - settled.sinceMs < OLD_PARTS_FREE_MS) continue;
@@ -189,13 +174,13 @@
       if (old.length >= MAX_FREED_PARTS) break;
     }
     if (old.length === 0) return;
-    const isFreed = await this.client.freeParts(store.address, old, epoch);
-    if (isFreed) for (const part of old) parts.delete(getPartKey(part));
-    this.context.log.recordChange('old_parts_freed', {
+    const isFreed = await this.parts.client.freeParts(store.address, old, index.epoch);
+    if (isFreed) for (const { salt, id } of old) index.removePart(salt, id);
+    this.parts.log.recordChange('old_parts_freed', {
       store: store.address,
       parts: old.length,
       isFreed,
-      epoch,
+      epoch: index.epoch,
     });
   }
 }
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -1,5 +1,6 @@
 import type { EndpointRecord, LoadReport, PromptPart } from '@lovagearch/endpoints';
 import type { TableSource } from '@lovagearch/mirror';
+import type { StoredPart, StorePartEvent } from '@lovagearch/reuse';
 import type { LeaseStore, OrderClient, WeightTarget } from '@lovagearch/rollout';
 import type { TrafficConfiguration } from '@lovagearch/traffic';
 
@@ -97,21 +98,13 @@
   readonly decodeSharedValue: (value: string) => unknown;
 }
 
-/** A part that a store VM keeps whole. */
-export interface StoredPart {
-  readonly salt: string;
-  readonly id: string;
-  readonly tokens: number;
-  readonly model: string;
-}
-
 /** What changed at a store VM since an earlier call. */
 export interface StoreEvents {
   /** Differs between two starts of the store. */
   readonly epoch: number;
   /** Where the next call goes on. */
   readonly next: number;
-  readonly events: readonly { readonly isAdded: boolean; readonly part: StoredPart }[];
+  readonly events: readonly StorePartEvent[];
 }
 
 /** Calls to the store VMs of prompt parts. */
--- a/packages/reuse/src/index.ts
+++ b/packages/reuse/src/index.ts
@@ -10,4 +10,5 @@
 export * from './prefixCatalog.js';
 export * from './returnHistory.js';
 export * from './segmentLedger.js';
+export * from './storeIndex.js';
 export * from './storePlacement.js';
--- /dev/null
+++ b/packages/reuse/src/storeIndex.test.ts
@@ -0,0 +1,87 @@
+import t from 'tap';
+import {
+  chooseStore,
+  INDEX_MAX_AGE_MS,
+  NEW_STORE_PAUSE_MS,
+  SAVE_RETRY_MS,
+  StoreIndex,
+} from './index.js';
+
+const ADDED = {
+  isAdded: true,
+  part: { salt: 'v1', id: 'p', tokens: 100, model: 'm0' },
+};
+
+const createIndex = () => {
+  const index = StoreIndex.create();
+  index.applyAnswer(1, [], 0);
+  index.applyAnswer(1, [ADDED], 0);
+  return index;
+};
+
+t.test('a part is read only if it was complete under the same salt', async (t2) => {
+  const index = createIndex();
+  t2.equal(index.canRead('v1', 'p', 1), true);
+  t2.equal(index.canRead('v2', 'p', 1), false);
+  t2.equal(index.canRead('v1/zamu', 'p', 1), false);
+  t2.equal(index.canRead('v1', 'q', 1), false);
+});
+
+t.test('a part that another node may be writing again after a restart is not read', async (t2) => {
+  const index = createIndex();
+  // The store restarts right after the last answer; another node notices at once and waits.
+  const othersWriteMs = NEW_STORE_PAUSE_MS;
+  t2.equal(index.canRead('v1', 'p', othersWriteMs), false);
+  t2.ok(INDEX_MAX_AGE_MS < NEW_STORE_PAUSE_MS);
+  index.applyAnswer(2, [], othersWriteMs);
+  t2.equal(index.canRead('v1', 'p', othersWriteMs), false);
+  t2.equal(index.shouldSave('v1', 'p', othersWriteMs + 1), false);
+  index.applyAnswer(2, [], othersWriteMs + NEW_STORE_PAUSE_MS);
+  t2.equal(index.shouldSave('v1', 'p', othersWriteMs + NEW_STORE_PAUSE_MS), true);
+});
+
+t.test(
+  'a store that did not answer is neither read nor written until it is known again',
+  async (t2) => {
+    const index = createIndex();
+    index.recordFailure();
+    t2.equal(index.canRead('v1', 'p', 1), false);
+    index.recordReturn(10);
+    index.applyAnswer(1, [], 10);
+    t2.equal(index.canRead('v1', 'p', 11), true);
+    t2.equal(index.shouldSave('v1', 'q', 11), false);
+  },
+);
+
+t.test('a part is not sent again and again while its event is on the way', async (t2) => {
+  const index = createIndex();
+  const nowMs = NEW_STORE_PAUSE_MS;
+  index.applyAnswer(1, [], nowMs);
+  t2.equal(index.shouldSave('v1', 'q', nowMs), true);
+  index.recordSave('v1', 'q', nowMs);
+  t2.equal(index.shouldSave('v1', 'q', nowMs + 1), false);
+  index.applyAnswer(1, [], nowMs + SAVE_RETRY_MS);
+  t2.equal(index.shouldSave('v1', 'q', nowMs + SAVE_RETRY_MS), true);
+  t2.equal(index.shouldSave('v1', 'p', nowMs + SAVE_RETRY_MS), false);
+});
+
+t.test(
+  'stores receive parts by their capacity, and a lost store moves only its own',
+  async (t2) => {
+    const stores = [
+      { address: 'a', zone: 'z', capacityTokens: 300 },
+      { address: 'b', zone: 'z', capacityTokens: 100 },
+      { address: 'c', zone: 'z', capacityTokens: 100 },
+    ];
+    let large = 0;
+    const count = 4_000;
+    for (let part = 0; part < count; part++) {
+      const chosen = chooseStore(`p${part}`, stores);
+      if (chosen?.address === 'a') large += 1;
+      if (chosen?.address === 'c') continue;
+      t2.equal(chooseStore(`p${part}`, stores.slice(0, 2))?.address, chosen?.address);
+    }
+    t2.ok(Math.abs(large / count - 0.6) < 0.04);
+    t2.equal(chooseStore('p', []), undefined);
+  },
+);
--- a/packages/reuse/src/storePlacement.ts
+++ b/packages/reuse/src/storePlacement.ts
@@ -1,4 +1,4 @@
-import { BoundedMap, computeHash32 } from '@lovagearch/common';
+import { computeHash32 } from '@lovagearch/common';
 
 const MAX_HASH = 2 ** 32;
 
@@ -33,33 +33,3 @@
   }
   return chosen;
 };
-
-/** Time for which a part that was sent to a store counts as kept there, in milliseconds. */
-export const SAVED_PART_MEMORY_MS = 120_000;
-/** Parts whose saving is remembered. */
-const MAX_SAVED_PARTS = 16_384;
-
-/** Parts that this process had saved, so that they are not sent to their store again and again. */
-export class SavedParts {
-  private readonly savedMs = BoundedMap.create<string, number>(MAX_SAVED_PARTS);
-
-  static create(): SavedParts {
-    return new SavedParts();
-  }
-
-  recordSaved(storeAddress: string, partKey: string, nowMs: number): void {
-    this.savedMs.set(`${storeAddress}/${partKey}`, nowMs);
-  }
-
-  isSaved(storeAddress: string, partKey: string, nowMs: number): boolean {
-    const savedMs = this.savedMs.peek(`${storeAddress}/${partKey}`);
-    return savedMs !== undefined && nowMs - savedMs < SAVED_PART_MEMORY_MS;
-  }
-
-  /** Forgets what a store had, after it restarted empty. */
-  removeStore(storeAddress: string): void {
-    for (const key of [...this.savedMs.keys()]) {
-      if (key.startsWith(`${storeAddress}/`)) this.savedMs.delete(key);
-    }
-  }
-}
