Refuse at once what would be late, and hurry a rollout only as needed

Cause: after new weights are named, queues at the endpoints grow beyond the expected latency and every answer is late.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -8,6 +8,7 @@
 export * from './demandTable.js';
 export * from './fairQueue.js';
 export * from './loadShedding.js';
+export * from './overloadGate.js';
 export * from './rateMeter.js';
 export * from './retryBudget.js';
 export * from './tokenBucket.js';
--- /dev/null
+++ b/packages/admission/src/overloadGate.test.ts
@@ -0,0 +1,75 @@
+import t from 'tap';
+import { decideAdmission, type GateInput } from './overloadGate.js';
+
+const INPUT: GateInput = {
+  expectedMs: 100,
+  ownMs: 50,
+  targetLatencyMs: 800,
+  elapsedMs: 0,
+  remainingMs: 12_000,
+  priority: 1,
+  draw: 0.5,
+};
+
+interface Waiting {
+  readonly arrivedMs: number;
+  readonly workMs: number;
+}
+
+/** Plays one engine that is asked for `load` times what it can do; returns the share served in time. */
+const playOverload = (load: number, hasGate: boolean): number => {
+  const workMs = 100;
+  const queue: Waiting[] = [];
+  let busyUntilMs = 0;
+  let asked = 0;
+  let inTime = 0;
+  const target = INPUT.targetLatencyMs;
+  for (let nowMs = 0; nowMs < 60_000; nowMs += workMs / load) {
+    while (busyUntilMs <= nowMs && queue.length > 0) {
+      const { arrivedMs } = queue.shift()!;
+      const startMs = Math.max(busyUntilMs, arrivedMs);
+      busyUntilMs = startMs + workMs;
+      if (busyUntilMs - arrivedMs <= target) inTime += 1;
+    }
+    asked += 1;
+    const waitMs = Math.max(0, busyUntilMs - nowMs) + queue.length * workMs;
+    const expectedMs = waitMs + workMs;
+    const decision = decideAdmission({ ...INPUT, expectedMs, ownMs: workMs });
+    if (!hasGate || decision.type === 'admit') queue.push({ arrivedMs: nowMs, workMs });
+  }
+  for (const { arrivedMs } of queue) {
+    busyUntilMs = Math.max(busyUntilMs, arrivedMs) + workMs;
+    if (busyUntilMs - arrivedMs <= target) inTime += 1;
+  }
+  return inTime / asked;
+};
+
+t.test('a sustained overload does not make every answer late', async (t2) => {
+  for (const load of [1.3, 2, 4]) {
+    t2.ok(playOverload(load, true) > (1 / load) * 0.95, `load ${load} with the gate`);
+    t2.ok(playOverload(load, false) < 0.2, `load ${load} without the gate`);
+  }
+});
+
+t.test('nothing is refused below capacity', async (t2) => {
+  t2.equal(playOverload(0.95, true), 1);
+});
+
+t.test('the least urgent request is refused first', async (t2) => {
+  const input = { ...INPUT, expectedMs: 750 };
+  t2.equal(decideAdmission({ ...input, priority: 0 }).type, 'admit');
+  t2.equal(decideAdmission({ ...input, priority: 2 }).type, 'refuse');
+});
+
+t.test('a request that needs long by itself is not sent away while nothing waits', async (t2) => {
+  t2.equal(decideAdmission({ ...INPUT, expectedMs: 1_500, ownMs: 1_450 }).type, 'admit');
+});
+
+t.test(
+  'what can not be served in its time is refused at once, to return within its time',
+  async (t2) => {
+    const decision = decideAdmission({ ...INPUT, expectedMs: 900, remainingMs: 600 });
+    t2.equal(decision.type, 'refuse');
+    if (decision.type === 'refuse') t2.ok(decision.retryAfterMs <= 200);
+  },
+);
--- a/packages/endpoints/src/chooseEndpoint.ts
+++ b/packages/endpoints/src/chooseEndpoint.ts
@@ -5,15 +5,14 @@
   CROSS_ZONE_PENALTY_MS,
   CROSS_ZONE_TRANSFER_FACTOR,
   FAILURE_COST_MS,
+  FIRST_TOKEN_MS,
   NEAR_TIE_SHARE,
   PREFILL_COST_WEIGHT,
   PREFILL_TOKENS_PER_MS,
-  RUNNING_REQUEST_MS,
   SAME_REGION_ROUND_TRIP_MS,
   SAME_ZONE_ROUND_TRIP_MS,
   SILENT_HEARTBEATS,
   STORE_HOLD_SHARE,
-  WAITING_REQUEST_MS,
 } from './constants.js';
 import type { Endpoint } from './endpoint.js';
 import { chooseOwner, getAffinityPart, type PromptMemory } from './promptMemory.js';
@@ -88,10 +87,10 @@
 ): Placement => {
   const { request, memory, nowMs, place } = input;
   const { roundTripMs, penaltyMs } = computeLinkCost(endpoint, place);
-  const { running, waiting } = endpoint.estimateRequests(nowMs);
   const failureMs = endpoint.recentFailureShare * FAILURE_COST_MS;
   const promptTokens = request.parts.reduce((sum, { tokens }) => sum + tokens, 0);
   if (promptTokens === 0) {
+    const { running, waiting } = endpoint.estimateRequests(nowMs);
     const workMs = endpoint.meanWorkMs;
     const slots = Math.max(1, endpoint.record.slots);
     const queueMs = (Math.max(0, running + waiting + 1 - slots) / slots) * workMs;
@@ -99,7 +98,14 @@
     const crowdingMs = (running / slots) * workMs * 0.5;
     const expectedMs = roundTripMs + queueMs + workMs;
     const costMs = expectedMs + crowdingMs + penaltyMs + failureMs;
-    return { endpointId: endpoint.record.id, expectedMs, uncachedTokens: 0, costMs, candidates: 0 };
+    return {
+      endpointId: endpoint.record.id,
+      expectedMs,
+      ownMs: roundTripMs + workMs,
+      uncachedTokens: 0,
+      costMs,
+      candidates: 0,
+    };
   }
   const salt = request.cacheSalt ?? '';
   const cached = memory.estimateCachedTokens(
@@ -111,12 +117,19 @@
   );
   const uncachedTokens = promptTokens - cached;
   const { prefillMs, transferMs } = computeReadTimes(input, endpoint, uncachedTokens);
-  const pendingMs = endpoint.pendingTokens / PREFILL_TOKENS_PER_MS;
-  const queueMs = Math.max(waiting * WAITING_REQUEST_MS, pendingMs) + running * RUNNING_REQUEST_MS;
-  const expectedMs = roundTripMs + queueMs + prefillMs + transferMs;
+  const queueMs = endpoint.estimateWaitMs(nowMs);
+  const ownMs = roundTripMs + FIRST_TOKEN_MS + prefillMs + transferMs;
+  const expectedMs = queueMs + ownMs;
   const costMs =
     roundTripMs + penaltyMs + queueMs + prefillMs * PREFILL_COST_WEIGHT + transferMs + failureMs;
-  return { endpointId: endpoint.record.id, expectedMs, uncachedTokens, costMs, candidates: 0 };
+  return {
+    endpointId: endpoint.record.id,
+    expectedMs,
+    ownMs,
+    uncachedTokens,
+    costMs,
+    candidates: 0,
+  };
 };
 
 const isSilent = (input: ChoiceInput, endpoint: Endpoint): boolean =>
--- a/packages/endpoints/src/constants.ts
+++ b/packages/endpoints/src/constants.ts
@@ -22,6 +22,12 @@
 export const RUNNING_REQUEST_MS = 1.5;
 /** Time that each waiting request of an engine adds, in milliseconds: a mean prompt's prefill. */
 export const WAITING_REQUEST_MS = 30;
+/** Time of an engine before the first token beside reading the prompt, in milliseconds. */
+export const FIRST_TOKEN_MS = 45;
+/** Weight of the newest answer in the time that answers waited. */
+export const WAIT_EWMA_WEIGHT = 0.4;
+/** Time constant in which the time that answers waited is forgotten, in milliseconds. */
+export const OBSERVED_WAIT_DECAY_MS = 1_500;
 /** Time constant in which a load report of an endpoint loses its weight, in milliseconds. */
 export const LOAD_REPORT_DECAY_MS = 3_000;
 /** First guess of the work of a plain call, in milliseconds, until answers were measured. */
--- a/packages/endpoints/src/endpoint.ts
+++ b/packages/endpoints/src/endpoint.ts
@@ -4,7 +4,12 @@
   FIRST_SUSPENSION_MS,
   LOAD_REPORT_DECAY_MS,
   MAX_SUSPENSION_MS,
+  OBSERVED_WAIT_DECAY_MS,
+  PREFILL_TOKENS_PER_MS,
   REJECTION_PAUSE_MS,
+  RUNNING_REQUEST_MS,
+  WAIT_EWMA_WEIGHT,
+  WAITING_REQUEST_MS,
   WORK_EWMA_WEIGHT,
 } from './constants.js';
 import type { EndpointRecord, LoadReport } from './types.js';
@@ -16,13 +21,29 @@
   | { readonly type: 'rejected' }
   | { readonly type: 'transport_failed' };
 
+/** A request of this process at an endpoint, until its first byte. */
+export interface SentRequest {
+  /** Prompt tokens that the endpoint is expected to read. */
+  readonly tokens: number;
+  /** Time to the first byte if nothing waited, in milliseconds. */
+  readonly ownMs: number;
+  readonly sentMs: number;
+}
+
 /** One start of an endpoint: its registration, and what exchanges with it have shown. */
 export class Endpoint {
   /** Requests of this process at the endpoint. */
   active = 0;
 
-  /** Prompt tokens of requests of this process that have not had their first event. */
-  pendingTokens = 0;
+  /** Requests of this process that have had no byte yet, in the order of their sending. */
+  private readonly waiting = new Set<SentRequest>();
+
+  private pendingTokens = 0;
+
+  /** Time that the last answers waited beyond their own work. */
+  private observedWaitMs = 0;
+
+  private observedMs = Number.NEGATIVE_INFINITY;
 
   /** Clock reading of the last bytes from the endpoint, on any exchange. */
   lastHeardMs = Number.NEGATIVE_INFINITY;
@@ -94,14 +115,44 @@
     return this.report === undefined ? Number.POSITIVE_INFINITY : nowMs - this.reportMs;
   }
 
-  recordSent(tokens: number): void {
+  /** Records a request; the result is passed to `recordFirstByte` or `recordNoByte`. */
+  recordSent(tokens: number, ownMs: number, nowMs: number): SentRequest {
+    const sent = { tokens, ownMs, sentMs: nowMs };
     this.active += 1;
     this.pendingTokens += tokens;
     this.sinceReport += 1;
+    this.waiting.add(sent);
+    return sent;
+  }
+
+  recordFirstByte(sent: SentRequest, nowMs: number): void {
+    if (!this.removeWaiting(sent)) return;
+    const waitMs = Math.max(0, nowMs - sent.sentMs - sent.ownMs);
+    const previousMs = this.getObservedWaitMs(nowMs);
+    this.observedWaitMs = previousMs + (waitMs - previousMs) * WAIT_EWMA_WEIGHT;
+    this.observedMs = nowMs;
   }
 
-  recordFirstEvent(tokens: number): void {
-    this.pendingTokens = Math.max(0, this.pendingTokens - tokens);
+  /** Records that a request ended without a byte. */
+  recordNoByte(sent: SentRequest): void {
+    this.removeWaiting(sent);
+  }
+
+  /**
+   * Estimates the time that a new request waits before its own work begins, in milliseconds: the
+   * largest of what the last answers waited, what the oldest request without an answer has waited
+   * already, and what the reported queue and the own unread prompts take.
+   */
+  estimateWaitMs(nowMs: number): number {
+    const { running, waiting } = this.estimateRequests(nowMs);
+    const oldest = this.waiting.values().next();
+    const oldestMs = oldest.done ? 0 : nowMs - oldest.value.sentMs - oldest.value.ownMs;
+    return Math.max(
+      this.getObservedWaitMs(nowMs),
+      oldestMs,
+      waiting * WAITING_REQUEST_MS + running * RUNNING_REQUEST_MS,
+      this.pendingTokens / PREFILL_TOKENS_PER_MS,
+    );
   }
 
   recordHeard(nowMs: number): void {
@@ -132,6 +183,16 @@
     }
   }
 
+  private removeWaiting(sent: SentRequest): boolean {
+    if (!this.waiting.delete(sent)) return false;
+    this.pendingTokens = Math.max(0, this.pendingTokens - sent.tokens);
+    return true;
+  }
+
+  private getObservedWaitMs(nowMs: number): number {
+    return this.observedWaitMs * Math.exp(-(nowMs - this.observedMs) / OBSERVED_WAIT_DECAY_MS);
+  }
+
   /** Suspends the endpoint, longer with each failure that no answer interrupts. */
   recordTransportFailure(nowMs: number): void {
     // The requests of one crash fail together; they are one failure.
--- a/packages/endpoints/src/types.ts
+++ b/packages/endpoints/src/types.ts
@@ -59,6 +59,8 @@
   readonly endpointId: string;
   /** Expected time to the first byte of the answer, in milliseconds. */
   readonly expectedMs: number;
+  /** The part of it that is not waiting. */
+  readonly ownMs: number;
   /** Prompt tokens that the endpoint is expected to read. */
   readonly uncachedTokens: number;
   /** Why this one: its cost and the number of endpoints compared. */
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@lovagearch/common';
-import type { Endpoint, EndpointOutcome, Placement } from '@lovagearch/endpoints';
+import type { Endpoint, EndpointOutcome, Placement, SentRequest } from '@lovagearch/endpoints';
 import {
   type ConnectionPool,
   type EndpointRequest,
@@ -70,6 +70,8 @@
 
   private readonly startMs: number;
 
+  private sent: SentRequest | undefined;
+
   private lastBytesMs: number;
 
   private stallTimer: NodeJS.Timeout | undefined;
@@ -109,7 +111,7 @@
 
   private start(): void {
     const { endpoint, request, maxConnections, placement, stallMs } = this.input;
-    endpoint.recordSent(placement.uncachedTokens);
+    this.sent = endpoint.recordSent(placement.uncachedTokens, placement.ownMs, this.startMs);
     const exchange = this.parts.pool.send(
       getStartKey(endpoint),
       endpoint.record.address,
@@ -292,7 +294,9 @@
   private markFirstByte(): void {
     if (this.hasFirstByte) return;
     this.hasFirstByte = true;
-    this.input.endpoint.recordFirstEvent(this.input.placement.uncachedTokens);
+    if (this.sent !== undefined) {
+      this.input.endpoint.recordFirstByte(this.sent, this.parts.clock.nowMs());
+    }
     this.parts.onFirstByte();
   }
 
@@ -305,8 +309,8 @@
     if (this.isOver) return;
     this.isOver = true;
     clearTimeout(this.stallTimer);
-    const { endpoint, placement, framing } = this.input;
-    if (!this.hasFirstByte) endpoint.recordFirstEvent(placement.uncachedTokens);
+    const { endpoint, framing } = this.input;
+    if (this.sent !== undefined) endpoint.recordNoByte(this.sent);
     endpoint.recordEnd(endpointOutcome, this.parts.clock.nowMs());
     // Bytes of an unfinished event would be glued to the next run's first event.
     framing?.dropRest();
--- a/packages/gateway/src/servedRequest.ts
+++ b/packages/gateway/src/servedRequest.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { decideAdmission } from '@lovagearch/admission';
 import { type AttemptResult, decideNext, EventFraming } from '@lovagearch/exchange';
 import { type Account, chooseTarget, isRepeatable, type Route } from '@lovagearch/traffic';
 import { AnswerRelay } from './answerRelay.js';
@@ -183,6 +184,7 @@
     context.getRetryBudget(service).recordRequest(context.clock.nowMs());
     const framing = route.kind === 'streaming' ? EventFraming.create(head.lastEventId) : undefined;
     let chosen = this.choose(admitted);
+    if (chosen !== undefined && !this.tryAdmit(admitted, chosen)) return;
     while (this.stopReason === undefined) {
       const remainingMs = this.limitMs - this.getElapsedMs();
       if (chosen === undefined || remainingMs < MIN_SEND_MS) {
@@ -199,6 +201,35 @@
     this.handleStop(admitted);
   }
 
+  /** Refuses a request that would be late; returns whether it may be sent. */
+  private tryAdmit({ head, route, account }: Admitted, { placement }: ChosenEndpoint): boolean {
+    const { context } = this;
+    const elapsedMs = this.getElapsedMs();
+    const decision = decideAdmission({
+      expectedMs: placement.expectedMs,
+      ownMs: placement.ownMs,
+      targetLatencyMs: route.targetLatencyMs,
+      elapsedMs,
+      remainingMs: this.limitMs - elapsedMs,
+      priority: account?.priority ?? route.priority,
+      draw: context.random(),
+    });
+    if (decision.type === 'admit') return true;
+    const { reason, retryAfterMs } = decision;
+    context.log.recordProblem('not_admitted', {
+      request: head.requestId,
+      route: route.name,
+      reason,
+      expectedMs: Math.round(placement.expectedMs),
+      ownMs: Math.round(placement.ownMs),
+      targetMs: route.targetLatencyMs,
+      retryAfterMs: Math.round(retryAfterMs),
+    });
+    const message = `the best endpoint would take ${Math.round(placement.expectedMs)} ms`;
+    this.answer(head, route, createRefusal('overloaded', message, retryAfterMs));
+    return false;
+  }
+
   private choose({ head, route, service, account }: Admitted): ChosenEndpoint | undefined {
     return placeRequest(this.context, head, route, service, account, this.excluded);
   }
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -191,6 +191,7 @@
         .map(({ record }) => record)
         .filter(({ state, weights }) => state === 'ready' && weights.size > 0),
     listTargets: () => beliefs.listWeightTargets(),
+    boundMs: bounds.weightsMs,
     onEvent: (event) => {
       const { type, ...fields } = event;
       const result = 'result' in event ? event.result.type : undefined;
--- a/packages/rollout/src/constants.ts
+++ b/packages/rollout/src/constants.ts
@@ -12,11 +12,21 @@
 /** Time between two looks at what has to be ordered, in milliseconds. */
 export const ROLLOUT_TICK_MS = 150;
 /**
- * Share of a service's endpoints that may load or wait to load at once. Loads slow each other down
- * beyond about 0.29 of the endpoints (3 of 13, 2 of 6, 28 of 98 on the users' sheets); those that still
- * finish their runs don't count among them.
+ * Share of a service's endpoints that change at once while there is time: beyond it loads slow each
+ * other down (3 of 13, 2 of 6, 28 of 98 on the users' sheets).
  */
-export const MAX_CHANGING_SHARE = 0.4;
+export const CHANGING_SHARE = 0.29;
+/** The same when time is short. More would leave too few endpoints for callers. */
+export const MAX_CHANGING_SHARE = 0.6;
+/** Time that an endpoint takes to finish its runs and to load, in milliseconds. */
+export const CHANGE_MS = 2_500;
+/** Time before the bound on new weights at which all endpoints should have them, in milliseconds. */
+export const ROLLOUT_MARGIN_MS = 1_500;
+/**
+ * Time between the announcement of an order and the order, in milliseconds. Nodes stop sending requests
+ * in it, which the endpoint would reject.
+ */
+export const ANNOUNCE_LEAD_MS = 400;
 /** Time between two looks at an endpoint that is loading, in milliseconds. */
 export const REPORT_INTERVAL_MS = 250;
 /** Time after which an order without effect is given again, in milliseconds. */
--- a/packages/rollout/src/planOrders.ts
+++ b/packages/rollout/src/planOrders.ts
@@ -1,4 +1,4 @@
-import { MAX_CHANGING_SHARE } from './constants.js';
+import { CHANGE_MS, CHANGING_SHARE, MAX_CHANGING_SHARE } from './constants.js';
 import type { RolloutEndpoint, WeightTarget } from './types.js';
 
 /** An endpoint that has to change its weights. */
@@ -13,6 +13,8 @@
   readonly targets: readonly WeightTarget[];
   /** Endpoints at which an order is under way. */
   readonly changing: ReadonlySet<string>;
+  /** Time until all endpoints should have the named weights, in milliseconds. */
+  readonly leftMs: number;
 }
 
 const findStaleTarget = (
@@ -26,17 +28,28 @@
   return undefined;
 };
 
-/** Returns the number of endpoints that may change at once: a share, but at least two. */
-export const computeMaxChanging = (endpoints: number): number =>
-  Math.max(2, Math.floor(endpoints * MAX_CHANGING_SHARE));
+/**
+ * Returns the number of endpoints that may change at once: as few as finish in time, as those that
+ * change serve nobody, but at least a share that does not slow the loads down.
+ *
+ * @param endpoints all endpoints of the service
+ * @param stale those that still have to change
+ * @param leftMs time until all of them should have changed
+ */
+export const computeMaxChanging = (endpoints: number, stale: number, leftMs: number): number => {
+  const least = Math.max(1, Math.floor(endpoints * CHANGING_SHARE));
+  const most = Math.max(least, Math.floor(endpoints * MAX_CHANGING_SHARE));
+  const needed = Math.ceil((stale * CHANGE_MS) / Math.max(1, leftMs));
+  return Math.min(most, Math.max(least, needed));
+};
 
 /**
  * Plans the orders that may be given now, those with the oldest weights first.
  *
  * @example
- * for (const order of planOrders({ endpoints, targets, changing })) startOrder(order);
+ * for (const order of planOrders({ endpoints, targets, changing, leftMs })) startOrder(order);
  */
-export const planOrders = ({ endpoints, targets, changing }: PlanInput): PlannedOrder[] => {
+export const planOrders = ({ endpoints, targets, changing, leftMs }: PlanInput): PlannedOrder[] => {
   const planned: PlannedOrder[] = [];
   for (const endpoint of endpoints) {
     if (changing.has(endpoint.id)) continue;
@@ -46,6 +59,7 @@
   const getVersion = ({ endpoint, target }: PlannedOrder) =>
     endpoint.weights.get(target.model) ?? 0;
   planned.sort((a, b) => getVersion(a) - getVersion(b));
-  const free = computeMaxChanging(endpoints.length) - changing.size;
+  const stale = planned.length + changing.size;
+  const free = computeMaxChanging(endpoints.length, stale, leftMs) - changing.size;
   return planned.slice(0, Math.max(0, free));
 };
--- a/packages/rollout/src/rollout.test.ts
+++ b/packages/rollout/src/rollout.test.ts
@@ -27,10 +27,18 @@
 t.test('endpoints are not all taken out of service at once', async (t2) => {
   const endpoints = Array.from({ length: 13 }, (_, index) => createEndpoint(`i-${index}`, 1));
   const targets = [{ model: 'm0', version: 2 }];
-  const first = planOrders({ endpoints, targets, changing: new Set() });
-  t2.equal(first.length, computeMaxChanging(13));
+  const leftMs = 30_000;
+  const first = planOrders({ endpoints, targets, changing: new Set(), leftMs });
+  t2.equal(first.length, 3);
   const changing = new Set(first.map(({ endpoint }) => endpoint.id));
-  t2.strictSame(planOrders({ endpoints, targets, changing }), []);
+  t2.strictSame(planOrders({ endpoints, targets, changing, leftMs }), []);
+});
+
+t.test('a rollout that began late is hurried, but leaves endpoints in service', async (t2) => {
+  t2.equal(computeMaxChanging(13, 13, 8_500), 4);
+  t2.equal(computeMaxChanging(13, 13, 5_000), 7);
+  t2.equal(computeMaxChanging(13, 13, -1), 7);
+  t2.equal(computeMaxChanging(1, 1, 5_000), 1);
 });
 
 t.test('endpoints with the named weights, newer ones or another model get no order', async (t2) => {
@@ -39,7 +47,7 @@
     { model: 'm0', version: 2 },
     { model: 'm1', version: 9 },
   ];
-  t2.strictSame(planOrders({ endpoints, targets, changing: new Set() }), []);
+  t2.strictSame(planOrders({ endpoints, targets, changing: new Set(), leftMs: 9_000 }), []);
 });
 
 /** The lease's row, whose answers may be lost. */
--- a/packages/rollout/src/rolloutCoordinator.ts
+++ b/packages/rollout/src/rolloutCoordinator.ts
@@ -1,10 +1,12 @@
 import { setTimeout as waitMs } from 'node:timers/promises';
 import type { Clock } from '@lovagearch/common';
 import {
+  ANNOUNCE_LEAD_MS,
   CHALLENGE_SPREAD_MS,
   ORDER_EFFECT_MS,
   ORDER_RETRY_MS,
   REPORT_INTERVAL_MS,
+  ROLLOUT_MARGIN_MS,
   ROLLOUT_TICK_MS,
 } from './constants.js';
 import type { OrderLease } from './orderLease.js';
@@ -32,13 +34,20 @@
       readonly reason: string;
     };
 
+/** A weight version and when this process learned that it was named. */
+export interface NamedTarget extends WeightTarget {
+  readonly sinceMs: number;
+}
+
 export interface RolloutParts {
   readonly lease: OrderLease;
   readonly client: OrderClient;
   readonly clock: Clock;
   readonly random: () => number;
   readonly listEndpoints: () => readonly RolloutEndpoint[];
-  readonly listTargets: () => readonly WeightTarget[];
+  readonly listTargets: () => readonly NamedTarget[];
+  /** Time from the naming of weights until all endpoints have to have them, in milliseconds. */
+  readonly boundMs: number;
   readonly onEvent: (event: RolloutEvent) => void;
   /** Called when an endpoint reports weights, which is sooner than its registration does. */
   readonly onWeights: (endpoint: RolloutEndpoint, weights: ReadonlyMap<string, number>) => void;
@@ -81,7 +90,10 @@
   private async runOnce(): Promise<void> {
     const { listEndpoints, listTargets, lease, clock, random } = this.parts;
     const { changing } = this;
-    const planned = planOrders({ endpoints: listEndpoints(), targets: listTargets(), changing });
+    const targets = listTargets();
+    const oldestMs = Math.min(...targets.map(({ sinceMs }) => sinceMs));
+    const leftMs = oldestMs + this.parts.boundMs - ROLLOUT_MARGIN_MS - clock.nowMs();
+    const planned = planOrders({ endpoints: listEndpoints(), targets, changing, leftMs });
     if (planned.length === 0) {
       this.hadWork = changing.size > 0;
       return;
@@ -146,6 +158,7 @@
     const { lease, client, onEvent } = this.parts;
     const { endpoint, target } = order;
     if ((await this.confirmLease(order)) === undefined) return undefined;
+    await waitMs(ANNOUNCE_LEAD_MS);
     // Read again right before the effect: the process may have been suspended meanwhile.
     const permit = lease.getPermit();
     if (permit === undefined) return undefined;
