Share each node's load at every endpoint with its peers

Cause: nodes chose endpoints by reports of up to 5 s of age, so that each sent to the one that it alone believed to be free. Ruled out: the forecast's form; with the same form and fresh loads it holds.

--- a/packages/endpoints/src/chooseEndpoint.ts
+++ b/packages/endpoints/src/chooseEndpoint.ts
@@ -6,6 +6,8 @@
   CROSS_ZONE_TRANSFER_FACTOR,
   FAILURE_COST_MS,
   FIRST_TOKEN_MS,
+  MEMORY_FULL_MS,
+  MEMORY_FULL_SHARE,
   NEAR_TIE_SHARE,
   PREFILL_COST_WEIGHT,
   PREFILL_TOKENS_PER_MS,
@@ -80,6 +82,13 @@
   };
 };
 
+/** Returns the time that a request waits for memory, beyond what is read before it. */
+const computeMemoryWaitMs = ({ request, nowMs }: ChoiceInput, endpoint: Endpoint): number => {
+  if (request.engineMemoryTokens === 0) return 0;
+  const tokens = endpoint.estimateMemoryTokens(nowMs) + request.memoryTokens;
+  return tokens > request.engineMemoryTokens * MEMORY_FULL_SHARE ? MEMORY_FULL_MS : 0;
+};
+
 const computePlacement = (
   input: ChoiceInput,
   endpoint: Endpoint,
@@ -117,7 +126,7 @@
   );
   const uncachedTokens = promptTokens - cached;
   const { prefillMs, transferMs } = computeReadTimes(input, endpoint, uncachedTokens);
-  const queueMs = endpoint.estimateWaitMs(nowMs);
+  const queueMs = endpoint.estimateWaitMs(nowMs) + computeMemoryWaitMs(input, endpoint);
   const ownMs = roundTripMs + FIRST_TOKEN_MS + prefillMs + transferMs;
   const expectedMs = queueMs + ownMs;
   const costMs =
--- a/packages/endpoints/src/constants.ts
+++ b/packages/endpoints/src/constants.ts
@@ -28,8 +28,16 @@
 export const WAIT_EWMA_WEIGHT = 0.4;
 /** Time constant in which the time that answers waited is forgotten, in milliseconds. */
 export const OBSERVED_WAIT_DECAY_MS = 1_500;
-/** Time constant in which a load report of an endpoint loses its weight, in milliseconds. */
-export const LOAD_REPORT_DECAY_MS = 3_000;
+/** Age up to which a load report of an endpoint counts, in milliseconds. */
+export const LOAD_REPORT_MAX_AGE_MS = 1_000;
+/** Age up to which a peer's digest counts, in milliseconds; it comes several times in this time. */
+export const PEER_LOAD_MAX_AGE_MS = 1_500;
+/** Prompt tokens that an engine reads in a millisecond between the tokens of running requests. */
+export const EFFECTIVE_PREFILL_TOKENS_PER_MS = 67;
+/** Share of an engine's memory that requests may take before others have to wait for it. */
+export const MEMORY_FULL_SHARE = 0.9;
+/** Cost of an engine whose memory is full, in milliseconds: a run has to end first. */
+export const MEMORY_FULL_MS = 500;
 /** First guess of the work of a plain call, in milliseconds, until answers were measured. */
 export const DEFAULT_WORK_MS = 20;
 /** Weight of a new measurement in the mean work time. */
--- a/packages/endpoints/src/endpoint.ts
+++ b/packages/endpoints/src/endpoint.ts
@@ -1,17 +1,19 @@
 import {
   DEFAULT_WORK_MS,
+  EFFECTIVE_PREFILL_TOKENS_PER_MS,
   FAILURE_EWMA_WEIGHT,
   FIRST_SUSPENSION_MS,
-  LOAD_REPORT_DECAY_MS,
+  LOAD_REPORT_MAX_AGE_MS,
   MAX_SUSPENSION_MS,
   OBSERVED_WAIT_DECAY_MS,
-  PREFILL_TOKENS_PER_MS,
+  PEER_LOAD_MAX_AGE_MS,
   REJECTION_PAUSE_MS,
   RUNNING_REQUEST_MS,
   WAIT_EWMA_WEIGHT,
   WAITING_REQUEST_MS,
   WORK_EWMA_WEIGHT,
 } from './constants.js';
+import type { LoadDigestEntry } from './loadDigest.js';
 import type { EndpointRecord, LoadReport } from './types.js';
 
 /** How an exchange with an endpoint ended, as far as it tells something about the endpoint. */
@@ -21,39 +23,52 @@
   | { readonly type: 'rejected' }
   | { readonly type: 'transport_failed' };
 
-/** A request of this process at an endpoint, until its first byte. */
+/** A request of this process at an endpoint. */
 export interface SentRequest {
   /** Prompt tokens that the endpoint is expected to read. */
   readonly tokens: number;
+  /** Tokens that the request takes in the endpoint's memory at its end. */
+  readonly memoryTokens: number;
   /** Time to the first byte if nothing waited, in milliseconds. */
   readonly ownMs: number;
   readonly sentMs: number;
 }
 
+interface PeerLoad {
+  readonly entry: LoadDigestEntry;
+  readonly atMs: number;
+}
+
 /** One start of an endpoint: its registration, and what exchanges with it have shown. */
 export class Endpoint {
   /** Requests of this process at the endpoint. */
   active = 0;
 
+  /** Whether peers have to be told that this process has nothing there any more. */
+  hasReleased = false;
+
+  /** Clock reading of the last bytes from the endpoint, on any exchange. */
+  lastHeardMs = Number.NEGATIVE_INFINITY;
+
   /** Requests of this process that have had no byte yet, in the order of their sending. */
   private readonly waiting = new Set<SentRequest>();
 
   private pendingTokens = 0;
 
+  private activeTokens = 0;
+
+  private readonly peerLoads = new Map<string, PeerLoad>();
+
   /** Time that the last answers waited beyond their own work. */
   private observedWaitMs = 0;
 
   private observedMs = Number.NEGATIVE_INFINITY;
 
-  /** Clock reading of the last bytes from the endpoint, on any exchange. */
-  lastHeardMs = Number.NEGATIVE_INFINITY;
-
   private report: LoadReport | undefined;
 
-  private reportMs = 0;
+  private reportMs = Number.NEGATIVE_INFINITY;
 
-  /** Requests sent less requests ended since the report. */
-  private sinceReport = 0;
+  private isOwnReport = false;
 
   private workMs = DEFAULT_WORK_MS;
 
@@ -89,6 +104,23 @@
     return this.failureShare;
   }
 
+  get lastReport(): LoadReport | undefined {
+    return this.report;
+  }
+
+  /** Whether the last report came with an answer to this process. */
+  get isReportOwn(): boolean {
+    return this.isOwnReport;
+  }
+
+  get ownPendingTokens(): number {
+    return this.pendingTokens;
+  }
+
+  get ownActiveTokens(): number {
+    return this.activeTokens;
+  }
+
   /** Takes in a newer registration of the same start. */
   updateRecord(record: EndpointRecord, nowMs: number): void {
     if (record.heartbeat !== this.current.heartbeat) this.heartbeatMs = nowMs;
@@ -107,22 +139,33 @@
   recordLoad(report: LoadReport, nowMs: number): void {
     this.report = report;
     this.reportMs = nowMs;
-    this.sinceReport = 0;
+    this.isOwnReport = true;
+  }
+
+  /** Takes in a report that a peer received, unless a newer one is known. */
+  recordPeerReport(report: LoadReport, reportMs: number): void {
+    if (reportMs <= this.reportMs) return;
+    this.report = report;
+    this.reportMs = reportMs;
+    this.isOwnReport = false;
+  }
+
+  recordPeerLoad(peer: string, entry: LoadDigestEntry, nowMs: number): void {
+    this.peerLoads.set(peer, { entry, atMs: nowMs });
   }
 
   /** Returns the time since the last load report; infinite without one. */
   getLoadAgeMs(nowMs: number): number {
-    return this.report === undefined ? Number.POSITIVE_INFINITY : nowMs - this.reportMs;
+    return nowMs - this.reportMs;
   }
 
-  /** Records a request; the result is passed to `recordFirstByte` or `recordNoByte`. */
-  recordSent(tokens: number, ownMs: number, nowMs: number): SentRequest {
-    const sent = { tokens, ownMs, sentMs: nowMs };
+  /** Records a request; the result is passed to `recordFirstByte` and `recordEnd`. */
+  recordSent(sent: SentRequest): void {
     this.active += 1;
-    this.pendingTokens += tokens;
-    this.sinceReport += 1;
+    this.hasReleased = true;
+    this.pendingTokens += sent.tokens;
+    this.activeTokens += sent.memoryTokens;
     this.waiting.add(sent);
-    return sent;
   }
 
   recordFirstByte(sent: SentRequest, nowMs: number): void {
@@ -133,35 +176,14 @@
     this.observedMs = nowMs;
   }
 
-  /** Records that a request ended without a byte. */
-  recordNoByte(sent: SentRequest): void {
-    this.removeWaiting(sent);
-  }
-
-  /**
-   * Estimates the time that a new request waits before its own work begins, in milliseconds: the
-   * largest of what the last answers waited, what the oldest request without an answer has waited
-   * already, and what the reported queue and the own unread prompts take.
-   */
-  estimateWaitMs(nowMs: number): number {
-    const { running, waiting } = this.estimateRequests(nowMs);
-    const oldest = this.waiting.values().next();
-    const oldestMs = oldest.done ? 0 : nowMs - oldest.value.sentMs - oldest.value.ownMs;
-    return Math.max(
-      this.getObservedWaitMs(nowMs),
-      oldestMs,
-      waiting * WAITING_REQUEST_MS + running * RUNNING_REQUEST_MS,
-      this.pendingTokens / PREFILL_TOKENS_PER_MS,
-    );
-  }
-
   recordHeard(nowMs: number): void {
     this.lastHeardMs = nowMs;
   }
 
-  recordEnd(outcome: EndpointOutcome, nowMs: number): void {
+  recordEnd(sent: SentRequest, outcome: EndpointOutcome, nowMs: number): void {
+    this.removeWaiting(sent);
     this.active = Math.max(0, this.active - 1);
-    this.sinceReport -= 1;
+    this.activeTokens = Math.max(0, this.activeTokens - sent.memoryTokens);
     switch (outcome.type) {
       case 'answered':
         this.transportFailures = 0;
@@ -183,16 +205,6 @@
     }
   }
 
-  private removeWaiting(sent: SentRequest): boolean {
-    if (!this.waiting.delete(sent)) return false;
-    this.pendingTokens = Math.max(0, this.pendingTokens - sent.tokens);
-    return true;
-  }
-
-  private getObservedWaitMs(nowMs: number): number {
-    return this.observedWaitMs * Math.exp(-(nowMs - this.observedMs) / OBSERVED_WAIT_DECAY_MS);
-  }
-
   /** Suspends the endpoint, longer with each failure that no answer interrupts. */
   recordTransportFailure(nowMs: number): void {
     // The requests of one crash fail together; they are one failure.
@@ -202,19 +214,75 @@
     this.suspendedUntilMs = nowMs + Math.min(FIRST_SUSPENSION_MS * factor, MAX_SUSPENSION_MS);
   }
 
+  /** Returns the time that the oldest request without a byte has waited beyond its own work. */
+  getOldestWaitMs(nowMs: number): number {
+    const oldest = this.waiting.values().next();
+    return oldest.done ? 0 : Math.max(0, nowMs - oldest.value.sentMs - oldest.value.ownMs);
+  }
+
   /**
-   * Estimates the requests at the endpoint from all callers: the last report, which loses weight with
-   * its age, and what this process sent and saw end since.
+   * Estimates the requests at the endpoint from all callers: what this process and its peers have
+   * there, or the endpoint's own report if that is larger and recent.
    */
   estimateRequests(nowMs: number): { readonly running: number; readonly waiting: number } {
+    let total = this.active;
+    for (const { entry } of this.listPeerLoads(nowMs)) total += entry.active;
     const { report } = this;
-    const slots = report?.slots ?? Math.max(1, this.current.slots);
-    if (report === undefined) return { running: Math.min(this.active, slots), waiting: 0 };
-    const weight = Math.exp(-(nowMs - this.reportMs) / LOAD_REPORT_DECAY_MS);
-    const reported = (report.running + report.waiting) * weight;
-    const total = Math.max(this.active, reported + this.sinceReport);
-    const running = Math.min(total, Math.max(report.running, slots - report.waiting));
+    const isRecent = report !== undefined && nowMs - this.reportMs < LOAD_REPORT_MAX_AGE_MS;
+    const slots = Math.max(1, report?.slots ?? this.current.slots);
+    if (isRecent) total = Math.max(total, report.running + report.waiting);
     // An engine holds requests back for memory while slots are free, so its own count goes first.
-    return { running, waiting: Math.max(report.waiting * weight, total - slots, 0) };
+    const waiting = Math.max(isRecent ? report.waiting : 0, total - slots);
+    return { running: Math.max(0, total - waiting), waiting };
+  }
+
+  /** Returns the tokens that requests of all nodes take in the endpoint's memory. */
+  estimateMemoryTokens(nowMs: number): number {
+    let tokens = this.activeTokens;
+    for (const { entry } of this.listPeerLoads(nowMs)) tokens += entry.activeTokens;
+    return tokens;
+  }
+
+  /**
+   * Estimates the time that a new request waits before its own work begins, in milliseconds: the
+   * largest of what the last answers waited, what the oldest request without an answer has waited
+   * already, and what the queue and the unread prompts of all nodes take.
+   */
+  estimateWaitMs(nowMs: number): number {
+    const { running, waiting } = this.estimateRequests(nowMs);
+    let pendingTokens = this.pendingTokens;
+    let oldestMs = this.getOldestWaitMs(nowMs);
+    for (const { entry, atMs } of this.listPeerLoads(nowMs)) {
+      pendingTokens += entry.pendingTokens;
+      if (entry.oldestWaitMs > 0) oldestMs = Math.max(oldestMs, entry.oldestWaitMs + nowMs - atMs);
+    }
+    return (
+      Math.max(
+        this.getObservedWaitMs(nowMs),
+        oldestMs,
+        waiting * WAITING_REQUEST_MS,
+        pendingTokens / EFFECTIVE_PREFILL_TOKENS_PER_MS,
+      ) +
+      running * RUNNING_REQUEST_MS
+    );
+  }
+
+  private listPeerLoads(nowMs: number): PeerLoad[] {
+    const recent: PeerLoad[] = [];
+    for (const [peer, load] of this.peerLoads) {
+      if (nowMs - load.atMs < PEER_LOAD_MAX_AGE_MS) recent.push(load);
+      else this.peerLoads.delete(peer);
+    }
+    return recent;
+  }
+
+  private removeWaiting(sent: SentRequest): boolean {
+    if (!this.waiting.delete(sent)) return false;
+    this.pendingTokens = Math.max(0, this.pendingTokens - sent.tokens);
+    return true;
+  }
+
+  private getObservedWaitMs(nowMs: number): number {
+    return this.observedWaitMs * Math.exp(-(nowMs - this.observedMs) / OBSERVED_WAIT_DECAY_MS);
   }
 }
--- a/packages/endpoints/src/endpointTable.ts
+++ b/packages/endpoints/src/endpointTable.ts
@@ -1,4 +1,5 @@
 import { Endpoint } from './endpoint.js';
+import { getDigestKey } from './loadDigest.js';
 import type { EndpointRecord } from './types.js';
 
 /** What a registration changed. */
@@ -27,6 +28,8 @@
 
   private readonly byService = new Map<string, Set<string>>();
 
+  private readonly idsByDigestKey = new Map<number, string>();
+
   private readonly lapses = new Map<string, Lapse>();
 
   static create(): EndpointTable {
@@ -38,6 +41,12 @@
     return this.endpoints.get(id);
   }
 
+  /** Returns the endpoint that a number stands for in load digests. */
+  findByDigestKey(key: number): Endpoint | undefined {
+    const id = this.idsByDigestKey.get(key);
+    return id === undefined ? undefined : this.endpoints.get(id);
+  }
+
   /** Lists the endpoints of a service that take new requests. */
   listReady(service: string): Endpoint[] {
     const ready: Endpoint[] = [];
@@ -110,6 +119,7 @@
     type: 'added' | 'restarted',
   ): EndpointChange {
     this.endpoints.set(record.id, Endpoint.create(record, nowMs));
+    this.idsByDigestKey.set(getDigestKey(record.id), record.id);
     const ids = this.byService.get(record.service) ?? new Set<string>();
     ids.add(record.id);
     this.byService.set(record.service, ids);
@@ -118,6 +128,7 @@
 
   private removeEndpoint({ record }: Endpoint): void {
     this.endpoints.delete(record.id);
+    this.idsByDigestKey.delete(getDigestKey(record.id));
     this.byService.get(record.service)?.delete(record.id);
     this.lapses.delete(record.id);
   }
--- a/packages/endpoints/src/endpoints.test.ts
+++ b/packages/endpoints/src/endpoints.test.ts
@@ -46,6 +46,8 @@
     parts: [],
     cacheSalt: undefined,
     store: undefined,
+    memoryTokens: 0,
+    engineMemoryTokens: 0,
     model: undefined,
     excluded: new Set(),
     minWeightVersion: 0,
--- a/packages/endpoints/src/index.ts
+++ b/packages/endpoints/src/index.ts
@@ -6,5 +6,6 @@
 export * from './constants.js';
 export * from './endpoint.js';
 export * from './endpointTable.js';
+export * from './loadDigest.js';
 export * from './promptMemory.js';
 export type * from './types.js';
--- a/packages/endpoints/src/types.ts
+++ b/packages/endpoints/src/types.ts
@@ -47,6 +47,9 @@
   /** Cached parts are found only under the same value. */
   readonly cacheSalt: string | undefined;
   readonly store: StoreReach | undefined;
+  /** Tokens that the request takes in an engine's memory, and that an engine has; 0 if unknown. */
+  readonly memoryTokens: number;
+  readonly engineMemoryTokens: number;
   readonly model: string | undefined;
   /** Endpoints that had this request before. */
   readonly excluded: ReadonlySet<string>;
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -31,6 +31,8 @@
   readonly request: EndpointRequest;
   readonly endpoint: Endpoint;
   readonly placement: Placement;
+  /** Tokens that the request takes in the endpoint's memory. */
+  readonly memoryTokens: number;
   readonly model: string | undefined;
   readonly maxConnections: number;
   /** Undefined for plain calls. */
@@ -70,7 +72,7 @@
 
   private readonly startMs: number;
 
-  private sent: SentRequest | undefined;
+  private readonly sent: SentRequest;
 
   private lastBytesMs: number;
 
@@ -84,6 +86,12 @@
   ) {
     this.startMs = parts.clock.nowMs();
     this.lastBytesMs = this.startMs;
+    this.sent = {
+      tokens: input.placement.uncachedTokens,
+      memoryTokens: input.memoryTokens,
+      ownMs: input.placement.ownMs,
+      sentMs: this.startMs,
+    };
   }
 
   static create(parts: AttemptParts, input: AttemptInput): Attempt {
@@ -110,8 +118,8 @@
   }
 
   private start(): void {
-    const { endpoint, request, maxConnections, placement, stallMs } = this.input;
-    this.sent = endpoint.recordSent(placement.uncachedTokens, placement.ownMs, this.startMs);
+    const { endpoint, request, maxConnections, stallMs } = this.input;
+    endpoint.recordSent(this.sent);
     const exchange = this.parts.pool.send(
       getStartKey(endpoint),
       endpoint.record.address,
@@ -294,9 +302,7 @@
   private markFirstByte(): void {
     if (this.hasFirstByte) return;
     this.hasFirstByte = true;
-    if (this.sent !== undefined) {
-      this.input.endpoint.recordFirstByte(this.sent, this.parts.clock.nowMs());
-    }
+    this.input.endpoint.recordFirstByte(this.sent, this.parts.clock.nowMs());
     this.parts.onFirstByte();
   }
 
@@ -310,8 +316,7 @@
     this.isOver = true;
     clearTimeout(this.stallTimer);
     const { endpoint, framing } = this.input;
-    if (this.sent !== undefined) endpoint.recordNoByte(this.sent);
-    endpoint.recordEnd(endpointOutcome, this.parts.clock.nowMs());
+    endpoint.recordEnd(this.sent, endpointOutcome, this.parts.clock.nowMs());
     // Bytes of an unfinished event would be glued to the next run's first event.
     framing?.dropRest();
     this.exchange?.cancel();
--- a/packages/gateway/src/beliefs.ts
+++ b/packages/gateway/src/beliefs.ts
@@ -16,7 +16,8 @@
 export const ORDER_PREFIX = 'order/';
 export const LEASE_KEY = 'lease/orders';
 
-const peerSchema = z.object({ address: z.string(), zone: z.string() });
+const peerSchema = z.object({ address: z.string(), loadAddress: z.string(), zone: z.string() });
+export type PeerRecord = z.infer<typeof peerSchema>;
 const strikesSchema = z.object({ strikes: z.array(z.tuple([z.string(), z.string()])) });
 const orderSchema = z.object({ model: z.string(), version: z.number().int() });
 
@@ -72,6 +73,11 @@
     return [...this.peers.values()].map(({ address }) => address);
   }
 
+  /** Lists the nodes that have announced themselves, by name. */
+  listPeers(): IterableIterator<[string, PeerRecord]> {
+    return this.peers.entries();
+  }
+
   /** Lists the names of the nodes that have announced themselves. */
   listPeerNames(): string[] {
     return [...this.peers.keys()];
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -75,3 +75,13 @@
 export const OLD_PARTS_FREE_MS = 3_000;
 /** Parts that one call frees. */
 export const MAX_FREED_PARTS = 200;
+/** Interval of load digests to peers, in milliseconds; an endpoint serves about one request in it. */
+export const LOAD_DIGEST_MS = 150;
+/** The same for each peer, which bounds the datagrams of a node at 50 a second. */
+export const LOAD_DIGEST_MS_PER_PEER = 20;
+/** Endpoints in one digest; more would not fit into one datagram. */
+export const LOAD_DIGEST_ENTRIES = 48;
+/** Digests by which a datagram may be late; a larger step back is a restarted peer. */
+export const LATE_DIGESTS = 16;
+/** Nodes up to which each tells all others; more share within their availability zone. */
+export const MAX_MESHED_NODES = 16;
--- /dev/null
+++ b/packages/gateway/src/loadSharing.ts
@@ -0,0 +1,187 @@
+import { createSocket, type Socket } from 'node:dgram';
+import { pack, unpack } from 'msgpackr';
+import { type Clock, getErrorMessage } from '@lovagearch/common';
+import { applyLoadDigest, createLoadDigest, type LoadDigestEntry } from '@lovagearch/endpoints';
+import * as z from 'zod';
+import type { Beliefs } from './beliefs.js';
+import {
+  LATE_DIGESTS,
+  LOAD_DIGEST_ENTRIES,
+  LOAD_DIGEST_MS,
+  LOAD_DIGEST_MS_PER_PEER,
+  MAX_MESHED_NODES,
+} from './constants.js';
+import type { DecisionLog } from './decisionLog.js';
+import type { Address } from './types.js';
+
+/** The entry's fields in order; arrays keep the datagrams small. */
+const entrySchema = z.tuple([
+  z.number(),
+  z.number(),
+  z.number(),
+  z.number(),
+  z.number(),
+  z.number(),
+  z.number(),
+  z.number(),
+  z.number(),
+]);
+const digestSchema = z.tuple([z.string(), z.number(), z.array(entrySchema)]);
+
+const encodeEntry = (entry: LoadDigestEntry): z.infer<typeof entrySchema> => [
+  entry.endpoint,
+  entry.pendingTokens,
+  entry.active,
+  entry.activeTokens,
+  entry.oldestWaitMs,
+  entry.reportAgeMs,
+  entry.running,
+  entry.waiting,
+  entry.slots,
+];
+
+const decodeEntry = ([
+  endpoint,
+  pendingTokens,
+  active,
+  activeTokens,
+  oldestWaitMs,
+  reportAgeMs,
+  running,
+  waiting,
+  slots,
+]: z.infer<typeof entrySchema>): LoadDigestEntry => ({
+  endpoint,
+  pendingTokens,
+  active,
+  activeTokens,
+  oldestWaitMs,
+  reportAgeMs,
+  running,
+  waiting,
+  slots,
+});
+
+export interface LoadSharingParts {
+  readonly nodeName: string;
+  readonly zone: string;
+  readonly address: Address;
+  readonly beliefs: Beliefs;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+}
+
+interface Target {
+  readonly host: string;
+  readonly port: number;
+}
+
+/**
+ * Tells peers what this node has at each endpoint, so that nodes don't all choose the endpoint that each
+ * of them alone believes to be free. Datagrams are used: a lost one is replaced by the next, and one
+ * that is late is of no use. Large deployments share within an availability zone only.
+ */
+export class LoadSharing {
+  private timer: NodeJS.Timeout | undefined;
+
+  private sequence = 0;
+
+  private readonly sequences = new Map<string, number>();
+
+  private readonly targets = new Map<string, Target>();
+
+  private constructor(
+    private readonly parts: LoadSharingParts,
+    private readonly socket: Socket,
+  ) {}
+
+  /** Binds the socket and begins to send. */
+  static start(parts: LoadSharingParts): Promise<LoadSharing> {
+    return new Promise((resolve, reject) => {
+      const socket = createSocket('udp4');
+      const sharing = new LoadSharing(parts, socket);
+      socket.once('error', reject);
+      socket.on('message', (bytes) => sharing.receive(bytes));
+      socket.bind(parts.address.port, parts.address.host, () => {
+        socket.off('error', reject);
+        socket.on('error', (error) => {
+          parts.log.recordProblem('load_socket_failed', { reason: getErrorMessage(error) });
+        });
+        sharing.scheduleNext();
+        resolve(sharing);
+      });
+    });
+  }
+
+  stop(): void {
+    clearTimeout(this.timer);
+    this.socket.close();
+  }
+
+  private scheduleNext(): void {
+    const peers = this.updateTargets();
+    const delayMs = Math.max(LOAD_DIGEST_MS, peers * LOAD_DIGEST_MS_PER_PEER);
+    this.timer = setTimeout(() => {
+      this.send();
+      this.scheduleNext();
+    }, delayMs);
+  }
+
+  /** Returns the number of peers that receive digests. */
+  private updateTargets(): number {
+    const { beliefs, nodeName, zone } = this.parts;
+    this.targets.clear();
+    const isMeshed = beliefs.nodes <= MAX_MESHED_NODES;
+    for (const [name, peer] of beliefs.listPeers()) {
+      if (name === nodeName || (!isMeshed && peer.zone !== zone)) continue;
+      const [host, port] = peer.loadAddress.split(':');
+      if (host !== undefined) this.targets.set(name, { host, port: Number(port) });
+    }
+    return this.targets.size;
+  }
+
+  private send(): void {
+    const { beliefs, clock, nodeName } = this.parts;
+    if (this.targets.size === 0) return;
+    const entries = createLoadDigest(
+      beliefs.endpoints.listAll(),
+      2 * LOAD_DIGEST_MS,
+      clock.nowMs(),
+    ).slice(0, LOAD_DIGEST_ENTRIES);
+    if (entries.length === 0) return;
+    this.sequence += 1;
+    const bytes = pack([nodeName, this.sequence, entries.map(encodeEntry)]);
+    for (const { host, port } of this.targets.values()) {
+      // A datagram that can't be sent is lost like any other; the next one replaces it.
+      this.socket.send(bytes, port, host, () => undefined);
+    }
+  }
+
+  private receive(bytes: Buffer): void {
+    const { beliefs, clock, log } = this.parts;
+    let value: unknown;
+    try {
+      value = unpack(bytes);
+    } catch (error) {
+      log.recordProblem('load_digest_rejected', { reason: getErrorMessage(error) });
+      return;
+    }
+    const digest = digestSchema.safeParse(value);
+    if (!digest.success) {
+      log.recordProblem('load_digest_rejected', { reason: 'unexpected form' });
+      return;
+    }
+    const [peer, sequence, entries] = digest.data;
+    const known = this.sequences.get(peer) ?? 0;
+    // A restarted peer begins again at 1.
+    const isLate = sequence <= known && known - sequence < LATE_DIGESTS;
+    if (isLate) return;
+    this.sequences.set(peer, sequence);
+    applyLoadDigest(
+      (key) => beliefs.endpoints.findByDigestKey(key),
+      peer,
+      entries.map(decodeEntry),
+      clock.nowMs(),
+    );
+  }
+}
--- a/packages/gateway/src/placeRequest.ts
+++ b/packages/gateway/src/placeRequest.ts
@@ -68,6 +68,8 @@
       parts,
       // Where a prompt belongs doesn't change with the weights.
       cacheSalt: createCacheSalt(account, undefined),
+      memoryTokens: head.promptTokens + head.maxOutputTokens,
+      engineMemoryTokens: engine?.memoryTokens ?? 0,
       store: findStoreReach(context, parts, engine),
       model: head.model,
       excluded,
--- a/packages/gateway/src/servedRequest.ts
+++ b/packages/gateway/src/servedRequest.ts
@@ -295,6 +295,7 @@
         },
         endpoint,
         placement,
+        memoryTokens: head.promptTokens + head.maxOutputTokens,
         model: head.model,
         maxConnections,
         framing,
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -23,6 +23,7 @@
 import { createDecisionLog } from './decisionLog.js';
 import type { GatewayContext, ServingPhase } from './gatewayContext.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
+import { LoadSharing } from './loadSharing.js';
 import { startMetricsServer, startPeerServer, startReadinessServer } from './managementServer.js';
 import { createPeerSource } from './peerExchange.js';
 import { BodyMemory } from './requestBody.js';
@@ -218,6 +219,14 @@
       metrics,
     ),
   ];
+  const loadSharing = await LoadSharing.start({
+    nodeName: settings.nodeName,
+    zone: settings.zone,
+    address: settings.loadAddress,
+    beliefs,
+    clock,
+    log,
+  });
   await server.listen(settings.callerAddress);
   log.recordChange('started', {
     zone: settings.zone,
@@ -229,6 +238,7 @@
   const announce = async () => {
     const isWritten = await ports.shared.write(`${PEER_PREFIX}${settings.nodeName}`, {
       address: ownPeerAddress,
+      loadAddress: `${settings.loadAddress.host}:${settings.loadAddress.port}`,
       zone: settings.zone,
     });
     log.recordChange('announced', { isWritten });
@@ -288,6 +298,7 @@
     for (const follower of followers) follower.stop();
     clearInterval(housekeeping);
     clearInterval(publishing);
+    loadSharing.stop();
     await Promise.all(management.map((managementServer) => managementServer.close()));
     log.flush();
   };
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -148,6 +148,8 @@
   readonly callerAddress: Address;
   readonly readinessAddress: Address;
   readonly peerAddress: Address;
+  /** Where datagrams with peers' loads arrive. */
+  readonly loadAddress: Address;
   readonly metricsPort: number;
   /** Peers that may introduce this node. */
   readonly seeds: readonly string[];
