--- a/packages/endpoints/src/chooseEndpoint.ts
+++ b/packages/endpoints/src/chooseEndpoint.ts
@@ -2,23 +2,24 @@
 import {
   CROSS_REGION_PENALTY_MS,
   CROSS_REGION_ROUND_TRIP_MS,
+  CROSS_REGION_TRANSFER_FACTOR,
   CROSS_ZONE_PENALTY_MS,
   CROSS_ZONE_TRANSFER_FACTOR,
   FAILURE_COST_MS,
   FIRST_TOKEN_MS,
+  HOLDER_SHARE,
   MEMORY_FULL_MS,
   MEMORY_FULL_SHARE,
   NEAR_TIE_SHARE,
-  PREFILL_COST_WEIGHT,
   PREFILL_TOKENS_PER_MS,
   SAME_REGION_ROUND_TRIP_MS,
   SAME_ZONE_ROUND_TRIP_MS,
+  SHARED_READ_WEIGHT,
   SILENT_HEARTBEATS,
-  STORE_HOLD_SHARE,
 } from './constants.js';
 import type { Endpoint } from './endpoint.js';
 import { chooseOwner, getAffinityPart, type PromptMemory } from './promptMemory.js';
-import type { Placement, PlacementRequest } from './types.js';
+import type { Placement, PlacementRequest, StoreReach } from './types.js';
 
 /** Where this process stands. */
 export interface Place {
@@ -55,30 +56,40 @@
 };
 
 interface ReadTimes {
-  readonly prefillMs: number;
+  /** Time to read the parts that only this request has. */
+  readonly ownMs: number;
+  /** Time to read shared parts that neither the endpoint nor a store has. */
+  readonly sharedMs: number;
   readonly transferMs: number;
 }
 
-/** Splits the tokens that an endpoint lacks into those that a store VM near it may hold and the rest. */
+const getTransferFactor = (store: StoreReach, endpoint: Endpoint, place: Place): number => {
+  const { zone } = endpoint.record;
+  if (zone === store.zone) return 1;
+  const isSameRegion = place.regionByZone.get(zone) === place.regionByZone.get(store.zone);
+  return isSameRegion ? CROSS_ZONE_TRANSFER_FACTOR : CROSS_REGION_TRANSFER_FACTOR;
+};
+
+/** Splits the tokens that an endpoint lacks into those that can be brought from elsewhere and the rest. */
 const computeReadTimes = (
   { request, place }: ChoiceInput,
   endpoint: Endpoint,
   uncachedTokens: number,
 ): ReadTimes => {
   const { store, parts } = request;
-  const ownTokens = parts.at(-1)?.tokens ?? 0;
-  const sharedTokens = Math.max(0, uncachedTokens - ownTokens);
-  const storeRegion = store === undefined ? undefined : place.regionByZone.get(store.zone);
-  const isNear =
-    storeRegion !== undefined && storeRegion === place.regionByZone.get(endpoint.record.zone);
-  if (store === undefined || !isNear || sharedTokens === 0) {
-    return { prefillMs: uncachedTokens / PREFILL_TOKENS_PER_MS, transferMs: 0 };
+  const ownTokens = Math.min(uncachedTokens, parts.at(-1)?.tokens ?? 0);
+  const sharedTokens = uncachedTokens - ownTokens;
+  const ownMs = ownTokens / PREFILL_TOKENS_PER_MS;
+  if (store === undefined || sharedTokens === 0) {
+    return { ownMs, sharedMs: sharedTokens / PREFILL_TOKENS_PER_MS, transferMs: 0 };
   }
-  const factor = store.zone === endpoint.record.zone ? 1 : CROSS_ZONE_TRANSFER_FACTOR;
-  const storedTokens = sharedTokens * STORE_HOLD_SHARE;
+  // Without an entry of the store the parts may still come from the endpoint that read them last.
+  const movedTokens = sharedTokens * (store.isHeld ? 1 : HOLDER_SHARE);
+  const factor = getTransferFactor(store, endpoint, place);
   return {
-    prefillMs: (uncachedTokens - storedTokens) / PREFILL_TOKENS_PER_MS,
-    transferMs: store.firstMs + storedTokens * store.msPerToken * factor,
+    ownMs,
+    sharedMs: (sharedTokens - movedTokens) / PREFILL_TOKENS_PER_MS,
+    transferMs: store.firstMs + movedTokens * store.msPerToken * factor,
   };
 };
 
@@ -112,6 +123,7 @@
       expectedMs,
       ownMs: roundTripMs + workMs,
       uncachedTokens: 0,
+      ownerId,
       costMs,
       candidates: 0,
     };
@@ -125,17 +137,24 @@
     nowMs,
   );
   const uncachedTokens = promptTokens - cached;
-  const { prefillMs, transferMs } = computeReadTimes(input, endpoint, uncachedTokens);
+  const read = computeReadTimes(input, endpoint, uncachedTokens);
   const queueMs = endpoint.estimateWaitMs(nowMs) + computeMemoryWaitMs(input, endpoint);
-  const ownMs = roundTripMs + FIRST_TOKEN_MS + prefillMs + transferMs;
+  const ownMs = roundTripMs + FIRST_TOKEN_MS + read.ownMs + read.sharedMs + read.transferMs;
   const expectedMs = queueMs + ownMs;
   const costMs =
-    roundTripMs + penaltyMs + queueMs + prefillMs * PREFILL_COST_WEIGHT + transferMs + failureMs;
+    roundTripMs +
+    penaltyMs +
+    queueMs +
+    read.ownMs +
+    read.sharedMs * SHARED_READ_WEIGHT +
+    read.transferMs +
+    failureMs;
   return {
     endpointId: endpoint.record.id,
     expectedMs,
     ownMs,
     uncachedTokens,
+    ownerId,
     costMs,
     candidates: 0,
   };
--- a/packages/endpoints/src/constants.ts
+++ b/packages/endpoints/src/constants.ts
@@ -8,16 +8,16 @@
  * Cost of the link between regions beside its delay, in milliseconds of the caller's time: the link
  * is narrow, shared by all traffic and billed by volume.
  */
-export const CROSS_REGION_PENALTY_MS = 60;
+export const CROSS_REGION_PENALTY_MS = 40;
 /** Cost of leaving the availability zone beside the delay, in milliseconds; billed by volume. */
 export const CROSS_ZONE_PENALTY_MS = 12;
 /** Prompt tokens that an engine reads in a millisecond; from the engines' data sheet. */
 export const PREFILL_TOKENS_PER_MS = 81.9;
 /**
- * Weight of the engine's time for a prompt against waiting time: reading a prompt also delays the
- * requests behind it.
+ * Weight of reading shared parts again against waiting time: it is paid for, and delays the requests
+ * behind it.
  */
-export const PREFILL_COST_WEIGHT = 2;
+export const SHARED_READ_WEIGHT = 4;
 /** Time that each running request adds to the first token of a new one, in milliseconds. */
 export const RUNNING_REQUEST_MS = 1.5;
 /** Time that each waiting request of an engine adds, in milliseconds: a mean prompt's prefill. */
@@ -44,8 +44,10 @@
 export const WORK_EWMA_WEIGHT = 0.1;
 /** Share of a prompt that its affinity owner is expected to hold; memory is short everywhere. */
 export const OWNER_HOLD_SHARE = 0.7;
-/** Share of prompts whose shared parts a store VM is expected to hold. */
-export const STORE_HOLD_SHARE = 0.6;
+/** Share of the shared parts that the endpoint which read them last is expected to have still. */
+export const HOLDER_SHARE = 0.4;
+/** Factor of a transfer's time between regions. */
+export const CROSS_REGION_TRANSFER_FACTOR = 10;
 /** Factor of a transfer's time between two availability zones of a region. */
 export const CROSS_ZONE_TRANSFER_FACTOR = 2;
 /** Time for which a prompt part that was sent to an endpoint counts as kept there. */
--- a/packages/endpoints/src/promptMemory.ts
+++ b/packages/endpoints/src/promptMemory.ts
@@ -40,6 +40,13 @@
     }
   }
 
+  /** Returns the endpoint that this process lately sent a part to, if any. */
+  findHolder(partId: string, salt: string, nowMs: number): string | undefined {
+    const remembered = this.parts.peek(`${salt}/${partId}`);
+    if (remembered === undefined || nowMs - remembered.atMs >= PART_MEMORY_MS) return undefined;
+    return remembered.endpointId;
+  }
+
   /**
    * Estimates the tokens of a prompt that an endpoint holds. Only an unbroken run of parts from the
    * beginning counts, as engines reuse nothing behind a gap.
--- a/packages/endpoints/src/types.ts
+++ b/packages/endpoints/src/types.ts
@@ -35,6 +35,8 @@
 export interface StoreReach {
   readonly zone: string;
   readonly firstMs: number;
+  /** Whether the store has the shared parts, as far as it is known. */
+  readonly isHeld: boolean;
   /** Within a zone; longer between zones. */
   readonly msPerToken: number;
 }
@@ -66,6 +68,8 @@
   readonly ownMs: number;
   /** Prompt tokens that the endpoint is expected to read. */
   readonly uncachedTokens: number;
+  /** The endpoint that prompts with the same shared parts go to first. */
+  readonly ownerId: string | undefined;
   /** Why this one: its cost and the number of endpoints compared. */
   readonly costMs: number;
   readonly candidates: number;
--- a/packages/gateway/src/placeRequest.ts
+++ b/packages/gateway/src/placeRequest.ts
@@ -70,7 +70,7 @@
       cacheSalt: createCacheSalt(account, undefined),
       memoryTokens: head.promptTokens + head.maxOutputTokens,
       engineMemoryTokens: engine?.memoryTokens ?? 0,
-      store: findStoreReach(context, parts, engine),
+      store: route.hasPromptParts ? findStoreReach(context, head, account, engine) : undefined,
       model: head.model,
       excluded,
       minWeightVersion: 0,
--- a/packages/gateway/src/reusePlan.ts
+++ b/packages/gateway/src/reusePlan.ts
@@ -44,33 +44,74 @@
   return named === undefined || (endpoint.record.weights.get(model) ?? 0) >= named.version;
 };
 
+/** Returns the newest weight version of a model that an endpoint has. */
+const findNewestWeights = (context: GatewayContext, model: string): number | undefined => {
+  const named = context.beliefs.findNamedWeights(model);
+  if (named !== undefined) return named.version;
+  for (const { record } of context.beliefs.endpoints.listAll()) {
+    const version = record.weights.get(model);
+    if (version !== undefined) return version;
+  }
+  return undefined;
+};
+
 /** Returns the store VM of a prompt's shared part, with the time that a transfer takes. */
 export const findStoreReach = (
   context: GatewayContext,
-  parts: readonly PromptPart[],
+  head: CallerHead,
+  account: Account | undefined,
   engine: EngineSizes | undefined,
 ): StoreReach | undefined => {
-  const part = getAffinityPart(parts);
-  if (part === undefined || engine === undefined) return undefined;
+  const part = getAffinityPart(head.parts);
+  if (part === undefined || engine === undefined || head.model === undefined) return undefined;
   // The store doesn't depend on the salt, so that a new weight version moves no prompt.
   const store = chooseStore(part.id, context.beliefs.rules?.cacheStores ?? []);
   if (store === undefined) return undefined;
+  const salt = createCacheSalt(account, findNewestWeights(context, head.model));
+  const index = context.findStoreIndex(store.address);
+  const nowMs = context.suspensionClock.nowMs();
   const bitsPerToken = engine.bytesPerToken * 8;
   const linkBitsPerMs = Math.max(1, Math.min(store.linkMbps, engine.linkMbps)) * 1_000;
-  return { zone: store.zone, firstMs: store.firstMs, msPerToken: bitsPerToken / linkBitsPerMs };
+  return {
+    zone: store.zone,
+    isHeld: salt !== undefined && index?.canRead(salt, part.id, nowMs) === true,
+    firstMs: store.firstMs,
+    msPerToken: bitsPerToken / linkBitsPerMs,
+  };
+};
+
+/** Returns another endpoint that probably has a part, with the same weights. */
+const findHolder = (
+  context: GatewayContext,
+  part: PromptPart,
+  salt: string,
+  endpoint: Endpoint,
+  ownerId: string | undefined,
+  model: string,
+): Endpoint | undefined => {
+  const { beliefs, clock } = context;
+  const nowMs = clock.nowMs();
+  const holderId = beliefs.memory.findHolder(part.id, salt, nowMs) ?? ownerId;
+  if (holderId === undefined || holderId === endpoint.record.id) return undefined;
+  const holder = beliefs.endpoints.findEndpoint(holderId);
+  // A transfer from an endpoint that doesn't answer holds the request up.
+  if (holder === undefined || holder.isSuspended(nowMs)) return undefined;
+  const hasSameWeights = holder.record.weights.get(model) === endpoint.record.weights.get(model);
+  return hasSameWeights ? holder : undefined;
 };
 
 /**
- * Plans the reuse of a prompt at an endpoint. Parts are read from and kept at the store of the
- * endpoint's region only; a transfer between regions takes longer than reading the prompt.
+ * Plans the reuse of a prompt at an endpoint: each shared part is read from its store if it is complete
+ * there, else from the endpoint that probably has it, and kept at its store if it isn't there yet.
  */
 export const planReuse = (
   context: GatewayContext,
   head: CallerHead,
   account: Account | undefined,
   endpoint: Endpoint,
+  ownerId: string | undefined,
 ): ReusePlan => {
-  const { beliefs, settings, suspensionClock } = context;
+  const { beliefs, suspensionClock } = context;
   const { model, parts } = head;
   const weights = model === undefined ? undefined : endpoint.record.weights.get(model);
   const cacheSalt = createCacheSalt(account, weights);
@@ -78,8 +119,8 @@
   if (model === undefined || cacheSalt === undefined) return plan;
   // Parts of weights that are being replaced are of no use soon.
   if (!hasNamedWeights(context, endpoint, model)) return plan;
-  const region = settings.regionByZone.get(endpoint.record.zone);
   const stores = beliefs.rules?.cacheStores ?? [];
+  const memorySalt = createCacheSalt(account, undefined) ?? '';
   const nowMs = suspensionClock.nowMs();
   const fetchFrom: (string | undefined)[] = [];
   const saveTo: (string | undefined)[] = [];
@@ -87,12 +128,15 @@
     // The last part belongs to one request only.
     const isKept = index < parts.length - 1 && part.tokens >= MIN_STORED_TOKENS;
     const store = isKept ? chooseStore(part.id, stores) : undefined;
-    const isNear = store !== undefined && settings.regionByZone.get(store.zone) === region;
-    const storeIndex = isNear ? context.findStoreIndex(store.address) : undefined;
+    const storeIndex = store === undefined ? undefined : context.findStoreIndex(store.address);
     const canRead = storeIndex?.canRead(cacheSalt, part.id, nowMs) === true;
     const shouldSave = storeIndex?.shouldSave(cacheSalt, part.id, nowMs) === true;
     if (shouldSave) storeIndex.recordSave(cacheSalt, part.id, nowMs);
-    fetchFrom.push(canRead ? store?.address : undefined);
+    const holder =
+      canRead || !isKept
+        ? undefined
+        : findHolder(context, part, memorySalt, endpoint, ownerId, model);
+    fetchFrom.push(canRead ? store?.address : holder?.record.address);
     saveTo.push(shouldSave ? store?.address : undefined);
   }
   return { ...plan, fetchFrom, saveTo };
--- a/packages/gateway/src/servedRequest.ts
+++ b/packages/gateway/src/servedRequest.ts
@@ -243,7 +243,7 @@
     const { context } = this;
     const { head, route, service, account, body } = admitted;
     const { endpoint, placement, maxConnections } = chosen;
-    const reuse = planReuse(context, head, account, endpoint);
+    const reuse = planReuse(context, head, account, endpoint, placement.ownerId);
     this.sends += 1;
     this.excluded.add(endpoint.record.id);
     this.tried.push(endpoint.record.id);
--- a/packages/rollout/src/constants.ts
+++ b/packages/rollout/src/constants.ts
@@ -26,7 +26,7 @@
  * Time between the announcement of an order and the order, in milliseconds. Nodes stop sending requests
  * in it, which the endpoint would reject.
  */
-export const ANNOUNCE_LEAD_MS = 400;
+export const ANNOUNCE_LEAD_MS = 600;
 /** Time between two looks at an endpoint that is loading, in milliseconds. */
 export const REPORT_INTERVAL_MS = 250;
 /** Time after which an order without effect is given again, in milliseconds. */
--- a/packages/rollout/src/rolloutCoordinator.ts
+++ b/packages/rollout/src/rolloutCoordinator.ts
@@ -19,6 +19,8 @@
       readonly endpointId: string;
       readonly version: number;
       readonly tookMs: number;
+      /** When the endpoint was first seen without requests. */
+      readonly runsEndedMs: number | undefined;
     }
   | {
       readonly type: 'ordered';
@@ -127,9 +129,11 @@
     const { endpoint, target } = order;
     const startMs = clock.nowMs();
     let isOrdered = false;
+    let runsEndedMs: number | undefined;
     while (!this.isStopped && clock.nowMs() - startMs < ORDER_EFFECT_MS) {
       const report = await this.parts.client.readReport(endpoint);
       if (report !== undefined) this.parts.onWeights(endpoint, report.weights);
+      if (report?.requests === 0) runsEndedMs ??= clock.nowMs() - startMs;
       if (report === undefined) await waitMs(ORDER_RETRY_MS);
       else if ((report.weights.get(target.model) ?? 0) >= target.version) {
         onEvent({
@@ -137,6 +141,7 @@
           endpointId: endpoint.id,
           version: target.version,
           tookMs: Math.round(clock.nowMs() - startMs),
+          runsEndedMs: runsEndedMs === undefined ? undefined : Math.round(runsEndedMs),
         });
         return;
       } else if (report.isBusy) await waitMs(REPORT_INTERVAL_MS);
--- a/packages/rollout/src/types.ts
+++ b/packages/rollout/src/types.ts
@@ -17,6 +17,8 @@
   /** Orders that the endpoint has accepted since its start. */
   readonly acceptedOrders: number;
   readonly isBusy: boolean;
+  /** Requests that run or wait. */
+  readonly requests: number;
   readonly weights: ReadonlyMap<string, number>;
 }
 
