Learn how fast parts come from each store, and read them again where that is faster

Cause: while the links of one store are slow, answers wait for its parts (late 25 and 70 in the windows at 16 and 18 s).

--- a/packages/endpoints/src/chooseEndpoint.ts
+++ b/packages/endpoints/src/chooseEndpoint.ts
@@ -8,6 +8,7 @@
   FAILURE_COST_MS,
   FIRST_TOKEN_MS,
   HOLDER_SHARE,
+  MAX_TRANSFER_SHARE,
   MEMORY_FULL_MS,
   MEMORY_FULL_SHARE,
   NEAR_TIE_SHARE,
@@ -86,11 +87,11 @@
   // Without an entry of the store the parts may still come from the endpoint that read them last.
   const movedTokens = sharedTokens * (store.isHeld ? 1 : HOLDER_SHARE);
   const factor = getTransferFactor(store, endpoint, place);
-  return {
-    ownMs,
-    sharedMs: (sharedTokens - movedTokens) / PREFILL_TOKENS_PER_MS,
-    transferMs: store.firstMs + movedTokens * store.msPerToken * factor,
-  };
+  const transferMs = store.firstMs + movedTokens * store.msPerToken * factor;
+  if (transferMs > (movedTokens / PREFILL_TOKENS_PER_MS) * MAX_TRANSFER_SHARE) {
+    return { ownMs, sharedMs: sharedTokens / PREFILL_TOKENS_PER_MS, transferMs: 0 };
+  }
+  return { ownMs, sharedMs: (sharedTokens - movedTokens) / PREFILL_TOKENS_PER_MS, transferMs };
 };
 
 /** Returns the time that a request waits for memory, beyond what is read before it. */
@@ -124,6 +125,7 @@
       ownMs: roundTripMs + workMs,
       uncachedTokens: 0,
       ownerId,
+      transferMs: 0,
       costMs,
       candidates: 0,
     };
@@ -155,6 +157,7 @@
     ownMs,
     uncachedTokens,
     ownerId,
+    transferMs: read.transferMs,
     costMs,
     candidates: 0,
   };
--- a/packages/endpoints/src/constants.ts
+++ b/packages/endpoints/src/constants.ts
@@ -46,6 +46,11 @@
 export const OWNER_HOLD_SHARE = 0.7;
 /** Share of the shared parts that the endpoint which read them last is expected to have still. */
 export const HOLDER_SHARE = 0.4;
+/**
+ * Time of a transfer as a share of reading the parts again, up to which it is made: reading is paid for
+ * and takes an engine's time, while a transfer only delays one request.
+ */
+export const MAX_TRANSFER_SHARE = 2;
 /** Factor of a transfer's time between regions. */
 export const CROSS_REGION_TRANSFER_FACTOR = 10;
 /** Factor of a transfer's time between two availability zones of a region. */
--- a/packages/endpoints/src/types.ts
+++ b/packages/endpoints/src/types.ts
@@ -33,6 +33,7 @@
 
 /** The store VM that keeps the shared parts of a prompt, and the speed of a transfer from it. */
 export interface StoreReach {
+  readonly address: string;
   readonly zone: string;
   readonly firstMs: number;
   /** Whether the store has the shared parts, as far as it is known. */
@@ -70,6 +71,8 @@
   readonly uncachedTokens: number;
   /** The endpoint that prompts with the same shared parts go to first. */
   readonly ownerId: string | undefined;
+  /** Time to bring parts from their store, in milliseconds; 0 if they are better read again. */
+  readonly transferMs: number;
   /** Why this one: its cost and the number of endpoints compared. */
   readonly costMs: number;
   readonly candidates: number;
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -46,7 +46,8 @@
   readonly pool: ConnectionPool;
   readonly headers: HeaderCodec;
   readonly clock: Clock;
-  readonly onFirstByte: () => void;
+  /** Called with the time since the request was sent, in milliseconds. */
+  readonly onFirstByte: (afterMs: number) => void;
   readonly onWeights: (endpointId: string, model: string, version: number) => void;
 }
 
@@ -303,7 +304,7 @@
     if (this.hasFirstByte) return;
     this.hasFirstByte = true;
     this.input.endpoint.recordFirstByte(this.sent, this.parts.clock.nowMs());
-    this.parts.onFirstByte();
+    this.parts.onFirstByte(this.parts.clock.nowMs() - this.startMs);
   }
 
   private recordBytes(nowMs: number): void {
--- a/packages/gateway/src/reusePlan.ts
+++ b/packages/gateway/src/reusePlan.ts
@@ -1,6 +1,7 @@
 import {
   getAffinityPart,
   type Endpoint,
+  type Placement,
   type PromptPart,
   type StoreReach,
 } from '@lovagearch/endpoints';
@@ -72,11 +73,13 @@
   const nowMs = context.suspensionClock.nowMs();
   const bitsPerToken = engine.bytesPerToken * 8;
   const linkBitsPerMs = Math.max(1, Math.min(store.linkMbps, engine.linkMbps)) * 1_000;
+  const factor = context.transfers.getFactor(store.address, context.clock.nowMs());
   return {
+    address: store.address,
     zone: store.zone,
     isHeld: salt !== undefined && index?.canRead(salt, part.id, nowMs) === true,
-    firstMs: store.firstMs,
-    msPerToken: bitsPerToken / linkBitsPerMs,
+    firstMs: store.firstMs * factor,
+    msPerToken: (bitsPerToken / linkBitsPerMs) * factor,
   };
 };
 
@@ -109,7 +112,7 @@
   head: CallerHead,
   account: Account | undefined,
   endpoint: Endpoint,
-  ownerId: string | undefined,
+  { ownerId, transferMs }: Placement,
 ): ReusePlan => {
   const { beliefs, suspensionClock } = context;
   const { model, parts } = head;
@@ -129,11 +132,12 @@
     const isKept = index < parts.length - 1 && part.tokens >= MIN_STORED_TOKENS;
     const store = isKept ? chooseStore(part.id, stores) : undefined;
     const storeIndex = store === undefined ? undefined : context.findStoreIndex(store.address);
-    const canRead = storeIndex?.canRead(cacheSalt, part.id, nowMs) === true;
+    const isStored = storeIndex?.canRead(cacheSalt, part.id, nowMs) === true;
+    const canRead = isStored && transferMs > 0;
     const shouldSave = storeIndex?.shouldSave(cacheSalt, part.id, nowMs) === true;
     if (shouldSave) storeIndex.recordSave(cacheSalt, part.id, nowMs);
     const holder =
-      canRead || !isKept
+      isStored || !isKept
         ? undefined
         : findHolder(context, part, memorySalt, endpoint, ownerId, model);
     fetchFrom.push(canRead ? store?.address : holder?.record.address);
--- a/packages/gateway/src/servedRequest.ts
+++ b/packages/gateway/src/servedRequest.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { decideAdmission } from '@lovagearch/admission';
 import { type AttemptResult, decideNext, EventFraming } from '@lovagearch/exchange';
+import type { Placement } from '@lovagearch/endpoints';
 import { type Account, chooseTarget, isRepeatable, type Route } from '@lovagearch/traffic';
 import { AnswerRelay } from './answerRelay.js';
 import { Attempt, type AttemptOutcome, getStartKey } from './attempt.js';
@@ -18,7 +19,7 @@
 import type { GatewayContext } from './gatewayContext.js';
 import { type ChosenEndpoint, placeRequest } from './placeRequest.js';
 import { createFailure, createRefusal, type OwnAnswer, sendOwnAnswer } from './refusal.js';
-import { createCacheSalt, planReuse } from './reusePlan.js';
+import { createCacheSalt, planReuse, type ReusePlan } from './reusePlan.js';
 import { readBody } from './requestBody.js';
 import { computeFingerprint } from './strikePublisher.js';
 import type { CallerHead } from './types.js';
@@ -243,7 +244,7 @@
     const { context } = this;
     const { head, route, service, account, body } = admitted;
     const { endpoint, placement, maxConnections } = chosen;
-    const reuse = planReuse(context, head, account, endpoint, placement.ownerId);
+    const reuse = planReuse(context, head, account, endpoint, placement);
     this.sends += 1;
     this.excluded.add(endpoint.record.id);
     this.tried.push(endpoint.record.id);
@@ -272,7 +273,10 @@
         pool: context.pool,
         headers: context.headers,
         clock: context.clock,
-        onFirstByte: () => this.recordFirstByte(route),
+        onFirstByte: (afterMs) => {
+          this.recordFirstByte(route);
+          this.recordTransfer(head, placement, reuse, afterMs);
+        },
         onWeights: (id, model, version) => context.beliefs.recordWeights(id, model, version),
       },
       {
@@ -413,6 +417,22 @@
     this.context.metrics.recordFirstByte(route.name, this.firstByteMs);
   }
 
+  /** Learns from the time to the first byte how fast the prompt's parts were brought from their store. */
+  private recordTransfer(
+    head: CallerHead,
+    placement: Placement,
+    { fetchFrom }: ReusePlan,
+    afterMs: number,
+  ): void {
+    const { transfers, clock } = this.context;
+    const address = fetchFrom[Math.max(0, head.parts.length - 2)];
+    if (address === undefined || placement.transferMs === 0) return;
+    const beforeMs = placement.expectedMs - placement.transferMs;
+    const nowMs = clock.nowMs();
+    const promisedMs = placement.transferMs / transfers.getFactor(address, nowMs);
+    transfers.recordTransfer(address, promisedMs, Math.max(0, afterMs - beforeMs), nowMs);
+  }
+
   private recordStrike({ head, account, body }: Admitted, { endpoint }: ChosenEndpoint): void {
     const { beliefs, strikes, clock } = this.context;
     const fingerprint = computeFingerprint(account?.name ?? '', head.path, body);
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -7,6 +7,7 @@
   MirrorFollower,
   TableMirror,
 } from '@lovagearch/mirror';
+import { TransferMeter } from '@lovagearch/reuse';
 import { createSuspensionClock, OrderLease, RolloutCoordinator } from '@lovagearch/rollout';
 import { Beliefs, LEASE_KEY, PEER_PREFIX } from './beliefs.js';
 import { CallerServer } from './callerServer.js';
@@ -145,6 +146,7 @@
     metrics,
     strikes,
     suspensionClock,
+    transfers: TransferMeter.create(),
     findStoreIndex: (address) => storeWatch.findIndex(address),
     areHeartbeatsCurrent: () =>
       endpointFollower.isStoreReachable &&
--- a/packages/reuse/src/index.ts
+++ b/packages/reuse/src/index.ts
@@ -12,3 +12,4 @@
 export * from './segmentLedger.js';
 export * from './storeIndex.js';
 export * from './storePlacement.js';
+export * from './transferMeter.js';
