--- a/packages/gateway/src/beliefs.ts
+++ b/packages/gateway/src/beliefs.ts
@@ -73,6 +73,10 @@
     return [...this.peers.values()].map(({ address }) => address);
   }
 
+  findPeer(name: string): PeerRecord | undefined {
+    return this.peers.get(name);
+  }
+
   /** Lists the nodes that have announced themselves, by name. */
   listPeers(): IterableIterator<[string, PeerRecord]> {
     return this.peers.entries();
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -57,6 +57,12 @@
 export const PEERS_ASKED = 3;
 /** Age of a peer's copy beyond which it is not used, in milliseconds. */
 export const PEER_COPY_MAX_AGE_MS = 60_000;
+/** Nodes up to which each reads the store's tables at the full pace. */
+export const UNPACED_NODES = 16;
+/** Factor on the pace in large deployments; endpoints have to be known as leaving within seconds. */
+export const MAX_PACE_FACTOR = 2.2;
+/** Interval in which a node that doesn't watch a store asks one that does, in milliseconds. */
+export const INDEX_RELAY_MS = 700;
 /** Shared table of the nodes: addresses, strikes, the lease on orders and announced orders. */
 export const SHARED_TABLE = 'lovagearch';
 /** Pause after this node's address could not be written to the shared table, in milliseconds. */
--- a/packages/gateway/src/managementServer.ts
+++ b/packages/gateway/src/managementServer.ts
@@ -1,8 +1,9 @@
 import { fastify, type FastifyInstance } from 'fastify';
 import type { Clock } from '@lovagearch/common';
 import type { TableMirror } from '@lovagearch/mirror';
+import type { StoreIndex } from '@lovagearch/reuse';
 import type { GatewayMetrics } from './gatewayMetrics.js';
-import { registerPeerRoutes } from './peerExchange.js';
+import { registerPeerRoutes, registerRelayRoute } from './peerExchange.js';
 import type { Address } from './types.js';
 
 const listen = async (server: FastifyInstance, { host, port }: Address) => {
@@ -26,9 +27,12 @@
   address: Address,
   mirrors: readonly TableMirror[],
   clock: Clock,
+  findIndex: (address: string) => StoreIndex | undefined,
+  indexClock: Clock,
 ): Promise<FastifyInstance> => {
   const server = fastify();
   registerPeerRoutes(server, mirrors, clock);
+  registerRelayRoute(server, findIndex, indexClock);
   return listen(server, address);
 };
 
--- a/packages/gateway/src/peerExchange.ts
+++ b/packages/gateway/src/peerExchange.ts
@@ -2,6 +2,7 @@
 import { pack, unpack } from 'msgpackr';
 import { type Clock, getErrorMessage } from '@lovagearch/common';
 import type { PeerSource, ReadResult, RowBatch, TableMirror } from '@lovagearch/mirror';
+import type { StoreIndex, StoreRelay } from '@lovagearch/reuse';
 import { Agent, request } from 'undici';
 import * as z from 'zod';
 import { PEER_COPY_MAX_AGE_MS, PEER_TIMEOUT_MS, PEERS_ASKED } from './constants.js';
@@ -17,6 +18,69 @@
   ageMs: z.number(),
 });
 
+const relaySchema = z.object({
+  epoch: z.number(),
+  next: z.number(),
+  ageMs: z.number(),
+  events: z.array(
+    z.object({
+      isAdded: z.boolean(),
+      part: z.object({ salt: z.string(), id: z.string(), tokens: z.number(), model: z.string() }),
+    }),
+  ),
+});
+
+/** Asks a node that watches a store VM for what changed there; undefined if it doesn't answer. */
+export type StoreRelaySource = (
+  peer: string,
+  storeAddress: string,
+  epoch: number,
+  since: number,
+) => Promise<StoreRelay | undefined>;
+
+/** Serves this node's indexes of store VMs to peers that have no event call there. */
+export const registerRelayRoute = (
+  server: FastifyInstance,
+  findIndex: (address: string) => StoreIndex | undefined,
+  clock: Clock,
+): void => {
+  server.get<{ Params: { address: string }; Querystring: { epoch?: string; since?: string } }>(
+    '/peer/stores/:address',
+    (incoming, reply) => {
+      const { epoch, since } = incoming.query;
+      const index = findIndex(incoming.params.address);
+      const relay = index?.createRelay(Number(epoch), Number(since), clock.nowMs());
+      if (relay === undefined) return reply.code(404).send();
+      return reply.type('application/vnd.msgpack').send(pack(relay));
+    },
+  );
+};
+
+/** Creates the source that asks peers for their indexes of store VMs. */
+export const createRelaySource = (
+  findPeerAddress: (peer: string) => string | undefined,
+): StoreRelaySource => {
+  const agent = new Agent({ connect: { timeout: PEER_TIMEOUT_MS }, keepAliveTimeout: 5_000 });
+  return async (peer, storeAddress, epoch, since) => {
+    const address = findPeerAddress(peer);
+    if (address === undefined) return undefined;
+    try {
+      const path = `/peer/stores/${storeAddress}?epoch=${epoch}&since=${since}`;
+      const answer = await request(`http://${address}${path}`, {
+        dispatcher: agent,
+        signal: AbortSignal.timeout(PEER_TIMEOUT_MS),
+      });
+      const bytes = Buffer.from(await answer.body.arrayBuffer());
+      if (answer.statusCode !== 200) return undefined;
+      const relay = relaySchema.safeParse(unpack(bytes));
+      return relay.success ? relay.data : undefined;
+    } catch {
+      // The index ages and is not used until another answer comes; the watch logs the loss.
+      return undefined;
+    }
+  };
+};
+
 /** Serves this node's copies of the store's tables to peers that the store turns away. */
 export const registerPeerRoutes = (
   server: FastifyInstance,
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -18,15 +18,17 @@
   DRAIN_END_MARGIN_MS,
   DRAIN_MIN_MS,
   HOUSEKEEPING_MS,
+  MAX_PACE_FACTOR,
   SHARED_TABLE,
   STRIKE_PUBLISH_MS,
+  UNPACED_NODES,
 } from './constants.js';
 import { createDecisionLog } from './decisionLog.js';
 import type { GatewayContext, ServingPhase } from './gatewayContext.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
 import { LoadSharing } from './loadSharing.js';
 import { startMetricsServer, startPeerServer, startReadinessServer } from './managementServer.js';
-import { createPeerSource } from './peerExchange.js';
+import { createPeerSource, createRelaySource } from './peerExchange.js';
 import { BodyMemory } from './requestBody.js';
 import { StoreWatch } from './storeWatch.js';
 import { StrikePublisher } from './strikePublisher.js';
@@ -35,25 +37,14 @@
 const BYTES_PER_MB = 1_048_576;
 
 /** Changes of the configuration are rare and urgent: a long wait, and no pause after one. */
-const OPERATOR_FOLLOWING: FollowOptions = {
-  waitMs: 2_000,
-  paceMs: 100,
-  retryMs: 250,
-  peerAfterMs: 1_000,
-};
+const OPERATOR_FOLLOWING = { waitMs: 2_000, paceMs: 100, retryMs: 250, peerAfterMs: 1_000 };
 /** Heartbeats change the table all the time, and each call is billed: changes are read together. */
-const ENDPOINT_FOLLOWING: FollowOptions = {
-  waitMs: 1_500,
-  paceMs: 700,
-  retryMs: 250,
-  peerAfterMs: 1_500,
-};
-const SHARED_FOLLOWING: FollowOptions = {
-  waitMs: 3_000,
-  paceMs: 300,
-  retryMs: 400,
-  peerAfterMs: 4_000,
-};
+const ENDPOINT_FOLLOWING = { waitMs: 1_500, paceMs: 700, retryMs: 250, peerAfterMs: 1_500 };
+const SHARED_FOLLOWING = { waitMs: 3_000, paceMs: 300, retryMs: 400, peerAfterMs: 4_000 };
+
+/** Spaces the calls to the store out where many nodes share its rates. */
+const computePaceMs = (paceMs: number, nodes: number): number =>
+  paceMs * Math.min(MAX_PACE_FACTOR, Math.max(1, nodes / UNPACED_NODES));
 
 /** A running gateway process. */
 export interface Gateway {
@@ -101,13 +92,16 @@
     const { type, ...fields } = event;
     log.recordChange(type, fields);
   };
-  const createFollower = (mirror: TableMirror, options: FollowOptions) =>
+  const createFollower = (
+    mirror: TableMirror,
+    { paceMs, ...options }: Omit<FollowOptions, 'getPaceMs'> & { readonly paceMs: number },
+  ) =>
     MirrorFollower.create({
       mirror,
       source: ports.tables,
       peers,
       clock,
-      options,
+      options: { ...options, getPaceMs: () => computePaceMs(paceMs, beliefs.nodes) },
       onEvent: onFollowEvent,
     });
   const endpointFollower = createFollower(endpointMirror, ENDPOINT_FOLLOWING);
@@ -131,6 +125,8 @@
     nodeName: settings.nodeName,
     beliefs,
     client: ports.cacheStores,
+    relay: createRelaySource((name) => beliefs.findPeer(name)?.address),
+    random,
     clock: suspensionClock,
     log,
   });
@@ -151,7 +147,7 @@
     areHeartbeatsCurrent: () =>
       endpointFollower.isStoreReachable &&
       endpointMirror.getAgeMs(clock.nowMs()) <
-        ENDPOINT_FOLLOWING.waitMs + ENDPOINT_FOLLOWING.paceMs,
+        ENDPOINT_FOLLOWING.waitMs + computePaceMs(ENDPOINT_FOLLOWING.paceMs, beliefs.nodes),
     getRetryBudget: (service) => {
       const known = budgets.get(service);
       if (known !== undefined) return known;
@@ -215,6 +211,8 @@
       settings.peerAddress,
       [operatorMirror, endpointMirror, sharedMirror],
       clock,
+      (address) => storeWatch.findIndex(address),
+      suspensionClock,
     ),
     await startMetricsServer(
       { host: settings.callerAddress.host, port: settings.metricsPort },
--- a/packages/gateway/src/storeWatch.ts
+++ b/packages/gateway/src/storeWatch.ts
@@ -5,6 +5,7 @@
 import type { Beliefs } from './beliefs.js';
 import {
   HOUSEKEEPING_MS,
+  INDEX_RELAY_MS,
   MAX_FREED_PARTS,
   OLD_PARTS_FREE_MS,
   SPARE_EVENT_CALLS,
@@ -14,12 +15,18 @@
 } from './constants.js';
 import type { DecisionLog } from './decisionLog.js';
 import { parseSaltVersion } from './reusePlan.js';
+import type { StoreRelaySource } from './peerExchange.js';
 import type { CacheStoreClient } from './types.js';
 
 interface WatchedStore {
   store: CacheStore;
   readonly index: StoreIndex;
   next: number;
+  /** Nodes that watch the store itself; empty if this node does. */
+  relays: readonly string[];
+  /** The node that was asked last, and whether it answered. */
+  relayPeer: string;
+  hasRelay: boolean;
   isUp: boolean | undefined;
   /** Whether this node is the one that frees parts there. */
   isManager: boolean;
@@ -30,6 +37,8 @@
   readonly nodeName: string;
   readonly beliefs: Beliefs;
   readonly client: CacheStoreClient;
+  readonly relay: StoreRelaySource;
+  readonly random: () => number;
   /** Also counts time in which the VM was suspended. */
   readonly clock: Clock;
   readonly log: DecisionLog;
@@ -78,10 +87,12 @@
     for (const store of beliefs.rules?.cacheStores ?? []) {
       const count = Math.max(1, store.maxEventCalls - SPARE_EVENT_CALLS);
       const watchers = getRendezvousOwners(store.address, nodes, count);
-      if (!watchers.includes(nodeName)) continue;
       wanted.add(store.address);
       const known = this.watched.get(store.address) ?? this.startWatching(store);
+      const isWatcher = watchers.includes(nodeName);
+      if (isWatcher !== (known.relays.length === 0)) known.next = 0;
       known.store = store;
+      known.relays = isWatcher ? [] : watchers;
       known.isManager = watchers[0] === nodeName;
     }
     for (const [address, watched] of this.watched) {
@@ -96,6 +107,9 @@
       store,
       index: StoreIndex.create(),
       next: 0,
+      relays: [],
+      relayPeer: '',
+      hasRelay: false,
       isUp: undefined,
       isManager: false,
       isRunning: true,
@@ -109,28 +123,63 @@
   }
 
   private async follow(watched: WatchedStore): Promise<void> {
-    const { clock, client } = this.parts;
     while (watched.isRunning && !this.isStopped) {
-      const startMs = clock.nowMs();
-      const { address } = watched.store;
-      const answer = await client.readEvents(address, watched.next, STORE_EVENT_WAIT_MS);
-      if (answer === undefined) {
-        watched.index.recordFailure();
-        this.logState(watched, false);
-        await waitMs(STORE_RETRY_MS);
-        continue;
-      }
-      const nowMs = clock.nowMs();
-      watched.index.recordReturn(nowMs);
-      const isSameStart = watched.index.applyAnswer(answer.epoch, answer.events, nowMs);
-      watched.next = isSameStart ? answer.next : 0;
-      this.logState(watched, true);
-      if (isSameStart && watched.isManager) await this.freeOldParts(watched);
-      const pauseMs = STORE_EVENT_PACE_MS - (clock.nowMs() - startMs);
-      if (isSameStart && pauseMs > 0) await waitMs(pauseMs);
+      if (watched.relays.length === 0) await this.followStore(watched);
+      else await this.followRelay(watched);
     }
   }
 
+  private async followStore(watched: WatchedStore): Promise<void> {
+    const { clock, client } = this.parts;
+    const startMs = clock.nowMs();
+    const { address } = watched.store;
+    const answer = await client.readEvents(address, watched.next, STORE_EVENT_WAIT_MS);
+    if (answer === undefined) {
+      await this.handleFailure(watched);
+      return;
+    }
+    const nowMs = clock.nowMs();
+    watched.index.recordReturn(nowMs);
+    const isSameStart = watched.index.applyAnswer(answer.epoch, answer.events, nowMs);
+    watched.next = isSameStart ? answer.next : 0;
+    this.logState(watched, true);
+    if (isSameStart && watched.isManager) await this.freeOldParts(watched);
+    const pauseMs = STORE_EVENT_PACE_MS - (clock.nowMs() - startMs);
+    if (isSameStart && pauseMs > 0) await waitMs(pauseMs);
+  }
+
+  /** Follows the index of a node that watches the store, which has no call left for this node. */
+  private async followRelay(watched: WatchedStore): Promise<void> {
+    const { clock, relay, random } = this.parts;
+    const sentMs = clock.nowMs();
+    const { index, relays, store } = watched;
+    const peer = relays[Math.floor(random() * relays.length)] ?? '';
+    // Numbers of changes are each watcher's own, so a change of the watcher begins anew.
+    const isSamePeer = watched.relayPeer === peer && watched.hasRelay;
+    const since = isSamePeer ? watched.next : 0;
+    const answer = await relay(peer, store.address, isSamePeer ? (index.epoch ?? 0) : 0, since);
+    watched.relayPeer = peer;
+    watched.hasRelay = answer !== undefined;
+    if (answer === undefined) {
+      await this.handleFailure(watched);
+      return;
+    }
+    const answeredMs = sentMs - answer.ageMs;
+    index.recordReturn(answeredMs);
+    if (!index.applyAnswer(answer.epoch, answer.events, answeredMs)) {
+      index.applyAnswer(answer.epoch, answer.events, answeredMs);
+    }
+    watched.next = answer.next;
+    this.logState(watched, true);
+    await waitMs(INDEX_RELAY_MS);
+  }
+
+  private async handleFailure(watched: WatchedStore): Promise<void> {
+    watched.index.recordFailure();
+    this.logState(watched, false);
+    await waitMs(STORE_RETRY_MS);
+  }
+
   private logState(watched: WatchedStore, isUp: boolean): void {
     if (watched.isUp === isUp) return;
     watched.isUp = isUp;
--- a/packages/mirror/src/mirror.test.ts
+++ b/packages/mirror/src/mirror.test.ts
@@ -9,7 +9,7 @@
   TableMirror,
 } from './index.js';
 
-const OPTIONS = { waitMs: 1, paceMs: 0, retryMs: 0, peerAfterMs: 0 };
+const OPTIONS = { waitMs: 1, getPaceMs: () => 0, retryMs: 0, peerAfterMs: 0 };
 
 const createRows = (
   rows: readonly MirroredRow[],
--- a/packages/mirror/src/mirrorFollower.ts
+++ b/packages/mirror/src/mirrorFollower.ts
@@ -18,8 +18,8 @@
 export interface FollowOptions {
   /** Time that the store may keep a call open without changes. */
   readonly waitMs: number;
-  /** Least time between the starts of two calls; changes in between come together. */
-  readonly paceMs: number;
+  /** Returns the least time between the starts of two calls; changes in between come together. */
+  readonly getPaceMs: () => number;
   /** Pause after a failed call. */
   readonly retryMs: number;
   /** Age of the copy from which peers are asked. */
@@ -72,7 +72,7 @@
     while (!this.isStopped) {
       const startMs = clock.nowMs();
       const isOk = await this.followOnce();
-      const pauseMs = isOk ? options.paceMs - (clock.nowMs() - startMs) : options.retryMs;
+      const pauseMs = isOk ? options.getPaceMs() - (clock.nowMs() - startMs) : options.retryMs;
       if (pauseMs > 0) await waitMs(pauseMs);
     }
   }
--- a/packages/reuse/src/storeIndex.test.ts
+++ b/packages/reuse/src/storeIndex.test.ts
@@ -85,3 +85,30 @@
     t2.equal(chooseStore('p', []), undefined);
   },
 );
+
+t.test(
+  'a node that follows a watcher reads nothing of an earlier start of the store',
+  async (t2) => {
+    const watcher = createIndex();
+    const follower = StoreIndex.create();
+    const follow = (since: number, nowMs: number) => {
+      const relay = watcher.createRelay(follower.epoch ?? 0, since, nowMs);
+      if (relay === undefined) return since;
+      const answeredMs = nowMs - relay.ageMs;
+      if (!follower.applyAnswer(relay.epoch, relay.events, answeredMs)) {
+        follower.applyAnswer(relay.epoch, relay.events, answeredMs);
+      }
+      return relay.next;
+    };
+    let since = follow(0, 100);
+    t2.equal(follower.canRead('v1', 'p', 100), true);
+    t2.equal(follower.canRead('v1', 'p', INDEX_MAX_AGE_MS), false);
+    watcher.applyAnswer(1, [{ ...ADDED, part: { ...ADDED.part, id: 'q' } }], 500);
+    since = follow(since, 600);
+    t2.equal(follower.canRead('v1', 'q', 600), true);
+    watcher.applyAnswer(2, [], 700);
+    follow(since, 800);
+    t2.equal(follower.canRead('v1', 'p', 800), false);
+    t2.equal(watcher.createRelay(2, 0, 700 + INDEX_MAX_AGE_MS), undefined);
+  },
+);
--- a/packages/reuse/src/storeIndex.ts
+++ b/packages/reuse/src/storeIndex.ts
@@ -12,6 +12,8 @@
 export const NEW_STORE_PAUSE_MS = 3_000;
 /** Time after which a part that didn't show up at its store is sent again, in milliseconds. */
 export const SAVE_RETRY_MS = 5_000;
+/** Changes that are kept for nodes that follow the index. */
+const MAX_RELAYED_CHANGES = 2_000;
 /** Parts whose saving is remembered. */
 const MAX_RECENT_SAVES = 4_096;
 
@@ -28,6 +30,16 @@
   readonly part: StoredPart;
 }
 
+/** What a node that watches a store tells one that doesn't. */
+export interface StoreRelay {
+  readonly epoch: number;
+  /** Where the next call goes on. */
+  readonly next: number;
+  /** Age of the store's last answer, in milliseconds. */
+  readonly ageMs: number;
+  readonly events: readonly StorePartEvent[];
+}
+
 const createKey = (salt: string, id: string) => `${salt}/${id}`;
 
 /**
@@ -42,6 +54,12 @@
 export class StoreIndex {
   private readonly parts = BoundedMap.create<string, StoredPart>(MAX_INDEXED_PARTS);
 
+  /** The last changes, for nodes that follow this index instead of the store. */
+  private changes: StorePartEvent[] = [];
+
+  /** Number of the first change in `changes`. */
+  private firstChange = 0;
+
   private readonly recentSaves = BoundedMap.create<string, number>(MAX_RECENT_SAVES);
 
   private currentEpoch: number | undefined;
@@ -80,7 +98,9 @@
       const key = createKey(part.salt, part.id);
       if (isAdded) this.parts.set(key, part);
       else this.parts.delete(key);
+      this.changes.push({ isAdded, part });
     }
+    this.trimChanges();
     return true;
   }
 
@@ -123,7 +143,35 @@
     return this.parts.values();
   }
 
+  /**
+   * Returns what a node that follows this index lacks.
+   *
+   * @param epoch start of the store that the node knows
+   * @param since number of the first change that it lacks
+   * @returns undefined while the store doesn't answer
+   */
+  createRelay(epoch: number, since: number, nowMs: number): StoreRelay | undefined {
+    const { currentEpoch } = this;
+    const ageMs = nowMs - this.answeredMs;
+    if (currentEpoch === undefined || ageMs >= INDEX_MAX_AGE_MS) return undefined;
+    const next = this.firstChange + this.changes.length;
+    const isKnown = epoch === currentEpoch && since >= this.firstChange && since <= next;
+    const events = isKnown
+      ? this.changes.slice(since - this.firstChange)
+      : [...this.parts.values()].map((part) => ({ isAdded: true, part }));
+    return { epoch: currentEpoch, next, ageMs, events };
+  }
+
+  private trimChanges(): void {
+    const surplus = this.changes.length - MAX_RELAYED_CHANGES;
+    if (surplus <= 0) return;
+    this.changes = this.changes.slice(surplus);
+    this.firstChange += surplus;
+  }
+
   private removeAll(): void {
+    this.firstChange += this.changes.length;
+    this.changes = [];
     for (const key of [...this.parts.keys()]) this.parts.delete(key);
     for (const key of [...this.recentSaves.keys()]) this.recentSaves.delete(key);
   }
