--- a/packages/endpoints/src/chooseEndpoint.ts
+++ b/packages/endpoints/src/chooseEndpoint.ts
@@ -77,7 +77,8 @@
   endpoint: Endpoint,
   uncachedTokens: number,
 ): ReadTimes => {
-  const { store, parts } = request;
+  const { store, parts, model } = request;
+  const weights = model === undefined ? undefined : endpoint.record.weights.get(model);
   const ownTokens = Math.min(uncachedTokens, parts.at(-1)?.tokens ?? 0);
   const sharedTokens = uncachedTokens - ownTokens;
   const ownMs = ownTokens / PREFILL_TOKENS_PER_MS;
@@ -85,7 +86,7 @@
     return { ownMs, sharedMs: sharedTokens / PREFILL_TOKENS_PER_MS, transferMs: 0 };
   }
   // Without an entry of the store the parts may still come from the endpoint that read them last.
-  const movedTokens = sharedTokens * (store.isHeld ? 1 : HOLDER_SHARE);
+  const movedTokens = sharedTokens * (store.isHeldFor(weights) ? 1 : HOLDER_SHARE);
   const factor = getTransferFactor(store, endpoint, place);
   const transferMs = store.firstMs + movedTokens * store.msPerToken * factor;
   if (transferMs > (movedTokens / PREFILL_TOKENS_PER_MS) * MAX_TRANSFER_SHARE) {
--- a/packages/endpoints/src/types.ts
+++ b/packages/endpoints/src/types.ts
@@ -36,8 +36,8 @@
   readonly address: string;
   readonly zone: string;
   readonly firstMs: number;
-  /** Whether the store has the shared parts, as far as it is known. */
-  readonly isHeld: boolean;
+  /** Whether the store has the shared parts for a weight version, as far as it is known. */
+  readonly isHeldFor: (weightVersion: number | undefined) => boolean;
   /** Within a zone; longer between zones. */
   readonly msPerToken: number;
 }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -78,7 +78,7 @@
 /** Event calls that a store keeps free for others, of those that it serves at once. */
 export const SPARE_EVENT_CALLS = 3;
 /** Time after which no endpoint with older weights was seen, and their parts are freed, in milliseconds. */
-export const OLD_PARTS_FREE_MS = 3_000;
+export const OLD_PARTS_FREE_MS = 6_000;
 /** Parts that one call frees. */
 export const MAX_FREED_PARTS = 200;
 /** Interval of load digests to peers, in milliseconds; an endpoint serves about one request in it. */
--- a/packages/gateway/src/reusePlan.ts
+++ b/packages/gateway/src/reusePlan.ts
@@ -45,17 +45,6 @@
   return named === undefined || (endpoint.record.weights.get(model) ?? 0) >= named.version;
 };
 
-/** Returns the newest weight version of a model that an endpoint has. */
-const findNewestWeights = (context: GatewayContext, model: string): number | undefined => {
-  const named = context.beliefs.findNamedWeights(model);
-  if (named !== undefined) return named.version;
-  for (const { record } of context.beliefs.endpoints.listAll()) {
-    const version = record.weights.get(model);
-    if (version !== undefined) return version;
-  }
-  return undefined;
-};
-
 /** Returns the store VM of a prompt's shared part, with the time that a transfer takes. */
 export const findStoreReach = (
   context: GatewayContext,
@@ -68,7 +57,6 @@
   // The store doesn't depend on the salt, so that a new weight version moves no prompt.
   const store = chooseStore(part.id, context.beliefs.rules?.cacheStores ?? []);
   if (store === undefined) return undefined;
-  const salt = createCacheSalt(account, findNewestWeights(context, head.model));
   const index = context.findStoreIndex(store.address);
   const nowMs = context.suspensionClock.nowMs();
   const bitsPerToken = engine.bytesPerToken * 8;
@@ -77,7 +65,10 @@
   return {
     address: store.address,
     zone: store.zone,
-    isHeld: salt !== undefined && index?.canRead(salt, part.id, nowMs) === true,
+    isHeldFor: (weightVersion) => {
+      const salt = createCacheSalt(account, weightVersion);
+      return salt !== undefined && index?.canRead(salt, part.id, nowMs) === true;
+    },
     firstMs: store.firstMs * factor,
     msPerToken: (bitsPerToken / linkBitsPerMs) * factor,
   };
@@ -120,8 +111,8 @@
   const cacheSalt = createCacheSalt(account, weights);
   const plan = { cacheSalt, expectedWeights: weights, fetchFrom: [], saveTo: [] };
   if (model === undefined || cacheSalt === undefined) return plan;
-  // Parts of weights that are being replaced are of no use soon.
-  if (!hasNamedWeights(context, endpoint, model)) return plan;
+  // Parts of weights that are being replaced are read as long as they are there, but not kept.
+  const isCurrent = hasNamedWeights(context, endpoint, model);
   const stores = beliefs.rules?.cacheStores ?? [];
   const memorySalt = createCacheSalt(account, undefined) ?? '';
   const nowMs = suspensionClock.nowMs();
@@ -134,7 +125,7 @@
     const storeIndex = store === undefined ? undefined : context.findStoreIndex(store.address);
     const isStored = storeIndex?.canRead(cacheSalt, part.id, nowMs) === true;
     const canRead = isStored && transferMs > 0;
-    const shouldSave = storeIndex?.shouldSave(cacheSalt, part.id, nowMs) === true;
+    const shouldSave = isCurrent && storeIndex?.shouldSave(cacheSalt, part.id, nowMs) === true;
     if (shouldSave) storeIndex.recordSave(cacheSalt, part.id, nowMs);
     const holder =
       isStored || !isKept
--- a/packages/gateway/src/servedRequest.ts
+++ b/packages/gateway/src/servedRequest.ts
@@ -258,6 +258,9 @@
         expectedMs: Math.round(placement.expectedMs),
         uncachedTokens: Math.round(placement.uncachedTokens),
         candidates: placement.candidates,
+        fetchFrom: reuse.fetchFrom.filter((address) => address !== undefined),
+        savedParts: reuse.saveTo.filter((address) => address !== undefined).length,
+        weights: reuse.expectedWeights,
         loadAgeMs: Math.round(endpoint.getLoadAgeMs(nowMs)),
       });
     }
--- a/packages/gateway/src/storeWatch.ts
+++ b/packages/gateway/src/storeWatch.ts
@@ -207,8 +207,8 @@
   }
 
   /**
-   * Frees parts of replaced weights. No request reads them any more: endpoints run none that expects
-   * those weights, and nodes name parts of the newest weights only.
+   * Frees parts of replaced weights. No request reads them any more: requests name parts of the weights
+   * that they expect, and an endpoint with other weights rejects them.
    */
   private async freeOldParts({ store, index }: WatchedStore): Promise<void> {
     if (!store.isManaged || index.epoch === undefined) return;
