--- a/packages/exchange/src/eventFraming.ts
+++ b/packages/exchange/src/eventFraming.ts
@@ -65,7 +65,7 @@
   }
 
   /** Forgets an unfinished event; another run sends it again from its beginning. */
-  dropRest(): void {
+  removeRest(): void {
     this.rest = undefined;
   }
 
--- a/packages/exchange/src/exchange.test.ts
+++ b/packages/exchange/src/exchange.test.ts
@@ -89,7 +89,7 @@
 t.test('a second run that begins again does not repeat events', async (t2) => {
   const framing = EventFraming.create(0);
   framing.addBytes(Buffer.from(`${createEvent(1)}${createEvent(2)}id: 3\nda`));
-  framing.dropRest();
+  framing.removeRest();
   t2.equal(framing.addBytes(Buffer.from(createEvent(2))).type, 'fault');
   t2.equal(framing.addBytes(Buffer.from(createEvent(3))).type, 'events');
 });
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -205,7 +205,7 @@
         return;
       case 'events':
         this.markFirstByte();
-        this.passOn(result.events.bytes);
+        this.writeOn(result.events.bytes);
         return;
       default:
         result satisfies never;
@@ -215,7 +215,7 @@
   private handlePlainBytes(chunk: Buffer): void {
     this.markFirstByte();
     if (this.heldBytes < 0) {
-      this.passOn(chunk);
+      this.writeOn(chunk);
       return;
     }
     this.held.push(chunk);
@@ -224,10 +224,10 @@
     const bytes = Buffer.concat(this.held);
     this.held = [];
     this.heldBytes = -1;
-    this.passOn(bytes);
+    this.writeOn(bytes);
   }
 
-  private passOn(bytes: Buffer): void {
+  private writeOn(bytes: Buffer): void {
     const { relay } = this.input;
     const { head, exchange } = this;
     if (head === undefined || relay.isClosed) return;
@@ -319,7 +319,7 @@
     const { endpoint, framing } = this.input;
     endpoint.recordEnd(this.sent, endpointOutcome, this.parts.clock.nowMs());
     // Bytes of an unfinished event would be glued to the next run's first event.
-    framing?.dropRest();
+    framing?.removeRest();
     this.exchange?.cancel();
     this.resolve(outcome);
   }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -62,7 +62,7 @@
 /** Factor on the pace in large deployments; endpoints have to be known as leaving within seconds. */
 export const MAX_PACE_FACTOR = 2.2;
 /** Interval in which a node that doesn't watch a store asks one that does, in milliseconds. */
-export const INDEX_RELAY_MS = 700;
+export const INDEX_RELAY_MS = 800;
 /** Shared table of the nodes: addresses, strikes, the lease on orders and announced orders. */
 export const SHARED_TABLE = 'lovagearch';
 /** Pause after this node's address could not be written to the shared table, in milliseconds. */
--- a/packages/gateway/src/peerExchange.ts
+++ b/packages/gateway/src/peerExchange.ts
@@ -18,6 +18,14 @@
   ageMs: z.number(),
 });
 
+/** What a node knows of a store VM, as one text `ADDRESS/EPOCH/SINCE` in a query. */
+export interface RelayCursor {
+  readonly address: string;
+  readonly epoch: number;
+  /** Number of the first change that the node lacks. */
+  readonly since: number;
+}
+
 const relaySchema = z.object({
   epoch: z.number(),
   next: z.number(),
@@ -29,14 +37,13 @@
     }),
   ),
 });
+const relaysSchema = z.array(z.tuple([z.string(), relaySchema]));
 
-/** Asks a node that watches a store VM for what changed there; undefined if it doesn't answer. */
+/** Asks a node that watches the store VMs for what is new there; stores without an answer are left out. */
 export type StoreRelaySource = (
   peer: string,
-  storeAddress: string,
-  epoch: number,
-  since: number,
-) => Promise<StoreRelay | undefined>;
+  cursors: readonly RelayCursor[],
+) => Promise<ReadonlyMap<string, StoreRelay>>;
 
 /** Serves this node's indexes of store VMs to peers that have no event call there. */
 export const registerRelayRoute = (
@@ -44,16 +51,16 @@
   findIndex: (address: string) => StoreIndex | undefined,
   clock: Clock,
 ): void => {
-  server.get<{ Params: { address: string }; Querystring: { epoch?: string; since?: string } }>(
-    '/peer/stores/:address',
-    (incoming, reply) => {
-      const { epoch, since } = incoming.query;
-      const index = findIndex(incoming.params.address);
+  server.get<{ Querystring: { known?: string } }>('/peer/stores', (incoming, reply) => {
+    const relays: [string, StoreRelay][] = [];
+    for (const cursor of (incoming.query.known ?? '').split(',')) {
+      const [address = '', epoch, since] = cursor.split('/');
+      const index = findIndex(address);
       const relay = index?.createRelay(Number(epoch), Number(since), clock.nowMs());
-      if (relay === undefined) return reply.code(404).send();
-      return reply.type('application/vnd.msgpack').send(pack(relay));
-    },
-  );
+      if (relay !== undefined) relays.push([address, relay]);
+    }
+    return reply.type('application/vnd.msgpack').send(pack(relays));
+  });
 };
 
 /** Creates the source that asks peers for their indexes of store VMs. */
@@ -61,22 +68,21 @@
   findPeerAddress: (peer: string) => string | undefined,
 ): StoreRelaySource => {
   const agent = new Agent({ connect: { timeout: PEER_TIMEOUT_MS }, keepAliveTimeout: 5_000 });
-  return async (peer, storeAddress, epoch, since) => {
+  return async (peer, cursors) => {
     const address = findPeerAddress(peer);
-    if (address === undefined) return undefined;
+    if (address === undefined) return new Map();
+    const known = cursors.map((cursor) => `${cursor.address}/${cursor.epoch}/${cursor.since}`);
     try {
-      const path = `/peer/stores/${storeAddress}?epoch=${epoch}&since=${since}`;
-      const answer = await request(`http://${address}${path}`, {
+      const answer = await request(`http://${address}/peer/stores?known=${known.join(',')}`, {
         dispatcher: agent,
         signal: AbortSignal.timeout(PEER_TIMEOUT_MS),
       });
       const bytes = Buffer.from(await answer.body.arrayBuffer());
-      if (answer.statusCode !== 200) return undefined;
-      const relay = relaySchema.safeParse(unpack(bytes));
-      return relay.success ? relay.data : undefined;
+      const relays = relaysSchema.safeParse(unpack(bytes));
+      return new Map(answer.statusCode === 200 && relays.success ? relays.data : []);
     } catch {
-      // The index ages and is not used until another answer comes; the watch logs the loss.
-      return undefined;
+      // The indexes age and are not used until another answer comes; the followers log the loss.
+      return new Map();
     }
   };
 };
@@ -112,7 +118,7 @@
   random: () => number,
 ): PeerSource => {
   const agent = new Agent({ connect: { timeout: PEER_TIMEOUT_MS }, keepAliveTimeout: 2_000 });
-  const askPeer = async (
+  const readFromPeer = async (
     peer: string,
     table: string,
     afterVersion: number,
@@ -133,7 +139,7 @@
   return {
     readChanges: async (table, afterVersion): Promise<ReadResult> => {
       const peers = [...listPeers()].sort(() => random() - 0.5).slice(0, PEERS_ASKED);
-      const answers = await Promise.all(peers.map((peer) => askPeer(peer, table, afterVersion)));
+      const answers = await Promise.all(peers.map((peer) => readFromPeer(peer, table, afterVersion)));
       let best: RowBatch | undefined;
       const reasons: string[] = [];
       for (const answer of answers) {
--- a/packages/gateway/src/storeFollower.ts
+++ b/packages/gateway/src/storeFollower.ts
@@ -1,21 +1,14 @@
 import { setTimeout as waitMs } from 'node:timers/promises';
 import type { Clock } from '@lovagearch/common';
-import { StoreIndex } from '@lovagearch/reuse';
+import { StoreIndex, type StoreRelay } from '@lovagearch/reuse';
 import type { CacheStore } from '@lovagearch/traffic';
-import {
-  INDEX_RELAY_MS,
-  STORE_EVENT_PACE_MS,
-  STORE_EVENT_WAIT_MS,
-  STORE_RETRY_MS,
-} from './constants.js';
+import { STORE_EVENT_PACE_MS, STORE_EVENT_WAIT_MS, STORE_RETRY_MS } from './constants.js';
 import type { DecisionLog } from './decisionLog.js';
-import type { StoreRelaySource } from './peerExchange.js';
+import type { RelayCursor } from './peerExchange.js';
 import type { CacheStoreClient } from './types.js';
 
 export interface StoreFollowerParts {
   readonly client: CacheStoreClient;
-  readonly relay: StoreRelaySource;
-  readonly random: () => number;
   /** Also counts time in which the VM was suspended. */
   readonly clock: Clock;
   readonly log: DecisionLog;
@@ -30,14 +23,9 @@
   /** Whether this node is the one that frees parts at the store. */
   isManager = false;
 
-  /** Nodes that watch the store itself; empty if this node does. */
-  private relays: readonly string[] = [];
-
-  /** The peer that was asked last, and whether it answered. */
+  /** The peer that told last; numbers of changes are its own. */
   private relayPeer = '';
 
-  private hasRelay = false;
-
   private next = 0;
 
   private isUp: boolean | undefined;
@@ -57,19 +45,41 @@
     this.isStopped = true;
   }
 
-  /** @param relays peers to follow instead of the store; empty to follow the store */
-  updateRelays(relays: readonly string[]): void {
-    const isOtherSource = (relays.length === 0) !== (this.relays.length === 0);
-    if (isOtherSource) this.next = 0;
-    this.relays = relays;
+  /** Follows the store's events until `stop` is called. */
+  async run(): Promise<void> {
+    while (!this.isStopped) await this.followStore();
   }
 
-  /** Runs until `stop` is called. */
-  async run(): Promise<void> {
-    while (!this.isStopped) {
-      if (this.relays.length === 0) await this.followStore();
-      else await this.followRelay();
+  /** What a peer that watches the store has to know to tell what is new. */
+  getRelayCursor(peer: string): RelayCursor {
+    // Numbers of changes are each watcher's own, so another watcher begins anew.
+    const isSamePeer = this.relayPeer === peer;
+    const epoch = isSamePeer ? (this.index.epoch ?? 0) : 0;
+    return { address: this.store.address, epoch, since: isSamePeer ? this.next : 0 };
+  }
+
+  /**
+   * Takes in what a peer that watches the store told.
+   *
+   * @param relay undefined if the peer has no recent answer of the store
+   * @param sentMs clock reading before the peer was asked
+   */
+  applyRelay(peer: string, relay: StoreRelay | undefined, sentMs: number): void {
+    const { index } = this;
+    if (relay === undefined) {
+      this.relayPeer = '';
+      index.recordFailure();
+      this.logState(false, peer);
+      return;
     }
+    const answeredMs = sentMs - relay.ageMs;
+    index.recordReturn(answeredMs);
+    if (!index.applyAnswer(relay.epoch, relay.events, answeredMs)) {
+      index.applyAnswer(relay.epoch, relay.events, answeredMs);
+    }
+    this.relayPeer = peer;
+    this.next = relay.next;
+    this.logState(true, peer);
   }
 
   private async followStore(): Promise<void> {
@@ -84,53 +94,27 @@
     this.index.recordReturn(nowMs);
     const isSameStart = this.index.applyAnswer(answer.epoch, answer.events, nowMs);
     this.next = isSameStart ? answer.next : 0;
-    this.logState(true);
+    this.logState(true, 'store');
     if (!isSameStart) return;
     await onFollowed(this);
     const pauseMs = STORE_EVENT_PACE_MS - (clock.nowMs() - startMs);
     if (pauseMs > 0) await waitMs(pauseMs);
   }
 
-  /** Follows the index of a node that watches the store, which has no call left for this node. */
-  private async followRelay(): Promise<void> {
-    const { clock, relay, random } = this.parts;
-    const { index, relays, store } = this;
-    const sentMs = clock.nowMs();
-    const peer = relays[Math.floor(random() * relays.length)] ?? '';
-    // Numbers of changes are each watcher's own, so a change of the watcher begins anew.
-    const isSamePeer = this.relayPeer === peer && this.hasRelay;
-    const epoch = isSamePeer ? (index.epoch ?? 0) : 0;
-    const answer = await relay(peer, store.address, epoch, isSamePeer ? this.next : 0);
-    this.relayPeer = peer;
-    this.hasRelay = answer !== undefined;
-    if (answer === undefined) {
-      await this.handleFailure();
-      return;
-    }
-    const answeredMs = sentMs - answer.ageMs;
-    index.recordReturn(answeredMs);
-    if (!index.applyAnswer(answer.epoch, answer.events, answeredMs)) {
-      index.applyAnswer(answer.epoch, answer.events, answeredMs);
-    }
-    this.next = answer.next;
-    this.logState(true);
-    await waitMs(INDEX_RELAY_MS);
-  }
-
   private async handleFailure(): Promise<void> {
     this.index.recordFailure();
-    this.logState(false);
+    this.logState(false, 'store');
     await waitMs(STORE_RETRY_MS);
   }
 
-  private logState(isUp: boolean): void {
+  private logState(isUp: boolean, source: string): void {
     if (this.isUp === isUp) return;
     this.isUp = isUp;
     this.parts.log.recordChange(isUp ? 'cache_store_regained' : 'cache_store_lost', {
       store: this.store.address,
       epoch: this.index.epoch,
       knownParts: this.index.size,
-      source: this.relays.length === 0 ? 'store' : 'peer',
+      source,
     });
   }
 }
--- a/packages/gateway/src/storeWatch.ts
+++ b/packages/gateway/src/storeWatch.ts
@@ -5,6 +5,7 @@
 import type { Beliefs } from './beliefs.js';
 import {
   HOUSEKEEPING_MS,
+  INDEX_RELAY_MS,
   MAX_FREED_PARTS,
   OLD_PARTS_FREE_MS,
   SPARE_EVENT_CALLS,
@@ -15,6 +16,9 @@
 import { StoreFollower } from './storeFollower.js';
 import type { CacheStoreClient } from './types.js';
 
+/** Key under which the nodes that watch the stores are chosen. */
+const WATCHER_KEY = 'cache-stores';
+
 export interface StoreWatchParts {
   readonly nodeName: string;
   readonly beliefs: Beliefs;
@@ -36,6 +40,13 @@
   /** Clock reading since which all endpoints have at least a version, by model. */
   private readonly settled = new Map<string, { version: number; sinceMs: number }>();
 
+  private isWatching = false;
+
+  /** Nodes that tell this one of the stores; empty if it watches them itself. */
+  private relays: readonly string[] = [];
+
+  private relayedMs = Number.NEGATIVE_INFINITY;
+
   private isStopped = false;
 
   private constructor(private readonly parts: StoreWatchParts) {}
@@ -60,39 +71,64 @@
       await waitMs(HOUSEKEEPING_MS);
       this.updateSettled();
       this.updateWatched();
+      const nowMs = this.parts.clock.nowMs();
+      if (this.relays.length === 0 || nowMs - this.relayedMs < INDEX_RELAY_MS) continue;
+      this.relayedMs = nowMs;
+      await this.followRelays();
     }
   }
 
   private updateWatched(): void {
-    const { beliefs, nodeName } = this.parts;
-    const nodes = beliefs.listPeerNames();
-    const wanted = new Set<string>();
-    for (const store of beliefs.rules?.cacheStores ?? []) {
-      const count = Math.max(1, store.maxEventCalls - SPARE_EVENT_CALLS);
-      const watchers = getRendezvousOwners(store.address, nodes, count);
-      wanted.add(store.address);
-      const follower = this.watched.get(store.address) ?? this.startFollowing(store);
-      follower.updateRelays(watchers.includes(nodeName) ? [] : watchers);
-      follower.isManager = watchers[0] === nodeName;
-    }
+    const stores = this.parts.beliefs.rules?.cacheStores ?? [];
+    const watchers = this.chooseWatchers(stores);
+    const isWatcher = watchers.includes(this.parts.nodeName);
+    this.relays = isWatcher ? [] : watchers;
+    const wanted = new Set(stores.map(({ address }) => address));
     for (const [address, follower] of this.watched) {
-      if (wanted.has(address)) continue;
+      if (wanted.has(address) && this.isWatching === isWatcher) continue;
       follower.stop();
       this.watched.delete(address);
     }
+    this.isWatching = isWatcher;
+    for (const store of stores) {
+      const follower = this.watched.get(store.address) ?? this.startFollowing(store);
+      follower.isManager = watchers[0] === this.parts.nodeName;
+    }
+  }
+
+  /** Returns the nodes that watch all stores; the same ones, so that one of them can tell of all. */
+  private chooseWatchers(stores: readonly CacheStore[]): string[] {
+    const least = Math.min(...stores.map(({ maxEventCalls }) => maxEventCalls));
+    const count = Math.max(1, least - SPARE_EVENT_CALLS);
+    return getRendezvousOwners(WATCHER_KEY, this.parts.beliefs.listPeerNames(), count);
+  }
+
+  /** Asks a node that watches the stores for what is new at all of them. */
+  private async followRelays(): Promise<void> {
+    const { relay, random, clock } = this.parts;
+    const peer = this.relays[Math.floor(random() * this.relays.length)];
+    if (peer === undefined) return;
+    const sentMs = clock.nowMs();
+    const followers = [...this.watched.values()];
+    const relays = await relay(
+      peer,
+      followers.map((follower) => follower.getRelayCursor(peer)),
+    );
+    for (const follower of followers) {
+      follower.applyRelay(peer, relays.get(follower.store.address), sentMs);
+    }
   }
 
   private startFollowing(store: CacheStore): StoreFollower {
-    const { client, relay, random, clock, log } = this.parts;
+    const { client, clock, log } = this.parts;
     const follower = StoreFollower.create(store, {
       client,
-      relay,
-      random,
       clock,
       log,
       onFollowed: (followed) => this.freeOldParts(followed),
     });
     this.watched.set(store.address, follower);
+    if (!this.isWatching) return follower;
     follower.run().catch((error: unknown) => {
       log.recordProblem('cache_store_watch_failed', { reason: getErrorMessage(error) });
       this.watched.delete(store.address);
--- a/packages/mirror/src/mirrorFollower.ts
+++ b/packages/mirror/src/mirrorFollower.ts
@@ -97,7 +97,7 @@
       return this.followOnce();
     }
     this.recordLost(failure.reason);
-    await this.askPeers();
+    await this.readFromPeers();
     return false;
   }
 
@@ -122,7 +122,7 @@
     onEvent({ type: 'store_lost', table: mirror.table, reason });
   }
 
-  private async askPeers(): Promise<void> {
+  private async readFromPeers(): Promise<void> {
     const { mirror, peers, clock, options, onEvent } = this.parts;
     if (mirror.getAgeMs(clock.nowMs()) < options.peerAfterMs) return;
     const result = await peers.readChanges(mirror.table, mirror.version);
--- a/packages/reuse/src/storeIndex.ts
+++ b/packages/reuse/src/storeIndex.ts
@@ -100,7 +100,7 @@
       else this.parts.delete(key);
       this.changes.push({ isAdded, part });
     }
-    this.trimChanges();
+    this.removeOldChanges();
     return true;
   }
 
@@ -162,7 +162,7 @@
     return { epoch: currentEpoch, next, ageMs, events };
   }
 
-  private trimChanges(): void {
+  private removeOldChanges(): void {
     const surplus = this.changes.length - MAX_RELAYED_CHANGES;
     if (surplus <= 0) return;
     this.changes = this.changes.slice(surplus);
--- a/packages/rollout/src/rolloutCoordinator.ts
+++ b/packages/rollout/src/rolloutCoordinator.ts
@@ -110,7 +110,7 @@
     for (const order of planned) {
       if (!lease.isHolder) return;
       changing.add(order.endpoint.id);
-      this.carryOut(order)
+      this.runOrder(order)
         .catch((error: unknown) => {
           const reason = getErrorMessage(error);
           const { endpoint, target } = order;
@@ -131,7 +131,7 @@
   }
 
   /** Gives one order and follows it until it shows or its time is up. */
-  private async carryOut(order: PlannedOrder): Promise<void> {
+  private async runOrder(order: PlannedOrder): Promise<void> {
     const { clock, onEvent } = this.parts;
     const { endpoint, target } = order;
     const startMs = clock.nowMs();
@@ -153,7 +153,7 @@
         return;
       } else if (report.isBusy) await waitMs(REPORT_INTERVAL_MS);
       else {
-        const result = await this.giveOrder(order, report.acceptedOrders);
+        const result = await this.sendConfirmedOrder(order, report.acceptedOrders);
         if (result === undefined || result.type === 'fenced') return;
         isOrdered ||= result.type === 'accepted';
         await waitMs(result.type === 'accepted' ? REPORT_INTERVAL_MS : ORDER_RETRY_MS);
@@ -163,7 +163,7 @@
     onEvent({ type: 'unfinished', endpointId: endpoint.id, version: target.version, reason });
   }
 
-  private async giveOrder(
+  private async sendConfirmedOrder(
     order: PlannedOrder,
     ifAcceptedOrders: number,
   ): Promise<OrderResult | undefined> {
