--- a/packages/admission/src/windowRetryBudget.ts
+++ b/packages/admission/src/windowRetryBudget.ts
@@ -3,6 +3,12 @@
 /** Slices into which the window is cut; the budget forgets one slice at a time. */
 const SLICES = 10;
 
+/**
+ * Part of the budget that is used. A window that ends after a burst holds fewer requests than the
+ * repeats in it were based on.
+ */
+const USED_SHARE = 0.85;
+
 /** The budget that all nodes share, as the deployment states it. */
 export interface WindowBudgetBounds {
   /** Repeated sends allowed for each request. */
@@ -41,15 +47,16 @@
 
   /** Tells whether a repeated send is within this node's part. */
   hasRepeat(nodes: number, nowMs: number): boolean {
-    this.getSlice(nowMs);
+    const { index } = this.getSlice(nowMs);
     let requests = 0;
     let repeats = 0;
     for (const slice of this.slices) {
-      requests += slice.requests;
+      // A window that ends inside a slice also begins inside one: its repeats count, its requests don't.
+      if (slice.index > index - SLICES) requests += slice.requests;
       repeats += slice.repeats;
     }
     const slack = this.bounds.slack / Math.max(1, nodes);
-    return repeats + 1 <= requests * this.bounds.ratio + slack;
+    return repeats + 1 <= (requests * this.bounds.ratio + slack) * USED_SHARE;
   }
 
   /** Takes a repeated send if it is within this node's part. */
@@ -62,7 +69,7 @@
   private getSlice(nowMs: number): Slice {
     const sliceMs = (this.bounds.windowS * MS_PER_SECOND) / SLICES;
     const index = Math.floor(nowMs / sliceMs);
-    while (this.slices.length > 0 && (this.slices[0]?.index ?? index) <= index - SLICES) {
+    while (this.slices.length > 0 && (this.slices[0]?.index ?? index) < index - SLICES) {
       this.slices.shift();
     }
     const last = this.slices.at(-1);
--- /dev/null
+++ b/packages/gateway/src/gateway.test.ts
@@ -0,0 +1,343 @@
+import { once } from 'node:events';
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import t from 'tap';
+import type { EndpointRecord } from '@lovagearch/endpoints';
+import type { MirroredRow, ReadResult } from '@lovagearch/mirror';
+import type { Route, TrafficConfiguration } from '@lovagearch/traffic';
+import { request } from 'undici';
+import {
+  type CallerHead,
+  type Gateway,
+  type GatewayPorts,
+  type GatewaySettings,
+  startGateway,
+} from './index.js';
+
+const OPERATOR_TABLE = 'operator';
+const ENDPOINT_TABLE = 'endpoints';
+const SEAL = 'x-seal';
+const ID = 'x-id';
+
+const createRoute = (name: string, overrides: Partial<Route>): Route => ({
+  name,
+  host: 'a.example',
+  prefix: `/${name}/`,
+  kind: 'idempotent',
+  targets: [{ service: 'app', weight: 1 }],
+  timeoutMs: 5_000,
+  targetLatencyMs: 2_000,
+  maxEventGapMs: 1_000,
+  maxAttempts: 2,
+  priority: 0,
+  isPublic: true,
+  isResumable: false,
+  hasPromptParts: false,
+  ...overrides,
+});
+
+const CONFIGURATION: TrafficConfiguration = {
+  version: 1,
+  routes: [
+    createRoute('read', {}),
+    createRoute('claim', { kind: 'non_idempotent', maxAttempts: 1 }),
+    createRoute('stream', { kind: 'streaming', isResumable: true }),
+  ],
+  services: [{ name: 'app', maxConnections: 100 }],
+  cacheStores: [],
+  limits: {
+    maxHeaderBytes: 4_096,
+    maxBodyBytes: 100,
+    headerTimeoutMs: 1_000,
+    idleTimeoutMs: 5_000,
+  },
+};
+
+/** Endpoints answer as the test wants; what they were sent is recorded. */
+class FakeEndpoint {
+  readonly received: string[] = [];
+
+  handle: (incoming: IncomingMessage, response: ServerResponse) => void = (incoming, response) => {
+    response.writeHead(200, { [SEAL]: '1', [ID]: String(incoming.headers[ID]) }).end('whole');
+  };
+
+  private readonly server = createServer((incoming, response) => {
+    this.received.push(String(incoming.headers[ID]));
+    incoming.resume();
+    incoming.once('end', () => this.handle(incoming, response));
+  });
+
+  async start(): Promise<number> {
+    this.server.listen(0, '127.0.0.1');
+    await once(this.server, 'listening');
+    const address = this.server.address();
+    return typeof address === 'object' && address !== null ? address.port : 0;
+  }
+
+  stop(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+}
+
+const getFirst = (value: string | string[] | undefined) =>
+  Array.isArray(value) ? value[0] : value;
+
+const createPorts = (rows: ReadonlyMap<string, readonly MirroredRow[]>): GatewayPorts => {
+  const readAll = async (table: string): Promise<ReadResult> => ({
+    type: 'rows',
+    batch: { rows: rows.get(table) ?? [], version: 1, isPartial: false, ageMs: 0 },
+  });
+  return {
+    headers: {
+      requestIdHeader: ID,
+      decodeCallerHead: (method, path, raw) => {
+        const values = new Map<string, string>();
+        for (let index = 0; index < raw.length; index += 2) {
+          values.set(raw[index]!.toLowerCase(), raw[index + 1]!);
+        }
+        const head: CallerHead = {
+          requestId: values.get(ID) ?? '',
+          method,
+          path,
+          host: values.get('host') ?? '',
+          key: undefined,
+          timeLimitMs: 5_000,
+          lastEventId: 0,
+          model: undefined,
+          parts: [],
+          promptTokens: 0,
+          maxOutputTokens: 0,
+          passedHeaders: ['host', values.get('host') ?? '', ID, values.get(ID) ?? ''],
+        };
+        return { type: 'head', head };
+      },
+      encodeEndpointHeaders: (head, { lastEventId }) => [
+        ...head.passedHeaders,
+        'last-event-id',
+        String(lastEventId),
+      ],
+      decodeAnswerHead: (status, headers) => ({
+        status,
+        requestId: getFirst(headers[ID]),
+        isSealed: headers[SEAL] !== undefined,
+        isNotRun: headers['x-not-run'] !== undefined,
+        isMisdirected: false,
+        answeringEndpoint: undefined,
+        load: undefined,
+        isEventStream: headers['content-type'] === 'text/event-stream',
+        weightVersion: undefined,
+        callerHeaders: [SEAL, getFirst(headers[SEAL]) ?? ''],
+      }),
+    },
+    rows: {
+      operatorTable: OPERATOR_TABLE,
+      endpointTable: ENDPOINT_TABLE,
+      decodeConfiguration: () => ({ type: 'value', value: CONFIGURATION }),
+      decodeWeightTarget: () => ({ type: 'ignored' }),
+      decodeEndpoint: (_key, value) => ({
+        type: 'value',
+        value: { ...(JSON.parse(value) as EndpointRecord), weights: new Map() },
+      }),
+      decodeSharedValue: (value) => JSON.parse(value) as unknown,
+    },
+    tables: {
+      readAll,
+      readChanges: async (table, afterVersion, waitMs) => {
+        await new Promise((resolve) => {
+          setTimeout(resolve, waitMs).unref();
+        });
+        return readAll(table).then((result) =>
+          result.type === 'rows'
+            ? {
+                type: 'rows',
+                batch: { ...result.batch, rows: [], version: afterVersion, isPartial: true },
+              }
+            : result,
+        );
+      },
+    },
+    shared: { write: async () => true },
+    lease: {
+      read: async () => ({ type: 'row', row: null }),
+      write: async () => ({ type: 'unknown', reason: 'not used' }),
+    },
+    orders: {
+      readReport: async () => undefined,
+      sendOrder: async () => ({ type: 'rejected', reason: 'not used' }),
+    },
+    cacheStores: { readEvents: async () => undefined, freeParts: async () => false },
+  };
+};
+
+const ANY_PORT = { host: '127.0.0.1', port: 0 };
+const SETTINGS: GatewaySettings = {
+  nodeName: 'n1',
+  zone: 'z1',
+  region: 'r1',
+  regionByZone: new Map([['z1', 'r1']]),
+  callerAddress: ANY_PORT,
+  readinessAddress: ANY_PORT,
+  peerAddress: ANY_PORT,
+  loadAddress: ANY_PORT,
+  metricsPort: 0,
+  seeds: [],
+  memoryMb: 100,
+  heartbeatMs: 1_000,
+  bounds: {
+    retryRatio: 0.2,
+    retryWindowS: 10,
+    retrySlack: 50,
+    graceMs: 5_000,
+    weightsMs: 10_000,
+    orderTurnMs: 3_000,
+  },
+};
+
+const createRows = (ports: readonly number[]) => {
+  const endpoints = ports.map((port, index): MirroredRow => {
+    const record = {
+      id: `i-${index}`,
+      startedUnixMs: 1,
+      service: 'app',
+      address: `127.0.0.1:${port}`,
+      zone: 'z1',
+      slots: 4,
+      state: 'ready',
+      warmupRemainingMs: 0,
+      heartbeat: 1,
+    };
+    return { key: record.id, version: 1, value: JSON.stringify(record) };
+  });
+  return new Map([
+    [OPERATOR_TABLE, [{ key: 'configuration', version: 1, value: 'x' }]],
+    [ENDPOINT_TABLE, endpoints],
+  ]);
+};
+
+const send = async (gateway: Gateway, path: string, id: string, body?: string) => {
+  const answer = await request(`http://127.0.0.1:${gateway.callerPort}${path}`, {
+    method: body === undefined ? 'GET' : 'POST',
+    headers: { host: 'a.example', [ID]: id },
+    ...(body === undefined ? {} : { body }),
+  });
+  const text = await answer.body.text().catch(() => 'cut');
+  return { status: answer.statusCode, text, headers: answer.headers };
+};
+
+/** Waits until the gateway has taken in its first rows. */
+const waitUntilReady = async (gateway: Gateway) => {
+  for (;;) {
+    const { status } = await send(gateway, '/read/x', 'ready');
+    if (status === 200) return;
+  }
+};
+
+t.test('one gateway process', async (t2) => {
+  const endpoints = [new FakeEndpoint(), new FakeEndpoint()];
+  const ports = await Promise.all(endpoints.map((endpoint) => endpoint.start()));
+  const gateway = await startGateway(SETTINGS, createPorts(createRows(ports)), '/ready');
+  await waitUntilReady(gateway);
+  const reset = () => {
+    for (const endpoint of endpoints) {
+      endpoint.received.length = 0;
+      endpoint.handle = new FakeEndpoint().handle;
+    }
+  };
+  const countReceived = (id: string) =>
+    endpoints.reduce((sum, { received }) => sum + received.filter((one) => one === id).length, 0);
+  t2.beforeEach(reset);
+
+  await t2.test(
+    'a claim whose connection breaks is sent once and never refused as not run',
+    async (t3) => {
+      for (const endpoint of endpoints) endpoint.handle = (incoming) => incoming.socket.destroy();
+      const { status } = await send(gateway, '/claim/x', 'c1', 'pay');
+      t3.equal(status, 502);
+      t3.equal(countReceived('c1'), 1);
+    },
+  );
+
+  await t2.test('a read is repeated elsewhere when an endpoint fails', async (t3) => {
+    let failed = 0;
+    const handle: FakeEndpoint['handle'] = (incoming, response) => {
+      const status = failed === 0 ? 500 : 200;
+      failed += 1;
+      const headers = { [SEAL]: '1', [ID]: String(incoming.headers[ID]) };
+      response.writeHead(status, headers).end('whole');
+    };
+    for (const endpoint of endpoints) endpoint.handle = handle;
+    t3.equal((await send(gateway, '/read/x', 'r1')).status, 200);
+    t3.equal(countReceived('r1'), 2);
+  });
+
+  await t2.test('an answer of another request reaches nobody', async (t3) => {
+    for (const endpoint of endpoints) {
+      endpoint.handle = (_incoming, response) => {
+        response.writeHead(200, { [SEAL]: '1', [ID]: 'other' }).end('secret');
+      };
+    }
+    const { status, text } = await send(gateway, '/claim/x', 'c2', 'pay');
+    t3.equal(status, 502);
+    t3.notMatch(text, 'secret');
+  });
+
+  await t2.test('a success without proof of origin reaches nobody', async (t3) => {
+    for (const endpoint of endpoints) {
+      endpoint.handle = (incoming, response) => {
+        response.writeHead(200, { [ID]: String(incoming.headers[ID]) }).end('forged');
+      };
+    }
+    t3.equal((await send(gateway, '/claim/x', 'c3', 'pay')).status, 502);
+  });
+
+  await t2.test('a claim that every endpoint rejects is refused as not run', async (t3) => {
+    for (const endpoint of endpoints) {
+      endpoint.handle = (_incoming, response) => {
+        response.writeHead(503, { 'x-not-run': '1' }).end();
+      };
+    }
+    const { status, headers } = await send(gateway, '/claim/x', 'c4', 'pay');
+    t3.equal(status, 503);
+    t3.ok(headers['retry-after']);
+  });
+
+  await t2.test('a stream goes on at another endpoint behind its last whole event', async (t3) => {
+    const resumedFrom: string[] = [];
+    for (const endpoint of endpoints) {
+      endpoint.handle = (incoming, response) => {
+        const last = Number(incoming.headers['last-event-id']);
+        resumedFrom.push(String(last));
+        const headers = { [SEAL]: '1', [ID]: String(incoming.headers[ID]) };
+        response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' });
+        if (last === 0) {
+          response.write('id: 1\ndata: a\n\nid: 2\nda', () => {
+            setImmediate(() => incoming.socket.resetAndDestroy());
+          });
+        } else response.end('id: 2\ndata: b\n\nid: 3\ndata: c\n\n');
+      };
+    }
+    const { status, text } = await send(gateway, '/stream/x', 's1', 'prompt');
+    t3.equal(status, 200);
+    t3.equal(text, 'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n');
+    t3.strictSame(resumedFrom, ['0', '1']);
+  });
+
+  await t2.test(
+    'bodies, headers and paths outside the configuration have their own status',
+    async (t3) => {
+      t3.equal((await send(gateway, '/claim/x', 'b1', 'x'.repeat(101))).status, 413);
+      t3.equal((await send(gateway, `/read/x`, 'h'.repeat(5_000))).status, 431);
+      t3.equal((await send(gateway, '/unknown/x', 'u1')).status, 404);
+    },
+  );
+
+  const draining = gateway.drain('test');
+  await t2.test('a request during the shutdown is served whole', async (t3) => {
+    const { status, text, headers } = await send(gateway, '/read/x', 'd1');
+    t3.equal(status, 200);
+    t3.equal(text, 'whole');
+    t3.equal(headers.connection, 'close');
+  });
+  await draining;
+  for (const endpoint of endpoints) endpoint.stop();
+});
--- a/packages/gateway/src/peerExchange.ts
+++ b/packages/gateway/src/peerExchange.ts
@@ -139,7 +139,9 @@
   return {
     readChanges: async (table, afterVersion): Promise<ReadResult> => {
       const peers = [...listPeers()].sort(() => random() - 0.5).slice(0, PEERS_ASKED);
-      const answers = await Promise.all(peers.map((peer) => readFromPeer(peer, table, afterVersion)));
+      const answers = await Promise.all(
+        peers.map((peer) => readFromPeer(peer, table, afterVersion)),
+      );
       let best: RowBatch | undefined;
       const reasons: string[] = [];
       for (const answer of answers) {
