--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -6,6 +6,7 @@
 export * from './boundedMap.js';
 export * from './clock.js';
 export * from './connectErrors.js';
+export * from './connectionHeaders.js';
 export * from './constants.js';
 export * from './errors.js';
 export * from './hashing.js';
--- a/packages/entry/src/serviceHeaders.ts
+++ b/packages/entry/src/serviceHeaders.ts
@@ -1,19 +1,6 @@
 import type { IncomingHttpHeaders } from 'node:http';
+import { CONNECTION_HEADERS } from '@lovagearch/common';
 
-/** Headers that belong to one connection and are never passed on (RFC 9110, section 7.6.1). */
-const CONNECTION_HEADERS = new Set([
-  'connection',
-  'content-length',
-  'expect',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
 /** Headers that the entry process sets itself or that carry the caller's key. */
 const OWN_HEADERS = new Set([
   'authorization',
--- a/packages/gateway/src/storeWatch.ts
+++ b/packages/gateway/src/storeWatch.ts
@@ -45,6 +45,9 @@
   /** Nodes that tell this one of the stores; empty if it watches them itself. */
   private relays: readonly string[] = [];
 
+  /** The one that was asked last and answered. */
+  private relayPeer = '';
+
   private relayedMs = Number.NEGATIVE_INFINITY;
 
   private isStopped = false;
@@ -105,8 +108,10 @@
 
   /** Asks a node that watches the stores for what is new at all of them. */
   private async followRelays(): Promise<void> {
-    const { relay, random, clock } = this.parts;
-    const peer = this.relays[Math.floor(random() * this.relays.length)];
+    const { relay, random, clock, nodeName } = this.parts;
+    const known = this.relays.includes(this.relayPeer) ? this.relayPeer : undefined;
+    // A change of the peer costs a whole copy of each index, so the first choice is kept.
+    const peer = known ?? getRendezvousOwners(nodeName, this.relays, 1)[0];
     if (peer === undefined) return;
     const sentMs = clock.nowMs();
     const followers = [...this.watched.values()];
@@ -114,6 +119,8 @@
       peer,
       followers.map((follower) => follower.getRelayCursor(peer)),
     );
+    this.relayPeer =
+      relays.size > 0 ? peer : (this.relays[Math.floor(random() * this.relays.length)] ?? '');
     for (const follower of followers) {
       follower.applyRelay(peer, relays.get(follower.store.address), sentMs);
     }
--- a/packages/service-client/src/headers.ts
+++ b/packages/service-client/src/headers.ts
@@ -1,18 +1,4 @@
-/** Headers that concern one connection only, or that the HTTP library sets itself. */
-const CONNECTION_HEADERS = new Set([
-  'connection',
-  'content-length',
-  'expect',
-  'host',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
+import { CONNECTION_HEADERS } from '@lovagearch/common';
 
 /** Returns the headers to send on, in lower case and without those of a single connection. */
 export const selectRequestHeaders = (
@@ -21,7 +7,9 @@
   const selected: Record<string, string> = {};
   for (const [name, value] of Object.entries(headers)) {
     const lowerName = name.toLowerCase();
-    if (!CONNECTION_HEADERS.has(lowerName)) selected[lowerName] = value;
+    // The HTTP library sets the host of the connection.
+    const isDropped = lowerName === 'host' || CONNECTION_HEADERS.has(lowerName);
+    if (!isDropped) selected[lowerName] = value;
   }
   return selected;
 };
