Read the run log before containment for non-idempotent calls

Cause: a repeated call was refused with request_quarantined before its run log entry was read. Ruled out: the run log and the release of abandoned runs; the last outcome of each unsettled key was request_quarantined. Change: containment is asked when an instance is chosen, after the run log; its error is returned as it is. The proof prints the last outcomes.

--- a/packages/entry/src/idempotentCall.ts
+++ b/packages/entry/src/idempotentCall.ts
@@ -27,10 +27,13 @@
   for (let attempt = 1; attempt <= MAX_SERVICE_ATTEMPTS; attempt++) {
     if (attempt > 1 && !admission.tryTakeRetry(call.account)) break;
     const instance = await sending.choose(call, failed);
-    if (instance === undefined) break;
-    const sent = await sending.send(call, instance);
+    if (instance.isErr()) {
+      if (!mayHaveRun) return err(instance.error);
+      break;
+    }
+    const sent = await sending.send(call, instance.value);
     if (sent.isOk()) return ok(sent.value);
-    failed.add(instance.id);
+    failed.add(instance.value.id);
     if (sent.error.type !== 'not_connected') mayHaveRun = true;
   }
   if (mayHaveRun) {
--- a/packages/entry/src/onceOnlyCall.ts
+++ b/packages/entry/src/onceOnlyCall.ts
@@ -89,7 +89,7 @@
     for (let attempt = 1; attempt <= MAX_SERVICE_ATTEMPTS; attempt++) {
       if (attempt > 1 && !admission.tryTakeRetry(call.account)) break;
       const instance = await sending.choose(call, unreachable);
-      if (instance === undefined) break;
+      if (instance.isErr()) return { type: 'not_sent', error: instance.error };
       // Nothing may run between this check and the send.
       if (clock.nowMs() >= grant.sendBeforeMs) {
         const message = 'the permission to run expired before the call was sent';
@@ -98,7 +98,7 @@
           error: createNotRunError('deadline_exceeded', message, RETRY_AFTER_MS),
         };
       }
-      const sent = await sending.send(call, instance, grant.attempt);
+      const sent = await sending.send(call, instance.value, grant.attempt);
       if (sent.isOk()) {
         const { status, headers, body } = sent.value;
         return {
@@ -107,7 +107,7 @@
         };
       }
       if (sent.error.type !== 'not_connected') return { type: 'unknown' };
-      unreachable.add(instance.id);
+      unreachable.add(instance.value.id);
     }
     const message = `no instance of service ${call.service.id} could be reached`;
     return {
--- a/packages/entry/src/serviceRequestHandler.ts
+++ b/packages/entry/src/serviceRequestHandler.ts
@@ -16,7 +16,7 @@
 import { selectAnswerHeaders } from './serviceHeaders.js';
 import { findRoute, isPlainPath } from './serviceRoutes.js';
 import type { ServiceSending } from './serviceSending.js';
-import type { Admission, Containment, RecordedResponse } from './types.js';
+import type { Admission, RecordedResponse } from './types.js';
 
 /** Visible ASCII characters, as RFC 8941 strings have them. */
 const IDEMPOTENCY_KEY_PATTERN = /^[\x21-\x7e]{1,128}$/;
@@ -36,7 +36,6 @@
 export interface ServiceRequestParts {
   readonly configuration: CallerConfiguration;
   readonly admission: Admission;
-  readonly containment: Containment;
   readonly decisions: DecisionLog;
   readonly sending: ServiceSending;
   readonly onceOnly: OnceOnlyCalls;
@@ -123,8 +122,6 @@
     const { id } = context.account;
     const hash = computeCallHash(parts);
     const fingerprint = computeFingerprint(id, service.value.id, hash);
-    const contained = this.parts.containment.check(fingerprint);
-    if (contained.type === 'quarantined') return err(contained.error);
     return ok({
       ...parts,
       route,
--- a/packages/entry/src/serviceSending.ts
+++ b/packages/entry/src/serviceSending.ts
@@ -1,6 +1,12 @@
-import type { EndpointId, Logger } from '@lovagearch/common';
+import {
+  createNotRunError,
+  type CallerError,
+  type EndpointId,
+  type Logger,
+} from '@lovagearch/common';
 import type { ServiceClient, ServiceError, ServiceResponse } from '@lovagearch/service-client';
-import type { Result } from 'neverthrow';
+import { err, ok, type Result } from 'neverthrow';
+import { RETRY_AFTER_MS } from './callerConstants.js';
 import type { DecisionLog } from './decisionLog.js';
 import type { ServiceCall } from './serviceCall.js';
 import { buildCallHeaders } from './serviceHeaders.js';
@@ -26,15 +32,22 @@
     return new ServiceSending(parts);
   }
 
-  /** Chooses an instance; undefined if none is left or the call became a suspect of a crash. */
+  /**
+   * Chooses an instance.
+   *
+   * @returns `no_endpoint` if none is left, `request_quarantined` if the call is a suspect of a crash
+   */
   async choose(
     call: ServiceCall,
     excluded: ReadonlySet<EndpointId>,
-  ): Promise<EndpointView | undefined> {
+  ): Promise<Result<EndpointView, CallerError>> {
     const contained = this.parts.containment.check(call.fingerprint);
-    if (contained.type === 'quarantined') return undefined;
+    if (contained.type === 'quarantined') return err(contained.error);
     const onlyOn = contained.type === 'only_on' ? contained.endpoint : undefined;
-    return this.parts.instances.choose(call.service.id, excluded, onlyOn);
+    const instance = await this.parts.instances.choose(call.service.id, excluded, onlyOn);
+    if (instance !== undefined) return ok(instance);
+    const message = `no instance of service ${call.service.id} could be reached`;
+    return err(createNotRunError('no_endpoint', message, RETRY_AFTER_MS));
   }
 
   /**
--- a/packages/proving/src/runCheckers.ts
+++ b/packages/proving/src/runCheckers.ts
@@ -97,13 +97,11 @@
  * Checks that the last result of each key, after all faults, is one that a caller can act on: an
  * answer, or `unknown` when the answer of a call that may have run is lost.
  */
-export const findUnsettledKeys = (lastCalls: readonly KeyedCall[]): string[] =>
-  lastCalls
-    .filter(({ outcome }) => {
-      if (outcome.type === 'answered') return false;
-      return !(outcome.type === 'refused' && outcome.error === 'outcome_unknown');
-    })
-    .map(({ key }) => key);
+export const findUnsettledCalls = (lastCalls: readonly KeyedCall[]): KeyedCall[] =>
+  lastCalls.filter(({ outcome }) => {
+    if (outcome.type === 'answered') return false;
+    return !(outcome.type === 'refused' && outcome.error === 'outcome_unknown');
+  });
 
 /** One reading of the revision that a node has in force. */
 export interface RevisionReading {
