Correct the view of a runner as soon as it refuses a weight version

Cause: the view of a runner that refused a weight version was read again only if the request could be planned anew. Ruled out: a lack of ready runners (at least 4 of 6 were ready); the refusals named a swapped runner once the message told them apart. Change: GenerationStart reads the runner's status after the refusal, whatever the budget says; the refusal names the change of weights. Test: generation.test.ts, failed before.

--- a/packages/entry/src/generation.test.ts
+++ b/packages/entry/src/generation.test.ts
@@ -466,6 +466,29 @@
   test.ok(isDone);
 });
 
+// Without it each request met the same outdated view, and all were refused once no retry was left.
+t.test('a refused weight version corrects the view also when no retry is left', async (test) => {
+  const engines = new FakeEngines();
+  engines.play = () => ({ type: 'refused', status: 409, reason: 'wrong_version', message: '' });
+  const verified: string[] = [];
+  const handleVerified = async (id: EndpointId) => {
+    verified.push(id);
+    return true;
+  };
+  const { callerPort } = await startTestEntry(
+    test,
+    engines,
+    {},
+    {
+      admission: { ...createAdmissionFake(), tryTakeRetry: () => false },
+      directory: { ...DIRECTORY, verifyFresh: handleVerified },
+    },
+  );
+  const refused = await call(callerPort, { body: PROMPT });
+  test.match(getErrorBody(refused.text), { type: 'no_endpoint', run: 'not_run' });
+  test.equal(verified.length, 1);
+});
+
 t.test('not_run is said only when every runner provably refused', async (test) => {
   const engines = new FakeEngines();
   const { callerPort } = await startTestEntry(test, engines);
--- a/packages/entry/src/generationOpening.ts
+++ b/packages/entry/src/generationOpening.ts
@@ -176,12 +176,11 @@
     error: CallerError,
     replans: ReplanLimit,
   ): Promise<boolean> {
-    const { admission, decisions, directory } = this.parts;
+    const { admission, decisions } = this.parts;
     if (error.run !== 'not_run') return false;
     const { swappedRunner } = starter;
     if (swappedRunner !== undefined) {
       if (!replans.tryTakeSwap() || !admission.tryTakeRetry(plan.account)) return false;
-      await directory.verifyFresh(swappedRunner);
       const reason = 'the weight version was swapped';
       decisions.record(plan.requestId, { type: 'replanned', reason });
       return true;
--- a/packages/entry/src/generationStart.ts
+++ b/packages/entry/src/generationStart.ts
@@ -142,6 +142,10 @@
       const started = await this.tryRunner(choice, generated);
       if (started.isOk()) return ok(started.value);
       this.recordFailure(choice.runner.id, started.error);
+      if (this.swapped === choice.runner.id) {
+        // The view is from before the swap; later requests need the correction as well.
+        await this.parts.directory.verifyFresh(choice.runner.id);
+      }
     }
   }
 
@@ -250,7 +254,10 @@
     if (this.lastError?.type === 'refused' && this.lastError.reason === 'queue_full') {
       return createNotRunError('overloaded', 'the runners are at capacity', RETRY_AFTER_MS);
     }
-    const message = `no runner is ready for model ${this.plan.model}`;
+    const message =
+      this.swapped === undefined
+        ? `no runner is ready for model ${this.plan.model}`
+        : `the runners of model ${this.plan.model} are changing weights`;
     return createNotRunError('no_endpoint', message, RETRY_AFTER_MS);
   }
 }
