--- a/packages/proving/src/index.ts
+++ b/packages/proving/src/index.ts
@@ -1,4 +1,4 @@
 /**
  * Test only: the fault proxy, the demo, the proofs and the benchmarks.
  */
-export {};
+export { FaultProxy, type FaultMode } from './faultProxy.js';
