Relay the store's tables to most nodes of large deployments

Ruled out: a longer pace of all reads, which delays what endpoints and the operator publish; the bounds leave no room for it. Change: above 16 nodes, two readers of each zone read the tables; the others ask one of them every 700 ms for all tables, leave a reader that fails or is old, and read the store themselves once a copy is 3 s old. One node in ten watches the part stores.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -59,6 +59,20 @@
 export const PEER_COPY_MAX_AGE_MS = 60_000;
 /** Nodes up to which each reads the store's tables at the full pace. */
 export const UNPACED_NODES = 16;
+/** Nodes of each availability zone that read the store's tables where relays are used; one may fail. */
+export const READERS_PER_ZONE = 2;
+/** Longest wait of a reader's call to the store, in milliseconds; it bounds the age of what it relays. */
+export const READER_WAIT_MS = 800;
+/** Interval in which a node asks its reader, in milliseconds. */
+export const TABLE_RELAY_MS = 700;
+/** Age of a reader's copy beyond which another reader is asked: its longest wait and pace, and a retry. */
+export const RELAY_FRESH_MS = 1_900;
+/** Age of a relayed copy from which a node reads the store itself: a fresh one, and two intervals. */
+export const RELAY_MAX_AGE_MS = 3_000;
+/** Nodes for each one that watches the store VMs; a watcher makes two calls a second to each of them. */
+export const NODES_PER_WATCHER = 10;
+/** Nodes that watch the store VMs at least, so that several may be lost at once. */
+export const MIN_WATCHERS = 4;
 /** Factor on the pace in large deployments; endpoints have to be known as leaving within seconds. */
 export const MAX_PACE_FACTOR = 2.2;
 /** Interval in which a node that doesn't watch a store asks one that does, in milliseconds. */
--- a/packages/gateway/src/peerExchange.ts
+++ b/packages/gateway/src/peerExchange.ts
@@ -17,6 +17,7 @@
   isPartial: z.boolean(),
   ageMs: z.number(),
 });
+const batchesSchema = z.array(z.tuple([z.string(), batchSchema]));
 
 /** What a node knows of a store VM, as one text `ADDRESS/EPOCH/SINCE` in a query. */
 export interface RelayCursor {
@@ -87,70 +88,83 @@
   };
 };
 
-/** Serves this node's copies of the store's tables to peers that the store turns away. */
+/** What a node knows of a table, as `TABLE/VERSION` in a query. */
+export interface TableCursor {
+  readonly table: string;
+  readonly version: number;
+}
+
+/** Asks one peer for what it knows beyond each cursor; fails with the reason as a text. */
+export type TableRelaySource = (
+  peer: string,
+  cursors: readonly TableCursor[],
+) => Promise<ReadonlyMap<string, RowBatch> | string>;
+
+/** Serves this node's copies of the store's tables to peers that don't read the store themselves. */
 export const registerPeerRoutes = (
   server: FastifyInstance,
   mirrors: readonly TableMirror[],
   clock: Clock,
 ): void => {
-  server.get<{ Params: { table: string }; Querystring: { after?: string } }>(
-    '/peer/tables/:table',
-    (incoming, reply) => {
-      const mirror = mirrors.find(({ table }) => table === incoming.params.table);
-      const after = Number(incoming.query.after ?? '0');
-      const ageMs = mirror?.getAgeMs(clock.nowMs()) ?? Number.POSITIVE_INFINITY;
-      if (mirror === undefined || !Number.isSafeInteger(after) || ageMs > PEER_COPY_MAX_AGE_MS) {
-        return reply.code(404).send();
-      }
-      const batch = mirror.createBatch(after, clock.nowMs());
-      return reply.type('application/vnd.msgpack').send(pack(batch));
-    },
-  );
+  server.get<{ Querystring: { known?: string } }>('/peer/tables', (incoming, reply) => {
+    const nowMs = clock.nowMs();
+    const batches: [string, RowBatch][] = [];
+    for (const cursor of (incoming.query.known ?? '').split(',')) {
+      const [table = '', version] = cursor.split('/');
+      const after = Number(version);
+      const mirror = mirrors.find((known) => known.table === table);
+      if (mirror === undefined || !Number.isSafeInteger(after)) continue;
+      if (mirror.getAgeMs(nowMs) > PEER_COPY_MAX_AGE_MS) continue;
+      batches.push([table, mirror.createBatch(after, nowMs)]);
+    }
+    return reply.type('application/vnd.msgpack').send(pack(batches));
+  });
 };
 
-/**
- * Creates the source that asks peers for a table. The freshest of a few answers is used.
- *
- * @param listPeers host and port of the peers, in any order
- */
-export const createPeerSource = (
-  listPeers: () => readonly string[],
-  random: () => number,
-): PeerSource => {
-  const agent = new Agent({ connect: { timeout: PEER_TIMEOUT_MS }, keepAliveTimeout: 2_000 });
-  const readFromPeer = async (
-    peer: string,
-    table: string,
-    afterVersion: number,
-  ): Promise<RowBatch | string> => {
+/** Creates the source that asks one peer, by its host and port. */
+export const createTableRelaySource = (): TableRelaySource => {
+  const agent = new Agent({ connect: { timeout: PEER_TIMEOUT_MS }, keepAliveTimeout: 5_000 });
+  return async (peer, cursors) => {
+    const known = cursors.map(({ table, version }) => `${table}/${version}`).join(',');
     try {
-      const answer = await request(`http://${peer}/peer/tables/${table}?after=${afterVersion}`, {
+      const answer = await request(`http://${peer}/peer/tables?known=${known}`, {
         dispatcher: agent,
         signal: AbortSignal.timeout(PEER_TIMEOUT_MS),
       });
       const bytes = Buffer.from(await answer.body.arrayBuffer());
       if (answer.statusCode !== 200) return `${peer} answered ${answer.statusCode}`;
-      const batch = batchSchema.safeParse(unpack(bytes));
-      return batch.success ? batch.data : `${peer} sent an unreadable copy`;
+      const batches = batchesSchema.safeParse(unpack(bytes));
+      return batches.success ? new Map(batches.data) : `${peer} sent an unreadable copy`;
     } catch (error) {
       return `${peer}: ${getErrorMessage(error)}`;
     }
   };
-  return {
-    readChanges: async (table, afterVersion): Promise<ReadResult> => {
-      const peers = [...listPeers()].sort(() => random() - 0.5).slice(0, PEERS_ASKED);
-      const answers = await Promise.all(
-        peers.map((peer) => readFromPeer(peer, table, afterVersion)),
-      );
-      let best: RowBatch | undefined;
-      const reasons: string[] = [];
-      for (const answer of answers) {
-        if (typeof answer === 'string') reasons.push(answer);
-        else if (best === undefined || answer.version > best.version) best = answer;
-      }
-      if (best !== undefined) return { type: 'rows', batch: best };
-      const reason = reasons.length > 0 ? reasons.join('; ') : 'no peer is known';
-      return { type: 'failure', failure: { type: 'unavailable', reason } };
-    },
-  };
 };
+
+/**
+ * Creates the source that asks peers for a table. The freshest of a few answers is used.
+ *
+ * @param listPeers host and port of the peers, in any order
+ */
+export const createPeerSource = (
+  relay: TableRelaySource,
+  listPeers: () => readonly string[],
+  random: () => number,
+): PeerSource => ({
+  readChanges: async (table, version): Promise<ReadResult> => {
+    const peers = [...listPeers()].sort(() => random() - 0.5).slice(0, PEERS_ASKED);
+    const answers = await Promise.all(peers.map((peer) => relay(peer, [{ table, version }])));
+    let best: RowBatch | undefined;
+    const reasons: string[] = [];
+    for (const answer of answers) {
+      const batch = typeof answer === 'string' ? answer : answer.get(table);
+      if (typeof batch === 'string') reasons.push(batch);
+      else if (batch !== undefined && (best === undefined || batch.version > best.version)) {
+        best = batch;
+      }
+    }
+    if (best !== undefined) return { type: 'rows', batch: best };
+    const reason = reasons.length > 0 ? reasons.join('; ') : 'no peer has a copy';
+    return { type: 'failure', failure: { type: 'unavailable', reason } };
+  },
+});
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -1,12 +1,7 @@
 import { WindowRetryBudget } from '@lovagearch/admission';
 import { createRandom, getErrorMessage, processClock } from '@lovagearch/common';
 import { ConnectionPool } from '@lovagearch/exchange';
-import {
-  type FollowEvent,
-  type FollowOptions,
-  MirrorFollower,
-  TableMirror,
-} from '@lovagearch/mirror';
+import { type FollowEvent, MirrorFollower, TableMirror } from '@lovagearch/mirror';
 import { TransferMeter } from '@lovagearch/reuse';
 import { createSuspensionClock, OrderLease, RolloutCoordinator } from '@lovagearch/rollout';
 import { Beliefs, LEASE_KEY, PEER_PREFIX } from './beliefs.js';
@@ -19,8 +14,10 @@
   DRAIN_MIN_MS,
   HOUSEKEEPING_MS,
   MAX_PACE_FACTOR,
+  READER_WAIT_MS,
   SHARED_TABLE,
   STRIKE_PUBLISH_MS,
+  TABLE_RELAY_MS,
   UNPACED_NODES,
 } from './constants.js';
 import { createDecisionLog } from './decisionLog.js';
@@ -28,14 +25,23 @@
 import { GatewayMetrics } from './gatewayMetrics.js';
 import { LoadSharing } from './loadSharing.js';
 import { startMetricsServer, startPeerServer, startReadinessServer } from './managementServer.js';
-import { createPeerSource, createRelaySource } from './peerExchange.js';
+import { createPeerSource, createRelaySource, createTableRelaySource } from './peerExchange.js';
 import { BodyMemory } from './requestBody.js';
 import { StoreWatch } from './storeWatch.js';
 import { StrikePublisher } from './strikePublisher.js';
+import { TableRelay } from './tableRelay.js';
 import type { GatewayPorts, GatewaySettings } from './types.js';
 
 const BYTES_PER_MB = 1_048_576;
 
+/** Times of following a table, in milliseconds, as `FollowOptions` has them for a small deployment. */
+interface FollowTimes {
+  readonly waitMs: number;
+  readonly paceMs: number;
+  readonly retryMs: number;
+  readonly peerAfterMs: number;
+}
+
 /** Changes of the configuration are rare and urgent: a long wait, and no pause after one. */
 const OPERATOR_FOLLOWING = { waitMs: 2_000, paceMs: 100, retryMs: 250, peerAfterMs: 1_000 };
 /** Heartbeats change the table all the time, and each call is billed: changes are read together. */
@@ -81,11 +87,26 @@
   sharedMirror.addListener((row) => beliefs.applySharedRow(row));
 
   const ownPeerAddress = `${settings.peerAddress.host}:${settings.peerAddress.port}`;
-  const peers = createPeerSource(() => {
-    const known = new Set([...settings.seeds, ...beliefs.listPeerAddresses()]);
-    known.delete(ownPeerAddress);
-    return [...known];
-  }, random);
+  const tableRelaySource = createTableRelaySource();
+  const peers = createPeerSource(
+    tableRelaySource,
+    () => {
+      const known = new Set([...settings.seeds, ...beliefs.listPeerAddresses()]);
+      known.delete(ownPeerAddress);
+      return [...known];
+    },
+    random,
+  );
+  const tableRelay = TableRelay.create({
+    nodeName: settings.nodeName,
+    zone: settings.zone,
+    beliefs,
+    mirrors: [operatorMirror, endpointMirror, sharedMirror],
+    relay: tableRelaySource,
+    random,
+    clock,
+    log,
+  });
   const onFollowEvent = (event: FollowEvent) => {
     if (event.type === 'store_lost') beliefs.recordStoreLost();
     if (event.type === 'store_regained') beliefs.recordStoreRegained();
@@ -94,14 +115,24 @@
   };
   const createFollower = (
     mirror: TableMirror,
-    { paceMs, ...options }: Omit<FollowOptions, 'getPaceMs'> & { readonly paceMs: number },
+    { paceMs, waitMs, retryMs, peerAfterMs }: FollowTimes,
   ) =>
     MirrorFollower.create({
       mirror,
       source: ports.tables,
       peers,
       clock,
-      options: { ...options, getPaceMs: () => computePaceMs(paceMs, beliefs.nodes) },
+      options: {
+        retryMs,
+        peerAfterMs,
+        getPaceMs: () => {
+          // Few nodes read for all others, so they read at the full pace.
+          if (tableRelay.isReader) return paceMs;
+          return tableRelay.maxAgeMs > 0 ? TABLE_RELAY_MS : computePaceMs(paceMs, beliefs.nodes);
+        },
+        getWaitMs: () => (tableRelay.isReader ? Math.min(waitMs, READER_WAIT_MS) : waitMs),
+        getRelayMaxAgeMs: () => tableRelay.maxAgeMs,
+      },
       onEvent: onFollowEvent,
     });
   const endpointFollower = createFollower(endpointMirror, ENDPOINT_FOLLOWING);
@@ -274,6 +305,7 @@
   for (const follower of followers) follower.run().catch(logCrash);
   rollout.run().catch(logCrash);
   storeWatch.run().catch(logCrash);
+  tableRelay.run().catch(logCrash);
 
   const drain = async (reason: string): Promise<void> => {
     if (phase !== 'serving') return;
@@ -281,6 +313,7 @@
     phase = 'draining';
     rollout.stop();
     storeWatch.stop();
+    tableRelay.stop();
     log.recordChange('stopping', { reason, active: server.active });
     const waitUntil = async (isDone: () => boolean) => {
       while (!isDone())
--- a/packages/gateway/src/storeWatch.ts
+++ b/packages/gateway/src/storeWatch.ts
@@ -7,8 +7,11 @@
   HOUSEKEEPING_MS,
   INDEX_RELAY_MS,
   MAX_FREED_PARTS,
+  MIN_WATCHERS,
+  NODES_PER_WATCHER,
   OLD_PARTS_FREE_MS,
   SPARE_EVENT_CALLS,
+  UNPACED_NODES,
 } from './constants.js';
 import type { DecisionLog } from './decisionLog.js';
 import type { StoreRelaySource } from './peerExchange.js';
@@ -102,7 +105,10 @@
   /** Returns the nodes that watch all stores; the same ones, so that one of them can tell of all. */
   private chooseWatchers(stores: readonly CacheStore[]): string[] {
     const least = Math.min(...stores.map(({ maxEventCalls }) => maxEventCalls));
-    const count = Math.max(1, least - SPARE_EVENT_CALLS);
+    const { nodes } = this.parts.beliefs;
+    const wanted =
+      nodes <= UNPACED_NODES ? nodes : Math.max(MIN_WATCHERS, Math.ceil(nodes / NODES_PER_WATCHER));
+    const count = Math.max(1, Math.min(least - SPARE_EVENT_CALLS, wanted));
     return getRendezvousOwners(WATCHER_KEY, this.parts.beliefs.listPeerNames(), count);
   }
 
--- /dev/null
+++ b/packages/gateway/src/tableRelay.ts
@@ -0,0 +1,116 @@
+import { setTimeout as waitMs } from 'node:timers/promises';
+import { type Clock, getRendezvousOwners } from '@lovagearch/common';
+import type { TableMirror } from '@lovagearch/mirror';
+import type { Beliefs } from './beliefs.js';
+import {
+  READERS_PER_ZONE,
+  RELAY_FRESH_MS,
+  RELAY_MAX_AGE_MS,
+  TABLE_RELAY_MS,
+  UNPACED_NODES,
+} from './constants.js';
+import type { DecisionLog } from './decisionLog.js';
+import type { TableRelaySource } from './peerExchange.js';
+
+/** Key under which the nodes that read the store are chosen. */
+const READER_KEY = 'tables';
+
+export interface TableRelayParts {
+  readonly nodeName: string;
+  readonly zone: string;
+  readonly beliefs: Beliefs;
+  readonly mirrors: readonly TableMirror[];
+  readonly relay: TableRelaySource;
+  readonly random: () => number;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+}
+
+/**
+ * Returns the nodes of an availability zone that read the store's tables for the others. It answers the
+ * pattern of a deployment whose calls to the store grow with its nodes: they are limited and billed.
+ *
+ * @param names nodes of the zone
+ * @returns an empty list if each node reads the store itself
+ */
+export const chooseReaders = (names: readonly string[], nodes: number): string[] => {
+  if (nodes <= UNPACED_NODES) return [];
+  return getRendezvousOwners(READER_KEY, names, READERS_PER_ZONE);
+};
+
+/**
+ * Keeps this node's copies of the store's tables in step with a node of its zone that reads the store.
+ * A reader that fails or whose own copy is old is replaced; without a good one the copies age, and the
+ * followers read the store themselves.
+ */
+export class TableRelay {
+  private readers: readonly string[] = [];
+
+  private reader = '';
+
+  private isStopped = false;
+
+  private constructor(private readonly parts: TableRelayParts) {}
+
+  static create(parts: TableRelayParts): TableRelay {
+    return new TableRelay(parts);
+  }
+
+  /** Whether other nodes depend on this one's reads of the store. */
+  get isReader(): boolean {
+    return this.readers.includes(this.parts.nodeName);
+  }
+
+  /** Age up to which this node's copies are left to the relay; 0 if it reads the store itself. */
+  get maxAgeMs(): number {
+    return this.readers.length === 0 || this.isReader ? 0 : RELAY_MAX_AGE_MS;
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  /** Runs until `stop` is called. */
+  async run(): Promise<void> {
+    while (!this.isStopped) {
+      await waitMs(TABLE_RELAY_MS);
+      this.updateReaders();
+      if (this.maxAgeMs > 0) await this.readOnce();
+    }
+  }
+
+  private updateReaders(): void {
+    const { beliefs, zone } = this.parts;
+    const names: string[] = [];
+    for (const [name, peer] of beliefs.listPeers()) if (peer.zone === zone) names.push(name);
+    this.readers = chooseReaders(names, beliefs.nodes);
+  }
+
+  private async readOnce(): Promise<void> {
+    const { beliefs, clock, log, mirrors, nodeName, random, relay } = this.parts;
+    if (!this.readers.includes(this.reader)) {
+      this.reader = getRendezvousOwners(nodeName, this.readers, 1)[0] ?? '';
+    }
+    const address = beliefs.findPeer(this.reader)?.address;
+    const sentMs = clock.nowMs();
+    const answer =
+      address === undefined
+        ? 'its address is not known'
+        : await relay(
+            address,
+            mirrors.map(({ table, version }) => ({ table, version })),
+          );
+    let fault = typeof answer === 'string' ? answer : undefined;
+    for (const mirror of mirrors) {
+      const batch = typeof answer === 'string' ? undefined : answer.get(mirror.table);
+      if (batch === undefined || batch.ageMs > RELAY_FRESH_MS) {
+        fault ??= `its copy of ${mirror.table} is ${Math.round(batch?.ageMs ?? -1)} ms old`;
+      }
+      // The time on the way counts as age.
+      if (batch !== undefined) mirror.applyBatch(batch, sentMs);
+    }
+    if (fault === undefined) return;
+    log.recordChange('table_reader_left', { reader: this.reader, reason: fault });
+    this.reader = this.readers[Math.floor(random() * this.readers.length)] ?? '';
+  }
+}
--- a/packages/mirror/src/mirror.test.ts
+++ b/packages/mirror/src/mirror.test.ts
@@ -9,7 +9,13 @@
   TableMirror,
 } from './index.js';
 
-const OPTIONS = { waitMs: 1, getPaceMs: () => 0, retryMs: 0, peerAfterMs: 0 };
+const OPTIONS = {
+  getWaitMs: () => 1,
+  getPaceMs: () => 0,
+  retryMs: 0,
+  peerAfterMs: 0,
+  getRelayMaxAgeMs: () => 0,
+};
 
 const createRows = (
   rows: readonly MirroredRow[],
@@ -130,3 +136,37 @@
     ['store_lost', 'peer_used'],
   );
 });
+
+// Every node of a large deployment called the store, which charges and limits calls.
+t.test('the store is asked only while no peer keeps the copy fresh', async (t2) => {
+  const clock = ManualClock.create();
+  const mirror = TableMirror.create('op');
+  let calls = 0;
+  let paces = 0;
+  const countCall = async () => {
+    calls += 1;
+    return createRows([], 1, false);
+  };
+  const follower = MirrorFollower.create({
+    mirror,
+    clock,
+    options: {
+      ...OPTIONS,
+      getRelayMaxAgeMs: () => 3_000,
+      getPaceMs: () => {
+        paces += 1;
+        clock.addMs(1_000);
+        // The relay keeps the copy fresh for the first looks, then it ends.
+        if (paces <= 5)
+          mirror.applyBatch({ rows: [], version: 1, isPartial: true, ageMs: 0 }, clock.nowMs());
+        if (paces === 9) follower.stop();
+        return 0;
+      },
+    },
+    source: { readAll: countCall, readChanges: countCall },
+    peers: { readChanges: async () => UNAVAILABLE },
+    onEvent: () => undefined,
+  });
+  await follower.run();
+  t2.equal(calls, 2, 'once at the start, and once when the copy is 3 s old');
+});
--- a/packages/mirror/src/mirrorFollower.ts
+++ b/packages/mirror/src/mirrorFollower.ts
@@ -16,14 +16,19 @@
     };
 
 export interface FollowOptions {
-  /** Time that the store may keep a call open without changes. */
-  readonly waitMs: number;
+  /** Returns the time that the store may keep a call open without changes. */
+  readonly getWaitMs: () => number;
   /** Returns the least time between the starts of two calls; changes in between come together. */
   readonly getPaceMs: () => number;
   /** Pause after a failed call. */
   readonly retryMs: number;
   /** Age of the copy from which peers are asked. */
   readonly peerAfterMs: number;
+  /**
+   * Returns the age up to which a copy that peers keep in step is fresh enough to leave the store alone;
+   * 0 if this node reads the store itself.
+   */
+  readonly getRelayMaxAgeMs: () => number;
 }
 
 interface FollowParts {
@@ -78,10 +83,11 @@
   }
 
   private async followOnce(): Promise<boolean> {
-    const { mirror, source, options } = this.parts;
+    const { mirror, clock, source, options } = this.parts;
+    if (mirror.getAgeMs(clock.nowMs()) < options.getRelayMaxAgeMs()) return true;
     const result = this.needsWholeRead
       ? await source.readAll(mirror.table)
-      : await source.readChanges(mirror.table, mirror.version, options.waitMs);
+      : await source.readChanges(mirror.table, mirror.version, options.getWaitMs());
     if (result.type === 'rows') {
       this.applyStoreRows(result);
       return true;
