--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -1,5 +1,6 @@
 import { CheckCommand } from './checkCommand.js';
 import { DecisionsCommand } from './decisionsCommand.js';
+import { ExplainCommand } from './explainCommand.js';
 import { HashKeyCommand } from './hashKeyCommand.js';
 import { PublishCommand } from './publishCommand.js';
 import { ShowCommand } from './showCommand.js';
@@ -9,6 +10,7 @@
 export const COMMANDS = {
   check: CheckCommand,
   decisions: DecisionsCommand,
+  explain: ExplainCommand,
   'hash-key': HashKeyCommand,
   publish: PublishCommand,
   show: ShowCommand,
