--- a/packages/gateway/src/tableRelay.ts
+++ b/packages/gateway/src/tableRelay.ts
@@ -103,11 +103,15 @@
     let fault = typeof answer === 'string' ? answer : undefined;
     for (const mirror of mirrors) {
       const batch = typeof answer === 'string' ? undefined : answer.get(mirror.table);
-      if (batch === undefined || batch.ageMs > RELAY_FRESH_MS) {
-        fault ??= `its copy of ${mirror.table} is ${Math.round(batch?.ageMs ?? -1)} ms old`;
+      if (batch === undefined) {
+        fault ??= `it has no copy of ${mirror.table}`;
+        continue;
+      }
+      if (batch.ageMs > RELAY_FRESH_MS) {
+        fault ??= `its copy of ${mirror.table} is ${Math.round(batch.ageMs)} ms old`;
       }
       // The time on the way counts as age.
-      if (batch !== undefined) mirror.applyBatch(batch, sentMs);
+      mirror.applyBatch(batch, sentMs);
     }
     if (fault === undefined) return;
     log.recordChange('table_reader_left', { reader: this.reader, reason: fault });
