Limit log lines of state changes apart from those of requests

Cause: all lines shared one limit of 150 a second, so a burst of requests, or the registrations at a start of many endpoints beside it, could suppress store_lost and configuration_applied, the lines that explain a node with an old configuration. Change: two limits of the same size; LogLineLimit is a class of its own.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -60,7 +60,7 @@
  * milliseconds.
  */
 export const DRAIN_END_MARGIN_MS = 400;
-/** Log lines per second for successful requests; further ones are only counted. */
+/** Log lines per second of requests, and of state changes; further ones are only counted. */
 export const MAX_LOG_LINES_PER_SECOND = 150;
 /** Bytes of log lines buffered for standard output; beyond it, lines are dropped and counted. */
 export const MAX_LOG_BUFFER_BYTES = 1_048_576;
--- a/packages/gateway/src/gatewayLog.ts
+++ b/packages/gateway/src/gatewayLog.ts
@@ -1,11 +1,11 @@
 import { pino } from 'pino';
 import type { Clock } from '@lovagearch/common';
-import { MS_PER_SECOND } from '@lovagearch/common';
 import {
   LOG_FLUSH_INTERVAL_MS,
   MAX_LOG_BUFFER_BYTES,
   MAX_LOG_LINES_PER_SECOND,
 } from './constants.js';
+import { LogLineLimit } from './logLineLimit.js';
 
 /** Fields of a log line. They must not contain prompts, responses or keys. */
 export type LogFields = Readonly<
@@ -24,7 +24,8 @@
 }
 
 /**
- * Creates the log of a gateway process. All its lines share one limit per second.
+ * Creates the log of a gateway process. State changes have a limit per second of their own, so that a burst
+ * of requests doesn't suppress them.
  *
  * @param onDropped called with the number of dropped lines
  * @example
@@ -50,34 +51,22 @@
     { base: { node: nodeName }, messageKey: 'event', timestamp: pino.stdTimeFunctions.epochTime },
     destination,
   );
-  let currentSecond = 0;
-  let lines = 0;
-  let suppressed = 0;
-  const tryCountLine = (): boolean => {
-    const current = Math.floor(clock.nowMs() / MS_PER_SECOND);
-    if (current !== currentSecond) {
-      if (suppressed > 0) {
-        logger.warn({ suppressed }, 'log_lines_suppressed');
-        onDropped(suppressed);
-      }
-      currentSecond = current;
-      lines = 0;
-      suppressed = 0;
-    }
-    lines += 1;
-    if (lines <= MAX_LOG_LINES_PER_SECOND) return true;
-    suppressed += 1;
-    return false;
-  };
+  const createLimit = (): LogLineLimit =>
+    LogLineLimit.create(MAX_LOG_LINES_PER_SECOND, clock, (suppressed) => {
+      logger.warn({ suppressed }, 'log_lines_suppressed');
+      onDropped(suppressed);
+    });
+  const requestLines = createLimit();
+  const stateLines = createLimit();
   return {
     logStateChange: (event, fields) => {
-      if (tryCountLine()) logger.info(fields, event);
+      if (stateLines.tryTake()) logger.info(fields, event);
     },
     logRequest: (event, fields) => {
-      if (tryCountLine()) logger.info(fields, event);
+      if (requestLines.tryTake()) logger.info(fields, event);
     },
     logProblem: (event, fields) => {
-      if (tryCountLine()) logger.warn(fields, event);
+      if (requestLines.tryTake()) logger.warn(fields, event);
     },
     flush: () => destination.flush(),
   };
