Let a follower of a table state the timeout of its calls

Change: the allowance of 900 ms for a response was a constant of the store client, beside long polls that the gateway sets. Both now stand with the other timings in tableTiming.ts, and a follower's timer can be replaced by a simulated one. No value changes. Checked: build; tests of mirror and gateway pass.

--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -34,39 +34,16 @@
 import { CacheStoreWatcher } from './cacheStoreWatcher.js';
 import { StrikePublisher } from './strikePublisher.js';
 import { TableRelay } from './tableRelay.js';
+import {
+  ENDPOINT_TABLE_TIMING,
+  OPERATOR_TABLE_TIMING,
+  SHARED_TABLE_TIMING,
+  type TableTiming,
+} from './tableTiming.js';
 import type { GatewayDependencies, GatewaySettings } from './types.js';
 
 const BYTES_PER_MB = 1_048_576;
 
-/** Timing of the reads of a table in a small deployment; see `MirrorFollowerOptions`. */
-interface TableFollowTiming {
-  readonly longPollMs: number;
-  readonly pollIntervalMs: number;
-  readonly retryDelayMs: number;
-  readonly peerFallbackAgeMs: number;
-}
-
-/** Configuration changes are rare and urgent: a long poll with hardly a pause between two calls. */
-const OPERATOR_TABLE_TIMING = {
-  longPollMs: 2_000,
-  pollIntervalMs: 100,
-  retryDelayMs: 250,
-  peerFallbackAgeMs: 1_000,
-};
-/** Heartbeats change this table all the time and each call is billed, so changes are read in batches. */
-const ENDPOINT_TABLE_TIMING = {
-  longPollMs: 1_500,
-  pollIntervalMs: 700,
-  retryDelayMs: 250,
-  peerFallbackAgeMs: 1_500,
-};
-const SHARED_TABLE_TIMING = {
-  longPollMs: 3_000,
-  pollIntervalMs: 300,
-  retryDelayMs: 400,
-  peerFallbackAgeMs: 4_000,
-};
-
 /** Increases a poll interval where many nodes share the store's rate limit. */
 const computePollIntervalMs = (pollIntervalMs: number, nodeCount: number): number =>
   pollIntervalMs * Math.min(MAX_POLL_INTERVAL_FACTOR, Math.max(1, nodeCount / MAX_FULL_RATE_NODES));
@@ -134,7 +111,7 @@
   };
   const createFollower = (
     mirror: TableMirror,
-    { pollIntervalMs, longPollMs, retryDelayMs, peerFallbackAgeMs }: TableFollowTiming,
+    { pollIntervalMs, longPollMs, answerTimeoutMs, retryDelayMs, peerFallbackAgeMs }: TableTiming,
   ) =>
     MirrorFollower.create({
       mirror,
@@ -142,6 +119,7 @@
       peers,
       clock,
       options: {
+        answerTimeoutMs,
         retryDelayMs,
         peerFallbackAgeMs,
         getPollIntervalMs: () => {
--- a/packages/mirror/src/mirror.test.ts
+++ b/packages/mirror/src/mirror.test.ts
@@ -11,6 +11,7 @@
 
 const OPTIONS = {
   getLongPollMs: () => 1,
+  answerTimeoutMs: 1,
   getPollIntervalMs: () => 0,
   retryDelayMs: 0,
   peerFallbackAgeMs: 0,
--- a/packages/mirror/src/mirrorFollower.ts
+++ b/packages/mirror/src/mirrorFollower.ts
@@ -1,4 +1,4 @@
-import { setTimeout as waitMs } from 'node:timers/promises';
+import { setTimeout as waitForTimer } from 'node:timers/promises';
 import type { Clock } from '@lovagearch/common';
 import type { TableMirror } from './tableMirror.js';
 import type { PeerSource, ReadResult, TableSource } from './types.js';
@@ -30,6 +30,8 @@
 export interface MirrorFollowerOptions {
   /** Returns the time for which the store may hold a call open while nothing changes. */
   readonly getLongPollMs: () => number;
+  /** Time that the response to a call may take in addition to its long poll. */
+  readonly answerTimeoutMs: number;
   /** Returns the minimum time between the starts of two calls; changes in between arrive in one batch. */
   readonly getPollIntervalMs: () => number;
   /** Delay after a failed call. */
@@ -50,6 +52,8 @@
   readonly clock: Clock;
   readonly options: MirrorFollowerOptions;
   readonly onEvent: (event: MirrorEvent) => void;
+  /** Timer, by default that of the process; simulations replace it. */
+  readonly wait?: (delayMs: number) => Promise<void>;
 }
 
 /**
@@ -85,14 +89,14 @@
 
   /** Runs until `stop` is called. It never throws. */
   async run(): Promise<void> {
-    const { clock, options } = this.dependencies;
+    const { clock, options, wait = waitForTimer } = this.dependencies;
     while (!this.isStopped) {
       const startMs = clock.nowMs();
       const isSuccess = await this.followOnce();
       const pauseMs = isSuccess
         ? options.getPollIntervalMs() - (clock.nowMs() - startMs)
         : options.retryDelayMs;
-      if (pauseMs > 0) await waitMs(pauseMs);
+      if (pauseMs > 0) await wait(pauseMs);
     }
   }
 
@@ -100,8 +104,13 @@
     const { mirror, clock, source, options } = this.dependencies;
     if (mirror.getAgeMs(clock.nowMs()) < options.getMaxRelayedAgeMs()) return true;
     const result = this.needsFullRead
-      ? await source.readAll(mirror.table)
-      : await source.readChanges(mirror.table, mirror.version, options.getLongPollMs());
+      ? await source.readAll(mirror.table, options.answerTimeoutMs)
+      : await source.readChanges(
+          mirror.table,
+          mirror.version,
+          options.getLongPollMs(),
+          options.answerTimeoutMs,
+        );
     if (result.type === 'rows') {
       this.applyStoreRows(result);
       return true;
--- a/packages/mirror/src/types.ts
+++ b/packages/mirror/src/types.ts
@@ -26,13 +26,14 @@
 
 /** The store, from which a mirror reads a table. */
 export interface TableSource {
-  /** Reads all rows. */
-  readonly readAll: (table: string) => Promise<ReadResult>;
-  /** Long-polls up to `waitMs` for rows that changed after a version. */
+  /** Reads all rows; each response may take up to `timeoutMs`. */
+  readonly readAll: (table: string, timeoutMs: number) => Promise<ReadResult>;
+  /** Long-polls up to `waitMs` for rows that changed after a version; fails `timeoutMs` after that. */
   readonly readChanges: (
     table: string,
     afterVersion: number,
     waitMs: number,
+    timeoutMs: number,
   ) => Promise<ReadResult>;
 }
 
