--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -14,3 +14,4 @@
 export * from './logger.js';
 export * from './metrics.js';
 export * from './random.js';
+export * from './simulatedTime.js';
