Bound the time for which a dropped store call delays a configuration

What callers saw: 404 on a route that had been added and acknowledged more than 2.5 s before (CONFIG: a request sent later than config_apply_ms after the ack is handled as only an older version allows). Cause: a node can't tell a call that was dropped from one that waits for a change. It gave a call up after its long poll (2 s) and 0.9 s, paused for 0.25 s, and queried peers only between two calls. A call dropped just before an outage ended held the next one back for 3.15 s. All nodes poll in step since the last change, so no peer was ahead either. None of these times was derived from the platform's limits of 2.5 s and 3 s. Change: long poll and timeout of the operator's table together take 0.7 of the shorter limit (settings config_apply_ms and contact_ms); the pause counts from the start of the failed call; peers are queried as soon as the copy is overdue, also while a call is pending. Why it works: the next call starts at most 1.75 s after the dropped one, for any moment at which the outage ends.

--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -198,6 +198,8 @@
     retryWindowS: 10,
     retrySlack: 50,
     shutdownGraceMs: 5_000,
+    configurationLimitMs: 2_500,
+    contactLimitMs: 3_000,
     weightRolloutLimitMs: 10_000,
     leaseHandoverDelayMs: 3_000,
   },
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -1,7 +1,12 @@
 import { SlidingWindowRetryBudget } from '@lovagearch/admission';
 import { createRandom, getErrorMessage, processClock } from '@lovagearch/common';
 import { ConnectionPool } from '@lovagearch/exchange';
-import { type MirrorEvent, MirrorFollower, TableMirror } from '@lovagearch/mirror';
+import {
+  type MirrorEvent,
+  MirrorFollower,
+  type PeerFallback,
+  TableMirror,
+} from '@lovagearch/mirror';
 import { TransferSlowdownTracker } from '@lovagearch/reuse';
 import { createSuspensionClock, OrderLease, RolloutCoordinator } from '@lovagearch/rollout';
 import { ClusterState, LEASE_KEY, PEER_PREFIX } from './clusterState.js';
@@ -35,8 +40,11 @@
 import { StrikePublisher } from './strikePublisher.js';
 import { TableRelay } from './tableRelay.js';
 import {
+  computeOverdueAgeMs,
+  createOperatorTableTiming,
+  ENDPOINT_TABLE_FALLBACK_AGE_MS,
   ENDPOINT_TABLE_TIMING,
-  OPERATOR_TABLE_TIMING,
+  SHARED_TABLE_FALLBACK_AGE_MS,
   SHARED_TABLE_TIMING,
   type TableTiming,
 } from './tableTiming.js';
@@ -111,7 +119,8 @@
   };
   const createFollower = (
     mirror: TableMirror,
-    { pollIntervalMs, longPollMs, answerTimeoutMs, retryDelayMs, peerFallbackAgeMs }: TableTiming,
+    { pollIntervalMs, longPollMs, answerTimeoutMs, retryDelayMs }: TableTiming,
+    peerFallback: PeerFallback,
   ) =>
     MirrorFollower.create({
       mirror,
@@ -121,7 +130,7 @@
       options: {
         answerTimeoutMs,
         retryDelayMs,
-        peerFallbackAgeMs,
+        peerFallback,
         getPollIntervalMs: () => {
           // A few nodes read on behalf of all others, so they read at the full rate.
           if (tableRelay.isReader) return pollIntervalMs;
@@ -135,15 +144,23 @@
       },
       onEvent: onMirrorEvent,
     });
-  const endpointFollower = createFollower(endpointMirror, ENDPOINT_TABLE_TIMING);
-  const followers = [
-    createFollower(operatorMirror, OPERATOR_TABLE_TIMING),
-    endpointFollower,
-    createFollower(sharedMirror, SHARED_TABLE_TIMING),
-  ];
+  const { bounds } = settings;
+  const operatorTableTiming = createOperatorTableTiming(bounds);
+  const operatorFollower = createFollower(operatorMirror, operatorTableTiming, {
+    type: 'when_overdue',
+    getOverdueAgeMs: () => tableRelay.maxRelayedAgeMs + computeOverdueAgeMs(operatorTableTiming),
+  });
+  const endpointFollower = createFollower(endpointMirror, ENDPOINT_TABLE_TIMING, {
+    type: 'after_failure',
+    minAgeMs: ENDPOINT_TABLE_FALLBACK_AGE_MS,
+  });
+  const sharedFollower = createFollower(sharedMirror, SHARED_TABLE_TIMING, {
+    type: 'after_failure',
+    minAgeMs: SHARED_TABLE_FALLBACK_AGE_MS,
+  });
+  const followers = [operatorFollower, endpointFollower, sharedFollower];
 
   let phase: ServingPhase = 'serving';
-  const { bounds } = settings;
   const retryBounds = {
     ratio: bounds.retryBudgetRatio,
     slack: bounds.retrySlack,
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -138,6 +138,10 @@
   readonly retryWindowS: number;
   readonly retrySlack: number;
   readonly shutdownGraceMs: number;
+  /** Time within which an acknowledged configuration has to be in force on every node. */
+  readonly configurationLimitMs: number;
+  /** Time after a disturbance of a node or the store from which the other limits hold again. */
+  readonly contactLimitMs: number;
   /** Time within which new weights have to be in use everywhere. */
   readonly weightRolloutLimitMs: number;
   /** Minimum time between orders from two different lease holders. */
--- a/packages/mirror/src/mirror.test.ts
+++ b/packages/mirror/src/mirror.test.ts
@@ -14,7 +14,7 @@
   answerTimeoutMs: 1,
   getPollIntervalMs: () => 0,
   retryDelayMs: 0,
-  peerFallbackAgeMs: 0,
+  peerFallback: { type: 'after_failure' as const, minAgeMs: 0 },
   getMaxRelayedAgeMs: () => 0,
 };
 
--- a/packages/mirror/src/mirrorFollower.ts
+++ b/packages/mirror/src/mirrorFollower.ts
@@ -27,6 +27,16 @@
       readonly ageMs: number;
     };
 
+/** When a table is read from peers instead of the store. */
+export type PeerFallback =
+  /** After a failed call, if the copy has reached an age. */
+  | { readonly type: 'after_failure'; readonly minAgeMs: number }
+  /**
+   * Whenever the copy is older than that of a node whose calls are answered; a call that was dropped
+   * doesn't fail before its timeout.
+   */
+  | { readonly type: 'when_overdue'; readonly getOverdueAgeMs: () => number };
+
 export interface MirrorFollowerOptions {
   /** Returns the time for which the store may hold a call open while nothing changes. */
   readonly getLongPollMs: () => number;
@@ -34,10 +44,9 @@
   readonly answerTimeoutMs: number;
   /** Returns the minimum time between the starts of two calls; changes in between arrive in one batch. */
   readonly getPollIntervalMs: () => number;
-  /** Delay after a failed call. */
+  /** Minimum time between the starts of a failed call and the next one. */
   readonly retryDelayMs: number;
-  /** Age of the copy from which peers are queried while the store is unavailable. */
-  readonly peerFallbackAgeMs: number;
+  readonly peerFallback: PeerFallback;
   /**
    * Returns the age up to which a copy that is relayed by peers is fresh enough that the store is not
    * called; 0 if this node reads the store itself.
@@ -89,17 +98,32 @@
 
   /** Runs until `stop` is called. It never throws. */
   async run(): Promise<void> {
+    await Promise.all([this.followStore(), this.watchCopyAge()]);
+  }
+
+  private async followStore(): Promise<void> {
     const { clock, options, wait = waitForTimer } = this.dependencies;
     while (!this.isStopped) {
       const startMs = clock.nowMs();
       const isSuccess = await this.followOnce();
-      const pauseMs = isSuccess
-        ? options.getPollIntervalMs() - (clock.nowMs() - startMs)
-        : options.retryDelayMs;
+      const intervalMs = isSuccess ? options.getPollIntervalMs() : options.retryDelayMs;
+      const pauseMs = intervalMs - (clock.nowMs() - startMs);
       if (pauseMs > 0) await wait(pauseMs);
     }
   }
 
+  /** Queries peers while the copy is overdue, independently of the calls to the store. */
+  private async watchCopyAge(): Promise<void> {
+    const { clock, mirror, options, wait = waitForTimer } = this.dependencies;
+    const { peerFallback, retryDelayMs } = options;
+    if (peerFallback.type !== 'when_overdue') return;
+    while (!this.isStopped) {
+      await wait(retryDelayMs);
+      const ageMs = mirror.getAgeMs(clock.nowMs());
+      if (ageMs >= peerFallback.getOverdueAgeMs()) await this.readFromPeers();
+    }
+  }
+
   private async followOnce(): Promise<boolean> {
     const { mirror, clock, source, options } = this.dependencies;
     if (mirror.getAgeMs(clock.nowMs()) < options.getMaxRelayedAgeMs()) return true;
@@ -126,7 +150,11 @@
       return this.followOnce();
     }
     this.recordStoreUnreachable(failure.reason);
-    await this.readFromPeers();
+    const { peerFallback } = options;
+    const ageMs = mirror.getAgeMs(clock.nowMs());
+    if (peerFallback.type === 'after_failure' && ageMs >= peerFallback.minAgeMs) {
+      await this.readFromPeers();
+    }
     return false;
   }
 
@@ -159,8 +187,7 @@
   }
 
   private async readFromPeers(): Promise<void> {
-    const { mirror, peers, clock, options, onEvent } = this.dependencies;
-    if (mirror.getAgeMs(clock.nowMs()) < options.peerFallbackAgeMs) return;
+    const { mirror, peers, clock, onEvent } = this.dependencies;
     const result = await peers.readChanges(mirror.table, mirror.version);
     if (result.type === 'failure') return;
     const previousVersion = mirror.version;
