Keep a copy that may lack live endpoints from peers

Cause: entries of endpoints expire during an outage of the store and are back within about 2 s. A node that reads the store again keeps such endpoints for a grace period, but serves peers its copy without them; a peer whose own call still hangs removes them at once and refuses requests until they register again.

--- a/packages/gateway/src/clusterState.ts
+++ b/packages/gateway/src/clusterState.ts
@@ -117,6 +117,14 @@
     this.storeRecoveredAtMs = this.clock.nowMs();
   }
 
+  /**
+   * Whether the store has recovered so recently that its table may lack endpoints that are alive: their
+   * entries expired during the outage and were not renewed yet.
+   */
+  mayLackEndpoints(): boolean {
+    return this.clock.nowMs() - this.storeRecoveredAtMs < EXPIRY_WINDOW_MS;
+  }
+
   applyOperatorRow({ key, value, version }: MirroredRow): void {
     if (value === undefined) return;
     const configuration = this.codec.decodeConfiguration(key, value);
--- a/packages/gateway/src/managementServer.ts
+++ b/packages/gateway/src/managementServer.ts
@@ -22,16 +22,21 @@
   return listen(server, address);
 };
 
-/** Serves this node's copies of the store's tables, and its indexes of cache stores, to peers. */
+/**
+ * Serves this node's copies of the store's tables, and its indexes of cache stores, to peers.
+ *
+ * @param isServable whether the copy of a table may be served now
+ */
 export const startPeerServer = (
   address: Address,
   mirrors: readonly TableMirror[],
   clock: Clock,
+  isServable: (table: string) => boolean,
   findIndex: (address: string) => StoreIndex | undefined,
   indexClock: Clock,
 ): Promise<FastifyInstance> => {
   const server = fastify();
-  registerTableRoute(server, mirrors, clock);
+  registerTableRoute(server, mirrors, clock, isServable);
   registerCacheStoreRoute(server, findIndex, indexClock);
   return listen(server, address);
 };
--- a/packages/gateway/src/peerExchange.ts
+++ b/packages/gateway/src/peerExchange.ts
@@ -100,11 +100,16 @@
   cursors: readonly TableCursor[],
 ) => Promise<ReadonlyMap<string, RowBatch> | string>;
 
-/** Serves this node's copies of the store's tables to peers that do not read the store themselves. */
+/**
+ * Serves this node's copies of the store's tables to peers that do not read the store themselves.
+ *
+ * @param isServable whether a copy may be served now
+ */
 export const registerTableRoute = (
   server: FastifyInstance,
   mirrors: readonly TableMirror[],
   clock: Clock,
+  isServable: (table: string) => boolean,
 ): void => {
   server.get<{ Querystring: { known?: string } }>('/peer/tables', (incoming, reply) => {
     const nowMs = clock.nowMs();
@@ -114,6 +119,7 @@
       const afterVersion = Number(version);
       const mirror = mirrors.find((known) => known.table === table);
       if (mirror === undefined || !Number.isSafeInteger(afterVersion)) continue;
+      if (!isServable(table)) continue;
       if (mirror.getAgeMs(nowMs) > MAX_PEER_COPY_AGE_MS) continue;
       batches.push([table, mirror.createBatch(afterVersion, nowMs)]);
     }
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -264,6 +264,8 @@
       settings.peerAddress,
       [operatorMirror, endpointMirror, sharedMirror],
       clock,
+      // A peer without contact to the store would remove endpoints that this node still waits for.
+      (table) => table !== endpointMirror.table || !clusterState.mayLackEndpoints(),
       (address) => cacheStoreWatcher.findIndex(address),
       suspensionClock,
     ),
