Bound the time for which a dropped store call delays other tables

Strikes travel in the shared table, whose call hung for 3.9 s, above the 3 s after which a request that crashes endpoints must not be sent on; registrations hung for 2.4 s, and up to 0.5 s more while peers were queried, of the 2.5 s in which a leaving endpoint has to be left alone.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -38,6 +38,9 @@
  * milliseconds.
  */
 export const OLD_WEIGHTS_CUTOFF_MARGIN_MS = 1_500;
+/** Age of an endpoint or shared table's copy from which peers are queried after a failed call, in milliseconds. */
+export const ENDPOINT_TABLE_FALLBACK_AGE_MS = 1_500;
+export const SHARED_TABLE_FALLBACK_AGE_MS = 2_000;
 /** Time to re-register for endpoints whose entry expired during an outage of the store, in milliseconds. */
 export const EXPIRY_GRACE_MS = 2_200;
 /** Time after the store recovers in which a removed entry is treated as expired, in milliseconds. */
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -199,6 +199,7 @@
     retrySlack: 50,
     shutdownGraceMs: 5_000,
     configurationLimitMs: 2_500,
+    endpointLeaveLimitMs: 2_500,
     contactLimitMs: 3_000,
     weightRolloutLimitMs: 10_000,
     leaseHandoverDelayMs: 3_000,
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -17,9 +17,11 @@
   DRAIN_ACCEPT_PERIOD_MS,
   DRAIN_END_MARGIN_MS,
   DRAIN_MIN_MS,
+  ENDPOINT_TABLE_FALLBACK_AGE_MS,
   HOUSEKEEPING_INTERVAL_MS,
   MAX_POLL_INTERVAL_FACTOR,
   READER_LONG_POLL_MS,
+  SHARED_TABLE_FALLBACK_AGE_MS,
   SHARED_TABLE,
   STRIKE_PUBLISH_INTERVAL_MS,
   TABLE_RELAY_INTERVAL_MS,
@@ -41,11 +43,9 @@
 import { TableRelay } from './tableRelay.js';
 import {
   computeOverdueAgeMs,
+  createEndpointTableTiming,
   createOperatorTableTiming,
-  ENDPOINT_TABLE_FALLBACK_AGE_MS,
-  ENDPOINT_TABLE_TIMING,
-  SHARED_TABLE_FALLBACK_AGE_MS,
-  SHARED_TABLE_TIMING,
+  createSharedTableTiming,
   type TableTiming,
 } from './tableTiming.js';
 import type { GatewayDependencies, GatewaySettings } from './types.js';
@@ -150,11 +150,12 @@
     type: 'when_overdue',
     getOverdueAgeMs: () => tableRelay.maxRelayedAgeMs + computeOverdueAgeMs(operatorTableTiming),
   });
-  const endpointFollower = createFollower(endpointMirror, ENDPOINT_TABLE_TIMING, {
+  const endpointTableTiming = createEndpointTableTiming(bounds);
+  const endpointFollower = createFollower(endpointMirror, endpointTableTiming, {
     type: 'after_failure',
     minAgeMs: ENDPOINT_TABLE_FALLBACK_AGE_MS,
   });
-  const sharedFollower = createFollower(sharedMirror, SHARED_TABLE_TIMING, {
+  const sharedFollower = createFollower(sharedMirror, createSharedTableTiming(bounds), {
     type: 'after_failure',
     minAgeMs: SHARED_TABLE_FALLBACK_AGE_MS,
   });
@@ -195,8 +196,8 @@
     areHeartbeatsCurrent: () =>
       endpointFollower.isStoreReachable &&
       endpointMirror.getAgeMs(clock.nowMs()) <
-        ENDPOINT_TABLE_TIMING.longPollMs +
-          computePollIntervalMs(ENDPOINT_TABLE_TIMING.pollIntervalMs, clusterState.nodeCount),
+        endpointTableTiming.longPollMs +
+          computePollIntervalMs(endpointTableTiming.pollIntervalMs, clusterState.nodeCount),
     getRetryBudget: (service) => {
       const known = budgets.get(service);
       if (known !== undefined) return known;
--- a/packages/gateway/src/tableFollowing.test.ts
+++ b/packages/gateway/src/tableFollowing.test.ts
@@ -1,13 +1,26 @@
 import t from 'tap';
 import { SimulatedTime } from '@lovagearch/common';
-import { type MirroredRow, MirrorFollower, type ReadResult, TableMirror } from '@lovagearch/mirror';
-import { computeOverdueAgeMs, createOperatorTableTiming, type TableTiming } from './tableTiming.js';
+import {
+  type MirroredRow,
+  MirrorFollower,
+  type PeerFallback,
+  type ReadResult,
+  TableMirror,
+} from '@lovagearch/mirror';
+import { PEER_TIMEOUT_MS } from './constants.js';
+import {
+  computeOverdueAgeMs,
+  createEndpointTableTiming,
+  createOperatorTableTiming,
+  createSharedTableTiming,
+  type TableTiming,
+} from './tableTiming.js';
 
 /** Limits of the reference deployments, of the same ones once grown, and of one with short limits. */
 const DEPLOYMENTS = [
-  { configurationLimitMs: 2_500, contactLimitMs: 3_000 },
-  { configurationLimitMs: 4_000, contactLimitMs: 4_000 },
-  { configurationLimitMs: 3_000, contactLimitMs: 1_500 },
+  { configurationLimitMs: 2_500, contactLimitMs: 3_000, endpointLeaveLimitMs: 2_500 },
+  { configurationLimitMs: 4_000, contactLimitMs: 4_000, endpointLeaveLimitMs: 4_000 },
+  { configurationLimitMs: 3_000, contactLimitMs: 1_500, endpointLeaveLimitMs: 3_500 },
 ];
 /** Time between a node and the store, both ways, in milliseconds. */
 const ROUND_TRIP_MS = 20;
@@ -70,6 +83,7 @@
 
 interface Simulation {
   readonly timing: TableTiming;
+  readonly peerFallback: PeerFallback;
   readonly outage: Outage;
   readonly changeAtMs: number;
   /** Time at which the value is read. */
@@ -81,6 +95,7 @@
 /** Follows the table through an outage and returns the value of the row at a point in time. */
 const simulateFollowing = async ({
   timing,
+  peerFallback,
   outage,
   changeAtMs,
   readAtMs,
@@ -93,14 +108,18 @@
     mirror,
     source: SimulatedStore.create(time, outage, changeAtMs),
     peers: {
-      readChanges: async (table, afterVersion) =>
-        arePeersCurrent ? peerStore.readChanges(table, afterVersion, 0, 0) : UNAVAILABLE,
+      readChanges: async (table, afterVersion) => {
+        if (arePeersCurrent) return peerStore.readChanges(table, afterVersion, 0, 0);
+        // A peer that is down is given up after the timeout.
+        await time.wait(PEER_TIMEOUT_MS);
+        return UNAVAILABLE;
+      },
     },
     clock: time,
     options: {
       answerTimeoutMs: timing.answerTimeoutMs,
       retryDelayMs: timing.retryDelayMs,
-      peerFallback: { type: 'when_overdue', getOverdueAgeMs: () => computeOverdueAgeMs(timing) },
+      peerFallback,
       getLongPollMs: () => timing.longPollMs,
       getPollIntervalMs: () => timing.pollIntervalMs,
       getMaxRelayedAgeMs: () => 0,
@@ -117,18 +136,50 @@
   return value;
 };
 
-for (const limits of DEPLOYMENTS) {
-  const timing = createOperatorTableTiming(limits);
-  const limitMs = Math.min(limits.configurationLimitMs, limits.contactLimitMs);
+interface TableCase {
+  readonly table: string;
+  readonly timing: TableTiming;
+  readonly limitMs: number;
+}
+
+const createCases = (limits: (typeof DEPLOYMENTS)[number]): TableCase[] => {
+  const { configurationLimitMs, contactLimitMs, endpointLeaveLimitMs } = limits;
+  return [
+    {
+      table: "the operator's table",
+      timing: createOperatorTableTiming(limits),
+      limitMs: Math.min(configurationLimitMs, contactLimitMs),
+    },
+    {
+      table: "the endpoints' table",
+      timing: createEndpointTableTiming(limits),
+      limitMs: Math.min(endpointLeaveLimitMs, contactLimitMs),
+    },
+    {
+      table: 'the shared table',
+      timing: createSharedTableTiming(limits),
+      limitMs: contactLimitMs,
+    },
+  ];
+};
+
+const AFTER_FAILURE: PeerFallback = { type: 'after_failure', minAgeMs: 0 };
+const createOverdueFallback = (timing: TableTiming): PeerFallback => ({
+  type: 'when_overdue',
+  getOverdueAgeMs: () => computeOverdueAgeMs(timing),
+});
 
-  // Guards against a call that is dropped at the end of an outage and holds back the next one for seconds.
-  t.test(
-    `a change is in force ${limitMs} ms after an outage of the store ends at any moment`,
-    async (t2) => {
+for (const { table, timing, limitMs } of DEPLOYMENTS.flatMap(createCases)) {
+  for (const peerFallback of [AFTER_FAILURE, createOverdueFallback(timing)]) {
+    const name = `${table}, limit ${limitMs} ms, peers ${peerFallback.type}`;
+
+    // Guards against a call that is dropped at the end of an outage and holds back the next one for seconds.
+    t.test(`${name}: a change is in force in time after an outage ends`, async (t2) => {
       const late: number[] = [];
       for (let endMs = 10_000; endMs < 14_000; endMs += 50) {
         const value = await simulateFollowing({
           timing,
+          peerFallback,
           outage: { startMs: 8_000, endMs },
           changeAtMs: endMs,
           readAtMs: endMs + limitMs,
@@ -138,17 +189,15 @@
         if (value !== 'v2') late.push(endMs);
       }
       t2.strictSame(late, []);
-    },
-  );
+    });
 
-  // Guards against a connection that goes silent without a reset, so that the call on it hangs.
-  t.test(
-    `a change is in force ${limitMs} ms after it although a single call is never answered`,
-    async (t2) => {
+    // Guards against a connection that goes silent without a reset, so that the call on it hangs.
+    t.test(`${name}: a change is in force in time although a call is dropped`, async (t2) => {
       const late: number[] = [];
       for (let startMs = 10_000; startMs < 14_000; startMs += 50) {
         const value = await simulateFollowing({
           timing,
+          peerFallback,
           outage: { startMs, endMs: startMs + 1 },
           changeAtMs: startMs + 2,
           readAtMs: startMs + 2 + limitMs,
@@ -157,25 +206,28 @@
         if (value !== 'v2') late.push(startMs);
       }
       t2.strictSame(late, []);
-    },
-  );
+    });
+  }
+}
+
+for (const limits of DEPLOYMENTS) {
+  const timing = createOperatorTableTiming(limits);
+  const limitMs = Math.min(limits.configurationLimitMs, limits.contactLimitMs);
 
   // Guards against a node that the store silently turns away and that queries peers only when a call fails.
-  t.test(
-    `a change is in force ${limitMs} ms after it at a node that the store never answers`,
-    async (t2) => {
-      const late: number[] = [];
-      for (let changeAtMs = 10_000; changeAtMs < 14_000; changeAtMs += 50) {
-        const value = await simulateFollowing({
-          timing,
-          outage: { startMs: 9_000, endMs: Number.POSITIVE_INFINITY },
-          changeAtMs,
-          readAtMs: changeAtMs + limitMs,
-          arePeersCurrent: true,
-        });
-        if (value !== 'v2') late.push(changeAtMs);
-      }
-      t2.strictSame(late, []);
-    },
-  );
+  t.test(`limit ${limitMs} ms: a peer supplies a configuration while calls hang`, async (t2) => {
+    const late: number[] = [];
+    for (let changeAtMs = 10_000; changeAtMs < 14_000; changeAtMs += 50) {
+      const value = await simulateFollowing({
+        timing,
+        peerFallback: createOverdueFallback(timing),
+        outage: { startMs: 9_000, endMs: Number.POSITIVE_INFINITY },
+        changeAtMs,
+        readAtMs: changeAtMs + limitMs,
+        arePeersCurrent: true,
+      });
+      if (value !== 'v2') late.push(changeAtMs);
+    }
+    t2.strictSame(late, []);
+  });
 }
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -140,6 +140,8 @@
   readonly shutdownGraceMs: number;
   /** Time within which an acknowledged configuration has to be in force on every node. */
   readonly configurationLimitMs: number;
+  /** Time after which no request may reach an endpoint that announced its leaving. */
+  readonly endpointLeaveLimitMs: number;
   /** Time after a disturbance of a node or the store from which the other limits hold again. */
   readonly contactLimitMs: number;
   /** Time within which new weights have to be in use everywhere. */
--- a/packages/mirror/src/mirror.test.ts
+++ b/packages/mirror/src/mirror.test.ts
@@ -13,7 +13,7 @@
   getLongPollMs: () => 1,
   answerTimeoutMs: 1,
   getPollIntervalMs: () => 0,
-  retryDelayMs: 0,
+  retryDelayMs: 1,
   peerFallback: { type: 'after_failure' as const, minAgeMs: 0 },
   getMaxRelayedAgeMs: () => 0,
 };
--- a/packages/mirror/src/mirrorFollower.ts
+++ b/packages/mirror/src/mirrorFollower.ts
@@ -82,6 +82,9 @@
 
   private needsFullRead = true;
 
+  /** Whether a call to the store has failed since peers were last queried. */
+  private hasFailedCall = false;
+
   private constructor(private readonly dependencies: MirrorFollowerDependencies) {}
 
   static create(parts: MirrorFollowerDependencies): MirrorFollower {
@@ -98,7 +101,7 @@
 
   /** Runs until `stop` is called. It never throws. */
   async run(): Promise<void> {
-    await Promise.all([this.followStore(), this.watchCopyAge()]);
+    await Promise.all([this.followStore(), this.followPeers()]);
   }
 
   private async followStore(): Promise<void> {
@@ -112,15 +115,26 @@
     }
   }
 
-  /** Queries peers while the copy is overdue, independently of the calls to the store. */
-  private async watchCopyAge(): Promise<void> {
-    const { clock, mirror, options, wait = waitForTimer } = this.dependencies;
-    const { peerFallback, retryDelayMs } = options;
-    if (peerFallback.type !== 'when_overdue') return;
+  /** Reads from peers without holding back the calls to the store. */
+  private async followPeers(): Promise<void> {
+    const { options, wait = waitForTimer } = this.dependencies;
     while (!this.isStopped) {
-      await wait(retryDelayMs);
-      const ageMs = mirror.getAgeMs(clock.nowMs());
-      if (ageMs >= peerFallback.getOverdueAgeMs()) await this.readFromPeers();
+      await wait(options.retryDelayMs);
+      if (this.isPeerReadDue()) await this.readFromPeers();
+    }
+  }
+
+  private isPeerReadDue(): boolean {
+    const { clock, mirror, options } = this.dependencies;
+    const { peerFallback } = options;
+    const ageMs = mirror.getAgeMs(clock.nowMs());
+    switch (peerFallback.type) {
+      case 'when_overdue':
+        return ageMs >= peerFallback.getOverdueAgeMs();
+      case 'after_failure':
+        return this.hasFailedCall && ageMs >= peerFallback.minAgeMs;
+      default:
+        return peerFallback satisfies never;
     }
   }
 
@@ -150,11 +164,7 @@
       return this.followOnce();
     }
     this.recordStoreUnreachable(failure.reason);
-    const { peerFallback } = options;
-    const ageMs = mirror.getAgeMs(clock.nowMs());
-    if (peerFallback.type === 'after_failure' && ageMs >= peerFallback.minAgeMs) {
-      await this.readFromPeers();
-    }
+    this.hasFailedCall = true;
     return false;
   }
 
@@ -188,6 +198,7 @@
 
   private async readFromPeers(): Promise<void> {
     const { mirror, peers, clock, onEvent } = this.dependencies;
+    this.hasFailedCall = false;
     const result = await peers.readChanges(mirror.table, mirror.version);
     if (result.type === 'failure') return;
     const previousVersion = mirror.version;
