End the rejection of an endpoint whose body never ends

What callers saw: a request that a faulty endpoint rejected with a body without end got that body, up to its time limit, though it had not run and another endpoint was free. Cause: an attempt buffers a body up to 1 MiB and then forwards it, whatever the status, and a rejection was only handled when its body ended. Change: the body of a rejection is dropped, and read no longer than 64 KiB and 200 ms for the sake of the connection.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -8,7 +8,11 @@
   type ExchangeFailure,
 } from '@lovagearch/exchange';
 import type { CallerResponse } from './callerResponse.js';
-import { MAX_BUFFERED_RESPONSE_BYTES } from './constants.js';
+import {
+  MAX_BUFFERED_RESPONSE_BYTES,
+  MAX_REJECTION_BODY_BYTES,
+  REJECTION_BODY_TIMEOUT_MS,
+} from './constants.js';
 import type { ResponseHead, HeaderCodec } from './types.js';
 
 /** Outcome of one attempt at an endpoint. */
@@ -80,6 +84,8 @@
 
   private stallTimer: NodeJS.Timeout | undefined;
 
+  private rejectionTimer: NodeJS.Timeout | undefined;
+
   private resolve: (outcome: AttemptOutcome) => void = () => undefined;
 
   private constructor(
@@ -173,7 +179,12 @@
       return;
     }
     if (head.load !== undefined) endpoint.recordLoadReport(head.load, nowMs);
-    if (head.isNotRun || head.isMisdirected) return;
+    if (head.isNotRun || head.isMisdirected) {
+      // The connection can be reused if the body ends soon.
+      const endRejection = () => this.handleRejection(head);
+      this.rejectionTimer = setTimeout(endRejection, REJECTION_BODY_TIMEOUT_MS);
+      return;
+    }
     const isSuccess = status >= 200 && status < 300;
     if (isSuccess && (!head.hasOriginProof || head.requestId === undefined)) {
       this.finishBroken('successful response without proof of origin');
@@ -188,7 +199,9 @@
     if (this.isFinished || this.head === undefined) return;
     this.recordActivity(this.dependencies.clock.nowMs());
     const { framer } = this.input;
-    if (framer !== undefined && this.isStreaming(this.head)) this.handleEventChunk(framer, chunk);
+    if (this.head.isNotRun || this.head.isMisdirected) this.discardRejectionBody(this.head, chunk);
+    else if (framer !== undefined && this.isStreaming(this.head))
+      this.handleEventChunk(framer, chunk);
     else this.handleBodyChunk(chunk);
   }
 
@@ -213,6 +226,11 @@
     }
   }
 
+  private discardRejectionBody(head: ResponseHead, chunk: Buffer): void {
+    this.bufferedBytes += chunk.length;
+    if (this.bufferedBytes > MAX_REJECTION_BODY_BYTES) this.handleRejection(head);
+  }
+
   private handleBodyChunk(chunk: Buffer): void {
     this.markFirstByte();
     if (this.bufferedBytes < 0) {
@@ -324,6 +342,7 @@
     if (this.isFinished) return;
     this.isFinished = true;
     clearTimeout(this.stallTimer);
+    clearTimeout(this.rejectionTimer);
     const { endpoint, framer } = this.input;
     endpoint.recordCompletion(this.sentRequest, endpointOutcome, this.dependencies.clock.nowMs());
     // An incomplete event must not be joined with the first event of the next attempt.
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -27,6 +27,10 @@
 export const CALL_STALL_FACTOR = 2.5;
 /** Size up to which a response is buffered until it is complete; a larger one is streamed. */
 export const MAX_BUFFERED_RESPONSE_BYTES = 1_048_576;
+/** Size up to which the body of a rejection is read, so that its connection can be reused. */
+export const MAX_REJECTION_BODY_BYTES = 65_536;
+/** Time up to which the body of a rejection is read, in milliseconds. */
+export const REJECTION_BODY_TIMEOUT_MS = 200;
 /** Unsent bytes for a slow caller at which reading from the endpoint pauses (backpressure). */
 export const MAX_UNSENT_BYTES = 131_072;
 /** Fraction of the memory limit that the bodies of waiting requests may use. */
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -325,6 +325,35 @@
     t3.ok(headers['retry-after']);
   });
 
+  // Guards against bytes without end from a faulty endpoint, which reached the caller until the time limit.
+  await t2.test('a rejection whose body never ends is not forwarded', async (t3) => {
+    const writeWithoutEnd = (response: ServerResponse, isFast: boolean) => {
+      if (response.destroyed) return;
+      const bytes = isFast ? Buffer.alloc(65_536, 'x') : Buffer.from('x');
+      response.write(bytes, () => setImmediate(() => writeWithoutEnd(response, isFast)));
+    };
+    for (const isFast of [true, false]) {
+      let requestCount = 0;
+      const handle: FakeEndpoint['handle'] = (incoming, response) => {
+        requestCount += 1;
+        if (requestCount === 1) {
+          response.writeHead(503, { 'x-not-run': '1' });
+          writeWithoutEnd(response, isFast);
+          return;
+        }
+        const headers = {
+          [SEAL_HEADER]: '1',
+          [REQUEST_ID_HEADER]: String(incoming.headers[REQUEST_ID_HEADER]),
+        };
+        response.writeHead(200, headers).end('whole');
+      };
+      for (const endpoint of endpoints) endpoint.handle = handle;
+      const { status, text } = await send(gateway, '/claim/x', `c5-${isFast}`, 'pay');
+      t3.equal(status, 200);
+      t3.equal(text, 'whole');
+    }
+  });
+
   await t2.test(
     'a broken stream is resumed at another endpoint after its last complete event',
     async (t3) => {
