--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -75,6 +75,8 @@
 export const LOG_FLUSH_INTERVAL_MS = 250;
 /** Timeout of a call to a peer, in milliseconds. */
 export const PEER_TIMEOUT_MS = 500;
+/** Maximum size of a peer's response, in bytes, as a faulty process may send bytes without end. */
+export const MAX_PEER_RESPONSE_BYTES = 8_388_608;
 /** Number of peers that are queried at once while the store is unavailable. */
 export const PEERS_PER_READ = 3;
 /** Age beyond which a node no longer serves its copy of a table to peers, in milliseconds. */
--- a/packages/gateway/src/peerExchange.ts
+++ b/packages/gateway/src/peerExchange.ts
@@ -5,7 +5,12 @@
 import type { StoreIndex, StoreIndexUpdate } from '@lovagearch/reuse';
 import { Agent, request } from 'undici';
 import * as z from 'zod';
-import { MAX_PEER_COPY_AGE_MS, PEER_TIMEOUT_MS, PEERS_PER_READ } from './constants.js';
+import {
+  MAX_PEER_COPY_AGE_MS,
+  MAX_PEER_RESPONSE_BYTES,
+  PEER_TIMEOUT_MS,
+  PEERS_PER_READ,
+} from './constants.js';
 
 const batchSchema = z.object({
   rows: z.array(
@@ -19,6 +24,13 @@
 });
 const batchesSchema = z.array(z.tuple([z.string(), batchSchema]));
 
+const createPeerAgent = (): Agent =>
+  new Agent({
+    connect: { timeout: PEER_TIMEOUT_MS },
+    keepAliveTimeout: 5_000,
+    maxResponseSize: MAX_PEER_RESPONSE_BYTES,
+  });
+
 /** How far a node knows the events of a cache store VM; `ADDRESS/EPOCH/SINCE` in a query string. */
 export interface CacheStoreCursor {
   readonly address: string;
@@ -68,7 +80,7 @@
 export const createCacheStoreRelaySource = (
   findPeerAddress: (peer: string) => string | undefined,
 ): CacheStoreRelaySource => {
-  const agent = new Agent({ connect: { timeout: PEER_TIMEOUT_MS }, keepAliveTimeout: 5_000 });
+  const agent = createPeerAgent();
   return async (peer, cursors) => {
     const address = findPeerAddress(peer);
     if (address === undefined) return new Map();
@@ -129,7 +141,7 @@
 
 /** Creates the source that asks one peer, given by its host and port. */
 export const createTableRelaySource = (): TableRelaySource => {
-  const agent = new Agent({ connect: { timeout: PEER_TIMEOUT_MS }, keepAliveTimeout: 5_000 });
+  const agent = createPeerAgent();
   return async (peer, cursors) => {
     const known = cursors.map(({ table, version }) => `${table}/${version}`).join(',');
     try {
