Derive the maximum age of relayed tables from the limits of a change

Cause: the same as for the store's calls: a node of a deployment with more than 16 nodes left its copies to two readers for 3 s and checked their age every 0.7 s, whatever the deployment's limit. Change: that age leaves room for the check and one read within the shortest limit; at the limits of the grown deployments (4 s) it stays 3 s.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -95,8 +95,8 @@
  */
 export const MAX_READER_COPY_AGE_MS = 1_900;
 /**
- * Age of a relayed copy from which a node reads the store itself, in milliseconds: the maximum age of a
- * reader's copy plus the time of about two relay intervals.
+ * Maximum age of a relayed copy from which a node reads the store itself, in milliseconds: the maximum age
+ * of a reader's copy plus the time of about two relay intervals.
  */
 export const MAX_RELAYED_COPY_AGE_MS = 3_000;
 /** Number of nodes per watcher of the cache stores; a watcher makes two calls per second to each store. */
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -42,6 +42,7 @@
 import { StrikePublisher } from './strikePublisher.js';
 import { TableRelay } from './tableRelay.js';
 import {
+  computeMaxRelayedAgeMs,
   computeOverdueAgeMs,
   createEndpointTableTiming,
   createOperatorTableTiming,
@@ -106,6 +107,7 @@
     zone: settings.zone,
     clusterState,
     mirrors: [operatorMirror, endpointMirror, sharedMirror],
+    maxCopyAgeMs: computeMaxRelayedAgeMs(settings.bounds),
     relay: tableRelaySource,
     random,
     clock,
--- a/packages/gateway/src/tableFollowing.test.ts
+++ b/packages/gateway/src/tableFollowing.test.ts
@@ -7,8 +7,9 @@
   type ReadResult,
   TableMirror,
 } from '@lovagearch/mirror';
-import { PEER_TIMEOUT_MS } from './constants.js';
+import { PEER_TIMEOUT_MS, TABLE_RELAY_INTERVAL_MS } from './constants.js';
 import {
+  computeMaxRelayedAgeMs,
   computeOverdueAgeMs,
   createEndpointTableTiming,
   createOperatorTableTiming,
@@ -25,6 +26,7 @@
 /** Time between a node and the store, both ways, in milliseconds. */
 const ROUND_TRIP_MS = 20;
 const KEY = 'config';
+const AFTER_FAILURE: PeerFallback = { type: 'after_failure', minAgeMs: 0 };
 const UNAVAILABLE: ReadResult = {
   type: 'failure',
   failure: { type: 'unavailable', reason: 'timeout' },
@@ -136,6 +138,41 @@
   return value;
 };
 
+// Guards against readers that fail for good and leave the nodes of their zone with an old configuration.
+t.test('a node whose relay fails reads the store within the limit of a change', async (t2) => {
+  for (const limits of DEPLOYMENTS) {
+    const time = SimulatedTime.create();
+    const mirror = TableMirror.create('op');
+    const maxRelayedAgeMs = computeMaxRelayedAgeMs(limits);
+    // The last copy that was relayed is complete up to the moment of the change.
+    const changeAtMs = 1;
+    mirror.applyBatch({ rows: [], version: 1, isPartial: false, ageMs: 0 }, 0);
+    const follower = MirrorFollower.create({
+      mirror,
+      source: SimulatedStore.create(time, { startMs: -1, endMs: -1 }, changeAtMs),
+      peers: { readChanges: async () => UNAVAILABLE },
+      clock: time,
+      options: {
+        answerTimeoutMs: 500,
+        retryDelayMs: 250,
+        peerFallback: AFTER_FAILURE,
+        getLongPollMs: () => 500,
+        getPollIntervalMs: () => TABLE_RELAY_INTERVAL_MS,
+        getMaxRelayedAgeMs: () => maxRelayedAgeMs,
+      },
+      onEvent: () => undefined,
+      wait: time.wait,
+    });
+    const running = follower.run();
+    const limitMs = Math.min(...Object.values(limits));
+    await time.runUntil(changeAtMs + limitMs);
+    t2.equal(mirror.getRow(KEY)?.value, 'v2', `limit ${limitMs} ms`);
+    follower.stop();
+    await time.runUntil(20_000);
+    await running;
+  }
+});
+
 interface TableCase {
   readonly table: string;
   readonly timing: TableTiming;
@@ -163,7 +200,6 @@
   ];
 };
 
-const AFTER_FAILURE: PeerFallback = { type: 'after_failure', minAgeMs: 0 };
 const createOverdueFallback = (timing: TableTiming): PeerFallback => ({
   type: 'when_overdue',
   getOverdueAgeMs: () => computeOverdueAgeMs(timing),
--- a/packages/gateway/src/tableRelay.test.ts
+++ b/packages/gateway/src/tableRelay.test.ts
@@ -39,6 +39,7 @@
         findPeer: (name: string) => peers.get(name),
       } as unknown as ClusterState,
       mirrors: [mirror],
+      maxCopyAgeMs: 3_000,
       relay: async (peer) => {
         asked.push(peer);
         if (asked.length === 4) relay.stop();
@@ -56,6 +57,6 @@
     test.match(reasons[1], /60000 ms old/);
     test.equal(asked[2], asked[3], 'a working reader is kept');
     test.equal(mirror.getAgeMs(clock.nowMs()), 10);
-    test.ok(relay.maxRelayedAgeMs > 0);
+    test.equal(relay.maxRelayedAgeMs, 3_000);
   },
 );
--- a/packages/gateway/src/tableRelay.ts
+++ b/packages/gateway/src/tableRelay.ts
@@ -5,7 +5,6 @@
 import {
   READERS_PER_ZONE,
   MAX_READER_COPY_AGE_MS,
-  MAX_RELAYED_COPY_AGE_MS,
   TABLE_RELAY_INTERVAL_MS,
   MAX_FULL_RATE_NODES,
 } from './constants.js';
@@ -20,6 +19,8 @@
   readonly zone: string;
   readonly clusterState: ClusterState;
   readonly mirrors: readonly TableMirror[];
+  /** Age of the copies from which the node reads the store itself, in milliseconds. */
+  readonly maxCopyAgeMs: number;
   readonly relay: TableRelaySource;
   readonly random: () => number;
   readonly clock: Clock;
@@ -64,7 +65,7 @@
 
   /** Age up to which this node's copies are left to the relay; 0 if the node reads the store itself. */
   get maxRelayedAgeMs(): number {
-    return this.readers.length === 0 || this.isReader ? 0 : MAX_RELAYED_COPY_AGE_MS;
+    return this.readers.length === 0 || this.isReader ? 0 : this.dependencies.maxCopyAgeMs;
   }
 
   stop(): void {
--- a/packages/gateway/src/tableTiming.ts
+++ b/packages/gateway/src/tableTiming.ts
@@ -1,3 +1,4 @@
+import { MAX_RELAYED_COPY_AGE_MS, TABLE_RELAY_INTERVAL_MS } from './constants.js';
 import type { GatewaySettings } from './types.js';
 
 /** How a node follows a table of the store; see `MirrorFollowerOptions`. All times are in milliseconds. */
@@ -66,3 +67,17 @@
 /** Returns the age that only the copy of a node whose calls aren't answered reaches, in milliseconds. */
 export const computeOverdueAgeMs = ({ longPollMs, pollIntervalMs }: TableTiming): number =>
   longPollMs + pollIntervalMs + OVERDUE_MARGIN_MS;
+
+/**
+ * Returns the age from which a node whose copies are relayed reads the store itself, in milliseconds. It
+ * checks the age once per relay interval, and the read has to end within the time limit of a change.
+ */
+export const computeMaxRelayedAgeMs = (limits: TableLimits): number => {
+  const limitMs = Math.min(
+    limits.configurationLimitMs,
+    limits.endpointLeaveLimitMs,
+    limits.contactLimitMs,
+  );
+  const lastCheckMs = limitMs - TABLE_RELAY_INTERVAL_MS - OVERDUE_MARGIN_MS;
+  return Math.max(1, Math.min(MAX_RELAYED_COPY_AGE_MS, lastCheckMs));
+};
