Treat a failure response without end as broken

What callers saw: a request to a faulty endpoint got its failure response without end, up to the request's time limit, though the request may be repeated and another endpoint was free. Cause: a body beyond 1 MiB is forwarded as it arrives, whatever the status. Change: a response with a status from 500 on that exceeds 1 MiB counts as broken, so that the request is retried or fails with 502.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -240,6 +240,10 @@
     this.bufferedChunks.push(chunk);
     this.bufferedBytes += chunk.length;
     if (this.bufferedBytes <= MAX_BUFFERED_RESPONSE_BYTES) return;
+    if (this.head !== undefined && this.head.status >= 500) {
+      this.finishBroken(`failure response exceeds ${MAX_BUFFERED_RESPONSE_BYTES} bytes`);
+      return;
+    }
     const bytes = Buffer.concat(this.bufferedChunks);
     this.bufferedChunks = [];
     this.bufferedBytes = -1;
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -326,33 +326,50 @@
   });
 
   // Guards against bytes without end from a faulty endpoint, which reached the caller until the time limit.
-  await t2.test('a rejection whose body never ends is not forwarded', async (t3) => {
-    const writeWithoutEnd = (response: ServerResponse, isFast: boolean) => {
-      if (response.destroyed) return;
-      const bytes = isFast ? Buffer.alloc(65_536, 'x') : Buffer.from('x');
-      response.write(bytes, () => setImmediate(() => writeWithoutEnd(response, isFast)));
-    };
-    for (const isFast of [true, false]) {
+  for (const { name, status, headers, path, isFast } of [
+    {
+      name: 'rejection',
+      status: 503,
+      headers: { 'x-not-run': '1' },
+      path: '/claim/x',
+      isFast: true,
+    },
+    {
+      name: 'slow rejection',
+      status: 503,
+      headers: { 'x-not-run': '1' },
+      path: '/claim/x',
+      isFast: false,
+    },
+    { name: 'failure', status: 500, headers: {}, path: '/read/x', isFast: true },
+  ]) {
+    await t2.test(`a ${name} whose body never ends is not forwarded`, async (t3) => {
+      const writeWithoutEnd = (response: ServerResponse) => {
+        if (response.destroyed) return;
+        const bytes = isFast ? Buffer.alloc(65_536, 'x') : Buffer.from('x');
+        response.write(bytes, () => setImmediate(() => writeWithoutEnd(response)));
+      };
       let requestCount = 0;
       const handle: FakeEndpoint['handle'] = (incoming, response) => {
         requestCount += 1;
-        if (requestCount === 1) {
-          response.writeHead(503, { 'x-not-run': '1' });
-          writeWithoutEnd(response, isFast);
-          return;
-        }
-        const headers = {
+        const answerHeaders = {
           [SEAL_HEADER]: '1',
           [REQUEST_ID_HEADER]: String(incoming.headers[REQUEST_ID_HEADER]),
         };
-        response.writeHead(200, headers).end('whole');
+        if (requestCount > 1) {
+          response.writeHead(200, answerHeaders).end('whole');
+          return;
+        }
+        response.writeHead(status, { ...answerHeaders, ...headers });
+        writeWithoutEnd(response);
       };
       for (const endpoint of endpoints) endpoint.handle = handle;
-      const { status, text } = await send(gateway, '/claim/x', `c5-${isFast}`, 'pay');
-      t3.equal(status, 200);
-      t3.equal(text, 'whole');
-    }
-  });
+      const body = path === '/claim/x' ? 'pay' : undefined;
+      const answer = await send(gateway, path, name.replace(' ', '-'), body);
+      t3.equal(answer.status, 200);
+      t3.equal(answer.text, 'whole');
+    });
+  }
 
   await t2.test(
     'a broken stream is resumed at another endpoint after its last complete event',
