Break off responses whose framing never ends

Cause: the HTTP client limits headers and trailers only and skips the rest. Change: a connection fails its exchange when the socket has received 1 MiB more than the body and 8 bytes for each of its bytes account for.

--- a/packages/exchange/src/constants.ts
+++ b/packages/exchange/src/constants.ts
@@ -15,3 +15,7 @@
 export const MAX_RESPONSE_HEADER_BYTES = 32_768;
 /** Maximum size of a server-sent event, in bytes; the largest that users describe have 330 bytes. */
 export const MAX_EVENT_BYTES = 262_144;
+/** Bytes of a response beside its body that are accepted in any case, read buffers included. */
+export const MAX_FRAMING_BYTES = 1_048_576;
+/** Further bytes of framing for each byte of the body; a chunk of one byte has five. */
+export const MAX_FRAMING_BYTES_PER_BODY_BYTE = 8;
--- a/packages/exchange/src/endpointConnection.ts
+++ b/packages/exchange/src/endpointConnection.ts
@@ -4,6 +4,8 @@
   CONNECT_TIMEOUT_MS,
   DEFAULT_KEEP_ALIVE_MS,
   KEEP_ALIVE_MARGIN_MS,
+  MAX_FRAMING_BYTES,
+  MAX_FRAMING_BYTES_PER_BODY_BYTE,
   MAX_RESPONSE_HEADER_BYTES,
   MAX_KEEP_ALIVE_MS,
   TCP_KEEP_ALIVE_DELAY_MS,
@@ -23,6 +25,14 @@
   /** Whether an exchange is in progress. */
   private isBusy = false;
 
+  /** Bytes that the socket had received at the start of the current exchange. */
+  private receivedBeforeBytes = 0;
+
+  /** Body bytes of the current exchange. */
+  private bodyBytes = 0;
+
+  private failExchange: ((error: Error) => void) | undefined;
+
   private readonly client: Client;
 
   private constructor(
@@ -89,6 +99,9 @@
       listener.onFailure({ type, reason: error.message });
       this.close();
     };
+    this.receivedBeforeBytes = this.socket?.bytesRead ?? 0;
+    this.bodyBytes = 0;
+    this.failExchange = fail;
     const handler: Dispatcher.DispatchHandler = {
       onRequestStart: (startController) => {
         controller = startController;
@@ -101,6 +114,7 @@
         if (!isSettled && status >= 200) listener.onHeaders(status, headers);
       },
       onResponseData: (_controller, chunk) => {
+        this.bodyBytes += chunk.length;
         if (!isSettled) listener.onData(chunk);
       },
       onResponseEnd: () => {
@@ -145,6 +159,17 @@
     };
   }
 
+  /**
+   * Fails an exchange whose response consists of framing without end, such as a status line or chunk
+   * extensions. The HTTP client limits only headers and skips the rest.
+   */
+  private checkFraming(socket: Socket): void {
+    const receivedBytes = socket.bytesRead - this.receivedBeforeBytes;
+    const limitBytes = MAX_FRAMING_BYTES + this.bodyBytes * (1 + MAX_FRAMING_BYTES_PER_BODY_BYTE);
+    if (receivedBytes <= limitBytes) return;
+    this.failExchange?.(new Error(`response framing exceeds ${MAX_FRAMING_BYTES} bytes`));
+  }
+
   private openSocket(
     host: string,
     port: number,
@@ -178,6 +203,7 @@
       if (socket.remotePort === undefined) this.hasSocketFailed = true;
     });
     socket.once('close', () => settle(new Error('connection closed while connecting'), null));
+    socket.on('readable', () => this.checkFraming(socket));
     socket.once('connect', () => settle(null, socket));
   }
 }
--- a/packages/exchange/src/exchange.test.ts
+++ b/packages/exchange/src/exchange.test.ts
@@ -145,6 +145,31 @@
   server.close();
 });
 
+// Guards against a faulty endpoint that keeps a node busy with bytes without end until the time limit.
+for (const [name, start, rest] of [
+  ['not a response', '', 'x'],
+  ['status line', 'HTTP/1.1 200 ', 'x'],
+  ['header', 'HTTP/1.1 200 OK\r\nx: ', 'x'],
+  ['informational responses', '', 'HTTP/1.1 102 Processing\r\n\r\n'],
+  ['chunk extension', 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;', 'x'],
+  ['trailers', 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n', 'a: b\r\n'],
+] as const) {
+  t.test(`a response that never ends is broken off: ${name}`, async (t2) => {
+    const { server, port } = await startRawServer((socket) => {
+      const bytes = Buffer.from(rest.repeat(4_096));
+      const writeWithoutEnd = () => {
+        if (!socket.destroyed) socket.write(bytes, () => setImmediate(writeWithoutEnd));
+      };
+      if (start !== '') socket.write(start);
+      writeWithoutEnd();
+    });
+    const pool = ConnectionPool.create();
+    t2.equal(await sendOnce(pool, port), 'broken');
+    pool.closeAll();
+    server.close();
+  });
+}
+
 t.test('a response without length whose connection ends regularly is complete', async (t2) => {
   const { server, port } = await startRawServer((socket) => {
     socket.end('HTTP/1.1 200 OK\r\n\r\nwhole');
