--- a/packages/gateway/src/clusterState.ts
+++ b/packages/gateway/src/clusterState.ts
@@ -121,7 +121,7 @@
    * Whether the store has recovered so recently that its table may lack endpoints that are alive: their
    * entries expired during the outage and were not renewed yet.
    */
-  mayLackEndpoints(): boolean {
+  isAwaitingRegistrations(): boolean {
     return this.clock.nowMs() - this.storeRecoveredAtMs < EXPIRY_WINDOW_MS;
   }
 
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -42,8 +42,9 @@
  * milliseconds.
  */
 export const OLD_WEIGHTS_CUTOFF_MARGIN_MS = 1_500;
-/** Age of an endpoint or shared table's copy from which peers are queried after a failed call, in milliseconds. */
+/** Age of the endpoints' copy from which peers are queried after a failed call, in milliseconds. */
 export const ENDPOINT_TABLE_FALLBACK_AGE_MS = 1_500;
+/** The same age for the shared table. */
 export const SHARED_TABLE_FALLBACK_AGE_MS = 2_000;
 /** Time to re-register for endpoints whose entry expired during an outage of the store, in milliseconds. */
 export const EXPIRY_GRACE_MS = 2_200;
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -268,7 +268,7 @@
       [operatorMirror, endpointMirror, sharedMirror],
       clock,
       // A peer without contact to the store would remove endpoints that this node still waits for.
-      (table) => table !== endpointMirror.table || !clusterState.mayLackEndpoints(),
+      (table) => table !== endpointMirror.table || !clusterState.isAwaitingRegistrations(),
       (address) => cacheStoreWatcher.findIndex(address),
       suspensionClock,
     ),
--- a/packages/mirror/src/mirrorFollower.ts
+++ b/packages/mirror/src/mirrorFollower.ts
@@ -82,7 +82,7 @@
 
   private needsFullRead = true;
 
-  /** Whether a call to the store has failed since peers were last queried. */
+  /** Whether a call to the store has failed since the last that succeeded or since peers were queried. */
   private hasFailedCall = false;
 
   private constructor(private readonly dependencies: MirrorFollowerDependencies) {}
@@ -173,6 +173,7 @@
     const nowMs = clock.nowMs();
     const { unreachableSinceMs } = this;
     this.needsFullRead = false;
+    this.hasFailedCall = false;
     this.unreachableSinceMs = undefined;
     // Listeners have to know that the store has recovered before they see which rows were removed.
     if (unreachableSinceMs !== undefined) {
