--- a/packages/gateway/src/tableTiming.ts
+++ b/packages/gateway/src/tableTiming.ts
@@ -27,15 +27,40 @@
 /** Age beyond its usual maximum from which a copy counts as overdue, in milliseconds. */
 const OVERDUE_MARGIN_MS = 300;
 
+/** How often a table is read, apart from the limits of the deployment. All times are in milliseconds. */
+interface ReadPace {
+  readonly maxLongPollMs: number;
+  readonly pollIntervalMs: number;
+  readonly retryDelayMs: number;
+}
+
+/** Configuration changes are rare and urgent: a long poll with hardly a pause between two calls. */
+const OPERATOR_TABLE_PACE: ReadPace = {
+  maxLongPollMs: 2_000,
+  pollIntervalMs: 100,
+  retryDelayMs: 250,
+};
+
+/** Heartbeats change this table all the time and each call is billed, so changes are read in batches. */
+const ENDPOINT_TABLE_PACE: ReadPace = {
+  maxLongPollMs: 1_500,
+  pollIntervalMs: 700,
+  retryDelayMs: 250,
+};
+
+const SHARED_TABLE_PACE: ReadPace = {
+  maxLongPollMs: 3_000,
+  pollIntervalMs: 300,
+  retryDelayMs: 400,
+};
+
 /**
  * Creates a timing in which long poll and timeout together end well within a change's time limit, because a
- * node can't tell a dropped call from one that waits for a change.
+ * node can't distinguish a dropped call from one that waits for a change.
  */
 const createTiming = (
   limitMs: number,
-  maxLongPollMs: number,
-  pollIntervalMs: number,
-  retryDelayMs: number,
+  { maxLongPollMs, pollIntervalMs, retryDelayMs }: ReadPace,
 ): TableTiming => {
   const callLimitMs = limitMs * DROPPED_CALL_SHARE;
   const answerTimeoutMs = Math.floor(Math.min(MAX_ANSWER_TIMEOUT_MS, callLimitMs / 2));
@@ -44,25 +69,21 @@
 };
 
 /**
- * Returns the timing of the operator's table. Its changes are rare and urgent: a long poll with hardly a
- * pause between two calls.
+ * Returns the timing of the operator's table.
  *
  * @example
  * createOperatorTableTiming(settings.bounds).longPollMs;
  */
 export const createOperatorTableTiming = (limits: TableLimits): TableTiming =>
-  createTiming(Math.min(limits.configurationLimitMs, limits.contactLimitMs), 2_000, 100, 250);
+  createTiming(Math.min(limits.configurationLimitMs, limits.contactLimitMs), OPERATOR_TABLE_PACE);
 
-/**
- * Returns the timing of the endpoints' registrations. Heartbeats change this table all the time and each
- * call is billed, so changes are read in batches.
- */
+/** Returns the timing of the endpoints' registrations. */
 export const createEndpointTableTiming = (limits: TableLimits): TableTiming =>
-  createTiming(Math.min(limits.endpointLeaveLimitMs, limits.contactLimitMs), 1_500, 700, 250);
+  createTiming(Math.min(limits.endpointLeaveLimitMs, limits.contactLimitMs), ENDPOINT_TABLE_PACE);
 
 /** Returns the timing of the table that the nodes share. */
 export const createSharedTableTiming = ({ contactLimitMs }: TableLimits): TableTiming =>
-  createTiming(contactLimitMs, 3_000, 300, 400);
+  createTiming(contactLimitMs, SHARED_TABLE_PACE);
 
 /** Returns the age that only the copy of a node whose calls aren't answered reaches, in milliseconds. */
 export const computeOverdueAgeMs = ({ longPollMs, pollIntervalMs }: TableTiming): number =>
