Log the prompt parts and counted crashes of a broken attempt

Cause: the logs of the incident show which requests an endpoint broke off, but not what these requests have in common, whether the answer had begun, nor which crashes were counted against which request. They could not tell a request that is counted from one that is not. Change: attempt_failed names the shared prompt parts (ids only) and whether there was output; crash_counted is written for each new crash of a request. Result: the tests of the gateway pass; no decision changes.

--- a/packages/gateway/src/attemptFeedback.ts
+++ b/packages/gateway/src/attemptFeedback.ts
@@ -30,13 +30,21 @@
 
 /** Records that an endpoint may have crashed because of a request, and publishes this to peers. */
 export const recordStrike = (
-  { clusterState, strikePublisher, clock }: GatewayContext,
+  { clusterState, strikePublisher, clock, log }: GatewayContext,
   { head, account, body }: RoutedRequest,
   { endpoint }: ChosenEndpoint,
 ): void => {
   const fingerprint = computeFingerprint(account?.name ?? '', head.path, body);
   const strike = { fingerprint, endpointStart: getEndpointStartKey(endpoint) };
-  if (clusterState.strikes.recordCrash(strike, clock.nowMs())) strikePublisher.addStrike(strike);
+  const nowMs = clock.nowMs();
+  if (!clusterState.strikes.recordCrash(strike, nowMs)) return;
+  strikePublisher.addStrike(strike);
+  log.logProblem('crash_counted', {
+    request: head.requestId,
+    fingerprint,
+    endpointStart: strike.endpointStart,
+    crashes: clusterState.strikes.countCrashes(fingerprint, nowMs),
+  });
 };
 
 /**
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -334,6 +334,7 @@
         sends: this.sendCount,
         runs: this.possibleRunCount,
         elapsedMs: this.getElapsedMs(),
+        hasOutput: this.attempt?.hasOutput ?? false,
       });
     }
     switch (step.type) {
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -56,8 +56,17 @@
   readonly sends: number;
   readonly runs: number;
   readonly elapsedMs: number;
+  /** Whether the endpoint had sent a part of the response body. */
+  readonly hasOutput: boolean;
 }
 
+/** Parts named in one log line; prompts of the deployments have up to four. */
+const MAX_LOGGED_PARTS = 8;
+
+/** Lists the ids of the shared prompt parts; the last part belongs to the request itself. */
+const listSharedPartIds = ({ promptParts }: RequestHead): string[] =>
+  promptParts.slice(0, Math.min(MAX_LOGGED_PARTS, promptParts.length - 1)).map(({ id }) => id);
+
 /** Logs an attempt without a usable response and the next step. */
 export const logAttemptFailed = (
   { log }: GatewayContext,
@@ -65,7 +74,7 @@
   { endpoint }: ChosenEndpoint,
   outcome: AttemptOutcome,
   next: NextStep,
-  { sends, runs, elapsedMs }: RequestProgress,
+  { sends, runs, elapsedMs, hasOutput }: RequestProgress,
 ): void => {
   log.logProblem('attempt_failed', {
     request: head.requestId,
@@ -78,5 +87,8 @@
     sends,
     runs,
     elapsedMs: Math.round(elapsedMs),
+    hasOutput,
+    // Tells what the requests that one endpoint broke off have in common.
+    sharedParts: listSharedPartIds(head),
   });
 };
