Quarantine prompt parts that crash endpoints

Cause: a crash was attributed to a whole request, by account, path and body. Requests that share a crashing prompt part differ in all of that, so none was quarantined (class: the key under which failures are counted is finer than what causes them). Change: each crash is recorded with the shared parts of all requests that were in flight, and nodes exchange these records in the shared table. A part that was in flight in three crashes with three different requests is quarantined, unless a completed request, of any node, clears it. Crashes that one part explains count for no other. Heartbeats of the same start refute a crash. The check comes before each send, repeats included, and a restarted node reads its own row before it writes. This works since such a part never belongs to a completed request, and those that sound requests share do within seconds.

--- a/packages/containment/src/index.ts
+++ b/packages/containment/src/index.ts
@@ -4,7 +4,9 @@
  * endpoints from rotation itself.
  */
 export * from './constants.js';
+export type { PartQuarantine } from './findSuspectParts.js';
 export * from './containmentSnapshot.js';
 export * from './quarantineList.js';
 export * from './crashCounter.js';
+export * from './promptPartCrashes.js';
 export * from './types.js';
--- /dev/null
+++ b/packages/containment/src/promptPartCrashes.ts
@@ -0,0 +1,179 @@
+import { BoundedMap } from '@lovagearch/common';
+import {
+  findSuspectParts,
+  MAX_CRASHES_WITH_PART,
+  type PartQuarantine,
+} from './findSuspectParts.js';
+
+/**
+ * Time before a crash in which a completed request clears its parts, in milliseconds. A part that
+ * crashes endpoints is never part of a completed request.
+ */
+export const COMPLETION_CREDIT_MS = 30_000;
+/** Time for which a crash counts, in milliseconds. */
+export const PART_CRASH_RETENTION_MS = 600_000;
+/** Heartbeats after a presumed crash that prove that the endpoint is alive; two may be in transit. */
+const HEARTBEATS_OF_LIVE_ENDPOINT = 3;
+const MAX_TRACKED_CRASHES = 256;
+const MAX_REQUESTS_PER_CRASH = 64;
+const MAX_TRACKED_COMPLETIONS = 8_192;
+
+/** A request that an endpoint was running or had queued when it crashed. */
+export interface InterruptedRequest {
+  /** Equal for repeats of the same request. */
+  readonly fingerprint: string;
+  /** Ids of the prompt parts that other requests may have too. */
+  readonly partIds: readonly string[];
+}
+
+interface TrackedCrash {
+  readonly atMs: number;
+  readonly requests: Map<string, InterruptedRequest>;
+  /** Heartbeat of the endpoint that was read first after the crash. */
+  firstHeartbeat: number | undefined;
+  isRefuted: boolean;
+}
+
+/**
+ * Finds prompt parts that crash endpoints, from the crashes and completed requests that all nodes
+ * report.
+ *
+ * @example
+ * crashes.recordCrash('i-7f3a/171', { fingerprint, partIds: ['5c1e', '91bd'] }, clock.nowMs());
+ * if (crashes.findQuarantine(partIds, clock.nowMs()) !== undefined) refuse('request_quarantined');
+ */
+export class PromptPartCrashes {
+  private readonly crashes = BoundedMap.create<string, TrackedCrash>(MAX_TRACKED_CRASHES);
+
+  private readonly completedAtMs = BoundedMap.create<string, number>(MAX_TRACKED_COMPLETIONS);
+
+  /** Parts that a crash names, so that most completed requests need no new evaluation. */
+  private readonly namedParts = new Set<string>();
+
+  private quarantines: readonly PartQuarantine[] = [];
+
+  private isStale = false;
+
+  /** Clock reading at which the oldest crash expires. */
+  private nextExpiryMs = Number.POSITIVE_INFINITY;
+
+  static create(): PromptPartCrashes {
+    return new PromptPartCrashes();
+  }
+
+  /**
+   * Records that an endpoint crashed with a request in flight.
+   *
+   * @param endpointStart identifies one start of the endpoint's process
+   * @returns false if the request is no suspect or already known
+   */
+  recordCrash(endpointStart: string, request: InterruptedRequest, nowMs: number): boolean {
+    const known = this.crashes.peek(endpointStart);
+    const crash = known ?? {
+      atMs: nowMs,
+      requests: new Map<string, InterruptedRequest>(),
+      firstHeartbeat: undefined,
+      isRefuted: false,
+    };
+    const { requests } = crash;
+    if (requests.has(request.fingerprint) || requests.size >= MAX_REQUESTS_PER_CRASH) return false;
+    if (this.selectSuspects(request.partIds, crash.atMs).length === 0) return false;
+    requests.set(request.fingerprint, request);
+    if (known === undefined) this.crashes.set(endpointStart, crash);
+    for (const partId of request.partIds) this.namedParts.add(partId);
+    this.isStale = true;
+    return true;
+  }
+
+  /** Records that a request with these parts was completed at `atMs`, on this or another node. */
+  recordCompletion(partIds: readonly string[], atMs: number): void {
+    for (const partId of partIds) {
+      const known = this.completedAtMs.peek(partId) ?? Number.NEGATIVE_INFINITY;
+      this.completedAtMs.set(partId, Math.max(known, atMs));
+      if (this.namedParts.has(partId)) this.isStale = true;
+    }
+  }
+
+  /** Records a heartbeat, which refutes a crash of the same start: its connections were merely reset. */
+  recordHeartbeat(endpointStart: string, heartbeat: number): void {
+    const crash = this.crashes.peek(endpointStart);
+    if (crash === undefined || crash.isRefuted) return;
+    crash.firstHeartbeat ??= heartbeat;
+    if (heartbeat < crash.firstHeartbeat + HEARTBEATS_OF_LIVE_ENDPOINT) return;
+    crash.isRefuted = true;
+    this.isStale = true;
+  }
+
+  /** Returns the quarantine that applies to a request with these shared parts, if there is one. */
+  findQuarantine(partIds: readonly string[], nowMs: number): PartQuarantine | undefined {
+    return this.listQuarantines(nowMs).find((quarantine) =>
+      quarantine.partIds.every((partId) => partIds.includes(partId)),
+    );
+  }
+
+  listQuarantines(nowMs: number): readonly PartQuarantine[] {
+    if (this.isStale || nowMs >= this.nextExpiryMs) this.evaluate(nowMs);
+    return this.quarantines;
+  }
+
+  /** Returns the parts that no recently completed request clears. */
+  selectSuspects(partIds: readonly string[], crashAtMs: number): string[] {
+    return partIds.filter((partId) => !this.isCleared(partId, crashAtMs));
+  }
+
+  /**
+   * Lists the parts that are named by so many crashes that one more could quarantine them, although a
+   * completed request clears them of all these crashes; with the time of that request. Other nodes may
+   * not have seen it.
+   */
+  listClearedParts(): Map<string, number> {
+    const crashCounts = new Map<string, number>();
+    for (const { requests } of this.crashes.values()) {
+      const partIds = new Set([...requests.values()].flatMap((request) => request.partIds));
+      for (const partId of partIds) crashCounts.set(partId, (crashCounts.get(partId) ?? 0) + 1);
+    }
+    const cleared = new Map<string, number>();
+    for (const [partId, count] of crashCounts) {
+      const completedAtMs = this.completedAtMs.peek(partId);
+      if (count < MAX_CRASHES_WITH_PART - 1 || completedAtMs === undefined) continue;
+      if (this.isClearedOfAllCrashes(partId, completedAtMs)) cleared.set(partId, completedAtMs);
+    }
+    return cleared;
+  }
+
+  /** Whether a completion at `completedAtMs` clears a part of every crash that names it. */
+  isClearedOfAllCrashes(partId: string, completedAtMs: number): boolean {
+    for (const { atMs, requests } of this.crashes.values()) {
+      if (atMs < completedAtMs + COMPLETION_CREDIT_MS) continue;
+      for (const { partIds } of requests.values()) if (partIds.includes(partId)) return false;
+    }
+    return true;
+  }
+
+  private isCleared(partId: string, crashAtMs: number): boolean {
+    const completedAtMs = this.completedAtMs.peek(partId);
+    return completedAtMs !== undefined && crashAtMs < completedAtMs + COMPLETION_CREDIT_MS;
+  }
+
+  private evaluate(nowMs: number): void {
+    this.isStale = false;
+    this.nextExpiryMs = Number.POSITIVE_INFINITY;
+    this.namedParts.clear();
+    const evidence = [];
+    for (const [endpointStart, crash] of [...this.crashes]) {
+      if (nowMs - crash.atMs > PART_CRASH_RETENTION_MS) {
+        this.crashes.delete(endpointStart);
+        continue;
+      }
+      this.nextExpiryMs = Math.min(this.nextExpiryMs, crash.atMs + PART_CRASH_RETENTION_MS + 1);
+      const requests = [];
+      for (const { fingerprint, partIds } of crash.requests.values()) {
+        for (const partId of partIds) this.namedParts.add(partId);
+        const suspects = this.selectSuspects(partIds, crash.atMs);
+        if (suspects.length > 0) requests.push({ fingerprint, partIds: suspects });
+      }
+      if (!crash.isRefuted && requests.length > 0) evidence.push({ endpointStart, requests });
+    }
+    this.quarantines = findSuspectParts(evidence);
+  }
+}
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -18,7 +18,12 @@
 /** Outcome of one attempt at an endpoint. */
 export type AttemptOutcome =
   | { readonly type: 'answered'; readonly head: ResponseHead; readonly body: Buffer }
-  | { readonly type: 'broken'; readonly reason: string }
+  | {
+      readonly type: 'broken';
+      readonly reason: string;
+      /** Whether the endpoint broke the connection off, in contrast to an invalid response. */
+      readonly isConnectionLost: boolean;
+    }
   | {
       readonly type: 'not_run';
       readonly wasReceived: boolean;
@@ -74,7 +79,8 @@
 
   private isFinished = false;
 
-  private hasFirstByte = false;
+  /** Clock reading at the first part of the response body. */
+  private firstByteAtMs: number | undefined;
 
   private readonly startMs: number;
 
@@ -108,7 +114,12 @@
 
   /** Whether the endpoint has sent any part of the response body. */
   get hasOutput(): boolean {
-    return this.hasFirstByte;
+    return this.firstByteAtMs !== undefined;
+  }
+
+  /** Time since the endpoint sent the first part of the response body, in milliseconds; 0 if it did not. */
+  getOutputAgeMs(nowMs: number): number {
+    return this.firstByteAtMs === undefined ? 0 : nowMs - this.firstByteAtMs;
   }
 
   /** Sends the request and waits until the attempt has ended. */
@@ -277,7 +288,7 @@
       processingMs: workMs,
     };
     if (framer !== undefined && this.isStreaming(head)) {
-      if (framer.hasPartialEvent) this.finishBroken('stream ended inside an event');
+      if (framer.hasPartialEvent) this.finishBroken('stream ended inside an event', true);
       else {
         if (!callerResponse.hasStarted) callerResponse.start(head);
         callerResponse.finish();
@@ -317,8 +328,8 @@
       case 'broken':
         // A connection lost during the response is weaker evidence of a failed endpoint than one lost before.
         this.finish(
-          { type: 'broken', reason },
-          this.hasFirstByte ? { type: 'cancelled' } : { type: 'transport_failed' },
+          { type: 'broken', reason, isConnectionLost: true },
+          this.hasOutput ? { type: 'cancelled' } : { type: 'transport_failed' },
         );
         return;
       default:
@@ -326,15 +337,15 @@
     }
   }
 
-  private finishBroken(reason: string): void {
-    this.finish({ type: 'broken', reason }, { type: 'cancelled' });
+  private finishBroken(reason: string, isConnectionLost = false): void {
+    this.finish({ type: 'broken', reason, isConnectionLost }, { type: 'cancelled' });
   }
 
   private markFirstByte(): void {
-    if (this.hasFirstByte) return;
-    this.hasFirstByte = true;
-    this.input.endpoint.recordFirstByte(this.sentRequest, this.dependencies.clock.nowMs());
-    this.dependencies.onFirstByte(this.dependencies.clock.nowMs() - this.startMs);
+    if (this.firstByteAtMs !== undefined) return;
+    this.firstByteAtMs = this.dependencies.clock.nowMs();
+    this.input.endpoint.recordFirstByte(this.sentRequest, this.firstByteAtMs);
+    this.dependencies.onFirstByte(this.firstByteAtMs - this.startMs);
   }
 
   private recordActivity(nowMs: number): void {
--- a/packages/gateway/src/attemptFeedback.ts
+++ b/packages/gateway/src/attemptFeedback.ts
@@ -1,9 +1,11 @@
 import type { Placement } from '@lovagearch/endpoints';
 import { getEndpointStartKey } from './attempt.js';
+import { CRASH_AFTER_OUTPUT_MS, PUBLISHED_FINGERPRINT_LENGTH } from './constants.js';
 import type { RoutedRequest } from './createAttempt.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { ChosenEndpoint } from './placeRequest.js';
 import type { ReusePlan } from './reusePlan.js';
+import { listSharedPartIds } from './sharedParts.js';
 import { computeFingerprint } from './strikePublisher.js';
 import type { RequestHead } from './types.js';
 
@@ -47,6 +49,27 @@
   });
 };
 
+/**
+ * Records that an endpoint broke off a request, for the search for prompt parts that crash endpoints.
+ *
+ * @param outputAgeMs time since the first output of the endpoint, in milliseconds
+ */
+export const recordInterruption = (
+  { promptPartContainment }: GatewayContext,
+  { head, account, body }: RoutedRequest,
+  { endpoint }: ChosenEndpoint,
+  outputAgeMs: number,
+): void => {
+  if (outputAgeMs >= CRASH_AFTER_OUTPUT_MS) return;
+  promptPartContainment.recordInterruption(getEndpointStartKey(endpoint), {
+    fingerprint: computeFingerprint(account?.name ?? '', head.path, body).slice(
+      0,
+      PUBLISHED_FINGERPRINT_LENGTH,
+    ),
+    partIds: listSharedPartIds(head),
+  });
+};
+
 /**
  * Records the weight version of an endpoint that rejected a request because of other weights.
  *
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -15,13 +15,19 @@
   TIMEOUT_RESPONSE_GRACE_MS,
 } from './constants.js';
 import type { GatewayContext } from './gatewayContext.js';
-import { recordWeightMismatch, recordStrike, recordTransferTime } from './attemptFeedback.js';
+import {
+  recordInterruption,
+  recordStrike,
+  recordTransferTime,
+  recordWeightMismatch,
+} from './attemptFeedback.js';
 import { type ChosenEndpoint, placeRequest } from './placeRequest.js';
 import { createFailure, createRefusal, type LocalReply, sendLocalReply } from './localReply.js';
 import { logAttemptFailed, logNotAdmitted, logPlacement } from './requestLog.js';
 import { createCacheSalt, planReuse } from './reusePlan.js';
+import { createQuarantineRefusal, hasQuarantinedPart } from './quarantine.js';
 import { readBody } from './requestBody.js';
-import { computeFingerprint } from './strikePublisher.js';
+import { listSharedPartIds } from './sharedParts.js';
 import type { RequestHead } from './types.js';
 
 /** Why a request was stopped before its response was complete. */
@@ -178,19 +184,11 @@
 
   private async serveRoutedRequest(routedRequest: RoutedRequest): Promise<void> {
     const { context } = this;
-    const { head, route, service, account, body } = routedRequest;
-    const { strikes } = context.clusterState;
-    if (!strikes.isEmpty) {
-      const fingerprint = computeFingerprint(account?.name ?? '', head.path, body);
-      if (strikes.isQuarantined(fingerprint, context.clock.nowMs())) {
-        const refusal = createRefusal(
-          'request_quarantined',
-          'the request is quarantined because it appears to crash endpoints',
-        );
-        // The request itself may be valid and be sent again unchanged; status 422 would rule that out.
-        this.reply(head, route, { ...refusal, status: 503 });
-        return;
-      }
+    const { head, route, service } = routedRequest;
+    const quarantineRefusal = createQuarantineRefusal(context, routedRequest);
+    if (quarantineRefusal !== undefined) {
+      this.reply(head, route, quarantineRefusal);
+      return;
     }
     context.getRetryBudget(service).recordRequest(context.clock.nowMs());
     const framer =
@@ -206,6 +204,10 @@
         );
         return;
       }
+      if (this.sendCount > 0 && hasQuarantinedPart(context, head)) {
+        this.replyWithRefusalOrFailure(routedRequest, 'a part of the prompt is quarantined');
+        return;
+      }
       const outcome = await this.runAttempt(routedRequest, chosen, framer, remainingMs);
       chosen = this.handleOutcome(routedRequest, chosen, outcome);
       if (chosen === undefined) return;
@@ -282,6 +284,13 @@
     context.metrics.recordAttempt(service, outcome.type);
     const mayHaveCrashed = outcome.type === 'broken' && !attempt.hasOutput;
     if (mayHaveCrashed) recordStrike(context, routedRequest, chosen);
+    if (outcome.type === 'broken' && outcome.isConnectionLost)
+      recordInterruption(
+        context,
+        routedRequest,
+        chosen,
+        attempt.getOutputAgeMs(context.clock.nowMs()),
+      );
     return outcome;
   }
 
@@ -294,6 +303,7 @@
     const { context } = this;
     const { head, route, service } = routedRequest;
     if (outcome.type === 'passed_on') {
+      context.promptPartContainment.recordCompletion(listSharedPartIds(head));
       this.logCompletion(head, route, 'served', 200);
       return undefined;
     }
@@ -341,6 +351,8 @@
       case 'deliver':
         if (outcome.type === 'answered') {
           this.callerResponse.sendEndpointResponse(outcome.head, outcome.body);
+          if (outcome.head.status < 300)
+            context.promptPartContainment.recordCompletion(listSharedPartIds(head));
           this.logCompletion(head, route, 'served', outcome.head.status);
         }
         return undefined;
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -56,6 +56,17 @@
 export const STRIKE_PUBLISH_INTERVAL_MS = 400;
 /** Maximum number of strikes that a node publishes; older ones are dropped. */
 export const MAX_PUBLISHED_STRIKES = 48;
+/** Maximum number of crashes in the row that a node publishes for prompt parts; older ones are dropped. */
+export const MAX_PUBLISHED_CRASHES = 32;
+/** Interrupted requests of one crash in that row; with the ids of their parts it stays below 64 KiB. */
+export const MAX_PUBLISHED_REQUESTS_PER_CRASH = 12;
+/** Characters of a fingerprint in that row; 48 bits tell the few requests of one part apart. */
+export const PUBLISHED_FINGERPRINT_LENGTH = 8;
+/**
+ * Time after the first output in which an endpoint that breaks off may have been crashed by the request, in
+ * milliseconds. A crash by a prompt part comes when the answer begins.
+ */
+export const CRASH_AFTER_OUTPUT_MS = 1_000;
 /**
  * Time after SIGTERM in which new requests are still accepted, in milliseconds. The load balancer needs it
  * to notice that the node is not ready.
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -5,6 +5,7 @@
 import type { ClusterState } from './clusterState.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
+import type { PromptPartContainment } from './promptPartContainment.js';
 import type { BodyMemoryBudget } from './requestBody.js';
 import type { StrikePublisher } from './strikePublisher.js';
 import type { GatewaySettings, HeaderCodec } from './types.js';
@@ -21,6 +22,7 @@
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
   readonly strikePublisher: StrikePublisher;
+  readonly promptPartContainment: PromptPartContainment;
   /** Returns the index of what a cache store VM holds, if the store is configured. */
   readonly findCacheStoreIndex: (address: string) => StoreIndex | undefined;
   readonly transferMeter: TransferSlowdownTracker;
--- /dev/null
+++ b/packages/gateway/src/promptPartContainment.ts
@@ -0,0 +1,171 @@
+import { BoundedMap, type Clock } from '@lovagearch/common';
+import {
+  type InterruptedRequest,
+  type PartQuarantine,
+  PromptPartCrashes,
+} from '@lovagearch/containment';
+import type { MirroredRow } from '@lovagearch/mirror';
+import * as z from 'zod';
+import { MAX_PUBLISHED_CRASHES, MAX_PUBLISHED_REQUESTS_PER_CRASH } from './constants.js';
+import type { GatewayLog } from './gatewayLog.js';
+import type { RowCodec, SharedTable } from './types.js';
+
+/** Key prefix of the rows in which each node publishes the crashes that it has seen. */
+export const CRASHES_PREFIX = 'crashes/';
+
+const requestSchema = z.tuple([z.string(), z.array(z.string())]);
+const rowSchema = z.object({
+  crashes: z.array(z.tuple([z.string(), z.array(requestSchema)])),
+  /** Parts of completed requests, with the time since then in milliseconds. */
+  completed: z.array(z.tuple([z.string(), z.number()])),
+});
+type CrashesRow = z.infer<typeof rowSchema>;
+
+export interface PromptPartContainmentDependencies {
+  readonly nodeName: string;
+  readonly shared: SharedTable;
+  readonly rows: RowCodec;
+  readonly clock: Clock;
+  readonly log: GatewayLog;
+}
+
+/**
+ * Quarantines prompt parts that crash endpoints. Nodes exchange crashes through the shared table, as
+ * each of them sees only some; the rows also survive restarts.
+ */
+export class PromptPartContainment {
+  private readonly crashes = PromptPartCrashes.create();
+
+  /** The crashes in this node's row, by start of the endpoint. */
+  private readonly published = BoundedMap.create<string, Map<string, readonly string[]>>(
+    MAX_PUBLISHED_CRASHES,
+  );
+
+  /** Times of the completions in this node's row, by part. */
+  private publishedCompletions = new Map<string, number>();
+
+  private hasUnpublishedCrashes = false;
+
+  private isWriting = false;
+
+  private loggedQuarantines = new Map<string, PartQuarantine>();
+
+  private constructor(private readonly dependencies: PromptPartContainmentDependencies) {}
+
+  static create(dependencies: PromptPartContainmentDependencies): PromptPartContainment {
+    return new PromptPartContainment(dependencies);
+  }
+
+  /** Records that an endpoint broke off a request, presumably because it crashed. */
+  recordInterruption(endpointStart: string, { fingerprint, partIds }: InterruptedRequest): void {
+    const nowMs = this.dependencies.clock.nowMs();
+    const suspects = { fingerprint, partIds: this.crashes.selectSuspects(partIds, nowMs) };
+    if (!this.crashes.recordCrash(endpointStart, suspects, nowMs)) return;
+    if (this.addPublished(endpointStart, suspects)) this.hasUnpublishedCrashes = true;
+  }
+
+  /** Records that a request with these shared parts got a complete response. */
+  recordCompletion(partIds: readonly string[]): void {
+    this.crashes.recordCompletion(partIds, this.dependencies.clock.nowMs());
+  }
+
+  recordHeartbeat(endpointStart: string, heartbeat: number): void {
+    this.crashes.recordHeartbeat(endpointStart, heartbeat);
+  }
+
+  findQuarantine(partIds: readonly string[]): PartQuarantine | undefined {
+    return this.crashes.findQuarantine(partIds, this.dependencies.clock.nowMs());
+  }
+
+  /** Applies the row of a node. This node's own row holds what it published before a restart. */
+  applyRow({ key, value }: MirroredRow): void {
+    if (value === undefined || !key.startsWith(CRASHES_PREFIX)) return;
+    const { rows, clock, log, nodeName } = this.dependencies;
+    const row = rowSchema.safeParse(rows.decodeSharedValue(value));
+    if (!row.success) {
+      log.logStateChange('row_rejected', { kind: 'crashes', key, reason: row.error.message });
+      return;
+    }
+    const nowMs = clock.nowMs();
+    const isOwn = key === `${CRASHES_PREFIX}${nodeName}`;
+    for (const [partId, ageMs] of row.data.completed)
+      this.crashes.recordCompletion([partId], nowMs - Math.max(0, ageMs));
+    for (const [endpointStart, requests] of row.data.crashes) {
+      for (const [fingerprint, partIds] of requests) {
+        const request = { fingerprint, partIds };
+        this.crashes.recordCrash(endpointStart, request, nowMs);
+        if (isOwn) this.addPublished(endpointStart, request);
+      }
+    }
+  }
+
+  /** Logs quarantines that began or ended; returns the number of those in force. */
+  logChanges(): number {
+    const { clock, log } = this.dependencies;
+    const current = new Map(
+      this.crashes
+        .listQuarantines(clock.nowMs())
+        .map((quarantine) => [quarantine.partIds.join(','), quarantine]),
+    );
+    for (const [key, { partIds, crashes }] of current) {
+      if (!this.loggedQuarantines.has(key))
+        log.logStateChange('prompt_part_quarantined', { partIds, crashes });
+    }
+    for (const [key, { partIds }] of this.loggedQuarantines) {
+      if (!current.has(key)) log.logStateChange('prompt_part_released', { partIds });
+    }
+    this.loggedQuarantines = current;
+    return current.size;
+  }
+
+  /**
+   * Writes this node's row if it has new crashes, or a completed request that clears a part which
+   * another node reported. A failed write is repeated by the next call.
+   */
+  async publish(): Promise<void> {
+    const cleared = this.crashes.listClearedParts();
+    const hasNewCompletion = [...cleared.keys()].some((partId) => {
+      const publishedAtMs = this.publishedCompletions.get(partId);
+      return (
+        publishedAtMs === undefined || !this.crashes.isClearedOfAllCrashes(partId, publishedAtMs)
+      );
+    });
+    if (this.isWriting || (!this.hasUnpublishedCrashes && !hasNewCompletion)) return;
+    const { shared, nodeName, log } = this.dependencies;
+    this.isWriting = true;
+    this.hasUnpublishedCrashes = false;
+    const isWritten = await shared.write(`${CRASHES_PREFIX}${nodeName}`, this.createRow(cleared));
+    this.isWriting = false;
+    if (isWritten) {
+      this.publishedCompletions = new Map(cleared);
+      return;
+    }
+    this.hasUnpublishedCrashes = true;
+    log.logStateChange('crashes_not_published', { crashes: this.published.size });
+  }
+
+  private addPublished(
+    endpointStart: string,
+    { fingerprint, partIds }: InterruptedRequest,
+  ): boolean {
+    const requests = this.published.peek(endpointStart) ?? new Map<string, readonly string[]>();
+    if (requests.has(fingerprint) || requests.size >= MAX_PUBLISHED_REQUESTS_PER_CRASH)
+      return false;
+    requests.set(fingerprint, partIds);
+    if (requests.size === 1) this.published.set(endpointStart, requests);
+    return true;
+  }
+
+  private createRow(cleared: ReadonlyMap<string, number>): CrashesRow {
+    const nowMs = this.dependencies.clock.nowMs();
+    const crashes: CrashesRow['crashes'] = [...this.published].map(([endpointStart, requests]) => [
+      endpointStart,
+      [...requests].map(([fingerprint, partIds]) => [fingerprint, [...partIds]]),
+    ]);
+    const completed: CrashesRow['completed'] = [...cleared].map(([partId, atMs]) => [
+      partId,
+      Math.round(nowMs - atMs),
+    ]);
+    return { crashes, completed };
+  }
+}
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -7,6 +7,7 @@
 import type { GatewayContext } from './gatewayContext.js';
 import type { ChosenEndpoint } from './placeRequest.js';
 import type { ReusePlan } from './reusePlan.js';
+import { listSharedPartIds } from './sharedParts.js';
 import type { RequestHead } from './types.js';
 
 /** Logs the endpoint chosen for a request, the estimates behind the choice and the age of the load data. */
@@ -63,10 +64,6 @@
 /** Parts named in one log line; prompts of the deployments have up to four. */
 const MAX_LOGGED_PARTS = 8;
 
-/** Lists the ids of the shared prompt parts; the last part belongs to the request itself. */
-const listSharedPartIds = ({ promptParts }: RequestHead): string[] =>
-  promptParts.slice(0, Math.min(MAX_LOGGED_PARTS, promptParts.length - 1)).map(({ id }) => id);
-
 /** Logs an attempt without a usable response and the next step. */
 export const logAttemptFailed = (
   { log }: GatewayContext,
@@ -89,6 +86,6 @@
     elapsedMs: Math.round(elapsedMs),
     hasOutput,
     // Tells what the requests that one endpoint broke off have in common.
-    sharedParts: listSharedPartIds(head),
+    sharedParts: listSharedPartIds(head).slice(0, MAX_LOGGED_PARTS),
   });
 };
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -37,6 +37,8 @@
   createCacheStoreRelaySource,
   createTableRelaySource,
 } from './peerExchange.js';
+import { getEndpointStartKey } from './attempt.js';
+import { PromptPartContainment } from './promptPartContainment.js';
 import { BodyMemoryBudget } from './requestBody.js';
 import { CacheStoreWatcher } from './cacheStoreWatcher.js';
 import { StrikePublisher } from './strikePublisher.js';
@@ -90,6 +92,19 @@
   operatorMirror.addListener((row) => clusterState.applyOperatorRow(row));
   endpointMirror.addListener((row) => clusterState.applyEndpointRow(row));
   sharedMirror.addListener((row) => clusterState.applySharedRow(row));
+  const promptPartContainment = PromptPartContainment.create({
+    nodeName: settings.nodeName,
+    shared: dependencies.shared,
+    rows: dependencies.rows,
+    clock,
+    log,
+  });
+  sharedMirror.addListener((row) => promptPartContainment.applyRow(row));
+  endpointMirror.addListener(({ key }) => {
+    const endpoint = clusterState.endpoints.findEndpoint(key);
+    if (endpoint === undefined) return;
+    promptPartContainment.recordHeartbeat(getEndpointStartKey(endpoint), endpoint.record.heartbeat);
+  });
 
   const ownPeerAddress = `${settings.peerAddress.host}:${settings.peerAddress.port}`;
   const tableRelaySource = createTableRelaySource();
@@ -192,6 +207,7 @@
     log,
     metrics,
     strikePublisher,
+    promptPartContainment,
     suspensionClock,
     transferMeter: TransferSlowdownTracker.create(),
     findCacheStoreIndex: (address) => cacheStoreWatcher.findIndex(address),
@@ -309,6 +325,7 @@
     metrics.setGauge('active_requests', server.activeRequestCount);
     metrics.setGauge('endpoints', clusterState.endpoints.size);
     metrics.setGauge('nodes', clusterState.nodeCount);
+    metrics.setGauge('quarantined_prompt_parts', promptPartContainment.logChanges());
     metrics.setGauge('connections_opened', context.pool.openedConnections);
     metrics.setGauge('configuration_version', clusterState.trafficRules?.version ?? 0);
     metrics.setGauge('operator_table_age_ms', operatorMirror.getAgeMs(clock.nowMs()));
@@ -322,8 +339,13 @@
         log.logStateChange('announce_failed', { reason: getErrorMessage(error) }),
       );
   }, HOUSEKEEPING_INTERVAL_MS);
+  const publishCrashes = async () => {
+    await strikePublisher.publish();
+    // Before the first read, this node's row of an earlier start would be overwritten.
+    if (sharedMirror.version > 0) await promptPartContainment.publish();
+  };
   const publishTimer = setInterval(() => {
-    strikePublisher.publish().catch((error: unknown) => {
+    publishCrashes().catch((error: unknown) => {
       log.logStateChange('strikes_not_published', { reason: getErrorMessage(error) });
     });
   }, STRIKE_PUBLISH_INTERVAL_MS);
