Treat an unframed stream without any event as broken off

Callers saw: an empty stream with status 200 where an endpoint crashed before its first event, if the response had neither a length nor chunks. Cause: the end of such a response is that of its connection, and an end before the first event passed as a complete stream. Change: it counts as broken, so the request is sent elsewhere or fails; a resumed stream may still have no further event. Evidence: of the seven tests of responses with neither a length nor chunks, six passed before; 'a stream that ends before its first event is broken off' got status 200 before and passes now.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -77,6 +77,9 @@
 
   private bufferedBytes = 0;
 
+  /** Whether the response has neither a length nor chunks, so that its end is that of the connection. */
+  private endsWithConnection = false;
+
   private isFinished = false;
 
   /** Clock reading at the first part of the response body. */
@@ -185,6 +188,8 @@
     this.recordActivity(nowMs);
     const head = this.dependencies.headers.decodeResponseHead(status, headers);
     this.head = head;
+    this.endsWithConnection =
+      headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
     if (head.requestId !== undefined && head.requestId !== requestId) {
       this.finishBroken(`response belongs to another request (${head.requestId})`);
       return;
@@ -288,8 +293,12 @@
       processingMs: workMs,
     };
     if (framer !== undefined && this.isStreaming(head)) {
+      const hasEvents = framer.lastEventId > 0 || this.hasOutput;
       if (framer.hasPartialEvent) this.finishBroken('stream ended inside an event', true);
-      else {
+      else if (this.endsWithConnection && !hasEvents) {
+        // A crash before the first event can't be told from an end, and a stream has events.
+        this.finishBroken('stream ended before its first event', true);
+      } else {
         if (!callerResponse.hasStarted) callerResponse.start(head);
         callerResponse.finish();
         this.finish({ type: 'passed_on' }, outcome);
