Clear prompt parts only by responses with an explicit end

Cause: the end of a response with neither a length nor chunks is that of its connection, which a crash ends as well. Such a response, cut after a whole event, counted as completed and cleared the part that had crashed the endpoint. Change: only responses with a length or chunks clear parts. Another test covers that the last part, which belongs to one request, is never refused; it passed before.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -17,7 +17,12 @@
 
 /** Outcome of one attempt at an endpoint. */
 export type AttemptOutcome =
-  | { readonly type: 'answered'; readonly head: ResponseHead; readonly body: Buffer }
+  | {
+      readonly type: 'answered';
+      readonly head: ResponseHead;
+      readonly body: Buffer;
+      readonly hasExplicitEnd: boolean;
+    }
   | {
       readonly type: 'broken';
       readonly reason: string;
@@ -31,7 +36,11 @@
       /** Set if the endpoint has other weights than expected; `version` if the endpoint reports it. */
       readonly weightMismatch?: { readonly version: number | undefined };
     }
-  | { readonly type: 'passed_on' }
+  | {
+      readonly type: 'passed_on';
+      /** False if the response ended with its connection, as it may after a crash as well. */
+      readonly hasExplicitEnd: boolean;
+    }
   | { readonly type: 'stalled' }
   | { readonly type: 'stopped'; readonly wasSent: boolean };
 
@@ -292,6 +301,7 @@
       isFailure: head.status >= 500,
       processingMs: workMs,
     };
+    const hasExplicitEnd = !this.endsWithConnection;
     if (framer !== undefined && this.isStreaming(head)) {
       const hasEvents = framer.lastEventId > 0 || this.hasOutput;
       if (framer.hasPartialEvent) this.finishBroken('stream ended inside an event', true);
@@ -301,13 +311,16 @@
       } else {
         if (!callerResponse.hasStarted) callerResponse.start(head);
         callerResponse.finish();
-        this.finish({ type: 'passed_on' }, outcome);
+        this.finish({ type: 'passed_on', hasExplicitEnd }, outcome);
       }
     } else if (this.bufferedBytes < 0) {
       callerResponse.finish();
-      this.finish({ type: 'passed_on' }, outcome);
+      this.finish({ type: 'passed_on', hasExplicitEnd }, outcome);
     } else
-      this.finish({ type: 'answered', head, body: Buffer.concat(this.bufferedChunks) }, outcome);
+      this.finish(
+        { type: 'answered', head, body: Buffer.concat(this.bufferedChunks), hasExplicitEnd },
+        outcome,
+      );
   }
 
   private handleRejection(head: ResponseHead): void {
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -303,7 +303,8 @@
     const { context } = this;
     const { head, route, service } = routedRequest;
     if (outcome.type === 'passed_on') {
-      context.promptPartContainment.recordCompletion(listSharedPartIds(head));
+      if (outcome.hasExplicitEnd)
+        context.promptPartContainment.recordCompletion(listSharedPartIds(head));
       this.logCompletion(head, route, 'served', 200);
       return undefined;
     }
@@ -351,7 +352,7 @@
       case 'deliver':
         if (outcome.type === 'answered') {
           this.callerResponse.sendEndpointResponse(outcome.head, outcome.body);
-          if (outcome.head.status < 300)
+          if (outcome.head.status < 300 && outcome.hasExplicitEnd)
             context.promptPartContainment.recordCompletion(listSharedPartIds(head));
           this.logCompletion(head, route, 'served', outcome.head.status);
         }
--- a/packages/gateway/src/crashingPromptPart.test.ts
+++ b/packages/gateway/src/crashingPromptPart.test.ts
@@ -5,6 +5,8 @@
   createRows,
   FakeEndpoint,
   PARTS_HEADER,
+  REQUEST_ID_HEADER,
+  SEAL_HEADER,
   send,
   SETTINGS,
   waitUntilReady,
@@ -24,8 +26,10 @@
 /**
  * Starts endpoints whose connections are reset, as in a crash, by requests that have the crashing part. They serve
  * all others.
+ *
+ * @param isTruncated whether a crash ends the connection after an event of a stream without chunks
  */
-const startEndpoints = async () => {
+const startEndpoints = async (isTruncated: (crash: number) => boolean = () => false) => {
   let crashes = 0;
   const endpoints = Array.from({ length: ENDPOINT_COUNT }, () => {
     const endpoint = new FakeEndpoint();
@@ -36,7 +40,13 @@
         return;
       }
       crashes += 1;
-      incoming.socket.resetAndDestroy();
+      if (!isTruncated(crashes)) {
+        incoming.socket.resetAndDestroy();
+        return;
+      }
+      const head = `HTTP/1.1 200 OK\r\n${SEAL_HEADER}: 1\r\nContent-Type: text/event-stream\r\n`;
+      const requestId = String(incoming.headers[REQUEST_ID_HEADER]);
+      incoming.socket.end(`${head}${REQUEST_ID_HEADER}: ${requestId}\r\n\r\nid: 1\ndata: a\n\n`);
     };
     return endpoint;
   });
@@ -93,6 +103,32 @@
   },
 );
 
+// Guards against taking the end of the connection in a crash for a completed request, which clears the part.
+t.test('a response that ends with its connection does not clear a part', async (t2) => {
+  const { rows, countCrashes, stop } = await startEndpoints((crash) => crash % 2 === 0);
+  const gateway = await startGateway(SETTINGS, createDependencies(rows), '/ready');
+  await waitUntilReady(gateway);
+  await sendUntilRefused(gateway, 3 * ENDPOINT_COUNT);
+  t2.ok(countCrashes() <= ALLOWED_CRASHES + ALLOWED_LATE_SENDS, `${countCrashes()} crashes`);
+  await gateway.drain('test');
+  stop();
+});
+
+// Guards against refusing sound requests by the part that only they have.
+t.test('the last part of a prompt is never refused', async (t2) => {
+  const { rows, stop } = await startEndpoints();
+  const gateway = await startGateway(SETTINGS, createDependencies(rows), '/ready');
+  await waitUntilReady(gateway);
+  for (let index = 0; index < ALLOWED_CRASHES; index++) {
+    const parts = `common-${index}:100,${CRASHING_PART}:100`;
+    await send(gateway, '/generate/x', `l${index}`, `prompt l${index}`, parts);
+  }
+  const { text } = await send(gateway, '/generate/x', 'l-last', 'prompt', `${CRASHING_PART}:100`);
+  t2.notMatch(text, 'request_quarantined');
+  await gateway.drain('test');
+  stop();
+});
+
 // Guards against a node that sends such requests although other nodes have seen the crashes.
 t.test('a node refuses a part that crashed endpoints under requests of other nodes', async (t2) => {
   const { rows, countCrashes, stop } = await startEndpoints();
