Decode and log the rate limit that an endpoint names

Cause: Server-Limit was not decoded, so logs and metrics could not tell a node that had not received a limit from one that ignored it. Change: the header codec decodes it; each change of an endpoint's limit is logged with the previous value, also a value that is no number. A response without it lifts the limit only if its request was sent after the limit was named. Callers still get the header unchanged. No decision depends on it yet.

--- a/packages/endpoints/src/endpoint.ts
+++ b/packages/endpoints/src/endpoint.ts
@@ -14,6 +14,7 @@
   PROCESSING_EWMA_WEIGHT,
 } from './constants.js';
 import type { LoadDigestEntry } from './loadDigest.js';
+import { RequestRateLimit } from './requestRateLimit.js';
 import type { EndpointRecord, LoadReport } from './types.js';
 
 /** Result of a request to an endpoint, reduced to what it shows about the endpoint. */
@@ -78,6 +79,8 @@
 
   private suspendedUntilMs = Number.NEGATIVE_INFINITY;
 
+  readonly rateLimit = RequestRateLimit.create();
+
   private heartbeatAtMs: number;
 
   private constructor(
--- a/packages/endpoints/src/index.ts
+++ b/packages/endpoints/src/index.ts
@@ -8,4 +8,5 @@
 export * from './endpointTable.js';
 export * from './loadDigest.js';
 export * from './promptCacheEstimator.js';
+export * from './requestRateLimit.js';
 export type * from './types.js';
--- a/packages/endpoints/src/types.ts
+++ b/packages/endpoints/src/types.ts
@@ -25,6 +25,12 @@
   readonly slots: number;
 }
 
+/** What a response says about the requests per second that its endpoint accepts from all nodes together. */
+export type RateLimitStatement =
+  | { readonly type: 'invalid'; readonly text: string }
+  | { readonly type: 'named'; readonly requestsPerS: number }
+  | { readonly type: 'none' };
+
 /** One of the ordered parts of a prompt; parts with equal ids have equal text. */
 export interface PromptPart {
   readonly id: string;
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,5 +1,11 @@
 import type { Clock } from '@lovagearch/common';
-import type { Endpoint, EndpointOutcome, Placement, SentRequest } from '@lovagearch/endpoints';
+import type {
+  Endpoint,
+  EndpointOutcome,
+  Placement,
+  RateLimitChange,
+  SentRequest,
+} from '@lovagearch/endpoints';
 import {
   type ConnectionPool,
   type EndpointRequest,
@@ -66,6 +72,7 @@
   readonly clock: Clock;
   /** Called with the time from the start of the attempt to the first byte, in milliseconds. */
   readonly onFirstByte: (sinceStartMs: number) => void;
+  readonly onRateLimitChange: (endpointId: string, change: RateLimitChange) => void;
   readonly onWeights: (endpointId: string, model: string, version: number) => void;
 }
 
@@ -204,6 +211,8 @@
       return;
     }
     if (head.load !== undefined) endpoint.recordLoadReport(head.load, nowMs);
+    const change = endpoint.rateLimit.applyStatement(head.rateLimit, this.startMs, nowMs);
+    if (change !== undefined) this.dependencies.onRateLimitChange(endpoint.record.id, change);
     if (head.isNotRun || head.isMisdirected) {
       // The connection can be reused if the body ends soon.
       const endRejection = () => this.handleRejection(head);
--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -5,6 +5,7 @@
 import { CALL_STALL_FACTOR, STREAM_STALL_TIMEOUT_MS } from './constants.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { ChosenEndpoint } from './placeRequest.js';
+import { logRateLimitChange } from './requestLog.js';
 import type { ReusePlan } from './reusePlan.js';
 import type { RequestHead } from './types.js';
 
@@ -58,6 +59,7 @@
       headers: context.headers,
       clock: context.clock,
       onFirstByte,
+      onRateLimitChange: (endpointId, change) => logRateLimitChange(context, endpointId, change),
       onWeights: (id, model, version) =>
         context.clusterState.recordEndpointWeights(id, model, version),
     },
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -1,5 +1,5 @@
 import type { AdmissionDecision } from '@lovagearch/admission';
-import type { Placement } from '@lovagearch/endpoints';
+import type { Placement, RateLimitChange } from '@lovagearch/endpoints';
 import type { NextStep } from '@lovagearch/exchange';
 import type { Route } from '@lovagearch/traffic';
 import type { AttemptOutcome } from './attempt.js';
@@ -52,6 +52,13 @@
   });
 };
 
+/** Logs that an endpoint named, changed or lifted its limit of requests per second, or named an invalid one. */
+export const logRateLimitChange = (
+  { log }: GatewayContext,
+  endpointId: string,
+  { type, ...fields }: RateLimitChange,
+): void => log.logStateChange(`endpoint_limit_${type}`, { endpoint: endpointId, ...fields });
+
 /** Progress of a request at the end of an attempt. */
 export interface RequestProgress {
   readonly sends: number;
--- a/packages/gateway/src/testGateway.ts
+++ b/packages/gateway/src/testGateway.ts
@@ -1,6 +1,6 @@
 import { once } from 'node:events';
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
-import type { EndpointRecord, PromptPart } from '@lovagearch/endpoints';
+import type { EndpointRecord, PromptPart, RateLimitStatement } from '@lovagearch/endpoints';
 import type { MirroredRow, ReadResult } from '@lovagearch/mirror';
 import type { Route, TrafficConfiguration } from '@lovagearch/traffic';
 import { request } from 'undici';
@@ -17,6 +17,7 @@
 export const SEAL_HEADER = 'x-seal';
 export const REQUEST_ID_HEADER = 'x-id';
 export const PARTS_HEADER = 'x-parts';
+export const LIMIT_HEADER = 'x-limit';
 const KEY_HEADER = 'x-key';
 
 const createRoute = (name: string, overrides: Partial<Route>): Route => ({
@@ -86,6 +87,9 @@
   }
 }
 
+const decodeRateLimit = (text: string | undefined): RateLimitStatement =>
+  text === undefined ? { type: 'none' } : { type: 'named', requestsPerS: Number(text) };
+
 /** Decodes `ID:TOKENS,ID:TOKENS`. */
 const decodeParts = (text: string | undefined): PromptPart[] =>
   (text ?? '')
@@ -157,6 +161,7 @@
         isMisdirected: false,
         respondingEndpointId: undefined,
         load: undefined,
+        rateLimit: decodeRateLimit(getFirstValue(headers[LIMIT_HEADER])),
         isEventStream: headers['content-type'] === 'text/event-stream',
         weightVersion: undefined,
         callerHeaders: [SEAL_HEADER, getFirstValue(headers[SEAL_HEADER]) ?? ''],
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -1,4 +1,9 @@
-import type { EndpointRecord, LoadReport, PromptPart } from '@lovagearch/endpoints';
+import type {
+  EndpointRecord,
+  LoadReport,
+  PromptPart,
+  RateLimitStatement,
+} from '@lovagearch/endpoints';
 import type { TableSource } from '@lovagearch/mirror';
 import type { StoredPart, StorePartEvent } from '@lovagearch/reuse';
 import type { LeaseStore, OrderClient, WeightTarget } from '@lovagearch/rollout';
@@ -55,6 +60,7 @@
   /** Id of the endpoint that responded, if the response states it. */
   readonly respondingEndpointId: string | undefined;
   readonly load: LoadReport | undefined;
+  readonly rateLimit: RateLimitStatement;
   readonly isEventStream: boolean;
   readonly weightVersion: number | undefined;
   /** Headers for the caller, as alternating names and values. */
