Add a failing test of endpoints that name a rate limit

Evidence for the first hypothesis: an endpoint that names 1.5 requests per second gets 200 of 200 requests, 100 of 100 as repeats after rejections of another endpoint, and requests are sent although no endpoint accepts any. Its bounds are those of the rule, over the time that the requests took.

--- /dev/null
+++ b/packages/gateway/src/endpointRateLimit.test.ts
@@ -0,0 +1,95 @@
+import t from 'tap';
+import { startGateway } from './index.js';
+import {
+  createDependencies,
+  createRows,
+  FakeEndpoint,
+  LIMIT_HEADER,
+  REQUEST_ID_HEADER,
+  SEAL_HEADER,
+  send,
+  SETTINGS,
+  waitUntilReady,
+} from './testGateway.js';
+
+/** Window and tolerance of the users' rule. */
+const WINDOW_S = 4;
+const LIMIT_TOLERANCE = 1.5;
+const LIMIT_SLACK = 5;
+const SLOW_RESPONSE_MS = 15;
+const MS_PER_SECOND = 1_000;
+
+/** Creates a handler that names a limit in each response, sent after a delay. */
+const createHandler =
+  (status: number, limit: string | undefined, delayMs = 0): FakeEndpoint['handle'] =>
+  (incoming, response) => {
+    const headers = {
+      [SEAL_HEADER]: '1',
+      [REQUEST_ID_HEADER]: String(incoming.headers[REQUEST_ID_HEADER]),
+      ...(status === 503 ? { 'x-not-run': '1' } : {}),
+      ...(limit === undefined ? {} : { [LIMIT_HEADER]: limit }),
+    };
+    setTimeout(() => response.writeHead(status, headers).end('whole'), delayMs);
+  };
+
+const computeAllowed = (limitPerS: number, elapsedMs: number) =>
+  Math.max(WINDOW_S, elapsedMs / MS_PER_SECOND) * limitPerS * LIMIT_TOLERANCE + LIMIT_SLACK;
+
+t.test('endpoints that name a limit of requests per second', async (t2) => {
+  const endpoints = [new FakeEndpoint(), new FakeEndpoint()];
+  const [limited, other] = endpoints as [FakeEndpoint, FakeEndpoint];
+  const ports = await Promise.all(endpoints.map((endpoint) => endpoint.start()));
+  const gateway = await startGateway(SETTINGS, createDependencies(createRows(ports)), '/ready');
+  await waitUntilReady(gateway);
+  let count = 0;
+  const sendMany = async (path: string, requests: number) => {
+    const startMs = performance.now();
+    const statuses: number[] = [];
+    for (let index = 0; index < requests; index++) {
+      count += 1;
+      statuses.push((await send(gateway, path, `r${count}`)).status);
+    }
+    return { statuses, elapsedMs: performance.now() - startMs };
+  };
+
+  // Guards against sending a limited endpoint as many requests as the others.
+  await t2.test('a limited endpoint gets no more than it accepts', async (t3) => {
+    limited.handle = createHandler(200, '1.5');
+    // Without the limit, all requests would go to the faster endpoint.
+    other.handle = createHandler(200, undefined, SLOW_RESPONSE_MS);
+    await sendMany('/read/x', 20);
+    limited.received.length = 0;
+    const { statuses, elapsedMs } = await sendMany('/read/x', 200);
+    t3.ok(limited.received.length <= computeAllowed(1.5, elapsedMs), `${limited.received.length}`);
+    t3.ok(
+      statuses.every((status) => status === 200),
+      'the other endpoint serves the rest',
+    );
+  });
+
+  // Guards against repeats that pass the limit by: a rejection is followed by a second send.
+  await t2.test('repeats count against the limit', async (t3) => {
+    limited.handle = createHandler(200, '1.5');
+    other.handle = createHandler(503, undefined);
+    limited.received.length = 0;
+    const { elapsedMs } = await sendMany('/read/x', 100);
+    t3.ok(limited.received.length <= computeAllowed(1.5, elapsedMs), `${limited.received.length}`);
+  });
+
+  // Guards against requests that wait for their time limit although no endpoint may take them.
+  await t2.test('a request that no endpoint accepts is refused at once', async (t3) => {
+    limited.handle = createHandler(200, '0.01');
+    other.handle = createHandler(200, '0.01');
+    await sendMany('/read/x', 20);
+    for (const endpoint of endpoints) endpoint.received.length = 0;
+    const { statuses } = await sendMany('/read/x', 20);
+    t3.ok(
+      statuses.every((status) => status === 503),
+      'refused as not run',
+    );
+    t3.equal(limited.received.length + other.received.length, 0);
+  });
+
+  await gateway.drain('test');
+  for (const endpoint of endpoints) endpoint.stop();
+});
