Keep to the rate limit that an endpoint names

Callers saw: endpoints in need got as many requests as before, up to 42 in 4 s where 19 were allowed, and answered late. Cause: Server-Limit had no reader (class: a statement of an endpoint about itself that is passed on to callers and not applied). Change: the nodes divide a limit without messages: three, and one for each request per second, chosen by rendezvous hashing, send at an even pace, which bounds the burst; the others probe for the end of the limit. Repeats count. Limited endpoints stay owners of their prompts. Where no endpoint may take a request, it is refused at once.

--- a/packages/endpoints/src/index.ts
+++ b/packages/endpoints/src/index.ts
@@ -8,5 +8,6 @@
 export * from './endpointTable.js';
 export * from './loadDigest.js';
 export * from './promptCacheEstimator.js';
+export * from './rateShare.js';
 export * from './requestRateLimit.js';
 export type * from './types.js';
--- /dev/null
+++ b/packages/endpoints/src/requestRateLimit.test.ts
@@ -0,0 +1,136 @@
+import { createRandom } from '@lovagearch/common';
+import t from 'tap';
+import { computeRateShare, RequestRateLimit } from './index.js';
+
+/** Window, tolerance and slack of the users' rule on named limits. */
+const WINDOW_MS = 4_000;
+const LIMIT_TOLERANCE = 1.5;
+const LIMIT_SLACK = 5;
+const MS_PER_SECOND = 1_000;
+const STEP_MS = 20;
+const DURATION_MS = 60_000;
+/** Time after the first naming from which the rule holds. */
+const CONTACT_LIMIT_MS = 3_000;
+
+interface Load {
+  readonly nodeCount: number;
+  readonly limitPerS: number;
+  /** Probability per step that a node has a request for the endpoint; bursts alternate with silence. */
+  readonly demand: number;
+}
+
+/**
+ * Simulates nodes that send to one endpoint, which names its limit in each response. Returns the times of the
+ * sends to which the rule applies: those of nodes that had received the limit before.
+ */
+const simulateSends = ({ nodeCount, limitPerS, demand }: Load, seed: number): number[] => {
+  const random = createRandom(seed);
+  const names = Array.from({ length: nodeCount }, (_, index) => `edge-${index}`);
+  const nodes = names.map((name) => ({
+    limit: RequestRateLimit.create(),
+    share: computeRateShare(limitPerS, 'i-1', name, names),
+  }));
+  const informedNodes = new Set<RequestRateLimit>();
+  const sendsMs: number[] = [];
+  for (let nowMs = 0; nowMs < DURATION_MS; nowMs += STEP_MS) {
+    // All nodes fall silent and return together, so that unused allowances would add up.
+    const isSilent = Math.floor(nowMs / 10_000) % 2 === 1;
+    for (const { limit, share } of nodes) {
+      if (isSilent || random() >= demand) continue;
+      if (!limit.canSend(share, nowMs, random)) continue;
+      limit.recordSent(share, nowMs);
+      if (informedNodes.has(limit) && nowMs >= CONTACT_LIMIT_MS) sendsMs.push(nowMs);
+      informedNodes.add(limit);
+      limit.applyStatement({ type: 'named', requestsPerS: limitPerS }, nowMs, nowMs);
+    }
+  }
+  return sendsMs;
+};
+
+const countBusiestWindow = (sendsMs: readonly number[]): number => {
+  let most = 0;
+  let first = 0;
+  for (const [index, sentMs] of sendsMs.entries()) {
+    while (sentMs - (sendsMs[first] ?? sentMs) >= WINDOW_MS) first += 1;
+    most = Math.max(most, index - first + 1);
+  }
+  return most;
+};
+
+// Guards against nodes that each keep to the limit while their sum exceeds it.
+for (const { nodeCount, seeds } of [
+  { nodeCount: 1, seeds: 20 },
+  { nodeCount: 9, seeds: 20 },
+  { nodeCount: 75, seeds: 10 },
+  { nodeCount: 350, seeds: 3 },
+]) {
+  t.test(`${nodeCount} nodes together keep to the limit that an endpoint names`, async (t2) => {
+    for (const limitPerS of [0, 0.3, 1, 1.7, 2.3, 5.9, 20, 80]) {
+      for (const demand of [0.02, 0.5]) {
+        for (let seed = 1; seed <= seeds; seed++) {
+          const sends = simulateSends({ nodeCount, limitPerS, demand }, seed);
+          const allowed = LIMIT_TOLERANCE * limitPerS * (WINDOW_MS / MS_PER_SECOND) + LIMIT_SLACK;
+          const busiest = countBusiestWindow(sends);
+          if (busiest > allowed)
+            t2.fail(`limit ${limitPerS}, demand ${demand}, seed ${seed}: ${busiest} of ${allowed}`);
+        }
+      }
+      // Guards against a limit of which the nodes use only a part, which would refuse callers needlessly.
+      const busySends = simulateSends({ nodeCount, limitPerS, demand: 0.5 }, 1).length;
+      const busyS = (DURATION_MS / 2 - CONTACT_LIMIT_MS) / MS_PER_SECOND;
+      const demandPerS = (0.5 * nodeCount * MS_PER_SECOND) / STEP_MS;
+      const usable = Math.min(limitPerS, demandPerS) * busyS;
+      t2.ok(busySends >= 0.7 * usable, `limit ${limitPerS}: ${busySends} of ${usable} sends`);
+    }
+  });
+}
+
+t.test('a limit holds until a later response does not name it', async (t2) => {
+  const random = () => 0.5;
+  const limit = RequestRateLimit.create();
+  const share = computeRateShare(0.1, 'i-1', 'a', ['a']);
+  t2.ok(limit.canSend(share, 0, random));
+  t2.match(limit.applyStatement({ type: 'named', requestsPerS: 0.1 }, 0, 100), { type: 'named' });
+  t2.notOk(limit.canSend(share, 100, random));
+  // Guards against a response that was overtaken by the one that named the limit.
+  t2.equal(limit.applyStatement({ type: 'none' }, 50, 200), undefined);
+  t2.notOk(limit.canSend(share, 200, random));
+  t2.match(limit.applyStatement({ type: 'none' }, 300, 400), { type: 'lifted' });
+  t2.ok(limit.canSend(share, 400, random));
+});
+
+t.test('a limit that is no number changes nothing and is reported once', async (t2) => {
+  const limit = RequestRateLimit.create();
+  limit.applyStatement({ type: 'named', requestsPerS: 2 }, 0, 0);
+  t2.match(limit.applyStatement({ type: 'invalid', text: 'x' }, 1, 1), { type: 'rejected' });
+  t2.equal(limit.applyStatement({ type: 'invalid', text: 'x' }, 2, 2), undefined);
+  t2.equal(limit.limitPerS, 2);
+});
+
+// Guards against a raised limit that takes effect only after the interval of the lower one.
+t.test('a raised limit takes effect at once', async (t2) => {
+  const limit = RequestRateLimit.create();
+  limit.applyStatement({ type: 'named', requestsPerS: 0.1 }, 0, 0);
+  limit.recordSent(computeRateShare(0.1, 'i-1', 'a', ['a']), 0);
+  limit.applyStatement({ type: 'named', requestsPerS: 10 }, 0, 100);
+  t2.ok(limit.canSend(computeRateShare(10, 'i-1', 'a', ['a']), 200, () => 0.5) === false);
+  t2.ok(limit.canSend(computeRateShare(10, 'i-1', 'a', ['a']), 300, () => 0.5));
+});
+
+// Guards against nodes outside the sharing ones that avoid an endpoint long after its limit was lifted.
+t.test('every node sends to a limited endpoint from time to time', async (t2) => {
+  const random = createRandom(1);
+  const names = Array.from({ length: 9 }, (_, index) => `edge-${index}`);
+  for (const name of names) {
+    const limit = RequestRateLimit.create();
+    const share = computeRateShare(2.3, 'i-1', name, names);
+    limit.applyStatement({ type: 'named', requestsPerS: 2.3 }, 0, 0);
+    let sends = 0;
+    for (let nowMs = 0; nowMs < DURATION_MS; nowMs += STEP_MS) {
+      if (!limit.canSend(share, nowMs, random)) continue;
+      limit.recordSent(share, nowMs);
+      sends += 1;
+    }
+    t2.ok(sends > 0, `${name}: ${share.type}, ${sends} sends in ${DURATION_MS} ms`);
+  }
+});
--- a/packages/endpoints/src/requestRateLimit.ts
+++ b/packages/endpoints/src/requestRateLimit.ts
@@ -1,5 +1,19 @@
+import type { Random } from '@lovagearch/common';
+import type { RateShare } from './rateShare.js';
 import type { RateLimitStatement } from './types.js';
 
+/**
+ * Time for which a probe may be sent, in milliseconds. Probes that are not used lapse, or all nodes without
+ * requests for a while could send one at the same time.
+ */
+const PROBE_WINDOW_MS = 1_000;
+
+/**
+ * Time by which a late request brings the next one forward, in milliseconds. Without it, a node that receives
+ * requests now and then would send less than its share; more would add to the burst of all nodes.
+ */
+const MAX_LATE_CREDIT_MS = 50;
+
 /** What a response changed about the limit of its endpoint. */
 export type RateLimitChange =
   | {
@@ -18,6 +32,9 @@
 
   private rejectedText: string | undefined;
 
+  /** Clock reading from which the next request may be sent; undefined until the share is first used. */
+  private nextSendAtMs: number | undefined;
+
   static create(): RequestRateLimit {
     return new RequestRateLimit();
   }
@@ -27,6 +44,26 @@
     return this.requestsPerS;
   }
 
+  /** Whether this node may send a request now; without a limit it always may. */
+  canSend(share: RateShare, nowMs: number, random: Random): boolean {
+    if (this.requestsPerS === undefined) return true;
+    // Nodes start at different times, as all of them receive the limit at about the same time.
+    this.nextSendAtMs ??= nowMs + share.intervalMs * random();
+    // A higher limit holds at once.
+    this.nextSendAtMs = Math.min(this.nextSendAtMs, nowMs + share.intervalMs);
+    if (nowMs < this.nextSendAtMs) return false;
+    if (share.type === 'paced' || nowMs < this.nextSendAtMs + PROBE_WINDOW_MS) return true;
+    this.nextSendAtMs = nowMs + share.intervalMs * random();
+    return false;
+  }
+
+  /** Records that a request was sent. */
+  recordSent(share: RateShare, nowMs: number): void {
+    if (this.requestsPerS === undefined) return;
+    const earliestMs = nowMs - Math.min(MAX_LATE_CREDIT_MS, share.intervalMs / 2);
+    this.nextSendAtMs = Math.max(this.nextSendAtMs ?? nowMs, earliestMs) + share.intervalMs;
+  }
+
   /**
    * Applies what a response says. A response without a limit lifts it only if its request was sent after the
    * limit was last named, as responses on different connections overtake each other.
@@ -50,6 +87,7 @@
       case 'none':
         if (previousPerS === undefined || sentAtMs <= this.namedAtMs) return undefined;
         this.requestsPerS = undefined;
+        this.nextSendAtMs = undefined;
         return { type: 'lifted', previousPerS };
       case 'invalid':
         if (statement.text === this.rejectedText) return undefined;
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -14,6 +14,7 @@
   NOT_READY_RETRY_AFTER_MS,
   TIMEOUT_RESPONSE_GRACE_MS,
 } from './constants.js';
+import { recordSend } from './endpointRates.js';
 import type { GatewayContext } from './gatewayContext.js';
 import {
   recordInterruption,
@@ -259,6 +260,7 @@
     const { endpoint, placement } = chosen;
     const reusePlan = planReuse(context, head, account, endpoint, placement);
     this.sendCount += 1;
+    recordSend(context, endpoint);
     this.excludedEndpointIds.add(endpoint.record.id);
     this.triedEndpointIds.push(endpoint.record.id);
     const nowMs = context.clock.nowMs();
--- a/packages/gateway/src/placeRequest.ts
+++ b/packages/gateway/src/placeRequest.ts
@@ -7,6 +7,7 @@
   OLD_WEIGHTS_CUTOFF_MARGIN_MS,
 } from './constants.js';
 import { getEndpointStartKey } from './attempt.js';
+import { listRateLimitedIds } from './endpointRates.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { createCacheSalt, findStoreReach } from './reusePlan.js';
 import type { RequestHead } from './types.js';
@@ -69,6 +70,8 @@
   const stable = reachable.filter(
     ({ record }) => !clusterState.isChangingWeights(record.id, nowMs),
   );
+  // Limited endpoints still count as owners of prompts, so that a limit doesn't move their prompts.
+  const limitedIds = listRateLimitedIds(context, reachable);
   const parts = route.hasPromptParts ? head.promptParts : [];
   const engine = clusterState.trafficRules?.findService(service)?.engine;
   const placement = chooseEndpoint({
@@ -81,7 +84,7 @@
       engineMemoryTokens: engine?.memoryTokens ?? 0,
       store: route.hasPromptParts ? findStoreReach(context, head, account, engine) : undefined,
       model: head.model,
-      excluded,
+      excluded: limitedIds.length === 0 ? excluded : new Set([...excluded, ...limitedIds]),
       minWeightVersion: 0,
     },
     endpoints: stable.length > 0 ? stable : reachable,
