Bound the rows of crashes and publish only a node's own findings

Cause: a node repeated the completed requests that it had read of from others, so each cleared part was written once by every node; it repeated crashes that had expired, which other nodes then counted as new; and a row could exceed the 64 KiB that the store accepts, as prompts have up to 64 parts. Change: only own completed requests are published, expired and refuted crashes are dropped from the row, and the newest crashes that fit into 32 KiB are kept. The search for parts to clear runs only after a change. A request that is quarantined before a repeat, and has not run, is refused as quarantined.

--- a/packages/containment/src/promptPartCrashes.test.ts
+++ b/packages/containment/src/promptPartCrashes.test.ts
@@ -35,7 +35,7 @@
 // Guards against refusing the sound requests that share the caller's first part.
 t.test('a part of a completed request is not refused', async (t2) => {
   const crashes = PromptPartCrashes.create();
-  crashes.recordCompletion(['common', 'sound'], 0);
+  crashes.recordCompletion(['common', 'sound'], 0, true);
   recordCrashes(crashes, [BAD, BAD, BAD], 1_000);
   t2.equal(crashes.findQuarantine(['common', 'sound'], 1_300), undefined);
   t2.strictSame(crashes.listQuarantines(1_300), [{ partIds: ['bad'], crashes: 3 }]);
@@ -47,7 +47,7 @@
   recordCrashes(crashes, [BAD, BAD, BAD]);
   t2.equal(crashes.findQuarantine(['common', 'sound'], 300), undefined);
   t2.ok(crashes.findQuarantine(['common', 'bad'], 300));
-  crashes.recordCompletion(['common', 'sound'], 400);
+  crashes.recordCompletion(['common', 'sound'], 400, true);
   t2.ok(
     crashes.findQuarantine(['other', 'bad'], 500),
     'the completed request shows which is sound',
@@ -82,7 +82,7 @@
 t.test('two crashing parts are both found', async (t2) => {
   const crashes = PromptPartCrashes.create();
   const other = [['common', 'worse']];
-  crashes.recordCompletion(['common'], 0);
+  crashes.recordCompletion(['common'], 0, true);
   recordCrashes(crashes, [BAD, other, BAD, other, BAD, other, other]);
   t2.ok(crashes.findQuarantine(['common', 'bad'], 700));
   t2.ok(crashes.findQuarantine(['common', 'worse'], 700));
@@ -103,7 +103,7 @@
 
 t.test('a completed request clears its parts of later crashes for a limited time', async (t2) => {
   const crashes = PromptPartCrashes.create();
-  crashes.recordCompletion(['a'], 0);
+  crashes.recordCompletion(['a'], 0, true);
   recordCrashes(crashes, [[['a']], [['a']], [['a']]], COMPLETION_CREDIT_MS - 1_000);
   t2.equal(crashes.findQuarantine(['a'], COMPLETION_CREDIT_MS), undefined);
   recordCrashes(crashes, [[['a']], [['a']], [['a']]], COMPLETION_CREDIT_MS);
@@ -123,7 +123,15 @@
     const crashes = PromptPartCrashes.create();
     recordCrashes(crashes, [BAD, BAD]);
     t2.equal(crashes.listClearedParts().size, 0);
-    crashes.recordCompletion(['common'], 500);
+    crashes.recordCompletion(['common'], 500, true);
     t2.strictSame([...crashes.listClearedParts()], [['common', 500]]);
   },
 );
+
+t.test('a part that another node cleared is not listed again', async (t2) => {
+  const crashes = PromptPartCrashes.create();
+  recordCrashes(crashes, [BAD, BAD]);
+  crashes.recordCompletion(['common'], 500, false);
+  t2.equal(crashes.listClearedParts().size, 0);
+  t2.equal(crashes.selectSuspects(['common'], 100).length, 0);
+});
--- a/packages/containment/src/promptPartCrashes.ts
+++ b/packages/containment/src/promptPartCrashes.ts
@@ -26,6 +26,12 @@
   readonly partIds: readonly string[];
 }
 
+interface Completion {
+  readonly atMs: number;
+  /** Whether this node completed the request; completions of other nodes are not published again. */
+  readonly isLocal: boolean;
+}
+
 interface TrackedCrash {
   readonly atMs: number;
   readonly requests: Map<string, InterruptedRequest>;
@@ -45,7 +51,7 @@
 export class PromptPartCrashes {
   private readonly crashes = BoundedMap.create<string, TrackedCrash>(MAX_TRACKED_CRASHES);
 
-  private readonly completedAtMs = BoundedMap.create<string, number>(MAX_TRACKED_COMPLETIONS);
+  private readonly completions = BoundedMap.create<string, Completion>(MAX_TRACKED_COMPLETIONS);
 
   /** Parts that a crash names, so that most completed requests need no new evaluation. */
   private readonly namedParts = new Set<string>();
@@ -54,6 +60,10 @@
 
   private isStale = false;
 
+  private currentRevision = 0;
+
+  private latestCrashMs = Number.NEGATIVE_INFINITY;
+
   /** Clock reading at which the oldest crash expires. */
   private nextExpiryMs = Number.POSITIVE_INFINITY;
 
@@ -81,16 +91,29 @@
     requests.set(request.fingerprint, request);
     if (known === undefined) this.crashes.set(endpointStart, crash);
     for (const partId of request.partIds) this.namedParts.add(partId);
-    this.isStale = true;
+    this.latestCrashMs = Math.max(this.latestCrashMs, crash.atMs);
+    this.markChanged();
     return true;
   }
 
+  /** Changes whenever the crashes or the parts that completed requests clear of them may have changed. */
+  get revision(): number {
+    return this.currentRevision;
+  }
+
+  /** Whether a crash is recorded and neither expired nor refuted. */
+  isCounted(endpointStart: string): boolean {
+    return this.crashes.peek(endpointStart)?.isRefuted === false;
+  }
+
   /** Records that a request with these parts was completed at `atMs`, on this or another node. */
-  recordCompletion(partIds: readonly string[], atMs: number): void {
+  recordCompletion(partIds: readonly string[], atMs: number, isLocal: boolean): void {
     for (const partId of partIds) {
-      const known = this.completedAtMs.peek(partId) ?? Number.NEGATIVE_INFINITY;
-      this.completedAtMs.set(partId, Math.max(known, atMs));
-      if (this.namedParts.has(partId)) this.isStale = true;
+      const knownMs = this.completions.peek(partId)?.atMs ?? Number.NEGATIVE_INFINITY;
+      if (atMs <= knownMs) continue;
+      this.completions.set(partId, { atMs, isLocal });
+      const isAlreadyCleared = this.latestCrashMs < knownMs + COMPLETION_CREDIT_MS;
+      if (this.namedParts.has(partId) && !isAlreadyCleared) this.markChanged();
     }
   }
 
@@ -101,7 +124,7 @@
     crash.firstHeartbeat ??= heartbeat;
     if (heartbeat < crash.firstHeartbeat + HEARTBEATS_OF_LIVE_ENDPOINT) return;
     crash.isRefuted = true;
-    this.isStale = true;
+    this.markChanged();
   }
 
   /** Returns the quarantine that applies to a request with these shared parts, if there is one. */
@@ -123,8 +146,7 @@
 
   /**
    * Lists the parts that are named by so many crashes that one more could quarantine them, although a
-   * completed request clears them of all these crashes; with the time of that request. Other nodes may
-   * not have seen it.
+   * request that this node completed clears them of all these crashes; with the time of that request.
    */
   listClearedParts(): Map<string, number> {
     const crashCounts = new Map<string, number>();
@@ -134,9 +156,9 @@
     }
     const cleared = new Map<string, number>();
     for (const [partId, count] of crashCounts) {
-      const completedAtMs = this.completedAtMs.peek(partId);
-      if (count < MAX_CRASHES_WITH_PART - 1 || completedAtMs === undefined) continue;
-      if (this.isClearedOfAllCrashes(partId, completedAtMs)) cleared.set(partId, completedAtMs);
+      const completion = this.completions.peek(partId);
+      if (count < MAX_CRASHES_WITH_PART - 1 || completion?.isLocal !== true) continue;
+      if (this.isClearedOfAllCrashes(partId, completion.atMs)) cleared.set(partId, completion.atMs);
     }
     return cleared;
   }
@@ -151,8 +173,13 @@
   }
 
   private isCleared(partId: string, crashAtMs: number): boolean {
-    const completedAtMs = this.completedAtMs.peek(partId);
-    return completedAtMs !== undefined && crashAtMs < completedAtMs + COMPLETION_CREDIT_MS;
+    const completion = this.completions.peek(partId);
+    return completion !== undefined && crashAtMs < completion.atMs + COMPLETION_CREDIT_MS;
+  }
+
+  private markChanged(): void {
+    this.isStale = true;
+    this.currentRevision += 1;
   }
 
   private evaluate(nowMs: number): void {
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -186,11 +186,7 @@
   private async serveRoutedRequest(routedRequest: RoutedRequest): Promise<void> {
     const { context } = this;
     const { head, route, service } = routedRequest;
-    const quarantineRefusal = createQuarantineRefusal(context, routedRequest);
-    if (quarantineRefusal !== undefined) {
-      this.reply(head, route, quarantineRefusal);
-      return;
-    }
+    if (this.endIfQuarantined(routedRequest)) return;
     context.getRetryBudget(service).recordRequest(context.clock.nowMs());
     const framer =
       route.kind === 'streaming' ? EventStreamFramer.create(head.lastEventId) : undefined;
@@ -205,10 +201,7 @@
         );
         return;
       }
-      if (this.sendCount > 0 && hasQuarantinedPart(context, head)) {
-        this.replyWithRefusalOrFailure(routedRequest, 'a part of the prompt is quarantined');
-        return;
-      }
+      if (this.sendCount > 0 && this.endIfQuarantined(routedRequest)) return;
       const outcome = await this.runAttempt(routedRequest, chosen, framer, remainingMs);
       chosen = this.handleOutcome(routedRequest, chosen, outcome);
       if (chosen === undefined) return;
@@ -216,6 +209,19 @@
     this.handleStop(routedRequest);
   }
 
+  /** Ends a request that is quarantined; returns whether it is. Checked before each send. */
+  private endIfQuarantined(routedRequest: RoutedRequest): boolean {
+    const { head, route } = routedRequest;
+    if (this.possibleRunCount > 0) {
+      if (!hasQuarantinedPart(this.context, head)) return false;
+      this.replyWithRefusalOrFailure(routedRequest, 'a part of the prompt is quarantined');
+      return true;
+    }
+    const refusal = createQuarantineRefusal(this.context, routedRequest);
+    if (refusal !== undefined) this.reply(head, route, refusal);
+    return refusal !== undefined;
+  }
+
   /** Returns whether the request is admitted; replies with a refusal if its response would be late. */
   private tryAdmit(
     { head, route, account }: RoutedRequest,
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -58,8 +58,12 @@
 export const MAX_PUBLISHED_STRIKES = 48;
 /** Maximum number of crashes in the row that a node publishes for prompt parts; older ones are dropped. */
 export const MAX_PUBLISHED_CRASHES = 32;
-/** Interrupted requests of one crash in that row; with the ids of their parts it stays below 64 KiB. */
+/** Interrupted requests of one crash in that row. */
 export const MAX_PUBLISHED_REQUESTS_PER_CRASH = 12;
+/** Maximum size of the crashes in that row, in bytes; the platform limits a row to 64 KiB. */
+export const MAX_PUBLISHED_CRASH_BYTES = 32_768;
+/** Maximum number of cleared parts in that row. */
+export const MAX_PUBLISHED_COMPLETIONS = 256;
 /** Characters of a fingerprint in that row; 48 bits tell the few requests of one part apart. */
 export const PUBLISHED_FINGERPRINT_LENGTH = 8;
 /**
--- a/packages/gateway/src/promptPartContainment.test.ts
+++ b/packages/gateway/src/promptPartContainment.test.ts
@@ -1,4 +1,5 @@
 import { chooseItem, createRandom, ManualClock, type Random } from '@lovagearch/common';
+import { PART_CRASH_RETENTION_MS } from '@lovagearch/containment';
 import t from 'tap';
 import { PromptPartContainment } from './promptPartContainment.js';
 import { createDependencies } from './testGateway.js';
@@ -215,14 +216,27 @@
   );
 }
 
-t.test('a row that another node wrote in an unknown form is ignored', async (t2) => {
+interface PublishedRow {
+  readonly crashes: readonly (readonly [string, unknown])[];
+  readonly completed: readonly (readonly [string, number])[];
+}
+
+/** Creates the containment of one node, with the events it logs and the rows it writes. */
+const createNode = () => {
+  const clock = ManualClock.create();
   const events: string[] = [];
-  const { rows, shared } = createDependencies(new Map());
+  const written: PublishedRow[] = [];
+  const { rows } = createDependencies(new Map());
   const containment = PromptPartContainment.create({
     nodeName: 'n1',
-    shared,
+    shared: {
+      write: async (_key, value) => {
+        written.push(value as PublishedRow);
+        return true;
+      },
+    },
     rows,
-    clock: ManualClock.create(),
+    clock,
     log: {
       logStateChange: (event) => events.push(event),
       logRequest: () => undefined,
@@ -230,6 +244,69 @@
       flush: () => undefined,
     },
   });
+  return { containment, clock, events, written };
+};
+
+/** Size of a row that the platform accepts, in bytes; values are sent as base64. */
+const MAX_ROW_BYTES = 65_536;
+
+// Guards against a row that the store rejects each time, so that other nodes never read of the crashes.
+t.test('a row with many long prompts keeps to the size that the store accepts', async (t2) => {
+  const { containment, written } = createNode();
+  for (let crash = 0; crash < 40; crash++) {
+    for (let request = 0; request < 20; request++) {
+      const fingerprint = `f-${crash}-${request}`;
+      const partIds = Array.from({ length: 64 }, (_, part) => `part-${crash}-${request}-${part}`);
+      containment.recordInterruption(`i-${crash}/1`, { fingerprint, partIds });
+    }
+  }
+  await containment.publish();
+  const [row] = written;
+  t2.ok(Buffer.from(JSON.stringify(row)).toString('base64').length < MAX_ROW_BYTES);
+  t2.equal(row?.crashes[0]?.[0], 'i-39/1', 'the newest crash is in it');
+});
+
+// Guards against nodes that count a crash as new because another node published it once more.
+t.test('a crash that has expired is not published again', async (t2) => {
+  const { containment, clock, written } = createNode();
+  containment.recordInterruption('i-old/1', { fingerprint: 'f1', partIds: ['a'] });
+  await containment.publish();
+  clock.addMs(PART_CRASH_RETENTION_MS + 1);
+  containment.logChanges();
+  containment.recordInterruption('i-new/1', { fingerprint: 'f2', partIds: ['a'] });
+  await containment.publish();
+  t2.strictSame(
+    written.map(({ crashes }) => crashes.map(([endpointStart]) => endpointStart)),
+    [['i-old/1'], ['i-new/1']],
+  );
+});
+
+t.test('nothing is written without crashes', async (t2) => {
+  const { containment, written } = createNode();
+  containment.recordCompletion(['a']);
+  await containment.publish();
+  t2.equal(written.length, 0);
+});
+
+// Guards against a part that stays suspected at nodes without completed requests of their own.
+t.test('a completed request is published once if other nodes suspect its parts', async (t2) => {
+  const { containment, written } = createNode();
+  for (const crash of [1, 2]) {
+    const value = JSON.stringify({ crashes: [[`i-${crash}/1`, [['f', ['a']]]]], completed: [] });
+    containment.applyRow({ key: `crashes/n${crash + 1}`, version: crash, value });
+  }
+  containment.recordCompletion(['a']);
+  await containment.publish();
+  containment.recordCompletion(['a']);
+  await containment.publish();
+  t2.strictSame(
+    written.map(({ completed }) => completed.map(([partId]) => partId)),
+    [['a']],
+  );
+});
+
+t.test('a row that another node wrote in an unknown form is ignored', async (t2) => {
+  const { containment, events } = createNode();
   containment.applyRow({ key: 'crashes/n2', version: 1, value: '{"crashes":7}' });
   t2.strictSame(events, ['row_rejected']);
 });
--- a/packages/gateway/src/promptPartContainment.ts
+++ b/packages/gateway/src/promptPartContainment.ts
@@ -6,7 +6,12 @@
 } from '@lovagearch/containment';
 import type { MirroredRow } from '@lovagearch/mirror';
 import * as z from 'zod';
-import { MAX_PUBLISHED_CRASHES, MAX_PUBLISHED_REQUESTS_PER_CRASH } from './constants.js';
+import {
+  MAX_PUBLISHED_COMPLETIONS,
+  MAX_PUBLISHED_CRASH_BYTES,
+  MAX_PUBLISHED_CRASHES,
+  MAX_PUBLISHED_REQUESTS_PER_CRASH,
+} from './constants.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { RowCodec, SharedTable } from './types.js';
 
@@ -46,6 +51,9 @@
 
   private hasUnpublishedCrashes = false;
 
+  /** Revision of the crashes at which nothing was left to publish. */
+  private publishedRevision = 0;
+
   private isWriting = false;
 
   private loggedQuarantines = new Map<string, PartQuarantine>();
@@ -66,7 +74,7 @@
 
   /** Records that a request with these shared parts got a complete response. */
   recordCompletion(partIds: readonly string[]): void {
-    this.crashes.recordCompletion(partIds, this.dependencies.clock.nowMs());
+    this.crashes.recordCompletion(partIds, this.dependencies.clock.nowMs(), true);
   }
 
   recordHeartbeat(endpointStart: string, heartbeat: number): void {
@@ -89,7 +97,7 @@
     const nowMs = clock.nowMs();
     const isOwn = key === `${CRASHES_PREFIX}${nodeName}`;
     for (const [partId, ageMs] of row.data.completed)
-      this.crashes.recordCompletion([partId], nowMs - Math.max(0, ageMs));
+      this.crashes.recordCompletion([partId], nowMs - Math.max(0, ageMs), false);
     for (const [endpointStart, requests] of row.data.crashes) {
       for (const [fingerprint, partIds] of requests) {
         const request = { fingerprint, partIds };
@@ -123,6 +131,9 @@
    * another node reported. A failed write is repeated by the next call.
    */
   async publish(): Promise<void> {
+    const { revision } = this.crashes;
+    if (this.isWriting || (revision === this.publishedRevision && !this.hasUnpublishedCrashes))
+      return;
     const cleared = this.crashes.listClearedParts();
     const hasNewCompletion = [...cleared.keys()].some((partId) => {
       const publishedAtMs = this.publishedCompletions.get(partId);
@@ -130,14 +141,18 @@
         publishedAtMs === undefined || !this.crashes.isClearedOfAllCrashes(partId, publishedAtMs)
       );
     });
-    if (this.isWriting || (!this.hasUnpublishedCrashes && !hasNewCompletion)) return;
+    if (!this.hasUnpublishedCrashes && !hasNewCompletion) {
+      this.publishedRevision = revision;
+      return;
+    }
     const { shared, nodeName, log } = this.dependencies;
     this.isWriting = true;
     this.hasUnpublishedCrashes = false;
     const isWritten = await shared.write(`${CRASHES_PREFIX}${nodeName}`, this.createRow(cleared));
     this.isWriting = false;
     if (isWritten) {
-      this.publishedCompletions = new Map(cleared);
+      this.publishedCompletions = cleared;
+      this.publishedRevision = revision;
       return;
     }
     this.hasUnpublishedCrashes = true;
@@ -156,16 +171,28 @@
     return true;
   }
 
+  /** Creates the row with the newest crashes that fit. */
   private createRow(cleared: ReadonlyMap<string, number>): CrashesRow {
     const nowMs = this.dependencies.clock.nowMs();
-    const crashes: CrashesRow['crashes'] = [...this.published].map(([endpointStart, requests]) => [
-      endpointStart,
-      [...requests].map(([fingerprint, partIds]) => [fingerprint, [...partIds]]),
-    ]);
-    const completed: CrashesRow['completed'] = [...cleared].map(([partId, atMs]) => [
-      partId,
-      Math.round(nowMs - atMs),
-    ]);
+    const crashes: CrashesRow['crashes'] = [];
+    let bytes = 0;
+    for (const [endpointStart, requests] of [...this.published].reverse()) {
+      if (!this.crashes.isCounted(endpointStart)) {
+        // Other nodes would count a crash that has expired as a new one.
+        this.published.delete(endpointStart);
+        continue;
+      }
+      const entry: CrashesRow['crashes'][number] = [
+        endpointStart,
+        [...requests].map(([fingerprint, partIds]) => [fingerprint, [...partIds]]),
+      ];
+      bytes += JSON.stringify(entry).length;
+      if (bytes > MAX_PUBLISHED_CRASH_BYTES) break;
+      crashes.push(entry);
+    }
+    const completed: CrashesRow['completed'] = [...cleared]
+      .slice(0, MAX_PUBLISHED_COMPLETIONS)
+      .map(([partId, atMs]) => [partId, Math.round(nowMs - atMs)]);
     return { crashes, completed };
   }
 }
--- a/packages/gateway/src/quarantine.ts
+++ b/packages/gateway/src/quarantine.ts
@@ -5,7 +5,7 @@
 import { computeFingerprint } from './strikePublisher.js';
 import type { RequestHead } from './types.js';
 
-/** Whether a prompt part of the request is quarantined; checked before each send, as repeats crash endpoints too. */
+/** Whether a prompt part of the request is quarantined. */
 export const hasQuarantinedPart = (
   { promptPartContainment }: GatewayContext,
   head: RequestHead,
