Keep the computed shares of named rate limits

Cause: each placement hashed the names of all nodes for each limited endpoint, which at 350 nodes and a hundred such endpoints is 35,000 hashes a request. Change: a share is kept until the endpoint's limit or the set of nodes changes. Result: the tests of limits and of the gateway pass; no decision changes.

--- a/packages/gateway/src/clusterState.ts
+++ b/packages/gateway/src/clusterState.ts
@@ -43,6 +43,8 @@
 
   private readonly peers = new Map<string, z.infer<typeof peerSchema>>();
 
+  private currentPeerRevision = 0;
+
   private readonly announcedOrders = new Map<
     string,
     AnnouncedOrder & { readonly endsMs: number }
@@ -71,6 +73,11 @@
     return Math.max(1, this.peers.size);
   }
 
+  /** Changes with the set of nodes that have announced themselves. */
+  get peerRevision(): number {
+    return this.currentPeerRevision;
+  }
+
   /** Lists the addresses of the nodes that have announced themselves. */
   listPeerAddresses(): string[] {
     return [...this.peers.values()].map(({ address }) => address);
@@ -231,7 +238,7 @@
 
   private applyPeer(name: string, value: string | undefined): void {
     if (value === undefined) {
-      this.peers.delete(name);
+      if (this.peers.delete(name)) this.currentPeerRevision += 1;
       return;
     }
     const peer = peerSchema.safeParse(this.codec.decodeSharedValue(value));
@@ -239,7 +246,9 @@
       this.logRejectedRow('peer', name, peer.error.message);
       return;
     }
-    if (this.peers.get(name)?.address === peer.data.address) return;
+    const known = this.peers.get(name);
+    if (known?.address === peer.data.address) return;
+    if (known === undefined) this.currentPeerRevision += 1;
     this.peers.set(name, peer.data);
     this.log.logStateChange('peer_known', { peer: name, nodes: this.peers.size });
   }
--- a/packages/gateway/src/endpointRates.ts
+++ b/packages/gateway/src/endpointRates.ts
@@ -1,14 +1,30 @@
 import { computeRateShare, type Endpoint, type RateShare } from '@lovagearch/endpoints';
 import type { GatewayContext } from './gatewayContext.js';
 
+interface KnownShare {
+  readonly limitPerS: number;
+  readonly peerRevision: number;
+  readonly share: RateShare;
+}
+
+/** Shares by endpoint; computing one hashes the names of all nodes. */
+const knownShares = new WeakMap<Endpoint, KnownShare>();
+
+/** Returns this node's share of an endpoint's limit, or undefined if the endpoint names none. */
 const findRateShare = (
   { clusterState, settings }: GatewayContext,
-  { record, rateLimit }: Endpoint,
+  endpoint: Endpoint,
 ): RateShare | undefined => {
-  if (rateLimit.limitPerS === undefined) return undefined;
+  const { limitPerS } = endpoint.rateLimit;
+  if (limitPerS === undefined) return undefined;
+  const { peerRevision } = clusterState;
+  const known = knownShares.get(endpoint);
+  if (known?.limitPerS === limitPerS && known.peerRevision === peerRevision) return known.share;
   // A node serves requests before it finds its own announcement in the shared table.
   const nodeNames = [...new Set([...clusterState.listPeerNames(), settings.nodeName])];
-  return computeRateShare(rateLimit.limitPerS, record.id, settings.nodeName, nodeNames);
+  const share = computeRateShare(limitPerS, endpoint.record.id, settings.nodeName, nodeNames);
+  knownShares.set(endpoint, { limitPerS, peerRevision, share });
+  return share;
 };
 
 /** Returns the endpoints whose limit does not allow this node another request now. */
