Count a crash of an endpoint that had broken off a request before

Cause: heartbeats refuted a presumed crash for the whole start of the endpoint, so a later crash of the same start was ignored. Spoiled or reset responses, which endpoints survive, would have hidden the crashes by a prompt part. Change: a request that is broken off after the refutation opens a new crash. Evidence: the new test fails on the code before and passes now; the simulations still pass.

--- a/packages/containment/src/promptPartCrashes.test.ts
+++ b/packages/containment/src/promptPartCrashes.test.ts
@@ -101,6 +101,23 @@
   t2.equal(crashes.findQuarantine(['a'], 5_000), undefined);
 });
 
+// Guards against ignoring the crash of an endpoint that had broken off a request before, and lived on.
+t.test('a crash after a refuted one of the same start counts', async (t2) => {
+  const crashes = PromptPartCrashes.create();
+  for (let index = 0; index < 3; index++) {
+    crashes.recordCrash(`i-${index}/1`, { fingerprint: `f${index}`, partIds: ['sound'] }, 0);
+    for (const heartbeat of [1, 4]) crashes.recordHeartbeat(`i-${index}/1`, heartbeat);
+  }
+  t2.equal(crashes.listQuarantines(1).length, 0);
+  t2.notOk(
+    crashes.recordCrash('i-0/1', { fingerprint: 'f0', partIds: ['sound'] }, 2),
+    'a repeated report is no crash',
+  );
+  for (let index = 0; index < 3; index++)
+    crashes.recordCrash(`i-${index}/1`, { fingerprint: `g${index}`, partIds: ['bad'] }, 5_000);
+  t2.ok(crashes.findQuarantine(['bad'], 5_001));
+});
+
 t.test('a completed request clears its parts of later crashes for a limited time', async (t2) => {
   const crashes = PromptPartCrashes.create();
   crashes.recordCompletion(['a'], 0, true);
--- a/packages/containment/src/promptPartCrashes.ts
+++ b/packages/containment/src/promptPartCrashes.ts
@@ -79,17 +79,17 @@
    */
   recordCrash(endpointStart: string, request: InterruptedRequest, nowMs: number): boolean {
     const known = this.crashes.peek(endpointStart);
-    const crash = known ?? {
-      atMs: nowMs,
-      requests: new Map<string, InterruptedRequest>(),
-      firstHeartbeat: undefined,
-      isRefuted: false,
-    };
+    if (known?.requests.has(request.fingerprint)) return false;
+    // An endpoint that lived on after a broken connection may still crash.
+    const isNew = known === undefined || known.isRefuted;
+    const crash: TrackedCrash = isNew
+      ? { atMs: nowMs, requests: new Map(), firstHeartbeat: undefined, isRefuted: false }
+      : known;
     const { requests } = crash;
-    if (requests.has(request.fingerprint) || requests.size >= MAX_REQUESTS_PER_CRASH) return false;
+    if (requests.size >= MAX_REQUESTS_PER_CRASH) return false;
     if (this.selectSuspects(request.partIds, crash.atMs).length === 0) return false;
     requests.set(request.fingerprint, request);
-    if (known === undefined) this.crashes.set(endpointStart, crash);
+    if (isNew) this.crashes.set(endpointStart, crash);
     for (const partId of request.partIds) this.namedParts.add(partId);
     this.latestCrashMs = Math.max(this.latestCrashMs, crash.atMs);
     this.markChanged();
