Test that a request is not repeated once its part is quarantined

The rule counts repeats as well as new requests. The test sends repeatable requests with a crashing part: two are sent twice, the third is not sent again after the fifth crash.

--- a/packages/gateway/src/crashingPromptPart.test.ts
+++ b/packages/gateway/src/crashingPromptPart.test.ts
@@ -63,11 +63,11 @@
 let requestCount = 0;
 
 /** Sends a request whose own part and body no other request has. */
-const sendWithParts = (gateway: Gateway, sharedParts: readonly string[]) => {
+const sendWithParts = (gateway: Gateway, sharedParts: readonly string[], path = '/generate/x') => {
   requestCount += 1;
   const id = `q${requestCount}`;
   const parts = [...sharedParts, `own-${id}`].map((part) => `${part}:100`).join(',');
-  return send(gateway, '/generate/x', id, `prompt ${id}`, parts);
+  return send(gateway, path, id, `prompt ${id}`, parts);
 };
 
 /** Sends requests with the crashing part until one is refused or `limit` were sent; returns how many. */
@@ -103,6 +103,21 @@
   },
 );
 
+// Guards against a quarantine that only new requests pass: a repeat crashes an endpoint as well.
+t.test('a request is not repeated once its part is quarantined', async (t2) => {
+  const { rows, countCrashes, stop } = await startEndpoints();
+  const gateway = await startGateway(SETTINGS, createDependencies(rows), '/ready');
+  await waitUntilReady(gateway);
+  const sendRepeatable = () => sendWithParts(gateway, ['common', CRASHING_PART], '/stream/x');
+  await sendRepeatable();
+  await sendRepeatable();
+  t2.equal(countCrashes(), 4, 'each request is sent twice');
+  t2.equal((await sendRepeatable()).status, 502, 'it may have run');
+  t2.equal(countCrashes(), 5, 'the third request is not sent again');
+  await gateway.drain('test');
+  stop();
+});
+
 // Guards against taking the end of the connection in a crash for a completed request, which clears the part.
 t.test('a response that ends with its connection does not clear a part', async (t2) => {
   const { rows, countCrashes, stop } = await startEndpoints((crash) => crash % 2 === 0);
