--- a/packages/endpoints/src/requestRateLimit.test.ts
+++ b/packages/endpoints/src/requestRateLimit.test.ts
@@ -15,6 +15,8 @@
 interface Load {
   readonly nodeCount: number;
   readonly limitPerS: number;
+  /** Probability per step that a node restarts, after which it has to receive the limit again. */
+  readonly restarts?: number;
   /** Probability per step that a node has a request for the endpoint; bursts alternate with silence. */
   readonly demand: number;
 }
@@ -23,19 +25,22 @@
  * Simulates nodes that send to one endpoint, which names its limit in each response. Returns the times of the
  * sends to which the rule applies: those of nodes that had received the limit before.
  */
-const simulateSends = ({ nodeCount, limitPerS, demand }: Load, seed: number): number[] => {
+const simulateSends = (
+  { nodeCount, limitPerS, demand, restarts = 0 }: Load,
+  seed: number,
+): number[] => {
   const random = createRandom(seed);
   const names = Array.from({ length: nodeCount }, (_, index) => `edge-${index}`);
-  const nodes = names.map((name) => ({
-    limit: RequestRateLimit.create(),
-    share: computeRateShare(limitPerS, 'i-1', name, names),
-  }));
+  const nodes = names.map((name) => ({ share: computeRateShare(limitPerS, 'i-1', name, names) }));
+  const limits = nodes.map(() => RequestRateLimit.create());
   const informedNodes = new Set<RequestRateLimit>();
   const sendsMs: number[] = [];
   for (let nowMs = 0; nowMs < DURATION_MS; nowMs += STEP_MS) {
     // All nodes fall silent and return together, so that unused allowances would add up.
     const isSilent = Math.floor(nowMs / 10_000) % 2 === 1;
-    for (const { limit, share } of nodes) {
+    for (const [index, { share }] of nodes.entries()) {
+      if (restarts > 0 && random() < restarts) limits[index] = RequestRateLimit.create();
+      const limit = limits[index] ?? RequestRateLimit.create();
       if (isSilent || random() >= demand) continue;
       if (!limit.canSend(share, nowMs, random)) continue;
       limit.recordSent(share, nowMs);
@@ -85,6 +90,18 @@
   });
 }
 
+// Guards against nodes that wait for a restarted one, or exceed the limit in its place.
+t.test('the other nodes keep to a limit while nodes restart', async (t2) => {
+  for (const limitPerS of [1, 2.3, 5.9]) {
+    const allowed = LIMIT_TOLERANCE * limitPerS * (WINDOW_MS / MS_PER_SECOND) + LIMIT_SLACK;
+    for (let seed = 1; seed <= 20; seed++) {
+      const load = { nodeCount: 9, limitPerS, demand: 0.5, restarts: 0.001 };
+      const busiest = countBusiestWindow(simulateSends(load, seed));
+      t2.ok(busiest <= allowed, `limit ${limitPerS}, seed ${seed}: ${busiest} of ${allowed}`);
+    }
+  }
+});
+
 t.test('a limit holds until a later response does not name it', async (t2) => {
   const random = () => 0.5;
   const limit = RequestRateLimit.create();
