Refute a crash by the number of heartbeats read after it

Cause: a presumed crash was refuted once the heartbeat's number had grown by three. Nothing says that it grows by one, so a heartbeat that was written before a real crash and read after it could refute that crash. Change: four different heartbeats have to be read after the crash. Evidence: the changed test, in which three heartbeats with growing steps leave the quarantine in force, fails on the code before; its check is as strict as before, with one heartbeat more.

--- a/packages/containment/src/promptPartCrashes.test.ts
+++ b/packages/containment/src/promptPartCrashes.test.ts
@@ -95,9 +95,9 @@
   recordCrashes(crashes, [[['a']], [['a']], [['a']]]);
   t2.ok(crashes.findQuarantine(['a'], 300));
   // Heartbeats that were written before the crash may be read after it.
-  for (const heartbeat of [7, 8, 9]) crashes.recordHeartbeat('i-0-0/1', heartbeat);
-  t2.ok(crashes.findQuarantine(['a'], 4_000), 'two heartbeats may have been in transit');
-  crashes.recordHeartbeat('i-0-0/1', 10);
+  for (const heartbeat of [7, 12, 30, 30]) crashes.recordHeartbeat('i-0-0/1', heartbeat);
+  t2.ok(crashes.findQuarantine(['a'], 4_000), 'three heartbeats may have been in transit');
+  crashes.recordHeartbeat('i-0-0/1', 31);
   t2.equal(crashes.findQuarantine(['a'], 5_000), undefined);
 });
 
@@ -106,7 +106,7 @@
   const crashes = PromptPartCrashes.create();
   for (let index = 0; index < 3; index++) {
     crashes.recordCrash(`i-${index}/1`, { fingerprint: `f${index}`, partIds: ['sound'] }, 0);
-    for (const heartbeat of [1, 4]) crashes.recordHeartbeat(`i-${index}/1`, heartbeat);
+    for (const heartbeat of [1, 2, 3, 4]) crashes.recordHeartbeat(`i-${index}/1`, heartbeat);
   }
   t2.equal(crashes.listQuarantines(1).length, 0);
   t2.notOk(
--- a/packages/containment/src/promptPartCrashes.ts
+++ b/packages/containment/src/promptPartCrashes.ts
@@ -12,8 +12,11 @@
 export const COMPLETION_CREDIT_MS = 30_000;
 /** Time for which a crash counts, in milliseconds. */
 export const PART_CRASH_RETENTION_MS = 600_000;
-/** Heartbeats after a presumed crash that prove that the endpoint is alive; two may be in transit. */
-const HEARTBEATS_OF_LIVE_ENDPOINT = 3;
+/**
+ * Heartbeats read after a presumed crash that prove that the endpoint is alive. Up to three that were written
+ * before it may be read later.
+ */
+const HEARTBEATS_OF_LIVE_ENDPOINT = 4;
 const MAX_TRACKED_CRASHES = 256;
 const MAX_REQUESTS_PER_CRASH = 64;
 const MAX_TRACKED_COMPLETIONS = 8_192;
@@ -35,8 +38,10 @@
 interface TrackedCrash {
   readonly atMs: number;
   readonly requests: Map<string, InterruptedRequest>;
-  /** Heartbeat of the endpoint that was read first after the crash. */
-  firstHeartbeat: number | undefined;
+  /** Heartbeat of the endpoint that was read last. */
+  lastHeartbeat: number | undefined;
+  /** Different heartbeats that were read since the crash. */
+  heartbeatCount: number;
   isRefuted: boolean;
 }
 
@@ -83,7 +88,13 @@
     // An endpoint that lived on after a broken connection may still crash.
     const isNew = known === undefined || known.isRefuted;
     const crash: TrackedCrash = isNew
-      ? { atMs: nowMs, requests: new Map(), firstHeartbeat: undefined, isRefuted: false }
+      ? {
+          atMs: nowMs,
+          requests: new Map(),
+          lastHeartbeat: undefined,
+          heartbeatCount: 0,
+          isRefuted: false,
+        }
       : known;
     const { requests } = crash;
     if (requests.size >= MAX_REQUESTS_PER_CRASH) return false;
@@ -120,9 +131,10 @@
   /** Records a heartbeat, which refutes a crash of the same start: its connections were merely reset. */
   recordHeartbeat(endpointStart: string, heartbeat: number): void {
     const crash = this.crashes.peek(endpointStart);
-    if (crash === undefined || crash.isRefuted) return;
-    crash.firstHeartbeat ??= heartbeat;
-    if (heartbeat < crash.firstHeartbeat + HEARTBEATS_OF_LIVE_ENDPOINT) return;
+    if (crash === undefined || crash.isRefuted || crash.lastHeartbeat === heartbeat) return;
+    crash.lastHeartbeat = heartbeat;
+    crash.heartbeatCount += 1;
+    if (crash.heartbeatCount < HEARTBEATS_OF_LIVE_ENDPOINT) return;
     crash.isRefuted = true;
     this.markChanged();
   }
