--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -315,7 +315,7 @@
       const hasEvents = framer.lastEventId > 0 || this.hasOutput;
       if (framer.hasPartialEvent) this.finishBroken('stream ended inside an event', true);
       else if (this.endsWithConnection && !hasEvents) {
-        // A crash before the first event can't be told from an end, and a stream has events.
+        // A crash before the first event looks like an end, and a stream has events.
         this.finishBroken('stream ended before its first event', true);
       } else {
         if (!callerResponse.hasStarted) callerResponse.start(head);
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -64,7 +64,7 @@
 export const MAX_PUBLISHED_CRASH_BYTES = 32_768;
 /** Maximum number of cleared parts in that row. */
 export const MAX_PUBLISHED_COMPLETIONS = 256;
-/** Characters of a fingerprint in that row; 48 bits tell the few requests of one part apart. */
+/** Characters of a fingerprint in that row; 48 bits distinguish the few requests of one part. */
 export const PUBLISHED_FINGERPRINT_LENGTH = 8;
 /**
  * Time after the first output in which an endpoint that breaks off may have been crashed by the request, in
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -92,7 +92,7 @@
     runs,
     elapsedMs: Math.round(elapsedMs),
     hasOutput,
-    // Tells what the requests that one endpoint broke off have in common.
+    // Shows what the requests that one endpoint broke off have in common.
     sharedParts: listSharedPartIds(head).slice(0, MAX_LOGGED_PARTS),
   });
 };
