Start the test of refused requests with limits that no endpoint has used

Cause: the test of requests that no endpoint accepts followed two others on the same gateway. There, an endpoint had named 1.5 requests per second, so for up to 667 ms it could neither learn of the lower limit nor be skipped, while all 40 requests of the test took less. A second, rarer cause is the random first wait after a limit is named, which may end at once.

Change: the test has its own gateway and endpoints, checks that each has named its limit, and asserts every response. The gateway takes its random numbers from its dependencies, so that the test can fix the first wait. Both checks are as strict as before.

--- a/packages/gateway/src/endpointRateLimit.test.ts
+++ b/packages/gateway/src/endpointRateLimit.test.ts
@@ -11,6 +11,7 @@
   SETTINGS,
   waitUntilReady,
 } from './testGateway.js';
+import { FakeSharedTable } from './testSharedTable.js';
 
 /** Window and tolerance of the users' rule. */
 const WINDOW_S = 4;
@@ -77,20 +78,36 @@
     t3.ok(limited.received.length <= computeAllowed(1.5, elapsedMs), `${limited.received.length}`);
   });
 
-  // Guards against requests that wait for their time limit although no endpoint may take them.
-  await t2.test('a request that no endpoint accepts is refused at once', async (t3) => {
-    limited.handle = createHandler(200, '0.01');
-    other.handle = createHandler(200, '0.01');
-    await sendMany('/read/x', 20);
-    for (const endpoint of endpoints) endpoint.received.length = 0;
-    const { statuses } = await sendMany('/read/x', 20);
-    t3.ok(
-      statuses.every((status) => status === 503),
-      'refused as not run',
-    );
-    t3.equal(limited.received.length + other.received.length, 0);
-  });
-
   await gateway.drain('test');
   for (const endpoint of endpoints) endpoint.stop();
 });
+
+// Guards against requests that wait for their time limit although no endpoint may take them.
+t.test('a request that no endpoint accepts is refused at once', async (t2) => {
+  const endpoints = [new FakeEndpoint(), new FakeEndpoint()];
+  const ports = await Promise.all(endpoints.map((endpoint) => endpoint.start()));
+  // A random first wait could end while the test sends.
+  const random = () => 0.5;
+  const dependencies = createDependencies(createRows(ports), new FakeSharedTable(), random);
+  const gateway = await startGateway(SETTINGS, dependencies, '/ready');
+  await waitUntilReady(gateway);
+  for (const endpoint of endpoints) {
+    endpoint.handle = createHandler(200, '0.01');
+    endpoint.received.length = 0;
+  }
+  // The first request to each endpoint makes the limit known.
+  for (let index = 0; index < 20; index++) await send(gateway, '/read/x', `first-${index}`);
+  for (const endpoint of endpoints) {
+    t2.ok(endpoint.received.length > 0, 'the limit is known');
+    endpoint.received.length = 0;
+  }
+  for (let index = 0; index < 20; index++) {
+    const { status } = await send(gateway, '/read/x', `second-${index}`);
+    t2.equal(status, 503, 'refused as not run');
+  }
+  for (const endpoint of endpoints) {
+    t2.equal(endpoint.received.length, 0);
+    endpoint.stop();
+  }
+  await gateway.drain('test');
+});
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -1,5 +1,5 @@
 import { SlidingWindowRetryBudget } from '@lovagearch/admission';
-import { createRandom, getErrorMessage, processClock } from '@lovagearch/common';
+import { getErrorMessage, processClock } from '@lovagearch/common';
 import { ConnectionPool } from '@lovagearch/exchange';
 import {
   type MirrorEvent,
@@ -80,7 +80,7 @@
   readinessPath: string,
 ): Promise<Gateway> => {
   const clock = processClock;
-  const random = createRandom(Math.floor(Math.random() * 2 ** 32));
+  const { random } = dependencies;
   const metrics = GatewayMetrics.create();
   const log = createGatewayLog(settings.nodeName, clock, (lines) =>
     metrics.recordDroppedLines(lines),
--- a/packages/gateway/src/testGateway.ts
+++ b/packages/gateway/src/testGateway.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events';
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { Random } from '@lovagearch/common';
 import type { EndpointRecord, PromptPart, RateLimitStatement } from '@lovagearch/endpoints';
 import type { MirroredRow, ReadResult } from '@lovagearch/mirror';
 import type { Route, TrafficConfiguration } from '@lovagearch/traffic';
@@ -109,6 +110,7 @@
 export const createDependencies = (
   rows: ReadonlyMap<string, readonly MirroredRow[]>,
   shared = new FakeSharedTable(),
+  random: Random = Math.random,
 ): GatewayDependencies => {
   const readAll = async (table: string): Promise<ReadResult> =>
     table === SHARED_TABLE
@@ -211,6 +213,7 @@
       sendOrder: async () => ({ type: 'rejected', reason: 'not used' }),
     },
     cacheStores: { readEvents: async () => undefined, freeParts: async () => false },
+    random,
   };
 };
 
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -1,3 +1,4 @@
+import type { Random } from '@lovagearch/common';
 import type {
   EndpointRecord,
   LoadReport,
@@ -188,4 +189,6 @@
   readonly lease: LeaseStore;
   readonly orders: OrderClient;
   readonly cacheStores: CacheStoreClient;
+  /** Random numbers of all decisions; a test passes seeded or fixed ones. */
+  readonly random: Random;
 }
