Scale the wait for a limited endpoint when its limit changes

Cause: a node computed the time of its next send from the limit that was in force at the last one. When an endpoint lowered its limit, each node could still send once at the earlier pace. With many nodes these sends exceed the lower limit together.

Change: the remaining wait scales with the interval of this node's share. A raised limit, which was a special case, takes effect in the same way.

--- a/packages/endpoints/src/requestRateLimit.test.ts
+++ b/packages/endpoints/src/requestRateLimit.test.ts
@@ -134,6 +134,30 @@
   t2.ok(limit.canSend(computeRateShare(10, 'i-1', 'a', ['a']), 300, () => 0.5));
 });
 
+// Guards against nodes that each send once more at the pace of a higher limit.
+t.test('a lowered limit takes effect at once', async (t2) => {
+  const names = Array.from({ length: 83 }, (_, index) => `edge-${index}`);
+  const random = createRandom(1);
+  const lowerPerS = 1.5;
+  let sends = 0;
+  for (const name of names) {
+    const limit = RequestRateLimit.create();
+    const higherShare = computeRateShare(100, 'i-1', name, names);
+    limit.applyStatement({ type: 'named', requestsPerS: 100 }, 0, 0);
+    limit.canSend(higherShare, 0, random);
+    limit.recordSent(higherShare, 0);
+    limit.applyStatement({ type: 'named', requestsPerS: lowerPerS }, 0, 0);
+    const share = computeRateShare(lowerPerS, 'i-1', name, names);
+    for (let nowMs = 0; nowMs < WINDOW_MS; nowMs += STEP_MS) {
+      if (!limit.canSend(share, nowMs, random)) continue;
+      limit.recordSent(share, nowMs);
+      sends += 1;
+    }
+  }
+  const allowed = LIMIT_TOLERANCE * lowerPerS * (WINDOW_MS / MS_PER_SECOND) + LIMIT_SLACK;
+  t2.ok(sends <= allowed, `${sends} of ${allowed}`);
+});
+
 // Guards against nodes outside the sharing ones that avoid an endpoint long after its limit was lifted.
 t.test('every node sends to a limited endpoint from time to time', async (t2) => {
   const random = createRandom(1);
--- a/packages/endpoints/src/requestRateLimit.ts
+++ b/packages/endpoints/src/requestRateLimit.ts
@@ -35,6 +35,9 @@
   /** Clock reading from which the next request may be sent; undefined until the share is first used. */
   private nextSendAtMs: number | undefined;
 
+  /** Interval by which that reading was computed, in milliseconds. */
+  private intervalMs = 0;
+
   static create(): RequestRateLimit {
     return new RequestRateLimit();
   }
@@ -48,11 +51,12 @@
   canSend(share: RateShare, nowMs: number, random: Random): boolean {
     if (this.requestsPerS === undefined) return true;
     // Nodes start at different times, as all of them receive the limit at about the same time.
-    this.nextSendAtMs ??= nowMs + share.intervalMs * random();
-    // A higher limit holds at once.
-    this.nextSendAtMs = Math.min(this.nextSendAtMs, nowMs + share.intervalMs);
-    if (nowMs < this.nextSendAtMs) return false;
-    if (share.type === 'paced' || nowMs < this.nextSendAtMs + PROBE_WINDOW_MS) return true;
+    const nextSendAtMs =
+      this.computeNextSendAtMs(share, nowMs) ?? nowMs + share.intervalMs * random();
+    this.nextSendAtMs = nextSendAtMs;
+    this.intervalMs = share.intervalMs;
+    if (nowMs < nextSendAtMs) return false;
+    if (share.type === 'paced' || nowMs < nextSendAtMs + PROBE_WINDOW_MS) return true;
     this.nextSendAtMs = nowMs + share.intervalMs * random();
     return false;
   }
@@ -61,7 +65,9 @@
   recordSent(share: RateShare, nowMs: number): void {
     if (this.requestsPerS === undefined) return;
     const earliestMs = nowMs - Math.min(MAX_LATE_CREDIT_MS, share.intervalMs / 2);
-    this.nextSendAtMs = Math.max(this.nextSendAtMs ?? nowMs, earliestMs) + share.intervalMs;
+    const nextSendAtMs = this.computeNextSendAtMs(share, nowMs) ?? nowMs;
+    this.nextSendAtMs = Math.max(nextSendAtMs, earliestMs) + share.intervalMs;
+    this.intervalMs = share.intervalMs;
   }
 
   /**
@@ -97,4 +103,10 @@
         return statement satisfies never;
     }
   }
+
+  /** Scales the wait with the interval, so that a changed limit takes effect before the next send. */
+  private computeNextSendAtMs({ intervalMs }: RateShare, nowMs: number): number | undefined {
+    if (this.nextSendAtMs === undefined || intervalMs === this.intervalMs) return this.nextSendAtMs;
+    return nowMs + (this.nextSendAtMs - nowMs) * (intervalMs / this.intervalMs);
+  }
 }
