Keep the published strikes of a node over its restart

Cause: a node that restarted wrote its row of strikes anew with the first crash that it saw, so the crashes that it had published before were gone. Nodes that started later did not learn of them and sent the requests to endpoints once more. The rows of crashes by prompt parts are read back already.

Change: the strike publisher reads the rows of strikes, in place of ClusterState, and keeps those of its own row. Nothing is published before the table was read once.

Result: "a restarted node publishes its earlier strikes beside new ones" fails if the strikes of the own row aren't kept, and passes with the change.

--- a/packages/gateway/src/clusterState.ts
+++ b/packages/gateway/src/clusterState.ts
@@ -1,4 +1,4 @@
-import { type Clock, type Fingerprint, toId } from '@lovagearch/common';
+import type { Clock } from '@lovagearch/common';
 import { CrashCounter } from '@lovagearch/containment';
 import { EndpointTable, PromptCacheEstimator } from '@lovagearch/endpoints';
 import type { MirroredRow } from '@lovagearch/mirror';
@@ -12,13 +12,11 @@
 
 /** Keys and key prefixes of the shared table. */
 export const PEER_PREFIX = 'peer/';
-export const STRIKES_PREFIX = 'strikes/';
 export const ORDER_PREFIX = 'order/';
 export const LEASE_KEY = 'lease/orders';
 
 const peerSchema = z.object({ address: z.string(), loadAddress: z.string(), zone: z.string() });
 export type PeerRecord = z.infer<typeof peerSchema>;
-const strikesSchema = z.object({ strikes: z.array(z.tuple([z.string(), z.string()])) });
 const orderSchema = z.object({ model: z.string(), version: z.number().int() });
 
 /** A target weight version and the clock reading at which this process learned of it. */
@@ -187,7 +185,6 @@
       return;
     }
     if (value === undefined) return;
-    if (key.startsWith(STRIKES_PREFIX)) this.applyStrikes(value);
     if (key.startsWith(ORDER_PREFIX)) this.applyOrder(key.slice(ORDER_PREFIX.length), value);
   }
 
@@ -253,21 +250,6 @@
     this.log.logStateChange('peer_known', { peer: name, nodes: this.peers.size });
   }
 
-  private applyStrikes(value: string): void {
-    const row = strikesSchema.safeParse(this.codec.decodeSharedValue(value));
-    if (!row.success) {
-      this.logRejectedRow('strikes', STRIKES_PREFIX, row.error.message);
-      return;
-    }
-    const nowMs = this.clock.nowMs();
-    for (const [fingerprint, endpointStart] of row.data.strikes) {
-      this.strikes.recordCrash(
-        { fingerprint: toId<Fingerprint>(fingerprint), endpointStart },
-        nowMs,
-      );
-    }
-  }
-
   private applyOrder(endpointId: string, value: string): void {
     const order = orderSchema.safeParse(this.codec.decodeSharedValue(value));
     if (order.success) this.recordAnnouncedOrder({ endpointId, ...order.data });
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -92,14 +92,21 @@
   operatorMirror.addListener((row) => clusterState.applyOperatorRow(row));
   endpointMirror.addListener((row) => clusterState.applyEndpointRow(row));
   sharedMirror.addListener((row) => clusterState.applySharedRow(row));
+  const { nodeName } = settings;
+  const { shared, rows } = dependencies;
+  const { strikes } = clusterState;
+  const strikePublisher = StrikePublisher.create({ nodeName, shared, rows, strikes, clock, log });
   const promptPartContainment = PromptPartContainment.create({
-    nodeName: settings.nodeName,
-    shared: dependencies.shared,
-    rows: dependencies.rows,
+    nodeName,
+    shared,
+    rows,
     clock,
     log,
   });
-  sharedMirror.addListener((row) => promptPartContainment.applyRow(row));
+  sharedMirror.addListener((row) => {
+    strikePublisher.applyRow(row);
+    promptPartContainment.applyRow(row);
+  });
   endpointMirror.addListener(({ key }) => {
     const endpoint = clusterState.endpoints.findEndpoint(key);
     if (endpoint === undefined) return;
@@ -185,7 +192,6 @@
     windowS: bounds.retryWindowS,
   };
   const budgets = new Map<string, SlidingWindowRetryBudget>();
-  const strikePublisher = StrikePublisher.create(settings.nodeName, dependencies.shared, log);
   const suspensionClock = createSuspensionClock(clock, Date.now);
   const cacheStoreWatcher = CacheStoreWatcher.create({
     nodeName: settings.nodeName,
@@ -340,9 +346,10 @@
       );
   }, HOUSEKEEPING_INTERVAL_MS);
   const publishCrashes = async () => {
+    // Before the first read, this node's rows of an earlier start would be overwritten.
+    if (sharedMirror.version === 0) return;
     await strikePublisher.publish();
-    // Before the first read, this node's row of an earlier start would be overwritten.
-    if (sharedMirror.version > 0) await promptPartContainment.publish();
+    await promptPartContainment.publish();
   };
   const publishTimer = setInterval(() => {
     publishCrashes().catch((error: unknown) => {
--- /dev/null
+++ b/packages/gateway/src/strikePublisher.test.ts
@@ -0,0 +1,67 @@
+import { ManualClock, toId, type Fingerprint } from '@lovagearch/common';
+import { CrashCounter } from '@lovagearch/containment';
+import t from 'tap';
+import { StrikePublisher } from './strikePublisher.js';
+import { createDependencies } from './testGateway.js';
+
+const OWN_KEY = 'strikes/n1';
+const toStrike = (endpointStart: string) => ({
+  fingerprint: toId<Fingerprint>('f'),
+  endpointStart,
+});
+
+/** Creates the publisher of one node, with the crashes that it counts and the rows that it writes. */
+const createNode = () => {
+  const clock = ManualClock.create();
+  const strikes = CrashCounter.create();
+  const written: unknown[] = [];
+  const publisher = StrikePublisher.create({
+    nodeName: 'n1',
+    shared: {
+      write: async (_key, value) => {
+        written.push(value);
+        return true;
+      },
+    },
+    rows: createDependencies(new Map()).rows,
+    strikes,
+    clock,
+    log: {
+      logStateChange: () => undefined,
+      logRequest: () => undefined,
+      logProblem: () => undefined,
+      flush: () => undefined,
+    },
+  });
+  return { clock, publisher, strikes, written };
+};
+
+const createRow = (key: string, endpointStart: string) => ({
+  key,
+  version: 1,
+  value: JSON.stringify({ strikes: [['f', endpointStart]] }),
+});
+
+// Guards against a restart after which no other node that starts learns of the earlier crashes.
+t.test('a restarted node publishes its earlier strikes beside new ones', async (t2) => {
+  const { publisher, written } = createNode();
+  publisher.applyRow(createRow(OWN_KEY, 'i-1/1'));
+  publisher.applyRow(createRow('strikes/n2', 'i-2/1'));
+  await publisher.publish();
+  t2.equal(written.length, 0, 'nothing is new');
+  publisher.addStrike(toStrike('i-3/1'));
+  await publisher.publish();
+  const expected = [
+    ['f', 'i-1/1'],
+    ['f', 'i-3/1'],
+  ];
+  t2.strictSame(written, [{ strikes: expected }]);
+});
+
+t.test('the strikes of other nodes are counted', async (t2) => {
+  const { clock, publisher, strikes } = createNode();
+  publisher.applyRow(createRow('strikes/n2', 'i-1/1'));
+  publisher.applyRow(createRow('strikes/n3', 'i-2/1'));
+  publisher.applyRow({ key: 'strikes/n4', version: 1, value: '{"strikes":7}' });
+  t2.ok(strikes.isQuarantined(toId<Fingerprint>('f'), clock.nowMs()));
+});
--- a/packages/gateway/src/strikePublisher.ts
+++ b/packages/gateway/src/strikePublisher.ts
@@ -1,10 +1,26 @@
 import { createHash } from 'node:crypto';
-import { type Fingerprint, toId } from '@lovagearch/common';
-import type { RequestCrash } from '@lovagearch/containment';
-import { STRIKES_PREFIX } from './clusterState.js';
+import { type Clock, type Fingerprint, toId } from '@lovagearch/common';
+import type { CrashCounter, RequestCrash } from '@lovagearch/containment';
+import type { MirroredRow } from '@lovagearch/mirror';
+import * as z from 'zod';
 import { MAX_PUBLISHED_STRIKES } from './constants.js';
 import type { GatewayLog } from './gatewayLog.js';
-import type { SharedTable } from './types.js';
+import type { RowCodec, SharedTable } from './types.js';
+
+/** Key prefix of the rows in which each node publishes its strikes. */
+export const STRIKES_PREFIX = 'strikes/';
+
+const rowSchema = z.object({ strikes: z.array(z.tuple([z.string(), z.string()])) });
+
+export interface StrikePublisherDependencies {
+  readonly nodeName: string;
+  readonly shared: SharedTable;
+  readonly rows: RowCodec;
+  /** Counts the strikes of all nodes. */
+  readonly strikes: CrashCounter;
+  readonly clock: Clock;
+  readonly log: GatewayLog;
+}
 
 /** Computes the fingerprint of a request, which is equal for the same account, path and body. */
 export const computeFingerprint = (
@@ -17,7 +33,7 @@
   return toId<Fingerprint>(hash.digest('base64url'));
 };
 
-/** Publishes the strikes that this node recorded, several in one write. */
+/** Exchanges strikes with the other nodes: publishes those of this node, several in one write, and counts all. */
 export class StrikePublisher {
   private readonly recentStrikes: RequestCrash[] = [];
 
@@ -25,14 +41,10 @@
 
   private isWriting = false;
 
-  private constructor(
-    private readonly nodeName: string,
-    private readonly shared: SharedTable,
-    private readonly log: GatewayLog,
-  ) {}
+  private constructor(private readonly dependencies: StrikePublisherDependencies) {}
 
-  static create(nodeName: string, shared: SharedTable, log: GatewayLog): StrikePublisher {
-    return new StrikePublisher(nodeName, shared, log);
+  static create(dependencies: StrikePublisherDependencies): StrikePublisher {
+    return new StrikePublisher(dependencies);
   }
 
   addStrike(strike: RequestCrash): void {
@@ -41,19 +53,44 @@
     this.hasUnpublishedStrikes = true;
   }
 
+  /** Counts the strikes of a node's row. This node's own row holds what it published before a restart. */
+  applyRow({ key, value }: MirroredRow): void {
+    if (value === undefined || !key.startsWith(STRIKES_PREFIX)) return;
+    const { nodeName, rows, strikes, clock, log } = this.dependencies;
+    const row = rowSchema.safeParse(rows.decodeSharedValue(value));
+    if (!row.success) {
+      log.logStateChange('row_rejected', { kind: 'strikes', key, reason: row.error.message });
+      return;
+    }
+    const nowMs = clock.nowMs();
+    for (const [fingerprint, endpointStart] of row.data.strikes) {
+      const strike = { fingerprint: toId<Fingerprint>(fingerprint), endpointStart };
+      strikes.recordCrash(strike, nowMs);
+      if (key === `${STRIKES_PREFIX}${nodeName}` && !this.isPublished(strike))
+        this.recentStrikes.push(strike);
+    }
+  }
+
   /** Writes the recent strikes if there are new ones; a failed write is retried by the next call. */
   async publish(): Promise<void> {
     if (!this.hasUnpublishedStrikes || this.isWriting) return;
     this.isWriting = true;
     this.hasUnpublishedStrikes = false;
+    const { nodeName, shared, log } = this.dependencies;
     const strikes = this.recentStrikes.map(({ fingerprint, endpointStart }) => [
       fingerprint,
       endpointStart,
     ]);
-    const isWritten = await this.shared.write(`${STRIKES_PREFIX}${this.nodeName}`, { strikes });
+    const isWritten = await shared.write(`${STRIKES_PREFIX}${nodeName}`, { strikes });
     this.isWriting = false;
     if (isWritten) return;
     this.hasUnpublishedStrikes = true;
-    this.log.logStateChange('strikes_not_published', { strikes: strikes.length });
+    log.logStateChange('strikes_not_published', { strikes: strikes.length });
+  }
+
+  private isPublished({ fingerprint, endpointStart }: RequestCrash): boolean {
+    return this.recentStrikes.some(
+      (known) => known.fingerprint === fingerprint && known.endpointStart === endpointStart,
+    );
   }
 }
