Publish no strike that has expired

Cause: a row of strikes repeats a node's latest 48 strikes without their age. Each write made the other nodes count those that had expired there as new crashes, so a request that had been in flight in two crashes minutes ago was quarantined again.

Change: a strike leaves the row when it is as old as the time for which it counts.

Result: "a strike that has expired is not published again" and "a strike that the node reads back from its own row still expires" fail without the change and pass with it.

--- a/packages/gateway/src/strikePublisher.test.ts
+++ b/packages/gateway/src/strikePublisher.test.ts
@@ -1,5 +1,5 @@
 import { ManualClock, toId, type Fingerprint } from '@lovagearch/common';
-import { CrashCounter } from '@lovagearch/containment';
+import { CRASH_RETENTION_MS, CrashCounter } from '@lovagearch/containment';
 import t from 'tap';
 import { StrikePublisher } from './strikePublisher.js';
 import { createDependencies } from './testGateway.js';
@@ -58,6 +58,29 @@
   t2.strictSame(written, [{ strikes: expected }]);
 });
 
+// Guards against nodes that count an expired crash as a new one, which quarantines the request again.
+t.test('a strike that has expired is not published again', async (t2) => {
+  const { clock, publisher, written } = createNode();
+  publisher.addStrike(toStrike('i-1/1'));
+  await publisher.publish();
+  clock.addMs(CRASH_RETENTION_MS + 1);
+  publisher.addStrike(toStrike('i-2/1'));
+  await publisher.publish();
+  t2.strictSame(written.at(-1), { strikes: [['f', 'i-2/1']] });
+});
+
+// Guards against an own row, as each write is read back, that keeps its strikes from expiring.
+t.test('a strike that the node reads back from its own row still expires', async (t2) => {
+  const { clock, publisher, written } = createNode();
+  publisher.addStrike(toStrike('i-1/1'));
+  clock.addMs(CRASH_RETENTION_MS / 2);
+  publisher.applyRow(createRow(OWN_KEY, 'i-1/1'));
+  clock.addMs(CRASH_RETENTION_MS / 2 + 1);
+  publisher.addStrike(toStrike('i-2/1'));
+  await publisher.publish();
+  t2.strictSame(written, [{ strikes: [['f', 'i-2/1']] }]);
+});
+
 t.test('the strikes of other nodes are counted', async (t2) => {
   const { clock, publisher, strikes } = createNode();
   publisher.applyRow(createRow('strikes/n2', 'i-1/1'));
--- a/packages/gateway/src/strikePublisher.ts
+++ b/packages/gateway/src/strikePublisher.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
 import { type Clock, type Fingerprint, toId } from '@lovagearch/common';
-import type { CrashCounter, RequestCrash } from '@lovagearch/containment';
+import { CRASH_RETENTION_MS, type CrashCounter, type RequestCrash } from '@lovagearch/containment';
 import type { MirroredRow } from '@lovagearch/mirror';
 import * as z from 'zod';
 import { MAX_PUBLISHED_STRIKES } from './constants.js';
@@ -12,6 +12,10 @@
 
 const rowSchema = z.object({ strikes: z.array(z.tuple([z.string(), z.string()])) });
 
+interface PublishedStrike extends RequestCrash {
+  readonly atMs: number;
+}
+
 export interface StrikePublisherDependencies {
   readonly nodeName: string;
   readonly shared: SharedTable;
@@ -35,7 +39,7 @@
 
 /** Exchanges strikes with the other nodes: publishes those of this node, several in one write, and counts all. */
 export class StrikePublisher {
-  private readonly recentStrikes: RequestCrash[] = [];
+  private recentStrikes: PublishedStrike[] = [];
 
   private hasUnpublishedStrikes = false;
 
@@ -48,7 +52,7 @@
   }
 
   addStrike(strike: RequestCrash): void {
-    this.recentStrikes.push(strike);
+    this.recentStrikes.push({ ...strike, atMs: this.dependencies.clock.nowMs() });
     if (this.recentStrikes.length > MAX_PUBLISHED_STRIKES) this.recentStrikes.shift();
     this.hasUnpublishedStrikes = true;
   }
@@ -67,7 +71,7 @@
       const strike = { fingerprint: toId<Fingerprint>(fingerprint), endpointStart };
       strikes.recordCrash(strike, nowMs);
       if (key === `${STRIKES_PREFIX}${nodeName}` && !this.isPublished(strike))
-        this.recentStrikes.push(strike);
+        this.recentStrikes.push({ ...strike, atMs: nowMs });
     }
   }
 
@@ -76,7 +80,10 @@
     if (!this.hasUnpublishedStrikes || this.isWriting) return;
     this.isWriting = true;
     this.hasUnpublishedStrikes = false;
-    const { nodeName, shared, log } = this.dependencies;
+    const { nodeName, shared, clock, log } = this.dependencies;
+    // Other nodes would count a strike that has expired as a new one.
+    const oldestMs = clock.nowMs() - CRASH_RETENTION_MS;
+    this.recentStrikes = this.recentStrikes.filter(({ atMs }) => atMs >= oldestMs);
     const strikes = this.recentStrikes.map(({ fingerprint, endpointStart }) => [
       fingerprint,
       endpointStart,
