Keep a named limit when another endpoint responds or a request is rejected

Cause: every response was taken as a statement of the endpoint that the request was sent to. A response of another endpoint at the same address replaced the limit. A rejection without the header lifted it, though an endpoint in need may reject a request before it handles it; the nodes would then send at full rate again.

Change: misdirected responses say nothing about the limit, and a rejection can name it but not lift it.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -211,8 +211,7 @@
       return;
     }
     if (head.load !== undefined) endpoint.recordLoadReport(head.load, nowMs);
-    const change = endpoint.rateLimit.applyStatement(head.rateLimit, this.startMs, nowMs);
-    if (change !== undefined) this.dependencies.onRateLimitChange(endpoint.record.id, change);
+    this.applyRateLimit(head, nowMs);
     if (head.isNotRun || head.isMisdirected) {
       // The connection can be reused if the body ends soon.
       const endRejection = () => this.handleRejection(head);
@@ -229,6 +228,19 @@
     }
   }
 
+  private applyRateLimit(
+    { rateLimit, isNotRun, isMisdirected }: ResponseHead,
+    nowMs: number,
+  ): void {
+    const { endpoint } = this.input;
+    // Another endpoint may have responded.
+    if (isMisdirected) return;
+    // An endpoint may reject a request before it handles it, and the limit is lifted by the next response.
+    if (isNotRun && rateLimit.type === 'none') return;
+    const change = endpoint.rateLimit.applyStatement(rateLimit, this.startMs, nowMs);
+    if (change !== undefined) this.dependencies.onRateLimitChange(endpoint.record.id, change);
+  }
+
   private handleData(chunk: Buffer): void {
     if (this.isFinished || this.head === undefined) return;
     this.recordActivity(this.dependencies.clock.nowMs());
--- a/packages/gateway/src/endpointRateLimit.test.ts
+++ b/packages/gateway/src/endpointRateLimit.test.ts
@@ -111,3 +111,28 @@
   }
   await gateway.drain('test');
 });
+
+// Guards against a limit that is lifted while the endpoint, overloaded, rejects requests or another one responds.
+for (const { title, headers } of [
+  { title: 'a rejection that names none', headers: { 'x-not-run': '1' } },
+  { title: 'another endpoint', headers: { 'x-misdirected': '1', [LIMIT_HEADER]: '1000' } },
+]) {
+  t.test(`a limit is not lifted by ${title}`, async (t2) => {
+    const endpoint = new FakeEndpoint();
+    const rows = createRows([await endpoint.start()]);
+    // The first wait is over at once, the second takes 20 s.
+    const random = () => 0;
+    const dependencies = createDependencies(rows, new FakeSharedTable(), random);
+    const gateway = await startGateway(SETTINGS, dependencies, '/ready');
+    await waitUntilReady(gateway);
+    endpoint.received.length = 0;
+    endpoint.handle = createHandler(200, '0.05');
+    await send(gateway, '/read/x', 'names-limit');
+    endpoint.handle = (_incoming, response) => response.writeHead(503, headers).end();
+    await send(gateway, '/read/x', 'rejected');
+    await send(gateway, '/read/x', 'refused');
+    t2.strictSame(endpoint.received, ['names-limit', 'rejected']);
+    await gateway.drain('test');
+    endpoint.stop();
+  });
+}
--- a/packages/gateway/src/testGateway.ts
+++ b/packages/gateway/src/testGateway.ts
@@ -160,7 +160,7 @@
         requestId: getFirstValue(headers[REQUEST_ID_HEADER]),
         hasOriginProof: headers[SEAL_HEADER] !== undefined,
         isNotRun: headers['x-not-run'] !== undefined,
-        isMisdirected: false,
+        isMisdirected: headers['x-misdirected'] !== undefined,
         respondingEndpointId: undefined,
         load: undefined,
         rateLimit: decodeRateLimit(getFirstValue(headers[LIMIT_HEADER])),
