Count no crash for a request that was lost on a silent connection

Cause: the request was sent on a connection that had fallen silent and never reached the engine. The entry process then tried to resume the stream on a new connection, and took the answer that the stream is unknown as a sign that the engine had restarted.

Change: after silence, an unknown stream is no evidence of a crash. After a lost connection, and where the engine can't be reached, it still is.

Result: "a request that never reached a silent runner is not counted as a crash" failed before and passes now.

--- a/packages/entry/src/generation.test.ts
+++ b/packages/entry/src/generation.test.ts
@@ -558,6 +558,30 @@
   },
 );
 
+// Guards against a quarantine of requests that were lost on connections which had fallen silent.
+t.test('a request that never reached a silent runner is not counted as a crash', async (test) => {
+  const engines = new FakeEngines();
+  const reason = 'unknown_stream';
+  engines.createOutput = (connection) => {
+    const isFirstRunner = connection.url === engines.connections[0]?.url;
+    if (!isFirstRunner) return createFullOutput(connection);
+    return connection.index === 0
+      ? { type: 'silent', silentMs: 1_000 }
+      : { type: 'refused', status: 404, reason, message: '' };
+  };
+  const outcomes: string[] = [];
+  const containment: EntryDependencies['containment'] = {
+    check: () => ({ type: 'clear' }),
+    recordStart: () => undefined,
+    recordOutput: () => undefined,
+    recordEnd: (_endpoint, _fingerprint, outcome) => outcomes.push(outcome),
+  };
+  const { callerPort } = await startTestEntry(test, engines, {}, { containment });
+  const { status } = await call(callerPort, { body: REQUEST_BODY });
+  test.equal(status, 200, 'another runner serves it');
+  test.strictSame(outcomes, ['other', 'completed']);
+});
+
 t.test(
   'a resume token is accepted by every node of the cluster, but only for its own request',
   async (test) => {
--- a/packages/entry/src/generationStarter.ts
+++ b/packages/entry/src/generationStarter.ts
@@ -187,7 +187,9 @@
     // runner.
     const joined = await parts.engines.resume(address, streamId, 0);
     if (joined.isOk()) return ok({ ...started, stream: joined.value });
-    return err({ error, hasCrashed: hasLostStream(joined.error) });
+    // A request that was lost on a silent connection never reached the runner, which then doesn't know it.
+    const mayBeLost = error.type === 'silent' && joined.error.type === 'refused';
+    return err({ error, hasCrashed: hasLostStream(joined.error) && !mayBeLost });
   }
 
   private createRequest(
