--- a/packages/gateway/src/promptPartContainment.test.ts
+++ b/packages/gateway/src/promptPartContainment.test.ts
@@ -101,8 +101,16 @@
   };
 };
 
-/** Simulates nodes, endpoints that crash under one prompt part and restart, and the shared table. */
-const simulateCrashes = async (seed: number, nodeCount: number): Promise<Outcome> => {
+/**
+ * Simulates nodes, endpoints that crash under one prompt part and restart, and the shared table.
+ *
+ * @param otherCrashes probability per step that an endpoint crashes for another reason
+ */
+const simulateCrashes = async (
+  seed: number,
+  nodeCount: number,
+  otherCrashes = 0,
+): Promise<Outcome> => {
   const random = createRandom(seed);
   const clock = ManualClock.create();
   const nodes: PromptPartContainment[] = [];
@@ -156,6 +164,12 @@
     const cause = ended.find(({ request }) => request.isBad);
     if (cause !== undefined) crash(endpoint, cause);
   };
+  const crashAtRandom = (endpoint: SimulatedEndpoint) => {
+    if (otherCrashes === 0 || random() >= otherCrashes || !endpoint.isUp(clock.nowMs())) return;
+    const { startKey } = endpoint;
+    for (const { node, request } of endpoint.crash(clock.nowMs()))
+      node.recordInterruption(startKey, request);
+  };
   const receive = (request: Request) => {
     const nowMs = clock.nowMs();
     const node = chooseItem(nodes, random);
@@ -189,7 +203,10 @@
     if (random() < 0.9) receive(createRequest(false));
     if (random() < 0.9) receive(createRequest(false));
     if (clock.nowMs() > FIRST_BAD_REQUEST_MS && random() < 0.15) receive(createRequest(true));
-    for (const endpoint of endpoints) advance(endpoint);
+    for (const endpoint of endpoints) {
+      advance(endpoint);
+      crashAtRandom(endpoint);
+    }
     await publish(step);
   }
   return { crashes, lateSends, lateRefusals, lateSound };
@@ -216,6 +233,15 @@
   );
 }
 
+// Guards against a quarantine of sound parts, which no completed request clears once they are refused.
+t.test('sound requests are not refused when endpoints crash for other reasons too', async (t2) => {
+  for (let seed = 1; seed <= 100; seed++) {
+    const outcome = await simulateCrashes(seed, 9, 0.01);
+    if (outcome.lateRefusals > 0) t2.fail(`seed ${seed} refuses sound requests`, outcome);
+  }
+  t2.pass('100 seeds');
+});
+
 interface PublishedRow {
   readonly crashes: readonly (readonly [string, unknown])[];
   readonly completed: readonly (readonly [string, number])[];
