Follow the store's clock and date the changes of mirrored rows

Limits of the deployment run from events in the store, but rows carried no time that another process or the next start of this one could use. Batches may now carry a reading of the store's clock, which is common to all nodes. Each copy keeps the reading as of which it is complete, relays it unchanged, and reports for a changed row the reading after which it was committed.

--- a/packages/gateway/src/peerExchange.ts
+++ b/packages/gateway/src/peerExchange.ts
@@ -21,6 +21,7 @@
   version: z.number(),
   isPartial: z.boolean(),
   ageMs: z.number(),
+  asOfStoreMs: z.number().optional(),
 });
 const batchesSchema = z.array(z.tuple([z.string(), batchSchema]));
 
--- a/packages/mirror/src/index.ts
+++ b/packages/mirror/src/index.ts
@@ -3,5 +3,6 @@
  * the store is unavailable, and notifies listeners of changes. Row values are opaque to this package.
  */
 export * from './mirrorFollower.js';
+export * from './storeClock.js';
 export * from './tableMirror.js';
 export type * from './types.js';
--- a/packages/mirror/src/tableMirror.ts
+++ b/packages/mirror/src/tableMirror.ts
@@ -1,3 +1,4 @@
+import type { StoreClock } from './storeClock.js';
 import type { MirroredRow, RowBatch } from './types.js';
 
 /**
@@ -6,7 +7,13 @@
  */
 const MAX_TOMBSTONES = 256;
 
-export type RowListener = (row: MirroredRow) => void;
+/**
+ * Called for each change of a row.
+ *
+ * @param committedAfterMs reading of the store's clock after which the store committed the change; undefined if
+ * the copy had no earlier state, as in the first read after a start
+ */
+export type RowListener = (row: MirroredRow, committedAfterMs: number | undefined) => void;
 
 /**
  * A local copy of one table. Row versions only increase: a batch that is older than the copy, for example
@@ -31,10 +38,17 @@
   /** Clock reading at which the copy was last known to be complete. */
   private completeAsOfMs = Number.NEGATIVE_INFINITY;
 
-  private constructor(readonly table: string) {}
+  /** Reading of the store's clock at which the copy was complete. */
+  private asOfStoreMs: number | undefined;
+
+  private constructor(
+    readonly table: string,
+    private readonly storeClock: StoreClock | undefined,
+  ) {}
 
-  static create(table: string): TableMirror {
-    return new TableMirror(table);
+  /** @param storeClock kept in sync with the readings that batches carry */
+  static create(table: string, storeClock?: StoreClock): TableMirror {
+    return new TableMirror(table, storeClock);
   }
 
   get version(): number {
@@ -60,11 +74,15 @@
 
   /** Applies a batch; returns false if it is older than the copy and was ignored. */
   applyBatch(batch: RowBatch, nowMs: number): boolean {
+    const { asOfStoreMs } = batch;
+    if (asOfStoreMs !== undefined) this.storeClock?.recordReading(asOfStoreMs + batch.ageMs);
     if (batch.version < this.knownVersion) return false;
     if (!batch.isPartial) this.removeMissingRows(batch);
     for (const row of batch.rows) this.applyRow(row);
     this.knownVersion = batch.version;
     this.completeAsOfMs = Math.max(this.completeAsOfMs, nowMs - batch.ageMs);
+    if (asOfStoreMs !== undefined)
+      this.asOfStoreMs = Math.max(this.asOfStoreMs ?? asOfStoreMs, asOfStoreMs);
     return true;
   }
 
@@ -83,6 +101,7 @@
       version: this.knownVersion,
       isPartial,
       ageMs: Math.max(0, this.getAgeMs(nowMs)),
+      ...(this.asOfStoreMs === undefined ? {} : { asOfStoreMs: this.asOfStoreMs }),
     };
   }
 
@@ -97,7 +116,9 @@
       this.tombstones.delete(row.key);
       this.rows.set(row.key, row);
     }
-    for (const listener of this.listeners) listener(row);
+    const isCommittedSince = row.version > this.knownVersion;
+    const committedAfterMs = isCommittedSince ? this.asOfStoreMs : undefined;
+    for (const listener of this.listeners) listener(row, committedAfterMs);
   }
 
   private removeMissingRows(batch: RowBatch): void {
--- a/packages/mirror/src/types.ts
+++ b/packages/mirror/src/types.ts
@@ -15,6 +15,8 @@
   readonly isPartial: boolean;
   /** Age of the data when the source sent it, in milliseconds; 0 from the store itself. */
   readonly ageMs: number;
+  /** Reading of the store's clock as of which the rows are complete; undefined if the source has none. */
+  readonly asOfStoreMs?: number | undefined;
 }
 
 export type ReadFailure =
