Judge weight versions and the order lease by the store's clock

Callers got responses on weights that had been replaced 10 s before. The age of a version started anew with each process that read it, and with each newer version; and a restarted process waited for the lease of its own predecessor as if it had just been confirmed.

A version's age now runs from the last state of the table without it, which nodes keep in the shared table on the store's clock; each version has its own limit. A version of unknown age is due when limits bind a restarted node. Lease rows carry the store's time at which they were sent, so a takeover counts from there; a process on the same VM only waits until the old lease has ended. Requests that would wait at an endpoint beyond the limit go elsewhere. A confirmation lasts 1.4 s, as 0.7 s left 0.1 s for the write beside the lead of the announcement.

--- a/packages/endpoints/src/chooseEndpoint.ts
+++ b/packages/endpoints/src/chooseEndpoint.ts
@@ -7,16 +7,17 @@
   CROSS_ZONE_TRANSFER_FACTOR,
   FAILURE_COST_MS,
   FIRST_TOKEN_OVERHEAD_MS,
-  RECENT_ENDPOINT_HIT_SHARE,
+  MAX_MISSED_HEARTBEATS,
   MAX_TRANSFER_SHARE,
   MEMORY_FULL_PENALTY_MS,
   MEMORY_FULL_SHARE,
   NEAR_TIE_SHARE,
+  OLD_WEIGHTS_CUTOFF_MARGIN_MS,
   PREFILL_TOKENS_PER_MS,
+  RECENT_ENDPOINT_HIT_SHARE,
   SAME_REGION_ROUND_TRIP_MS,
   SAME_ZONE_ROUND_TRIP_MS,
   SHARED_PREFILL_WEIGHT,
-  MAX_MISSED_HEARTBEATS,
 } from './constants.js';
 import type { Endpoint } from './endpoint.js';
 import {
@@ -182,9 +183,18 @@
   input.areRegistrationsCurrent &&
   endpoint.getHeartbeatAgeMs(input.nowMs) > input.heartbeatMs * MAX_MISSED_HEARTBEATS;
 
-const hasRequiredWeights = ({ request }: EndpointChoiceInput, endpoint: Endpoint): boolean => {
-  if (request.model === undefined || request.minWeightVersion === 0) return true;
-  return (endpoint.record.weights.get(request.model) ?? 0) >= request.minWeightVersion;
+/**
+ * Whether a request that starts after a wait still starts on weights that are in use then. The margin is for
+ * errors of the estimated wait.
+ */
+const canStartInTime = (
+  { request }: EndpointChoiceInput,
+  endpoint: Endpoint,
+  waitMs: number,
+): boolean => {
+  if (request.model === undefined) return true;
+  const version = endpoint.record.weights.get(request.model) ?? 0;
+  return request.getWeightsRemainingMs(version) > waitMs + OLD_WEIGHTS_CUTOFF_MARGIN_MS;
 };
 
 /**
@@ -194,7 +204,7 @@
 const selectUsable = (input: EndpointChoiceInput): readonly Endpoint[] => {
   const { request, nowMs } = input;
   const allowed = input.endpoints.filter(
-    (endpoint) => !request.excluded.has(endpoint.record.id) && hasRequiredWeights(input, endpoint),
+    (endpoint) => !request.excluded.has(endpoint.record.id) && canStartInTime(input, endpoint, 0),
   );
   const unsuspended = allowed.filter((endpoint) => !endpoint.isSuspended(nowMs));
   const healthy = unsuspended.filter((endpoint) => !hasMissedHeartbeats(input, endpoint));
@@ -229,7 +239,12 @@
   const usable = selectUsable(input);
   if (usable.length === 0) return undefined;
   const ownerId = chooseOwnerId(input);
-  const placements = usable.map((endpoint) => computePlacement(input, endpoint, ownerId));
+  const placements: Placement[] = [];
+  for (const endpoint of usable) {
+    const placement = computePlacement(input, endpoint, ownerId);
+    if (canStartInTime(input, endpoint, placement.expectedMs)) placements.push(placement);
+  }
+  if (placements.length === 0) return undefined;
   const best = placements.reduce((least, placement) =>
     placement.costMs < least.costMs ? placement : least,
   );
@@ -238,5 +253,5 @@
     ({ costMs, uncachedTokens }) => costMs <= limit && uncachedTokens <= best.uncachedTokens,
   );
   const chosen = ties[Math.floor(input.random() * ties.length)] ?? best;
-  return { ...chosen, candidates: usable.length };
+  return { ...chosen, candidates: placements.length };
 };
--- a/packages/endpoints/src/constants.ts
+++ b/packages/endpoints/src/constants.ts
@@ -74,3 +74,8 @@
 export const MAX_MISSED_HEARTBEATS = 2.2;
 /** Costs within this share of the lowest count as equal. */
 export const NEAR_TIE_SHARE = 0.05;
+/**
+ * Time before the limit of new weights at which requests stop being sent to endpoints with older ones, in
+ * milliseconds, in addition to the expected wait at the endpoint.
+ */
+export const OLD_WEIGHTS_CUTOFF_MARGIN_MS = 1_500;
--- a/packages/endpoints/src/endpoints.test.ts
+++ b/packages/endpoints/src/endpoints.test.ts
@@ -10,6 +10,7 @@
   EndpointTable,
   INITIAL_SUSPENSION_MS,
   MAX_SUSPENSION_MS,
+  OLD_WEIGHTS_CUTOFF_MARGIN_MS,
   PromptCacheEstimator,
 } from './index.js';
 
@@ -50,7 +51,7 @@
     engineMemoryTokens: 0,
     model: undefined,
     excluded: new Set(),
-    minWeightVersion: 0,
+    getWeightsRemainingMs: () => Number.POSITIVE_INFINITY,
     ...overrides,
   },
   endpoints,
@@ -176,3 +177,34 @@
   near.recordLoadReport({ running: 4, waiting: 30, slots: 4 }, 0);
   t2.equal(chooseEndpoint(createInput([near, far]))?.endpointId, 'far');
 });
+
+// Guards against requests that wait at an endpoint until its weights may no longer be used.
+t.test(
+  'an endpoint with old weights is used only while the request can start in time',
+  async (t2) => {
+    const [old, current] = [1, 2].map((version) => {
+      const id = `i-${version}`;
+      const record = { ...createRecord(id), weights: new Map([['m0', version]]) };
+      return Endpoint.create(record, 0);
+    });
+    const chooseWith = (endpoints: readonly Endpoint[], remainingMs: number) =>
+      chooseEndpoint(
+        createInput(endpoints, {
+          model: 'm0',
+          parts: [{ id: 'p', tokens: 1_000 }],
+          getWeightsRemainingMs: (version) =>
+            version < 2 ? remainingMs : Number.POSITIVE_INFINITY,
+        }),
+      );
+    const { expectedMs } = chooseWith([old!], 60_000)!;
+    t2.ok(expectedMs > 0);
+    const leastMs = OLD_WEIGHTS_CUTOFF_MARGIN_MS + expectedMs;
+    t2.equal(chooseWith([old!], leastMs + 1)?.endpointId, 'i-1');
+    t2.equal(chooseWith([old!], leastMs - 1), undefined);
+    t2.equal(chooseWith([old!], Number.NEGATIVE_INFINITY), undefined);
+    // A queue at the endpoint makes it unusable earlier.
+    old!.recordSent({ tokens: 400_000, memoryTokens: 0, ownMs: 0, sentAtMs: 0 });
+    t2.equal(chooseWith([old!], leastMs + 1), undefined);
+    t2.equal(chooseWith([old!, current!], leastMs + 1)?.endpointId, 'i-2');
+  },
+);
--- a/packages/endpoints/src/types.ts
+++ b/packages/endpoints/src/types.ts
@@ -63,8 +63,8 @@
   readonly model: string | undefined;
   /** Endpoints that this request was already sent to. */
   readonly excluded: ReadonlySet<string>;
-  /** Minimum weight version that may serve the request; 0 for any. */
-  readonly minWeightVersion: number;
+  /** Returns the time for which requests may still start on a version of the model, in milliseconds. */
+  readonly getWeightsRemainingMs: (version: number) => number;
 }
 
 /** The endpoint chosen for a request, with the estimates behind the choice. */
--- a/packages/gateway/src/clusterState.ts
+++ b/packages/gateway/src/clusterState.ts
@@ -1,14 +1,19 @@
 import type { Clock } from '@lovagearch/common';
 import { CrashCounter } from '@lovagearch/containment';
 import { EndpointTable, PromptCacheEstimator } from '@lovagearch/endpoints';
-import type { MirroredRow } from '@lovagearch/mirror';
-import type { AnnouncedOrder, WeightTarget } from '@lovagearch/rollout';
-import { ANNOUNCEMENT_TTL_MS } from '@lovagearch/rollout';
+import type { MirroredRow, StoreClock } from '@lovagearch/mirror';
+import {
+  ANNOUNCEMENT_TTL_MS,
+  type AnnouncedOrder,
+  type Publication,
+  type WeightTarget,
+  WeightTargets,
+} from '@lovagearch/rollout';
 import { TrafficRules } from '@lovagearch/traffic';
 import * as z from 'zod';
 import { EXPIRY_GRACE_MS, EXPIRY_WINDOW_MS } from './constants.js';
 import type { GatewayLog } from './gatewayLog.js';
-import type { RowCodec } from './types.js';
+import type { GatewayBounds, RowCodec } from './types.js';
 
 /** Keys and key prefixes of the shared table. */
 export const PEER_PREFIX = 'peer/';
@@ -17,12 +22,13 @@
 
 const peerSchema = z.object({ address: z.string(), loadAddress: z.string(), zone: z.string() });
 export type PeerRecord = z.infer<typeof peerSchema>;
-const orderSchema = z.object({ model: z.string(), version: z.number().int() });
+const orderSchema = z.object({
+  model: z.string(),
+  version: z.number().int(),
+  announcedAtStoreMs: z.number().optional(),
+});
 
-/** A target weight version and the clock reading at which this process learned of it. */
-export interface NamedWeightTarget extends WeightTarget {
-  readonly sinceMs: number;
-}
+type RolloutBounds = Pick<GatewayBounds, 'contactLimitMs' | 'weightRolloutLimitMs'>;
 
 /**
  * The state of the deployment as this process knows it from the rows of the mirrored tables. Versions
@@ -35,9 +41,9 @@
 
   readonly strikes = CrashCounter.create();
 
-  private currentTrafficRules: TrafficRules | undefined;
+  readonly weightTargets: WeightTargets;
 
-  private readonly weightTargets = new Map<string, NamedWeightTarget>();
+  private currentTrafficRules: TrafficRules | undefined;
 
   private readonly peers = new Map<string, z.infer<typeof peerSchema>>();
 
@@ -52,14 +58,27 @@
 
   private isStoreUnreachable = false;
 
+  private readonly startMs: number;
+
   private constructor(
     private readonly codec: RowCodec,
     private readonly clock: Clock,
+    private readonly storeClock: StoreClock,
+    private readonly bounds: RolloutBounds,
     private readonly log: GatewayLog,
-  ) {}
+  ) {
+    this.weightTargets = WeightTargets.create(bounds.weightRolloutLimitMs);
+    this.startMs = clock.nowMs();
+  }
 
-  static create(codec: RowCodec, clock: Clock, log: GatewayLog): ClusterState {
-    return new ClusterState(codec, clock, log);
+  static create(
+    codec: RowCodec,
+    clock: Clock,
+    storeClock: StoreClock,
+    bounds: RolloutBounds,
+    log: GatewayLog,
+  ): ClusterState {
+    return new ClusterState(codec, clock, storeClock, bounds, log);
   }
 
   get trafficRules(): TrafficRules | undefined {
@@ -95,12 +114,20 @@
     return [...this.peers.keys()];
   }
 
-  listWeightTargets(): NamedWeightTarget[] {
-    return [...this.weightTargets.values()];
+  listWeightTargets(): WeightTarget[] {
+    return this.weightTargets.listTargets();
   }
 
-  findWeightTarget(model: string): NamedWeightTarget | undefined {
-    return this.weightTargets.get(model);
+  findWeightTarget(model: string): WeightTarget | undefined {
+    return this.weightTargets.findTarget(model);
+  }
+
+  /**
+   * Returns the time for which requests may still start on a version of a model's weights, in milliseconds; not
+   * positive if a newer version is overdue.
+   */
+  getWeightsRemainingMs(model: string, version: number): number {
+    return this.weightTargets.getRemainingMs(model, version, this.storeClock.nowMs());
   }
 
   /** Whether an endpoint is still carrying out an order, during which it rejects requests. */
@@ -130,7 +157,7 @@
     return this.clock.nowMs() - this.storeRecoveredAtMs < EXPIRY_WINDOW_MS;
   }
 
-  applyOperatorRow({ key, value, version }: MirroredRow): void {
+  applyOperatorRow({ key, value, version }: MirroredRow, committedAfterMs?: number): void {
     if (value === undefined) return;
     const configuration = this.codec.decodeConfiguration(key, value);
     if (configuration.type === 'fault')
@@ -150,10 +177,18 @@
     const target = this.codec.decodeWeightTarget(key, value);
     if (target.type === 'fault') this.logRejectedRow('weight_target', key, target.reason);
     if (target.type !== 'value') return;
-    const known = this.weightTargets.get(target.value.model);
-    if (known !== undefined && known.version >= target.value.version) return;
-    this.weightTargets.set(target.value.model, { ...target.value, sinceMs: this.clock.nowMs() });
-    this.log.logStateChange('weights_named', { ...target.value, rowVersion: version });
+    const publication: Publication =
+      committedAfterMs === undefined
+        ? { type: 'assumed', committedAfterMs: this.computeAssumedPublicationMs() }
+        : { type: 'observed', committedAfterMs };
+    if (!this.weightTargets.recordTarget(target.value, publication)) return;
+    const { model } = target.value;
+    this.log.logStateChange('weights_named', {
+      ...target.value,
+      rowVersion: version,
+      publication: publication.type,
+      remainingMs: Math.round(this.getWeightsRemainingMs(model, target.value.version - 1)),
+    });
   }
 
   applyEndpointRow({ key, value, version }: MirroredRow): void {
@@ -190,9 +225,14 @@
 
   /** Records an order that any node announced, so that its endpoint is avoided while it changes weights. */
   recordAnnouncedOrder(order: AnnouncedOrder): void {
+    const storeMs = this.storeClock.nowMs();
+    const ageMs =
+      storeMs === undefined || order.announcedAtStoreMs === undefined
+        ? 0
+        : Math.max(0, storeMs - order.announcedAtStoreMs);
     this.announcedOrders.set(order.endpointId, {
       ...order,
-      endsMs: this.clock.nowMs() + ANNOUNCEMENT_TTL_MS,
+      endsMs: this.clock.nowMs() + ANNOUNCEMENT_TTL_MS - ageMs,
     });
   }
 
@@ -216,6 +256,17 @@
     }
   }
 
+  /**
+   * Returns a time of publication for a version that the first read after a start contains: its limit then ends
+   * when the limits begin to bind a node that has just started.
+   */
+  private computeAssumedPublicationMs(): number {
+    const storeMs = this.storeClock.nowMs() ?? 0;
+    const { contactLimitMs, weightRolloutLimitMs } = this.bounds;
+    const startedAtStoreMs = storeMs - (this.clock.nowMs() - this.startMs);
+    return startedAtStoreMs + contactLimitMs - weightRolloutLimitMs;
+  }
+
   private applyEndpointRemoval(key: string, version: number, nowMs: number): void {
     // Entries expire during an outage of the store; endpoints that are alive soon register again.
     const sinceRecoveryMs = nowMs - this.storeRecoveredAtMs;
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -35,13 +35,6 @@
 export const MAX_UNSENT_BYTES = 131_072;
 /** Fraction of the memory limit that the bodies of waiting requests may use. */
 export const BODY_MEMORY_SHARE = 0.15;
-/** Age of a target weight version from which endpoints with older weights are avoided, in milliseconds. */
-export const OLD_WEIGHTS_AVOID_AFTER_MS = 300;
-/**
- * Time before the rollout limit of new weights at which requests stop starting on older weights, in
- * milliseconds.
- */
-export const OLD_WEIGHTS_CUTOFF_MARGIN_MS = 1_500;
 /** Age of the endpoints' copy from which peers are queried after a failed call, in milliseconds. */
 export const ENDPOINT_TABLE_FALLBACK_AGE_MS = 1_500;
 /** The same age for the shared table. */
--- a/packages/gateway/src/placeRequest.ts
+++ b/packages/gateway/src/placeRequest.ts
@@ -1,11 +1,6 @@
 import { chooseEndpoint, type Endpoint, type Placement } from '@lovagearch/endpoints';
 import type { Account, Route } from '@lovagearch/traffic';
-import {
-  CONNECTION_LIMIT_SHARE,
-  MIN_CONNECTIONS_PER_ENDPOINT,
-  OLD_WEIGHTS_AVOID_AFTER_MS,
-  OLD_WEIGHTS_CUTOFF_MARGIN_MS,
-} from './constants.js';
+import { CONNECTION_LIMIT_SHARE, MIN_CONNECTIONS_PER_ENDPOINT } from './constants.js';
 import { getEndpointStartKey } from './attempt.js';
 import { listRateLimitedIds } from './endpointRates.js';
 import type { GatewayContext } from './gatewayContext.js';
@@ -29,25 +24,6 @@
   return Math.max(MIN_CONNECTIONS_PER_ENDPOINT, nodeShare);
 };
 
-/** Returns the candidates. Shortly before new weights have to be in use, only endpoints that have them. */
-const selectByWeights = (
-  context: GatewayContext,
-  endpoints: readonly Endpoint[],
-  model: string | undefined,
-): readonly Endpoint[] => {
-  const weightTarget =
-    model === undefined ? undefined : context.clusterState.findWeightTarget(model);
-  if (weightTarget === undefined || model === undefined) return endpoints;
-  const ageMs = context.clock.nowMs() - weightTarget.sinceMs;
-  if (ageMs < OLD_WEIGHTS_AVOID_AFTER_MS) return endpoints;
-  const isCurrent = ({ record }: Endpoint) =>
-    (record.weights.get(model) ?? 0) >= weightTarget.version;
-  if (ageMs > context.settings.bounds.weightRolloutLimitMs - OLD_WEIGHTS_CUTOFF_MARGIN_MS) {
-    return endpoints.filter(isCurrent);
-  }
-  return endpoints;
-};
-
 /**
  * Chooses the endpoint for a request among those that are ready and have a free connection. Endpoints
  * that are loading weights are used only if there are no others.
@@ -63,10 +39,9 @@
   const { clusterState, clock, settings, pool, random } = context;
   const nowMs = clock.nowMs();
   const maxConnections = computeMaxConnections(context, service);
-  const ready = selectByWeights(context, clusterState.endpoints.listReady(service), head.model);
-  const reachable = ready.filter((endpoint) =>
-    pool.hasFreeConnection(getEndpointStartKey(endpoint), maxConnections),
-  );
+  const reachable = clusterState.endpoints
+    .listReady(service)
+    .filter((endpoint) => pool.hasFreeConnection(getEndpointStartKey(endpoint), maxConnections));
   const stable = reachable.filter(
     ({ record }) => !clusterState.isChangingWeights(record.id, nowMs),
   );
@@ -85,7 +60,8 @@
       store: route.hasPromptParts ? findStoreReach(context, head, account, engine) : undefined,
       model: head.model,
       excluded: limitedIds.length === 0 ? excluded : new Set([...excluded, ...limitedIds]),
-      minWeightVersion: 0,
+      getWeightsRemainingMs: (version) =>
+        clusterState.getWeightsRemainingMs(head.model ?? '', version),
     },
     endpoints: stable.length > 0 ? stable : reachable,
     promptCache: clusterState.promptMemory,
--- a/packages/gateway/src/removalAfterDroppedCall.test.ts
+++ b/packages/gateway/src/removalAfterDroppedCall.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 import { SimulatedTime } from '@lovagearch/common';
-import { MirrorFollower, type ReadResult, TableMirror } from '@lovagearch/mirror';
+import { MirrorFollower, type ReadResult, StoreClock, TableMirror } from '@lovagearch/mirror';
 import { ClusterState } from './clusterState.js';
 import { HOUSEKEEPING_INTERVAL_MS } from './constants.js';
 import { createEndpointTableTiming } from './tableTiming.js';
@@ -65,7 +65,8 @@
     logProblem: () => undefined,
     flush: () => undefined,
   };
-  const state = ClusterState.create(createDependencies(new Map()).rows, time, log);
+  const { rows } = createDependencies(new Map());
+  const state = ClusterState.create(rows, time, StoreClock.create(time), SETTINGS.bounds, log);
   const mirror = TableMirror.create('endpoints');
   mirror.addListener((row) => state.applyEndpointRow(row));
   const timing = createEndpointTableTiming(SETTINGS.bounds);
@@ -87,9 +88,9 @@
       getPollIntervalMs: () => timing.pollIntervalMs,
       getMaxRelayedAgeMs: () => 0,
     },
-    onEvent: ({ type }) => {
-      if (type === 'store_lost') state.recordStoreUnreachable();
-      if (type === 'store_regained') state.recordStoreRecovered();
+    onEvent: (event) => {
+      if (event.type === 'store_lost') state.recordStoreUnreachable();
+      if (event.type === 'store_regained') state.recordStoreRecovered();
     },
     wait: time.wait,
   });
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -6,6 +6,7 @@
   MirrorFollower,
   type PeerFallback,
   TableMirror,
+  StoreClock,
 } from '@lovagearch/mirror';
 import { TransferSlowdownTracker } from '@lovagearch/reuse';
 import { createSuspensionClock, OrderLease, RolloutCoordinator } from '@lovagearch/rollout';
@@ -52,6 +53,7 @@
   type TableTiming,
 } from './tableTiming.js';
 import type { GatewayDependencies, GatewaySettings } from './types.js';
+import { WeightTargetTimes } from './weightTargetTimes.js';
 
 const BYTES_PER_MB = 1_048_576;
 
@@ -85,11 +87,20 @@
   const log = createGatewayLog(settings.nodeName, clock, (lines) =>
     metrics.recordDroppedLines(lines),
   );
-  const clusterState = ClusterState.create(dependencies.rows, clock, log);
-  const operatorMirror = TableMirror.create(dependencies.rows.operatorTable);
-  const endpointMirror = TableMirror.create(dependencies.rows.endpointTable);
-  const sharedMirror = TableMirror.create(SHARED_TABLE);
-  operatorMirror.addListener((row) => clusterState.applyOperatorRow(row));
+  const storeClock = StoreClock.create(clock);
+  const clusterState = ClusterState.create(
+    dependencies.rows,
+    clock,
+    storeClock,
+    settings.bounds,
+    log,
+  );
+  const operatorMirror = TableMirror.create(dependencies.rows.operatorTable, storeClock);
+  const endpointMirror = TableMirror.create(dependencies.rows.endpointTable, storeClock);
+  const sharedMirror = TableMirror.create(SHARED_TABLE, storeClock);
+  operatorMirror.addListener((row, committedAfterMs) =>
+    clusterState.applyOperatorRow(row, committedAfterMs),
+  );
   endpointMirror.addListener((row) => clusterState.applyEndpointRow(row));
   sharedMirror.addListener((row) => clusterState.applySharedRow(row));
   const { nodeName } = settings;
@@ -103,7 +114,16 @@
     clock,
     log,
   });
+  const weightTargetTimes = WeightTargetTimes.create({
+    shared,
+    rows,
+    targets: clusterState.weightTargets,
+    clock,
+    random,
+    log,
+  });
   sharedMirror.addListener((row) => {
+    weightTargetTimes.applyRow(row);
     strikePublisher.applyRow(row);
     promptPartContainment.applyRow(row);
   });
@@ -238,9 +258,14 @@
   });
 
   const lease = OrderLease.create({
-    holder: `${settings.nodeName}/${process.pid}/${Date.now()}`,
+    // The address tells a VM from a replacement that was given its name.
+    holder: {
+      vm: `${settings.nodeName}@${ownPeerAddress}`,
+      start: `${process.pid}/${Date.now()}`,
+    },
     store: dependencies.lease,
     clock,
+    storeClock,
     suspensionClock,
     minHandoverMs: bounds.leaseHandoverDelayMs,
     random,
@@ -265,7 +290,7 @@
         .map(({ record }) => record)
         .filter(({ state, weights }) => state === 'ready' && weights.size > 0),
     listTargets: () => clusterState.listWeightTargets(),
-    timeLimitMs: bounds.weightRolloutLimitMs,
+    getRemainingMs: (model, version) => clusterState.getWeightsRemainingMs(model, version),
     onEvent: (event) => {
       const { type, ...fields } = event;
       const result = 'result' in event ? event.result.type : undefined;
@@ -345,14 +370,16 @@
         log.logStateChange('announce_failed', { reason: getErrorMessage(error) }),
       );
   }, HOUSEKEEPING_INTERVAL_MS);
-  const publishCrashes = async () => {
+  const publishRows = async () => {
     // Before the first read, this node's rows of an earlier start would be overwritten.
     if (sharedMirror.version === 0) return;
+    // In large deployments, those that read the store for the others write the times.
+    if (tableRelay.maxRelayedAgeMs === 0) await weightTargetTimes.publish();
     await strikePublisher.publish();
     await promptPartContainment.publish();
   };
   const publishTimer = setInterval(() => {
-    publishCrashes().catch((error: unknown) => {
+    publishRows().catch((error: unknown) => {
       log.logStateChange('strikes_not_published', { reason: getErrorMessage(error) });
     });
   }, STRIKE_PUBLISH_INTERVAL_MS);
--- a/packages/leases/src/lease.ts
+++ b/packages/leases/src/lease.ts
@@ -1,6 +1,7 @@
 import { BoundedMap } from '@lovagearch/common';
 import { CLOCK_DRIFT_MARGIN, MAX_PENDING_WRITES, TABLE_RETRY_INTERVAL_MS } from './constants.js';
 import {
+  type LeaseContext,
   type LeaseRow,
   type LeaseStep,
   type LeaseTimes,
@@ -9,6 +10,8 @@
   type LeaseWrite,
 } from './types.js';
 
+const NO_CONTEXT: LeaseContext = { getStoreMs: () => undefined, isPredecessor: () => false };
+
 /** The row as last read, with the clock reading at which its current version was first seen. */
 interface ObservedRow {
   readonly value: LeaseValue | null;
@@ -27,8 +30,9 @@
  * readings of the process's monotonic clock.
  *
  * The holder measures the lease duration from before it sent its last successful write. A challenger
- * measures it from its first read of the row's current version, which is later, so the holder's lease
- * ends before a takeover. A row that can't be parsed counts as held for this process's lease duration.
+ * measures it from the reading of the store's clock in the row, or else from its first read of the row's
+ * current version. Both are not earlier, so the holder's lease ends before a takeover. The former also holds
+ * for a challenger that has just started. A row that can't be parsed counts as held for this process's lease duration.
  *
  * @example
  * const lease = Lease.create('south-1/boot-7', times, () => createId('lease'));
@@ -52,11 +56,17 @@
     readonly holder: string,
     private readonly times: LeaseTimes,
     private readonly createAttemptId: () => string,
+    private readonly context: LeaseContext,
   ) {}
 
   /** @param holder unique per process start, so that a restarted process is a new holder */
-  static create(holder: string, times: LeaseTimes, createAttemptId: () => string): Lease {
-    return new Lease(holder, times, createAttemptId);
+  static create(
+    holder: string,
+    times: LeaseTimes,
+    createAttemptId: () => string,
+    context = NO_CONTEXT,
+  ): Lease {
+    return new Lease(holder, times, createAttemptId, context);
   }
 
   /** Returns the fencing token, or undefined if the lease is not held or has expired. */
@@ -83,7 +93,7 @@
     if (observed === undefined || this.isReadNeeded) return { type: 'read' };
     const fencing = observed.value?.fencing ?? 0;
     const isOwn = observed.value?.holder === this.holder;
-    if (!isOwn && nowMs < this.getAvailableAtMs(observed)) return { type: 'read' };
+    if (!isOwn && nowMs < this.getAvailableAtMs(observed, nowMs)) return { type: 'read' };
     const isTokenCurrent = isOwn && fencing >= this.highestFencingToken;
     const nextFencing = isTokenCurrent ? fencing : Math.max(fencing, this.highestFencingToken) + 1;
     return this.createWrite(observed, nextFencing, nowMs);
@@ -109,7 +119,7 @@
     if (value !== null) this.updateHighestFencingToken(value.fencing);
     if (value?.holder !== this.holder) {
       this.held = undefined;
-      const waitMs = Math.max(0, this.getAvailableAtMs(this.observed) - nowMs);
+      const waitMs = Math.max(0, this.getAvailableAtMs(this.observed, nowMs) - nowMs);
       this.nextActionAtMs = nowMs + Math.min(this.times.watchIntervalMs, waitMs);
       return;
     }
@@ -148,10 +158,29 @@
     return { value, ifVersion: observed.version, attemptId: this.createAttemptId() };
   }
 
-  private getAvailableAtMs(observed: ObservedRow): number {
+  /** Holder in the row as last read; undefined if it names none. */
+  get observedHolder(): string | undefined {
+    return this.observed?.value?.holder;
+  }
+
+  /** Returns the time until another process may take the lease over, in milliseconds; 0 if it may now. */
+  getTakeoverDelayMs(nowMs: number): number {
+    const { observed } = this;
+    if (observed === undefined || observed.value?.holder === this.holder) return 0;
+    return Math.max(0, this.getAvailableAtMs(observed, nowMs) - nowMs);
+  }
+
+  private getAvailableAtMs({ value, version, unchangedSinceMs }: ObservedRow, nowMs: number) {
     const { durationMs, takeoverDelayMs } = this.times;
-    if (observed.version === 0) return observed.unchangedSinceMs;
-    return observed.unchangedSinceMs + (observed.value?.durationMs ?? durationMs) + takeoverDelayMs;
+    if (version === 0) return unchangedSinceMs;
+    const isPredecessor = value !== null && this.context.isPredecessor(value.holder);
+    const waitMs = (value?.durationMs ?? durationMs) + (isPredecessor ? 0 : takeoverDelayMs);
+    const storeMs = this.context.getStoreMs();
+    const sentMs = value?.sentAtStoreMs;
+    // A row from the future can't be right; then the observation of the row decides.
+    if (storeMs === undefined || sentMs === undefined || sentMs > storeMs)
+      return unchangedSinceMs + waitMs;
+    return Math.min(unchangedSinceMs, nowMs - (storeMs - sentMs)) + waitMs;
   }
 
   private createWrite(observed: ObservedRow, fencing: number, nowMs: number): LeaseStep {
@@ -160,7 +189,14 @@
     const isRenewal = observed.value?.holder === this.holder;
     const renewals = isRenewal ? (observed.value?.renewals ?? 0) + 1 : 0;
     const { durationMs } = this.times;
-    const value = { holder: this.holder, fencing, durationMs, renewals };
+    const sentAtStoreMs = this.context.getStoreMs();
+    const value = {
+      holder: this.holder,
+      fencing,
+      durationMs,
+      renewals,
+      ...(sentAtStoreMs === undefined ? {} : { sentAtStoreMs }),
+    };
     return { type: 'write', write: { value, ifVersion: observed.version, attemptId } };
   }
 
--- a/packages/leases/src/types.ts
+++ b/packages/leases/src/types.ts
@@ -8,6 +8,8 @@
   fencing: z.number().int().nonnegative(),
   durationMs: z.number().nonnegative().max(MAX_LEASE_MS),
   renewals: z.number().int().nonnegative(),
+  /** Reading of the store's clock when the holder sent the write; missing if the store has no clock. */
+  sentAtStoreMs: z.number().optional(),
 });
 export type LeaseValue = z.infer<typeof leaseValueSchema>;
 
@@ -48,6 +50,17 @@
   | { readonly type: 'wait'; readonly untilMs: number }
   | { readonly type: 'write'; readonly write: LeaseWrite };
 
+/** What a process knows about its table and its VM, beyond the row; without it, the row alone decides. */
+export interface LeaseContext {
+  /** Reads the store's clock, which is common to all holders; undefined if it is not known. */
+  readonly getStoreMs: () => number | undefined;
+  /**
+   * Whether a holder is an earlier start of this process on the same VM. Receivers accept calls of one VM at any
+   * time, so only the lease itself is waited for, in which calls of the former process may still arrive.
+   */
+  readonly isPredecessor: (holder: string) => boolean;
+}
+
 export interface LeaseTimes {
   readonly durationMs: number;
   readonly renewalIntervalMs: number;
--- a/packages/rollout/src/constants.ts
+++ b/packages/rollout/src/constants.ts
@@ -3,8 +3,11 @@
  * can take over within the time limit for new weights.
  */
 export const ORDER_LEASE_MS = 1_500;
-/** Age at which a confirmation has to be renewed before another order, in milliseconds. */
-export const CONFIRMATION_MAX_AGE_MS = 700;
+/**
+ * Maximum age of a confirmation when an order is sent, in milliseconds. It covers the write of the lease at a
+ * slow store and the lead of the announcement, and ends before the lease.
+ */
+export const CONFIRMATION_MAX_AGE_MS = 1_400;
 /** Safety margin added to the receivers' minimum handover time, in milliseconds. */
 export const TAKEOVER_MARGIN_MS = 300;
 /** Maximum random delay before trying to acquire the lease, in milliseconds. */
--- a/packages/rollout/src/index.ts
+++ b/packages/rollout/src/index.ts
@@ -9,3 +9,4 @@
 export * from './rolloutCoordinator.js';
 export * from './suspensionClock.js';
 export type * from './types.js';
+export * from './weightTargets.js';
--- a/packages/rollout/src/orderLease.ts
+++ b/packages/rollout/src/orderLease.ts
@@ -14,7 +14,12 @@
 export type LeaseWriteResult =
   | { readonly type: 'conflict'; readonly current: LeaseRow | null }
   | { readonly type: 'unknown'; readonly reason: string }
-  | { readonly type: 'written'; readonly version: number };
+  | {
+      readonly type: 'written';
+      readonly version: number;
+      /** Reading of the store's clock in its response. */
+      readonly storeMs?: number | undefined;
+    };
 
 export type LeaseReadResult =
   | { readonly type: 'row'; readonly row: LeaseRow | null }
@@ -25,6 +30,8 @@
   readonly endpointId: string;
   readonly model: string;
   readonly version: number;
+  /** Reading of the store's clock when the order was announced; undefined if it is not known. */
+  readonly announcedAtStoreMs?: number | undefined;
 }
 
 /** Store operations that the lease needs. */
@@ -38,10 +45,19 @@
   ) => Promise<LeaseWriteResult>;
 }
 
+/** The clock of the store, which all nodes share. */
+export interface SharedClock {
+  /** Returns undefined while no reading is known. */
+  readonly nowMs: () => number | undefined;
+  readonly recordReading: (storeMs: number) => void;
+}
+
 export interface OrderLeaseOptions {
-  readonly holder: string;
+  /** Identity of the VM and of this start of its process. */
+  readonly holder: { readonly vm: string; readonly start: string };
   readonly store: LeaseStore;
   readonly clock: Clock;
+  readonly storeClock: SharedClock;
   /** Includes time during which the VM was suspended. */
   readonly suspensionClock: Clock;
   /** Minimum time between orders of different holders that receivers accept, in milliseconds. */
@@ -53,7 +69,8 @@
 export type LeaseEvent =
   | { readonly type: 'acquired'; readonly fencing: number }
   | { readonly type: 'failed'; readonly reason: string }
-  | { readonly type: 'lost'; readonly holder: string };
+  | { readonly type: 'lost'; readonly holder: string }
+  | { readonly type: 'waiting'; readonly holder: string; readonly waitMs: number };
 
 /** Permission to send orders. It expires on its own, so it is obtained right before each order. */
 export interface OrderPermit {
@@ -63,7 +80,10 @@
 /**
  * The lease that allows its holder to send orders. It is only renewed while there are orders to
  * send: each permit is backed by a conditional write less than CONFIRMATION_MAX_AGE_MS old,
- * measured by a clock that includes VM suspensions.
+ * measured by a clock that includes VM suspensions and by the clock of the store.
+ *
+ * Receivers accept orders of one VM at any time, but of two VMs only some seconds apart. So a process that has
+ * restarted only waits until the lease of its predecessor has ended, and another VM longer.
  */
 export class OrderLease {
   private readonly lease: Lease;
@@ -75,8 +95,14 @@
   /** Reading of the suspension clock before the last successful write was sent. */
   private confirmedAtMs = Number.NEGATIVE_INFINITY;
 
+  /** Reading of the store's clock that this write carried. */
+  private confirmedAtStoreMs: number | undefined;
+
   private nextReadMs = Number.NEGATIVE_INFINITY;
 
+  /** Holder whose lease this process was last reported to wait for. */
+  private awaitedHolder: string | undefined;
+
   private constructor(private readonly options: OrderLeaseOptions) {
     const takeoverDelayMs =
       options.minHandoverMs +
@@ -88,7 +114,11 @@
       watchIntervalMs: 0,
       takeoverDelayMs,
     };
-    this.lease = Lease.create(options.holder, times, () => createId('lease'));
+    const { vm } = options.holder;
+    this.lease = Lease.create(this.holder, times, () => createId('lease'), {
+      getStoreMs: () => options.storeClock.nowMs(),
+      isPredecessor: (holder) => holder !== this.holder && holder.startsWith(`${vm}/`),
+    });
   }
 
   static create(options: OrderLeaseOptions): OrderLease {
@@ -96,7 +126,8 @@
   }
 
   get holder(): string {
-    return this.options.holder;
+    const { vm, start } = this.options.holder;
+    return `${vm}/${start}`;
   }
 
   /** Whether this process is the last known holder of the lease. */
@@ -117,7 +148,8 @@
     const fencing = this.lease.getFencingToken(clock.nowMs());
     if (fencing === undefined) return undefined;
     const ageMs = suspensionClock.nowMs() - this.confirmedAtMs;
-    return ageMs < CONFIRMATION_MAX_AGE_MS ? { fencing } : undefined;
+    const storeAgeMs = this.getStoreAgeMs() ?? 0;
+    return Math.max(ageMs, storeAgeMs) < CONFIRMATION_MAX_AGE_MS ? { fencing } : undefined;
   }
 
   /**
@@ -126,17 +158,20 @@
    * @returns undefined if another process holds the lease or the store did not confirm it
    */
   async confirm(announced: AnnouncedOrder | undefined): Promise<OrderPermit | undefined> {
-    const { clock, store, suspensionClock } = this.options;
+    const { clock, store, storeClock, suspensionClock } = this.options;
     const step = this.lease.getNextStep(clock.nowMs());
     if (step.type === 'wait') return undefined;
     if (step.type === 'read') {
+      this.reportWait();
       await this.readRow();
       return undefined;
     }
     const sentMs = suspensionClock.nowMs();
     const { write } = step;
+    const { sentAtStoreMs } = write.value;
+    const stamped = announced && { ...announced, announcedAtStoreMs: sentAtStoreMs };
     const result = await this.tryWrite(() =>
-      store.write(write.value, write.ifVersion, write.attemptId, announced),
+      store.write(write.value, write.ifVersion, write.attemptId, stamped),
     );
     const nowMs = clock.nowMs();
     switch (result.type) {
@@ -144,6 +179,9 @@
         this.lease.recordWritten(write, result.version, nowMs);
         this.lastSeenVersion = Math.max(this.lastSeenVersion, result.version);
         this.confirmedAtMs = sentMs;
+        this.confirmedAtStoreMs = sentAtStoreMs;
+        // The first response after a suspension shows how far the estimate in the row was behind.
+        if (result.storeMs !== undefined) storeClock.recordReading(result.storeMs);
         this.recordAcquired(write.value.fencing);
         return this.getPermit();
       case 'conflict':
@@ -179,11 +217,26 @@
       typeof row?.value === 'object' && row.value !== null && 'holder' in row.value
         ? String(row.value.holder)
         : '';
-    if (holder === this.options.holder) return;
+    if (holder === this.holder) return;
     this.heldFencing = undefined;
     this.options.onChange({ type: 'lost', holder });
   }
 
+  private getStoreAgeMs(): number | undefined {
+    const storeMs = this.options.storeClock.nowMs();
+    if (storeMs === undefined || this.confirmedAtStoreMs === undefined) return undefined;
+    return storeMs - this.confirmedAtStoreMs;
+  }
+
+  /** Reports once for each holder that this process waits for its lease to end. */
+  private reportWait(): void {
+    const waitMs = this.lease.getTakeoverDelayMs(this.options.clock.nowMs());
+    const holder = this.lease.observedHolder ?? '';
+    if (waitMs === 0 || this.awaitedHolder === holder) return;
+    this.awaitedHolder = holder;
+    this.options.onChange({ type: 'waiting', holder, waitMs: Math.round(waitMs) });
+  }
+
   private recordAcquired(fencing: number): void {
     if (this.heldFencing === fencing) return;
     this.heldFencing = fencing;
--- a/packages/rollout/src/planOrders.ts
+++ b/packages/rollout/src/planOrders.ts
@@ -1,4 +1,9 @@
-import { ENDPOINT_UPDATE_MS, BASE_UNAVAILABLE_SHARE, MAX_UNAVAILABLE_SHARE } from './constants.js';
+import {
+  BASE_UNAVAILABLE_SHARE,
+  ENDPOINT_UPDATE_MS,
+  MAX_UNAVAILABLE_SHARE,
+  ROLLOUT_MARGIN_MS,
+} from './constants.js';
 import type { RolloutEndpoint, WeightTarget } from './types.js';
 
 /** An endpoint that has to load a target weight version. */
@@ -13,8 +18,8 @@
   readonly targets: readonly WeightTarget[];
   /** Ids of the endpoints that have an order in progress. */
   readonly updating: ReadonlySet<string>;
-  /** Time until all endpoints should have the target weights, in milliseconds. */
-  readonly remainingMs: number;
+  /** Returns the time for which requests may still start on a version of a model, in milliseconds. */
+  readonly getRemainingMs: (model: string, version: number) => number;
 }
 
 const findStaleTarget = (
@@ -52,24 +57,30 @@
  * Plans the orders that may be sent now, endpoints with the oldest weights first.
  *
  * @example
- * for (const order of planOrders({ endpoints, targets, updating, remainingMs })) startOrder(order);
+ * const planned = planOrders({ endpoints, targets, updating, getRemainingMs });
+ * for (const order of planned) startOrder(order);
  */
 export const planOrders = ({
   endpoints,
   targets,
   updating,
-  remainingMs,
+  getRemainingMs,
 }: PlanInput): PlannedOrder[] => {
   const planned: PlannedOrder[] = [];
+  let remainingMs = Number.POSITIVE_INFINITY;
+  const getVersion = ({ endpoint, target }: PlannedOrder) =>
+    endpoint.weights.get(target.model) ?? 0;
   for (const endpoint of endpoints) {
     if (updating.has(endpoint.id)) continue;
     const target = findStaleTarget(endpoint, targets);
-    if (target !== undefined) planned.push({ endpoint, target });
+    if (target === undefined) continue;
+    const order = { endpoint, target };
+    planned.push(order);
+    remainingMs = Math.min(remainingMs, getRemainingMs(target.model, getVersion(order)));
   }
-  const getVersion = ({ endpoint, target }: PlannedOrder) =>
-    endpoint.weights.get(target.model) ?? 0;
   planned.sort((a, b) => getVersion(a) - getVersion(b));
   const stale = planned.length + updating.size;
-  const free = computeMaxUnavailable(endpoints.length, stale, remainingMs) - updating.size;
+  const free =
+    computeMaxUnavailable(endpoints.length, stale, remainingMs - ROLLOUT_MARGIN_MS) - updating.size;
   return planned.slice(0, Math.max(0, free));
 };
--- a/packages/rollout/src/rollout.test.ts
+++ b/packages/rollout/src/rollout.test.ts
@@ -10,6 +10,7 @@
   OrderLease,
   planOrders,
   type RolloutEndpoint,
+  type SharedClock,
 } from './index.js';
 
 const MIN_HANDOVER_MS = 3_000;
@@ -17,6 +18,9 @@
 const STEPS_PER_SEED = 400;
 const STEP_MS = 100;
 
+/** A store whose responses carry no reading of its clock. */
+const NO_STORE_CLOCK: SharedClock = { nowMs: () => undefined, recordReading: () => undefined };
+
 const createEndpoint = (id: string, version: number): RolloutEndpoint => ({
   id,
   startedUnixMs: 0,
@@ -27,11 +31,11 @@
 t.test('only a share of the endpoints is taken out of service at once', async (t2) => {
   const endpoints = Array.from({ length: 13 }, (_, index) => createEndpoint(`i-${index}`, 1));
   const targets = [{ model: 'm0', version: 2 }];
-  const remainingMs = 30_000;
-  const first = planOrders({ endpoints, targets, updating: new Set(), remainingMs });
+  const getRemainingMs = () => 30_000;
+  const first = planOrders({ endpoints, targets, updating: new Set(), getRemainingMs });
   t2.equal(first.length, 3);
   const updating = new Set(first.map(({ endpoint }) => endpoint.id));
-  t2.strictSame(planOrders({ endpoints, targets, updating, remainingMs }), []);
+  t2.strictSame(planOrders({ endpoints, targets, updating, getRemainingMs }), []);
 });
 
 t.test('a late rollout updates more endpoints at once but leaves some in service', async (t2) => {
@@ -49,10 +53,29 @@
       { model: 'm0', version: 2 },
       { model: 'm1', version: 9 },
     ];
-    t2.strictSame(planOrders({ endpoints, targets, updating: new Set(), remainingMs: 9_000 }), []);
+    const getRemainingMs = () => 9_000;
+    t2.strictSame(planOrders({ endpoints, targets, updating: new Set(), getRemainingMs }), []);
   },
 );
 
+// Guards against a rollout that hurries for good, or not at all, because of another version's limit.
+t.test('the pace of a rollout follows the limits of the versions that are missing', async (t2) => {
+  const endpoints = Array.from({ length: 13 }, (_, index) =>
+    createEndpoint(`i-${index}`, index < 6 ? 1 : 2),
+  );
+  const plan = (remainingByVersion: readonly number[]) =>
+    planOrders({
+      endpoints,
+      targets: [{ model: 'm0', version: 3 }],
+      updating: new Set(),
+      getRemainingMs: (_model, version) => remainingByVersion[version] ?? 0,
+    });
+  t2.equal(plan([0, 30_000, 30_000]).length, 3);
+  const late = plan([0, 2_000, 30_000]);
+  t2.equal(late.length, 7);
+  t2.ok(late.slice(0, 6).every(({ endpoint }) => endpoint.weights.get('m0') === 1));
+});
+
 /** A store for the lease's row in which writes take effect but their responses may be lost. */
 const createFakeStore = (isResponseLost: () => boolean) => {
   let row: LeaseRow | null = null;
@@ -74,11 +97,12 @@
     const random = createRandom(seed);
     const clock = ManualClock.create();
     const { store, getRow } = createFakeStore(() => random() < 0.2);
-    const leases = ['a', 'b', 'c'].map((holder) =>
+    const leases = ['a', 'b', 'c'].map((vm) =>
       OrderLease.create({
-        holder,
+        holder: { vm, start: '1' },
         store,
         clock,
+        storeClock: NO_STORE_CLOCK,
         suspensionClock: clock,
         minHandoverMs: MIN_HANDOVER_MS,
         random,
@@ -106,9 +130,10 @@
   let unixMs = 1_000_000;
   const { store } = createFakeStore(() => false);
   const lease = OrderLease.create({
-    holder: 'a',
+    holder: { vm: 'a', start: '1' },
     store,
     clock: monotonicClock,
+    storeClock: NO_STORE_CLOCK,
     suspensionClock: createSuspensionClock(monotonicClock, () => unixMs),
     minHandoverMs: MIN_HANDOVER_MS,
     random: () => 0,
--- a/packages/rollout/src/rolloutCoordinator.ts
+++ b/packages/rollout/src/rolloutCoordinator.ts
@@ -1,4 +1,4 @@
-import { setTimeout as waitMs } from 'node:timers/promises';
+import { setTimeout as waitForTimer } from 'node:timers/promises';
 import { type Clock, getErrorMessage } from '@lovagearch/common';
 import {
   ANNOUNCE_LEAD_MS,
@@ -6,7 +6,6 @@
   ORDER_TIMEOUT_MS,
   ORDER_RETRY_DELAY_MS,
   REPORT_POLL_INTERVAL_MS,
-  ROLLOUT_MARGIN_MS,
   ROLLOUT_INTERVAL_MS,
 } from './constants.js';
 import type { OrderLease } from './orderLease.js';
@@ -36,20 +35,15 @@
       readonly reason: string;
     };
 
-/** A target weight version and the time at which this process learned of it. */
-export interface NamedTarget extends WeightTarget {
-  readonly sinceMs: number;
-}
-
 export interface RolloutOptions {
   readonly lease: OrderLease;
   readonly client: OrderClient;
   readonly clock: Clock;
   readonly random: () => number;
   readonly listEndpoints: () => readonly RolloutEndpoint[];
-  readonly listTargets: () => readonly NamedTarget[];
-  /** Time within which all endpoints have to load a new target version, in milliseconds. */
-  readonly timeLimitMs: number;
+  readonly listTargets: () => readonly WeightTarget[];
+  /** Returns the time for which requests may still start on a version of a model, in milliseconds. */
+  readonly getRemainingMs: (model: string, version: number) => number;
   readonly onEvent: (event: RolloutEvent) => void;
   /**
    * Called when an endpoint reports its weights, which happens before its registration shows them.
@@ -58,6 +52,8 @@
     endpoint: RolloutEndpoint,
     weights: ReadonlyMap<string, number>,
   ) => void;
+  /** Timer, by default that of the process; simulations replace it. */
+  readonly wait?: (delayMs: number) => Promise<void>;
 }
 
 /**
@@ -76,7 +72,11 @@
 
   private hadPlannedOrders = false;
 
-  private constructor(private readonly options: RolloutOptions) {}
+  private readonly wait: (delayMs: number) => Promise<void>;
+
+  private constructor(private readonly options: RolloutOptions) {
+    this.wait = options.wait ?? ((delayMs) => waitForTimer(delayMs, undefined, { ref: false }));
+  }
 
   static create(options: RolloutOptions): RolloutCoordinator {
     return new RolloutCoordinator(options);
@@ -89,22 +89,19 @@
   /** Runs until `stop` is called. It does not throw unless an injected callback does. */
   async run(): Promise<void> {
     while (!this.isStopped) {
-      await waitMs(ROLLOUT_INTERVAL_MS, undefined, { ref: false });
+      await this.wait(ROLLOUT_INTERVAL_MS);
       if (!this.isStopped) await this.runOnce();
     }
   }
 
   private async runOnce(): Promise<void> {
-    const { listEndpoints, listTargets, lease, clock, random } = this.options;
+    const { listEndpoints, listTargets, getRemainingMs, lease, clock, random } = this.options;
     const { updating } = this;
-    const targets = listTargets();
-    const oldestMs = Math.min(...targets.map(({ sinceMs }) => sinceMs));
-    const remainingMs = oldestMs + this.options.timeLimitMs - ROLLOUT_MARGIN_MS - clock.nowMs();
     const planned = planOrders({
       endpoints: listEndpoints(),
-      targets,
+      targets: listTargets(),
       updating,
-      remainingMs,
+      getRemainingMs,
     });
     if (planned.length === 0) {
       this.hadPlannedOrders = updating.size > 0;
@@ -152,7 +149,7 @@
       const report = await this.options.client.readReport(endpoint);
       if (report !== undefined) this.options.onWeightsReported(endpoint, report.weights);
       if (report?.requests === 0) runsEndedMs ??= clock.nowMs() - startMs;
-      if (report === undefined) await waitMs(ORDER_RETRY_DELAY_MS);
+      if (report === undefined) await this.wait(ORDER_RETRY_DELAY_MS);
       else if ((report.weights.get(target.model) ?? 0) >= target.version) {
         onEvent({
           type: 'finished',
@@ -162,12 +159,14 @@
           runsEndedMs: runsEndedMs === undefined ? undefined : Math.round(runsEndedMs),
         });
         return;
-      } else if (report.isBusy) await waitMs(REPORT_POLL_INTERVAL_MS);
+      } else if (report.isBusy) await this.wait(REPORT_POLL_INTERVAL_MS);
       else {
         const result = await this.sendConfirmedOrder(order, report.acceptedOrders);
         if (result === undefined || result.type === 'fenced') return;
         isAccepted ||= result.type === 'accepted';
-        await waitMs(result.type === 'accepted' ? REPORT_POLL_INTERVAL_MS : ORDER_RETRY_DELAY_MS);
+        await this.wait(
+          result.type === 'accepted' ? REPORT_POLL_INTERVAL_MS : ORDER_RETRY_DELAY_MS,
+        );
       }
     }
     const reason = isAccepted ? 'no effect in time' : 'no order accepted in time';
@@ -181,7 +180,7 @@
     const { lease, client, onEvent } = this.options;
     const { endpoint, target } = order;
     if ((await this.confirmLease(order)) === undefined) return undefined;
-    await waitMs(ANNOUNCE_LEAD_MS);
+    await this.wait(ANNOUNCE_LEAD_MS);
     // Checked again right before sending, since the VM may have been suspended while waiting.
     const permit = lease.getPermit();
     if (permit === undefined) return undefined;
--- a/packages/rollout/src/slowStore.test.ts
+++ b/packages/rollout/src/slowStore.test.ts
@@ -42,13 +42,14 @@
   t2.teardown(() => clearInterval(keepAlive));
   await new Promise<void>((resolve) => {
     const lease = OrderLease.create({
-      holder: 'a',
+      holder: { vm: 'a', start: '1' },
       store: createSlowStore(() => {
         announcements += 1;
         if (announcements > MAX_ANNOUNCEMENTS) resolve();
       }),
       clock: processClock,
       suspensionClock: processClock,
+      storeClock: { nowMs: () => undefined, recordReading: () => undefined },
       minHandoverMs: 3_000,
       random: () => 0,
       onChange: () => undefined,
@@ -71,8 +72,8 @@
       clock: processClock,
       random: () => 0,
       listEndpoints: () => [ENDPOINT],
-      listTargets: () => [{ model: 'm0', version: 2, sinceMs: processClock.nowMs() }],
-      timeLimitMs: 10_000,
+      listTargets: () => [{ model: 'm0', version: 2 }],
+      getRemainingMs: () => 10_000,
       onEvent: () => undefined,
       onWeightsReported: () => undefined,
     });
