Take only a long outage of the store for one in which entries lapse

A request could reach an endpoint that had left more than the limit before: a node that lost one call to the store waited 2.2 s for the endpoint to register again, and anew after a failed call for another table. An entry lapses after three missed heartbeats, so an outage that is shorter than two can't explain a removed entry; and only calls for the registrations count.

removalAfterDroppedCall.test.ts failed before: in use after the limit for 20 of 20 times of the dropped call; now for none. The test now passes the age of the copy, as the follower does.

--- a/packages/gateway/src/clusterState.ts
+++ b/packages/gateway/src/clusterState.ts
@@ -11,7 +11,7 @@
 } from '@lovagearch/rollout';
 import { TrafficRules } from '@lovagearch/traffic';
 import * as z from 'zod';
-import { EXPIRY_GRACE_MS, EXPIRY_WINDOW_MS } from './constants.js';
+import { EXPIRY_GRACE_MS, EXPIRY_WINDOW_MS, MIN_MISSED_HEARTBEATS_TO_LAPSE } from './constants.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayBounds, RowCodec } from './types.js';
 
@@ -28,7 +28,11 @@
   announcedAtStoreMs: z.number().optional(),
 });
 
-type RolloutBounds = Pick<GatewayBounds, 'contactLimitMs' | 'weightRolloutLimitMs'>;
+/** The settings on which the state depends. */
+export interface ClusterStateSettings {
+  readonly bounds: Pick<GatewayBounds, 'contactLimitMs' | 'weightRolloutLimitMs'>;
+  readonly heartbeatMs: number;
+}
 
 /**
  * The state of the deployment as this process knows it from the rows of the mirrored tables. Versions
@@ -64,10 +68,10 @@
     private readonly codec: RowCodec,
     private readonly clock: Clock,
     private readonly storeClock: StoreClock,
-    private readonly bounds: RolloutBounds,
+    private readonly settings: ClusterStateSettings,
     private readonly log: GatewayLog,
   ) {
-    this.weightTargets = WeightTargets.create(bounds.weightRolloutLimitMs);
+    this.weightTargets = WeightTargets.create(settings.bounds.weightRolloutLimitMs);
     this.startMs = clock.nowMs();
   }
 
@@ -75,10 +79,10 @@
     codec: RowCodec,
     clock: Clock,
     storeClock: StoreClock,
-    bounds: RolloutBounds,
+    settings: ClusterStateSettings,
     log: GatewayLog,
   ): ClusterState {
-    return new ClusterState(codec, clock, storeClock, bounds, log);
+    return new ClusterState(codec, clock, storeClock, settings, log);
   }
 
   get trafficRules(): TrafficRules | undefined {
@@ -144,8 +148,15 @@
     this.isStoreUnreachable = true;
   }
 
-  recordStoreRecovered(): void {
+  /**
+   * Records that a call for the registrations succeeded after a failed one.
+   *
+   * @param copyAgeMs age that the copy of the registrations had reached, in milliseconds
+   */
+  recordStoreRecovered(copyAgeMs: number): void {
     this.isStoreUnreachable = false;
+    // An entry lapses after several missed heartbeats, so it can't have lapsed while a single call was lost.
+    if (copyAgeMs < this.settings.heartbeatMs * MIN_MISSED_HEARTBEATS_TO_LAPSE) return;
     this.storeRecoveredAtMs = this.clock.nowMs();
   }
 
@@ -262,7 +273,7 @@
    */
   private computeAssumedPublicationMs(): number {
     const storeMs = this.storeClock.nowMs() ?? 0;
-    const { contactLimitMs, weightRolloutLimitMs } = this.bounds;
+    const { contactLimitMs, weightRolloutLimitMs } = this.settings.bounds;
     const startedAtStoreMs = storeMs - (this.clock.nowMs() - this.startMs);
     return startedAtStoreMs + contactLimitMs - weightRolloutLimitMs;
   }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -41,6 +41,11 @@
 export const SHARED_TABLE_FALLBACK_AGE_MS = 2_000;
 /** Time to re-register for endpoints whose entry expired during an outage of the store, in milliseconds. */
 export const EXPIRY_GRACE_MS = 2_200;
+/**
+ * Heartbeats that an outage has to last at least for entries to lapse in it. An entry lapses when three in a row
+ * are missing, and the last one may have been due just before the outage.
+ */
+export const MIN_MISSED_HEARTBEATS_TO_LAPSE = 2;
 /** Time after the store recovers in which a removed entry is treated as expired, in milliseconds. */
 export const EXPIRY_WINDOW_MS = 2_500;
 /** Interval of periodic maintenance, in milliseconds. */
--- a/packages/gateway/src/removalAfterDroppedCall.test.ts
+++ b/packages/gateway/src/removalAfterDroppedCall.test.ts
@@ -66,7 +66,7 @@
     flush: () => undefined,
   };
   const { rows } = createDependencies(new Map());
-  const state = ClusterState.create(rows, time, StoreClock.create(time), SETTINGS.bounds, log);
+  const state = ClusterState.create(rows, time, StoreClock.create(time), SETTINGS, log);
   const mirror = TableMirror.create('endpoints');
   mirror.addListener((row) => state.applyEndpointRow(row));
   const timing = createEndpointTableTiming(SETTINGS.bounds);
@@ -90,7 +90,7 @@
     },
     onEvent: (event) => {
       if (event.type === 'store_lost') state.recordStoreUnreachable();
-      if (event.type === 'store_regained') state.recordStoreRecovered();
+      if (event.type === 'store_regained') state.recordStoreRecovered(event.copyAgeMs);
     },
     wait: time.wait,
   });
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -88,13 +88,7 @@
     metrics.recordDroppedLines(lines),
   );
   const storeClock = StoreClock.create(clock);
-  const clusterState = ClusterState.create(
-    dependencies.rows,
-    clock,
-    storeClock,
-    settings.bounds,
-    log,
-  );
+  const clusterState = ClusterState.create(dependencies.rows, clock, storeClock, settings, log);
   const operatorMirror = TableMirror.create(dependencies.rows.operatorTable, storeClock);
   const endpointMirror = TableMirror.create(dependencies.rows.endpointTable, storeClock);
   const sharedMirror = TableMirror.create(SHARED_TABLE, storeClock);
@@ -156,8 +150,10 @@
     log,
   });
   const onMirrorEvent = (event: MirrorEvent) => {
-    if (event.type === 'store_lost') clusterState.recordStoreUnreachable();
-    if (event.type === 'store_regained') clusterState.recordStoreRecovered();
+    if (event.table === endpointMirror.table) {
+      if (event.type === 'store_lost') clusterState.recordStoreUnreachable();
+      if (event.type === 'store_regained') clusterState.recordStoreRecovered(event.copyAgeMs);
+    }
     const { type, ...fields } = event;
     log.logStateChange(type, fields);
   };
--- a/packages/gateway/src/weightTargetTimes.test.ts
+++ b/packages/gateway/src/weightTargetTimes.test.ts
@@ -82,8 +82,11 @@
   const startMs = store.clock.nowMs();
   const clock = { nowMs: () => store.clock.nowMs() - startMs };
   const storeClock = StoreClock.create(clock);
-  const bounds = { contactLimitMs: CONTACT_LIMIT_MS, weightRolloutLimitMs: LIMIT_MS };
-  const state = ClusterState.create(CODEC, clock, storeClock, bounds, LOG);
+  const settings = {
+    bounds: { contactLimitMs: CONTACT_LIMIT_MS, weightRolloutLimitMs: LIMIT_MS },
+    heartbeatMs: 1_200,
+  };
+  const state = ClusterState.create(CODEC, clock, storeClock, settings, LOG);
   const times = WeightTargetTimes.create({
     shared: { write: store.write },
     rows: CODEC,
