Grant a restarted process no slack of the retry budget for one window

Endpoints got more retries than the budget of one window allows when nodes restarted: each start had a full share of the slack again, and until it had read the shared table the share of a single node. A process doesn't know what its predecessor used, so it has its share of its own requests only, until the window of the predecessor has passed; except at the first start of the whole deployment, which the settings state.

retryBudgetRestart.test.ts failed before with 24 retries of 40 requests, 18 allowed. The test now marks its second start as a restart.

--- a/packages/admission/src/slidingWindowRetryBudget.ts
+++ b/packages/admission/src/slidingWindowRetryBudget.ts
@@ -29,16 +29,27 @@
  * plus an even share of the slack. The total stays within the limits without coordination.
  *
  * @example
- * const budget = WindowRetryBudget.create({ ratio: 0.2, slack: 58, windowS: 10 });
+ * const budget = SlidingWindowRetryBudget.create({ ratio: 0.2, slack: 58, windowS: 10 });
  * if (budget.tryTake(9, clock.nowMs())) await retryRequest();
  */
 export class SlidingWindowRetryBudget {
   private readonly slices: Slice[] = [];
 
-  private constructor(private readonly bounds: RetryBudgetLimits) {}
+  private constructor(
+    private readonly bounds: RetryBudgetLimits,
+    private readonly slackFromMs: number,
+  ) {}
 
-  static create(bounds: RetryBudgetLimits): SlidingWindowRetryBudget {
-    return new SlidingWindowRetryBudget(bounds);
+  /**
+   * @param predecessorEndMs clock reading up to which an earlier start of this process may have used the slack
+   * of the window; undefined if there was none
+   */
+  static create(bounds: RetryBudgetLimits, predecessorEndMs?: number): SlidingWindowRetryBudget {
+    const slackFromMs =
+      predecessorEndMs === undefined
+        ? Number.NEGATIVE_INFINITY
+        : predecessorEndMs + bounds.windowS * MS_PER_SECOND;
+    return new SlidingWindowRetryBudget(bounds, slackFromMs);
   }
 
   recordRequest(nowMs: number): void {
@@ -56,7 +67,7 @@
       if (slice.index > index - SLICES_PER_WINDOW) requests += slice.requests;
       retries += slice.retries;
     }
-    const slack = this.bounds.slack / Math.max(1, nodes);
+    const slack = nowMs < this.slackFromMs ? 0 : this.bounds.slack / Math.max(1, nodes);
     return retries + 1 <= (requests * this.bounds.ratio + slack) * USABLE_BUDGET_SHARE;
   }
 
--- a/packages/gateway/src/retryBudgetRestart.test.ts
+++ b/packages/gateway/src/retryBudgetRestart.test.ts
@@ -43,7 +43,7 @@
   const shared = new FakeSharedTable();
   for (const start of ['a', 'b']) {
     const gateway = await startGateway(
-      { ...SETTINGS, bounds: BOUNDS },
+      { ...SETTINGS, isFirstStart: start === 'a', bounds: BOUNDS },
       createDependencies(createRows(ports), shared, () => 0.5),
       '/ready',
     );
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -82,6 +82,7 @@
   readinessPath: string,
 ): Promise<Gateway> => {
   const clock = processClock;
+  const processStartMs = clock.nowMs();
   const { random } = dependencies;
   const metrics = GatewayMetrics.create();
   const log = createGatewayLog(settings.nodeName, clock, (lines) =>
@@ -241,7 +242,10 @@
     getRetryBudget: (service) => {
       const known = budgets.get(service);
       if (known !== undefined) return known;
-      const created = SlidingWindowRetryBudget.create(retryBounds);
+      const created = SlidingWindowRetryBudget.create(
+        retryBounds,
+        settings.isFirstStart ? undefined : processStartMs,
+      );
       budgets.set(service, created);
       return created;
     },
@@ -334,6 +338,7 @@
     region: settings.region,
     callerAddress: `${settings.callerAddress.host}:${server.getPort()}`,
     memoryMb: settings.memoryMb,
+    isFirstStart: settings.isFirstStart,
   });
 
   const announceNode = async () => {
--- a/packages/gateway/src/testGateway.ts
+++ b/packages/gateway/src/testGateway.ts
@@ -231,6 +231,7 @@
   seeds: [],
   memoryMb: 100,
   heartbeatMs: 1_000,
+  isFirstStart: true,
   bounds: {
     retryBudgetRatio: 0.2,
     retryWindowS: 10,
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -172,6 +172,8 @@
   readonly seeds: readonly string[];
   readonly memoryMb: number;
   readonly heartbeatMs: number;
+  /** Whether the whole deployment starts for the first time, so that no process ran here before. */
+  readonly isFirstStart: boolean;
   readonly bounds: GatewayBounds;
 }
 
