Date published crashes by the store's clock

A request that crashed endpoints was refused for a minute from each restart of a node on, and its strikes were published again with that time; a prompt part's crash counted for ten minutes from each restart, and completed requests in the same row lost their order to the crashes. Rows now carry the store's time of each crash and of their own write, and readers derive ages from it. Rows without a time are read as before.

--- a/packages/containment/src/crashCounter.ts
+++ b/packages/containment/src/crashCounter.ts
@@ -44,13 +44,13 @@
     return this.crashesByFingerprint.size === 0;
   }
 
-  /** Records a crash; returns false if it was already known. */
-  recordCrash({ fingerprint, endpointStart }: RequestCrash, nowMs: number): boolean {
-    const known = this.findRecent(fingerprint, nowMs);
+  /** Records a crash at `atMs`; returns false if it was already known. */
+  recordCrash({ fingerprint, endpointStart }: RequestCrash, atMs: number): boolean {
+    const known = this.findRecent(fingerprint, atMs);
     if (known?.endpointStarts.has(endpointStart)) return false;
-    const crashes = known ?? { endpointStarts: new Set<string>(), lastCrashMs: nowMs };
+    const crashes = known ?? { endpointStarts: new Set<string>(), lastCrashMs: atMs };
     crashes.endpointStarts.add(endpointStart);
-    crashes.lastCrashMs = nowMs;
+    crashes.lastCrashMs = Math.max(crashes.lastCrashMs, atMs);
     this.crashesByFingerprint.set(fingerprint, crashes);
     return true;
   }
--- a/packages/containment/src/promptPartCrashes.ts
+++ b/packages/containment/src/promptPartCrashes.ts
@@ -80,16 +80,17 @@
    * Records that an endpoint crashed with a request in flight.
    *
    * @param endpointStart identifies one start of the endpoint's process
+   * @param atMs clock reading at the crash
    * @returns false if the request is no suspect or already known
    */
-  recordCrash(endpointStart: string, request: InterruptedRequest, nowMs: number): boolean {
+  recordCrash(endpointStart: string, request: InterruptedRequest, atMs: number): boolean {
     const known = this.crashes.peek(endpointStart);
     if (known?.requests.has(request.fingerprint)) return false;
     // An endpoint that lived on after a broken connection may still crash.
     const isNew = known === undefined || known.isRefuted;
     const crash: TrackedCrash = isNew
       ? {
-          atMs: nowMs,
+          atMs,
           requests: new Map(),
           lastHeartbeat: undefined,
           heartbeatCount: 0,
@@ -117,6 +118,11 @@
     return this.crashes.peek(endpointStart)?.isRefuted === false;
   }
 
+  /** Returns the time since a recorded crash, in milliseconds; 0 if it is not recorded. */
+  getCrashAgeMs(endpointStart: string, nowMs: number): number {
+    return nowMs - (this.crashes.peek(endpointStart)?.atMs ?? nowMs);
+  }
+
   /** Records that a request with these parts was completed at `atMs`, on this or another node. */
   recordCompletion(partIds: readonly string[], atMs: number, isLocal: boolean): void {
     for (const partId of partIds) {
--- a/packages/gateway/src/clusterState.ts
+++ b/packages/gateway/src/clusterState.ts
@@ -13,6 +13,7 @@
 import * as z from 'zod';
 import { EXPIRY_GRACE_MS, EXPIRY_WINDOW_MS, MIN_MISSED_HEARTBEATS_TO_LAPSE } from './constants.js';
 import type { GatewayLog } from './gatewayLog.js';
+import { computeAgeMs } from './storeTime.js';
 import type { GatewayBounds, RowCodec } from './types.js';
 
 /** Keys and key prefixes of the shared table. */
@@ -236,11 +237,7 @@
 
   /** Records an order that any node announced, so that its endpoint is avoided while it changes weights. */
   recordAnnouncedOrder(order: AnnouncedOrder): void {
-    const storeMs = this.storeClock.nowMs();
-    const ageMs =
-      storeMs === undefined || order.announcedAtStoreMs === undefined
-        ? 0
-        : Math.max(0, storeMs - order.announcedAtStoreMs);
+    const ageMs = computeAgeMs(this.storeClock, order.announcedAtStoreMs);
     this.announcedOrders.set(order.endpointId, {
       ...order,
       endsMs: this.clock.nowMs() + ANNOUNCEMENT_TTL_MS - ageMs,
--- a/packages/gateway/src/promptPartContainment.ts
+++ b/packages/gateway/src/promptPartContainment.ts
@@ -1,10 +1,11 @@
 import { BoundedMap, type Clock } from '@lovagearch/common';
 import {
   type InterruptedRequest,
+  PART_CRASH_RETENTION_MS,
   type PartQuarantine,
   PromptPartCrashes,
 } from '@lovagearch/containment';
-import type { MirroredRow } from '@lovagearch/mirror';
+import type { MirroredRow, StoreClock } from '@lovagearch/mirror';
 import * as z from 'zod';
 import {
   MAX_PUBLISHED_COMPLETIONS,
@@ -13,6 +14,7 @@
   MAX_PUBLISHED_REQUESTS_PER_CRASH,
 } from './constants.js';
 import type { GatewayLog } from './gatewayLog.js';
+import { computeAgeMs, listStoreTimes } from './storeTime.js';
 import type { RowCodec, SharedTable } from './types.js';
 
 /** Key prefix of the rows in which each node publishes the crashes that it has seen. */
@@ -20,9 +22,11 @@
 
 const requestSchema = z.tuple([z.string(), z.array(z.string())]);
 const rowSchema = z.object({
-  crashes: z.array(z.tuple([z.string(), z.array(requestSchema)])),
-  /** Parts of completed requests, with the time since then in milliseconds. */
+  /** Start of the endpoint, its requests, and the reading of the store's clock at the crash, if it was known. */
+  crashes: z.array(z.tuple([z.string(), z.array(requestSchema)]).rest(z.number())),
+  /** Parts of completed requests, with the time from then to the write of the row in milliseconds. */
   completed: z.array(z.tuple([z.string(), z.number()])),
+  writtenAtStoreMs: z.number().optional(),
 });
 type CrashesRow = z.infer<typeof rowSchema>;
 
@@ -31,6 +35,8 @@
   readonly shared: SharedTable;
   readonly rows: RowCodec;
   readonly clock: Clock;
+  /** Dates crashes, as the clock of this process means nothing to other nodes and later starts. */
+  readonly storeClock?: StoreClock;
   readonly log: GatewayLog;
 }
 
@@ -88,7 +94,7 @@
   /** Applies the row of a node. This node's own row holds what it published before a restart. */
   applyRow({ key, value }: MirroredRow): void {
     if (value === undefined || !key.startsWith(CRASHES_PREFIX)) return;
-    const { rows, clock, log, nodeName } = this.dependencies;
+    const { rows, clock, storeClock, log, nodeName } = this.dependencies;
     const row = rowSchema.safeParse(rows.decodeSharedValue(value));
     if (!row.success) {
       log.logStateChange('row_rejected', { kind: 'crashes', key, reason: row.error.message });
@@ -96,12 +102,15 @@
     }
     const nowMs = clock.nowMs();
     const isOwn = key === `${CRASHES_PREFIX}${nodeName}`;
+    const rowAgeMs = computeAgeMs(storeClock, row.data.writtenAtStoreMs);
     for (const [partId, ageMs] of row.data.completed)
-      this.crashes.recordCompletion([partId], nowMs - Math.max(0, ageMs), false);
-    for (const [endpointStart, requests] of row.data.crashes) {
+      this.crashes.recordCompletion([partId], nowMs - rowAgeMs - Math.max(0, ageMs), false);
+    for (const [endpointStart, requests, atStoreMs] of row.data.crashes) {
+      const crashAgeMs = computeAgeMs(storeClock, atStoreMs);
+      if (crashAgeMs > PART_CRASH_RETENTION_MS) continue;
       for (const [fingerprint, partIds] of requests) {
         const request = { fingerprint, partIds };
-        this.crashes.recordCrash(endpointStart, request, nowMs);
+        this.crashes.recordCrash(endpointStart, request, nowMs - crashAgeMs);
         if (isOwn) this.addPublished(endpointStart, request);
       }
     }
@@ -173,7 +182,8 @@
 
   /** Creates the row with the newest crashes that fit. */
   private createRow(cleared: ReadonlyMap<string, number>): CrashesRow {
-    const nowMs = this.dependencies.clock.nowMs();
+    const { clock, storeClock } = this.dependencies;
+    const nowMs = clock.nowMs();
     const crashes: CrashesRow['crashes'] = [];
     let bytes = 0;
     for (const [endpointStart, requests] of [...this.published].reverse()) {
@@ -185,6 +195,7 @@
       const entry: CrashesRow['crashes'][number] = [
         endpointStart,
         [...requests].map(([fingerprint, partIds]) => [fingerprint, [...partIds]]),
+        ...listStoreTimes(storeClock, this.crashes.getCrashAgeMs(endpointStart, nowMs)),
       ];
       bytes += JSON.stringify(entry).length;
       if (bytes > MAX_PUBLISHED_CRASH_BYTES) break;
@@ -193,6 +204,9 @@
     const completed: CrashesRow['completed'] = [...cleared]
       .slice(0, MAX_PUBLISHED_COMPLETIONS)
       .map(([partId, atMs]) => [partId, Math.round(nowMs - atMs)]);
-    return { crashes, completed };
+    const [writtenAtStoreMs] = listStoreTimes(storeClock, 0);
+    return writtenAtStoreMs === undefined
+      ? { crashes, completed }
+      : { crashes, completed, writtenAtStoreMs };
   }
 }
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -101,12 +101,21 @@
   const { nodeName } = settings;
   const { shared, rows } = dependencies;
   const { strikes } = clusterState;
-  const strikePublisher = StrikePublisher.create({ nodeName, shared, rows, strikes, clock, log });
+  const strikePublisher = StrikePublisher.create({
+    nodeName,
+    shared,
+    rows,
+    strikes,
+    clock,
+    storeClock,
+    log,
+  });
   const promptPartContainment = PromptPartContainment.create({
     nodeName,
     shared,
     rows,
     clock,
+    storeClock,
     log,
   });
   const weightTargetTimes = WeightTargetTimes.create({
--- a/packages/gateway/src/strikePublisher.test.ts
+++ b/packages/gateway/src/strikePublisher.test.ts
@@ -1,5 +1,6 @@
 import { ManualClock, toId, type Fingerprint } from '@lovagearch/common';
 import { CRASH_RETENTION_MS, CrashCounter } from '@lovagearch/containment';
+import { StoreClock } from '@lovagearch/mirror';
 import t from 'tap';
 import { StrikePublisher } from './strikePublisher.js';
 import { createDependencies } from './testGateway.js';
@@ -11,7 +12,7 @@
 });
 
 /** Creates the publisher of one node, with the crashes that it counts and the rows that it writes. */
-const createNode = () => {
+const createNode = (storeClock?: StoreClock) => {
   const clock = ManualClock.create();
   const strikes = CrashCounter.create();
   const written: unknown[] = [];
@@ -26,6 +27,7 @@
     rows: createDependencies(new Map()).rows,
     strikes,
     clock,
+    ...(storeClock === undefined ? {} : { storeClock }),
     log: {
       logStateChange: () => undefined,
       logRequest: () => undefined,
@@ -88,3 +90,28 @@
   publisher.applyRow({ key: 'strikes/n4', version: 1, value: '{"strikes":7}' });
   t2.ok(strikes.isQuarantined(toId<Fingerprint>('f'), clock.nowMs()));
 });
+
+// Guards against a restart that dates all strikes anew, so that they count for a minute from each restart on.
+t.test('a strike expires by the time at which it was seen, also after a restart', async (t2) => {
+  const storeTime = ManualClock.create(5_000_000);
+  const storeClock = StoreClock.create(storeTime);
+  storeClock.recordReading(storeTime.nowMs());
+  const first = createNode(storeClock);
+  first.publisher.addStrike(toStrike('i-1/1'));
+  await first.publisher.publish();
+  const row = { key: OWN_KEY, version: 1, value: JSON.stringify(first.written.at(-1)) };
+  storeTime.addMs(CRASH_RETENTION_MS - 1_000);
+  const restarted = createNode(storeClock);
+  restarted.publisher.applyRow(row);
+  const fingerprint = toId<Fingerprint>('f');
+  t2.equal(restarted.strikes.countCrashes(fingerprint, restarted.clock.nowMs()), 1);
+  restarted.clock.addMs(1_001);
+  t2.equal(restarted.strikes.countCrashes(fingerprint, restarted.clock.nowMs()), 0);
+  storeTime.addMs(1_001);
+  const late = createNode(storeClock);
+  late.publisher.applyRow(row);
+  t2.equal(late.strikes.countCrashes(fingerprint, late.clock.nowMs()), 0);
+  late.publisher.addStrike(toStrike('i-2/1'));
+  await late.publisher.publish();
+  t2.equal(JSON.stringify(late.written.at(-1)).includes('i-1/1'), false);
+});
--- a/packages/gateway/src/strikePublisher.ts
+++ b/packages/gateway/src/strikePublisher.ts
@@ -1,16 +1,19 @@
 import { createHash } from 'node:crypto';
 import { type Clock, type Fingerprint, toId } from '@lovagearch/common';
 import { CRASH_RETENTION_MS, type CrashCounter, type RequestCrash } from '@lovagearch/containment';
-import type { MirroredRow } from '@lovagearch/mirror';
+import type { MirroredRow, StoreClock } from '@lovagearch/mirror';
 import * as z from 'zod';
 import { MAX_PUBLISHED_STRIKES } from './constants.js';
 import type { GatewayLog } from './gatewayLog.js';
+import { computeAgeMs, listStoreTimes } from './storeTime.js';
 import type { RowCodec, SharedTable } from './types.js';
 
 /** Key prefix of the rows in which each node publishes its strikes. */
 export const STRIKES_PREFIX = 'strikes/';
 
-const rowSchema = z.object({ strikes: z.array(z.tuple([z.string(), z.string()])) });
+/** Fingerprint, start of the endpoint, and the reading of the store's clock at the crash, if it was known. */
+const strikeSchema = z.tuple([z.string(), z.string()]).rest(z.number());
+const rowSchema = z.object({ strikes: z.array(strikeSchema) });
 
 interface PublishedStrike extends RequestCrash {
   readonly atMs: number;
@@ -23,6 +26,8 @@
   /** Counts the strikes of all nodes. */
   readonly strikes: CrashCounter;
   readonly clock: Clock;
+  /** Dates the strikes, as the clock of this process means nothing to other nodes and later starts. */
+  readonly storeClock?: StoreClock;
   readonly log: GatewayLog;
 }
 
@@ -60,18 +65,20 @@
   /** Counts the strikes of a node's row. This node's own row holds what it published before a restart. */
   applyRow({ key, value }: MirroredRow): void {
     if (value === undefined || !key.startsWith(STRIKES_PREFIX)) return;
-    const { nodeName, rows, strikes, clock, log } = this.dependencies;
+    const { nodeName, rows, strikes, clock, storeClock, log } = this.dependencies;
     const row = rowSchema.safeParse(rows.decodeSharedValue(value));
     if (!row.success) {
       log.logStateChange('row_rejected', { kind: 'strikes', key, reason: row.error.message });
       return;
     }
     const nowMs = clock.nowMs();
-    for (const [fingerprint, endpointStart] of row.data.strikes) {
+    for (const [fingerprint, endpointStart, atStoreMs] of row.data.strikes) {
       const strike = { fingerprint: toId<Fingerprint>(fingerprint), endpointStart };
-      strikes.recordCrash(strike, nowMs);
+      const atMs = nowMs - computeAgeMs(storeClock, atStoreMs);
+      if (nowMs - atMs > CRASH_RETENTION_MS) continue;
+      strikes.recordCrash(strike, atMs);
       if (key === `${STRIKES_PREFIX}${nodeName}` && !this.isPublished(strike))
-        this.recentStrikes.push({ ...strike, atMs: nowMs });
+        this.recentStrikes.push({ ...strike, atMs });
     }
   }
 
@@ -80,13 +87,14 @@
     if (!this.hasUnpublishedStrikes || this.isWriting) return;
     this.isWriting = true;
     this.hasUnpublishedStrikes = false;
-    const { nodeName, shared, clock, log } = this.dependencies;
+    const { nodeName, shared, clock, storeClock, log } = this.dependencies;
     // Other nodes would count a strike that has expired as a new one.
     const oldestMs = clock.nowMs() - CRASH_RETENTION_MS;
     this.recentStrikes = this.recentStrikes.filter(({ atMs }) => atMs >= oldestMs);
-    const strikes = this.recentStrikes.map(({ fingerprint, endpointStart }) => [
+    const strikes = this.recentStrikes.map(({ fingerprint, endpointStart, atMs }) => [
       fingerprint,
       endpointStart,
+      ...listStoreTimes(storeClock, clock.nowMs() - atMs),
     ]);
     const isWritten = await shared.write(`${STRIKES_PREFIX}${nodeName}`, { strikes });
     this.isWriting = false;
