Count the grace period from the signal that arrived during startup

A process that got SIGTERM while it was starting handled the signal once it was up and took the whole grace period from then on, so it was killed before its requests had ended. The handler now gets the time at which the signal arrived.

--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -63,8 +63,12 @@
 
 /** A running gateway process. */
 export interface Gateway {
-  /** Shuts down within the grace period; requests that finish in this time are not cut off. */
-  readonly drain: (reason: string) => Promise<void>;
+  /**
+   * Shuts down within the grace period; requests that finish in this time are not cut off.
+   *
+   * @param requestedAtMs reading of the process's clock from which the grace period runs, by default now
+   */
+  readonly drain: (reason: string, requestedAtMs?: number) => Promise<void>;
   /** Logs the result of reloading the settings file; addresses and bounds change only on the next start. */
   readonly recordReload: (result: 'changed' | 'rejected' | 'unchanged', faults: string) => void;
   readonly callerPort: number;
@@ -401,9 +405,9 @@
   cacheStoreWatcher.run().catch(logCrash);
   tableRelay.run().catch(logCrash);
 
-  const drain = async (reason: string): Promise<void> => {
+  const drain = async (reason: string, requestedAtMs?: number): Promise<void> => {
     if (phase !== 'serving') return;
-    const startMs = clock.nowMs();
+    const startMs = requestedAtMs ?? clock.nowMs();
     phase = 'draining';
     rollout.stop();
     cacheStoreWatcher.stop();
