Stop attempts that an endpoint would start on expired weights

A request that was sent in time may wait at a busy endpoint until its weights are over their limit; the choice of the endpoint only uses an estimate of the wait. Attempts without output are now cancelled before the limit, and repeated elsewhere where the route allows it.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -155,6 +155,11 @@
     this.finish({ type: 'stopped', wasSent }, { type: 'cancelled' });
   }
 
+  /** Cancels the attempt like a stalled one, unless the endpoint has sent a part of the response. */
+  stopWaiting(): void {
+    if (!this.hasOutput) this.finish({ type: 'stalled' }, { type: 'cancelled' });
+  }
+
   private start(): void {
     const { endpoint, request, maxConnections, stallTimeoutMs } = this.input;
     endpoint.recordSent(this.sentRequest);
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -233,7 +233,16 @@
       },
     });
     this.attempt = attempt;
+    const stopTracking =
+      head.model === undefined
+        ? undefined
+        : context.waitingAttempts.add({
+            attempt,
+            model: head.model,
+            weightVersion: endpoint.record.weights.get(head.model) ?? 0,
+          });
     const outcome = await attempt.run();
+    stopTracking?.();
     context.metrics.recordAttempt(service, outcome.type);
     const mayHaveCrashed = outcome.type === 'broken' && !attempt.hasOutput;
     if (mayHaveCrashed) recordStrike(context, routedRequest, chosen);
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -9,6 +9,7 @@
 import type { BodyMemoryBudget } from './requestBody.js';
 import type { StrikePublisher } from './strikePublisher.js';
 import type { GatewaySettings, HeaderCodec } from './types.js';
+import type { WaitingAttempts } from './waitingAttempts.js';
 
 /** State and services that all requests of a process share. */
 export interface GatewayContext {
@@ -25,6 +26,7 @@
   readonly promptPartContainment: PromptPartContainment;
   /** Returns the index of what a cache store VM holds, if the store is configured. */
   readonly findCacheStoreIndex: (address: string) => StoreIndex | undefined;
+  readonly waitingAttempts: WaitingAttempts;
   readonly transferMeter: TransferSlowdownTracker;
   /** Clock that also advances while the VM is suspended. */
   readonly suspensionClock: Clock;
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -53,6 +53,7 @@
   type TableTiming,
 } from './tableTiming.js';
 import type { GatewayDependencies, GatewaySettings } from './types.js';
+import { WaitingAttempts } from './waitingAttempts.js';
 import { WeightTargetTimes } from './weightTargetTimes.js';
 
 const BYTES_PER_MB = 1_048_576;
@@ -245,6 +246,7 @@
     strikePublisher,
     promptPartContainment,
     suspensionClock,
+    waitingAttempts: WaitingAttempts.create(),
     transferMeter: TransferSlowdownTracker.create(),
     findCacheStoreIndex: (address) => cacheStoreWatcher.findIndex(address),
     areHeartbeatsCurrent: () =>
@@ -367,6 +369,13 @@
   let nextAnnouncementAtMs = clock.nowMs();
   const housekeepingTimer = setInterval(() => {
     clusterState.removeExpiredEndpoints();
+    const stoppedAttempts = context.waitingAttempts.stopOverdue(
+      (model, version) => clusterState.getWeightsRemainingMs(model, version),
+      // A timer of a busy process may be late.
+      HOUSEKEEPING_INTERVAL_MS * 2,
+    );
+    if (stoppedAttempts > 0)
+      log.logStateChange('old_weights_attempts_stopped', { attempts: stoppedAttempts });
     metrics.setGauge('active_requests', server.activeRequestCount);
     metrics.setGauge('endpoints', clusterState.endpoints.size);
     metrics.setGauge('nodes', clusterState.nodeCount);
