Test that a stream stays at its endpoint while its caller does not read

The stall timeout runs while the gateway has paused the endpoint itself, so a caller that reads nothing for 1.2 s makes the gateway move its stream to another endpoint, although the first is sound.

--- a/packages/gateway/src/callerLeaves.test.ts
+++ b/packages/gateway/src/callerLeaves.test.ts
@@ -4,6 +4,7 @@
 import { connect, type Socket } from 'node:net';
 import { setImmediate as nextLoopTurn, setTimeout as sleep } from 'node:timers/promises';
 import t from 'tap';
+import { STREAM_STALL_TIMEOUT_MS } from './constants.js';
 import { startGateway } from './index.js';
 import {
   createDependencies,
@@ -198,6 +199,21 @@
   });
 }
 
+// Guards against a stall timeout that runs while the gateway itself has paused a sound endpoint.
+t.test('a stream stays at its endpoint while its caller does not read', async (t2) => {
+  endpoints.setHandler(respondEndlessly);
+  const id = 'unread, stays';
+  const caller = await openCaller();
+  caller.pause();
+  caller.write(createRequestText('POST', '/stream/x', id, 'prompt'));
+  await endpoints.waitUntilRunning(id);
+  await waitUntilBlocked(id);
+  await sleep(STREAM_STALL_TIMEOUT_MS + 300);
+  t2.equal(endpoints.countReceived(id), 1);
+  caller.resetAndDestroy();
+  t2.ok(await endpoints.endsInTime(id));
+});
+
 // Guards against starting work for callers that gave up while the node was short of processor time.
 t.test('a request is not sent if its caller left before it was read', async (t2) => {
   endpoints.setHandler(respondWhole);
