Don't take an endpoint for stalled while its caller does not read

The stream of a caller that reads slowly moved to another endpoint after about 1.3 s, and its endpoint was cancelled: the stall timeout ran on while the gateway itself had paused the endpoint for the caller. A paused attempt is not stalled, and resuming counts as activity. callerLeaves.test.ts, 'a stream stays at its endpoint while its caller does not read', failed before.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -98,6 +98,9 @@
 
   private isFinished = false;
 
+  /** Whether reading from the endpoint waits for the caller. */
+  private isPaused = false;
+
   /** Clock reading at the first part of the response body. */
   private firstByteAtMs: number | undefined;
 
@@ -199,7 +202,8 @@
     const nowMs = this.dependencies.clock.nowMs();
     // An endpoint that is sending other responses is busy rather than stalled.
     const lastActivityMs = Math.max(this.lastBytesMs, endpoint.lastBytesAtMs);
-    const silentMs = nowMs - lastActivityMs;
+    // While the caller does not read, the endpoint is silent because it is not read either.
+    const silentMs = this.isPaused ? 0 : nowMs - lastActivityMs;
     if (silentMs >= stallTimeoutMs) this.finish({ type: 'stalled' }, { type: 'transport_failed' });
     else this.scheduleStallCheck(stallTimeoutMs - silentMs);
   }
@@ -310,7 +314,14 @@
     const { head, exchange } = this;
     if (head === undefined || callerResponse.isClosed) return;
     if (!callerResponse.hasStarted) callerResponse.start(head);
-    if (!callerResponse.write(bytes, () => exchange?.resume())) exchange?.pause();
+    const resume = () => {
+      this.isPaused = false;
+      this.recordActivity(this.dependencies.clock.nowMs());
+      exchange?.resume();
+    };
+    if (callerResponse.write(bytes, resume)) return;
+    this.isPaused = true;
+    exchange?.pause();
   }
 
   private handleEnd(): void {
