Stop a request when its caller's connection ends

Endpoints worked on for callers that had left: a pipelined request until its time limit, a caller with unread output for 0.76 s more, after which the request even reached a second endpoint. The response's 'close' was the only sign of a departure; a pipelined response gets none before its turn, and one with unsent output none before that is delivered. The handler now also listens to the end and the close of the caller's socket. Three tests of callerLeaves failed before.

--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -88,12 +88,19 @@
 
   /** Serves the request. All paths end with a response or closed connection, a log line and freed body memory. */
   async serve(): Promise<void> {
-    this.response.once('close', () => {
+    const { socket } = this.incoming;
+    const handleClose = () => {
       if (!this.response.writableFinished) this.stop('caller_left');
-    });
+    };
+    // A pipelined response gets no `close` event before its turn, and a connection with unsent output none
+    // before that is delivered.
+    const closeEvents = ['end', 'close'] as const;
+    for (const event of closeEvents) socket.once(event, handleClose);
+    this.response.once('close', handleClose);
     try {
       await this.readAndServe();
     } finally {
+      for (const event of closeEvents) socket.off(event, handleClose);
       clearTimeout(this.timeLimitTimer);
       this.context.bodyMemory.release(this.bodyBytes);
     }
