Send no request whose caller had closed before it was read

A process whose event loop was late read requests together with the closes of their callers, and sent 8 of 8 of them, as the close is read one turn of the loop after the request. It now waits for two turns before the first send, and a request that was stopped meanwhile ends. callerLeaves.test.ts, 'a request is not sent if its caller left before it was read', failed before.

--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { setImmediate as nextLoopTurn } from 'node:timers/promises';
 import { type AttemptResult, decideNextStep, EventStreamFramer } from '@lovagearch/exchange';
 import { chooseTarget, isRetryable, type Route } from '@lovagearch/traffic';
 import { createOverloadRefusal } from './createOverloadRefusal.js';
@@ -30,6 +31,15 @@
 import { listSharedPartIds } from './sharedParts.js';
 import type { RequestHead } from './types.js';
 
+/**
+ * Waits until a close that arrived together with the request has been read, which takes one more turn of the
+ * event loop. A late process would otherwise send requests whose callers have given up.
+ */
+const waitForQueuedClose = async (): Promise<void> => {
+  await nextLoopTurn();
+  await nextLoopTurn();
+};
+
 /** Why a request was stopped before its response was complete. */
 type StopReason = 'caller_left' | 'time_limit';
 
@@ -139,6 +149,7 @@
         return;
       }
       case 'body': {
+        await waitForQueuedClose();
         this.bodyBytes = read.body?.length ?? 0;
         const service = chooseTarget(route.targets, context.random())?.service;
         if (service === undefined) {
@@ -156,6 +167,10 @@
   private async serveRoutedRequest(routedRequest: RoutedRequest): Promise<void> {
     const { context } = this;
     const { head, route, service } = routedRequest;
+    if (this.stopReason !== undefined) {
+      this.handleStop(routedRequest);
+      return;
+    }
     if (this.endIfQuarantined(routedRequest)) return;
     context.getRetryBudget(service).recordRequest(context.clock.nowMs());
     const framer =
