Keep following a table when a listener or a read throws

Operators saw processes that no longer followed the list of runners after one odd entry. An error thrown by a listener left TableMirror.applyBatch and ended the follower's loop for good: the other rows of the batch were dropped and no later change was read. An error thrown by a read had the same effect. The mirror now contains the error for each listener and row and reports it (row_rejected with table, key, version and reason); the follower counts an unforeseen error as a failed call and reads again.

--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -96,9 +96,17 @@
   );
   const storeClock = StoreClock.create(clock);
   const clusterState = ClusterState.create(dependencies.rows, clock, storeClock, settings, log);
-  const operatorMirror = TableMirror.create(dependencies.rows.operatorTable, storeClock);
-  const endpointMirror = TableMirror.create(dependencies.rows.endpointTable, storeClock);
-  const sharedMirror = TableMirror.create(SHARED_TABLE, storeClock);
+  const createMirror = (table: string) =>
+    TableMirror.create(table, {
+      storeClock,
+      onRowFault: ({ key, version }, error) => {
+        const reason = getErrorMessage(error);
+        log.logStateChange('row_rejected', { kind: table, key, rowVersion: version, reason });
+      },
+    });
+  const operatorMirror = createMirror(dependencies.rows.operatorTable);
+  const endpointMirror = createMirror(dependencies.rows.endpointTable);
+  const sharedMirror = createMirror(SHARED_TABLE);
   operatorMirror.addListener((row, committedAfterMs) =>
     clusterState.applyOperatorRow(row, committedAfterMs),
   );
--- a/packages/gateway/src/weightTargetTimes.test.ts
+++ b/packages/gateway/src/weightTargetTimes.test.ts
@@ -95,8 +95,8 @@
     random: () => 0,
     log: LOG,
   });
-  const operatorTable = TableMirror.create('op', storeClock);
-  const sharedTable = TableMirror.create('shared', storeClock);
+  const operatorTable = TableMirror.create('op', { storeClock });
+  const sharedTable = TableMirror.create('shared', { storeClock });
   operatorTable.addListener((row, committedAfterMs) =>
     state.applyOperatorRow(row, committedAfterMs),
   );
--- a/packages/mirror/src/mirror.test.ts
+++ b/packages/mirror/src/mirror.test.ts
@@ -174,3 +174,83 @@
   await follower.run();
   t2.equal(calls, 2, 'one call at the start, and one when the copy is 3 s old');
 });
+
+/** Advances the clock and stops a follower that doesn't end by itself. */
+const stopAfter = (clock: ManualClock, follower: MirrorFollower) => {
+  clock.addMs(1);
+  if (clock.nowMs() > 100) follower.stop();
+};
+
+// Guards against a node that stops following a table because of one row that it can't handle.
+t.test('a listener that throws drops neither the other rows nor the following', async (t2) => {
+  const faults: string[] = [];
+  const mirror = TableMirror.create('servers', {
+    onRowFault: ({ key, version }, error) =>
+      faults.push(`${key} ${version} ${error instanceof Error ? error.message : ''}`),
+  });
+  const seen: string[] = [];
+  mirror.addListener(({ key }) => {
+    if (key === 'odd') throw new RangeError('too deep');
+  });
+  mirror.addListener(({ key }) => seen.push(key));
+  const results: ReadResult[] = [
+    createRows(
+      ['a', 'odd', 'b'].map((key, index) => ({ key, version: index + 1, value: key })),
+      3,
+      false,
+    ),
+    createRows([{ key: 'c', version: 4, value: 'c' }], 4),
+  ];
+  const clock = ManualClock.create();
+  const follower = MirrorFollower.create({
+    mirror,
+    source: {
+      readAll: async () => results.shift() ?? UNAVAILABLE,
+      readChanges: async () => {
+        const result = results.shift();
+        if (result === undefined) follower.stop();
+        return result ?? UNAVAILABLE;
+      },
+    },
+    peers: { readChanges: async () => UNAVAILABLE },
+    clock,
+    options: OPTIONS,
+    onEvent: () => undefined,
+    wait: async () => stopAfter(clock, follower),
+  });
+  await follower.run();
+  t2.strictSame(seen, ['a', 'odd', 'b', 'c']);
+  t2.strictSame(faults, ['odd 2 too deep']);
+  t2.equal(mirror.version, 4);
+});
+
+// Guards against a node that never reads a table again after one read that failed in an unforeseen way.
+t.test('a read that throws counts as a store that is not reachable', async (t2) => {
+  const mirror = TableMirror.create('servers');
+  const events: MirrorEvent[] = [];
+  const clock = ManualClock.create();
+  let reads = 0;
+  const follower = MirrorFollower.create({
+    mirror,
+    source: {
+      readAll: async () => {
+        reads += 1;
+        if (reads === 1) throw new RangeError('too deep');
+        follower.stop();
+        return createRows([], 1, false);
+      },
+      readChanges: async () => UNAVAILABLE,
+    },
+    peers: { readChanges: async () => UNAVAILABLE },
+    clock,
+    options: OPTIONS,
+    onEvent: (event) => events.push(event),
+    wait: async () => stopAfter(clock, follower),
+  });
+  await follower.run();
+  t2.equal(reads, 2);
+  t2.strictSame(
+    events.map(({ type }) => type),
+    ['store_lost', 'store_regained'],
+  );
+});
--- a/packages/mirror/src/mirrorFollower.ts
+++ b/packages/mirror/src/mirrorFollower.ts
@@ -1,5 +1,5 @@
 import { setTimeout as waitForTimer } from 'node:timers/promises';
-import type { Clock } from '@lovagearch/common';
+import { type Clock, getErrorMessage } from '@lovagearch/common';
 import type { TableMirror } from './tableMirror.js';
 import type { PeerSource, ReadResult, TableSource } from './types.js';
 
@@ -108,7 +108,7 @@
     const { clock, options, wait = waitForTimer } = this.dependencies;
     while (!this.isStopped) {
       const startMs = clock.nowMs();
-      const isSuccess = await this.followOnce();
+      const isSuccess = await this.tryFollowOnce();
       const intervalMs = isSuccess ? options.getPollIntervalMs() : options.retryDelayMs;
       const pauseMs = intervalMs - (clock.nowMs() - startMs);
       if (pauseMs > 0) await wait(pauseMs);
@@ -138,6 +138,16 @@
     }
   }
 
+  /** Counts an unforeseen error as a failed call, so that the table is read again. */
+  private async tryFollowOnce(): Promise<boolean> {
+    try {
+      return await this.followOnce();
+    } catch (error) {
+      this.recordFailedCall(getErrorMessage(error));
+      return false;
+    }
+  }
+
   private async followOnce(): Promise<boolean> {
     const { mirror, clock, source, options } = this.dependencies;
     if (mirror.getAgeMs(clock.nowMs()) < options.getMaxRelayedAgeMs()) return true;
@@ -163,8 +173,7 @@
       });
       return this.followOnce();
     }
-    this.recordStoreUnreachable(failure.reason);
-    this.hasFailedCall = true;
+    this.recordFailedCall(failure.reason);
     return false;
   }
 
@@ -187,7 +196,8 @@
     mirror.applyBatch(result.batch, nowMs);
   }
 
-  private recordStoreUnreachable(reason: string): void {
+  private recordFailedCall(reason: string): void {
+    this.hasFailedCall = true;
     const { mirror, clock, onEvent } = this.dependencies;
     if (this.unreachableSinceMs !== undefined && this.unreachableReason === reason) return;
     const nowMs = clock.nowMs();
--- a/packages/mirror/src/storeClock.test.ts
+++ b/packages/mirror/src/storeClock.test.ts
@@ -45,7 +45,7 @@
 t.test('a change is dated after the state of the copy before it', async (t2) => {
   const clock = ManualClock.create();
   const storeClock = StoreClock.create(clock);
-  const mirror = TableMirror.create('op', storeClock);
+  const mirror = TableMirror.create('op', { storeClock });
   const changes: [string, number | undefined][] = [];
   mirror.addListener(({ key, version }, committedAfterMs) =>
     changes.push([`${key}@${version}`, committedAfterMs]),
@@ -69,6 +69,6 @@
   t2.equal(relayed.asOfStoreMs, 1_300);
   t2.equal(relayed.ageMs, 200);
   const follower = StoreClock.create(clock);
-  TableMirror.create('op', follower).applyBatch(relayed, 0);
+  TableMirror.create('op', { storeClock: follower }).applyBatch(relayed, 0);
   t2.equal(follower.nowMs(), 1_500);
 });
--- a/packages/mirror/src/tableMirror.ts
+++ b/packages/mirror/src/tableMirror.ts
@@ -15,6 +15,13 @@
  */
 export type RowListener = (row: MirroredRow, committedAfterMs: number | undefined) => void;
 
+export interface TableMirrorOptions {
+  /** Called with a row that a listener could not handle. */
+  readonly onRowFault?: (row: MirroredRow, error: unknown) => void;
+  /** Kept in sync with the readings that batches carry. */
+  readonly storeClock?: StoreClock;
+}
+
 /**
  * A local copy of one table. Row versions only increase: a batch that is older than the copy, for example
  * from a peer that lags, is ignored.
@@ -43,12 +50,11 @@
 
   private constructor(
     readonly table: string,
-    private readonly storeClock: StoreClock | undefined,
+    private readonly options: TableMirrorOptions,
   ) {}
 
-  /** @param storeClock kept in sync with the readings that batches carry */
-  static create(table: string, storeClock?: StoreClock): TableMirror {
-    return new TableMirror(table, storeClock);
+  static create(table: string, options: TableMirrorOptions = {}): TableMirror {
+    return new TableMirror(table, options);
   }
 
   get version(): number {
@@ -75,7 +81,8 @@
   /** Applies a batch; returns false if it is older than the copy and was ignored. */
   applyBatch(batch: RowBatch, nowMs: number): boolean {
     const { asOfStoreMs } = batch;
-    if (asOfStoreMs !== undefined) this.storeClock?.recordReading(asOfStoreMs + batch.ageMs);
+    if (asOfStoreMs !== undefined)
+      this.options.storeClock?.recordReading(asOfStoreMs + batch.ageMs);
     if (batch.version < this.knownVersion) return false;
     if (!batch.isPartial) this.removeMissingRows(batch);
     for (const row of batch.rows) this.applyRow(row);
@@ -118,7 +125,20 @@
     }
     const isCommittedSince = row.version > this.knownVersion;
     const committedAfterMs = isCommittedSince ? this.asOfStoreMs : undefined;
-    for (const listener of this.listeners) listener(row, committedAfterMs);
+    for (const listener of this.listeners) this.callListener(listener, row, committedAfterMs);
+  }
+
+  /** Contains what a listener throws: other writers fill rows, and one row must not stop the following. */
+  private callListener(
+    listener: RowListener,
+    row: MirroredRow,
+    committedAfterMs: number | undefined,
+  ): void {
+    try {
+      listener(row, committedAfterMs);
+    } catch (error) {
+      this.options.onRowFault?.(row, error);
+    }
   }
 
   private removeMissingRows(batch: RowBatch): void {
