Reject odd rows of the shared table instead of ending the process

A peer row whose load address has a port out of range ended the process: the UDP socket throws on such a port, and the row is read again at each start, so the process ended again and again. A lease row whose attempt id is no text ({"toString": 1}, or arrays nested 100,000 levels deep) made String() throw and ended the following of the shared table, or the loop that gives orders.

Before: oddEntries.test.js 'odd rows of the shared table neither end the process nor hide later rows' ends with ERR_SOCKET_BAD_PORT (received 99999). After: passes.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -15,3 +15,4 @@
 export * from './metrics.js';
 export * from './random.js';
 export * from './simulatedTime.js';
+export * from './socketAddress.js';
--- a/packages/gateway/src/clusterState.ts
+++ b/packages/gateway/src/clusterState.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@lovagearch/common';
+import { type Clock, parseSocketAddress } from '@lovagearch/common';
 import { CrashCounter } from '@lovagearch/containment';
 import { EndpointTable, PromptCacheEstimator } from '@lovagearch/endpoints';
 import type { MirroredRow, StoreClock } from '@lovagearch/mirror';
@@ -11,7 +11,12 @@
 } from '@lovagearch/rollout';
 import { TrafficRules } from '@lovagearch/traffic';
 import * as z from 'zod';
-import { EXPIRY_GRACE_MS, EXPIRY_WINDOW_MS, MIN_MISSED_HEARTBEATS_TO_LAPSE } from './constants.js';
+import {
+  EXPIRY_GRACE_MS,
+  EXPIRY_WINDOW_MS,
+  MAX_FAULT_REASON_LENGTH,
+  MIN_MISSED_HEARTBEATS_TO_LAPSE,
+} from './constants.js';
 import type { GatewayLog } from './gatewayLog.js';
 import { computeAgeMs } from './storeTime.js';
 import type { GatewayBounds, RowCodec } from './types.js';
@@ -21,7 +26,15 @@
 export const ORDER_PREFIX = 'order/';
 export const LEASE_KEY = 'lease/orders';
 
-const peerSchema = z.object({ address: z.string(), loadAddress: z.string(), zone: z.string() });
+/** An address without a usable port makes the UDP socket throw. */
+const addressSchema = z
+  .string()
+  .refine((text) => parseSocketAddress(text) !== undefined, 'not an IPv4 address and port');
+const peerSchema = z.object({
+  address: addressSchema,
+  loadAddress: addressSchema,
+  zone: z.string(),
+});
 export type PeerRecord = z.infer<typeof peerSchema>;
 const orderSchema = z.object({
   model: z.string(),
@@ -35,6 +48,15 @@
   readonly heartbeatMs: number;
 }
 
+/** Returns the id of the write that made the value of the lease's row, or null if the value has none. */
+export const readAttemptId = (value: unknown): string | null =>
+  typeof value === 'object' &&
+  value !== null &&
+  'attemptId' in value &&
+  typeof value.attemptId === 'string'
+    ? value.attemptId
+    : null;
+
 /**
  * The state of the deployment as this process knows it from the rows of the mirrored tables. Versions
  * only increase: an older configuration or weight version is ignored.
@@ -316,6 +338,10 @@
   }
 
   private logRejectedRow(kind: string, key: string, reason: string): void {
-    this.log.logStateChange('row_rejected', { kind, key, reason });
+    this.log.logStateChange('row_rejected', {
+      kind,
+      key,
+      reason: reason.slice(0, MAX_FAULT_REASON_LENGTH),
+    });
   }
 }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -166,3 +166,5 @@
  * them within their availability zone only.
  */
 export const MAX_FULL_MESH_NODES = 16;
+/** Maximum length of the reason logged for a row that is rejected; a row can have thousands of faults. */
+export const MAX_FAULT_REASON_LENGTH = 200;
--- a/packages/gateway/src/promptPartContainment.ts
+++ b/packages/gateway/src/promptPartContainment.ts
@@ -8,6 +8,7 @@
 import type { MirroredRow, StoreClock } from '@lovagearch/mirror';
 import * as z from 'zod';
 import {
+  MAX_FAULT_REASON_LENGTH,
   MAX_PUBLISHED_COMPLETIONS,
   MAX_PUBLISHED_CRASH_BYTES,
   MAX_PUBLISHED_CRASHES,
@@ -97,7 +98,8 @@
     const { rows, clock, storeClock, log, nodeName } = this.dependencies;
     const row = rowSchema.safeParse(rows.decodeSharedValue(value));
     if (!row.success) {
-      log.logStateChange('row_rejected', { kind: 'crashes', key, reason: row.error.message });
+      const reason = row.error.message.slice(0, MAX_FAULT_REASON_LENGTH);
+      log.logStateChange('row_rejected', { kind: 'crashes', key, reason });
       return;
     }
     const nowMs = clock.nowMs();
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -10,7 +10,7 @@
 } from '@lovagearch/mirror';
 import { TransferSlowdownTracker } from '@lovagearch/reuse';
 import { createSuspensionClock, OrderLease, RolloutCoordinator } from '@lovagearch/rollout';
-import { ClusterState, LEASE_KEY, PEER_PREFIX } from './clusterState.js';
+import { ClusterState, LEASE_KEY, PEER_PREFIX, readAttemptId } from './clusterState.js';
 import { CallerServer } from './callerServer.js';
 import {
   ANNOUNCE_RETRY_DELAY_MS,
@@ -298,11 +298,7 @@
   sharedMirror.addListener((row) => {
     if (row.key !== LEASE_KEY || row.value === undefined) return;
     const value = dependencies.rows.decodeSharedValue(row.value);
-    const attemptId =
-      typeof value === 'object' && value !== null && 'attemptId' in value
-        ? String(value.attemptId)
-        : null;
-    lease.updateRow({ value, version: row.version, attemptId });
+    lease.updateRow({ value, version: row.version, attemptId: readAttemptId(value) });
   });
   const rollout = RolloutCoordinator.create({
     lease,
--- a/packages/gateway/src/strikePublisher.ts
+++ b/packages/gateway/src/strikePublisher.ts
@@ -3,7 +3,7 @@
 import { CRASH_RETENTION_MS, type CrashCounter, type RequestCrash } from '@lovagearch/containment';
 import type { MirroredRow, StoreClock } from '@lovagearch/mirror';
 import * as z from 'zod';
-import { MAX_PUBLISHED_STRIKES } from './constants.js';
+import { MAX_FAULT_REASON_LENGTH, MAX_PUBLISHED_STRIKES } from './constants.js';
 import type { GatewayLog } from './gatewayLog.js';
 import { computeAgeMs, listStoreTimes } from './storeTime.js';
 import type { RowCodec, SharedTable } from './types.js';
@@ -68,7 +68,8 @@
     const { nodeName, rows, strikes, clock, storeClock, log } = this.dependencies;
     const row = rowSchema.safeParse(rows.decodeSharedValue(value));
     if (!row.success) {
-      log.logStateChange('row_rejected', { kind: 'strikes', key, reason: row.error.message });
+      const reason = row.error.message.slice(0, MAX_FAULT_REASON_LENGTH);
+      log.logStateChange('row_rejected', { kind: 'strikes', key, reason });
       return;
     }
     const nowMs = clock.nowMs();
--- a/packages/rollout/src/orderLease.ts
+++ b/packages/rollout/src/orderLease.ts
@@ -214,8 +214,11 @@
     if (this.heldFencing === undefined) return;
     if (this.lease.getFencingToken(this.options.clock.nowMs()) !== undefined) return;
     const holder =
-      typeof row?.value === 'object' && row.value !== null && 'holder' in row.value
-        ? String(row.value.holder)
+      typeof row?.value === 'object' &&
+      row.value !== null &&
+      'holder' in row.value &&
+      typeof row.value.holder === 'string'
+        ? row.value.holder
         : '';
     if (holder === this.holder) return;
     this.heldFencing = undefined;
