--- a/packages/exchange/src/connectionPool.ts
+++ b/packages/exchange/src/connectionPool.ts
@@ -1,3 +1,4 @@
+import { parseSocketAddress } from '@lovagearch/common';
 import { EndpointConnection } from './endpointConnection.js';
 import type { EndpointRequest, Exchange, ExchangeListener } from './types.js';
 
@@ -39,7 +40,7 @@
    * Sends a request on an idle connection or a new one.
    *
    * @param endpointId changes when an endpoint restarts, so that it gets new connections
-   * @returns undefined if `maxConnections` connections are already in use
+   * @returns undefined if `maxConnections` connections are already in use or the address is not usable
    */
   send(
     endpointId: string,
@@ -78,6 +79,8 @@
       idle.close();
     }
     if (connections.all.size >= maxConnections) return undefined;
+    // Registrations come from other writers, and the HTTP client throws on an invalid address.
+    if (parseSocketAddress(address) === undefined) return undefined;
     const created = EndpointConnection.create(address, (closed) => this.remove(endpointId, closed));
     connections.all.add(created);
     this.openedConnectionCount += 1;
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -183,7 +183,7 @@
       },
     );
     if (exchange === undefined) {
-      const reason = 'all connections to the endpoint are in use';
+      const reason = 'no connection to the endpoint is available';
       this.finish({ type: 'not_run', wasReceived: false, reason }, { type: 'cancelled' });
       return;
     }
