Believe entries that go on counting over one with a higher count

An odd entry under the id of a known endpoint with a heartbeat count or a start that is too high, but plausible, hid all proper entries that followed, so an announced leaving was not seen and requests still went there. Entries that look older now replace the known one once three of them in a row have rising counts; a write that the store carries out late comes alone and is ignored as before.

--- a/packages/endpoints/src/endpointTable.ts
+++ b/packages/endpoints/src/endpointTable.ts
@@ -15,6 +15,26 @@
   readonly removeAtMs: number;
 }
 
+/** Entries that look older than the known one, in the order in which the store accepted them. */
+interface OlderEntries {
+  readonly startedUnixMs: number;
+  readonly heartbeat: number;
+  /** Number of successive entries of this start whose heartbeat count rose. */
+  readonly count: number;
+}
+
+/**
+ * Successive entries with rising counts after which they replace a known one with a higher count. A write
+ * that the store carried out late comes alone; an endpoint writes again after each heartbeat interval.
+ */
+const MIN_RISING_ENTRIES = 3;
+
+const isOlder = (record: EndpointRecord, known: EndpointRecord): boolean =>
+  record.startedUnixMs < known.startedUnixMs ||
+  (record.startedUnixMs === known.startedUnixMs &&
+    record.address === known.address &&
+    record.heartbeat < known.heartbeat);
+
 /**
  * All registered endpoints. During an outage of the store, entries of live endpoints can lapse. An
  * endpoint whose entry is missing afterwards stays in use for a grace period to register again.
@@ -32,6 +52,8 @@
 
   private readonly pendingRemovals = new Map<string, PendingRemoval>();
 
+  private readonly olderEntries = new Map<string, OlderEntries>();
+
   static create(): EndpointTable {
     return new EndpointTable();
   }
@@ -65,17 +87,21 @@
     return this.endpoints.size;
   }
 
-  /** Applies a registration; one from an earlier start or with an earlier heartbeat is ignored. */
+  /**
+   * Applies a registration. One from an earlier start or with an earlier heartbeat is ignored, unless
+   * others follow it: then the known one was an odd entry of another writer.
+   */
   applyRecord(record: EndpointRecord, nowMs: number): EndpointChange | undefined {
     const known = this.endpoints.get(record.id);
     if (known === undefined) return this.addEndpoint(record, nowMs, 'added');
-    const { startedUnixMs, heartbeat, state } = known.record;
-    if (record.startedUnixMs < startedUnixMs) return undefined;
-    if (record.startedUnixMs > startedUnixMs || record.address !== known.record.address) {
+    const { startedUnixMs, address, state } = known.record;
+    const isBehind = isOlder(record, known.record);
+    if (isBehind && !this.isCounting(record)) return undefined;
+    this.olderEntries.delete(record.id);
+    if (isBehind || record.startedUnixMs > startedUnixMs || record.address !== address) {
       this.removeEndpoint(known);
       return this.addEndpoint(record, nowMs, 'restarted');
     }
-    if (record.heartbeat < heartbeat) return undefined;
     this.pendingRemovals.delete(record.id);
     known.updateRecord(record, nowMs);
     if (record.state === state || record.state === 'ready') return undefined;
@@ -114,6 +140,15 @@
     return changes;
   }
 
+  /** Records an entry that looks older; returns whether its endpoint has gone on counting. */
+  private isCounting({ id, startedUnixMs, heartbeat }: EndpointRecord): boolean {
+    const known = this.olderEntries.get(id);
+    const isRising = known?.startedUnixMs === startedUnixMs && heartbeat > known.heartbeat;
+    const count = isRising ? known.count + 1 : 1;
+    this.olderEntries.set(id, { startedUnixMs, heartbeat, count });
+    return count >= MIN_RISING_ENTRIES;
+  }
+
   private addEndpoint(
     record: EndpointRecord,
     nowMs: number,
@@ -132,5 +167,6 @@
     this.idsByDigestKey.delete(computeDigestKey(record.id));
     this.idsByService.get(record.service)?.delete(record.id);
     this.pendingRemovals.delete(record.id);
+    this.olderEntries.delete(record.id);
   }
 }
--- a/packages/endpoints/src/endpoints.test.ts
+++ b/packages/endpoints/src/endpoints.test.ts
@@ -102,6 +102,30 @@
   t2.equal(table.listReady('llm').length, 1);
 });
 
+// Guards against an odd entry with a count or start that is too high: the proper entries that follow were
+// ignored, so that requests still went to the endpoint after it had announced its leaving.
+for (const [name, odd] of [
+  ['heartbeat', { startedUnixMs: 10, heartbeat: 999_999 }],
+  ['start', { startedUnixMs: 4_000_000_000_000, heartbeat: 5 }],
+] as const) {
+  t.test(`entries that go on counting outweigh one with a higher ${name}`, async (t2) => {
+    const table = EndpointTable.create();
+    const apply = (heartbeat: number, overrides: Partial<EndpointRecord> = {}) =>
+      table.applyRecord(createRecord('i-1', { startedUnixMs: 10, heartbeat, ...overrides }), 0);
+    apply(5);
+    table.applyRecord(createRecord('i-1', odd), 0);
+    // A write that the store carries out late comes once and is older.
+    for (const heartbeat of [4, 3, 3]) {
+      apply(heartbeat, { state: 'draining' });
+      t2.equal(table.findEndpoint('i-1')?.record.state, 'ready');
+    }
+    for (const heartbeat of [6, 7, 8]) apply(heartbeat, { state: 'draining' });
+    t2.equal(table.findEndpoint('i-1')?.record.state, 'draining');
+    apply(9, { slots: 9 });
+    t2.equal(table.findEndpoint('i-1')?.record.slots, 9);
+  });
+}
+
 t.test(
   'the failures of one crash suspend an endpoint once, and further crashes up to the maximum',
   async (t2) => {
