End or resume a begun stream instead of appending another response

Callers found the text of an error in the middle of their stream, which then ended as if it were complete. After a broken stream, the next endpoint's answer was delivered although a response had begun: one over 1 MB (a client error, or a success that is no event stream) was appended to the stream and ended it; a smaller one made writeHead throw, and the request crashed without another attempt. decideNextStep now never delivers into a response that has begun: the request is retried if it may be, else the caller's connection is closed. The attempt and the caller's response check the same before they write.

--- a/packages/exchange/src/exchange.test.ts
+++ b/packages/exchange/src/exchange.test.ts
@@ -43,6 +43,9 @@
       fc.property(input, (retryInput) => {
         const step = decideNextStep(retryInput);
         const hasRun = retryInput.possibleRuns > 0 || retryInput.result.type !== 'not_run';
+        // Anything else in a response that has begun would be read as a part of it.
+        if (step.type === 'deliver')
+          t2.ok(retryInput.result.type === 'answered' && !retryInput.hasResponseStarted);
         if (step.type === 'refuse')
           t2.notOk(retryInput.possibleRuns > 0 || retryInput.hasResponseStarted);
         if (step.type === 'retry') {
@@ -65,6 +68,19 @@
   t2.equal(decideNextStep({ ...BASE_INPUT, result, isRetryable: false }).type, 'deliver');
 });
 
+t.test('a response that does not continue a stream is replaced or ends the stream', async (t2) => {
+  for (const isFailure of [true, false]) {
+    const input = {
+      ...BASE_INPUT,
+      result: { type: 'answered', isFailure },
+      hasResponseStarted: true,
+    } as const;
+    t2.equal(decideNextStep(input).type, 'retry');
+    t2.equal(decideNextStep({ ...input, hasRetryBudget: false }).type, 'fail');
+    t2.equal(decideNextStep({ ...input, isRetryable: false }).type, 'fail');
+  }
+});
+
 const createEvent = (id: number) => `id: ${id}\ndata: chunk ${id}\n\n`;
 
 t.test('events split at any byte are returned complete and in order', async (t2) => {
--- a/packages/exchange/src/nextStep.ts
+++ b/packages/exchange/src/nextStep.ts
@@ -54,7 +54,8 @@
 /**
  * Decides what to do after an attempt. A request that may have been executed is retried only if it is
  * retryable.
- * `refuse` is returned only if the request was not executed.
+ * `refuse` is returned only if the request was not executed. `deliver` is returned only for a complete
+ * response of which the caller has received nothing yet.
  *
  * @example
  * const step = decideNextStep(input);
@@ -65,7 +66,13 @@
   const retryBlocker = findRetryBlocker(input);
   switch (result.type) {
     case 'answered':
-      if (result.isFailure && isRetryable && !hasResponseStarted && retryBlocker === undefined) {
+      // A caller would read the response as a part of the one that has begun.
+      if (hasResponseStarted) {
+        if (isRetryable && retryBlocker === undefined)
+          return { type: 'retry', reason: 'response does not continue the stream' };
+        return { type: 'fail', reason: 'response does not continue the stream' };
+      }
+      if (result.isFailure && isRetryable && retryBlocker === undefined) {
         return { type: 'retry', reason: 'endpoint failed' };
       }
       return { type: 'deliver' };
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -303,6 +303,10 @@
       this.finishBroken(`failure response exceeds ${MAX_BUFFERED_RESPONSE_BYTES} bytes`);
       return;
     }
+    if (this.input.callerResponse.hasStarted) {
+      this.finishBroken('response does not continue the stream');
+      return;
+    }
     const bytes = Buffer.concat(this.bufferedChunks);
     this.bufferedChunks = [];
     this.bufferedBytes = -1;
--- a/packages/gateway/src/callerResponse.ts
+++ b/packages/gateway/src/callerResponse.ts
@@ -68,6 +68,10 @@
   }
 
   private sendComplete(status: number, headers: readonly string[], body: Buffer): void {
+    if (this.hasStarted) {
+      this.abort();
+      return;
+    }
     const all = this.createHeaders(headers);
     all.push('Content-Length', String(body.length));
     this.response.writeHead(status, all);
