Resume a stream behind what its caller has received

Callers missed pieces of a stream. If a chunk held proper events and then an invalid one, the proper ones were not forwarded but counted as received, so the next endpoint went on behind them. An endpoint that left out an event was not noticed either, nor was the head of another response behind a stream without a length: its text was forwarded as an event.

Before: exchange.test.js fails in three new tests (last id 2 instead of 0; two times 'events' instead of 'fault'), brokenStreams.test.js 'is broken off if the next endpoint leaves out an event' gets events 1 and 3 as a complete stream. After: all pass.

--- a/packages/exchange/src/eventStreamFramer.ts
+++ b/packages/exchange/src/eventStreamFramer.ts
@@ -13,6 +13,7 @@
 
 export type FramingError =
   | { readonly type: 'event_too_large' }
+  | { readonly type: 'response_head' }
   | { readonly type: 'order'; readonly previousId: number; readonly id: number };
 
 export type FramingResult =
@@ -37,9 +38,48 @@
   return undefined;
 };
 
+/** The start of an HTTP response, which may follow a stream without a length on its connection. */
+const RESPONSE_HEAD_START = 'HTTP/1.';
+
+/** The position of the next event in a chunk, with the id of the event before it. */
+interface FramingPosition {
+  readonly start: number;
+  readonly lastId: number;
+  /** Whether each id was the successor of the one before; undefined before the first event. */
+  readonly isSuccessive: boolean | undefined;
+}
+
+type EventCheck =
+  | { readonly type: 'fault'; readonly fault: FramingError }
+  | { readonly type: 'position'; readonly position: FramingPosition };
+
+const hasResponseHead = (event: Buffer): boolean =>
+  event.toString('latin1', 0, RESPONSE_HEAD_START.length) === RESPONSE_HEAD_START ||
+  event.includes(`\n${RESPONSE_HEAD_START}`, 0, 'latin1');
+
+/** Checks the event between a position and `end`; returns the position of the next one. */
+const checkEvent = (
+  bytes: Buffer,
+  { start, lastId, isSuccessive }: FramingPosition,
+  end: number,
+): EventCheck => {
+  const next = end + EVENT_TERMINATOR.length;
+  const id = readEventId(bytes, start, end);
+  if (hasResponseHead(bytes.subarray(start, end)))
+    return { type: 'fault', fault: { type: 'response_head' } };
+  if (id === undefined)
+    return { type: 'position', position: { start: next, lastId, isSuccessive } };
+  const isSuccessor = id === lastId + 1;
+  if (id <= lastId || (isSuccessive === true && !isSuccessor))
+    return { type: 'fault', fault: { type: 'order', previousId: lastId, id } };
+  const position = { start: next, lastId: id, isSuccessive: isSuccessor && isSuccessive !== false };
+  return { type: 'position', position };
+};
+
 /**
  * Splits a stream of server-sent events into complete events, so that a stream that breaks off inside
- * an event can be resumed at another endpoint. Event ids have to increase, also after a resumption.
+ * an event can be resumed at another endpoint. Event ids have to increase, also after a resumption. If
+ * they have risen by one so far, a missing one is a fault as well.
  *
  * @example
  * const framer = EventStreamFramer.create(12);
@@ -49,6 +89,9 @@
 export class EventStreamFramer {
   private partialEvent: Buffer | undefined;
 
+  /** Whether each id was the successor of the one before; undefined before the first event. */
+  private isSuccessive: boolean | undefined;
+
   private constructor(private lastId: number) {}
 
   /** @param lastId id of the last event that the caller has received; 0 for a new stream */
@@ -71,30 +114,33 @@
     this.partialEvent = undefined;
   }
 
+  /** After a fault, the events before it in the same chunk count as not received. */
   addChunk(chunk: Buffer): FramingResult {
     const bytes =
       this.partialEvent === undefined ? chunk : Buffer.concat([this.partialEvent, chunk]);
-    let start = 0;
+    let position: FramingPosition = {
+      start: 0,
+      lastId: this.lastId,
+      isSuccessive: this.isSuccessive,
+    };
     for (
       let end = bytes.indexOf(EVENT_TERMINATOR, 0, 'latin1');
       end >= 0;
-      end = bytes.indexOf(EVENT_TERMINATOR, start, 'latin1')
+      end = bytes.indexOf(EVENT_TERMINATOR, position.start, 'latin1')
     ) {
-      const id = readEventId(bytes, start, end);
-      if (id !== undefined) {
-        if (id <= this.lastId) {
-          return { type: 'fault', fault: { type: 'order', previousId: this.lastId, id } };
-        }
-        this.lastId = id;
-      }
-      start = end + EVENT_TERMINATOR.length;
+      const check = checkEvent(bytes, position, end);
+      if (check.type === 'fault') return check;
+      position = check.position;
     }
-    this.partialEvent = start < bytes.length ? bytes.subarray(start) : undefined;
-    if (this.partialEvent !== undefined && this.partialEvent.length > MAX_EVENT_BYTES) {
+    const partialEvent = position.start < bytes.length ? bytes.subarray(position.start) : undefined;
+    if (partialEvent !== undefined && partialEvent.length > MAX_EVENT_BYTES) {
       return { type: 'fault', fault: { type: 'event_too_large' } };
     }
-    if (start === 0) return { type: 'incomplete' };
+    this.partialEvent = partialEvent;
+    this.lastId = position.lastId;
+    this.isSuccessive = position.isSuccessive;
+    if (position.start === 0) return { type: 'incomplete' };
     const lastId = this.lastId > 0 ? this.lastId : undefined;
-    return { type: 'events', events: { bytes: bytes.subarray(0, start), lastId } };
+    return { type: 'events', events: { bytes: bytes.subarray(0, position.start), lastId } };
   }
 }
--- a/packages/exchange/src/exchange.test.ts
+++ b/packages/exchange/src/exchange.test.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events';
 import fc from 'fast-check';
 import t from 'tap';
+import { MAX_EVENT_BYTES } from './constants.js';
 import { ConnectionPool, decideNextStep, EventStreamFramer, type RetryInput } from './index.js';
 
 const BASE_INPUT: RetryInput = {
@@ -115,6 +116,35 @@
   t2.equal(framer.addChunk(Buffer.from(createEvent(3))).type, 'events');
 });
 
+// Guards against a missing piece: a stream is resumed after the last event that was returned.
+t.test('events before an invalid one in the same chunk are not counted as received', async (t2) => {
+  for (const rest of [createEvent(1), `id: 3\ndata: ${'x'.repeat(MAX_EVENT_BYTES)}`]) {
+    const framer = EventStreamFramer.create(0);
+    const result = framer.addChunk(Buffer.from(`${createEvent(1)}${createEvent(2)}${rest}`));
+    t2.equal(result.type, 'fault');
+    t2.equal(framer.lastEventId, 0);
+  }
+});
+
+t.test('an event that skips an id is rejected if none was skipped before', async (t2) => {
+  const framer = EventStreamFramer.create(0);
+  framer.addChunk(Buffer.from(`${createEvent(1)}${createEvent(2)}`));
+  t2.equal(framer.addChunk(Buffer.from(createEvent(4))).type, 'fault');
+  t2.equal(framer.addChunk(Buffer.from(createEvent(3))).type, 'events');
+  const wide = EventStreamFramer.create(0);
+  t2.equal(wide.addChunk(Buffer.from(`${createEvent(5)}${createEvent(10)}`)).type, 'events');
+});
+
+// Guards against a response that follows a stream without a length on the same connection.
+t.test('the head of a response is not an event', async (t2) => {
+  const framer = EventStreamFramer.create(0);
+  framer.addChunk(Buffer.from(createEvent(1)));
+  const extra = 'HTTP/1.1 503 Service Unavailable\r\nx: 1\r\n\r\n{}\n\n';
+  t2.equal(framer.addChunk(Buffer.from(extra)).type, 'fault');
+  const text = 'id: 2\ndata: HTTP/1.1 200 OK\n\n';
+  t2.equal(framer.addChunk(Buffer.from(text)).type, 'events');
+});
+
 const withResolvers = () => {
   let resolve: (value: string) => void = () => undefined;
   const promise = new Promise<string>((done) => {
--- a/packages/gateway/src/brokenStreams.test.ts
+++ b/packages/gateway/src/brokenStreams.test.ts
@@ -100,6 +100,15 @@
     });
   }
 
+  // Guards against a stream with a missing piece.
+  await t2.test('is broken off if the next endpoint leaves out an event', async (t3) => {
+    answer = (response, id) =>
+      response.writeHead(200, createHeaders(id, EVENTS)).end('id: 3\ndata: c\n\n');
+    const result = await readStream(gateway, 'g1');
+    t3.equal(result.text, EVENT_1);
+    t3.notOk(result.isComplete);
+  });
+
   await t2.test('ends as complete if the next endpoint continues it', async (t3) => {
     answer = (response, id) =>
       response.writeHead(200, createHeaders(id, EVENTS)).end('id: 2\ndata: b\n\n');
