Take only a response with the request's own id for its response

Callers were told 'not run, try again' about requests that an endpoint was running. A refusal without an id, or with the right id twice, counted as a refusal of the request in progress; a faulty endpoint that writes an earlier one once more on a kept connection makes both. A failure without an id was even passed on, and the load and rate limit of such a response were applied. Any response that doesn't state exactly the id of the request now breaks the attempt (may have run), closes the connection and has no other effect.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -219,8 +219,9 @@
     this.head = head;
     this.endsWithConnection =
       headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
-    if (head.requestId !== undefined && head.requestId !== requestId) {
-      this.finishBroken(`response belongs to another request (${head.requestId})`);
+    // A faulty endpoint may write an earlier response once more, so nothing in it says anything about this request.
+    if (head.requestId !== requestId) {
+      this.finishBroken(`response belongs to another request (${head.requestId ?? 'no id'})`);
       return;
     }
     if (head.load !== undefined) endpoint.recordLoadReport(head.load, nowMs);
@@ -232,7 +233,7 @@
       return;
     }
     const isSuccess = status >= 200 && status < 300;
-    if (isSuccess && (!head.hasOriginProof || head.requestId === undefined)) {
+    if (isSuccess && !head.hasOriginProof) {
       this.finishBroken('successful response without proof of origin');
       return;
     }
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -83,8 +83,9 @@
 
   await t2.test('a request that every endpoint rejects is refused as not run', async (t3) => {
     for (const endpoint of endpoints) {
-      endpoint.handle = (_incoming, response) => {
-        response.writeHead(503, { 'x-not-run': '1' }).end();
+      endpoint.handle = (incoming, response) => {
+        const headers = { [REQUEST_ID_HEADER]: String(incoming.headers[REQUEST_ID_HEADER]) };
+        response.writeHead(503, { ...headers, 'x-not-run': '1' }).end();
       };
     }
     const { status, headers } = await send(gateway, '/claim/x', 'c4', 'pay');
--- a/packages/gateway/src/testGateway.ts
+++ b/packages/gateway/src/testGateway.ts
@@ -19,6 +19,9 @@
 export const REQUEST_ID_HEADER = 'x-id';
 export const PARTS_HEADER = 'x-parts';
 export const LIMIT_HEADER = 'x-limit';
+export const MODEL_HEADER = 'x-model';
+export const ENDPOINT_HEADER = 'x-endpoint';
+export const WEIGHTS_HEADER = 'x-weights';
 const KEY_HEADER = 'x-key';
 
 const createRoute = (name: string, overrides: Partial<Route>): Route => ({
@@ -91,6 +94,9 @@
 const decodeRateLimit = (text: string | undefined): RateLimitStatement =>
   text === undefined ? { type: 'none' } : { type: 'named', requestsPerS: Number(text) };
 
+const decodeWeights = (text: string | undefined): number | undefined =>
+  text === undefined ? undefined : Number(text);
+
 /** Decodes `ID:TOKENS,ID:TOKENS`. */
 const decodeParts = (text: string | undefined): PromptPart[] =>
   (text ?? '')
@@ -104,6 +110,9 @@
 const getFirstValue = (value: string | string[] | undefined) =>
   Array.isArray(value) ? value[0] : value;
 
+const getOnlyValue = (value: string | string[] | undefined) =>
+  Array.isArray(value) ? undefined : value;
+
 /** Name of the table that gateways share. */
 const SHARED_TABLE = 'lovagearch';
 
@@ -135,7 +144,7 @@
           key: values.get(KEY_HEADER),
           timeLimitMs: 5_000,
           lastEventId: 0,
-          model: undefined,
+          model: values.get(MODEL_HEADER),
           promptParts: decodeParts(values.get(PARTS_HEADER)),
           promptTokens: 0,
           maxOutputTokens: 0,
@@ -157,15 +166,15 @@
       ],
       decodeResponseHead: (status, headers) => ({
         status,
-        requestId: getFirstValue(headers[REQUEST_ID_HEADER]),
+        requestId: getOnlyValue(headers[REQUEST_ID_HEADER]),
         hasOriginProof: headers[SEAL_HEADER] !== undefined,
         isNotRun: headers['x-not-run'] !== undefined,
         isMisdirected: headers['x-misdirected'] !== undefined,
-        respondingEndpointId: undefined,
+        respondingEndpointId: getFirstValue(headers[ENDPOINT_HEADER]),
         load: undefined,
         rateLimit: decodeRateLimit(getFirstValue(headers[LIMIT_HEADER])),
         isEventStream: headers['content-type'] === 'text/event-stream',
-        weightVersion: undefined,
+        weightVersion: decodeWeights(getFirstValue(headers[WEIGHTS_HEADER])),
         callerHeaders: [SEAL_HEADER, getFirstValue(headers[SEAL_HEADER]) ?? ''],
       }),
     },
@@ -273,6 +282,7 @@
   id: string,
   body?: string,
   parts?: string,
+  headers: Readonly<Record<string, string>> = {},
 ) => {
   const response = await request(`http://127.0.0.1:${gateway.callerPort}${path}`, {
     method: body === undefined ? 'GET' : 'POST',
@@ -280,6 +290,7 @@
       host: 'a.example',
       [REQUEST_ID_HEADER]: id,
       ...(parts === undefined ? {} : { [PARTS_HEADER]: parts }),
+      ...headers,
     },
     ...(body === undefined ? {} : { body }),
   });
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -50,7 +50,7 @@
 /** The decoded status and headers of an endpoint's response. */
 export interface ResponseHead {
   readonly status: number;
-  /** Id of the request that the response belongs to. */
+  /** Id of the request that the response belongs to; undefined unless the response states exactly one. */
   readonly requestId: string | undefined;
   /** Whether the response carries the endpoint's proof of origin. */
   readonly hasOriginProof: boolean;
