--- a/packages/gateway/src/brokenStreams.test.ts
+++ b/packages/gateway/src/brokenStreams.test.ts
@@ -70,7 +70,7 @@
 ];
 
 t.test('a stream that broke off', async (t2) => {
-  let answer: (response: ServerResponse, id: string, lastEventId: string) => void = () => undefined;
+  const next = { answer: (_response: ServerResponse, _id: string): void => undefined };
   const endpoints = [new FakeEndpoint(), new FakeEndpoint()];
   const ports = await Promise.all(endpoints.map((endpoint) => endpoint.start()));
   const gateway = await startGateway(SETTINGS, createDependencies(createRows(ports)), '/ready');
@@ -80,7 +80,7 @@
       const id = String(incoming.headers[REQUEST_ID_HEADER]);
       const lastEventId = String(incoming.headers['last-event-id']);
       if (lastEventId !== '0') {
-        answer(response, id, lastEventId);
+        next.answer(response, id);
         return;
       }
       response.writeHead(200, createHeaders(id, EVENTS)).write(EVENT_1, () => {
@@ -92,7 +92,7 @@
   // Guards against the text of an error in the middle of a stream, and a stream that ends as if complete.
   for (const [index, { name, status, contentType, body }] of ANSWERS.entries()) {
     await t2.test(`is broken off for its caller if the next answer is ${name}`, async (t3) => {
-      answer = (response, id) =>
+      next.answer = (response, id) =>
         response.writeHead(status, createHeaders(id, contentType)).end(body);
       const result = await readStream(gateway, `e${index}`);
       t3.equal(result.text.slice(0, 100), EVENT_1);
@@ -102,7 +102,7 @@
 
   // Guards against a stream with a missing piece.
   await t2.test('is broken off if the next endpoint leaves out an event', async (t3) => {
-    answer = (response, id) =>
+    next.answer = (response, id) =>
       response.writeHead(200, createHeaders(id, EVENTS)).end('id: 3\ndata: c\n\n');
     const result = await readStream(gateway, 'g1');
     t3.equal(result.text, EVENT_1);
@@ -110,7 +110,7 @@
   });
 
   await t2.test('ends as complete if the next endpoint continues it', async (t3) => {
-    answer = (response, id) =>
+    next.answer = (response, id) =>
       response.writeHead(200, createHeaders(id, EVENTS)).end('id: 2\ndata: b\n\n');
     const result = await readStream(gateway, 'c1');
     t3.equal(result.text, `${EVENT_1}id: 2\ndata: b\n\n`);
