Use a new connection for a repeat of a request at the same endpoint

After a refusal because of other weights, the same request is sent again to the same endpoint. If it got the connection of an earlier send, a repeated refusal on it stated the right id: callers were told 'not run' while the endpoint was running the request. A repeat now never reuses a connection; at the limit of connections the longest idle one is closed for it. Responses of the first repeat couldn't be mixed up (the connection is released later than the repeat is sent); those of the second could.

Before: repeatedRefusals.test.js 'of the same request is not taken for one of its repeat' gets 503 although the endpoint ran it.

--- a/packages/exchange/src/connectionPool.ts
+++ b/packages/exchange/src/connectionPool.ts
@@ -49,7 +49,13 @@
     request: EndpointRequest,
     listener: ExchangeListener,
   ): Exchange | undefined {
-    const connection = this.acquireConnection(endpointId, address, maxConnections);
+    if (request.isRepeat) this.makeRoom(endpointId, maxConnections);
+    const connection = this.acquireConnection(
+      endpointId,
+      address,
+      maxConnections,
+      !request.isRepeat,
+    );
     return connection?.send(request, listener, (released) => this.release(endpointId, released));
   }
 
@@ -71,10 +77,12 @@
     endpointId: string,
     address: string,
     maxConnections: number,
+    canReuse: boolean,
   ): EndpointConnection | undefined {
     const connections = this.byEndpoint.get(endpointId) ?? { idle: [], all: new Set() };
-    this.byEndpoint.set(endpointId, connections);
-    for (let idle = connections.idle.pop(); idle !== undefined; idle = connections.idle.pop()) {
+    while (canReuse) {
+      const idle = connections.idle.pop();
+      if (idle === undefined) break;
       if (idle.isUsable) return idle;
       idle.close();
     }
@@ -83,10 +91,18 @@
     if (parseSocketAddress(address) === undefined) return undefined;
     const created = EndpointConnection.create(address, (closed) => this.remove(endpointId, closed));
     connections.all.add(created);
+    this.byEndpoint.set(endpointId, connections);
     this.openedConnectionCount += 1;
     return created;
   }
 
+  /** Closes the idle connection that was not used for longest if no new one may be opened. */
+  private makeRoom(endpointId: string, maxConnections: number): void {
+    const connections = this.byEndpoint.get(endpointId);
+    if (connections !== undefined && connections.all.size >= maxConnections)
+      connections.idle[0]?.close();
+  }
+
   private release(endpointId: string, connection: EndpointConnection): void {
     const connections = this.byEndpoint.get(endpointId);
     if (connections?.all.has(connection)) connections.idle.push(connection);
--- a/packages/exchange/src/exchange.test.ts
+++ b/packages/exchange/src/exchange.test.ts
@@ -165,11 +165,22 @@
   return { server, port: typeof address === 'object' && address !== null ? address.port : 0 };
 };
 
-const sendOnce = (pool: ConnectionPool, port: number): Promise<string> =>
+const sendOnce = (
+  pool: ConnectionPool,
+  port: number,
+  isRepeat = false,
+  maxConnections = 4,
+): Promise<string> =>
   new Promise((resolve) => {
     let body = '';
-    const request = { method: 'GET', path: '/', headers: ['host', 'x'], body: undefined };
-    pool.send('i-1', `127.0.0.1:${port}`, 4, request, {
+    const request = {
+      method: 'GET',
+      path: '/',
+      headers: ['host', 'x'],
+      body: undefined,
+      isRepeat,
+    };
+    pool.send('i-1', `127.0.0.1:${port}`, maxConnections, request, {
       onHeaders: () => undefined,
       onData: (chunk) => {
         body += chunk.toString();
@@ -256,7 +267,13 @@
       socket.once('end', () => resolve('end'));
     });
     const pool = ConnectionPool.create();
-    const request = { method: 'GET', path: '/', headers: ['host', 'x'], body: undefined };
+    const request = {
+      method: 'GET',
+      path: '/',
+      headers: ['host', 'x'],
+      body: undefined,
+      isRepeat: false,
+    };
     const exchange = pool.send('i-1', `127.0.0.1:${port}`, 4, request, {
       onHeaders: () => undefined,
       onData: () => undefined,
@@ -282,3 +299,27 @@
   pool.closeAll();
   server.close();
 });
+
+t.test('a request that is repeated gets a new connection, even at the limit', async (t2) => {
+  const { server, port } = await startRawServer((socket) => {
+    const respond = () => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole');
+    respond();
+    socket.on('data', respond);
+  });
+  const pool = ConnectionPool.create();
+  for (const [isRepeat, opened] of [
+    [false, 1],
+    [false, 1],
+    [true, 2],
+    [false, 2],
+  ] as const) {
+    t2.equal(await sendOnce(pool, port, isRepeat, 1), 'end:whole');
+    // The connection is released after the response has been handled.
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+    t2.equal(pool.openedConnections, opened);
+  }
+  pool.closeAll();
+  server.close();
+});
--- a/packages/exchange/src/types.ts
+++ b/packages/exchange/src/types.ts
@@ -6,6 +6,11 @@
   /** Alternating names and values. */
   readonly headers: readonly string[];
   readonly body: Buffer | undefined;
+  /**
+   * Whether the endpoint has received a request with the same id before. Such a request gets a new
+   * connection, as a repeated response to the earlier one would look like its own.
+   */
+  readonly isRepeat: boolean;
 }
 
 /**
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -238,6 +238,7 @@
     this.sendCount += 1;
     recordSend(context, endpoint);
     this.excludedEndpointIds.add(endpoint.record.id);
+    const isRepeat = this.triedEndpointIds.includes(endpoint.record.id);
     this.triedEndpointIds.push(endpoint.record.id);
     const nowMs = context.clock.nowMs();
     if (this.sendCount === 1) logPlacement(context, routedRequest, chosen, reusePlan);
@@ -251,6 +252,7 @@
       reusePlan,
       framer,
       remainingMs,
+      isRepeat,
       callerResponse: this.callerResponse,
       onFirstByte: (firstByteDelayMs) => {
         this.recordFirstByte(route);
--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -23,6 +23,8 @@
   readonly reusePlan: ReusePlan;
   readonly framer: EventStreamFramer | undefined;
   readonly remainingMs: number;
+  /** Whether the request was sent to the same endpoint before. */
+  readonly isRepeat: boolean;
   readonly callerResponse: CallerResponse;
   readonly onFirstByte: (sinceStartMs: number) => void;
 }
@@ -39,7 +41,7 @@
   context: GatewayContext,
   { head, route, account, body }: RoutedRequest,
   { endpoint, placement, maxConnections }: ChosenEndpoint,
-  { reusePlan, framer, remainingMs, callerResponse, onFirstByte }: AttemptOptions,
+  { reusePlan, framer, remainingMs, isRepeat, callerResponse, onFirstByte }: AttemptOptions,
 ): Attempt => {
   const isStreaming = route.kind === 'streaming';
   const headers = context.headers.encodeEndpointHeaders(head, {
@@ -65,7 +67,7 @@
     },
     {
       requestId: head.requestId,
-      request: { method: head.method, path: head.path, headers, body },
+      request: { method: head.method, path: head.path, headers, body, isRepeat },
       endpoint,
       placement,
       memoryTokens: head.promptTokens + head.maxOutputTokens,
--- a/packages/gateway/src/repeatedRefusals.test.ts
+++ b/packages/gateway/src/repeatedRefusals.test.ts
@@ -5,12 +5,15 @@
 import {
   createDependencies,
   createRows,
+  ENDPOINT_HEADER,
   LIMIT_HEADER,
+  MODEL_HEADER,
   REQUEST_ID_HEADER,
   SEAL_HEADER,
   send,
   SETTINGS,
   waitUntilReady,
+  WEIGHTS_HEADER,
 } from './testGateway.js';
 
 /** A request as the endpoint receives it. */
@@ -30,6 +33,15 @@
 const formatRefusal = (...headers: readonly string[]): string =>
   formatResponse('503 Service Unavailable', ['x-not-run: 1', ...headers]);
 
+const formatMismatch = (id: string): string =>
+  formatResponse('421 Misdirected Request', [
+    'x-not-run: 1',
+    'x-misdirected: 1',
+    `${REQUEST_ID_HEADER}: ${id}`,
+    `${ENDPOINT_HEADER}: i-0`,
+    `${WEIGHTS_HEADER}: 2`,
+  ]);
+
 /** Endpoint that writes its responses itself, as a faulty one writes some more than once. */
 class RawEndpoint {
   respond: (received: Received) => void = ({ socket, id }) => socket.write(formatSuccess(id));
@@ -103,6 +115,26 @@
     });
   }
 
+  // Guards against a repeated refusal with the right id: the request is sent again to the same endpoint
+  // once its weights are known.
+  await t2.test('of the same request is not taken for one of its repeat', async (t3) => {
+    const runs: string[] = [];
+    const refusedOn: Socket[] = [];
+    endpoint.respond = ({ socket, id }) => {
+      const isRepeated = refusedOn.includes(socket);
+      // Two refusals are true: the weights have changed once more before the second.
+      const isTrue = !isRepeated && refusedOn.length < 2;
+      if (isTrue) refusedOn.push(socket);
+      else runs.push(id);
+      socket.write(isTrue || isRepeated ? formatMismatch(id) : formatSuccess(id));
+    };
+    const { status } = await send(gateway, '/claim/x', 'w1', 'pay', undefined, {
+      [MODEL_HEADER]: 'm0',
+    });
+    t3.equal(status, 200);
+    t3.strictSame(runs, ['w1']);
+  });
+
   for (const [name, delayMs] of [
     ['in the same segment', undefined],
     ['while the connection idles', 20],
