Decide in one place whether an endpoint may get a request

Whether an endpoint takes a request was spread over three filters in placeRequest, and a refusal did not show which of them left no endpoint. A pure decision now returns a discriminated union (available, loading weights, no connection, rate limited), the selection of candidates follows from it, and not_placed logs the number of endpoints in each state when a request is refused. An endpoint that is loading weights is now used when all others are at their limit; before, the request was refused.

--- /dev/null
+++ b/packages/endpoints/src/endpointAvailability.test.ts
@@ -0,0 +1,80 @@
+import t from 'tap';
+import {
+  countAvailabilities,
+  decideAvailability,
+  Endpoint,
+  type EndpointAvailability,
+  selectCandidates,
+} from './index.js';
+
+const USABLE = {
+  hasFreeConnection: true,
+  isWithinRateLimit: () => true,
+  isLoadingWeights: false,
+};
+
+const createCandidates = (types: readonly EndpointAvailability['type'][]) =>
+  types.map((type, index) => ({
+    endpoint: Endpoint.create(
+      {
+        id: `i-${index}`,
+        startedUnixMs: 1,
+        service: 'llm',
+        address: '10.0.0.1:80',
+        zone: 'z1',
+        slots: 4,
+        state: 'ready',
+        warmupRemainingMs: 0,
+        heartbeat: 1,
+        weights: new Map(),
+      },
+      0,
+    ),
+    availability: { type },
+  }));
+
+const selectIds = (types: readonly EndpointAvailability['type'][]) => {
+  const { endpoints, unavailableIds } = selectCandidates(createCandidates(types));
+  return { ids: endpoints.map(({ record }) => record.id), unavailableIds };
+};
+
+t.test('an endpoint is available only if nothing forbids a request', async (t2) => {
+  t2.equal(decideAvailability(USABLE).type, 'available');
+  t2.equal(decideAvailability({ ...USABLE, isLoadingWeights: true }).type, 'loading_weights');
+  t2.equal(decideAvailability({ ...USABLE, isWithinRateLimit: () => false }).type, 'rate_limited');
+  t2.equal(decideAvailability({ ...USABLE, hasFreeConnection: false }).type, 'no_connection');
+});
+
+// Guards against a probe of a limited endpoint that lapses unused because no connection is free.
+t.test('a rate limit is not asked about an endpoint without a free connection', async (t2) => {
+  let questions = 0;
+  const isWithinRateLimit = () => {
+    questions += 1;
+    return true;
+  };
+  decideAvailability({ ...USABLE, hasFreeConnection: false, isWithinRateLimit });
+  t2.equal(questions, 0);
+});
+
+t.test('a limited endpoint keeps its prompts, and a loading one is the last choice', async (t2) => {
+  t2.strictSame(selectIds(['available', 'loading_weights', 'no_connection', 'rate_limited']), {
+    ids: ['i-0', 'i-3'],
+    unavailableIds: ['i-3'],
+  });
+  // Guards against a refusal while an endpoint that loads weights could take the request.
+  t2.strictSame(selectIds(['loading_weights', 'rate_limited']), {
+    ids: ['i-0', 'i-1'],
+    unavailableIds: ['i-1'],
+  });
+  t2.strictSame(selectIds(['no_connection']), { ids: [], unavailableIds: [] });
+});
+
+t.test('endpoints are counted by availability', async (t2) => {
+  t2.strictSame(
+    countAvailabilities(createCandidates(['available', 'rate_limited', 'rate_limited'])),
+    {
+      available: 1,
+      rate_limited: 2,
+    },
+  );
+});
--- a/packages/endpoints/src/index.ts
+++ b/packages/endpoints/src/index.ts
@@ -5,6 +5,7 @@
 export * from './chooseEndpoint.js';
 export * from './constants.js';
 export * from './endpoint.js';
+export * from './endpointAvailability.js';
 export * from './endpointTable.js';
 export * from './loadDigest.js';
 export * from './promptCacheEstimator.js';
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -21,9 +21,9 @@
   recordTransferTime,
   recordWeightMismatch,
 } from './attemptFeedback.js';
-import { type ChosenEndpoint, placeRequest } from './placeRequest.js';
+import { type ChosenEndpoint, type PlacementResult, placeRequest } from './placeRequest.js';
 import { createFailure, createRefusal, type LocalReply, sendLocalReply } from './localReply.js';
-import { logAttemptFailed, logCallerLeft, logPlacement } from './requestLog.js';
+import { logAttemptFailed, logCallerLeft, logNotPlaced, logPlacement } from './requestLog.js';
 import { createCacheSalt, planReuse } from './reusePlan.js';
 import { createQuarantineRefusal, hasQuarantinedPart } from './quarantine.js';
 import { readBody } from './requestBody.js';
@@ -75,6 +75,8 @@
   /** Number of attempts that may have run the request. */
   private possibleRunCount = 0;
 
+  private lastPlacement: PlacementResult | undefined;
+
   private readonly triedEndpointIds: string[] = [];
 
   private readonly excludedEndpointIds = new Set<string>();
@@ -216,13 +218,12 @@
     return refusal === undefined;
   }
 
-  private chooseEndpoint({
-    head,
-    route,
-    service,
-    account,
-  }: RoutedRequest): ChosenEndpoint | undefined {
-    return placeRequest(this.context, head, route, service, account, this.excludedEndpointIds);
+  private chooseEndpoint(routedRequest: RoutedRequest): ChosenEndpoint | undefined {
+    const { context, excludedEndpointIds } = this;
+    const { head, route, service, account } = routedRequest;
+    const result = placeRequest(context, head, route, service, account, excludedEndpointIds);
+    this.lastPlacement = result;
+    return result.type === 'placed' ? result.chosen : undefined;
   }
 
   private async runAttempt(
@@ -368,7 +369,10 @@
   }
 
   /** Ends a request without a complete response of an endpoint. */
-  private replyWithRefusalOrFailure({ head, route }: RoutedRequest, reason: string): void {
+  private replyWithRefusalOrFailure(routedRequest: RoutedRequest, reason: string): void {
+    const { head, route } = routedRequest;
+    if (this.lastPlacement?.type === 'none')
+      logNotPlaced(this.context, routedRequest, this.lastPlacement.counts);
     if (this.callerResponse.hasStarted) {
       this.callerResponse.abort();
       this.logCompletion(head, route, 'broken_off', undefined, reason);
--- a/packages/gateway/src/endpointRates.ts
+++ b/packages/gateway/src/endpointRates.ts
@@ -27,19 +27,11 @@
   return share;
 };
 
-/** Returns the endpoints whose limit does not allow this node another request now. */
-export const listRateLimitedIds = (
-  context: GatewayContext,
-  endpoints: readonly Endpoint[],
-): string[] => {
-  const limitedIds: string[] = [];
-  const nowMs = context.clock.nowMs();
-  for (const endpoint of endpoints) {
-    const share = findRateShare(context, endpoint);
-    if (share !== undefined && !endpoint.rateLimit.canSend(share, nowMs, context.random))
-      limitedIds.push(endpoint.record.id);
-  }
-  return limitedIds;
+/** Whether the limit that an endpoint named allows this node another request now. */
+export const isWithinRateLimit = (context: GatewayContext, endpoint: Endpoint): boolean => {
+  const share = findRateShare(context, endpoint);
+  const { clock, random } = context;
+  return share === undefined || endpoint.rateLimit.canSend(share, clock.nowMs(), random);
 };
 
 /** Records a request, a repeat as well, that is sent to an endpoint. */
--- a/packages/gateway/src/placeRequest.ts
+++ b/packages/gateway/src/placeRequest.ts
@@ -1,8 +1,17 @@
-import { chooseEndpoint, type Endpoint, type Placement } from '@lovagearch/endpoints';
+import {
+  type AvailabilityCounts,
+  chooseEndpoint,
+  countAvailabilities,
+  decideAvailability,
+  type Endpoint,
+  type EndpointAvailability,
+  type Placement,
+  selectCandidates,
+} from '@lovagearch/endpoints';
 import type { Account, Route } from '@lovagearch/traffic';
 import { CONNECTION_LIMIT_SHARE, MIN_CONNECTIONS_PER_ENDPOINT } from './constants.js';
 import { getEndpointStartKey } from './attempt.js';
-import { listRateLimitedIds } from './endpointRates.js';
+import { isWithinRateLimit } from './endpointRates.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { createCacheSalt, findStoreReach } from './reusePlan.js';
 import type { RequestHead } from './types.js';
@@ -14,6 +23,11 @@
   readonly maxConnections: number;
 }
 
+/** The endpoint for a request, or how many endpoints of its service are in which state if none may take it. */
+export type PlacementResult =
+  | { readonly type: 'none'; readonly counts: AvailabilityCounts }
+  | { readonly type: 'placed'; readonly chosen: ChosenEndpoint };
+
 /** Returns this node's share of the connections that each endpoint of a service allows. */
 const computeMaxConnections = (context: GatewayContext, service: string): number => {
   const connectionLimit =
@@ -24,10 +38,21 @@
   return Math.max(MIN_CONNECTIONS_PER_ENDPOINT, nodeShare);
 };
 
-/**
- * Chooses the endpoint for a request among those that are ready and have a free connection. Endpoints
- * that are loading weights are used only if there are no others.
- */
+/** Decides whether an endpoint may get a request from this node now. */
+const getAvailability = (
+  context: GatewayContext,
+  endpoint: Endpoint,
+  maxConnections: number,
+): EndpointAvailability => {
+  const { clusterState, clock, pool } = context;
+  return decideAvailability({
+    hasFreeConnection: pool.hasFreeConnection(getEndpointStartKey(endpoint), maxConnections),
+    isWithinRateLimit: () => isWithinRateLimit(context, endpoint),
+    isLoadingWeights: clusterState.isChangingWeights(endpoint.record.id, clock.nowMs()),
+  });
+};
+
+/** Chooses the endpoint for a request among those of its service that are ready and available. */
 export const placeRequest = (
   context: GatewayContext,
   head: RequestHead,
@@ -35,18 +60,14 @@
   service: string,
   account: Account | undefined,
   excluded: ReadonlySet<string>,
-): ChosenEndpoint | undefined => {
-  const { clusterState, clock, settings, pool, random } = context;
-  const nowMs = clock.nowMs();
+): PlacementResult => {
+  const { clusterState, clock, settings, random } = context;
   const maxConnections = computeMaxConnections(context, service);
-  const reachable = clusterState.endpoints
-    .listReady(service)
-    .filter((endpoint) => pool.hasFreeConnection(getEndpointStartKey(endpoint), maxConnections));
-  const stable = reachable.filter(
-    ({ record }) => !clusterState.isChangingWeights(record.id, nowMs),
-  );
-  // Limited endpoints still count as owners of prompts, so that a limit doesn't move their prompts.
-  const limitedIds = listRateLimitedIds(context, reachable);
+  const candidates = clusterState.endpoints.listReady(service).map((endpoint) => ({
+    endpoint,
+    availability: getAvailability(context, endpoint, maxConnections),
+  }));
+  const { endpoints, unavailableIds } = selectCandidates(candidates);
   const parts = route.hasPromptParts ? head.promptParts : [];
   const engine = clusterState.trafficRules?.findService(service)?.engine;
   const placement = chooseEndpoint({
@@ -59,20 +80,21 @@
       engineMemoryTokens: engine?.memoryTokens ?? 0,
       store: route.hasPromptParts ? findStoreReach(context, head, account, engine) : undefined,
       model: head.model,
-      excluded: limitedIds.length === 0 ? excluded : new Set([...excluded, ...limitedIds]),
+      excluded: unavailableIds.length === 0 ? excluded : new Set([...excluded, ...unavailableIds]),
       getWeightsRemainingMs: (version) =>
         clusterState.getWeightsRemainingMs(head.model ?? '', version),
     },
-    endpoints: stable.length > 0 ? stable : reachable,
+    endpoints,
     promptCache: clusterState.promptMemory,
     nodeLocation: settings,
     heartbeatMs: settings.heartbeatMs,
     areRegistrationsCurrent: context.areHeartbeatsCurrent(),
-    nowMs,
+    nowMs: clock.nowMs(),
     random,
   });
-  if (placement === undefined) return undefined;
-  const endpoint = clusterState.endpoints.findEndpoint(placement.endpointId);
-  if (endpoint === undefined) return undefined;
-  return { endpoint, placement, maxConnections };
+  const endpoint =
+    placement === undefined ? undefined : clusterState.endpoints.findEndpoint(placement.endpointId);
+  if (placement === undefined || endpoint === undefined)
+    return { type: 'none', counts: countAvailabilities(candidates) };
+  return { type: 'placed', chosen: { endpoint, placement, maxConnections } };
 };
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -1,5 +1,5 @@
 import type { AdmissionDecision } from '@lovagearch/admission';
-import type { Placement, RateLimitChange } from '@lovagearch/endpoints';
+import type { AvailabilityCounts, Placement, RateLimitChange } from '@lovagearch/endpoints';
 import type { NextStep } from '@lovagearch/exchange';
 import type { Route } from '@lovagearch/traffic';
 import type { AttemptOutcome } from './attempt.js';
@@ -32,6 +32,13 @@
   });
 };
 
+/** Logs that no endpoint may take a request, with the number of endpoints in each state. */
+export const logNotPlaced = (
+  { log }: GatewayContext,
+  { head, service }: RoutedRequest,
+  counts: AvailabilityCounts,
+): void => log.logProblem('not_placed', { request: head.requestId, service, ...counts });
+
 /** Logs why admission refused a request. */
 export const logNotAdmitted = (
   { log }: GatewayContext,
