Send no requests to an endpoint that announces its leaving

No code read the announcement in an endpoint's responses, so an endpoint whose registration still says ready went on getting requests. It holds for one start of the endpoint. The statements of a start, the rate limit too, are kept beside the registrations, bounded to 4,096 starts, as registrations lapse, are renewed and are relayed late. Orders exclude leaving endpoints, and a report that says so ends an order.

--- a/packages/endpoints/src/constants.ts
+++ b/packages/endpoints/src/constants.ts
@@ -79,3 +79,8 @@
  * milliseconds, in addition to the expected wait at the endpoint.
  */
 export const OLD_WEIGHTS_CUTOFF_MARGIN_MS = 1_500;
+/**
+ * Number of starts of endpoints without a registration whose statements are kept; all 3,500 endpoints of the
+ * largest deployment can lose theirs in one outage of the store.
+ */
+export const MAX_UNREGISTERED_STARTS = 4_096;
--- a/packages/endpoints/src/endpoint.ts
+++ b/packages/endpoints/src/endpoint.ts
@@ -14,7 +14,7 @@
   PROCESSING_EWMA_WEIGHT,
 } from './constants.js';
 import type { LoadDigestEntry } from './loadDigest.js';
-import { RequestRateLimit } from './requestRateLimit.js';
+import { EndpointStatements } from './endpointStatements.js';
 import type { EndpointRecord, LoadReport } from './types.js';
 
 /** Result of a request to an endpoint, reduced to what it shows about the endpoint. */
@@ -79,19 +79,23 @@
 
   private suspendedUntilMs = Number.NEGATIVE_INFINITY;
 
-  readonly rateLimit = RequestRateLimit.create();
-
   private heartbeatAtMs: number;
 
   private constructor(
     private current: EndpointRecord,
     nowMs: number,
+    readonly statements: EndpointStatements,
   ) {
     this.heartbeatAtMs = nowMs;
   }
 
-  static create(record: EndpointRecord, nowMs: number): Endpoint {
-    return new Endpoint(record, nowMs);
+  /** @param statements what the same start of the endpoint said before its registration was removed */
+  static create(
+    record: EndpointRecord,
+    nowMs: number,
+    statements = EndpointStatements.create(),
+  ): Endpoint {
+    return new Endpoint(record, nowMs, statements);
   }
 
   get record(): EndpointRecord {
--- a/packages/endpoints/src/endpointAvailability.test.ts
+++ b/packages/endpoints/src/endpointAvailability.test.ts
@@ -8,6 +8,7 @@
 } from './index.js';
 
 const USABLE = {
+  isLeaving: false,
   hasFreeConnection: true,
   isWithinRateLimit: () => true,
   isLoadingWeights: false,
@@ -43,6 +44,7 @@
   t2.equal(decideAvailability({ ...USABLE, isLoadingWeights: true }).type, 'loading_weights');
   t2.equal(decideAvailability({ ...USABLE, isWithinRateLimit: () => false }).type, 'rate_limited');
   t2.equal(decideAvailability({ ...USABLE, hasFreeConnection: false }).type, 'no_connection');
+  t2.equal(decideAvailability({ ...USABLE, isLeaving: true }).type, 'leaving');
 });
 
 // Guards against a probe of a limited endpoint that lapses unused because no connection is free.
@@ -67,6 +69,8 @@
     unavailableIds: ['i-1'],
   });
   t2.strictSame(selectIds(['no_connection']), { ids: [], unavailableIds: [] });
+  // Guards against a leaving endpoint that keeps its prompts, which then no endpoint has cached when it is gone.
+  t2.strictSame(selectIds(['leaving']), { ids: [], unavailableIds: [] });
 });
 
 t.test('endpoints are counted by availability', async (t2) => {
--- a/packages/endpoints/src/endpointAvailability.ts
+++ b/packages/endpoints/src/endpointAvailability.ts
@@ -3,6 +3,8 @@
 /** Whether a registered endpoint may get a request from this node now, or why not. */
 export type EndpointAvailability =
   | { readonly type: 'available' }
+  /** The endpoint announced that it is leaving; it gets no requests any more. */
+  | { readonly type: 'leaving' }
   /** The endpoint is loading weights; it is used if no other is available. */
   | { readonly type: 'loading_weights' }
   /** All connections that this node may open to the endpoint are in use. */
@@ -11,6 +13,7 @@
   | { readonly type: 'rate_limited' };
 
 export interface AvailabilityInput {
+  readonly isLeaving: boolean;
   readonly hasFreeConnection: boolean;
   /** Called only if nothing else forbids a request, as it may use up the time of a probe. */
   readonly isWithinRateLimit: () => boolean;
@@ -35,14 +38,16 @@
  * Decides whether an endpoint may get a request now.
  *
  * @example
- * const { type } = decideAvailability({ hasFreeConnection, isWithinRateLimit, isLoadingWeights });
- * if (type === 'available') send(endpoint);
+ * const availability = decideAvailability(input);
+ * if (availability.type === 'available') send(endpoint);
  */
 export const decideAvailability = ({
+  isLeaving,
   hasFreeConnection,
   isWithinRateLimit,
   isLoadingWeights,
 }: AvailabilityInput): EndpointAvailability => {
+  if (isLeaving) return { type: 'leaving' };
   if (!hasFreeConnection) return { type: 'no_connection' };
   if (!isWithinRateLimit()) return { type: 'rate_limited' };
   return isLoadingWeights ? { type: 'loading_weights' } : { type: 'available' };
@@ -72,6 +77,7 @@
         endpoints.push(endpoint);
         unavailableIds.push(endpoint.record.id);
         break;
+      case 'leaving':
       case 'no_connection':
         break;
       default:
--- /dev/null
+++ b/packages/endpoints/src/endpointStatements.ts
@@ -0,0 +1,16 @@
+import { LeavingNotice } from './leavingNotice.js';
+import { RequestRateLimit } from './requestRateLimit.js';
+
+/**
+ * What one start of an endpoint has said about itself in responses. It belongs to the process and not to its
+ * registration, which can lapse and be renewed while the process runs.
+ */
+export class EndpointStatements {
+  readonly rateLimit = RequestRateLimit.create();
+
+  readonly leaving = LeavingNotice.create();
+
+  static create(): EndpointStatements {
+    return new EndpointStatements();
+  }
+}
--- a/packages/endpoints/src/endpointTable.ts
+++ b/packages/endpoints/src/endpointTable.ts
@@ -1,4 +1,7 @@
+import { BoundedMap } from '@lovagearch/common';
+import { MAX_UNREGISTERED_STARTS } from './constants.js';
 import { Endpoint } from './endpoint.js';
+import type { EndpointStatements } from './endpointStatements.js';
 import { computeDigestKey } from './loadDigest.js';
 import type { EndpointRecord } from './types.js';
 
@@ -35,6 +38,9 @@
     record.address === known.address &&
     record.heartbeat < known.heartbeat);
 
+/** Returns a key that differs between the starts of an endpoint. */
+const getStartKey = ({ id, startedUnixMs }: EndpointRecord): string => `${id}/${startedUnixMs}`;
+
 /**
  * All registered endpoints. During an outage of the store, entries of live endpoints can lapse. An
  * endpoint whose entry is missing afterwards stays in use for a grace period to register again.
@@ -54,6 +60,11 @@
 
   private readonly olderEntries = new Map<string, OlderEntries>();
 
+  /** What endpoints without a registration said; they may still run and register again. */
+  private readonly unregisteredStatements = BoundedMap.create<string, EndpointStatements>(
+    MAX_UNREGISTERED_STARTS,
+  );
+
   static create(): EndpointTable {
     return new EndpointTable();
   }
@@ -154,7 +165,10 @@
     nowMs: number,
     type: 'added' | 'restarted',
   ): EndpointChange {
-    this.endpoints.set(record.id, Endpoint.create(record, nowMs));
+    const startKey = getStartKey(record);
+    const statements = this.unregisteredStatements.peek(startKey);
+    this.unregisteredStatements.delete(startKey);
+    this.endpoints.set(record.id, Endpoint.create(record, nowMs, statements));
     this.idsByDigestKey.set(computeDigestKey(record.id), record.id);
     const ids = this.idsByService.get(record.service) ?? new Set<string>();
     ids.add(record.id);
@@ -162,7 +176,9 @@
     return { type, record };
   }
 
-  private removeEndpoint({ record }: Endpoint): void {
+  private removeEndpoint({ record, statements }: Endpoint): void {
+    // Responses to requests in progress can still change them.
+    this.unregisteredStatements.set(getStartKey(record), statements);
     this.endpoints.delete(record.id);
     this.idsByDigestKey.delete(computeDigestKey(record.id));
     this.idsByService.get(record.service)?.delete(record.id);
--- a/packages/endpoints/src/endpoints.test.ts
+++ b/packages/endpoints/src/endpoints.test.ts
@@ -11,6 +11,7 @@
   INITIAL_SUSPENSION_MS,
   MAX_SUSPENSION_MS,
   OLD_WEIGHTS_CUTOFF_MARGIN_MS,
+  MAX_UNREGISTERED_STARTS,
   PromptCacheEstimator,
 } from './index.js';
 
@@ -232,3 +233,43 @@
     t2.equal(chooseWith([old!, current!], leastMs + 1)?.endpointId, 'i-2');
   },
 );
+// Guards against an endpoint that gets requests again after its registration lapsed or was relayed late.
+t.test('what an endpoint said holds for its start, with or without a registration', async (t2) => {
+  const table = EndpointTable.create();
+  const isLeaving = () => table.findEndpoint('i-1')?.statements.leaving.isAnnounced;
+  table.applyRecord(createRecord('i-1', { startedUnixMs: 10 }), 0);
+  const first = table.findEndpoint('i-1')!;
+  table.applyRemoval('i-1', 0, 1);
+  // The response to a request in progress arrives after the removal.
+  t2.match(first.statements.leaving.applyStatement({ type: 'leaving' }), { type: 'announced' });
+  table.applyRecord(createRecord('i-1', { startedUnixMs: 10, heartbeat: 9 }), 2);
+  t2.equal(isLeaving(), true);
+  t2.equal(first.statements.leaving.applyStatement({ type: 'leaving' }), undefined, 'logged once');
+  // The same process at another address.
+  table.applyRecord(createRecord('i-1', { startedUnixMs: 10, heartbeat: 9, address: 'x:1' }), 3);
+  t2.equal(isLeaving(), true);
+  table.applyRecord(createRecord('i-1', { startedUnixMs: 11 }), 4);
+  t2.equal(isLeaving(), false, 'a new start is another process');
+  // An older copy of the registration arrives after the newer one was removed.
+  table.applyRemoval('i-1', 0, 5);
+  table.applyRecord(createRecord('i-1', { startedUnixMs: 10, heartbeat: 9 }), 6);
+  t2.equal(isLeaving(), true);
+});
+
+// Guards against memory that grows with each endpoint that ever left.
+t.test('what endpoints said is forgotten for the oldest of many that are gone', async (t2) => {
+  const table = EndpointTable.create();
+  const leave = (id: string) => {
+    table.applyRecord(createRecord(id), 0);
+    table.findEndpoint(id)!.statements.leaving.applyStatement({ type: 'leaving' });
+    table.applyRemoval(id, 0, 0);
+  };
+  for (let index = 0; index <= MAX_UNREGISTERED_STARTS; index++) leave(`i-${index}`);
+  for (const { id, expected } of [
+    { id: 'i-0', expected: false },
+    { id: 'i-1', expected: true },
+  ]) {
+    table.applyRecord(createRecord(id), 1);
+    t2.equal(table.findEndpoint(id)!.statements.leaving.isAnnounced, expected, id);
+  }
+});
--- a/packages/endpoints/src/types.ts
+++ b/packages/endpoints/src/types.ts
@@ -31,6 +31,12 @@
   | { readonly type: 'named'; readonly requestsPerS: number }
   | { readonly type: 'none' };
 
+/** What a response says about the leaving of its endpoint, which takes no new requests from then on. */
+export type LeavingStatement =
+  | { readonly type: 'invalid'; readonly text: string }
+  | { readonly type: 'leaving' }
+  | { readonly type: 'none' };
+
 /** One of the ordered parts of a prompt; parts with equal ids have equal text. */
 export interface PromptPart {
   readonly id: string;
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,11 +1,5 @@
 import type { Clock } from '@lovagearch/common';
-import type {
-  Endpoint,
-  EndpointOutcome,
-  Placement,
-  RateLimitChange,
-  SentRequest,
-} from '@lovagearch/endpoints';
+import type { Endpoint, EndpointOutcome, Placement, SentRequest } from '@lovagearch/endpoints';
 import {
   type ConnectionPool,
   type EndpointRequest,
@@ -72,7 +66,8 @@
   readonly clock: Clock;
   /** Called with the time from the start of the attempt to the first byte, in milliseconds. */
   readonly onFirstByte: (sinceStartMs: number) => void;
-  readonly onRateLimitChange: (endpointId: string, change: RateLimitChange) => void;
+  /** Called with the head of each response that belongs to this request. */
+  readonly onResponseHead: (head: ResponseHead, sentAtMs: number) => void;
   readonly onWeights: (endpointId: string, model: string, version: number) => void;
 }
 
@@ -225,7 +220,7 @@
       return;
     }
     if (head.load !== undefined) endpoint.recordLoadReport(head.load, nowMs);
-    this.applyRateLimit(head, nowMs);
+    this.dependencies.onResponseHead(head, this.startMs);
     if (head.isNotRun || head.isMisdirected) {
       // The connection can be reused if the body ends soon.
       const endRejection = () => this.handleRejection(head);
@@ -242,19 +237,6 @@
     }
   }
 
-  private applyRateLimit(
-    { rateLimit, isNotRun, isMisdirected }: ResponseHead,
-    nowMs: number,
-  ): void {
-    const { endpoint } = this.input;
-    // Another endpoint may have responded.
-    if (isMisdirected) return;
-    // An endpoint may reject a request before it handles it, and the limit is lifted by the next response.
-    if (isNotRun && rateLimit.type === 'none') return;
-    const change = endpoint.rateLimit.applyStatement(rateLimit, this.startMs, nowMs);
-    if (change !== undefined) this.dependencies.onRateLimitChange(endpoint.record.id, change);
-  }
-
   private handleData(chunk: Buffer): void {
     if (this.isFinished || this.head === undefined) return;
     this.recordActivity(this.dependencies.clock.nowMs());
--- a/packages/gateway/src/clusterState.ts
+++ b/packages/gateway/src/clusterState.ts
@@ -6,6 +6,7 @@
   ANNOUNCEMENT_TTL_MS,
   type AnnouncedOrder,
   type Publication,
+  type RolloutEndpoint,
   type WeightTarget,
   WeightTargets,
 } from '@lovagearch/rollout';
@@ -276,6 +277,14 @@
     endpoint.updateRecord({ ...endpoint.record, weights }, this.clock.nowMs());
   }
 
+  /** Records that an endpoint reported its leaving in response to a call that was no request. */
+  recordEndpointLeaving({ id, startedUnixMs }: RolloutEndpoint): void {
+    const endpoint = this.endpoints.findEndpoint(id);
+    if (endpoint?.record.startedUnixMs !== startedUnixMs) return;
+    if (endpoint.statements.leaving.applyStatement({ type: 'leaving' }) === undefined) return;
+    this.log.logStateChange('endpoint_leaving_announced', { endpoint: id, startedUnixMs });
+  }
+
   /** Removes endpoints that did not register again after an outage of the store. */
   removeExpiredEndpoints(): void {
     for (const { type, record } of this.endpoints.removeLapsed(this.clock.nowMs())) {
--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -3,9 +3,9 @@
 import type { CallerResponse } from './callerResponse.js';
 import { Attempt } from './attempt.js';
 import { CALL_STALL_FACTOR, STREAM_STALL_TIMEOUT_MS } from './constants.js';
+import { applyStatements } from './endpointStatements.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { ChosenEndpoint } from './placeRequest.js';
-import { logRateLimitChange } from './requestLog.js';
 import type { ReusePlan } from './reusePlan.js';
 import type { RequestHead } from './types.js';
 
@@ -61,7 +61,8 @@
       headers: context.headers,
       clock: context.clock,
       onFirstByte,
-      onRateLimitChange: (endpointId, change) => logRateLimitChange(context, endpointId, change),
+      onResponseHead: (responseHead, sentAtMs) =>
+        applyStatements(context, endpoint, head.requestId, responseHead, sentAtMs),
       onWeights: (id, model, version) =>
         context.clusterState.recordEndpointWeights(id, model, version),
     },
--- a/packages/gateway/src/endpointRates.ts
+++ b/packages/gateway/src/endpointRates.ts
@@ -15,7 +15,7 @@
   { clusterState, settings }: GatewayContext,
   endpoint: Endpoint,
 ): RateShare | undefined => {
-  const { limitPerS } = endpoint.rateLimit;
+  const { limitPerS } = endpoint.statements.rateLimit;
   if (limitPerS === undefined) return undefined;
   const { peerRevision } = clusterState;
   const known = knownShares.get(endpoint);
@@ -31,11 +31,11 @@
 export const isWithinRateLimit = (context: GatewayContext, endpoint: Endpoint): boolean => {
   const share = findRateShare(context, endpoint);
   const { clock, random } = context;
-  return share === undefined || endpoint.rateLimit.canSend(share, clock.nowMs(), random);
+  return share === undefined || endpoint.statements.rateLimit.canSend(share, clock.nowMs(), random);
 };
 
 /** Records a request, a repeat as well, that is sent to an endpoint. */
 export const recordSend = (context: GatewayContext, endpoint: Endpoint): void => {
   const share = findRateShare(context, endpoint);
-  if (share !== undefined) endpoint.rateLimit.recordSent(share, context.clock.nowMs());
+  if (share !== undefined) endpoint.statements.rateLimit.recordSent(share, context.clock.nowMs());
 };
--- /dev/null
+++ b/packages/gateway/src/endpointStatements.ts
@@ -0,0 +1,36 @@
+import type { Endpoint } from '@lovagearch/endpoints';
+import type { GatewayContext } from './gatewayContext.js';
+import { logStatementChange } from './requestLog.js';
+import type { ResponseHead } from './types.js';
+
+/** Whether a response comes from the endpoint that its request was sent to. */
+const isOwnResponse = (
+  endpoint: Endpoint,
+  { respondingEndpointId, isMisdirected }: ResponseHead,
+): boolean =>
+  // Another endpoint may have taken over the address.
+  respondingEndpointId === undefined ? !isMisdirected : respondingEndpointId === endpoint.record.id;
+
+/**
+ * Applies what a response says about its endpoint, and logs what changes.
+ *
+ * @param sentAtMs clock reading at which the request of the response was sent
+ * @example
+ * onResponseHead: (head) => applyStatements(context, endpoint, requestId, head, startMs),
+ */
+export const applyStatements = (
+  context: GatewayContext,
+  endpoint: Endpoint,
+  requestId: string,
+  head: ResponseHead,
+  sentAtMs: number,
+): void => {
+  if (!isOwnResponse(endpoint, head)) return;
+  const { rateLimit, leaving } = endpoint.statements;
+  logStatementChange(context, endpoint, requestId, 'leaving', leaving.applyStatement(head.leaving));
+  // An endpoint may reject a request before it handles it, and the limit is lifted by the next response.
+  const isRejection = head.isNotRun || head.isMisdirected;
+  if (isRejection && head.rateLimit.type === 'none') return;
+  const change = rateLimit.applyStatement(head.rateLimit, sentAtMs, context.clock.nowMs());
+  logStatementChange(context, endpoint, requestId, 'limit', change);
+};
--- a/packages/gateway/src/placeRequest.ts
+++ b/packages/gateway/src/placeRequest.ts
@@ -46,6 +46,7 @@
 ): EndpointAvailability => {
   const { clusterState, clock, pool } = context;
   return decideAvailability({
+    isLeaving: endpoint.statements.leaving.isAnnounced,
     hasFreeConnection: pool.hasFreeConnection(getEndpointStartKey(endpoint), maxConnections),
     isWithinRateLimit: () => isWithinRateLimit(context, endpoint),
     isLoadingWeights: clusterState.isChangingWeights(endpoint.record.id, clock.nowMs()),
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -1,5 +1,11 @@
 import type { AdmissionDecision } from '@lovagearch/admission';
-import type { AvailabilityCounts, Placement, RateLimitChange } from '@lovagearch/endpoints';
+import type {
+  AvailabilityCounts,
+  Endpoint,
+  LeavingChange,
+  Placement,
+  RateLimitChange,
+} from '@lovagearch/endpoints';
 import type { NextStep } from '@lovagearch/exchange';
 import type { Route } from '@lovagearch/traffic';
 import type { AttemptOutcome } from './attempt.js';
@@ -59,12 +65,25 @@
   });
 };
 
-/** Logs that an endpoint named, changed or lifted its limit of requests per second, or named an invalid one. */
-export const logRateLimitChange = (
+/** Logs what a response changed about what is known of its endpoint; without a change nothing. */
+export const logStatementChange = (
   { log }: GatewayContext,
-  endpointId: string,
-  { type, ...fields }: RateLimitChange,
-): void => log.logStateChange(`endpoint_limit_${type}`, { endpoint: endpointId, ...fields });
+  { record }: Endpoint,
+  requestId: string,
+  subject: 'leaving' | 'limit',
+  change: LeavingChange | RateLimitChange | undefined,
+): void => {
+  if (change === undefined) return;
+  const { type, ...fields } = change;
+  const { id, startedUnixMs } = record;
+  log.logStateChange(`endpoint_${subject}_${type}`, {
+    endpoint: id,
+    startedUnixMs,
+    service: record.service,
+    request: requestId,
+    ...fields,
+  });
+};
 
 /** Progress of a request at the end of an attempt. */
 export interface RequestProgress {
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -307,6 +307,7 @@
     random,
     listEndpoints: () =>
       [...clusterState.endpoints.listAll()]
+        .filter(({ statements }) => !statements.leaving.isAnnounced)
         .map(({ record }) => record)
         .filter(({ state, weights }) => state === 'ready' && weights.size > 0),
     listTargets: () => clusterState.listWeightTargets(),
@@ -322,6 +323,7 @@
       for (const [model, version] of weights)
         clusterState.recordEndpointWeights(endpoint.id, model, version);
     },
+    onLeavingReported: (endpoint) => clusterState.recordEndpointLeaving(endpoint),
   });
 
   const isReady = () =>
@@ -394,6 +396,10 @@
       log.logStateChange('old_weights_attempts_stopped', { attempts: stoppedAttempts });
     metrics.setGauge('active_requests', server.activeRequestCount);
     metrics.setGauge('endpoints', clusterState.endpoints.size);
+    const leaving = [...clusterState.endpoints.listAll()].filter(
+      ({ statements }) => statements.leaving.isAnnounced,
+    );
+    metrics.setGauge('leaving_endpoints', leaving.length);
     metrics.setGauge('nodes', clusterState.nodeCount);
     metrics.setGauge('quarantined_prompt_parts', promptPartContainment.logChanges());
     metrics.setGauge('connections_opened', context.pool.openedConnections);
--- a/packages/gateway/src/testGateway.ts
+++ b/packages/gateway/src/testGateway.ts
@@ -22,6 +22,7 @@
 export const MODEL_HEADER = 'x-model';
 export const ENDPOINT_HEADER = 'x-endpoint';
 export const WEIGHTS_HEADER = 'x-weights';
+export const LEAVING_HEADER = 'x-leaving';
 const KEY_HEADER = 'x-key';
 
 const createRoute = (name: string, overrides: Partial<Route>): Route => ({
@@ -116,18 +117,22 @@
 /** Name of the table that gateways share. */
 const SHARED_TABLE = 'lovagearch';
 
+/** @param registrations table with the registrations of endpoints, if they change during the test */
 export const createDependencies = (
   rows: ReadonlyMap<string, readonly MirroredRow[]>,
   shared = new FakeSharedTable(),
   random: Random = Math.random,
+  registrations?: FakeSharedTable,
 ): GatewayDependencies => {
+  const findChangingTable = (table: string): FakeSharedTable | undefined => {
+    if (table === SHARED_TABLE) return shared;
+    return table === ENDPOINT_TABLE ? registrations : undefined;
+  };
   const readAll = async (table: string): Promise<ReadResult> =>
-    table === SHARED_TABLE
-      ? shared.readAll()
-      : {
-          type: 'rows',
-          batch: { rows: rows.get(table) ?? [], version: 1, isPartial: false, ageMs: 0 },
-        };
+    findChangingTable(table)?.readAll() ?? {
+      type: 'rows',
+      batch: { rows: rows.get(table) ?? [], version: 1, isPartial: false, ageMs: 0 },
+    };
   return {
     headers: {
       requestIdHeader: REQUEST_ID_HEADER,
@@ -173,6 +178,7 @@
         respondingEndpointId: getFirstValue(headers[ENDPOINT_HEADER]),
         load: undefined,
         rateLimit: decodeRateLimit(getFirstValue(headers[LIMIT_HEADER])),
+        leaving: { type: headers[LEAVING_HEADER] === undefined ? 'none' : 'leaving' },
         isEventStream: headers['content-type'] === 'text/event-stream',
         weightVersion: decodeWeights(getFirstValue(headers[WEIGHTS_HEADER])),
         callerHeaders: [SEAL_HEADER, getFirstValue(headers[SEAL_HEADER]) ?? ''],
@@ -192,7 +198,8 @@
     tables: {
       readAll,
       readChanges: async (table, afterVersion, waitMs) => {
-        if (table === SHARED_TABLE) return shared.readChanges(afterVersion, waitMs);
+        const changing = findChangingTable(table);
+        if (changing !== undefined) return changing.readChanges(afterVersion, waitMs);
         await new Promise((resolve) => {
           setTimeout(resolve, waitMs).unref();
         });
@@ -254,20 +261,23 @@
   },
 };
 
+/** Creates the registration of an endpoint, as its row holds it. */
+export const createRegistration = (id: string, port: number) => ({
+  id,
+  startedUnixMs: 1,
+  service: 'app',
+  address: `127.0.0.1:${port}`,
+  zone: 'z1',
+  slots: 4,
+  state: 'ready',
+  warmupRemainingMs: 0,
+  heartbeat: 1,
+});
+
 export const createRows = (ports: readonly number[]) => {
   const endpoints = ports.map((port, index): MirroredRow => {
-    const record = {
-      id: `i-${index}`,
-      startedUnixMs: 1,
-      service: 'app',
-      address: `127.0.0.1:${port}`,
-      zone: 'z1',
-      slots: 4,
-      state: 'ready',
-      warmupRemainingMs: 0,
-      heartbeat: 1,
-    };
-    return { key: record.id, version: 1, value: JSON.stringify(record) };
+    const registration = createRegistration(`i-${index}`, port);
+    return { key: registration.id, version: 1, value: JSON.stringify(registration) };
   });
   return new Map([
     [OPERATOR_TABLE, [{ key: 'configuration', version: 1, value: 'x' }]],
--- a/packages/gateway/src/testSharedTable.ts
+++ b/packages/gateway/src/testSharedTable.ts
@@ -2,7 +2,7 @@
 
 const POLL_INTERVAL_MS = 10;
 
-/** In-memory shared table of several gateways; a write wakes the long polls of all of them. */
+/** In-memory table of several gateways; a write wakes the long polls of all of them. */
 export class FakeSharedTable {
   private readonly rows = new Map<string, MirroredRow>();
 
@@ -12,11 +12,11 @@
   private wake: (() => void)[] = [];
 
   write(key: string, value: unknown): void {
-    this.version += 1;
-    this.rows.set(key, { key, version: this.version, value: JSON.stringify(value) });
-    const { wake } = this;
-    this.wake = [];
-    for (const resolve of wake) resolve();
+    this.put(key, JSON.stringify(value));
+  }
+
+  delete(key: string): void {
+    this.put(key, undefined);
   }
 
   /**
@@ -55,4 +55,12 @@
     const rows = [...this.rows.values()].filter(({ version }) => version > afterVersion);
     return { type: 'rows', batch: { rows, version: this.version, isPartial: true, ageMs: 0 } };
   }
+
+  private put(key: string, value: string | undefined): void {
+    this.version += 1;
+    this.rows.set(key, { key, version: this.version, value });
+    const { wake } = this;
+    this.wake = [];
+    for (const resolve of wake) resolve();
+  }
 }
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -1,6 +1,7 @@
 import type { Random } from '@lovagearch/common';
 import type {
   EndpointRecord,
+  LeavingStatement,
   LoadReport,
   PromptPart,
   RateLimitStatement,
@@ -62,6 +63,7 @@
   readonly respondingEndpointId: string | undefined;
   readonly load: LoadReport | undefined;
   readonly rateLimit: RateLimitStatement;
+  readonly leaving: LeavingStatement;
   readonly isEventStream: boolean;
   readonly weightVersion: number | undefined;
   /** Headers for the caller, as alternating names and values. */
--- a/packages/rollout/src/rolloutAcrossRestarts.test.ts
+++ b/packages/rollout/src/rolloutAcrossRestarts.test.ts
@@ -119,7 +119,7 @@
             this.finishLoad(id);
             const { weights } = this.endpoints.get(id)!;
             const isBusy = this.busyUntilMs.has(id);
-            return { acceptedOrders: 0, isBusy, requests: 0, weights };
+            return { acceptedOrders: 0, isBusy, requests: 0, weights, isLeaving: false };
           }),
         sendOrder: ({ endpoint, fencing }) =>
           ifRunning(async () => {
@@ -136,6 +136,7 @@
       getRemainingMs: (model, version) => targets.getRemainingMs(model, version, time.nowMs()),
       onEvent: () => undefined,
       onWeightsReported: () => undefined,
+      onLeavingReported: () => undefined,
     });
     coordinator.run().catch((error: unknown) => t.error(error));
     const learn = async () => {
--- a/packages/rollout/src/rolloutCoordinator.ts
+++ b/packages/rollout/src/rolloutCoordinator.ts
@@ -54,6 +54,8 @@
   ) => void;
   /** Timer, by default that of the process; simulations replace it. */
   readonly wait?: (delayMs: number) => Promise<void>;
+  /** Called when an endpoint reports that it is leaving; the order to it ends. */
+  readonly onLeavingReported: (endpoint: RolloutEndpoint) => void;
 }
 
 /**
@@ -148,6 +150,12 @@
     while (!this.isStopped && clock.nowMs() - startMs < ORDER_TIMEOUT_MS) {
       const report = await this.options.client.readReport(endpoint);
       if (report !== undefined) this.options.onWeightsReported(endpoint, report.weights);
+      if (report?.isLeaving === true) {
+        this.options.onLeavingReported(endpoint);
+        const reason = 'endpoint is leaving';
+        onEvent({ type: 'unfinished', endpointId: endpoint.id, version: target.version, reason });
+        return;
+      }
       if (report?.requests === 0) runsEndedMs ??= clock.nowMs() - startMs;
       if (report === undefined) await this.wait(ORDER_RETRY_DELAY_MS);
       else if ((report.weights.get(target.model) ?? 0) >= target.version) {
--- a/packages/rollout/src/slowStore.test.ts
+++ b/packages/rollout/src/slowStore.test.ts
@@ -62,6 +62,7 @@
           isBusy: false,
           requests: 0,
           weights: ENDPOINT.weights,
+          isLeaving: false,
         }),
         sendOrder: async () => {
           orders += 1;
@@ -76,6 +77,7 @@
       getRemainingMs: () => 10_000,
       onEvent: () => undefined,
       onWeightsReported: () => undefined,
+      onLeavingReported: () => undefined,
     });
     t2.teardown(() => coordinator.stop());
     coordinator.run().catch((error: unknown) => t2.fail(String(error)));
--- a/packages/rollout/src/types.ts
+++ b/packages/rollout/src/types.ts
@@ -17,6 +17,8 @@
   /** Orders that the endpoint has accepted since its start. */
   readonly acceptedOrders: number;
   readonly isBusy: boolean;
+  /** Whether the endpoint announces that it is leaving. */
+  readonly isLeaving: boolean;
   /** Number of running and queued requests. */
   readonly requests: number;
   readonly weights: ReadonlyMap<string, number>;
