Send nothing to a rejecting endpoint for the time that it names

Retry-After on an endpoint's 503 had no reader: a rejection only made its endpoint the last choice for 150 ms. The seconds are decoded (decimal; a date or anything else is invalid and logged once) and hold the endpoint from the head of the response on. A held endpoint stays the owner of its prompts. If holds alone keep all endpoints, the refusal names the end of the first one, plus jitter, instead of 300 ms.

--- a/packages/endpoints/src/constants.ts
+++ b/packages/endpoints/src/constants.ts
@@ -84,3 +84,8 @@
  * largest deployment can lose theirs in one outage of the store.
  */
 export const MAX_UNREGISTERED_STARTS = 4_096;
+/**
+ * Maximum time for which an endpoint is held, in milliseconds. A longer one, such as a value in milliseconds
+ * taken for seconds, would take the endpoint away for good; an endpoint that wants no requests leaves instead.
+ */
+export const MAX_HOLD_MS = 600_000;
--- a/packages/endpoints/src/endpointAvailability.test.ts
+++ b/packages/endpoints/src/endpointAvailability.test.ts
@@ -4,35 +4,42 @@
   decideAvailability,
   Endpoint,
   type EndpointAvailability,
+  findEarliestHoldEndMs,
   selectCandidates,
 } from './index.js';
 
 const USABLE = {
   isLeaving: false,
+  heldUntilMs: undefined,
   hasFreeConnection: true,
   isWithinRateLimit: () => true,
   isLoadingWeights: false,
 };
 
+const createAvailability = (type: EndpointAvailability['type']): EndpointAvailability =>
+  type === 'held' ? { type, untilMs: 0 } : { type };
+
+const createCandidate = (index: number, type: EndpointAvailability['type'] = 'available') => ({
+  endpoint: Endpoint.create(
+    {
+      id: `i-${index}`,
+      startedUnixMs: 1,
+      service: 'llm',
+      address: '10.0.0.1:80',
+      zone: 'z1',
+      slots: 4,
+      state: 'ready',
+      warmupRemainingMs: 0,
+      heartbeat: 1,
+      weights: new Map(),
+    },
+    0,
+  ),
+  availability: createAvailability(type),
+});
+
 const createCandidates = (types: readonly EndpointAvailability['type'][]) =>
-  types.map((type, index) => ({
-    endpoint: Endpoint.create(
-      {
-        id: `i-${index}`,
-        startedUnixMs: 1,
-        service: 'llm',
-        address: '10.0.0.1:80',
-        zone: 'z1',
-        slots: 4,
-        state: 'ready',
-        warmupRemainingMs: 0,
-        heartbeat: 1,
-        weights: new Map(),
-      },
-      0,
-    ),
-    availability: { type },
-  }));
+  types.map((type, index) => createCandidate(index, type));
 
 const selectIds = (types: readonly EndpointAvailability['type'][]) => {
   const { endpoints, unavailableIds } = selectCandidates(createCandidates(types));
@@ -45,6 +52,7 @@
   t2.equal(decideAvailability({ ...USABLE, isWithinRateLimit: () => false }).type, 'rate_limited');
   t2.equal(decideAvailability({ ...USABLE, hasFreeConnection: false }).type, 'no_connection');
   t2.equal(decideAvailability({ ...USABLE, isLeaving: true }).type, 'leaving');
+  t2.strictSame(decideAvailability({ ...USABLE, heldUntilMs: 7 }), { type: 'held', untilMs: 7 });
 });
 
 // Guards against a probe of a limited endpoint that lapses unused because no connection is free.
@@ -68,6 +76,8 @@
     ids: ['i-0', 'i-1'],
     unavailableIds: ['i-1'],
   });
+  // Guards against prompts that move to another endpoint during a hold.
+  t2.strictSame(selectIds(['held']), { ids: ['i-0'], unavailableIds: ['i-0'] });
   t2.strictSame(selectIds(['no_connection']), { ids: [], unavailableIds: [] });
   // Guards against a leaving endpoint that keeps its prompts, which then no endpoint has cached when it is gone.
   t2.strictSame(selectIds(['leaving']), { ids: [], unavailableIds: [] });
@@ -82,3 +92,20 @@
     },
   );
 });
+
+// Guards against callers that come back while every endpoint is still held, or later than the first is free.
+t.test('the end of the first hold is known if only holds keep all endpoints', async (t2) => {
+  const find = (availabilities: readonly EndpointAvailability[]) =>
+    findEarliestHoldEndMs(
+      availabilities.map((availability) => ({ ...createCandidate(0), availability })),
+    );
+  const held = [
+    { type: 'held', untilMs: 9 },
+    { type: 'held', untilMs: 5 },
+  ] as const;
+  t2.equal(find([...held, { type: 'leaving' }]), 5);
+  for (const type of ['available', 'loading_weights', 'no_connection', 'rate_limited'] as const)
+    t2.equal(find([...held, { type }]), undefined, type);
+  t2.equal(find([{ type: 'leaving' }]), undefined);
+  t2.equal(find([]), undefined);
+});
--- a/packages/endpoints/src/endpointAvailability.ts
+++ b/packages/endpoints/src/endpointAvailability.ts
@@ -5,6 +5,8 @@
   | { readonly type: 'available' }
   /** The endpoint announced that it is leaving; it gets no requests any more. */
   | { readonly type: 'leaving' }
+  /** The endpoint rejected a request and wants no others until a clock reading. */
+  | { readonly type: 'held'; readonly untilMs: number }
   /** The endpoint is loading weights; it is used if no other is available. */
   | { readonly type: 'loading_weights' }
   /** All connections that this node may open to the endpoint are in use. */
@@ -14,6 +16,8 @@
 
 export interface AvailabilityInput {
   readonly isLeaving: boolean;
+  /** Clock reading until which the endpoint wants no requests, if there is one. */
+  readonly heldUntilMs: number | undefined;
   readonly hasFreeConnection: boolean;
   /** Called only if nothing else forbids a request, as it may use up the time of a probe. */
   readonly isWithinRateLimit: () => boolean;
@@ -43,11 +47,13 @@
  */
 export const decideAvailability = ({
   isLeaving,
+  heldUntilMs,
   hasFreeConnection,
   isWithinRateLimit,
   isLoadingWeights,
 }: AvailabilityInput): EndpointAvailability => {
   if (isLeaving) return { type: 'leaving' };
+  if (heldUntilMs !== undefined) return { type: 'held', untilMs: heldUntilMs };
   if (!hasFreeConnection) return { type: 'no_connection' };
   if (!isWithinRateLimit()) return { type: 'rate_limited' };
   return isLoadingWeights ? { type: 'loading_weights' } : { type: 'available' };
@@ -73,6 +79,7 @@
       case 'loading_weights':
         if (!hasAvailable) endpoints.push(endpoint);
         break;
+      case 'held':
       case 'rate_limited':
         endpoints.push(endpoint);
         unavailableIds.push(endpoint.record.id);
@@ -99,3 +106,19 @@
     counts[availability.type] = (counts[availability.type] ?? 0) + 1;
   return counts;
 };
+
+/**
+ * Returns the clock reading at which the first held endpoint may get requests again, if nothing but holds
+ * keeps the endpoints that stay from getting one; otherwise undefined.
+ */
+export const findEarliestHoldEndMs = (
+  candidates: readonly EndpointCandidate[],
+): number | undefined => {
+  let earliestMs: number | undefined;
+  for (const { availability } of candidates) {
+    if (availability.type === 'leaving') continue;
+    if (availability.type !== 'held') return undefined;
+    earliestMs = Math.min(earliestMs ?? availability.untilMs, availability.untilMs);
+  }
+  return earliestMs;
+};
--- a/packages/endpoints/src/endpointStatements.ts
+++ b/packages/endpoints/src/endpointStatements.ts
@@ -1,4 +1,5 @@
 import { LeavingNotice } from './leavingNotice.js';
+import { RequestHold } from './requestHold.js';
 import { RequestRateLimit } from './requestRateLimit.js';
 
 /**
@@ -10,6 +11,8 @@
 
   readonly leaving = LeavingNotice.create();
 
+  readonly hold = RequestHold.create();
+
   static create(): EndpointStatements {
     return new EndpointStatements();
   }
--- a/packages/endpoints/src/types.ts
+++ b/packages/endpoints/src/types.ts
@@ -37,6 +37,12 @@
   | { readonly type: 'leaving' }
   | { readonly type: 'none' };
 
+/** For how long an endpoint that rejected a request wants no others from this node. */
+export type HoldStatement =
+  | { readonly type: 'invalid'; readonly text: string }
+  | { readonly type: 'named'; readonly forS: number }
+  | { readonly type: 'none' };
+
 /** One of the ordered parts of a prompt; parts with equal ids have equal text. */
 export interface PromptPart {
   readonly id: string;
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -401,9 +401,15 @@
     }
   }
 
-  /** Adds jitter, so that callers refused at the same time don't retry at the same time. */
+  /**
+   * Returns the delay until an endpoint may take the request, with jitter, so that callers refused at the same
+   * time don't retry at the same time.
+   */
   private computeRetryAfterMs(): number {
-    const spreadMs = this.context.random() * MIN_RETRY_AFTER_MS;
+    const { context, lastPlacement } = this;
+    const spreadMs = context.random() * MIN_RETRY_AFTER_MS;
+    if (lastPlacement?.type === 'none' && lastPlacement.holdEndMs !== undefined)
+      return Math.max(0, lastPlacement.holdEndMs - context.clock.nowMs()) + spreadMs;
     return Math.min(MAX_RETRY_AFTER_MS, MIN_RETRY_AFTER_MS + spreadMs);
   }
 
--- a/packages/gateway/src/endpointStatements.ts
+++ b/packages/gateway/src/endpointStatements.ts
@@ -26,11 +26,13 @@
   sentAtMs: number,
 ): void => {
   if (!isOwnResponse(endpoint, head)) return;
-  const { rateLimit, leaving } = endpoint.statements;
+  const { rateLimit, leaving, hold } = endpoint.statements;
+  const nowMs = context.clock.nowMs();
   logStatementChange(context, endpoint, requestId, 'leaving', leaving.applyStatement(head.leaving));
+  logStatementChange(context, endpoint, requestId, 'hold', hold.applyStatement(head.hold, nowMs));
   // An endpoint may reject a request before it handles it, and the limit is lifted by the next response.
   const isRejection = head.isNotRun || head.isMisdirected;
   if (isRejection && head.rateLimit.type === 'none') return;
-  const change = rateLimit.applyStatement(head.rateLimit, sentAtMs, context.clock.nowMs());
+  const change = rateLimit.applyStatement(head.rateLimit, sentAtMs, nowMs);
   logStatementChange(context, endpoint, requestId, 'limit', change);
 };
--- a/packages/gateway/src/placeRequest.ts
+++ b/packages/gateway/src/placeRequest.ts
@@ -5,6 +5,7 @@
   decideAvailability,
   type Endpoint,
   type EndpointAvailability,
+  findEarliestHoldEndMs,
   type Placement,
   selectCandidates,
 } from '@lovagearch/endpoints';
@@ -25,7 +26,12 @@
 
 /** The endpoint for a request, or how many endpoints of its service are in which state if none may take it. */
 export type PlacementResult =
-  | { readonly type: 'none'; readonly counts: AvailabilityCounts }
+  | {
+      readonly type: 'none';
+      readonly counts: AvailabilityCounts;
+      /** Clock reading at which an endpoint may get requests again, if holds alone keep them all. */
+      readonly holdEndMs: number | undefined;
+    }
   | { readonly type: 'placed'; readonly chosen: ChosenEndpoint };
 
 /** Returns this node's share of the connections that each endpoint of a service allows. */
@@ -45,11 +51,14 @@
   maxConnections: number,
 ): EndpointAvailability => {
   const { clusterState, clock, pool } = context;
+  const { record, statements } = endpoint;
+  const nowMs = clock.nowMs();
   return decideAvailability({
-    isLeaving: endpoint.statements.leaving.isAnnounced,
+    isLeaving: statements.leaving.isAnnounced,
+    heldUntilMs: statements.hold.getEndMs(nowMs),
     hasFreeConnection: pool.hasFreeConnection(getEndpointStartKey(endpoint), maxConnections),
     isWithinRateLimit: () => isWithinRateLimit(context, endpoint),
-    isLoadingWeights: clusterState.isChangingWeights(endpoint.record.id, clock.nowMs()),
+    isLoadingWeights: clusterState.isChangingWeights(record.id, nowMs),
   });
 };
 
@@ -96,6 +105,10 @@
   const endpoint =
     placement === undefined ? undefined : clusterState.endpoints.findEndpoint(placement.endpointId);
   if (placement === undefined || endpoint === undefined)
-    return { type: 'none', counts: countAvailabilities(candidates) };
+    return {
+      type: 'none',
+      counts: countAvailabilities(candidates),
+      holdEndMs: findEarliestHoldEndMs(candidates),
+    };
   return { type: 'placed', chosen: { endpoint, placement, maxConnections } };
 };
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -2,6 +2,7 @@
 import type {
   AvailabilityCounts,
   Endpoint,
+  HoldChange,
   LeavingChange,
   Placement,
   RateLimitChange,
@@ -70,8 +71,8 @@
   { log }: GatewayContext,
   { record }: Endpoint,
   requestId: string,
-  subject: 'leaving' | 'limit',
-  change: LeavingChange | RateLimitChange | undefined,
+  subject: 'hold' | 'leaving' | 'limit',
+  change: HoldChange | LeavingChange | RateLimitChange | undefined,
 ): void => {
   if (change === undefined) return;
   const { type, ...fields } = change;
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -400,6 +400,10 @@
       ({ statements }) => statements.leaving.isAnnounced,
     );
     metrics.setGauge('leaving_endpoints', leaving.length);
+    const held = [...clusterState.endpoints.listAll()].filter(
+      ({ statements }) => statements.hold.getEndMs(clock.nowMs()) !== undefined,
+    );
+    metrics.setGauge('held_endpoints', held.length);
     metrics.setGauge('nodes', clusterState.nodeCount);
     metrics.setGauge('quarantined_prompt_parts', promptPartContainment.logChanges());
     metrics.setGauge('connections_opened', context.pool.openedConnections);
--- a/packages/gateway/src/testGateway.ts
+++ b/packages/gateway/src/testGateway.ts
@@ -1,7 +1,12 @@
 import { once } from 'node:events';
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Random } from '@lovagearch/common';
-import type { EndpointRecord, PromptPart, RateLimitStatement } from '@lovagearch/endpoints';
+import type {
+  EndpointRecord,
+  HoldStatement,
+  PromptPart,
+  RateLimitStatement,
+} from '@lovagearch/endpoints';
 import type { MirroredRow, ReadResult } from '@lovagearch/mirror';
 import type { Route, TrafficConfiguration } from '@lovagearch/traffic';
 import { request } from 'undici';
@@ -48,9 +53,13 @@
     createRoute('read', {}),
     createRoute('claim', { kind: 'non_idempotent', maxAttempts: 1 }),
     createRoute('stream', { kind: 'streaming', isResumable: true }),
+    createRoute('other', { targets: [{ service: 'other', weight: 1 }] }),
     createRoute('generate', { kind: 'streaming', maxAttempts: 1, hasPromptParts: true }),
   ],
-  services: [{ name: 'app', maxConnections: 100 }],
+  services: [
+    { name: 'app', maxConnections: 100 },
+    { name: 'other', maxConnections: 100 },
+  ],
   cacheStores: [],
   limits: {
     maxHeaderBytes: 4_096,
@@ -98,6 +107,9 @@
 const decodeWeights = (text: string | undefined): number | undefined =>
   text === undefined ? undefined : Number(text);
 
+const decodeHold = (text: string | undefined): HoldStatement =>
+  text === undefined ? { type: 'none' } : { type: 'named', forS: Number(text) };
+
 /** Decodes `ID:TOKENS,ID:TOKENS`. */
 const decodeParts = (text: string | undefined): PromptPart[] =>
   (text ?? '')
@@ -179,6 +191,7 @@
         load: undefined,
         rateLimit: decodeRateLimit(getFirstValue(headers[LIMIT_HEADER])),
         leaving: { type: headers[LEAVING_HEADER] === undefined ? 'none' : 'leaving' },
+        hold: decodeHold(getFirstValue(headers['retry-after'])),
         isEventStream: headers['content-type'] === 'text/event-stream',
         weightVersion: decodeWeights(getFirstValue(headers[WEIGHTS_HEADER])),
         callerHeaders: [SEAL_HEADER, getFirstValue(headers[SEAL_HEADER]) ?? ''],
@@ -262,10 +275,10 @@
 };
 
 /** Creates the registration of an endpoint, as its row holds it. */
-export const createRegistration = (id: string, port: number) => ({
+export const createRegistration = (id: string, port: number, service = 'app') => ({
   id,
   startedUnixMs: 1,
-  service: 'app',
+  service,
   address: `127.0.0.1:${port}`,
   zone: 'z1',
   slots: 4,
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -1,6 +1,7 @@
 import type { Random } from '@lovagearch/common';
 import type {
   EndpointRecord,
+  HoldStatement,
   LeavingStatement,
   LoadReport,
   PromptPart,
@@ -64,6 +65,7 @@
   readonly load: LoadReport | undefined;
   readonly rateLimit: RateLimitStatement;
   readonly leaving: LeavingStatement;
+  readonly hold: HoldStatement;
   readonly isEventStream: boolean;
   readonly weightVersion: number | undefined;
   /** Headers for the caller, as alternating names and values. */
