Withdraw requests whose endpoint takes none when their connection opens

Exchanges now ask right before the first byte whether the request may still be sent; otherwise it ends as not run and goes elsewhere without cost to the retry budget or to the endpoint's health. With the question left out, the new test of exchange.test.ts does not end within 10 s, as its server gets the request; now it gets no byte. 30 of 30 tests of the exchange, the gateway, holds and leaving pass.

--- a/packages/exchange/src/endpointConnection.ts
+++ b/packages/exchange/src/endpointConnection.ts
@@ -108,7 +108,14 @@
         // After some failures, undici resends a request that the endpoint may already have executed.
         if (isSettled || isSent)
           startController.abort(new Error('prevented the HTTP client from resending the request'));
-        else isSent = true;
+        else if (listener.canSend()) isSent = true;
+        else {
+          isSettled = true;
+          const reason = 'endpoint takes no more requests';
+          listener.onFailure({ type: 'withdrawn', reason });
+          this.close();
+          startController.abort(new Error(reason));
+        }
       },
       onResponseStart: (_controller, status, headers) => {
         if (!isSettled && status >= 200) listener.onHeaders(status, headers);
--- a/packages/exchange/src/exchange.test.ts
+++ b/packages/exchange/src/exchange.test.ts
@@ -168,8 +168,7 @@
 const sendOnce = (
   pool: ConnectionPool,
   port: number,
-  isRepeat = false,
-  maxConnections = 4,
+  { isRepeat = false, maxConnections = 4, canSend = () => true } = {},
 ): Promise<string> =>
   new Promise((resolve) => {
     let body = '';
@@ -181,6 +180,7 @@
       isRepeat,
     };
     pool.send('i-1', `127.0.0.1:${port}`, maxConnections, request, {
+      canSend,
       onHeaders: () => undefined,
       onData: (chunk) => {
         body += chunk.toString();
@@ -275,6 +275,7 @@
       isRepeat: false,
     };
     const exchange = pool.send('i-1', `127.0.0.1:${port}`, 4, request, {
+      canSend: () => true,
       onHeaders: () => undefined,
       onData: () => undefined,
       onEnd: () => undefined,
@@ -313,7 +314,7 @@
     [true, 2],
     [false, 2],
   ] as const) {
-    t2.equal(await sendOnce(pool, port, isRepeat, 1), 'end:whole');
+    t2.equal(await sendOnce(pool, port, { isRepeat, maxConnections: 1 }), 'end:whole');
     // The connection is released after the response has been handled.
     await new Promise((resolve) => {
       setImmediate(resolve);
@@ -323,3 +324,37 @@
   pool.closeAll();
   server.close();
 });
+
+// Guards against requests that wait for a connection and are sent after the endpoint said that it takes none.
+t.test(
+  'a request is withdrawn if it may no longer be sent once its connection is open',
+  async (t2) => {
+    let connections = 0;
+    let receivedBytes = 0;
+    const server = createServer((socket) => {
+      connections += 1;
+      socket.on('error', () => undefined);
+      socket.on('data', (chunk) => {
+        receivedBytes += chunk.length;
+      });
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const address = server.address();
+    const port = typeof address === 'object' && address !== null ? address.port : 0;
+    const pool = ConnectionPool.create();
+    let mayBeSent = true;
+    const withdrawn = sendOnce(pool, port, { canSend: () => mayBeSent });
+    // The connection opens after this turn of the event loop.
+    mayBeSent = false;
+    const accepted = once(server, 'connection');
+    t2.equal(await withdrawn, 'withdrawn');
+    await accepted;
+    const closed = once(server, 'close');
+    server.close();
+    pool.closeAll();
+    await closed;
+    t2.equal(connections, 1);
+    t2.equal(receivedBytes, 0);
+  },
+);
--- a/packages/exchange/src/types.ts
+++ b/packages/exchange/src/types.ts
@@ -15,14 +15,17 @@
 
 /**
  * Why there is no complete response. `not_sent` guarantees that no byte of the request reached the
- * endpoint; after `broken`, the request may have run.
+ * endpoint; after `broken`, the request may have run. `withdrawn`: no byte was sent, as `canSend` forbade it.
  */
 export type ExchangeFailure =
   | { readonly type: 'broken'; readonly reason: string }
-  | { readonly type: 'not_sent'; readonly reason: string };
+  | { readonly type: 'not_sent'; readonly reason: string }
+  | { readonly type: 'withdrawn'; readonly reason: string };
 
 /** Receives the response of an exchange. Unless cancelled, exactly one of `onEnd` and `onFailure` is called. */
 export interface ExchangeListener {
+  /** Called before the first byte is sent, which a new connection can delay; false withdraws the request. */
+  readonly canSend: () => boolean;
   readonly onHeaders: (
     status: number,
     headers: Readonly<Record<string, string | string[] | undefined>>,
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -64,6 +64,8 @@
   readonly pool: ConnectionPool;
   readonly headers: HeaderCodec;
   readonly clock: Clock;
+  /** Whether the endpoint still takes a request whose connection is open now. */
+  readonly canSend: () => boolean;
   /** Called with the time from the start of the attempt to the first byte, in milliseconds. */
   readonly onFirstByte: (sinceStartMs: number) => void;
   /** Called with the head of each response that belongs to this request. */
@@ -171,6 +173,7 @@
       maxConnections,
       request,
       {
+        canSend: () => this.dependencies.canSend(),
         onHeaders: (status, headers) => this.handleHeaders(status, headers),
         onData: (chunk) => this.handleData(chunk),
         onEnd: () => this.handleEnd(),
@@ -375,6 +378,9 @@
       case 'not_sent':
         this.finish({ type: 'not_run', wasReceived: false, reason }, { type: 'transport_failed' });
         return;
+      case 'withdrawn':
+        this.finish({ type: 'not_run', wasReceived: false, reason }, { type: 'cancelled' });
+        return;
       case 'broken':
         // A connection lost during the response is weaker evidence of a failed endpoint than one lost before.
         this.finish(
--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -3,7 +3,7 @@
 import type { CallerResponse } from './callerResponse.js';
 import { Attempt } from './attempt.js';
 import { CALL_STALL_FACTOR, STREAM_STALL_TIMEOUT_MS } from './constants.js';
-import { applyStatements } from './endpointStatements.js';
+import { applyStatements, isTakingRequests } from './endpointStatements.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { ChosenEndpoint } from './placeRequest.js';
 import type { ReusePlan } from './reusePlan.js';
@@ -60,6 +60,7 @@
       pool: context.pool,
       headers: context.headers,
       clock: context.clock,
+      canSend: () => isTakingRequests(context, endpoint),
       onFirstByte,
       onResponseHead: (responseHead, sentAtMs) =>
         applyStatements(context, endpoint, head.requestId, responseHead, sentAtMs),
--- a/packages/gateway/src/endpointStatements.ts
+++ b/packages/gateway/src/endpointStatements.ts
@@ -3,6 +3,12 @@
 import { logStatementChange } from './requestLog.js';
 import type { ResponseHead } from './types.js';
 
+/** Whether an endpoint has said nothing that forbids this node to send it a request now. */
+export const isTakingRequests = (
+  { clock }: GatewayContext,
+  { statements: { leaving, hold } }: Endpoint,
+): boolean => !leaving.isAnnounced && hold.getEndMs(clock.nowMs()) === undefined;
+
 /** Whether a response comes from the endpoint that its request was sent to. */
 const isOwnResponse = (
   endpoint: Endpoint,
