--- a/packages/exchange/src/exchange.test.ts
+++ b/packages/exchange/src/exchange.test.ts
@@ -168,7 +168,7 @@
 const sendOnce = (
   pool: ConnectionPool,
   port: number,
-  { isRepeat = false, maxConnections = 4, canSend = () => true } = {},
+  { isRepeat = false, maxConnections = 4, canSend = (): boolean => true } = {},
 ): Promise<string> =>
   new Promise((resolve) => {
     let body = '';
