Judge missed heartbeats only where most endpoints show theirs

A fresh heartbeat now counts only if most endpoints of the service have one. unchangedRegistration.test.ts failed before (200 of 200 choices on one of two endpoints) and is otherwise unchanged but for a renamed field.

--- a/packages/endpoints/src/chooseEndpoint.ts
+++ b/packages/endpoints/src/chooseEndpoint.ts
@@ -208,7 +208,9 @@
   );
   const unsuspended = allowed.filter((endpoint) => !endpoint.isSuspended(nowMs));
   const healthy = unsuspended.filter((endpoint) => !hasMissedHeartbeats(input, endpoint));
-  if (healthy.length > 0) return healthy;
+  // A store may show a registration only when more than its heartbeat count has changed. Then a fresh heartbeat
+  // is that of the endpoint which changed last, and the others haven't missed any.
+  if (healthy.length > unsuspended.length / 2) return healthy;
   return unsuspended.length > 0 ? unsuspended : allowed;
 };
 
