Make the other endpoint slow before a new start is expected to be used

A start without responses is expected to take 20 ms, more than the other endpoint had needed by then, so the policy sends it nothing at low load.

--- a/packages/gateway/src/endpointLeaving.test.ts
+++ b/packages/gateway/src/endpointLeaving.test.ts
@@ -219,6 +219,8 @@
     await sendUntilReceived(gateway, '/read/x', other);
     await sendMany(gateway, '/read/x', 'later');
     t2.strictSame(leaving.received, []);
+    // An endpoint without responses is expected to be slower than the other one is by now.
+    other.handle = createHandler(200, {}, SLOW_RESPONSE_MS);
     register(2, 1);
     await sendUntilReceived(gateway, '/read/x', leaving);
     t2.pass('a new start under the same id is used');
