Distribute the store's tables by region, compressed and limited by progress

Two nodes of each zone read it, so six reads of 3 MB crossed the link between regions, and each was given up 900 ms after its long poll, while it made progress, and asked for again from the start. Peers that were asked instead sent it uncompressed. The link stayed full, connections to the store timed out, and nodes of the far zones kept the configuration of before, with revoked keys. Change: two nodes of each region read the store (tableRole.ts); relays copy from them within large zones, and the others from the relays. A transfer is limited by its lack of progress, with a bound on the whole (ProgressTimeout). Peers exchange large rows compressed, if both know the form. A node that starts waits for the shared table, which names its sources, and for its first copy; a source that fails for 1.2 s passes its duty on. Followers call a failing store every 1.5 s at most.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -13,6 +13,7 @@
 export * from './ids.js';
 export * from './logger.js';
 export * from './metrics.js';
+export * from './progressTimeout.js';
 export * from './random.js';
 export * from './simulatedTime.js';
 export * from './socketAddress.js';
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -92,8 +92,12 @@
 export const MAX_LOG_BUFFER_BYTES = 1_048_576;
 /** Interval at which buffered log lines are written, in milliseconds. */
 export const LOG_FLUSH_INTERVAL_MS = 250;
-/** Timeout of a call to a peer, in milliseconds. */
+/** Time to the start of a peer's response, and between two parts of it, in milliseconds. */
 export const PEER_TIMEOUT_MS = 500;
+/** Time to the end of a peer's response, in milliseconds; a large copy over a slow link takes seconds. */
+export const PEER_TRANSFER_TIMEOUT_MS = 5_000;
+/** Length from which a row's value is compressed for peers, in characters; shorter ones fit into a few packets. */
+export const MIN_COMPRESSED_VALUE_LENGTH = 2_048;
 /** Maximum size of a peer's response, in bytes, as a faulty process may send bytes without end. */
 export const MAX_PEER_RESPONSE_BYTES = 8_388_608;
 /** Number of peers that are queried at once while the store is unavailable. */
@@ -102,17 +106,46 @@
 export const MAX_PEER_COPY_AGE_MS = 60_000;
 /** Number of nodes up to which each node reads the store's tables at the full rate. */
 export const MAX_FULL_RATE_NODES = 16;
-/** Nodes per availability zone that read the store's tables for the others. Two, so that one may fail. */
-export const READERS_PER_ZONE = 2;
+/** Nodes per region that read the store's tables for the others. Two, so that one may fail. */
+export const STORE_READERS_PER_REGION = 2;
+/** Nodes per large availability zone that pass the tables on, so that one may fail. */
+export const RELAYS_PER_ZONE = 2;
+/**
+ * Number of nodes of an availability zone from which it has relays. Fewer nodes copy from their region's readers,
+ * which saves the time of a relay.
+ */
+export const MIN_ZONE_RELAY_NODES = 8;
 /** Maximum long poll of a reader at the store, in milliseconds; it bounds the age of what it relays. */
 export const READER_LONG_POLL_MS = 800;
-/** Interval at which a node polls its reader, in milliseconds. */
+/** Interval at which a follower copies the tables from its source, in milliseconds. */
 export const TABLE_RELAY_INTERVAL_MS = 700;
+/** The same for a relay, whose copies have to pass on to followers. */
+export const ZONE_RELAY_INTERVAL_MS = 350;
+/** The same for a node that has just started and lacks a table. */
+export const FIRST_COPY_INTERVAL_MS = 150;
+/** Interval at which a node that lacks a table checks whether it has to read it, in milliseconds. */
+export const FIRST_READ_CHECK_INTERVAL_MS = 50;
+/** Time after its start for which a node waits for the shared table, which names its sources, in milliseconds. */
+export const SHARED_TABLE_WAIT_MS = 500;
+/**
+ * Time after its start in which a node that others read the store for doesn't read it, in milliseconds. If all
+ * nodes restart at once, their reads would fill the links between regions.
+ */
+export const FIRST_COPY_WAIT_MS = 1_500;
+/** Time for which a source has to fail before it is taken for one that is gone, in milliseconds. */
+export const SOURCE_FAILURE_PERIOD_MS = 1_200;
+/** Time for which a node does not ask a source that is gone, in milliseconds. */
+export const SOURCE_EXCLUSION_MS = 15_000;
 /**
- * Age of a reader's copy beyond which another reader is used, in milliseconds: the reader's longest poll
- * and poll interval, plus one retry.
+ * Minimum time between the starts of a failed store call and the next one of a node that others read the store
+ * for, in milliseconds. In an outage of the store, it bounds the calls of hundreds of nodes.
  */
-export const MAX_READER_COPY_AGE_MS = 1_900;
+export const FOLLOWER_STORE_RETRY_MS = 1_500;
+/**
+ * Age of a source's copy beyond which another source is used, in milliseconds: the longest poll and poll interval
+ * of a reader, plus one retry.
+ */
+export const MAX_SOURCE_COPY_AGE_MS = 1_900;
 /**
  * Maximum age of a relayed copy from which a node reads the store itself, in milliseconds: the maximum age
  * of a reader's copy plus the time of about two relay intervals.
@@ -122,11 +155,6 @@
 export const NODES_PER_WATCHER = 10;
 /** Minimum number of watchers of the cache stores, so that several may fail at once. */
 export const MIN_WATCHERS = 4;
-/**
- * Maximum factor by which poll intervals grow in large deployments. It is limited because nodes have to
- * learn within seconds that an endpoint is leaving.
- */
-export const MAX_POLL_INTERVAL_FACTOR = 2.2;
 /** Interval at which a node that is not a watcher polls a watcher, in milliseconds. */
 export const INDEX_RELAY_INTERVAL_MS = 800;
 /** Table that the nodes share: their addresses, strikes, the order lease and announced orders. */
--- a/packages/gateway/src/peerExchange.ts
+++ b/packages/gateway/src/peerExchange.ts
@@ -1,6 +1,6 @@
 import type { FastifyInstance } from 'fastify';
 import { pack, unpack } from 'msgpackr';
-import { type Clock, getErrorMessage } from '@lovagearch/common';
+import { type Clock, getErrorMessage, ProgressTimeout } from '@lovagearch/common';
 import type { PeerSource, ReadResult, RowBatch, TableMirror } from '@lovagearch/mirror';
 import type { StoreIndex, StoreIndexUpdate } from '@lovagearch/reuse';
 import { Agent, request } from 'undici';
@@ -9,15 +9,13 @@
   MAX_PEER_COPY_AGE_MS,
   MAX_PEER_RESPONSE_BYTES,
   PEER_TIMEOUT_MS,
+  PEER_TRANSFER_TIMEOUT_MS,
   PEERS_PER_READ,
 } from './constants.js';
+import { packedRowSchema, packRow, ROW_PACKING, unpackRow } from './packedRow.js';
 
 const batchSchema = z.object({
-  rows: z.array(
-    z
-      .object({ key: z.string(), version: z.number(), value: z.string().optional() })
-      .transform(({ key, version, value }) => ({ key, version, value })),
-  ),
+  rows: z.array(packedRowSchema),
   version: z.number(),
   isPartial: z.boolean(),
   ageMs: z.number(),
@@ -25,6 +23,29 @@
 });
 const batchesSchema = z.array(z.tuple([z.string(), batchSchema]));
 
+/** Requests a resource of a peer; a large response may take long as long as it makes progress. */
+const requestBytes = async (
+  agent: Agent,
+  url: string,
+): Promise<{ readonly status: number; readonly bytes: Buffer }> => {
+  const timeout = ProgressTimeout.create({
+    firstMs: PEER_TIMEOUT_MS,
+    gapMs: PEER_TIMEOUT_MS,
+    totalMs: PEER_TRANSFER_TIMEOUT_MS,
+  });
+  try {
+    const response = await request(url, { dispatcher: agent, signal: timeout.signal });
+    const chunks: Buffer[] = [];
+    for await (const chunk of response.body) {
+      timeout.recordProgress();
+      chunks.push(chunk as Buffer);
+    }
+    return { status: response.statusCode, bytes: Buffer.concat(chunks) };
+  } finally {
+    timeout.end();
+  }
+};
+
 const createPeerAgent = (): Agent =>
   new Agent({
     connect: { timeout: PEER_TIMEOUT_MS },
@@ -87,13 +108,10 @@
     if (address === undefined) return new Map();
     const known = cursors.map((cursor) => `${cursor.address}/${cursor.epoch}/${cursor.since}`);
     try {
-      const response = await request(`http://${address}/peer/stores?known=${known.join(',')}`, {
-        dispatcher: agent,
-        signal: AbortSignal.timeout(PEER_TIMEOUT_MS),
-      });
-      const bytes = Buffer.from(await response.body.arrayBuffer());
+      const url = `http://${address}/peer/stores?known=${known.join(',')}`;
+      const { status, bytes } = await requestBytes(agent, url);
       const relays = relaysSchema.safeParse(unpack(bytes));
-      return new Map(response.statusCode === 200 && relays.success ? relays.data : []);
+      return new Map(status === 200 && relays.success ? relays.data : []);
     } catch {
       // The indexes age and are not used until the next response arrives; the followers log the loss.
       return new Map();
@@ -107,6 +125,12 @@
   readonly version: number;
 }
 
+/** `packing` names the form of large values that the caller reads; a node of an earlier release sends none. */
+interface TableQuery {
+  readonly known?: string;
+  readonly packing?: string;
+}
+
 /** Asks a peer for the changes after each cursor; on failure, returns the reason as a string. */
 export type TableRelaySource = (
   peer: string,
@@ -124,9 +148,10 @@
   clock: Clock,
   isServable: (table: string) => boolean,
 ): void => {
-  server.get<{ Querystring: { known?: string } }>('/peer/tables', (incoming, reply) => {
+  server.get<{ Querystring: TableQuery }>('/peer/tables', async (incoming, reply) => {
     const nowMs = clock.nowMs();
-    const batches: [string, RowBatch][] = [];
+    const acceptsPackedRows = incoming.query.packing === ROW_PACKING;
+    const batches: [string, unknown][] = [];
     for (const cursor of (incoming.query.known ?? '').split(',')) {
       const [table = '', version] = cursor.split('/');
       const afterVersion = Number(version);
@@ -134,7 +159,9 @@
       if (mirror === undefined || !Number.isSafeInteger(afterVersion)) continue;
       if (!isServable(table)) continue;
       if (mirror.getAgeMs(nowMs) > MAX_PEER_COPY_AGE_MS) continue;
-      batches.push([table, mirror.createBatch(afterVersion, nowMs)]);
+      const batch = mirror.createBatch(afterVersion, nowMs);
+      const rows = acceptsPackedRows ? await Promise.all(batch.rows.map(packRow)) : batch.rows;
+      batches.push([table, { ...batch, rows }]);
     }
     return reply.type('application/vnd.msgpack').send(pack(batches));
   });
@@ -146,14 +173,15 @@
   return async (peer, cursors) => {
     const known = cursors.map(({ table, version }) => `${table}/${version}`).join(',');
     try {
-      const response = await request(`http://${peer}/peer/tables?known=${known}`, {
-        dispatcher: agent,
-        signal: AbortSignal.timeout(PEER_TIMEOUT_MS),
-      });
-      const bytes = Buffer.from(await response.body.arrayBuffer());
-      if (response.statusCode !== 200) return `${peer} answered with status ${response.statusCode}`;
+      const url = `http://${peer}/peer/tables?known=${known}&packing=${ROW_PACKING}`;
+      const { status, bytes } = await requestBytes(agent, url);
+      if (status !== 200) return `${peer} answered with status ${status}`;
       const batches = batchesSchema.safeParse(unpack(bytes));
-      return batches.success ? new Map(batches.data) : `${peer} sent a malformed response`;
+      if (!batches.success) return `${peer} sent a malformed response`;
+      const unpacked = new Map<string, RowBatch>();
+      for (const [table, batch] of batches.data)
+        unpacked.set(table, { ...batch, rows: await Promise.all(batch.rows.map(unpackRow)) });
+      return unpacked;
     } catch (error) {
       return `${peer}: ${getErrorMessage(error)}`;
     }
--- a/packages/gateway/src/removalAfterDroppedCall.test.ts
+++ b/packages/gateway/src/removalAfterDroppedCall.test.ts
@@ -86,7 +86,7 @@
       peerFallback: { type: 'after_failure', minAgeMs: 0 },
       getLongPollMs: () => timing.longPollMs,
       getPollIntervalMs: () => timing.pollIntervalMs,
-      getMaxRelayedAgeMs: () => 0,
+      isStoreReadDue: () => true,
     },
     onEvent: (event) => {
       if (event.type === 'store_lost') state.recordStoreUnreachable();
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -1,13 +1,7 @@
 import { SlidingWindowRetryBudget } from '@lovagearch/admission';
 import { getErrorMessage, processClock } from '@lovagearch/common';
 import { ConnectionPool } from '@lovagearch/exchange';
-import {
-  type MirrorEvent,
-  MirrorFollower,
-  type PeerFallback,
-  TableMirror,
-  StoreClock,
-} from '@lovagearch/mirror';
+import { type MirrorEvent, TableMirror, StoreClock } from '@lovagearch/mirror';
 import { TransferSlowdownTracker } from '@lovagearch/reuse';
 import { createSuspensionClock, OrderLease, RolloutCoordinator } from '@lovagearch/rollout';
 import { ClusterState, LEASE_KEY, PEER_PREFIX, readAttemptId } from './clusterState.js';
@@ -21,14 +15,11 @@
   ENDPOINT_TABLE_FALLBACK_AGE_MS,
   HOUSEKEEPING_INTERVAL_MS,
   LOGGED_EVENT_LOOP_DELAY_MS,
-  MAX_POLL_INTERVAL_FACTOR,
-  READER_LONG_POLL_MS,
   SHARED_TABLE_FALLBACK_AGE_MS,
   SHARED_TABLE,
   STRIKE_PUBLISH_INTERVAL_MS,
-  TABLE_RELAY_INTERVAL_MS,
-  MAX_FULL_RATE_NODES,
 } from './constants.js';
+import { createTableFollower } from './createTableFollower.js';
 import { createGatewayLog } from './gatewayLog.js';
 import type { GatewayContext, ServingPhase } from './gatewayContext.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
@@ -51,7 +42,6 @@
   createEndpointTableTiming,
   createOperatorTableTiming,
   createSharedTableTiming,
-  type TableTiming,
 } from './tableTiming.js';
 import type { GatewayDependencies, GatewaySettings } from './types.js';
 import { WaitingAttempts } from './waitingAttempts.js';
@@ -59,10 +49,6 @@
 
 const BYTES_PER_MB = 1_048_576;
 
-/** Increases a poll interval where many nodes share the store's rate limit. */
-const computePollIntervalMs = (pollIntervalMs: number, nodeCount: number): number =>
-  pollIntervalMs * Math.min(MAX_POLL_INTERVAL_FACTOR, Math.max(1, nodeCount / MAX_FULL_RATE_NODES));
-
 /** A running gateway process. */
 export interface Gateway {
   /**
@@ -163,10 +149,11 @@
     random,
   );
   const tableRelay = TableRelay.create({
-    nodeName: settings.nodeName,
-    zone: settings.zone,
+    self: { name: nodeName, zone: settings.zone, region: settings.region },
+    regionByZone: settings.regionByZone,
     clusterState,
     mirrors: [operatorMirror, endpointMirror, sharedMirror],
+    sharedMirror,
     maxCopyAgeMs: computeMaxRelayedAgeMs(settings.bounds),
     relay: tableRelaySource,
     random,
@@ -181,48 +168,38 @@
     const { type, ...fields } = event;
     log.logStateChange(type, fields);
   };
-  const createFollower = (
-    mirror: TableMirror,
-    { pollIntervalMs, longPollMs, answerTimeoutMs, retryDelayMs }: TableTiming,
-    peerFallback: PeerFallback,
-  ) =>
-    MirrorFollower.create({
-      mirror,
-      source: dependencies.tables,
-      peers,
-      clock,
-      options: {
-        answerTimeoutMs,
-        retryDelayMs,
-        peerFallback,
-        getPollIntervalMs: () => {
-          // A few nodes read on behalf of all others, so they read at the full rate.
-          if (tableRelay.isReader) return pollIntervalMs;
-          return tableRelay.maxRelayedAgeMs > 0
-            ? TABLE_RELAY_INTERVAL_MS
-            : computePollIntervalMs(pollIntervalMs, clusterState.nodeCount);
-        },
-        getLongPollMs: () =>
-          tableRelay.isReader ? Math.min(longPollMs, READER_LONG_POLL_MS) : longPollMs,
-        getMaxRelayedAgeMs: () => tableRelay.maxRelayedAgeMs,
-      },
-      onEvent: onMirrorEvent,
-    });
+  const followerDependencies = {
+    source: dependencies.tables,
+    peers,
+    tableRelay,
+    getNodeCount: () => clusterState.nodeCount,
+    clock,
+    onEvent: onMirrorEvent,
+  };
   const { bounds } = settings;
   const operatorTableTiming = createOperatorTableTiming(bounds);
-  const operatorFollower = createFollower(operatorMirror, operatorTableTiming, {
-    type: 'when_overdue',
-    getOverdueAgeMs: () => tableRelay.maxRelayedAgeMs + computeOverdueAgeMs(operatorTableTiming),
-  });
+  const operatorFollower = createTableFollower(
+    operatorMirror,
+    operatorTableTiming,
+    {
+      type: 'when_overdue',
+      getOverdueAgeMs: () => tableRelay.maxRelayedAgeMs + computeOverdueAgeMs(operatorTableTiming),
+    },
+    followerDependencies,
+  );
   const endpointTableTiming = createEndpointTableTiming(bounds);
-  const endpointFollower = createFollower(endpointMirror, endpointTableTiming, {
-    type: 'after_failure',
-    minAgeMs: ENDPOINT_TABLE_FALLBACK_AGE_MS,
-  });
-  const sharedFollower = createFollower(sharedMirror, createSharedTableTiming(bounds), {
-    type: 'after_failure',
-    minAgeMs: SHARED_TABLE_FALLBACK_AGE_MS,
-  });
+  const endpointFollower = createTableFollower(
+    endpointMirror,
+    endpointTableTiming,
+    { type: 'after_failure', minAgeMs: ENDPOINT_TABLE_FALLBACK_AGE_MS },
+    followerDependencies,
+  );
+  const sharedFollower = createTableFollower(
+    sharedMirror,
+    createSharedTableTiming(bounds),
+    { type: 'after_failure', minAgeMs: SHARED_TABLE_FALLBACK_AGE_MS },
+    followerDependencies,
+  );
   const followers = [operatorFollower, endpointFollower, sharedFollower];
 
   let phase: ServingPhase = 'serving';
@@ -261,8 +238,9 @@
     areHeartbeatsCurrent: () =>
       endpointFollower.isStoreReachable &&
       endpointMirror.getAgeMs(clock.nowMs()) <
-        endpointTableTiming.longPollMs +
-          computePollIntervalMs(endpointTableTiming.pollIntervalMs, clusterState.nodeCount),
+        (tableRelay.isStoreReader
+          ? endpointTableTiming.longPollMs + endpointTableTiming.pollIntervalMs
+          : tableRelay.maxRelayedAgeMs),
     getRetryBudget: (service) => {
       const known = budgets.get(service);
       if (known !== undefined) return known;
@@ -423,7 +401,7 @@
     // Before the first read, this node's rows of an earlier start would be overwritten.
     if (sharedMirror.version === 0) return;
     // In large deployments, those that read the store for the others write the times.
-    if (tableRelay.maxRelayedAgeMs === 0) await weightTargetTimes.publish();
+    if (tableRelay.isStoreReader) await weightTargetTimes.publish();
     await strikePublisher.publish();
     await promptPartContainment.publish();
   };
--- a/packages/gateway/src/tableRelay.test.ts
+++ b/packages/gateway/src/tableRelay.test.ts
@@ -1,62 +1,145 @@
 import t from 'tap';
 import { ManualClock } from '@lovagearch/common';
 import { type RowBatch, TableMirror } from '@lovagearch/mirror';
-import type { ClusterState } from './clusterState.js';
-import { READERS_PER_ZONE, MAX_FULL_RATE_NODES } from './constants.js';
-import type { GatewayLog } from './gatewayLog.js';
-import { chooseReaders, TableRelay } from './tableRelay.js';
-
-const createNames = (count: number) => Array.from({ length: count }, (_, index) => `n-${index}`);
-
-// Guards against store calls that grow with the number of nodes, as when each node reads every table itself.
-t.test('every node chooses the same few readers of a zone', async (test) => {
-  const names = createNames(50);
-  const readers = chooseReaders(names, 300);
-  test.equal(readers.length, READERS_PER_ZONE);
-  test.same(chooseReaders([...names].reverse(), 300), readers);
-  test.same(chooseReaders(names, MAX_FULL_RATE_NODES), [], 'a small deployment has no readers');
-  const rest = names.filter((name) => !readers.includes(name));
-  test.equal(chooseReaders(rest, 300).length, READERS_PER_ZONE, 'failed readers are replaced');
-});
+import type { PeerRecord } from './clusterState.js';
+import {
+  FIRST_COPY_WAIT_MS,
+  MAX_FULL_RATE_NODES,
+  SHARED_TABLE_WAIT_MS,
+  SOURCE_EXCLUSION_MS,
+} from './constants.js';
+import type { TableRelaySource } from './peerExchange.js';
+import { TableRelay } from './tableRelay.js';
+import { chooseTableRole, type TableNode } from './tableRole.js';
+
+const ZONE = { zone: 'z', region: 'r' };
+const NODES: TableNode[] = Array.from({ length: MAX_FULL_RATE_NODES + 4 }, (_, index) => ({
+  name: `n-${index}`,
+  ...ZONE,
+}));
+const PEERS = new Map<string, PeerRecord>(
+  NODES.map(({ name }) => [name, { address: `${name}:1`, loadAddress: `${name}:2`, zone: 'z' }]),
+);
+const OLD_BATCH: RowBatch = { rows: [], version: 1, isPartial: true, ageMs: 60_000 };
+const FRESH_BATCH: RowBatch = { ...OLD_BATCH, ageMs: 10 };
+
+const findNode = (type: 'follower' | 'store_reader'): TableNode => {
+  const self = NODES.find(
+    (node) => chooseTableRole({ self: node, nodes: NODES, hasTimeForRelays: true }).type === type,
+  );
+  if (self === undefined) throw new Error(`no node is a ${type}`);
+  return self;
+};
+
+const createRelay = (
+  self: TableNode,
+  relay: TableRelaySource,
+  wait: (delayMs: number) => Promise<void>,
+) => {
+  const clock = ManualClock.create();
+  const mirror = TableMirror.create('op');
+  const sharedMirror = TableMirror.create('shared');
+  const reasons: string[] = [];
+  const tableRelay = TableRelay.create({
+    self,
+    regionByZone: new Map([['z', 'r']]),
+    clusterState: {
+      listPeers: () => PEERS.entries(),
+      findPeer: (name: string) => PEERS.get(name),
+    },
+    mirrors: [mirror],
+    sharedMirror,
+    maxCopyAgeMs: 3_000,
+    relay,
+    random: () => 0,
+    clock,
+    log: {
+      logStateChange: (event, fields) => {
+        if (event === 'table_source_left') reasons.push(String(fields.reason));
+      },
+    },
+    wait: async (delayMs) => {
+      clock.addMs(delayMs);
+      await wait(delayMs);
+    },
+  });
+  return { clock, mirror, sharedMirror, reasons, tableRelay };
+};
 
 t.test(
-  'a reader that fails or has an old copy is replaced; a relayed copy keeps its age',
-  async (test) => {
-    const clock = ManualClock.create();
-    const mirror = TableMirror.create('op');
-    const names = createNames(MAX_FULL_RATE_NODES + 4);
-    const peers = new Map(names.map((name) => [name, { address: `${name}:1`, zone: 'z' }]));
-    const nodeName = names.find((name) => !chooseReaders(names, names.length).includes(name)) ?? '';
+  'a source that fails or has an old copy is replaced; a relayed copy keeps its age',
+  async (t2) => {
     const asked: string[] = [];
-    const reasons: string[] = [];
-    const old: RowBatch = { rows: [], version: 1, isPartial: true, ageMs: 60_000 };
-    const relay = TableRelay.create({
-      nodeName,
-      zone: 'z',
-      clusterState: {
-        nodeCount: names.length,
-        listPeers: () => peers.entries(),
-        findPeer: (name: string) => peers.get(name),
-      } as unknown as ClusterState,
-      mirrors: [mirror],
-      maxCopyAgeMs: 3_000,
-      relay: async (peer) => {
+    const { clock, mirror, reasons, tableRelay } = createRelay(
+      findNode('follower'),
+      async (peer) => {
         asked.push(peer);
-        if (asked.length === 4) relay.stop();
+        if (asked.length === 4) tableRelay.stop();
         if (asked.length === 1) return 'refused';
-        return new Map([['op', asked.length === 2 ? old : { ...old, ageMs: 10 }]]);
+        return new Map([['op', asked.length === 2 ? OLD_BATCH : FRESH_BATCH]]);
       },
-      random: () => 0,
-      clock,
-      log: {
-        logStateChange: (_event: string, { reason }: { reason: string }) => reasons.push(reason),
-      } as unknown as GatewayLog,
-    });
-    await relay.run();
-    test.equal(reasons.length, 2);
-    test.match(reasons[1], /60000 ms old/);
-    test.equal(asked[2], asked[3], 'a working reader is kept');
-    test.equal(mirror.getAgeMs(clock.nowMs()), 10);
-    test.equal(relay.maxRelayedAgeMs, 3_000);
+      async () => undefined,
+    );
+    await tableRelay.run();
+    t2.equal(reasons.length, 2);
+    t2.match(reasons[1], /60000 ms old/);
+    t2.not(asked[0], asked[1], 'another source is asked next');
+    t2.equal(asked[2], asked[3], 'a working source is kept');
+    t2.equal(mirror.getAgeMs(clock.nowMs()), 10);
+    t2.equal(tableRelay.maxRelayedAgeMs, 3_000);
   },
 );
+
+// Guards against duties that stay with nodes that are gone, whose names the shared table keeps.
+t.test('sources that do not respond for a while are replaced by other nodes', async (t2) => {
+  const asked = new Set<string>();
+  const { clock, tableRelay } = createRelay(
+    findNode('follower'),
+    async (peer) => {
+      asked.add(peer);
+      return asked.size > 2 ? new Map([['op', FRESH_BATCH]]) : 'refused';
+    },
+    async () => {
+      if (clock.nowMs() > SOURCE_EXCLUSION_MS) tableRelay.stop();
+    },
+  );
+  await tableRelay.run();
+  t2.ok(asked.size > 2);
+});
+
+// Guards against a restart of all nodes in which each reads every table over the link between regions.
+t.test('a node that others read for waits for its first copy, but not for long', async (t2) => {
+  const { clock, mirror, sharedMirror, tableRelay } = createRelay(
+    findNode('follower'),
+    async () => 'refused',
+    async () => undefined,
+  );
+  const isDue = () => tableRelay.isStoreReadDue(mirror, Number.POSITIVE_INFINITY);
+  t2.equal(isDue(), false, 'its sources are not known yet');
+  t2.equal(tableRelay.isStoreReadDue(sharedMirror, Number.POSITIVE_INFINITY), true);
+  sharedMirror.applyBatch({ rows: [], version: 1, isPartial: false, ageMs: 0 }, 0);
+  clock.addMs(FIRST_COPY_WAIT_MS - 1);
+  t2.equal(isDue(), false);
+  clock.addMs(1);
+  t2.equal(isDue(), true);
+});
+
+t.test('a node reads the tables itself if the shared table does not arrive', async (t2) => {
+  const { clock, mirror, tableRelay } = createRelay(
+    findNode('follower'),
+    async () => 'refused',
+    async () => undefined,
+  );
+  clock.addMs(SHARED_TABLE_WAIT_MS);
+  t2.equal(tableRelay.isStoreReadDue(mirror, Number.POSITIVE_INFINITY), true);
+});
+
+t.test('a reader of the store reads at once when it knows its role', async (t2) => {
+  const { mirror, sharedMirror, tableRelay } = createRelay(
+    findNode('store_reader'),
+    async () => 'refused',
+    async () => undefined,
+  );
+  sharedMirror.applyBatch({ rows: [], version: 1, isPartial: false, ageMs: 0 }, 0);
+  t2.equal(tableRelay.isStoreReadDue(mirror, Number.POSITIVE_INFINITY), true);
+});
--- a/packages/mirror/src/mirror.test.ts
+++ b/packages/mirror/src/mirror.test.ts
@@ -15,7 +15,7 @@
   getPollIntervalMs: () => 0,
   retryDelayMs: 1,
   peerFallback: { type: 'after_failure' as const, minAgeMs: 0 },
-  getMaxRelayedAgeMs: () => 0,
+  isStoreReadDue: () => true,
 };
 
 const createRows = (
@@ -156,7 +156,7 @@
     clock,
     options: {
       ...OPTIONS,
-      getMaxRelayedAgeMs: () => 3_000,
+      isStoreReadDue: (copyAgeMs) => copyAgeMs >= 3_000,
       getPollIntervalMs: () => {
         polls += 1;
         clock.addMs(1_000);
--- a/packages/mirror/src/mirrorFollower.ts
+++ b/packages/mirror/src/mirrorFollower.ts
@@ -40,18 +40,21 @@
 export interface MirrorFollowerOptions {
   /** Returns the time for which the store may hold a call open while nothing changes. */
   readonly getLongPollMs: () => number;
-  /** Time that the response to a call may take in addition to its long poll. */
+  /** Time to the start of a response in addition to its long poll, and between two parts of it. */
   readonly answerTimeoutMs: number;
   /** Returns the minimum time between the starts of two calls; changes in between arrive in one batch. */
   readonly getPollIntervalMs: () => number;
-  /** Minimum time between the starts of a failed call and the next one. */
+  /** Minimum time between the starts of a failed call and the next one, and between two reads from peers. */
   readonly retryDelayMs: number;
+  /** Returns a longer time between the starts of a failed call and the next one, by default `retryDelayMs`. */
+  readonly getStoreRetryDelayMs?: () => number;
   readonly peerFallback: PeerFallback;
   /**
-   * Returns the age up to which a copy that is relayed by peers is fresh enough that the store is not
-   * called; 0 if this node reads the store itself.
+   * Whether the store has to be called, as the copy is not kept fresh by another node.
+   *
+   * @param copyAgeMs age of the copy; infinite before the first read
    */
-  readonly getMaxRelayedAgeMs: () => number;
+  readonly isStoreReadDue: (copyAgeMs: number) => boolean;
 }
 
 interface MirrorFollowerDependencies {
@@ -80,7 +83,10 @@
 
   private unreachableReason = '';
 
-  private needsFullRead = true;
+  /** Largest age that the copy had at a failed call since the store was lost. */
+  private lostCopyAgeMs = 0;
+
+  private hasLostHistory = false;
 
   /** Whether a call to the store has failed since the last that succeeded or since peers were queried. */
   private hasFailedCall = false;
@@ -95,6 +101,11 @@
     return this.unreachableSinceMs === undefined && !this.needsFullRead;
   }
 
+  /** A copy that another node relayed is continued with changes, like one that was read from the store. */
+  private get needsFullRead(): boolean {
+    return this.hasLostHistory || this.dependencies.mirror.version === 0;
+  }
+
   stop(): void {
     this.isStopped = true;
   }
@@ -109,12 +120,17 @@
     while (!this.isStopped) {
       const startMs = clock.nowMs();
       const isSuccess = await this.tryFollowOnce();
-      const intervalMs = isSuccess ? options.getPollIntervalMs() : options.retryDelayMs;
+      const intervalMs = isSuccess ? options.getPollIntervalMs() : this.getStoreRetryDelayMs();
       const pauseMs = intervalMs - (clock.nowMs() - startMs);
       if (pauseMs > 0) await wait(pauseMs);
     }
   }
 
+  private getStoreRetryDelayMs(): number {
+    const { getStoreRetryDelayMs, retryDelayMs } = this.dependencies.options;
+    return getStoreRetryDelayMs?.() ?? retryDelayMs;
+  }
+
   /** Reads from peers without holding back the calls to the store. */
   private async followPeers(): Promise<void> {
     const { options, wait = waitForTimer } = this.dependencies;
@@ -128,6 +144,8 @@
     const { clock, mirror, options } = this.dependencies;
     const { peerFallback } = options;
     const ageMs = mirror.getAgeMs(clock.nowMs());
+    // The first copy is on its way from another node.
+    if (mirror.version === 0 && !options.isStoreReadDue(ageMs)) return false;
     switch (peerFallback.type) {
       case 'when_overdue':
         return ageMs >= peerFallback.getOverdueAgeMs();
@@ -150,7 +168,11 @@
 
   private async followOnce(): Promise<boolean> {
     const { mirror, clock, source, options } = this.dependencies;
-    if (mirror.getAgeMs(clock.nowMs()) < options.getMaxRelayedAgeMs()) return true;
+    if (!options.isStoreReadDue(mirror.getAgeMs(clock.nowMs()))) {
+      // A copy that another node keeps fresh shows that the store is reachable.
+      if (mirror.version > 0) this.recordStoreReachable();
+      return true;
+    }
     const result = this.needsFullRead
       ? await source.readAll(mirror.table, options.answerTimeoutMs)
       : await source.readChanges(
@@ -165,7 +187,7 @@
     }
     const { failure } = result;
     if (failure.type === 'history_lost') {
-      this.needsFullRead = true;
+      this.hasLostHistory = true;
       this.dependencies.onEvent({
         type: 'history_lost',
         table: mirror.table,
@@ -178,32 +200,39 @@
   }
 
   private applyStoreRows(result: Extract<ReadResult, { type: 'rows' }>): void {
-    const { mirror, clock, onEvent } = this.dependencies;
+    const { mirror, clock } = this.dependencies;
     const nowMs = clock.nowMs();
-    const { unreachableSinceMs } = this;
-    this.needsFullRead = false;
-    this.hasFailedCall = false;
-    this.unreachableSinceMs = undefined;
+    this.hasLostHistory = false;
+    this.lostCopyAgeMs = Math.max(this.lostCopyAgeMs, mirror.getAgeMs(nowMs));
     // Listeners have to know that the store has recovered before they see which rows were removed.
-    if (unreachableSinceMs !== undefined) {
-      onEvent({
-        type: 'store_regained',
-        table: mirror.table,
-        lostForMs: Math.round(nowMs - unreachableSinceMs),
-        copyAgeMs: Math.round(mirror.getAgeMs(nowMs)),
-      });
-    }
+    this.recordStoreReachable();
     mirror.applyBatch(result.batch, nowMs);
   }
 
+  private recordStoreReachable(): void {
+    const { mirror, clock, onEvent } = this.dependencies;
+    const { unreachableSinceMs, lostCopyAgeMs } = this;
+    this.hasFailedCall = false;
+    this.lostCopyAgeMs = 0;
+    if (unreachableSinceMs === undefined) return;
+    this.unreachableSinceMs = undefined;
+    onEvent({
+      type: 'store_regained',
+      table: mirror.table,
+      lostForMs: Math.round(clock.nowMs() - unreachableSinceMs),
+      copyAgeMs: Math.round(lostCopyAgeMs),
+    });
+  }
+
   private recordFailedCall(reason: string): void {
     this.hasFailedCall = true;
     const { mirror, clock, onEvent } = this.dependencies;
-    if (this.unreachableSinceMs !== undefined && this.unreachableReason === reason) return;
     const nowMs = clock.nowMs();
+    const copyAgeMs = Math.round(mirror.getAgeMs(nowMs));
+    this.lostCopyAgeMs = Math.max(this.lostCopyAgeMs, copyAgeMs);
+    if (this.unreachableSinceMs !== undefined && this.unreachableReason === reason) return;
     this.unreachableSinceMs ??= nowMs;
     this.unreachableReason = reason;
-    const copyAgeMs = Math.round(mirror.getAgeMs(nowMs));
     onEvent({ type: 'store_lost', table: mirror.table, reason, copyAgeMs });
   }
 
