Forecast with timings that responses show instead of one deployment's data sheet

Parts counted as cached for 30 s, though such an engine drops them after about 3 s, and a part that counted as cached was not loaded from its store. A prefill rate of 81.9 tokens per ms was used for engines of 42.6. Change: the package estimation fits prefill rate and overhead from first tokens (medians of slopes), and the time for which tokens stay in memory from ended requests. The wait for memory follows the rate at which requests free it. A part counts as cached until the endpoint has got as many tokens as it retains. A part is always loaded from its store if that is worthwhile at the endpoint, and from another endpoint if the store is too slow to reach. Peers don't share the estimates; delays per running and waiting request stay constants.

--- a/packages/endpoints/src/chooseEndpoint.ts
+++ b/packages/endpoints/src/chooseEndpoint.ts
@@ -6,14 +6,10 @@
   CROSS_ZONE_PENALTY_MS,
   CROSS_ZONE_TRANSFER_FACTOR,
   FAILURE_COST_MS,
-  FIRST_TOKEN_OVERHEAD_MS,
   MAX_MISSED_HEARTBEATS,
   MAX_TRANSFER_SHARE,
-  MEMORY_FULL_PENALTY_MS,
-  MEMORY_FULL_SHARE,
   NEAR_TIE_SHARE,
   OLD_WEIGHTS_CUTOFF_MARGIN_MS,
-  PREFILL_TOKENS_PER_MS,
   RECENT_ENDPOINT_HIT_SHARE,
   SAME_REGION_ROUND_TRIP_MS,
   SAME_ZONE_ROUND_TRIP_MS,
@@ -43,6 +39,8 @@
   readonly heartbeatMs: number;
   /** Whether registrations are up to date; without that, missing heartbeats prove nothing. */
   readonly areRegistrationsCurrent: boolean;
+  /** Number of nodes that place requests on the endpoints. */
+  readonly nodeCount: number;
   readonly nowMs: number;
   readonly random: Random;
 }
@@ -81,6 +79,24 @@
   return isSameRegion ? CROSS_ZONE_TRANSFER_FACTOR : CROSS_REGION_TRANSFER_FACTOR;
 };
 
+const isFasterThanPrefill = (endpoint: Endpoint, transferMs: number, tokens: number): boolean =>
+  transferMs <= (tokens / endpoint.timings.prefillTokensPerMs) * MAX_TRANSFER_SHARE;
+
+/**
+ * Whether an endpoint should load the shared parts of a prompt from their store if it doesn't have them. The
+ * estimate of what it has cached plays no part: engines drop parts unnoticed, and load only what they lack.
+ */
+const isTransferWorthwhile = (
+  { request: { store, parts }, nodeLocation }: EndpointChoiceInput,
+  endpoint: Endpoint,
+): boolean => {
+  if (store === undefined) return false;
+  const sharedTokens = parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
+  const factor = getTransferFactor(store, endpoint, nodeLocation);
+  const transferMs = store.transferLatencyMs + sharedTokens * store.msPerToken * factor;
+  return isFasterThanPrefill(endpoint, transferMs, sharedTokens);
+};
+
 /** Computes the times to prefill or transfer the prompt tokens that an endpoint has not cached. */
 const computePrefillTimes = (
   { request, nodeLocation }: EndpointChoiceInput,
@@ -91,29 +107,30 @@
   const weights = model === undefined ? undefined : endpoint.record.weights.get(model);
   const ownTokens = Math.min(uncachedTokens, parts.at(-1)?.tokens ?? 0);
   const sharedTokens = uncachedTokens - ownTokens;
-  const ownMs = ownTokens / PREFILL_TOKENS_PER_MS;
+  const { prefillTokensPerMs } = endpoint.timings;
+  const ownMs = ownTokens / prefillTokensPerMs;
   if (store === undefined || sharedTokens === 0) {
-    return { ownMs, sharedMs: sharedTokens / PREFILL_TOKENS_PER_MS, transferMs: 0 };
+    return { ownMs, sharedMs: sharedTokens / prefillTokensPerMs, transferMs: 0 };
   }
   // Parts that the store doesn't have may be transferred from the endpoint that last computed them.
   const transferTokens =
     sharedTokens * (store.hasPartsFor(weights) ? 1 : RECENT_ENDPOINT_HIT_SHARE);
   const factor = getTransferFactor(store, endpoint, nodeLocation);
   const transferMs = store.transferLatencyMs + transferTokens * store.msPerToken * factor;
-  if (transferMs > (transferTokens / PREFILL_TOKENS_PER_MS) * MAX_TRANSFER_SHARE) {
-    return { ownMs, sharedMs: sharedTokens / PREFILL_TOKENS_PER_MS, transferMs: 0 };
+  if (!isFasterThanPrefill(endpoint, transferMs, transferTokens)) {
+    return { ownMs, sharedMs: sharedTokens / prefillTokensPerMs, transferMs: 0 };
   }
-  return { ownMs, sharedMs: (sharedTokens - transferTokens) / PREFILL_TOKENS_PER_MS, transferMs };
+  return { ownMs, sharedMs: (sharedTokens - transferTokens) / prefillTokensPerMs, transferMs };
 };
 
-/** Computes the wait for engine memory, which adds to the wait for earlier prompts. */
-const computeMemoryWaitMs = (
-  { request, nowMs }: EndpointChoiceInput,
+/** Computes this node's share of the tokens that an engine can take before it drops earlier ones. */
+const computeRetainedTokens = (
+  { request: { engineMemoryTokens }, nodeCount, nowMs }: EndpointChoiceInput,
   endpoint: Endpoint,
 ): number => {
-  if (request.engineMemoryTokens === 0) return 0;
-  const tokens = endpoint.estimateMemoryTokens(nowMs) + request.memoryTokens;
-  return tokens > request.engineMemoryTokens * MEMORY_FULL_SHARE ? MEMORY_FULL_PENALTY_MS : 0;
+  if (engineMemoryTokens === 0) return Number.POSITIVE_INFINITY;
+  const freeTokens = engineMemoryTokens - endpoint.estimateMemoryTokens(nowMs);
+  return Math.max(0, freeTokens) / nodeCount;
 };
 
 const computePlacement = (
@@ -138,26 +155,35 @@
       endpointId: endpoint.record.id,
       expectedMs,
       ownMs: roundTripMs + processingMs,
+      roundTripMs,
       uncachedTokens: 0,
       ownerId,
       transferMs: 0,
+      isTransferWorthwhile: false,
       costMs,
       candidates: 0,
     };
   }
   const salt = request.cacheSalt ?? '';
-  const cached = promptCache.estimateCachedTokens(
-    request.parts,
+  const cached = promptCache.estimateCachedTokens({
+    parts: request.parts,
     salt,
-    endpoint.record.id,
+    endpointId: endpoint.record.id,
     ownerId,
+    retainedTokens: computeRetainedTokens(input, endpoint),
     nowMs,
-  );
+  });
   const uncachedTokens = promptTokens - cached;
   const prefill = computePrefillTimes(input, endpoint, uncachedTokens);
-  const queueMs = endpoint.estimateWaitMs(nowMs) + computeMemoryWaitMs(input, endpoint);
+  const queueMs =
+    endpoint.estimateWaitMs(nowMs) +
+    endpoint.estimateMemoryWaitMs(request.memoryTokens, request.engineMemoryTokens, nowMs);
   const ownMs =
-    roundTripMs + FIRST_TOKEN_OVERHEAD_MS + prefill.ownMs + prefill.sharedMs + prefill.transferMs;
+    roundTripMs +
+    endpoint.timings.overheadMs +
+    prefill.ownMs +
+    prefill.sharedMs +
+    prefill.transferMs;
   const expectedMs = queueMs + ownMs;
   const costMs =
     roundTripMs +
@@ -171,9 +197,11 @@
     endpointId: endpoint.record.id,
     expectedMs,
     ownMs,
+    roundTripMs,
     uncachedTokens,
     ownerId,
     transferMs: prefill.transferMs,
+    isTransferWorthwhile: isTransferWorthwhile(input, endpoint),
     costMs,
     candidates: 0,
   };
--- a/packages/endpoints/src/constants.ts
+++ b/packages/endpoints/src/constants.ts
@@ -11,8 +11,6 @@
 export const CROSS_REGION_PENALTY_MS = 40;
 /** Additional cost of traffic between availability zones, in milliseconds; it is billed by volume. */
 export const CROSS_ZONE_PENALTY_MS = 12;
-/** Nominal prefill rate of an engine; from the engines' data sheet. */
-export const PREFILL_TOKENS_PER_MS = 81.9;
 /**
  * Cost weight of recomputing shared parts, relative to waiting time: prefill is billed and delays the
  * requests queued behind it.
@@ -22,8 +20,6 @@
 export const RUNNING_REQUEST_DELAY_MS = 1.5;
 /** Delay that each request queued at an engine adds: the prefill time of an average prompt. */
 export const WAITING_REQUEST_DELAY_MS = 30;
-/** Time of an engine until the first token, excluding prefill. */
-export const FIRST_TOKEN_OVERHEAD_MS = 45;
 /** Weight of a new sample in the moving average of queueing delays. */
 export const WAIT_EWMA_WEIGHT = 0.4;
 /** Time constant of the exponential decay of the observed queueing delay. */
@@ -32,12 +28,12 @@
 export const LOAD_REPORT_MAX_AGE_MS = 1_000;
 /** Maximum age of a peer's load digest; several digests arrive in this time. */
 export const PEER_LOAD_MAX_AGE_MS = 1_500;
-/** Prefill rate of an engine that also decodes running requests. */
-export const EFFECTIVE_PREFILL_TOKENS_PER_MS = 67;
+/** Prefill rate of an engine that also decodes running requests, relative to one that prefills alone. */
+export const BUSY_PREFILL_SHARE = 0.82;
+/** Expected wait up to which the time to a first token shows the prefill rate, in milliseconds. */
+export const QUIET_WAIT_MS = 30;
 /** Share of an engine's memory above which further requests have to wait for memory. */
 export const MEMORY_FULL_SHARE = 0.9;
-/** Expected wait at an engine whose memory is full: a running request has to finish first. */
-export const MEMORY_FULL_PENALTY_MS = 500;
 /** Initial estimate of the processing time of a plain call, until responses are measured. */
 export const DEFAULT_PROCESSING_MS = 20;
 /** Weight of a new sample in the moving average of processing times. */
@@ -57,6 +53,8 @@
 export const CROSS_ZONE_TRANSFER_FACTOR = 2;
 /** Time for which a prompt part is assumed to stay cached at the endpoint that it was sent to. */
 export const CACHED_PART_TTL_MS = 30_000;
+/** Maximum number of endpoints whose placed tokens are counted. */
+export const MAX_TRACKED_ENDPOINTS = 4_096;
 /** Maximum number of prompt parts whose last endpoint is tracked. */
 export const MAX_TRACKED_PARTS = 8_192;
 /** Suspension after a first transport failure; it doubles with each further one up to the maximum. */
@@ -84,6 +82,8 @@
  * largest deployment can lose theirs in one outage of the store.
  */
 export const MAX_UNREGISTERED_STARTS = 4_096;
+/** Number of services whose timings are estimated; registrations of other writers may name any number. */
+export const MAX_TIMED_SERVICES = 256;
 /**
  * Maximum time for which an endpoint is held, in milliseconds. A longer one, such as a value in milliseconds
  * taken for seconds, would take the endpoint away for good; an endpoint that wants no requests leaves instead.
--- a/packages/endpoints/src/endpoint.ts
+++ b/packages/endpoints/src/endpoint.ts
@@ -1,12 +1,15 @@
+import { EngineTimings } from '@lovagearch/estimation';
 import {
+  BUSY_PREFILL_SHARE,
   DEFAULT_PROCESSING_MS,
-  EFFECTIVE_PREFILL_TOKENS_PER_MS,
   FAILURE_EWMA_WEIGHT,
   INITIAL_SUSPENSION_MS,
   LOAD_REPORT_MAX_AGE_MS,
   MAX_SUSPENSION_MS,
+  MEMORY_FULL_SHARE,
   OBSERVED_WAIT_DECAY_MS,
   PEER_LOAD_MAX_AGE_MS,
+  QUIET_WAIT_MS,
   REJECTION_SUSPENSION_MS,
   RUNNING_REQUEST_DELAY_MS,
   WAIT_EWMA_WEIGHT,
@@ -32,6 +35,11 @@
   readonly memoryTokens: number;
   /** Expected time to the first byte without queueing, in milliseconds. */
   readonly ownMs: number;
+  /** Expected queueing delay, in milliseconds. */
+  readonly expectedWaitMs: number;
+  readonly roundTripMs: number;
+  /** Expected time to load cached parts, in milliseconds; 0 if none are loaded. */
+  readonly transferMs: number;
   readonly sentAtMs: number;
 }
 
@@ -54,6 +62,9 @@
   /** Requests of this process without a first byte, in the order in which they were sent. */
   private readonly waiting = new Set<SentRequest>();
 
+  /** Clock readings at the first bytes of responses in progress. */
+  private readonly firstByteAtMs = new Map<SentRequest, number>();
+
   private pendingTokens = 0;
 
   private activeTokens = 0;
@@ -85,17 +96,22 @@
     private current: EndpointRecord,
     nowMs: number,
     readonly statements: EndpointStatements,
+    readonly timings: EngineTimings,
   ) {
     this.heartbeatAtMs = nowMs;
   }
 
-  /** @param statements what the same start of the endpoint said before its registration was removed */
+  /**
+   * @param statements what the same start of the endpoint said before its registration was removed
+   * @param timings estimates that all endpoints of the service share
+   */
   static create(
     record: EndpointRecord,
     nowMs: number,
     statements = EndpointStatements.create(),
+    timings = EngineTimings.create(),
   ): Endpoint {
-    return new Endpoint(record, nowMs, statements);
+    return new Endpoint(record, nowMs, statements, timings);
   }
 
   get record(): EndpointRecord {
@@ -181,6 +197,12 @@
     const previousMs = this.getObservedWaitMs(nowMs);
     this.observedWaitMs = previousMs + (waitMs - previousMs) * WAIT_EWMA_WEIGHT;
     this.observedAtMs = nowMs;
+    if (sent.memoryTokens === 0) return;
+    this.firstByteAtMs.set(sent, nowMs);
+    const { expectedWaitMs, roundTripMs, sentAtMs, tokens, transferMs } = sent;
+    if (transferMs > 0 || expectedWaitMs > QUIET_WAIT_MS) return;
+    const delayMs = Math.max(0, nowMs - sentAtMs - roundTripMs - expectedWaitMs);
+    this.timings.recordFirstToken({ prefilledTokens: tokens, delayMs });
   }
 
   recordBytesReceived(nowMs: number): void {
@@ -191,12 +213,18 @@
     this.removeWaiting(sent);
     this.active = Math.max(0, this.active - 1);
     this.activeTokens = Math.max(0, this.activeTokens - sent.memoryTokens);
+    const firstByteAtMs = this.firstByteAtMs.get(sent);
+    this.firstByteAtMs.delete(sent);
     switch (outcome.type) {
       case 'answered':
         this.transportFailures = 0;
         this.suspendedUntilMs = Number.NEGATIVE_INFINITY;
         this.failureShare +=
           ((outcome.isFailure ? 1 : 0) - this.failureShare) * FAILURE_EWMA_WEIGHT;
+        if (firstByteAtMs !== undefined && !outcome.isFailure) {
+          const residenceMs = sent.ownMs + nowMs - firstByteAtMs;
+          this.timings.recordResidence({ memoryTokens: sent.memoryTokens, residenceMs }, nowMs);
+        }
         if (!outcome.isFailure)
           this.processingMs += (outcome.processingMs - this.processingMs) * PROCESSING_EWMA_WEIGHT;
         return;
@@ -252,6 +280,21 @@
     return tokens;
   }
 
+  /**
+   * Estimates the time until the memory for a request is free, in milliseconds. Requests in progress free the
+   * memory that they occupy at the rate at which they end.
+   *
+   * @param capacityTokens memory of the endpoint in tokens; 0 if unknown
+   */
+  estimateMemoryWaitMs(memoryTokens: number, capacityTokens: number, nowMs: number): number {
+    if (capacityTokens === 0) return 0;
+    const usedTokens = this.estimateMemoryTokens(nowMs);
+    const missingTokens = usedTokens + memoryTokens - capacityTokens * MEMORY_FULL_SHARE;
+    if (missingTokens <= 0) return 0;
+    const runningTokens = Math.max(1, Math.min(usedTokens, capacityTokens));
+    return (missingTokens / runningTokens) * this.timings.residenceMs;
+  }
+
   /**
    * Estimates the queueing delay of a new request, in milliseconds. It is the largest of the delay of
    * recent responses, the delay so far of the oldest request without a first byte, and the times to
@@ -270,7 +313,7 @@
         this.getObservedWaitMs(nowMs),
         oldestMs,
         waiting * WAITING_REQUEST_DELAY_MS,
-        pendingTokens / EFFECTIVE_PREFILL_TOKENS_PER_MS,
+        pendingTokens / (this.timings.prefillTokensPerMs * BUSY_PREFILL_SHARE),
       ) +
       running * RUNNING_REQUEST_DELAY_MS
     );
--- a/packages/endpoints/src/endpointTable.ts
+++ b/packages/endpoints/src/endpointTable.ts
@@ -1,5 +1,6 @@
 import { BoundedMap } from '@lovagearch/common';
-import { MAX_UNREGISTERED_STARTS } from './constants.js';
+import { EngineTimings } from '@lovagearch/estimation';
+import { MAX_TIMED_SERVICES, MAX_UNREGISTERED_STARTS } from './constants.js';
 import { Endpoint } from './endpoint.js';
 import type { EndpointStatements } from './endpointStatements.js';
 import { computeDigestKey } from './loadDigest.js';
@@ -54,6 +55,9 @@
 
   private readonly idsByService = new Map<string, Set<string>>();
 
+  /** Estimates by service; they outlast its endpoints, whose successors are of the same kind. */
+  private readonly timingsByService = BoundedMap.create<string, EngineTimings>(MAX_TIMED_SERVICES);
+
   private readonly idsByDigestKey = new Map<number, string>();
 
   private readonly pendingRemovals = new Map<string, PendingRemoval>();
@@ -168,7 +172,8 @@
     const startKey = getStartKey(record);
     const statements = this.unregisteredStatements.peek(startKey);
     this.unregisteredStatements.delete(startKey);
-    this.endpoints.set(record.id, Endpoint.create(record, nowMs, statements));
+    const timings = this.getTimings(record.service);
+    this.endpoints.set(record.id, Endpoint.create(record, nowMs, statements, timings));
     this.idsByDigestKey.set(computeDigestKey(record.id), record.id);
     const ids = this.idsByService.get(record.service) ?? new Set<string>();
     ids.add(record.id);
@@ -176,6 +181,12 @@
     return { type, record };
   }
 
+  private getTimings(service: string): EngineTimings {
+    const timings = this.timingsByService.peek(service) ?? EngineTimings.create();
+    this.timingsByService.set(service, timings);
+    return timings;
+  }
+
   private removeEndpoint({ record, statements }: Endpoint): void {
     // Responses to requests in progress can still change them.
     this.unregisteredStatements.set(getStartKey(record), statements);
--- a/packages/endpoints/src/endpoints.test.ts
+++ b/packages/endpoints/src/endpoints.test.ts
@@ -13,6 +13,7 @@
   OLD_WEIGHTS_CUTOFF_MARGIN_MS,
   MAX_UNREGISTERED_STARTS,
   PromptCacheEstimator,
+  type SentRequest,
 } from './index.js';
 
 const createRecord = (id: string, overrides: Partial<EndpointRecord> = {}): EndpointRecord => ({
@@ -39,6 +40,16 @@
   ]),
 };
 
+const SENT: SentRequest = {
+  tokens: 0,
+  memoryTokens: 0,
+  ownMs: 0,
+  expectedWaitMs: 0,
+  roundTripMs: 0,
+  transferMs: 0,
+  sentAtMs: 0,
+};
+
 const createInput = (
   endpoints: readonly Endpoint[],
   overrides: Partial<EndpointChoiceInput['request']> = {},
@@ -60,6 +71,7 @@
   nodeLocation: PLACE,
   heartbeatMs: 1_000,
   areRegistrationsCurrent: true,
+  nodeCount: 1,
   nowMs: 0,
   random: createRandom(1),
 });
@@ -228,7 +240,7 @@
     t2.equal(chooseWith([old!], leastMs - 1), undefined);
     t2.equal(chooseWith([old!], Number.NEGATIVE_INFINITY), undefined);
     // A queue at the endpoint makes it unusable earlier.
-    old!.recordSent({ tokens: 400_000, memoryTokens: 0, ownMs: 0, sentAtMs: 0 });
+    old!.recordSent({ ...SENT, tokens: 400_000 });
     t2.equal(chooseWith([old!], leastMs + 1), undefined);
     t2.equal(chooseWith([old!, current!], leastMs + 1)?.endpointId, 'i-2');
   },
--- a/packages/endpoints/src/types.ts
+++ b/packages/endpoints/src/types.ts
@@ -86,12 +86,15 @@
   readonly expectedMs: number;
   /** The part of `expectedMs` that is not queueing delay. */
   readonly ownMs: number;
+  readonly roundTripMs: number;
   /** Prompt tokens that the endpoint is expected to prefill or to import from a cache. */
   readonly uncachedTokens: number;
   /** The affinity owner: the preferred endpoint of prompts with the same shared parts. */
   readonly ownerId: string | undefined;
   /** Expected transfer time of shared parts, in milliseconds; 0 if none are transferred. */
   readonly transferMs: number;
+  /** Whether the endpoint should load the shared parts that it lacks from their store. */
+  readonly isTransferWorthwhile: boolean;
   readonly costMs: number;
   /** Number of endpoints that were compared. */
   readonly candidates: number;
--- a/packages/endpoints/src/unchangedRegistration.test.ts
+++ b/packages/endpoints/src/unchangedRegistration.test.ts
@@ -50,6 +50,7 @@
     nodeLocation: { zone: 'z1', region: 'r1', regionByZone: new Map([['z1', 'r1']]) },
     heartbeatMs: HEARTBEAT_MS,
     areRegistrationsCurrent: true,
+    nodeCount: 1,
     nowMs: changedAtMs + HEARTBEAT_MS,
     random: createRandom(1),
   };
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -119,10 +119,14 @@
   ) {
     this.startMs = dependencies.clock.nowMs();
     this.lastBytesMs = this.startMs;
+    const { expectedMs, ownMs, roundTripMs, transferMs, uncachedTokens } = input.placement;
     this.sentRequest = {
-      tokens: input.placement.uncachedTokens,
+      tokens: uncachedTokens,
       memoryTokens: input.memoryTokens,
-      ownMs: input.placement.ownMs,
+      ownMs,
+      expectedWaitMs: expectedMs - ownMs,
+      roundTripMs,
+      transferMs,
       sentAtMs: this.startMs,
     };
   }
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -247,6 +247,7 @@
       head.promptParts,
       createCacheSalt(account, undefined) ?? '',
       endpoint.record.id,
+      placement.uncachedTokens,
       nowMs,
     );
     const attempt = createAttempt(context, routedRequest, chosen, {
--- a/packages/gateway/src/placeRequest.ts
+++ b/packages/gateway/src/placeRequest.ts
@@ -99,6 +99,7 @@
     nodeLocation: settings,
     heartbeatMs: settings.heartbeatMs,
     areRegistrationsCurrent: context.areHeartbeatsCurrent(),
+    nodeCount: clusterState.nodeCount,
     nowMs: clock.nowMs(),
     random,
   });
--- a/packages/gateway/src/reusePlan.ts
+++ b/packages/gateway/src/reusePlan.ts
@@ -98,7 +98,7 @@
 
 /**
  * Plans the cache reuse of a prompt at an endpoint. A shared part is loaded from its store if the store
- * has it completely, otherwise from an endpoint that probably has it. It is saved to its store if the
+ * has it completely and is not too slow to reach, otherwise from an endpoint that probably has it. It is saved to its store if the
  * store doesn't have it yet.
  */
 export const planReuse = (
@@ -106,7 +106,7 @@
   head: RequestHead,
   account: Account | undefined,
   endpoint: Endpoint,
-  { ownerId, transferMs }: Placement,
+  { ownerId, isTransferWorthwhile }: Placement,
 ): ReusePlan => {
   const { clusterState, suspensionClock } = context;
   const { model, promptParts } = head;
@@ -127,11 +127,11 @@
     const store = isStorable ? chooseStore(part.id, stores) : undefined;
     const storeIndex = store === undefined ? undefined : context.findCacheStoreIndex(store.address);
     const isStored = storeIndex?.canRead(cacheSalt, part.id, nowMs) === true;
-    const canRead = isStored && transferMs > 0;
+    const canRead = isStored && isTransferWorthwhile;
     const shouldSave = isCurrent && storeIndex?.shouldSave(cacheSalt, part.id, nowMs) === true;
     if (shouldSave) storeIndex.recordSave(cacheSalt, part.id, nowMs);
     const holder =
-      isStored || !isStorable
+      canRead || !isStorable
         ? undefined
         : findPartHolder(context, part, memorySalt, endpoint, ownerId, model);
     fetchFrom.push(canRead ? store?.address : holder?.record.address);
