Decide in one place which requests a planned stop still takes

Report: in a planned stop, requests that came late in the grace were taken and passed on, and cut at its end. Cause here: every request was taken for 2.7 s after the signal, whatever time it needs and however long the grace period is. Change: shutdownPlan.ts plans the stop from the grace period. A request is taken only if its time limit, or the time that responses of its route usually need, fits into the rest; otherwise it is refused at once as not run.

--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -27,7 +27,7 @@
 import { createCacheSalt, planReuse } from './reusePlan.js';
 import { createQuarantineRefusal, hasQuarantinedPart } from './quarantine.js';
 import { readBody } from './requestBody.js';
-import { routeRequest } from './routeRequest.js';
+import { getTimeLimitMs, routeRequest } from './routeRequest.js';
 import { listSharedPartIds } from './sharedParts.js';
 import type { RequestHead } from './types.js';
 
@@ -87,7 +87,10 @@
     private readonly response: ServerResponse,
   ) {
     this.startMs = context.clock.nowMs();
-    this.callerResponse = CallerResponse.create(response, () => context.getPhase() !== 'serving');
+    this.callerResponse = CallerResponse.create(
+      response,
+      () => context.getShutdown() !== undefined,
+    );
   }
 
   static create(
@@ -128,7 +131,7 @@
     const { head, route, account, limits } = routing;
     this.accountName = account?.name ?? 'none';
     this.requestId = head.requestId;
-    this.timeLimitMs = Math.min(head.timeLimitMs ?? DEFAULT_TIME_LIMIT_MS, route.timeoutMs);
+    this.timeLimitMs = getTimeLimitMs(head, route);
     this.timeLimitTimer = setTimeout(
       () => this.stop('time_limit'),
       Math.max(0, this.timeLimitMs - this.getElapsedMs()) + TIMEOUT_RESPONSE_GRACE_MS,
@@ -466,6 +469,8 @@
     if (this.hasLoggedCompletion) return;
     this.hasLoggedCompletion = true;
     const totalMs = this.getElapsedMs();
+    if (outcome === 'served' && route !== undefined)
+      context.routeDurations.recordResponse(route.name, totalMs);
     context.metrics.recordRequest(route?.name ?? 'none', this.accountName, outcome, totalMs);
     const fields = {
       request: head?.requestId,
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -7,6 +7,8 @@
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { PromptPartContainment } from './promptPartContainment.js';
 import type { BodyMemoryBudget } from './requestBody.js';
+import type { RouteDurations } from './routeDurations.js';
+import type { ShutdownPlan } from './shutdownPlan.js';
 import type { StrikePublisher } from './strikePublisher.js';
 import type { GatewaySettings, HeaderCodec } from './types.js';
 import type { WaitingAttempts } from './waitingAttempts.js';
@@ -33,8 +35,13 @@
   /** Whether the copy of the endpoints' registrations is up to date. */
   readonly areHeartbeatsCurrent: () => boolean;
   readonly getRetryBudget: (service: string) => SlidingWindowRetryBudget;
-  readonly getPhase: () => ServingPhase;
+  readonly routeDurations: RouteDurations;
+  /** The planned stop in progress, if there is one. */
+  readonly getShutdown: () => Shutdown | undefined;
 }
 
-/** `draining`: new requests are still served; `closing`: they are refused. */
-export type ServingPhase = 'closing' | 'draining' | 'serving';
+export interface Shutdown {
+  readonly plan: ShutdownPlan;
+  /** Reading of the process's clock at the signal. */
+  readonly requestedAtMs: number;
+}
--- /dev/null
+++ b/packages/gateway/src/routeDurations.ts
@@ -0,0 +1,49 @@
+import { BoundedMap } from '@lovagearch/common';
+
+/** Weight of a new response in the moving averages. */
+const EWMA_WEIGHT = 0.1;
+/** Mean deviations above the mean within which responses usually end. */
+const USUAL_DEVIATIONS = 5;
+/** Maximum number of routes. */
+const MAX_ROUTES = 4_096;
+
+interface DurationEstimate {
+  readonly meanMs: number;
+  readonly deviationMs: number;
+}
+
+/**
+ * Estimates how long responses of each route usually take.
+ *
+ * @example
+ * durations.recordResponse('summary', 1_850);
+ * const usualMs = durations.getUsualMs('summary');
+ */
+export class RouteDurations {
+  private readonly estimates = BoundedMap.create<string, DurationEstimate>(MAX_ROUTES);
+
+  static create(): RouteDurations {
+    return new RouteDurations();
+  }
+
+  /** @param durationMs time from the arrival of the request to the end of its response, in milliseconds */
+  recordResponse(route: string, durationMs: number): void {
+    const known = this.estimates.peek(route) ?? {
+      meanMs: durationMs,
+      deviationMs: durationMs / 2,
+    };
+    const differenceMs = durationMs - known.meanMs;
+    this.estimates.set(route, {
+      meanMs: known.meanMs + differenceMs * EWMA_WEIGHT,
+      deviationMs: known.deviationMs + (Math.abs(differenceMs) - known.deviationMs) * EWMA_WEIGHT,
+    });
+  }
+
+  /** Returns the time within which responses usually end, in milliseconds; undefined before the first
+   * response. */
+  getUsualMs(route: string): number | undefined {
+    const estimate = this.estimates.peek(route);
+    if (estimate === undefined) return undefined;
+    return estimate.meanMs + estimate.deviationMs * USUAL_DEVIATIONS;
+  }
+}
--- a/packages/gateway/src/routeRequest.ts
+++ b/packages/gateway/src/routeRequest.ts
@@ -1,8 +1,13 @@
 import type { IncomingMessage } from 'node:http';
 import type { Account, Route, TrafficRules } from '@lovagearch/traffic';
-import { DRAINING_RETRY_AFTER_MS, NOT_READY_RETRY_AFTER_MS } from './constants.js';
+import {
+  DEFAULT_TIME_LIMIT_MS,
+  DRAINING_RETRY_AFTER_MS,
+  NOT_READY_RETRY_AFTER_MS,
+} from './constants.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { createRefusal, type LocalReply } from './localReply.js';
+import { decideShutdownAdmission } from './shutdownPlan.js';
 import type { RequestHead } from './types.js';
 
 /** Bytes of `: ` and CRLF that each header line has in addition to its name and value. */
@@ -30,6 +35,36 @@
   return bytes;
 };
 
+/** Returns the time within which a response has to end, in milliseconds. */
+export const getTimeLimitMs = ({ timeLimitMs }: RequestHead, { timeoutMs }: Route): number =>
+  Math.min(timeLimitMs ?? DEFAULT_TIME_LIMIT_MS, timeoutMs);
+
+/** Returns the refusal of a request that a planned stop would cut off, or undefined. */
+const createDrainingRefusal = (
+  context: GatewayContext,
+  head: RequestHead,
+  route: Route,
+): LocalReply | undefined => {
+  const shutdown = context.getShutdown();
+  if (shutdown === undefined) return undefined;
+  const admission = decideShutdownAdmission({
+    plan: shutdown.plan,
+    elapsedMs: context.clock.nowMs() - shutdown.requestedAtMs,
+    timeLimitMs: getTimeLimitMs(head, route),
+    usualDurationMs: context.routeDurations.getUsualMs(route.name),
+  });
+  switch (admission.type) {
+    case 'take':
+      return undefined;
+    case 'refuse': {
+      const message = `this node is shutting down (${admission.reason})`;
+      return createRefusal('draining', message, DRAINING_RETRY_AFTER_MS);
+    }
+    default:
+      return admission satisfies never;
+  }
+};
+
 /** Finds the route and client account of a request by its headers; the body is not read. */
 export const routeRequest = (
   context: GatewayContext,
@@ -49,10 +84,6 @@
     const message = 'the gateway has no configuration yet';
     return refuse(createRefusal('not_ready', message, NOT_READY_RETRY_AFTER_MS));
   }
-  if (context.getPhase() === 'closing') {
-    const message = 'this node is shutting down';
-    return refuse(createRefusal('draining', message, DRAINING_RETRY_AFTER_MS));
-  }
   const { limits } = trafficRules;
   if (computeHeaderBytes(rawHeaders) > limits.maxHeaderBytes) {
     const message = `the request headers exceed ${limits.maxHeaderBytes} bytes`;
@@ -65,5 +96,7 @@
   const account = key === undefined ? undefined : trafficRules.findAccount(key);
   if (trafficRules.hasAccounts && !route.isPublic && account === undefined)
     return refuse(createRefusal('unauthorized', 'no client account has this key'), route);
+  const draining = createDrainingRefusal(context, decoded.head, route);
+  if (draining !== undefined) return refuse(draining, route);
   return { type: 'routed', head: decoded.head, route, account, limits };
 };
--- /dev/null
+++ b/packages/gateway/src/shutdownPlan.test.ts
@@ -0,0 +1,103 @@
+import fc from 'fast-check';
+import t from 'tap';
+import { startGateway } from './index.js';
+import { RouteDurations } from './routeDurations.js';
+import { createShutdownPlan, decideShutdownAdmission } from './shutdownPlan.js';
+import {
+  createDependencies,
+  createRows,
+  FakeEndpoint,
+  REQUEST_ID_HEADER,
+  SEAL_HEADER,
+  send,
+  SETTINGS,
+  waitUntilReady,
+} from './testGateway.js';
+
+// Guards against requests that arrive late in a planned stop, are passed on and cut off at its end.
+t.test('a request that is taken ends before the process does', async (t2) => {
+  fc.assert(
+    fc.property(
+      fc.integer({ min: 0, max: 30_000 }),
+      fc.integer({ min: 0, max: 40_000 }),
+      fc.integer({ min: 1, max: 60_000 }),
+      fc.option(fc.integer({ min: 1, max: 60_000 }), { nil: undefined }),
+      (graceMs, elapsedMs, timeLimitMs, usualDurationMs) => {
+        const plan = createShutdownPlan(graceMs);
+        t2.ok(plan.acceptUntilMs <= plan.closeAtMs && plan.closeAtMs <= plan.endAtMs);
+        t2.ok(plan.endAtMs <= graceMs);
+        const { type } = decideShutdownAdmission({ plan, elapsedMs, timeLimitMs, usualDurationMs });
+        if (type !== 'take') return;
+        const durationMs = Math.min(timeLimitMs, usualDurationMs ?? timeLimitMs);
+        t2.ok(elapsedMs + durationMs < plan.endAtMs && elapsedMs < plan.acceptUntilMs);
+      },
+    ),
+  );
+});
+
+t.test('short requests are taken until the load balancer has noticed the stop', async (t2) => {
+  const plan = createShutdownPlan(8_000);
+  const decide = (elapsedMs: number) =>
+    decideShutdownAdmission({ plan, elapsedMs, timeLimitMs: 1_200, usualDurationMs: undefined });
+  t2.equal(decide(0).type, 'take');
+  t2.equal(decide(2_600).type, 'take');
+  t2.equal(decide(2_700).type, 'refuse');
+});
+
+t.test('the usual duration covers nearly all responses of a route', async (t2) => {
+  const durations = RouteDurations.create();
+  t2.equal(durations.getUsualMs('r'), undefined);
+  for (let index = 0; index < 200; index++) durations.recordResponse('r', 500 + (index % 10) * 40);
+  const usualMs = durations.getUsualMs('r') ?? 0;
+  t2.ok(usualMs > 860 && usualMs < 2_000, `${usualMs}`);
+});
+
+const RESPONSE_DELAY_MS = 3_000;
+const REQUEST_INTERVAL_MS = 250;
+
+t.test('no request is cut off in a planned stop, at whatever time it arrives', async (t2) => {
+  const endpoint = new FakeEndpoint();
+  const port = await endpoint.start();
+  const gateway = await startGateway(SETTINGS, createDependencies(createRows([port])), '/ready');
+  await waitUntilReady(gateway);
+  endpoint.handle = (incoming, response) => {
+    setTimeout(() => {
+      response
+        .writeHead(200, {
+          [SEAL_HEADER]: '1',
+          [REQUEST_ID_HEADER]: String(incoming.headers[REQUEST_ID_HEADER]),
+        })
+        .end('whole');
+    }, RESPONSE_DELAY_MS);
+  };
+  const beforeStop = send(gateway, '/claim/x', 'before');
+  while (!endpoint.received.includes('before'))
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  let isStopped = false;
+  const stopping = gateway.drain('test').then(() => {
+    isStopped = true;
+  });
+  const results: Promise<string>[] = [];
+  for (let index = 0; !isStopped; index++) {
+    const id = `late-${index}`;
+    const result = send(gateway, '/claim/x', id).then(
+      ({ status, text }) => `${status === 200 ? text : status}`,
+      // A connection that is refused or closed unread never reaches the endpoint.
+      () => (endpoint.received.includes(id) ? 'cut' : 'not read'),
+    );
+    results.push(result);
+    await new Promise((resolve) => {
+      setTimeout(resolve, REQUEST_INTERVAL_MS);
+    });
+  }
+  await stopping;
+  const allowed = ['whole', '503', 'not read'];
+  t2.strictSame(
+    (await Promise.all(results)).filter((result) => !allowed.includes(result)),
+    [],
+  );
+  t2.equal((await beforeStop).text, 'whole');
+  endpoint.stop();
+});
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -9,9 +9,6 @@
 import {
   ANNOUNCE_RETRY_DELAY_MS,
   BODY_MEMORY_SHARE,
-  DRAIN_ACCEPT_PERIOD_MS,
-  DRAIN_END_MARGIN_MS,
-  DRAIN_MIN_MS,
   ENDPOINT_TABLE_FALLBACK_AGE_MS,
   HOUSEKEEPING_INTERVAL_MS,
   LOGGED_EVENT_LOOP_DELAY_MS,
@@ -21,7 +18,7 @@
 } from './constants.js';
 import { createTableFollower } from './createTableFollower.js';
 import { createGatewayLog } from './gatewayLog.js';
-import type { GatewayContext, ServingPhase } from './gatewayContext.js';
+import type { GatewayContext, Shutdown } from './gatewayContext.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
 import { LoadSharing } from './loadSharing.js';
 import { startMetricsServer, startPeerServer, startReadinessServer } from './managementServer.js';
@@ -33,6 +30,8 @@
 import { getEndpointStartKey } from './attempt.js';
 import { PromptPartContainment } from './promptPartContainment.js';
 import { BodyMemoryBudget } from './requestBody.js';
+import { RouteDurations } from './routeDurations.js';
+import { createShutdownPlan } from './shutdownPlan.js';
 import { CacheStoreWatcher } from './cacheStoreWatcher.js';
 import { StrikePublisher } from './strikePublisher.js';
 import { TableRelay } from './tableRelay.js';
@@ -202,7 +201,7 @@
   );
   const followers = [operatorFollower, endpointFollower, sharedFollower];
 
-  let phase: ServingPhase = 'serving';
+  let shutdown: Shutdown | undefined;
   const retryBounds = {
     ratio: bounds.retryBudgetRatio,
     slack: bounds.retrySlack,
@@ -251,7 +250,8 @@
       budgets.set(service, created);
       return created;
     },
-    getPhase: () => phase,
+    routeDurations: RouteDurations.create(),
+    getShutdown: () => shutdown,
   };
   const server = CallerServer.create(context);
   operatorMirror.addListener(() => {
@@ -305,7 +305,7 @@
   });
 
   const isReady = () =>
-    phase === 'serving' &&
+    shutdown === undefined &&
     clusterState.trafficRules !== undefined &&
     clusterState.endpoints.size > 0;
   const managementServers = [
@@ -419,9 +419,10 @@
   tableRelay.run().catch(logCrash);
 
   const drain = async (reason: string, requestedAtMs?: number): Promise<void> => {
-    if (phase !== 'serving') return;
+    if (shutdown !== undefined) return;
     const startMs = requestedAtMs ?? clock.nowMs();
-    phase = 'draining';
+    const plan = createShutdownPlan(bounds.shutdownGraceMs);
+    shutdown = { plan, requestedAtMs: startMs };
     rollout.stop();
     cacheStoreWatcher.stop();
     tableRelay.stop();
@@ -433,16 +434,10 @@
         });
     };
     const getElapsedMs = () => clock.nowMs() - startMs;
-    await waitUntil(() => getElapsedMs() >= DRAIN_ACCEPT_PERIOD_MS);
-    phase = 'closing';
-    await waitUntil(() => getElapsedMs() >= DRAIN_MIN_MS);
+    await waitUntil(() => getElapsedMs() >= plan.closeAtMs);
     server.stopListening();
     server.closeIdleConnections();
-    await waitUntil(
-      () =>
-        server.activeRequestCount === 0 ||
-        getElapsedMs() >= bounds.shutdownGraceMs - DRAIN_END_MARGIN_MS,
-    );
+    await waitUntil(() => server.activeRequestCount === 0 || getElapsedMs() >= plan.endAtMs);
     log.logStateChange('stopped', {
       active: server.activeRequestCount,
       elapsedMs: Math.round(getElapsedMs()),
