Count as cut what is in progress when the drain ends

Cause: the gateway under test goes on in its process after the drain, so its last responses still arrived.

--- a/packages/gateway/src/shutdownPlan.test.ts
+++ b/packages/gateway/src/shutdownPlan.test.ts
@@ -75,24 +75,28 @@
     await new Promise((resolve) => {
       setImmediate(resolve);
     });
-  let isStopped = false;
+  // The process ends when the drain has, with what is then in progress.
+  const inProgress = new Set<string>();
+  let cutIds: string[] | undefined;
   const stopping = gateway.drain('test').then(() => {
-    isStopped = true;
+    cutIds = [...inProgress].filter((id) => endpoint.received.includes(id));
   });
   const results: Promise<string>[] = [];
-  for (let index = 0; !isStopped; index++) {
+  for (let index = 0; cutIds === undefined; index++) {
     const id = `late-${index}`;
     const result = send(gateway, '/claim/x', id).then(
       ({ status, text }) => `${status === 200 ? text : status}`,
       // A connection that is refused or closed unread never reaches the endpoint.
       () => (endpoint.received.includes(id) ? 'cut' : 'not read'),
     );
-    results.push(result);
+    inProgress.add(id);
+    results.push(result.finally(() => inProgress.delete(id)));
     await new Promise((resolve) => {
       setTimeout(resolve, REQUEST_INTERVAL_MS);
     });
   }
   await stopping;
+  t2.strictSame(cutIds, []);
   const allowed = ['whole', '503', 'not read'];
   t2.strictSame(
     (await Promise.all(results)).filter((result) => !allowed.includes(result)),
