Release sound prompt parts that were in flight in crashes by chance

Nothing else could end such a quarantine, as no request with the part completes once they are refused. Three crashes also count where endpoints crash once a second for other reasons. Change: nodes publish that a part is sound also if they had cleared it before the crashes were reported. One node at a time sends one request with quarantined parts 5 s after their last crash, up to the fifth crash. Among many other crashes, three or four prove a part only if they are a third of those between its first and its last.

--- a/packages/containment/src/findSuspectParts.ts
+++ b/packages/containment/src/findSuspectParts.ts
@@ -6,9 +6,22 @@
  */
 export const MAX_CRASHES_WITH_PART = 3;
 
+/**
+ * Number of crashes from which a part is quarantined however many others there were: no more endpoints may be lost
+ * to it.
+ */
+export const MAX_CRASHES_AMONG_OTHERS = 5;
+/**
+ * Share of the crashes between the first and the last one with a part that have to be with it. Where endpoints
+ * crash often for other reasons, some part is in flight in several crashes by chance, but spread over many others.
+ */
+const MIN_CRASH_SHARE = 1 / 3;
+
 /** A crash, with the requests in flight and those of their parts that no completed request clears. */
 export interface CrashEvidence {
   readonly endpointStart: string;
+  /** Clock reading at the crash. */
+  readonly atMs: number;
   readonly requests: readonly InterruptedRequest[];
 }
 
@@ -16,30 +29,38 @@
 export interface PartQuarantine {
   readonly partIds: readonly string[];
   readonly crashes: number;
+  /** Clock reading at the last of these crashes. */
+  readonly lastCrashMs: number;
+  /** Nodes that saw a request with these parts being interrupted. */
+  readonly reporters: readonly string[];
 }
 
 interface PartEvidence {
-  readonly endpointStarts: Set<string>;
+  /** Clock readings at the crashes, by start of the endpoint. */
+  readonly crashTimes: Map<string, number>;
   readonly fingerprints: Set<string>;
+  readonly reporters: Set<string>;
   /** Parts that all interrupted requests with this part have. */
   commonPartIds: readonly string[];
 }
 
-const countEvidence = ({ endpointStarts, fingerprints }: PartEvidence): number =>
-  Math.min(endpointStarts.size, fingerprints.size);
+const countEvidence = ({ crashTimes, fingerprints }: PartEvidence): number =>
+  Math.min(crashTimes.size, fingerprints.size);
 
 const collectEvidence = (crashes: readonly CrashEvidence[]): Map<string, PartEvidence> => {
   const evidenceByPart = new Map<string, PartEvidence>();
-  for (const { endpointStart, requests } of crashes) {
-    for (const { fingerprint, partIds } of requests) {
+  for (const { endpointStart, atMs, requests } of crashes) {
+    for (const { fingerprint, partIds, reporter } of requests) {
       for (const partId of partIds) {
         const evidence = evidenceByPart.get(partId) ?? {
-          endpointStarts: new Set<string>(),
+          crashTimes: new Map<string, number>(),
           fingerprints: new Set<string>(),
+          reporters: new Set<string>(),
           commonPartIds: partIds,
         };
-        evidence.endpointStarts.add(endpointStart);
+        evidence.crashTimes.set(endpointStart, atMs);
         evidence.fingerprints.add(fingerprint);
+        evidence.reporters.add(reporter);
         evidence.commonPartIds = evidence.commonPartIds.filter((id) => partIds.includes(id));
         evidenceByPart.set(partId, evidence);
       }
@@ -48,12 +69,24 @@
   return evidenceByPart;
 };
 
-/** Returns the sets that no other set contains. */
-const selectLargest = (partSets: readonly (readonly string[])[]): (readonly string[])[] =>
-  partSets.filter(
-    (partIds) =>
-      !partSets.some(
-        (other) =>
+/** Whether a part was in flight in so many crashes, or so many of those at the time, that chance is unlikely. */
+const isSuspect = (evidence: PartEvidence, crashes: readonly CrashEvidence[]): boolean => {
+  const count = countEvidence(evidence);
+  if (count < MAX_CRASHES_WITH_PART) return false;
+  if (count >= MAX_CRASHES_AMONG_OTHERS) return true;
+  const times = [...evidence.crashTimes.values()];
+  const firstMs = Math.min(...times);
+  const lastMs = Math.max(...times);
+  const concurrent = crashes.filter(({ atMs }) => atMs >= firstMs && atMs <= lastMs);
+  return count >= concurrent.length * MIN_CRASH_SHARE;
+};
+
+/** Returns the evidence whose common parts no other evidence contains. */
+const selectLargest = (candidates: readonly PartEvidence[]): PartEvidence[] =>
+  candidates.filter(
+    ({ commonPartIds: partIds }) =>
+      !candidates.some(
+        ({ commonPartIds: other }) =>
           other.length > partIds.length && partIds.every((partId) => other.includes(partId)),
       ),
   );
@@ -65,25 +98,31 @@
  * have all of them are quarantined: the others show which of the parts is sound.
  *
  * @example
- * const quarantines = findSuspectParts([{ endpointStart: 'i-1/1', requests }]);
+ * const quarantines = findSuspectParts([{ endpointStart: 'i-1/1', atMs: 0, requests }]);
  */
 export const findSuspectParts = (crashes: readonly CrashEvidence[]): PartQuarantine[] => {
   const quarantines = new Map<string, PartQuarantine>();
   let unexplained = crashes;
   for (;;) {
-    const evidenceByPart = collectEvidence(unexplained);
-    const counts = [...evidenceByPart.values()].map(countEvidence);
-    const mostCrashes = counts.reduce((most, count) => Math.max(most, count), 0);
-    if (mostCrashes < MAX_CRASHES_WITH_PART) return [...quarantines.values()];
+    const evidenceByPart = [...collectEvidence(unexplained)].filter(([, evidence]) =>
+      isSuspect(evidence, crashes),
+    );
+    if (evidenceByPart.length === 0) return [...quarantines.values()];
+    const mostCrashes = Math.max(...evidenceByPart.map(([, evidence]) => countEvidence(evidence)));
     const suspects = new Set<string>();
-    const partSets: (readonly string[])[] = [];
+    const candidates: PartEvidence[] = [];
     for (const [partId, evidence] of evidenceByPart) {
       if (countEvidence(evidence) < mostCrashes) continue;
       suspects.add(partId);
-      partSets.push(evidence.commonPartIds);
+      candidates.push(evidence);
     }
-    for (const partIds of selectLargest(partSets))
-      quarantines.set([...partIds].sort().join(','), { partIds, crashes: mostCrashes });
+    for (const { commonPartIds: partIds, crashTimes, reporters } of selectLargest(candidates))
+      quarantines.set([...partIds].sort().join(','), {
+        partIds,
+        crashes: mostCrashes,
+        lastCrashMs: Math.max(...crashTimes.values()),
+        reporters: [...reporters],
+      });
     unexplained = unexplained.filter(
       ({ requests }) =>
         !requests.some(({ partIds }) => partIds.some((partId) => suspects.has(partId))),
--- a/packages/containment/src/promptPartCrashes.test.ts
+++ b/packages/containment/src/promptPartCrashes.test.ts
@@ -1,7 +1,9 @@
 import t from 'tap';
+import { MAX_CRASHES_AMONG_OTHERS } from './findSuspectParts.js';
 import {
   COMPLETION_CREDIT_MS,
   PART_CRASH_RETENTION_MS,
+  PROBE_DELAY_MS,
   PromptPartCrashes,
 } from './promptPartCrashes.js';
 
@@ -13,9 +15,13 @@
 ) => {
   for (const [index, requests] of partsByCrash.entries()) {
     for (const [position, partIds] of requests.entries()) {
-      const fingerprint = `f-${startMs}-${index}-${position}`;
+      const request = {
+        fingerprint: `f-${startMs}-${index}-${position}`,
+        partIds,
+        reporter: 'n1',
+      };
       const atMs = startMs + index * 100;
-      crashes.recordCrash(`i-${startMs}-${index}/1`, { fingerprint, partIds }, atMs);
+      crashes.recordCrash(`i-${startMs}-${index}/1`, request, atMs);
     }
   }
 };
@@ -38,7 +44,10 @@
   crashes.recordCompletion(['common', 'sound'], 0, true);
   recordCrashes(crashes, [BAD, BAD, BAD], 1_000);
   t2.equal(crashes.findQuarantine(['common', 'sound'], 1_300), undefined);
-  t2.strictSame(crashes.listQuarantines(1_300), [{ partIds: ['bad'], crashes: 3 }]);
+  t2.strictSame(
+    crashes.listQuarantines(1_300).map((quarantine) => [quarantine.partIds, quarantine.crashes]),
+    [[['bad'], 3]],
+  );
 });
 
 // Guards against refusing a sound part that occurred only beside the crashing one so far.
@@ -67,7 +76,11 @@
 t.test('a request that is repeated counts once', async (t2) => {
   const crashes = PromptPartCrashes.create();
   for (let index = 0; index < 5; index++) {
-    crashes.recordCrash(`i-${index}/1`, { fingerprint: 'f', partIds: ['session'] }, index);
+    crashes.recordCrash(
+      `i-${index}/1`,
+      { fingerprint: 'f', partIds: ['session'], reporter: 'n1' },
+      index,
+    );
   }
   t2.equal(crashes.findQuarantine(['session'], 5), undefined);
 });
@@ -105,16 +118,24 @@
 t.test('a crash after a refuted one of the same start counts', async (t2) => {
   const crashes = PromptPartCrashes.create();
   for (let index = 0; index < 3; index++) {
-    crashes.recordCrash(`i-${index}/1`, { fingerprint: `f${index}`, partIds: ['sound'] }, 0);
+    crashes.recordCrash(
+      `i-${index}/1`,
+      { fingerprint: `f${index}`, partIds: ['sound'], reporter: 'n1' },
+      0,
+    );
     for (const heartbeat of [1, 2, 3, 4]) crashes.recordHeartbeat(`i-${index}/1`, heartbeat);
   }
   t2.equal(crashes.listQuarantines(1).length, 0);
   t2.notOk(
-    crashes.recordCrash('i-0/1', { fingerprint: 'f0', partIds: ['sound'] }, 2),
+    crashes.recordCrash('i-0/1', { fingerprint: 'f0', partIds: ['sound'], reporter: 'n1' }, 2),
     'a repeated report is no crash',
   );
   for (let index = 0; index < 3; index++)
-    crashes.recordCrash(`i-${index}/1`, { fingerprint: `g${index}`, partIds: ['bad'] }, 5_000);
+    crashes.recordCrash(
+      `i-${index}/1`,
+      { fingerprint: `g${index}`, partIds: ['bad'], reporter: 'n1' },
+      5_000,
+    );
   t2.ok(crashes.findQuarantine(['bad'], 5_001));
 });
 
@@ -152,3 +173,60 @@
   t2.equal(crashes.listClearedParts().size, 0);
   t2.equal(crashes.selectSuspects(['common'], 100).length, 0);
 });
+
+// Guards against a sound part that stays quarantined, since no request with it can complete any longer.
+t.test('one node sends a request with quarantined parts now and then', async (t2) => {
+  const crashes = PromptPartCrashes.create();
+  for (let index = 0; index < 3; index++)
+    crashes.recordCrash(
+      `i-${index}/1`,
+      { fingerprint: `f${index}`, partIds: ['a'], reporter: `n${index}` },
+      0,
+    );
+  const countProbes = (nowMs: number) => {
+    const quarantine = crashes.findQuarantine(['a'], nowMs);
+    if (quarantine === undefined) return 'none';
+    return ['n0', 'n1', 'n2', 'n3'].filter((node) => crashes.tryProbe(quarantine, node, nowMs))
+      .length;
+  };
+  t2.equal(countProbes(PROBE_DELAY_MS - 1), 0);
+  t2.equal(countProbes(PROBE_DELAY_MS), 1);
+  t2.equal(countProbes(PROBE_DELAY_MS + 1), 0, 'its outcome is not known yet');
+  crashes.recordCompletion(['a'], PROBE_DELAY_MS + 2, true);
+  t2.equal(countProbes(3 * PROBE_DELAY_MS), 'none', 'the completed request ends the quarantine');
+});
+
+// Guards against probes that go on crashing endpoints.
+t.test('a part that has crashed five endpoints is not probed', async (t2) => {
+  const crashes = PromptPartCrashes.create();
+  recordCrashes(
+    crashes,
+    Array.from({ length: MAX_CRASHES_AMONG_OTHERS }, () => BAD),
+  );
+  const quarantine = crashes.findQuarantine(['common', 'bad'], 1_000)!;
+  t2.equal(crashes.tryProbe(quarantine, 'n1', 100 * PROBE_DELAY_MS), false);
+});
+
+// Guards against parts that are in flight in some of many crashes for other reasons.
+t.test('three crashes among many others prove nothing, five do', async (t2) => {
+  const crashes = PromptPartCrashes.create();
+  const createOther = (index: number) => [[`session-${index}`]];
+  const mixed = Array.from({ length: 40 }, (_, index) =>
+    index % 10 === 0 ? [['rare']] : createOther(index),
+  );
+  recordCrashes(crashes, mixed);
+  t2.equal(crashes.findQuarantine(['rare'], 5_000), undefined, 'four of 31 crashes');
+  recordCrashes(crashes, [[['rare']]], 10_000);
+  t2.ok(crashes.findQuarantine(['rare'], 10_000));
+});
+
+// Guards against a node that quarantines a part which others know to be sound, but of whose crashes they keep none.
+t.test(
+  'a part that completed before its crashes were reported is listed as cleared',
+  async (t2) => {
+    const crashes = PromptPartCrashes.create();
+    crashes.recordCompletion(['a'], 500, true);
+    recordCrashes(crashes, [[['a']], [['a']]]);
+    t2.strictSame([...crashes.listClearedParts()], [['a', 500]]);
+  },
+);
--- a/packages/containment/src/promptPartCrashes.ts
+++ b/packages/containment/src/promptPartCrashes.ts
@@ -1,6 +1,7 @@
-import { BoundedMap } from '@lovagearch/common';
+import { BoundedMap, getRendezvousOwners } from '@lovagearch/common';
 import {
   findSuspectParts,
+  MAX_CRASHES_AMONG_OTHERS,
   MAX_CRASHES_WITH_PART,
   type PartQuarantine,
 } from './findSuspectParts.js';
@@ -17,6 +18,13 @@
  * before it may be read later.
  */
 const HEARTBEATS_OF_LIVE_ENDPOINT = 4;
+/**
+ * Time after a crash and between two probes, in milliseconds. By then the nodes know of each other's crashes and
+ * completed requests.
+ */
+export const PROBE_DELAY_MS = 5_000;
+const MAX_TRACKED_PROBES = 256;
+const MAX_CLEARED_PARTS = 1_024;
 const MAX_TRACKED_CRASHES = 256;
 const MAX_REQUESTS_PER_CRASH = 64;
 const MAX_TRACKED_COMPLETIONS = 8_192;
@@ -27,6 +35,8 @@
   readonly fingerprint: string;
   /** Ids of the prompt parts that other requests may have too. */
   readonly partIds: readonly string[];
+  /** Name of the node that sent the request. */
+  readonly reporter: string;
 }
 
 interface Completion {
@@ -58,6 +68,15 @@
 
   private readonly completions = BoundedMap.create<string, Completion>(MAX_TRACKED_COMPLETIONS);
 
+  /** Clock readings at the last probes, by the parts. */
+  private readonly probes = BoundedMap.create<string, number>(MAX_TRACKED_PROBES);
+
+  /**
+   * Starts of endpoints whose crashes name a part of which this node knows that it is sound. The reporting nodes may
+   * not know it.
+   */
+  private readonly clearedCrashes = BoundedMap.create<string, Set<string>>(MAX_CLEARED_PARTS);
+
   /** Parts that a crash names, so that most completed requests need no new evaluation. */
   private readonly namedParts = new Set<string>();
 
@@ -99,7 +118,10 @@
       : known;
     const { requests } = crash;
     if (requests.size >= MAX_REQUESTS_PER_CRASH) return false;
-    if (this.selectSuspects(request.partIds, crash.atMs).length === 0) return false;
+    if (this.selectSuspects(request.partIds, crash.atMs).length === 0) {
+      this.recordClearedCrash(endpointStart, request.partIds);
+      return false;
+    }
     requests.set(request.fingerprint, request);
     if (isNew) this.crashes.set(endpointStart, crash);
     for (const partId of request.partIds) this.namedParts.add(partId);
@@ -152,6 +174,23 @@
     );
   }
 
+  /**
+   * Whether a node may send one request with quarantined parts, to see whether they crash an endpoint. Without it,
+   * a part that was in flight in a few crashes by chance would stay quarantined, since no request with it completes.
+   * One node probes at a time, and a part that crashes endpoints is probed only until it has crashed
+   * `MAX_CRASHES_AMONG_OTHERS` of them.
+   */
+  tryProbe(quarantine: PartQuarantine, nodeName: string, nowMs: number): boolean {
+    const { crashes, lastCrashMs, partIds, reporters } = quarantine;
+    const key = partIds.join(',');
+    const lastProbeMs = this.probes.peek(key) ?? Number.NEGATIVE_INFINITY;
+    if (crashes >= MAX_CRASHES_AMONG_OTHERS) return false;
+    if (nowMs - Math.max(lastCrashMs, lastProbeMs) < PROBE_DELAY_MS) return false;
+    if (getRendezvousOwners(key, reporters, 1)[0] !== nodeName) return false;
+    this.probes.set(key, nowMs);
+    return true;
+  }
+
   listQuarantines(nowMs: number): readonly PartQuarantine[] {
     if (this.isStale || nowMs >= this.nextExpiryMs) this.evaluate(nowMs);
     return this.quarantines;
@@ -167,15 +206,18 @@
    * request that this node completed clears them of all these crashes; with the time of that request.
    */
   listClearedParts(): Map<string, number> {
-    const crashCounts = new Map<string, number>();
-    for (const { requests } of this.crashes.values()) {
-      const partIds = new Set([...requests.values()].flatMap((request) => request.partIds));
-      for (const partId of partIds) crashCounts.set(partId, (crashCounts.get(partId) ?? 0) + 1);
+    const startsByPart = new Map<string, Set<string>>();
+    for (const [partId, starts] of this.clearedCrashes) startsByPart.set(partId, new Set(starts));
+    for (const [endpointStart, { requests }] of this.crashes) {
+      for (const partId of [...requests.values()].flatMap((request) => request.partIds)) {
+        const starts = startsByPart.get(partId) ?? new Set();
+        startsByPart.set(partId, starts.add(endpointStart));
+      }
     }
     const cleared = new Map<string, number>();
-    for (const [partId, count] of crashCounts) {
+    for (const [partId, starts] of startsByPart) {
       const completion = this.completions.peek(partId);
-      if (count < MAX_CRASHES_WITH_PART - 1 || completion?.isLocal !== true) continue;
+      if (starts.size < MAX_CRASHES_WITH_PART - 1 || completion?.isLocal !== true) continue;
       if (this.isClearedOfAllCrashes(partId, completion.atMs)) cleared.set(partId, completion.atMs);
     }
     return cleared;
@@ -190,6 +232,15 @@
     return true;
   }
 
+  private recordClearedCrash(endpointStart: string, partIds: readonly string[]): void {
+    for (const partId of partIds) {
+      const starts = this.clearedCrashes.peek(partId) ?? new Set();
+      if (starts.has(endpointStart) || starts.size >= MAX_CRASHES_AMONG_OTHERS) continue;
+      this.clearedCrashes.set(partId, starts.add(endpointStart));
+      this.currentRevision += 1;
+    }
+  }
+
   private isCleared(partId: string, crashAtMs: number): boolean {
     const completion = this.completions.peek(partId);
     return completion !== undefined && crashAtMs < completion.atMs + COMPLETION_CREDIT_MS;
@@ -212,12 +263,13 @@
       }
       this.nextExpiryMs = Math.min(this.nextExpiryMs, crash.atMs + PART_CRASH_RETENTION_MS + 1);
       const requests = [];
-      for (const { fingerprint, partIds } of crash.requests.values()) {
+      for (const { fingerprint, partIds, reporter } of crash.requests.values()) {
         for (const partId of partIds) this.namedParts.add(partId);
         const suspects = this.selectSuspects(partIds, crash.atMs);
-        if (suspects.length > 0) requests.push({ fingerprint, partIds: suspects });
+        if (suspects.length > 0) requests.push({ fingerprint, partIds: suspects, reporter });
       }
-      if (!crash.isRefuted && requests.length > 0) evidence.push({ endpointStart, requests });
+      if (!crash.isRefuted && requests.length > 0)
+        evidence.push({ endpointStart, atMs: crash.atMs, requests });
     }
     this.quarantines = findSuspectParts(evidence);
   }
--- a/packages/gateway/src/promptPartContainment.test.ts
+++ b/packages/gateway/src/promptPartContainment.test.ts
@@ -180,7 +180,7 @@
     const limitFromMs = Math.min(fifthCrashMs, lastCrashMs) + 2 * CONTACT_LIMIT_MS;
     const isLate = !request.isBad && nowMs > limitFromMs;
     if (isLate) lateSound += 1;
-    if (node?.findQuarantine(request.partIds) !== undefined) {
+    if (node?.checkRequest(request.partIds) !== undefined) {
       if (isLate) lateRefusals += 1;
       return;
     }
--- a/packages/gateway/src/promptPartContainment.ts
+++ b/packages/gateway/src/promptPartContainment.ts
@@ -72,9 +72,17 @@
   }
 
   /** Records that an endpoint broke off a request, presumably because it crashed. */
-  recordInterruption(endpointStart: string, { fingerprint, partIds }: InterruptedRequest): void {
-    const nowMs = this.dependencies.clock.nowMs();
-    const suspects = { fingerprint, partIds: this.crashes.selectSuspects(partIds, nowMs) };
+  recordInterruption(
+    endpointStart: string,
+    { fingerprint, partIds }: Omit<InterruptedRequest, 'reporter'>,
+  ): void {
+    const { clock, nodeName: reporter } = this.dependencies;
+    const nowMs = clock.nowMs();
+    const suspects = {
+      fingerprint,
+      partIds: this.crashes.selectSuspects(partIds, nowMs),
+      reporter,
+    };
     if (!this.crashes.recordCrash(endpointStart, suspects, nowMs)) return;
     if (this.addPublished(endpointStart, suspects)) this.hasUnpublishedCrashes = true;
   }
@@ -92,6 +100,20 @@
     return this.crashes.findQuarantine(partIds, this.dependencies.clock.nowMs());
   }
 
+  /**
+   * Returns the quarantine that forbids sending a new request with these shared parts, if there is one. Now and then
+   * one request passes, as a completed one ends the quarantine.
+   */
+  checkRequest(partIds: readonly string[]): PartQuarantine | undefined {
+    const quarantine = this.findQuarantine(partIds);
+    const { clock, log, nodeName } = this.dependencies;
+    if (quarantine === undefined) return undefined;
+    if (!this.crashes.tryProbe(quarantine, nodeName, clock.nowMs())) return quarantine;
+    const { crashes } = quarantine;
+    log.logStateChange('prompt_part_probed', { partIds: quarantine.partIds, crashes });
+    return undefined;
+  }
+
   /** Applies the row of a node. This node's own row holds what it published before a restart. */
   applyRow({ key, value }: MirroredRow): void {
     if (value === undefined || !key.startsWith(CRASHES_PREFIX)) return;
@@ -103,7 +125,8 @@
       return;
     }
     const nowMs = clock.nowMs();
-    const isOwn = key === `${CRASHES_PREFIX}${nodeName}`;
+    const reporter = key.slice(CRASHES_PREFIX.length);
+    const isOwn = reporter === nodeName;
     const rowAgeMs = computeAgeMs(storeClock, row.data.writtenAtStoreMs);
     for (const [partId, ageMs] of row.data.completed)
       this.crashes.recordCompletion([partId], nowMs - rowAgeMs - Math.max(0, ageMs), false);
@@ -111,7 +134,7 @@
       const crashAgeMs = computeAgeMs(storeClock, atStoreMs);
       if (crashAgeMs > PART_CRASH_RETENTION_MS) continue;
       for (const [fingerprint, partIds] of requests) {
-        const request = { fingerprint, partIds };
+        const request = { fingerprint, partIds, reporter };
         this.crashes.recordCrash(endpointStart, request, nowMs - crashAgeMs);
         if (isOwn) this.addPublished(endpointStart, request);
       }
--- a/packages/gateway/src/quarantine.ts
+++ b/packages/gateway/src/quarantine.ts
@@ -21,7 +21,7 @@
     if (strikes.isQuarantined(fingerprint, context.clock.nowMs()))
       return 'the request is quarantined because it appears to crash endpoints';
   }
-  return hasQuarantinedPart(context, head)
+  return context.promptPartContainment.checkRequest(listSharedPartIds(head)) !== undefined
     ? 'a part of the prompt is quarantined because it appears to crash endpoints'
     : undefined;
 };
