Count only events as progress of a stream

Report: stalled streams that sent a byte now and then never ended. Cause here: each byte counted as activity, so such a stream stayed at its endpoint until its time limit, and hid the stalls of the other streams there. Change: progress is a complete event, or 1 KiB of a large one. Result: with each byte as progress the new test gets a stream that is cut at its time limit; now it is resumed at the other endpoint. A slow stream with an event each 700 ms is not cut, before and after.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -11,6 +11,7 @@
 import {
   MAX_BUFFERED_RESPONSE_BYTES,
   MAX_REJECTION_BODY_BYTES,
+  MIN_PROGRESS_BYTES,
   REJECTION_BODY_TIMEOUT_MS,
 } from './constants.js';
 import type { ResponseHead, HeaderCodec } from './types.js';
@@ -105,7 +106,10 @@
 
   private readonly sentRequest: SentRequest;
 
-  private lastBytesMs: number;
+  private lastProgressMs: number;
+
+  /** Bytes of the event that has not arrived completely, as far as they don't count as progress yet. */
+  private trickledBytes = 0;
 
   private stallTimer: NodeJS.Timeout | undefined;
 
@@ -118,7 +122,7 @@
     private readonly input: AttemptInput,
   ) {
     this.startMs = dependencies.clock.nowMs();
-    this.lastBytesMs = this.startMs;
+    this.lastProgressMs = this.startMs;
     const { expectedMs, ownMs, roundTripMs, transferMs, uncachedTokens } = input.placement;
     this.sentRequest = {
       tokens: uncachedTokens,
@@ -203,7 +207,7 @@
     if (this.isFinished || stallTimeoutMs === undefined) return;
     const nowMs = this.dependencies.clock.nowMs();
     // An endpoint that is sending other responses is busy rather than stalled.
-    const lastActivityMs = Math.max(this.lastBytesMs, endpoint.lastBytesAtMs);
+    const lastActivityMs = Math.max(this.lastProgressMs, endpoint.lastBytesAtMs);
     // While the caller does not read, the endpoint is silent because it is not read either.
     const silentMs = this.isPaused ? 0 : nowMs - lastActivityMs;
     if (silentMs >= stallTimeoutMs) this.finish({ type: 'stalled' }, { type: 'transport_failed' });
@@ -246,12 +250,14 @@
 
   private handleData(chunk: Buffer): void {
     if (this.isFinished || this.head === undefined) return;
-    this.recordActivity(this.dependencies.clock.nowMs());
     const { framer } = this.input;
     if (this.head.isNotRun || this.head.isMisdirected) this.discardRejectionBody(this.head, chunk);
     else if (framer !== undefined && this.isStreaming(this.head))
       this.handleEventChunk(framer, chunk);
-    else this.handleBodyChunk(chunk);
+    else {
+      this.recordActivity(this.dependencies.clock.nowMs());
+      this.handleBodyChunk(chunk);
+    }
   }
 
   private isStreaming(head: ResponseHead): boolean {
@@ -262,11 +268,14 @@
     const result = framer.addChunk(chunk);
     switch (result.type) {
       case 'incomplete':
+        this.recordTrickle(chunk.length);
         return;
       case 'fault':
         this.finishBroken(`invalid event stream: ${result.fault.type}`);
         return;
       case 'events':
+        this.trickledBytes = 0;
+        this.recordActivity(this.dependencies.clock.nowMs());
         this.markFirstByte();
         this.forwardBytes(result.events.bytes);
         return;
@@ -275,6 +284,14 @@
     }
   }
 
+  /** An endpoint that sends a byte now and then makes no progress; a large event on its way is some. */
+  private recordTrickle(bytes: number): void {
+    this.trickledBytes += bytes;
+    if (this.trickledBytes < MIN_PROGRESS_BYTES) return;
+    this.trickledBytes = 0;
+    this.recordActivity(this.dependencies.clock.nowMs());
+  }
+
   private discardRejectionBody(head: ResponseHead, chunk: Buffer): void {
     this.bufferedBytes += chunk.length;
     if (this.bufferedBytes > MAX_REJECTION_BODY_BYTES) this.handleRejection(head);
@@ -409,7 +426,7 @@
   }
 
   private recordActivity(nowMs: number): void {
-    this.lastBytesMs = nowMs;
+    this.lastProgressMs = nowMs;
     this.input.endpoint.recordBytesReceived(nowMs);
   }
 
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -23,6 +23,8 @@
  * endpoint, in milliseconds.
  */
 export const STREAM_STALL_TIMEOUT_MS = 1_200;
+/** Bytes of an incomplete event from which its sender makes progress. */
+export const MIN_PROGRESS_BYTES = 1_024;
 /** Stall timeout of calls that are not streamed, as a multiple of the route's target latency. */
 export const CALL_STALL_FACTOR = 2.5;
 /** Size up to which a response is buffered until it is complete; a larger one is streamed. */
--- /dev/null
+++ b/packages/gateway/src/stalledStreams.test.ts
@@ -0,0 +1,76 @@
+import t from 'tap';
+import { startGateway } from './index.js';
+import {
+  createDependencies,
+  createRows,
+  FakeEndpoint,
+  REQUEST_ID_HEADER,
+  SEAL_HEADER,
+  send,
+  SETTINGS,
+  waitUntilReady,
+} from './testGateway.js';
+
+const EVENT_1 = 'id: 1\ndata: a\n\n';
+const EVENT_2 = 'id: 2\ndata: b\n\n';
+const EVENT_3 = 'id: 3\ndata: c\n\n';
+const TRICKLE_INTERVAL_MS = 100;
+const SLOW_INTERVAL_MS = 700;
+
+const createHead = (id: string) => ({
+  [SEAL_HEADER]: '1',
+  [REQUEST_ID_HEADER]: id,
+  'content-type': 'text/event-stream',
+});
+
+t.test('slow streams and stalled ones', async (t2) => {
+  const endpoints = [new FakeEndpoint(), new FakeEndpoint()];
+  const ports = await Promise.all(endpoints.map((endpoint) => endpoint.start()));
+  const gateway = await startGateway(SETTINGS, createDependencies(createRows(ports)), '/ready');
+  await waitUntilReady(gateway);
+  const resumedFrom: string[] = [];
+  const handleAll = (handle: FakeEndpoint['handle']) => {
+    for (const endpoint of endpoints) endpoint.handle = handle;
+  };
+
+  // Guards against a stalled stream that a byte now and then keeps open until its time limit.
+  await t2.test('a stream that sends a byte now and then is resumed elsewhere', async (t3) => {
+    handleAll((incoming, response) => {
+      const lastId = String(incoming.headers['last-event-id']);
+      resumedFrom.push(lastId);
+      response.writeHead(200, createHead(String(incoming.headers[REQUEST_ID_HEADER])));
+      if (lastId !== '0') {
+        response.end(EVENT_2);
+        return;
+      }
+      response.write(`${EVENT_1}id: 2\ndata: `);
+      const trickle = setInterval(() => response.write('x'), TRICKLE_INTERVAL_MS);
+      response.once('close', () => clearInterval(trickle));
+    });
+    const { text } = await send(gateway, '/stream/x', 's1', 'prompt');
+    t3.equal(text, `${EVENT_1}${EVENT_2}`);
+    t3.strictSame(resumedFrom, ['0', '1']);
+  });
+
+  // Guards against a slow but sound stream that is cut.
+  await t2.test('a slow stream that makes progress is not cut', async (t3) => {
+    let attempts = 0;
+    handleAll((incoming, response) => {
+      attempts += 1;
+      response.writeHead(200, createHead(String(incoming.headers[REQUEST_ID_HEADER])));
+      const events = [EVENT_1, EVENT_2, EVENT_3];
+      const sendNext = () => {
+        response.write(events.shift());
+        if (events.length > 0) setTimeout(sendNext, SLOW_INTERVAL_MS);
+        else response.end();
+      };
+      sendNext();
+    });
+    const { text } = await send(gateway, '/stream/x', 's2', 'prompt');
+    t3.equal(text, `${EVENT_1}${EVENT_2}${EVENT_3}`);
+    t3.equal(attempts, 1);
+  });
+
+  await gateway.drain('test');
+  for (const endpoint of endpoints) endpoint.stop();
+});
