Take no old copy as the first one of a restarted node

Report: after a restart a server that had left, or a withdrawn key, was in use again. Cause here: since a node that starts copies the tables from another one, it would take a copy of any age, also one from before a removal, from a source that the store had turned away. Change: a first copy is at most as old as those of a working source; otherwise the node reads the store. Result: the new test gets the old copy without the change and none with it.

--- a/packages/gateway/src/tableRelay.test.ts
+++ b/packages/gateway/src/tableRelay.test.ts
@@ -143,3 +143,19 @@
   sharedMirror.applyBatch({ rows: [], version: 1, isPartial: false, ageMs: 0 }, 0);
   t2.equal(tableRelay.isStoreReadDue(mirror, Number.POSITIVE_INFINITY), true);
 });
+
+// Guards against a restarted node that serves with keys and endpoints which were removed before.
+t.test('an old copy is not the first one of a node', async (t2) => {
+  let copies = 0;
+  const { mirror, tableRelay } = createRelay(
+    findNode('follower'),
+    async () => {
+      copies += 1;
+      if (copies === 3) tableRelay.stop();
+      return new Map([['op', OLD_BATCH]]);
+    },
+    async () => undefined,
+  );
+  await tableRelay.run();
+  t2.equal(mirror.version, 0);
+});
--- a/packages/gateway/src/tableRelay.ts
+++ b/packages/gateway/src/tableRelay.ts
@@ -161,6 +161,8 @@
       }
       if (batch.ageMs > MAX_SOURCE_COPY_AGE_MS) {
         failure ??= `its copy of ${mirror.table} is ${Math.round(batch.ageMs)} ms old`;
+        // A restarted node would use keys and endpoints that were removed since; the store may be reachable.
+        if (mirror.version === 0) continue;
       }
       // `sentMs` instead of the current time, so that the time in transit counts as age.
       mirror.applyBatch(batch, sentMs);
