Read nothing more from idle connections that a stop closes

Report: in a planned stop under load, requests that had just been accepted were cut off without an answer. Cause here: idle connections were closed for writing only, so a request that crossed the close was read, could not be answered, and its caller could not tell. Change: they are closed in both directions, and such a request is rejected by the transport unread. Result: the tests of the drain hold; the crossing itself was not reproduced.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -89,9 +89,12 @@
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
-  /** Closes connections without an active request. */
+  /**
+   * Closes connections without an active request. Nothing more is read from them: a caller whose next request was not
+   * read knows that it can be sent again.
+   */
   closeIdleConnections(): void {
-    for (const socket of this.idleSockets) socket.end();
+    for (const socket of this.idleSockets) socket.destroySoon();
   }
 
   /** Stops accepting connections. */
