Notice congested stores in deployments where each is used rarely

A node transfers from one store once in about 8 s, and its estimate of that store's slowdown fades in 4 s, so no node noticed that all links to the stores were full. Change: a store without recent transfers counts as slow as all stores together, so that prompts are prefilled instead. Only requests that load no parts show the prefill rate; only transfers from stores count for their slowdown.

--- a/packages/endpoints/src/endpoint.ts
+++ b/packages/endpoints/src/endpoint.ts
@@ -38,8 +38,8 @@
   /** Expected queueing delay, in milliseconds. */
   readonly expectedWaitMs: number;
   readonly roundTripMs: number;
-  /** Expected time to load cached parts, in milliseconds; 0 if none are loaded. */
-  readonly transferMs: number;
+  /** Whether the endpoint may load cached parts instead of prefilling them. */
+  readonly mayLoadParts: boolean;
   readonly sentAtMs: number;
 }
 
@@ -199,8 +199,8 @@
     this.observedAtMs = nowMs;
     if (sent.memoryTokens === 0) return;
     this.firstByteAtMs.set(sent, nowMs);
-    const { expectedWaitMs, roundTripMs, sentAtMs, tokens, transferMs } = sent;
-    if (transferMs > 0 || expectedWaitMs > QUIET_WAIT_MS) return;
+    const { expectedWaitMs, roundTripMs, sentAtMs, tokens, mayLoadParts } = sent;
+    if (mayLoadParts || expectedWaitMs > QUIET_WAIT_MS) return;
     const delayMs = Math.max(0, nowMs - sentAtMs - roundTripMs - expectedWaitMs);
     this.timings.recordFirstToken({ prefilledTokens: tokens, delayMs });
   }
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -52,6 +52,8 @@
   readonly placement: Placement;
   /** KV cache tokens that the request needs at the endpoint: its prompt and longest output. */
   readonly memoryTokens: number;
+  /** Whether the request names sources of cached prompt parts. */
+  readonly mayLoadParts: boolean;
   readonly model: string | undefined;
   readonly maxConnections: number;
   /** Undefined for requests that are not streaming. */
@@ -123,14 +125,14 @@
   ) {
     this.startMs = dependencies.clock.nowMs();
     this.lastProgressMs = this.startMs;
-    const { expectedMs, ownMs, roundTripMs, transferMs, uncachedTokens } = input.placement;
+    const { expectedMs, ownMs, roundTripMs, uncachedTokens } = input.placement;
     this.sentRequest = {
       tokens: uncachedTokens,
       memoryTokens: input.memoryTokens,
       ownMs,
       expectedWaitMs: expectedMs - ownMs,
       roundTripMs,
-      transferMs,
+      mayLoadParts: input.mayLoadParts,
       sentAtMs: this.startMs,
     };
   }
--- a/packages/gateway/src/attemptFeedback.ts
+++ b/packages/gateway/src/attemptFeedback.ts
@@ -9,9 +9,9 @@
 import { computeFingerprint } from './strikePublisher.js';
 import type { RequestHead } from './types.js';
 
-/** Records how long the transfer of cached prompt parts took, estimated from the time to the first byte. */
+/** Records how long the transfer of cached prompt parts from a store took, estimated from the time to the first byte. */
 export const recordTransferTime = (
-  { transferMeter, clock }: GatewayContext,
+  { clusterState, transferMeter, clock }: GatewayContext,
   head: RequestHead,
   placement: Placement,
   { fetchFrom }: ReusePlan,
@@ -19,6 +19,8 @@
 ): void => {
   const address = fetchFrom[Math.max(0, head.promptParts.length - 2)];
   if (address === undefined || placement.transferMs === 0) return;
+  const stores = clusterState.trafficRules?.cacheStores ?? [];
+  if (!stores.some((store) => store.address === address)) return;
   const nonTransferMs = placement.expectedMs - placement.transferMs;
   const nowMs = clock.nowMs();
   const nominalTransferMs = placement.transferMs / transferMeter.getSlowdownFactor(address, nowMs);
--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -72,6 +72,7 @@
       request: { method: head.method, path: head.path, headers, body, isRepeat },
       endpoint,
       placement,
+      mayLoadParts: reusePlan.fetchFrom.some((address) => address !== undefined),
       memoryTokens: head.promptTokens + head.maxOutputTokens,
       model: head.model,
       maxConnections,
--- a/packages/reuse/src/transferSlowdownTracker.ts
+++ b/packages/reuse/src/transferSlowdownTracker.ts
@@ -18,22 +18,32 @@
   readonly atMs: number;
 }
 
+/** Returns the factor of an estimate, which approaches another one as it becomes older. */
+const decay = ({ factor, atMs }: SlowdownEstimate, towards: number, nowMs: number): number =>
+  towards + (factor - towards) * Math.exp(-(nowMs - atMs) / DECAY_TIME_CONSTANT_MS);
+
 /**
  * Tracks how much longer transfers from each source take than expected from the bandwidth of their
  * links. When a link becomes slow, recomputing a prompt is faster than transferring it.
+ *
+ * In a large deployment a node transfers too rarely from each source to notice that all of them are congested, so
+ * a source of which nothing recent is known counts as slow as the sources are together.
  */
 export class TransferSlowdownTracker {
   private readonly estimates = BoundedMap.create<string, SlowdownEstimate>(MAX_SOURCES);
 
+  /** Estimate for all sources together. */
+  private overall: SlowdownEstimate = { factor: 1, atMs: Number.NEGATIVE_INFINITY };
+
   static create(): TransferSlowdownTracker {
     return new TransferSlowdownTracker();
   }
 
-  /** Returns the factor by which the expected time is exceeded; 1 for an unknown source. */
+  /** Returns the factor by which the expected time is exceeded; 1 before the first transfer. */
   getSlowdownFactor(source: string, nowMs: number): number {
+    const overallFactor = decay(this.overall, 1, nowMs);
     const estimate = this.estimates.peek(source);
-    if (estimate === undefined) return 1;
-    return 1 + (estimate.factor - 1) * Math.exp(-(nowMs - estimate.atMs) / DECAY_TIME_CONSTANT_MS);
+    return estimate === undefined ? overallFactor : decay(estimate, overallFactor, nowMs);
   }
 
   /**
@@ -45,7 +55,11 @@
   recordTransfer(source: string, expectedMs: number, measuredMs: number, nowMs: number): void {
     if (expectedMs < MIN_EXPECTED_MS) return;
     const newest = Math.min(MAX_SLOWDOWN_FACTOR, Math.max(1, measuredMs / expectedMs));
-    const known = this.getSlowdownFactor(source, nowMs);
-    this.estimates.set(source, { factor: known + (newest - known) * EWMA_WEIGHT, atMs: nowMs });
+    const update = (known: number): SlowdownEstimate => ({
+      factor: known + (newest - known) * EWMA_WEIGHT,
+      atMs: nowMs,
+    });
+    this.estimates.set(source, update(this.getSlowdownFactor(source, nowMs)));
+    this.overall = update(decay(this.overall, 1, nowMs));
   }
 }
