--- a/packages/gateway/src/tableRelay.test.ts
+++ b/packages/gateway/src/tableRelay.test.ts
@@ -55,7 +55,7 @@
     clock,
     log: {
       logStateChange: (event, fields) => {
-        if (event === 'table_source_left') reasons.push(String(fields.reason));
+        if (event === 'table_reader_left') reasons.push(String(fields.reason));
       },
     },
     wait: async (delayMs) => {
--- a/packages/gateway/src/tableRelay.ts
+++ b/packages/gateway/src/tableRelay.ts
@@ -172,7 +172,7 @@
 
   private leaveSource(sources: readonly string[], reason: string): void {
     const { log, random } = this.dependencies;
-    log.logStateChange('table_source_left', { source: this.source, reason });
+    log.logStateChange('table_reader_left', { reader: this.source, reason });
     const others = sources.filter((name) => name !== this.source);
     this.source = others[Math.floor(random() * others.length)] ?? this.source;
   }
