--- a/scripts/build-target.mjs
+++ b/scripts/build-target.mjs
@@ -15,7 +15,10 @@
     }));
     // Each package has its own copy of undici, as a development tool holds an older one at the root.
     onResolve({ filter: /^undici$/ }, () => ({
-      path: join(root, 'packages/exchange/node_modules/undici/index.js'),
+      path: join(root, 'scripts/undici-subset.cjs'),
+    }));
+    onResolve({ filter: /^@fastify\/(ajv|fast-json-stringify)-compiler$/ }, () => ({
+      path: join(root, 'scripts/no-schemas.cjs'),
     }));
   },
 };
@@ -28,6 +31,9 @@
   platform: 'node',
   target: 'node20',
   format: 'cjs',
+  // A process that restarts reads its whole program first; names stay, so that stacks can be read.
+  minifyWhitespace: true,
+  minifySyntax: true,
   logLevel: 'warning',
   plugins: [workspacePlugin],
 });
