Measure the slowdown of stores from each request that names one

Cause: a store is named for every part that an engine may have dropped, but only requests for which a transfer was expected counted for the slowdown of its links, so hidden transfers filled them unnoticed. Change: the nominal time covers all shared parts; a first token that comes too early for a transfer says nothing.

--- a/packages/endpoints/src/chooseEndpoint.ts
+++ b/packages/endpoints/src/chooseEndpoint.ts
@@ -82,19 +82,15 @@
 const isFasterThanPrefill = (endpoint: Endpoint, transferMs: number, tokens: number): boolean =>
   transferMs <= (tokens / endpoint.timings.prefillTokensPerMs) * MAX_TRANSFER_SHARE;
 
-/**
- * Whether an endpoint should load the shared parts of a prompt from their store if it doesn't have them. The
- * estimate of what it has cached plays no part: engines drop parts unnoticed, and load only what they lack.
- */
-const isTransferWorthwhile = (
-  { request: { store, parts }, nodeLocation }: EndpointChoiceInput,
+/** Computes the time in which an endpoint loads all shared parts of a prompt from their store; 0 without a store. */
+const computeStoreTransferMs = (
+  { request: { store }, nodeLocation }: EndpointChoiceInput,
   endpoint: Endpoint,
-): boolean => {
-  if (store === undefined) return false;
-  const sharedTokens = parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
+  sharedTokens: number,
+): number => {
+  if (store === undefined || sharedTokens === 0) return 0;
   const factor = getTransferFactor(store, endpoint, nodeLocation);
-  const transferMs = store.transferLatencyMs + sharedTokens * store.msPerToken * factor;
-  return isFasterThanPrefill(endpoint, transferMs, sharedTokens);
+  return store.transferLatencyMs + sharedTokens * store.msPerToken * factor;
 };
 
 /** Computes the times to prefill or transfer the prompt tokens that an endpoint has not cached. */
@@ -159,6 +155,7 @@
       uncachedTokens: 0,
       ownerId,
       transferMs: 0,
+      storeTransferMs: 0,
       isTransferWorthwhile: false,
       costMs,
       candidates: 0,
@@ -178,6 +175,8 @@
   const queueMs =
     endpoint.estimateWaitMs(nowMs) +
     endpoint.estimateMemoryWaitMs(request.memoryTokens, request.engineMemoryTokens, nowMs);
+  const sharedTokens = promptTokens - (request.parts.at(-1)?.tokens ?? 0);
+  const storeTransferMs = computeStoreTransferMs(input, endpoint, sharedTokens);
   const ownMs =
     roundTripMs +
     endpoint.timings.overheadMs +
@@ -201,7 +200,10 @@
     uncachedTokens,
     ownerId,
     transferMs: prefill.transferMs,
-    isTransferWorthwhile: isTransferWorthwhile(input, endpoint),
+    storeTransferMs,
+    // What an endpoint seems to have cached plays no part: engines drop parts unnoticed, and load only what they lack.
+    isTransferWorthwhile:
+      storeTransferMs > 0 && isFasterThanPrefill(endpoint, storeTransferMs, sharedTokens),
     costMs,
     candidates: 0,
   };
--- a/packages/endpoints/src/types.ts
+++ b/packages/endpoints/src/types.ts
@@ -93,6 +93,8 @@
   readonly ownerId: string | undefined;
   /** Expected transfer time of shared parts, in milliseconds; 0 if none are transferred. */
   readonly transferMs: number;
+  /** Expected time to load all shared parts from their store, in milliseconds; 0 if they have none. */
+  readonly storeTransferMs: number;
   /** Whether the endpoint should load the shared parts that it lacks from their store. */
   readonly isTransferWorthwhile: boolean;
   readonly costMs: number;
--- a/packages/gateway/src/attemptFeedback.ts
+++ b/packages/gateway/src/attemptFeedback.ts
@@ -9,27 +9,29 @@
 import { computeFingerprint } from './strikePublisher.js';
 import type { RequestHead } from './types.js';
 
-/** Records how long the transfer of cached prompt parts from a store took, estimated from the time to the first byte. */
+/** Share of the expected time of a transfer below which the endpoint had the parts and loaded nothing. */
+const MIN_TRANSFER_TIME_SHARE = 0.5;
+
+/**
+ * Records how long the transfer of cached prompt parts from a store took, estimated from the time to the first byte.
+ * A request for which a store was named only in case that its parts are missing counts too.
+ */
 export const recordTransferTime = (
   { clusterState, transferMeter, clock }: GatewayContext,
   head: RequestHead,
-  placement: Placement,
+  { expectedMs, transferMs, storeTransferMs }: Placement,
   { fetchFrom }: ReusePlan,
   firstByteDelayMs: number,
 ): void => {
   const address = fetchFrom[Math.max(0, head.promptParts.length - 2)];
-  if (address === undefined || placement.transferMs === 0) return;
+  if (address === undefined || storeTransferMs === 0) return;
   const stores = clusterState.trafficRules?.cacheStores ?? [];
   if (!stores.some((store) => store.address === address)) return;
-  const nonTransferMs = placement.expectedMs - placement.transferMs;
   const nowMs = clock.nowMs();
-  const nominalTransferMs = placement.transferMs / transferMeter.getSlowdownFactor(address, nowMs);
-  transferMeter.recordTransfer(
-    address,
-    nominalTransferMs,
-    Math.max(0, firstByteDelayMs - nonTransferMs),
-    nowMs,
-  );
+  const nominalMs = storeTransferMs / transferMeter.getSlowdownFactor(address, nowMs);
+  const measuredMs = firstByteDelayMs - (expectedMs - transferMs);
+  if (measuredMs < nominalMs * MIN_TRANSFER_TIME_SHARE) return;
+  transferMeter.recordTransfer(address, nominalMs, measuredMs, nowMs);
 };
 
 /** Records that an endpoint may have crashed because of a request, and publishes this to peers. */
