Date requests that a late process reads by the delay of its event loop

The time of a request ran from its reading, and a close was waited for during two turns of the event loop only. Change: the time runs from the earliest moment at which the request may have arrived, and a late process reads five turns long before it sends. Ruled out: requests on their way to endpoints; those are stopped when the close is read.

--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -31,13 +31,18 @@
 import { listSharedPartIds } from './sharedParts.js';
 import type { RequestHead } from './types.js';
 
+/** Turns of the event loop in which a close is read that arrived together with a request. */
+const CLOSE_READ_TURNS = 2;
+/** The same in a process that is late, where a close that arrived later than the request is waiting as well. */
+const LATE_CLOSE_READ_TURNS = 5;
+
 /**
- * Waits until a close that arrived together with the request has been read, which takes one more turn of the
- * event loop. A late process would otherwise send requests whose callers have given up.
+ * Waits until a close has been read that arrived before the request could be served. A late process would otherwise
+ * send requests whose callers have given up.
  */
-const waitForQueuedClose = async (): Promise<void> => {
-  await nextLoopTurn();
-  await nextLoopTurn();
+const waitForQueuedClose = async (readDelayMs: number): Promise<void> => {
+  const turns = readDelayMs > 0 ? LATE_CLOSE_READ_TURNS : CLOSE_READ_TURNS;
+  for (let turn = 0; turn < turns; turn++) await nextLoopTurn();
 };
 
 /** Why a request was stopped before its response was complete. */
@@ -45,8 +50,11 @@
 
 /** Handles one request of a caller, from its head to the end of the response. */
 export class CallerRequestHandler {
+  /** Clock reading at which the request arrived, at the earliest. */
   private readonly startMs: number;
 
+  private readonly readDelayMs: number;
+
   private readonly callerResponse: CallerResponse;
 
   private attempt: Attempt | undefined;
@@ -86,7 +94,9 @@
     private readonly incoming: IncomingMessage,
     private readonly response: ServerResponse,
   ) {
-    this.startMs = context.clock.nowMs();
+    const nowMs = context.clock.nowMs();
+    this.readDelayMs = context.eventLoopMonitor.getReadDelayMs(nowMs);
+    this.startMs = nowMs - this.readDelayMs;
     this.callerResponse = CallerResponse.create(
       response,
       () => context.getShutdown() !== undefined,
@@ -154,7 +164,7 @@
         return;
       }
       case 'body': {
-        await waitForQueuedClose();
+        await waitForQueuedClose(this.readDelayMs);
         this.bodyBytes = read.body?.length ?? 0;
         const service = chooseTarget(route.targets, context.random())?.service;
         if (service === undefined) {
--- /dev/null
+++ b/packages/gateway/src/eventLoopMonitor.test.ts
@@ -0,0 +1,19 @@
+import t from 'tap';
+import { HOUSEKEEPING_INTERVAL_MS } from './constants.js';
+import { EventLoopMonitor } from './eventLoopMonitor.js';
+
+// Guards against requests that a late process reads, and sends on after their callers have given up.
+t.test('requests that are read after a delay may have arrived at its beginning', async (t2) => {
+  const monitor = EventLoopMonitor.create(0);
+  t2.equal(monitor.recordTick(HOUSEKEEPING_INTERVAL_MS + 20), 20);
+  t2.equal(monitor.getReadDelayMs(300), 0, 'timers are always a little late');
+  t2.equal(monitor.recordTick(2 * HOUSEKEEPING_INTERVAL_MS + 1_520), 1_500);
+  t2.equal(monitor.getReadDelayMs(2 * HOUSEKEEPING_INTERVAL_MS + 1_530), 1_500);
+  t2.equal(monitor.recordTick(3 * HOUSEKEEPING_INTERVAL_MS + 1_520), 0);
+  t2.equal(monitor.getReadDelayMs(3 * HOUSEKEEPING_INTERVAL_MS + 1_530), 0);
+});
+
+t.test('a delay that goes on counts too', async (t2) => {
+  const monitor = EventLoopMonitor.create(0);
+  t2.equal(monitor.getReadDelayMs(HOUSEKEEPING_INTERVAL_MS + 800), 800);
+});
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -3,6 +3,7 @@
 import type { ConnectionPool } from '@lovagearch/exchange';
 import type { StoreIndex, TransferSlowdownTracker } from '@lovagearch/reuse';
 import type { ClusterState } from './clusterState.js';
+import type { EventLoopMonitor } from './eventLoopMonitor.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { PromptPartContainment } from './promptPartContainment.js';
@@ -35,6 +36,7 @@
   /** Whether the copy of the endpoints' registrations is up to date. */
   readonly areHeartbeatsCurrent: () => boolean;
   readonly getRetryBudget: (service: string) => SlidingWindowRetryBudget;
+  readonly eventLoopMonitor: EventLoopMonitor;
   readonly routeDurations: RouteDurations;
   /** The planned stop in progress, if there is one. */
   readonly getShutdown: () => Shutdown | undefined;
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -16,6 +16,7 @@
   SHARED_TABLE,
   STRIKE_PUBLISH_INTERVAL_MS,
 } from './constants.js';
+import { EventLoopMonitor } from './eventLoopMonitor.js';
 import { createTableFollower } from './createTableFollower.js';
 import { createGatewayLog } from './gatewayLog.js';
 import type { GatewayContext, Shutdown } from './gatewayContext.js';
@@ -218,6 +219,7 @@
     clock: suspensionClock,
     log,
   });
+  const eventLoopMonitor = EventLoopMonitor.create(clock.nowMs());
   const context: GatewayContext = {
     settings,
     headers: dependencies.headers,
@@ -250,6 +252,7 @@
       budgets.set(service, created);
       return created;
     },
+    eventLoopMonitor,
     routeDurations: RouteDurations.create(),
     getShutdown: () => shutdown,
   };
@@ -352,11 +355,8 @@
   };
   let isAnnounced = false;
   let nextAnnouncementAtMs = clock.nowMs();
-  let lastHousekeepingMs = clock.nowMs();
   const recordEventLoopDelay = () => {
-    const nowMs = clock.nowMs();
-    const delayMs = Math.max(0, nowMs - lastHousekeepingMs - HOUSEKEEPING_INTERVAL_MS);
-    lastHousekeepingMs = nowMs;
+    const delayMs = eventLoopMonitor.recordTick(clock.nowMs());
     metrics.recordEventLoopDelay(delayMs);
     if (delayMs < LOGGED_EVENT_LOOP_DELAY_MS) return;
     const active = server.activeRequestCount;
