Refuse fewer requests in a planned stop

Five mean deviations above the mean make a route slow for long after a few late responses, and a restarted node that had answered nothing on a route took its time limit of 15 s. Change: two mean deviations; a route without a response counts as the slowest known one.

--- a/packages/gateway/src/routeDurations.ts
+++ b/packages/gateway/src/routeDurations.ts
@@ -3,7 +3,7 @@
 /** Weight of a new response in the moving averages. */
 const EWMA_WEIGHT = 0.1;
 /** Mean deviations above the mean within which responses usually end. */
-const USUAL_DEVIATIONS = 5;
+const USUAL_DEVIATIONS = 2;
 /** Maximum number of routes. */
 const MAX_ROUTES = 4_096;
 
@@ -12,6 +12,9 @@
   readonly deviationMs: number;
 }
 
+const computeUsualMs = ({ meanMs, deviationMs }: DurationEstimate): number =>
+  meanMs + deviationMs * USUAL_DEVIATIONS;
+
 /**
  * Estimates how long responses of each route usually take.
  *
@@ -39,11 +42,16 @@
     });
   }
 
-  /** Returns the time within which responses usually end, in milliseconds; undefined before the first
-   * response. */
+  /**
+   * Returns the time within which responses usually end, in milliseconds. A route without a response counts as the
+   * slowest one with some; undefined if there is none.
+   */
   getUsualMs(route: string): number | undefined {
     const estimate = this.estimates.peek(route);
-    if (estimate === undefined) return undefined;
-    return estimate.meanMs + estimate.deviationMs * USUAL_DEVIATIONS;
+    if (estimate !== undefined) return computeUsualMs(estimate);
+    let slowestMs: number | undefined;
+    for (const known of this.estimates.values())
+      slowestMs = Math.max(slowestMs ?? 0, computeUsualMs(known));
+    return slowestMs;
   }
 }
--- a/packages/gateway/src/shutdownPlan.test.ts
+++ b/packages/gateway/src/shutdownPlan.test.ts
@@ -44,12 +44,18 @@
   t2.equal(decide(2_700).type, 'refuse');
 });
 
+// Guards against a stop that refuses requests which would end long before it: other nodes have their load already.
 t.test('the usual duration covers nearly all responses of a route', async (t2) => {
   const durations = RouteDurations.create();
   t2.equal(durations.getUsualMs('r'), undefined);
   for (let index = 0; index < 200; index++) durations.recordResponse('r', 500 + (index % 10) * 40);
   const usualMs = durations.getUsualMs('r') ?? 0;
   t2.ok(usualMs > 860 && usualMs < 2_000, `${usualMs}`);
+  // A few responses of an overloaded time don't make the route a slow one.
+  for (let index = 0; index < 100; index++)
+    durations.recordResponse('late', index % 20 === 0 ? 6_000 : 800);
+  t2.ok((durations.getUsualMs('late') ?? 0) < 3_000, `${durations.getUsualMs('late')}`);
+  t2.equal(durations.getUsualMs('new'), Math.max(usualMs, durations.getUsualMs('late') ?? 0));
 });
 
 const RESPONSE_DELAY_MS = 3_000;
