review: a body in small chunks ends the process

Four bodies within the limits of the config, in chunks of 16 bytes, exceed the gateway's heap: it counts the bytes of buffered bodies, not the objects that hold the chunks. Claims that had been passed on lose their kept channels.

--- /dev/null
+++ b/review/lib/deployment.mjs
@@ -0,0 +1,63 @@
+import { readFileSync, rmSync } from 'node:fs';
+import { createDirectory } from './record.mjs';
+import { Gateway } from './gateway.mjs';
+import { Link } from './link.mjs';
+import { Store } from './store.mjs';
+
+/** A small deployment on loopback: the store, and gateways that reach it over a link each. */
+export class Deployment {
+  links = [];
+
+  gateways = [];
+
+  parts = [];
+
+  /** Starts the store with a config. */
+  static async create(configuration) {
+    const deployment = new Deployment();
+    deployment.directory = createDirectory();
+    deployment.store = await Store.start();
+    deployment.parts.push(deployment.store);
+    deployment.store.putRow('op', 'config', configuration);
+    return deployment;
+  }
+
+  /** Keeps a stand-in that ends with the deployment. */
+  add(part) {
+    this.parts.push(part);
+    return part;
+  }
+
+  /** Starts gateways for the first time and waits until they are ready. */
+  async startGateways(count) {
+    const { directory, gateways, links, store } = this;
+    const seeds = [];
+    for (let position = 0; position < count; position++) {
+      const link = this.add(await Link.start({ host: '127.0.0.1', port: store.port }));
+      links.push(link);
+      const options = { position, directory, storePort: link.port, seeds, zone: 'chiayi' };
+      const gateway = await Gateway.create(options);
+      seeds.push(gateway.controlAddress);
+      gateways.push(gateway);
+      this.add({ stop: () => gateway.end() });
+    }
+    for (const gateway of gateways) await gateway.start(true);
+    for (const gateway of gateways) await gateway.waitUntilReady();
+  }
+
+  /** Lists what the gateways wrote when they ended by themselves. */
+  listFatalLines() {
+    return this.gateways.flatMap(({ logFile, name }) =>
+      readFileSync(logFile, 'utf8')
+        .split('\n')
+        .filter((line) => line.startsWith('FATAL ERROR'))
+        .map((line) => `${name}: ${line}`),
+    );
+  }
+
+  /** Ends all processes and removes their settings and logs. */
+  async stop() {
+    for (const part of this.parts.reverse()) await part.stop();
+    rmSync(this.directory, { recursive: true, force: true });
+  }
+}
