Read bodies from other parties at a cost in proportion to their bytes

What callers saw: claims that had run lost their kept channels unanswered, as processes ended with their heap full. Cause: every reader kept each chunk as an object, which takes about a hundred bytes of heap, and limited only bytes, for each response by itself. Change: one package reads all bodies. BodyBuffer copies chunks into blocks, MemoryBudget limits what the process holds as a whole, with a part of its own for the platform's store, and ReadPacer limits the chunks it handles per second. Why it works: what is kept no longer depends on how the bytes are cut, and the sum of all readers has a bound.

--- a/packages/engine-client/src/httpEngineClient.ts
+++ b/packages/engine-client/src/httpEngineClient.ts
@@ -1,6 +1,12 @@
+import {
+  createBoundedAgent,
+  createReceiveLimits,
+  type ReceiveLimits,
+  sendCall,
+} from '@lovagearch/bounded-http';
 import { type Clock, getErrorMessage, isConnectError, processClock } from '@lovagearch/common';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
-import { Agent, request } from 'undici';
+import type { Agent } from 'undici';
 import { z } from 'zod';
 import { parseJson, parseErrorResponse } from './responses.js';
 import { ChunkValidator } from './chunkValidator.js';
@@ -37,6 +43,8 @@
   readonly exportTimeoutMs?: number;
   readonly connectTimeoutMs?: number;
   readonly maxOpenStreams?: number;
+  /** What the process may spend on responses. */
+  readonly limits?: ReceiveLimits;
 }
 
 interface ControlCall {
@@ -81,13 +89,13 @@
       exportTimeoutMs: EXPORT_TIMEOUT_MS,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       maxOpenStreams: MAX_OPEN_STREAMS,
+      limits: createReceiveLimits(),
       ...options,
     };
-    const agent = new Agent({
+    const agent = createBoundedAgent({
       connections: MAX_CONTROL_CONNECTIONS_PER_RUNNER,
-      pipelining: 1,
-      connect: { timeout: resolvedOptions.connectTimeoutMs },
-      maxResponseSize: MAX_RESPONSE_BYTES,
+      connectTimeoutMs: resolvedOptions.connectTimeoutMs,
+      maxResponseBytes: MAX_RESPONSE_BYTES,
     });
     return new HttpEngineClient(agent, StreamConnections.create(resolvedOptions), resolvedOptions);
   }
@@ -212,16 +220,21 @@
     const timeoutMs = call.timeoutMs ?? this.options.controlTimeoutMs;
     const signal = AbortSignal.timeout(timeoutMs);
     try {
-      const response = await request(`${address.url}${call.path}`, {
-        dispatcher: this.agent,
-        method: call.method,
-        headers: createRequestHeaders(address),
-        body: call.body === undefined ? null : JSON.stringify(call.body),
-        signal,
-      });
-      const text = await response.body.text();
-      if (response.statusCode === call.expectedStatus) return ok(text);
-      return err(parseErrorResponse(response.statusCode, text, false));
+      const response = await sendCall(
+        this.agent,
+        {
+          url: `${address.url}${call.path}`,
+          method: call.method,
+          headers: createRequestHeaders(address),
+          ...(call.body === undefined ? {} : { body: JSON.stringify(call.body) }),
+          maxResponseBytes: MAX_RESPONSE_BYTES,
+          signal,
+        },
+        this.options.limits,
+      );
+      const text = response.body.toString('utf8');
+      if (response.status === call.expectedStatus) return ok(text);
+      return err(parseErrorResponse(response.status, text, false));
     } catch (error) {
       const message = getErrorMessage(error);
       if (isConnectError(error)) return err({ type: 'not_connected', message });
--- a/packages/engine-client/src/lineReader.ts
+++ b/packages/engine-client/src/lineReader.ts
@@ -1,3 +1,5 @@
+import { BodyBuffer, MemoryBudget } from '@lovagearch/bounded-http';
+
 const NEWLINE = 0x0a;
 
 /**
@@ -8,11 +10,11 @@
  * lines.read(Buffer.from('{"a":1}\n{"b"')); // ['{"a":1}']
  */
 export class LineReader {
-  private partialLine: Buffer[] = [];
-
-  private partialLineBytes = 0;
+  private readonly partialLine: BodyBuffer;
 
-  private constructor(private readonly maxLineBytes: number) {}
+  private constructor(private readonly maxLineBytes: number) {
+    this.partialLine = BodyBuffer.create(maxLineBytes, MemoryBudget.create(maxLineBytes));
+  }
 
   static create(maxLineBytes: number): LineReader {
     return new LineReader(maxLineBytes);
@@ -27,15 +29,16 @@
       end >= 0;
       start = end + 1, end = bytes.indexOf(NEWLINE, start)
     ) {
-      if (this.partialLineBytes + end - start > this.maxLineBytes) return undefined;
-      lines.push(Buffer.concat([...this.partialLine, bytes.subarray(start, end)]).toString('utf8'));
-      this.partialLine = [];
-      this.partialLineBytes = 0;
-    }
-    if (start < bytes.length) {
-      this.partialLine.push(bytes.subarray(start));
-      this.partialLineBytes += bytes.length - start;
+      if (this.partialLine.length + end - start > this.maxLineBytes) return undefined;
+      const rest = bytes.subarray(start, end);
+      if (this.partialLine.length === 0) lines.push(rest.toString('utf8'));
+      else {
+        this.partialLine.add(rest);
+        lines.push(this.partialLine.getBytes().toString('utf8'));
+        this.partialLine.release();
+      }
     }
-    return this.partialLineBytes > this.maxLineBytes ? undefined : lines;
+    if (start === bytes.length) return lines;
+    return this.partialLine.add(bytes.subarray(start)) === 'added' ? lines : undefined;
   }
 }
--- a/packages/engine-client/src/responses.ts
+++ b/packages/engine-client/src/responses.ts
@@ -1,3 +1,4 @@
+import { BodyBuffer, createReceiveLimits, readJson } from '@lovagearch/bounded-http';
 import { z } from 'zod';
 import { MAX_RESPONSE_BYTES } from './constants.js';
 import { type EngineError, engineLoadSchema } from './types.js';
@@ -12,24 +13,15 @@
 });
 
 /** Parses JSON; returns undefined if the text is not valid JSON. */
-export const parseJson = (text: string): unknown => {
-  try {
-    return JSON.parse(text) as unknown;
-  } catch {
-    return undefined;
-  }
-};
+export const parseJson = (text: string): unknown => readJson(Buffer.from(text));
 
 /** Reads a body to its end; throws if it is larger than `MAX_RESPONSE_BYTES`. */
 export const readBoundedText = async (body: AsyncIterable<Buffer>): Promise<string> => {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
+  const buffer = BodyBuffer.create(MAX_RESPONSE_BYTES, createReceiveLimits().memory);
   for await (const chunk of body) {
-    sizeBytes += chunk.length;
-    if (sizeBytes > MAX_RESPONSE_BYTES) throw new Error('the response body is too large');
-    chunks.push(chunk);
+    if (buffer.add(chunk) !== 'added') throw new Error('the response body is too large');
   }
-  return Buffer.concat(chunks).toString('utf8');
+  return buffer.getBytes().toString('utf8');
 };
 
 /**
--- a/packages/exchange/src/connectionPool.ts
+++ b/packages/exchange/src/connectionPool.ts
@@ -1,3 +1,4 @@
+import { ReadPacer } from '@lovagearch/bounded-http';
 import { parseSocketAddress } from '@lovagearch/common';
 import { EndpointConnection } from './endpointConnection.js';
 import type { EndpointRequest, Exchange, ExchangeListener } from './types.js';
@@ -20,8 +21,11 @@
 
   private openedConnectionCount = 0;
 
-  static create(): ConnectionPool {
-    return new ConnectionPool();
+  private constructor(private readonly pacer: ReadPacer) {}
+
+  /** @param pacer limits the chunks that the process handles; by default one of this pool */
+  static create(pacer = ReadPacer.create()): ConnectionPool {
+    return new ConnectionPool(pacer);
   }
 
   /** Number of connections opened since the process started. */
@@ -89,7 +93,9 @@
     if (connections.all.size >= maxConnections) return undefined;
     // Registrations come from other writers, and the HTTP client throws on an invalid address.
     if (parseSocketAddress(address) === undefined) return undefined;
-    const created = EndpointConnection.create(address, (closed) => this.remove(endpointId, closed));
+    const created = EndpointConnection.create(address, this.pacer, (closed) =>
+      this.remove(endpointId, closed),
+    );
     connections.all.add(created);
     this.byEndpoint.set(endpointId, connections);
     this.openedConnectionCount += 1;
--- a/packages/exchange/src/constants.ts
+++ b/packages/exchange/src/constants.ts
@@ -9,8 +9,6 @@
  * A request sent while the endpoint closes the connection may have run.
  */
 export const KEEP_ALIVE_MARGIN_MS = 300;
-/** Idle time before the first TCP keep-alive probe, in milliseconds. */
-export const TCP_KEEP_ALIVE_DELAY_MS = 1_000;
 /** Maximum size of the response headers, in bytes. */
 export const MAX_RESPONSE_HEADER_BYTES = 32_768;
 /** Maximum size of a server-sent event, in bytes; the largest that users describe have 330 bytes. */
--- a/packages/exchange/src/endpointConnection.ts
+++ b/packages/exchange/src/endpointConnection.ts
@@ -1,4 +1,5 @@
-import { connect as connectSocket, type Socket } from 'node:net';
+import type { Socket } from 'node:net';
+import { openBoundedSocket, PacedReader, type ReadPacer } from '@lovagearch/bounded-http';
 import { Client, type Dispatcher } from 'undici';
 import {
   CONNECT_TIMEOUT_MS,
@@ -8,7 +9,6 @@
   MAX_FRAMING_BYTES_PER_BODY_BYTE,
   MAX_RESPONSE_HEADER_BYTES,
   MAX_KEEP_ALIVE_MS,
-  TCP_KEEP_ALIVE_DELAY_MS,
 } from './constants.js';
 import type { EndpointRequest, Exchange, ExchangeListener } from './types.js';
 
@@ -37,6 +37,7 @@
 
   private constructor(
     address: string,
+    private readonly pacer: ReadPacer,
     private readonly onClosed: (connection: EndpointConnection) => void,
   ) {
     this.client = new Client(`http://${address}`, {
@@ -54,12 +55,16 @@
     this.client.on('connectionError', () => this.close());
   }
 
-  /** @param onClosed called once, when the connection closes */
+  /**
+   * @param pacer limits the chunks that the process handles
+   * @param onClosed called once, when the connection closes
+   */
   static create(
     address: string,
+    pacer: ReadPacer,
     onClosed: (connection: EndpointConnection) => void,
   ): EndpointConnection {
-    return new EndpointConnection(address, onClosed);
+    return new EndpointConnection(address, pacer, onClosed);
   }
 
   /** Whether the connection is open. */
@@ -92,9 +97,17 @@
     let isSettled = false;
     this.isBusy = true;
     let controller: Dispatcher.DispatchController | undefined;
+    let isPausedByListener = false;
+    const reader = PacedReader.create(this.pacer, {
+      pause: () => controller?.pause(),
+      resume: () => {
+        if (!isPausedByListener) controller?.resume();
+      },
+    });
     const fail = (error: Error) => {
       if (isSettled) return;
       isSettled = true;
+      reader.finish();
       const type = isSent ? 'broken' : 'not_sent';
       listener.onFailure({ type, reason: error.message });
       this.close();
@@ -118,11 +131,14 @@
         }
       },
       onResponseStart: (_controller, status, headers) => {
+        reader.recordChunks(1);
         if (!isSettled && status >= 200) listener.onHeaders(status, headers);
       },
       onResponseData: (_controller, chunk) => {
         this.bodyBytes += chunk.length;
-        if (!isSettled) listener.onData(chunk);
+        if (isSettled) return;
+        reader.recordChunks(1);
+        listener.onData(chunk);
       },
       onResponseEnd: () => {
         if (isSettled) return;
@@ -132,6 +148,7 @@
           return;
         }
         isSettled = true;
+        reader.finish();
         this.isBusy = false;
         listener.onEnd();
         // If the endpoint sends extra bytes after the response, undici closes the connection.
@@ -158,11 +175,19 @@
       cancel: () => {
         if (isSettled) return;
         isSettled = true;
+        reader.finish();
         this.close();
         controller?.abort(new Error('cancelled'));
       },
-      pause: () => controller?.pause(),
-      resume: () => controller?.resume(),
+      pause: () => {
+        isPausedByListener = true;
+        controller?.pause();
+      },
+      resume: () => {
+        isPausedByListener = false;
+        if (!reader.isPaused) controller?.resume();
+      },
+      recordWork: (units) => reader.recordChunks(units),
     };
   }
 
@@ -182,13 +207,7 @@
     port: number,
     callback: (...args: [Error, null] | [null, Socket]) => void,
   ): void {
-    const socket = connectSocket({
-      host,
-      port,
-      noDelay: true,
-      keepAlive: true,
-      keepAliveInitialDelay: TCP_KEEP_ALIVE_DELAY_MS,
-    });
+    const socket = openBoundedSocket(host, port);
     this.socket = socket;
     const timer = setTimeout(() => {
       socket.destroy(new Error(`connection not established within ${CONNECT_TIMEOUT_MS} ms`));
--- a/packages/exchange/src/types.ts
+++ b/packages/exchange/src/types.ts
@@ -44,4 +44,6 @@
   /** Stops reading the response until `resume` is called. */
   readonly pause: () => void;
   readonly resume: () => void;
+  /** Counts further work that received bytes caused, such as events, like that many chunks. */
+  readonly recordWork: (units: number) => void;
 }
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,3 +1,4 @@
+import { BodyBuffer, type MemoryBudget } from '@lovagearch/bounded-http';
 import type { Clock } from '@lovagearch/common';
 import type { Endpoint, EndpointOutcome, Placement, SentRequest } from '@lovagearch/endpoints';
 import {
@@ -67,6 +68,8 @@
   readonly pool: ConnectionPool;
   readonly headers: HeaderCodec;
   readonly clock: Clock;
+  /** Memory for the responses of all requests. */
+  readonly memory: MemoryBudget;
   /** Whether the endpoint still takes a request whose connection is open now. */
   readonly canSend: () => boolean;
   /** Called with the time from the start of the attempt to the first byte, in milliseconds. */
@@ -89,9 +92,10 @@
 
   private head: ResponseHead | undefined;
 
-  private bufferedChunks: Buffer[] = [];
+  /** The body so far; undefined once it is forwarded as it arrives. */
+  private bufferedBody: BodyBuffer | undefined;
 
-  private bufferedBytes = 0;
+  private discardedBytes = 0;
 
   /** Whether the response has neither a length nor chunks, so that its end is that of the connection. */
   private endsWithConnection = false;
@@ -110,7 +114,7 @@
 
   private lastProgressMs: number;
 
-  /** Bytes of the event that has not arrived completely, as far as they don't count as progress yet. */
+  /** Bytes of a body or an event that has not arrived completely, as far as they don't count as progress yet. */
   private trickledBytes = 0;
 
   private stallTimer: NodeJS.Timeout | undefined;
@@ -124,6 +128,7 @@
     private readonly input: AttemptInput,
   ) {
     this.startMs = dependencies.clock.nowMs();
+    this.bufferedBody = BodyBuffer.create(MAX_BUFFERED_RESPONSE_BYTES, dependencies.memory);
     this.lastProgressMs = this.startMs;
     const { expectedMs, ownMs, roundTripMs, uncachedTokens } = input.placement;
     this.sentRequest = {
@@ -257,7 +262,7 @@
     else if (framer !== undefined && this.isStreaming(this.head))
       this.handleEventChunk(framer, chunk);
     else {
-      this.recordActivity(this.dependencies.clock.nowMs());
+      this.recordTrickle(chunk.length);
       this.handleBodyChunk(chunk);
     }
   }
@@ -286,7 +291,7 @@
     }
   }
 
-  /** An endpoint that sends a byte now and then makes no progress; a large event on its way is some. */
+  /** An endpoint that sends a byte now and then makes no progress; a large event or body on its way is some. */
   private recordTrickle(bytes: number): void {
     this.trickledBytes += bytes;
     if (this.trickledBytes < MIN_PROGRESS_BYTES) return;
@@ -295,30 +300,28 @@
   }
 
   private discardRejectionBody(head: ResponseHead, chunk: Buffer): void {
-    this.bufferedBytes += chunk.length;
-    if (this.bufferedBytes > MAX_REJECTION_BODY_BYTES) this.handleRejection(head);
+    this.discardedBytes += chunk.length;
+    if (this.discardedBytes > MAX_REJECTION_BODY_BYTES) this.handleRejection(head);
   }
 
   private handleBodyChunk(chunk: Buffer): void {
     this.markFirstByte();
-    if (this.bufferedBytes < 0) {
+    if (this.bufferedBody === undefined) {
       this.forwardBytes(chunk);
       return;
     }
-    this.bufferedChunks.push(chunk);
-    this.bufferedBytes += chunk.length;
-    if (this.bufferedBytes <= MAX_BUFFERED_RESPONSE_BYTES) return;
+    if (this.bufferedBody.add(chunk) === 'added') return;
     if (this.head !== undefined && this.head.status >= 500) {
-      this.finishBroken(`failure response exceeds ${MAX_BUFFERED_RESPONSE_BYTES} bytes`);
+      this.finishBroken(`failure response exceeds ${this.bufferedBody.length} bytes`);
       return;
     }
     if (this.input.callerResponse.hasStarted) {
       this.finishBroken('response does not continue the stream');
       return;
     }
-    const bytes = Buffer.concat(this.bufferedChunks);
-    this.bufferedChunks = [];
-    this.bufferedBytes = -1;
+    const bytes = Buffer.concat([this.bufferedBody.getBytes(), chunk]);
+    this.bufferedBody.release();
+    this.bufferedBody = undefined;
     this.forwardBytes(bytes);
   }
 
@@ -367,12 +370,12 @@
         callerResponse.finish();
         this.finish({ type: 'passed_on', hasExplicitEnd }, outcome);
       }
-    } else if (this.bufferedBytes < 0) {
+    } else if (this.bufferedBody === undefined) {
       callerResponse.finish();
       this.finish({ type: 'passed_on', hasExplicitEnd }, outcome);
     } else
       this.finish(
-        { type: 'answered', head, body: Buffer.concat(this.bufferedChunks), hasExplicitEnd },
+        { type: 'answered', head, body: this.bufferedBody.getBytes(), hasExplicitEnd },
         outcome,
       );
   }
@@ -441,6 +444,7 @@
     endpoint.recordCompletion(this.sentRequest, endpointOutcome, this.dependencies.clock.nowMs());
     // An incomplete event must not be joined with the first event of the next attempt.
     framer?.discardPartialEvent();
+    this.bufferedBody?.release();
     this.exchange?.cancel();
     this.resolve(outcome);
   }
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -67,7 +67,7 @@
 
   private firstByteMs: number | undefined;
 
-  private bodyBytes = 0;
+  private releaseBody = (): void => undefined;
 
   private accountName = 'none';
 
@@ -127,7 +127,7 @@
     } finally {
       for (const event of closeEvents) socket.off(event, handleClose);
       clearTimeout(this.timeLimitTimer);
-      this.context.bodyMemory.release(this.bodyBytes);
+      this.releaseBody();
     }
   }
 
@@ -147,7 +147,11 @@
       Math.max(0, this.timeLimitMs - this.getElapsedMs()) + TIMEOUT_RESPONSE_GRACE_MS,
     );
     this.isReadingBody = true;
-    const read = await readBody(incoming, limits.maxBodyBytes, context.bodyMemory);
+    const read = await readBody(incoming, {
+      maxBytes: limits.maxBodyBytes,
+      memory: context.bodyMemory,
+      pacer: context.responseLimits.pacer,
+    });
     this.isReadingBody = false;
     switch (read.type) {
       case 'aborted':
@@ -164,8 +168,8 @@
         return;
       }
       case 'body': {
+        this.releaseBody = read.release;
         await waitForQueuedClose(this.readDelayMs);
-        this.bodyBytes = read.body?.length ?? 0;
         const service = chooseTarget(route.targets, context.random())?.service;
         if (service === undefined) {
           this.reply(head, route, createRefusal('no_endpoint', 'the route has no target'));
--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -60,6 +60,7 @@
       pool: context.pool,
       headers: context.headers,
       clock: context.clock,
+      memory: context.responseLimits.memory,
       canSend: () => isTakingRequests(context, endpoint),
       onFirstByte,
       onResponseHead: (responseHead, sentAtMs) =>
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -1,4 +1,5 @@
 import type { SlidingWindowRetryBudget } from '@lovagearch/admission';
+import type { MemoryBudget, ReceiveLimits } from '@lovagearch/bounded-http';
 import type { Clock, Random } from '@lovagearch/common';
 import type { ConnectionPool } from '@lovagearch/exchange';
 import type { StoreIndex, TransferSlowdownTracker } from '@lovagearch/reuse';
@@ -7,7 +8,6 @@
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { PromptPartContainment } from './promptPartContainment.js';
-import type { BodyMemoryBudget } from './requestBody.js';
 import type { RouteDurations } from './routeDurations.js';
 import type { ShutdownPlan } from './shutdownPlan.js';
 import type { StrikePublisher } from './strikePublisher.js';
@@ -20,7 +20,9 @@
   readonly headers: HeaderCodec;
   readonly clusterState: ClusterState;
   readonly pool: ConnectionPool;
-  readonly bodyMemory: BodyMemoryBudget;
+  /** Memory for the bodies of requests. */
+  readonly bodyMemory: MemoryBudget;
+  readonly responseLimits: ReceiveLimits;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: GatewayLog;
--- a/packages/gateway/src/packedRow.test.ts
+++ b/packages/gateway/src/packedRow.test.ts
@@ -2,6 +2,7 @@
 import fc from 'fast-check';
 import { fastify } from 'fastify';
 import { pack, unpack } from 'msgpackr';
+import { createReceiveLimits } from '@lovagearch/bounded-http';
 import t from 'tap';
 import { ManualClock } from '@lovagearch/common';
 import { TableMirror } from '@lovagearch/mirror';
@@ -52,7 +53,9 @@
 
 t.test('peers exchange packed rows', async (t2) => {
   const { server, peer } = await startPeer();
-  const response = await createTableRelaySource()(peer, [{ table: 'op', version: 0 }]);
+  const response = await createTableRelaySource(createReceiveLimits())(peer, [
+    { table: 'op', version: 0 },
+  ]);
   const batch = typeof response === 'string' ? undefined : response.get('op');
   t2.equal(batch?.rows[0]?.value, LARGE_VALUE);
   await server.close();
@@ -95,7 +98,7 @@
     await server.listen({ host: '127.0.0.1', port: 0 });
     const address = server.server.address();
     const port = typeof address === 'object' && address !== null ? address.port : 0;
-    const response = await createTableRelaySource()(`127.0.0.1:${port}`, [
+    const response = await createTableRelaySource(createReceiveLimits())(`127.0.0.1:${port}`, [
       { table: 'op', version: 0 },
     ]);
     t2.type(response, 'string');
--- a/packages/gateway/src/peerExchange.ts
+++ b/packages/gateway/src/peerExchange.ts
@@ -1,9 +1,15 @@
 import type { FastifyInstance } from 'fastify';
 import { pack, unpack } from 'msgpackr';
+import {
+  type CallResponse,
+  createBoundedAgent,
+  type ReceiveLimits,
+  sendCall,
+} from '@lovagearch/bounded-http';
 import { type Clock, getErrorMessage, ProgressTimeout } from '@lovagearch/common';
 import type { PeerSource, ReadResult, RowBatch, TableMirror } from '@lovagearch/mirror';
 import type { StoreIndex, StoreIndexUpdate } from '@lovagearch/reuse';
-import { Agent, request } from 'undici';
+import type { Agent } from 'undici';
 import * as z from 'zod';
 import {
   MAX_PEER_COPY_AGE_MS,
@@ -27,30 +33,33 @@
 const requestBytes = async (
   agent: Agent,
   url: string,
-): Promise<{ readonly status: number; readonly bytes: Buffer }> => {
+  limits: ReceiveLimits,
+): Promise<CallResponse> => {
   const timeout = ProgressTimeout.create({
     firstMs: PEER_TIMEOUT_MS,
     gapMs: PEER_TIMEOUT_MS,
     totalMs: PEER_TRANSFER_TIMEOUT_MS,
   });
   try {
-    const response = await request(url, { dispatcher: agent, signal: timeout.signal });
-    const chunks: Buffer[] = [];
-    for await (const chunk of response.body) {
-      timeout.recordProgress();
-      chunks.push(chunk as Buffer);
-    }
-    return { status: response.statusCode, bytes: Buffer.concat(chunks) };
+    const call = {
+      url,
+      method: 'GET',
+      maxResponseBytes: MAX_PEER_RESPONSE_BYTES,
+      signal: timeout.signal,
+      onHead: () => timeout.recordProgress(),
+      onBytes: (bytes: number) => timeout.recordBytes(bytes),
+    } as const;
+    return await sendCall(agent, call, limits);
   } finally {
     timeout.end();
   }
 };
 
 const createPeerAgent = (): Agent =>
-  new Agent({
-    connect: { timeout: PEER_TIMEOUT_MS },
-    keepAliveTimeout: 5_000,
-    maxResponseSize: MAX_PEER_RESPONSE_BYTES,
+  createBoundedAgent({
+    connectTimeoutMs: PEER_TIMEOUT_MS,
+    keepAliveMs: 5_000,
+    maxResponseBytes: MAX_PEER_RESPONSE_BYTES,
   });
 
 /** How far a node knows the events of a cache store VM; `ADDRESS/EPOCH/SINCE` in a query string. */
@@ -101,6 +110,7 @@
 /** Creates the source that asks peers for their indexes of cache stores. */
 export const createCacheStoreRelaySource = (
   findPeerAddress: (peer: string) => string | undefined,
+  limits: ReceiveLimits,
 ): CacheStoreRelaySource => {
   const agent = createPeerAgent();
   return async (peer, cursors) => {
@@ -109,8 +119,8 @@
     const known = cursors.map((cursor) => `${cursor.address}/${cursor.epoch}/${cursor.since}`);
     try {
       const url = `http://${address}/peer/stores?known=${known.join(',')}`;
-      const { status, bytes } = await requestBytes(agent, url);
-      const relays = relaysSchema.safeParse(unpack(bytes));
+      const { status, body } = await requestBytes(agent, url, limits);
+      const relays = relaysSchema.safeParse(unpack(body));
       return new Map(status === 200 && relays.success ? relays.data : []);
     } catch {
       // The indexes age and are not used until the next response arrives; the followers log the loss.
@@ -168,15 +178,15 @@
 };
 
 /** Creates the source that asks one peer, given by its host and port. */
-export const createTableRelaySource = (): TableRelaySource => {
+export const createTableRelaySource = (limits: ReceiveLimits): TableRelaySource => {
   const agent = createPeerAgent();
   return async (peer, cursors) => {
     const known = cursors.map(({ table, version }) => `${table}/${version}`).join(',');
     try {
       const url = `http://${peer}/peer/tables?known=${known}&packing=${ROW_PACKING}`;
-      const { status, bytes } = await requestBytes(agent, url);
+      const { status, body } = await requestBytes(agent, url, limits);
       if (status !== 200) return `${peer} answered with status ${status}`;
-      const batches = batchesSchema.safeParse(unpack(bytes));
+      const batches = batchesSchema.safeParse(unpack(body));
       if (!batches.success) return `${peer} sent a malformed response`;
       const unpacked = new Map<string, RowBatch>();
       for (const [table, batch] of batches.data)
--- a/packages/gateway/src/stalledStreams.test.ts
+++ b/packages/gateway/src/stalledStreams.test.ts
@@ -52,6 +52,27 @@
     t3.strictSame(resumedFrom, ['0', '1']);
   });
 
+  // Guards against a response that a byte now and then keeps open until its time limit.
+  await t2.test('a body that comes a byte now and then is requested elsewhere', async (t3) => {
+    let attempts = 0;
+    handleAll((incoming, response) => {
+      attempts += 1;
+      response.writeHead(200, {
+        [SEAL_HEADER]: '1',
+        [REQUEST_ID_HEADER]: String(incoming.headers[REQUEST_ID_HEADER]),
+      });
+      if (attempts > 1) {
+        response.end('whole');
+        return;
+      }
+      const trickle = setInterval(() => response.write('x'), TRICKLE_INTERVAL_MS);
+      response.once('close', () => clearInterval(trickle));
+    });
+    const { text } = await send(gateway, '/quick/x', 'q1');
+    t3.equal(text, 'whole');
+    t3.equal(attempts, 2);
+  });
+
   // Guards against a slow but sound stream that is cut.
   await t2.test('a slow stream that makes progress is not cut', async (t3) => {
     let attempts = 0;
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -1,4 +1,5 @@
 import { SlidingWindowRetryBudget } from '@lovagearch/admission';
+import { MemoryBudget } from '@lovagearch/bounded-http';
 import { getErrorMessage, processClock } from '@lovagearch/common';
 import { ConnectionPool } from '@lovagearch/exchange';
 import { type MirrorEvent, TableMirror, StoreClock } from '@lovagearch/mirror';
@@ -30,7 +31,6 @@
 } from './peerExchange.js';
 import { getEndpointStartKey } from './attempt.js';
 import { PromptPartContainment } from './promptPartContainment.js';
-import { BodyMemoryBudget } from './requestBody.js';
 import { RouteDurations } from './routeDurations.js';
 import { createShutdownPlan } from './shutdownPlan.js';
 import { CacheStoreWatcher } from './cacheStoreWatcher.js';
@@ -75,7 +75,7 @@
 ): Promise<Gateway> => {
   const clock = processClock;
   const processStartMs = clock.nowMs();
-  const { random } = dependencies;
+  const { random, responseLimits } = dependencies;
   const metrics = GatewayMetrics.create();
   const log = createGatewayLog(settings.nodeName, clock, (lines) =>
     metrics.recordDroppedLines(lines),
@@ -138,7 +138,7 @@
   });
 
   const ownPeerAddress = `${settings.peerAddress.host}:${settings.peerAddress.port}`;
-  const tableRelaySource = createTableRelaySource();
+  const tableRelaySource = createTableRelaySource(responseLimits);
   const peers = createPeerSource(
     tableRelaySource,
     () => {
@@ -214,7 +214,10 @@
     nodeName: settings.nodeName,
     clusterState,
     client: dependencies.cacheStores,
-    relay: createCacheStoreRelaySource((name) => clusterState.findPeer(name)?.address),
+    relay: createCacheStoreRelaySource(
+      (name) => clusterState.findPeer(name)?.address,
+      responseLimits,
+    ),
     random,
     clock: suspensionClock,
     log,
@@ -224,8 +227,9 @@
     settings,
     headers: dependencies.headers,
     clusterState,
-    pool: ConnectionPool.create(),
-    bodyMemory: BodyMemoryBudget.create(settings.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE),
+    pool: ConnectionPool.create(responseLimits.pacer),
+    bodyMemory: MemoryBudget.create(settings.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE),
+    responseLimits,
     clock,
     random,
     log,
--- a/packages/gateway/src/testGateway.ts
+++ b/packages/gateway/src/testGateway.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events';
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import { createReceiveLimits } from '@lovagearch/bounded-http';
 import type { Random } from '@lovagearch/common';
 import type {
   EndpointRecord,
@@ -51,6 +52,7 @@
   version: 1,
   routes: [
     createRoute('read', {}),
+    createRoute('quick', { targetLatencyMs: 200 }),
     createRoute('claim', { kind: 'non_idempotent', maxAttempts: 1 }),
     createRoute('stream', { kind: 'streaming', isResumable: true }),
     createRoute('other', { targets: [{ service: 'other', weight: 1 }] }),
@@ -241,6 +243,7 @@
       readReport: async () => undefined,
       sendOrder: async () => ({ type: 'rejected', reason: 'not used' }),
     },
+    responseLimits: createReceiveLimits(),
     cacheStores: { readEvents: async () => undefined, freeParts: async () => false },
     random,
   };
@@ -306,7 +309,11 @@
   body?: string,
   parts?: string,
   headers: Readonly<Record<string, string>> = {},
-) => {
+): Promise<{
+  readonly status: number;
+  readonly text: string;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+}> => {
   const response = await request(`http://127.0.0.1:${gateway.callerPort}${path}`, {
     method: body === undefined ? 'GET' : 'POST',
     headers: {
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -1,3 +1,4 @@
+import type { ReceiveLimits } from '@lovagearch/bounded-http';
 import type { Random } from '@lovagearch/common';
 import type {
   EndpointRecord,
@@ -195,6 +196,8 @@
   readonly lease: LeaseStore;
   readonly orders: OrderClient;
   readonly cacheStores: CacheStoreClient;
+  /** What the process may spend on what endpoints, cache stores and peers send. */
+  readonly responseLimits: ReceiveLimits;
   /** Random numbers of all decisions; a test passes seeded or fixed ones. */
   readonly random: Random;
 }
--- a/packages/platform-client/src/httpRequest.ts
+++ b/packages/platform-client/src/httpRequest.ts
@@ -1,6 +1,7 @@
+import { createBoundedAgent, createReceiveLimits, sendCall } from '@lovagearch/bounded-http';
 import { getErrorMessage, isConnectError } from '@lovagearch/common';
 import { ResultAsync } from 'neverthrow';
-import { Agent, request } from 'undici';
+import type { Agent } from 'undici';
 import { CONNECT_TIMEOUT_MS, MAX_CONNECTIONS_PER_ORIGIN, MAX_RESPONSE_BYTES } from './constants.js';
 
 export interface HttpRequest {
@@ -25,23 +26,26 @@
 
 /** Creates the connection pool of one client, with limits on connections and response sizes. */
 export const createAgent = (): Agent =>
-  new Agent({
+  createBoundedAgent({
     connections: MAX_CONNECTIONS_PER_ORIGIN,
-    pipelining: 1,
-    connect: { timeout: CONNECT_TIMEOUT_MS },
-    maxResponseSize: MAX_RESPONSE_BYTES,
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    maxResponseBytes: MAX_RESPONSE_BYTES,
   });
 
+/** Shared by all clients of the platform in this process. */
+const receiveLimits = createReceiveLimits();
+
 const executeRequest = async (agent: Agent, httpRequest: HttpRequest): Promise<HttpResponse> => {
-  const response = await request(httpRequest.url, {
-    dispatcher: agent,
-    method: httpRequest.method,
-    headers: httpRequest.headers ?? {},
-    body: httpRequest.body ?? null,
-    signal: AbortSignal.timeout(httpRequest.timeoutMs),
-  });
-  const body = Buffer.from(await response.body.arrayBuffer());
-  return { status: response.statusCode, headers: response.headers, body };
+  const { method, url, headers = {}, body, timeoutMs } = httpRequest;
+  const call = {
+    url,
+    method,
+    headers,
+    ...(body === undefined ? {} : { body }),
+    maxResponseBytes: MAX_RESPONSE_BYTES,
+    signal: AbortSignal.timeout(timeoutMs),
+  };
+  return sendCall(agent, call, receiveLimits);
 };
 
 /**
--- a/packages/service-client/src/httpServiceClient.ts
+++ b/packages/service-client/src/httpServiceClient.ts
@@ -1,6 +1,14 @@
+import {
+  type CallResponse,
+  createBoundedAgent,
+  createReceiveLimits,
+  type ReceiveLimits,
+  ResponseTooLargeError,
+  sendCall,
+} from '@lovagearch/bounded-http';
 import { getErrorMessage, isConnectError } from '@lovagearch/common';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
-import { Agent, Client, type Dispatcher } from 'undici';
+import { type Agent, Client, type Dispatcher } from 'undici';
 import {
   CONNECT_TIMEOUT_MS,
   HEALTH_TIMEOUT_MS,
@@ -22,6 +30,8 @@
   readonly connectTimeoutMs?: number;
   readonly healthTimeoutMs?: number;
   readonly maxResponseBytes?: number;
+  /** What the process may spend on responses. */
+  readonly limits?: ReceiveLimits;
 }
 
 /** Codes of errors that are thrown while a request is built, before any byte is sent. */
@@ -69,12 +79,13 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       healthTimeoutMs: HEALTH_TIMEOUT_MS,
       maxResponseBytes: MAX_RESPONSE_BYTES,
+      limits: createReceiveLimits(),
       ...options,
     };
-    const agent = new Agent({
+    const agent = createBoundedAgent({
       connections: MAX_CONNECTIONS_PER_INSTANCE,
-      pipelining: 1,
-      connect: { timeout: allOptions.connectTimeoutMs },
+      connectTimeoutMs: allOptions.connectTimeoutMs,
+      maxResponseBytes: allOptions.maxResponseBytes,
     });
     return new HttpServiceClient(agent, allOptions);
   }
@@ -135,19 +146,22 @@
     url: string,
     request: ServiceRequest,
   ): Promise<Result<ServiceResponse, ServiceError>> {
+    const { limits, maxResponseBytes } = this.options;
     const signal = AbortSignal.timeout(request.timeoutMs);
     try {
-      const response = await dispatcher.request({
-        origin: url,
-        path: request.path,
+      const call = {
+        url: `${url}${request.path}`,
         method: request.method,
         headers: selectRequestHeaders(request.headers),
-        body: request.body ?? null,
-        reset: request.freshConnection === true,
+        ...(request.body === undefined ? {} : { body: request.body }),
+        closesConnection: request.freshConnection === true,
+        maxResponseBytes,
         signal,
-      });
-      return await this.readResponse(request.method, response);
+      };
+      return this.checkResponse(request.method, await sendCall(dispatcher, call, limits));
     } catch (error) {
+      if (error instanceof ResponseTooLargeError)
+        return err({ type: 'response_too_large', limitBytes: maxResponseBytes });
       if (isPreSendError(error))
         return err({ type: 'not_connected', message: getErrorMessage(error) });
       if (signal.aborted) return err({ type: 'timeout', timeoutMs: request.timeoutMs });
@@ -155,29 +169,16 @@
     }
   }
 
-  private async readResponse(
+  private checkResponse(
     method: string,
-    response: Dispatcher.ResponseData,
-  ): Promise<Result<ServiceResponse, ServiceError>> {
-    const limitBytes = this.options.maxResponseBytes;
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    // Returning from inside the loop destroys the body and its connection.
-    for await (const chunk of response.body as AsyncIterable<Buffer>) {
-      bytes += chunk.length;
-      if (bytes > limitBytes) return err({ type: 'response_too_large', limitBytes });
-      chunks.push(chunk);
-    }
-    if (!isSelfDelimited(method, response.statusCode, response.headers)) {
+    { status, headers, body }: CallResponse,
+  ): Result<ServiceResponse, ServiceError> {
+    if (!isSelfDelimited(method, status, headers)) {
       return err({
         type: 'connection_lost',
         message: 'the response has neither Content-Length nor Transfer-Encoding',
       });
     }
-    return ok({
-      status: response.statusCode,
-      headers: formatResponseHeaders(response.headers),
-      body: Buffer.concat(chunks),
-    });
+    return ok({ status, headers: formatResponseHeaders(headers), body });
   }
 }
--- a/packages/store-client/src/httpStoreClient.ts
+++ b/packages/store-client/src/httpStoreClient.ts
@@ -1,6 +1,13 @@
+import {
+  createBoundedAgent,
+  createReceiveLimits,
+  readJson,
+  type ReceiveLimits,
+  sendCall,
+} from '@lovagearch/bounded-http';
 import { getErrorMessage } from '@lovagearch/common';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
-import { Agent, request } from 'undici';
+import type { Agent } from 'undici';
 import { z } from 'zod';
 import {
   CONNECT_TIMEOUT_MS,
@@ -25,25 +32,17 @@
 
 interface StoreResponse {
   readonly status: number;
-  readonly text: string;
+  readonly body: Buffer;
 }
 
-const parseJson = (text: string): unknown => {
-  try {
-    return JSON.parse(text) as unknown;
-  } catch {
-    return undefined;
-  }
-};
-
 const createResponseParser =
   <Value>(schema: z.ZodType<Value>) =>
-  ({ status, text }: StoreResponse): Result<Value, StoreError> => {
+  ({ status, body }: StoreResponse): Result<Value, StoreError> => {
     if (status === 404) return err({ type: 'not_found' });
     if (status !== 200) {
       return err({ type: 'unavailable', message: `the store VM responded with status ${status}` });
     }
-    const parsed = schema.safeParse(parseJson(text));
+    const parsed = schema.safeParse(readJson(body));
     if (parsed.success) return ok(parsed.data);
     return err({
       type: 'protocol_violation',
@@ -62,17 +61,23 @@
   private constructor(
     private readonly agent: Agent,
     private readonly timeoutMs: number,
+    private readonly limits: ReceiveLimits,
   ) {}
 
-  /** @param options.timeoutMs timeout of one request; 2 s by default */
-  static create(options: { readonly timeoutMs?: number } = {}): HttpStoreClient {
-    const agent = new Agent({
+  /**
+   * @param options.timeoutMs timeout of one request; 2 s by default
+   * @param options.limits what the process may spend on responses
+   */
+  static create(
+    options: { readonly timeoutMs?: number; readonly limits?: ReceiveLimits } = {},
+  ): HttpStoreClient {
+    const agent = createBoundedAgent({
       connections: MAX_CONNECTIONS_PER_STORE,
-      pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
-      maxResponseSize: MAX_RESPONSE_BYTES,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      maxResponseBytes: MAX_RESPONSE_BYTES,
     });
-    return new HttpStoreClient(agent, options.timeoutMs ?? REQUEST_TIMEOUT_MS);
+    const { timeoutMs = REQUEST_TIMEOUT_MS, limits = createReceiveLimits() } = options;
+    return new HttpStoreClient(agent, timeoutMs, limits);
   }
 
   readonly readStatus = (url: string): ResultAsync<StoreStatus, StoreError> =>
@@ -110,8 +115,8 @@
   private send(method: 'DELETE' | 'GET', url: string): ResultAsync<StoreResponse, StoreError> {
     const run = async (): Promise<StoreResponse> => {
       const signal = AbortSignal.timeout(this.timeoutMs);
-      const response = await request(url, { dispatcher: this.agent, method, signal });
-      return { status: response.statusCode, text: await response.body.text() };
+      const call = { url, method, maxResponseBytes: MAX_RESPONSE_BYTES, signal };
+      return sendCall(this.agent, call, this.limits);
     };
     return ResultAsync.fromPromise(run(), (error) => ({
       type: 'unavailable',
