Send whole tables to peers that may know rows removed before a whole read

Cause: a copy made by a whole read has no tombstones of rows that were removed before it, but claimed to have all removals since any older version, so that peers took over its version without the removal. Change: each whole read records the versions that it skips; a peer with a version in such a gap gets all rows, one from before it the changes, as the copy compares its own rows with those that it reads. All tables are copied this way. Why it works: a copy claims the removals since a version only if it had all rows of that version.

--- a/packages/mirror/src/mirror.test.ts
+++ b/packages/mirror/src/mirror.test.ts
@@ -6,6 +6,7 @@
   MirrorFollower,
   type MirroredRow,
   type ReadResult,
+  type RowBatch,
   TableMirror,
 } from './index.js';
 
@@ -254,3 +255,129 @@
     ['store_lost', 'store_regained'],
   );
 });
+
+/** The rows of a table at each of its versions, as a store has them that loses nothing. */
+class VersionedTable {
+  private readonly states: ReadonlyMap<string, MirroredRow>[] = [new Map()];
+
+  private readonly changes: MirroredRow[] = [];
+
+  get version(): number {
+    return this.states.length - 1;
+  }
+
+  getState(version: number): ReadonlyMap<string, MirroredRow> {
+    return this.states[version]!;
+  }
+
+  /** A change without a key is one of another table, which has the same versions. */
+  change(key: string | undefined, isRemoved: boolean): void {
+    const version = this.version + 1;
+    const state = new Map(this.states.at(-1));
+    if (key !== undefined) {
+      const row = { key, version, value: isRemoved ? undefined : `v${version}` };
+      if (isRemoved) state.delete(key);
+      else state.set(key, row);
+      this.changes.push(row);
+    }
+    this.states.push(state);
+  }
+
+  readAll(): RowBatch {
+    const rows = [...this.getState(this.version).values()];
+    return { rows, version: this.version, isPartial: false, ageMs: 0 };
+  }
+
+  readChanges(afterVersion: number): RowBatch {
+    const rows = this.changes.filter(({ version }) => version > afterVersion);
+    return { rows, version: this.version, isPartial: true, ageMs: 0 };
+  }
+}
+
+const listValues = (rows: Iterable<MirroredRow>): string[] =>
+  [...rows].map(({ key, value }) => `${key}=${value}`).sort();
+
+// Guards against a row that stays in use after its removal: a copy after a restart, or after a read of the whole
+// table, can't tell a peer which rows were removed before.
+t.test('copies of copies have the rows of their version across restarts', async (t2) => {
+  const copies = 4;
+  const copy = fc.nat({ max: copies - 1 });
+  const step = fc.oneof(
+    {
+      weight: 4,
+      arbitrary: fc.record({
+        type: fc.constant('change' as const),
+        key: fc.option(fc.constantFrom('a', 'b', 'c', 'd'), { nil: undefined }),
+        isRemoved: fc.boolean(),
+      }),
+    },
+    { weight: 2, arbitrary: fc.record({ type: fc.constant('read' as const), copy }) },
+    { weight: 1, arbitrary: fc.record({ type: fc.constant('read_all' as const), copy }) },
+    { weight: 1, arbitrary: fc.record({ type: fc.constant('restart' as const), copy }) },
+    { weight: 4, arbitrary: fc.record({ type: fc.constant('copy' as const), copy, peer: copy }) },
+  );
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 80, size: 'max' }), (steps) => {
+      const table = new VersionedTable();
+      const mirrors = Array.from({ length: copies }, () => TableMirror.create('servers'));
+      for (const next of steps) {
+        switch (next.type) {
+          case 'change':
+            table.change(next.key, next.isRemoved);
+            break;
+          case 'read': {
+            const mirror = mirrors[next.copy]!;
+            mirror.applyBatch(
+              mirror.version === 0 ? table.readAll() : table.readChanges(mirror.version),
+              0,
+            );
+            break;
+          }
+          case 'read_all':
+            mirrors[next.copy]!.applyBatch(table.readAll(), 0);
+            break;
+          case 'restart':
+            mirrors[next.copy] = TableMirror.create('servers');
+            break;
+          case 'copy': {
+            const mirror = mirrors[next.copy]!;
+            const peer = mirrors[next.peer]!;
+            if (peer.version > 0) mirror.applyBatch(peer.createBatch(mirror.version, 0), 0);
+            break;
+          }
+          default:
+            next satisfies never;
+        }
+        for (const mirror of mirrors)
+          t2.strictSame(
+            listValues(mirror.listRows()),
+            listValues(table.getState(mirror.version).values()),
+          );
+      }
+    }),
+    { numRuns: 300 },
+  );
+});
+
+t.test('a copy of a restarted peer loses the rows that were removed before', async (t2) => {
+  const endpoint = { key: 'i-1', version: 1, value: 'ready' };
+  const follower = TableMirror.create('servers');
+  follower.applyBatch({ rows: [endpoint], version: 1, isPartial: false, ageMs: 0 }, 0);
+  const restarted = TableMirror.create('servers');
+  restarted.applyBatch({ rows: [], version: 3, isPartial: false, ageMs: 0 }, 0);
+  follower.applyBatch(restarted.createBatch(follower.version, 0), 0);
+  t2.strictSame([...follower.listRows()], []);
+});
+
+// Guards against whole tables on the links of a region after each restart of a node that reads the store for it.
+t.test('a copy that was complete before a whole read sends changes to older copies', async (t2) => {
+  const createRow = (key: string, version: number) => ({ key, version, value: 'ready' });
+  const mirror = TableMirror.create('servers');
+  const rows = [createRow('a', 1), createRow('b', 2)];
+  mirror.applyBatch({ rows, version: 5, isPartial: false, ageMs: 0 }, 0);
+  mirror.applyBatch({ rows: [createRow('b', 2)], version: 9, isPartial: false, ageMs: 0 }, 0);
+  const batch = mirror.createBatch(5, 0);
+  t2.equal(batch.isPartial, true);
+  t2.strictSame(batch.rows, [{ key: 'a', version: 9, value: undefined }]);
+  t2.equal(mirror.createBatch(7, 0).isPartial, false);
+});
--- a/packages/mirror/src/mirrorFollower.ts
+++ b/packages/mirror/src/mirrorFollower.ts
@@ -24,6 +24,8 @@
       readonly type: 'peer_used';
       readonly table: string;
       readonly version: number;
+      /** Whether the peer sent the changes since the copy's version; false if it sent the whole table. */
+      readonly isPartial: boolean;
       readonly ageMs: number;
     };
 
@@ -249,6 +251,7 @@
       type: 'peer_used',
       table: mirror.table,
       version: mirror.version,
+      isPartial: batch.isPartial,
       ageMs: batch.ageMs,
     });
   }
--- a/packages/mirror/src/tableMirror.ts
+++ b/packages/mirror/src/tableMirror.ts
@@ -7,6 +7,15 @@
  */
 const MAX_TOMBSTONES = 256;
 
+/** Maximum number of gaps; beyond it, the versions up to the oldest count as incomplete. */
+const MAX_GAPS = 8;
+
+/** Versions, both excluded, at which a peer may know rows that this copy never had and of whose removal it can't tell. */
+interface Gap {
+  readonly afterVersion: number;
+  readonly untilVersion: number;
+}
+
 /**
  * Called for each change of a row.
  *
@@ -38,6 +47,12 @@
   /** Tombstones up to this version may have been discarded. */
   private prunedVersion = 0;
 
+  /**
+   * One for each read of the whole table, which skips the changes since the version before: a row that was added and
+   * removed meanwhile has no tombstone.
+   */
+  private readonly gaps: Gap[] = [];
+
   private readonly listeners: RowListener[] = [];
 
   private knownVersion = 0;
@@ -84,7 +99,10 @@
     if (asOfStoreMs !== undefined)
       this.options.storeClock?.recordReading(asOfStoreMs + batch.ageMs);
     if (batch.version < this.knownVersion) return false;
-    if (!batch.isPartial) this.removeMissingRows(batch);
+    if (!batch.isPartial) {
+      this.removeMissingRows(batch);
+      this.recordGap({ afterVersion: this.knownVersion, untilVersion: batch.version });
+    }
     for (const row of batch.rows) this.applyRow(row);
     this.knownVersion = batch.version;
     this.completeAsOfMs = Math.max(this.completeAsOfMs, nowMs - batch.ageMs);
@@ -93,9 +111,9 @@
     return true;
   }
 
-  /** Returns the changes after a version, or all rows if the tombstones since then are incomplete. */
+  /** Returns the changes after a version, or all rows if some removal since then is unknown. */
   createBatch(afterVersion: number, nowMs: number): RowBatch {
-    const isPartial = afterVersion > 0 && afterVersion >= this.prunedVersion;
+    const isPartial = this.hasAllRemovalsSince(afterVersion);
     const rows: MirroredRow[] = [];
     for (const row of this.rows.values()) {
       if (!isPartial || row.version > afterVersion) rows.push(row);
@@ -149,6 +167,23 @@
     }
   }
 
+  /** Whether a copy of this version needs only the changes since then. */
+  private hasAllRemovalsSince(version: number): boolean {
+    if (version === 0 || version < this.prunedVersion) return false;
+    for (const { afterVersion, untilVersion } of this.gaps) {
+      if (version > afterVersion && version < untilVersion) return false;
+    }
+    return true;
+  }
+
+  private recordGap(gap: Gap): void {
+    if (gap.untilVersion - gap.afterVersion <= 1) return;
+    this.gaps.push(gap);
+    if (this.gaps.length <= MAX_GAPS) return;
+    const oldest = this.gaps.shift();
+    this.prunedVersion = Math.max(this.prunedVersion, oldest?.untilVersion ?? 0);
+  }
+
   private recordTombstone(row: MirroredRow): void {
     this.tombstones.set(row.key, row);
     if (this.tombstones.size <= MAX_TOMBSTONES) return;
