Forget cache store parts that were removed before a watcher restarted

What callers saw: nothing yet; a node could fetch prompt parts that were gone, or that another node was writing again. A watcher numbers its changes anew after a restart, and a whole index removed no parts, so a node kept what had been removed. Evidence: on the program before, a node that knows a and b and follows a watcher that restarted with b, c and d reads a, b and d; the new test of storeIndex.test.ts wants b, c and d. Change: updates name the index that numbers the changes and whether they hold all parts; a whole one replaces the parts. Why it works: changes are continued only within one index. Nodes of earlier releases are read as before.

--- a/packages/gateway/src/cacheStoreFollower.ts
+++ b/packages/gateway/src/cacheStoreFollower.ts
@@ -32,6 +32,9 @@
 
   private nextEventNumber = 0;
 
+  /** The index of that peer; it has another one after its restart. */
+  private relayLog = 0;
+
   private isReachable: boolean | undefined;
 
   private isStopped = false;
@@ -58,8 +61,14 @@
   getCursor(peer: string): CacheStoreCursor {
     // Each watcher numbers events on its own, so another watcher starts from the beginning.
     const isSamePeer = this.relayPeer === peer;
-    const epoch = isSamePeer ? (this.index.epoch ?? 0) : 0;
-    return { address: this.store.address, epoch, since: isSamePeer ? this.nextEventNumber : 0 };
+    const { address } = this.store;
+    if (!isSamePeer) return { address, epoch: 0, log: 0, since: 0 };
+    return {
+      address,
+      epoch: this.index.epoch ?? 0,
+      log: this.relayLog,
+      since: this.nextEventNumber,
+    };
   }
 
   /**
@@ -78,10 +87,9 @@
     }
     const respondedAtMs = sentMs - relay.ageMs;
     index.recordRecovery(respondedAtMs);
-    if (!index.applyResponse(relay.epoch, relay.events, respondedAtMs)) {
-      index.applyResponse(relay.epoch, relay.events, respondedAtMs);
-    }
+    index.applyUpdate(relay, respondedAtMs);
     this.relayPeer = peer;
+    this.relayLog = relay.log;
     this.nextEventNumber = relay.next;
     this.logReachability(true, peer);
   }
--- a/packages/gateway/src/peerExchange.ts
+++ b/packages/gateway/src/peerExchange.ts
@@ -8,7 +8,7 @@
 } from '@lovagearch/bounded-http';
 import { type Clock, getErrorMessage, ProgressTimeout } from '@lovagearch/common';
 import type { PeerSource, ReadResult, RowBatch, TableMirror } from '@lovagearch/mirror';
-import type { StoreIndex, StoreIndexUpdate } from '@lovagearch/reuse';
+import type { StoreIndex, StoreIndexCursor, StoreIndexUpdate } from '@lovagearch/reuse';
 import type { Agent } from 'undici';
 import * as z from 'zod';
 import {
@@ -62,16 +62,16 @@
     maxResponseBytes: MAX_PEER_RESPONSE_BYTES,
   });
 
-/** How far a node knows the events of a cache store VM; `ADDRESS/EPOCH/SINCE` in a query string. */
-export interface CacheStoreCursor {
+/** How far a node knows the events of a cache store VM; `ADDRESS/EPOCH/SINCE/LOG` in a query string. */
+export interface CacheStoreCursor extends StoreIndexCursor {
   readonly address: string;
-  readonly epoch: number;
-  /** Number of the first event that the node lacks. */
-  readonly since: number;
 }
 
 const relaySchema = z.object({
   epoch: z.number(),
+  /** A node of an earlier release names neither its index nor whether it sent all parts. */
+  log: z.number().default(0),
+  isPartial: z.boolean().default(true),
   next: z.number(),
   ageMs: z.number(),
   events: z.array(
@@ -98,9 +98,9 @@
   server.get<{ Querystring: { known?: string } }>('/peer/stores', (incoming, reply) => {
     const relays: [string, StoreIndexUpdate][] = [];
     for (const cursor of (incoming.query.known ?? '').split(',')) {
-      const [address = '', epoch, since] = cursor.split('/');
-      const index = findIndex(address);
-      const relay = index?.createUpdate(Number(epoch), Number(since), clock.nowMs());
+      const [address = '', epoch, since, log] = cursor.split('/');
+      const known = { epoch: Number(epoch), log: Number(log), since: Number(since) };
+      const relay = findIndex(address)?.createUpdate(known, clock.nowMs());
       if (relay !== undefined) relays.push([address, relay]);
     }
     return reply.type('application/vnd.msgpack').send(pack(relays));
@@ -116,7 +116,9 @@
   return async (peer, cursors) => {
     const address = findPeerAddress(peer);
     if (address === undefined) return new Map();
-    const known = cursors.map((cursor) => `${cursor.address}/${cursor.epoch}/${cursor.since}`);
+    const known = cursors.map(
+      ({ address: store, epoch, since, log }) => `${store}/${epoch}/${since}/${log}`,
+    );
     try {
       const url = `http://${address}/peer/stores?known=${known.join(',')}`;
       const { status, body } = await requestBytes(agent, url, limits);
--- a/packages/reuse/src/storeIndex.test.ts
+++ b/packages/reuse/src/storeIndex.test.ts
@@ -5,6 +5,7 @@
   NEW_STORE_SAVE_DELAY_MS,
   SAVE_RETRY_MS,
   StoreIndex,
+  type StoreIndexCursor,
 } from './index.js';
 
 const ADDED = {
@@ -92,16 +93,13 @@
   async (t2) => {
     const watcher = createIndex();
     const follower = StoreIndex.create();
-    const follow = (since: number, nowMs: number) => {
-      const update = watcher.createUpdate(follower.epoch ?? 0, since, nowMs);
-      if (update === undefined) return since;
-      const responseMs = nowMs - update.ageMs;
-      if (!follower.applyResponse(update.epoch, update.events, responseMs)) {
-        follower.applyResponse(update.epoch, update.events, responseMs);
-      }
-      return update.next;
+    const follow = (cursor: Omit<StoreIndexCursor, 'epoch'>, nowMs: number) => {
+      const update = watcher.createUpdate({ epoch: follower.epoch ?? 0, ...cursor }, nowMs);
+      if (update === undefined) return cursor;
+      follower.applyUpdate(update, nowMs - update.ageMs);
+      return { log: update.log, since: update.next };
     };
-    let since = follow(0, 100);
+    let since = follow({ log: 0, since: 0 }, 100);
     t2.equal(follower.canRead('v1', 'p', 100), true);
     t2.equal(follower.canRead('v1', 'p', INDEX_MAX_AGE_MS), false);
     watcher.applyResponse(1, [{ ...ADDED, part: { ...ADDED.part, id: 'q' } }], 500);
@@ -110,6 +108,27 @@
     watcher.applyResponse(2, [], 700);
     follow(since, 800);
     t2.equal(follower.canRead('v1', 'p', 800), false);
-    t2.equal(watcher.createUpdate(2, 0, 700 + INDEX_MAX_AGE_MS), undefined);
+    const cursor = { epoch: 2, log: 0, since: 0 };
+    t2.equal(watcher.createUpdate(cursor, 700 + INDEX_MAX_AGE_MS), undefined);
   },
 );
+
+// Guards against parts that a node reads from a store after they were removed there: a watcher that restarted counts
+// its changes anew, and a whole index names no removals.
+t.test('parts that were removed before a watcher restarted are not read any more', async (t2) => {
+  const createPart = (id: string) => ({ ...ADDED, part: { ...ADDED.part, id } });
+  const before = StoreIndex.create(1);
+  before.applyResponse(1, [], 0);
+  before.applyResponse(1, [createPart('a'), createPart('b')], 0);
+  const follower = StoreIndex.create();
+  const first = before.createUpdate({ epoch: 0, log: 0, since: 0 }, 0)!;
+  follower.applyUpdate(first, 0);
+  t2.equal(follower.canRead('v1', 'a', 0), true);
+  const after = StoreIndex.create(2);
+  after.applyResponse(1, [], 100);
+  after.applyResponse(1, [createPart('b'), createPart('c'), createPart('d')], 100);
+  const second = after.createUpdate({ epoch: 1, log: first.log, since: first.next }, 100)!;
+  follower.applyUpdate(second, 100);
+  const readable = ['a', 'b', 'c', 'd'].filter((id) => follower.canRead('v1', id, 100));
+  t2.strictSame(readable, ['b', 'c', 'd']);
+});
--- a/packages/reuse/src/storeIndex.ts
+++ b/packages/reuse/src/storeIndex.ts
@@ -19,6 +19,9 @@
 /** Recently saved parts that are tracked. */
 const MAX_RECENT_SAVES = 4_096;
 
+/** Ids of indexes are drawn from this range. */
+const MAX_LOG_ID = 2 ** 32;
+
 /** A part that a store VM holds completely. */
 export interface StoredPart {
   readonly salt: string;
@@ -32,9 +35,22 @@
   readonly part: StoredPart;
 }
 
+/** How far a node knows the index of another one. */
+export interface StoreIndexCursor {
+  /** Epoch of the store; 0 if none is known. */
+  readonly epoch: number;
+  /** Identifies the index whose changes `since` counts. */
+  readonly log: number;
+  /** Number of the first change that the node lacks. */
+  readonly since: number;
+}
+
 /** Index changes that a node watching a store sends to a node that does not watch it. */
 export interface StoreIndexUpdate {
   readonly epoch: number;
+  readonly log: number;
+  /** False if the events are all parts of the index, true if they are its changes. */
+  readonly isPartial: boolean;
   /** Number of the first change after this update, to be passed in the next call. */
   readonly next: number;
   /** Age of the store's last response, in milliseconds. */
@@ -71,8 +87,11 @@
 
   private lastResponseMs = Number.NEGATIVE_INFINITY;
 
-  static create(): StoreIndex {
-    return new StoreIndex();
+  private constructor(private readonly log: number) {}
+
+  /** @param log differs between the indexes of one node before and after its restart */
+  static create(log = Math.floor(Math.random() * MAX_LOG_ID)): StoreIndex {
+    return new StoreIndex(log);
   }
 
   /** Identifies the start of the store for which the index is valid. */
@@ -107,6 +126,13 @@
     return true;
   }
 
+  /** Applies an update from the index of another node. */
+  applyUpdate({ epoch, isPartial, events }: StoreIndexUpdate, nowMs: number): void {
+    if (epoch !== this.currentEpoch) this.applyResponse(epoch, [], nowMs);
+    if (!isPartial) this.removeOtherParts(events);
+    this.applyResponse(epoch, events, nowMs);
+  }
+
   /** Records that the store did not respond; it may have restarted. */
   recordFailure(): void {
     this.lastResponseMs = Number.NEGATIVE_INFINITY;
@@ -148,22 +174,36 @@
 
   /**
    * Creates an update with the changes that a following node is missing, or with all parts if it
-   * knows another epoch or is too far behind.
+   * knows another epoch, counted the changes of another index or is too far behind.
    *
-   * @param epoch epoch of the store that the node knows
-   * @param since sequence number of the first change that it is missing
    * @returns undefined while the store does not respond
    */
-  createUpdate(epoch: number, since: number, nowMs: number): StoreIndexUpdate | undefined {
+  createUpdate(
+    { epoch, log, since }: StoreIndexCursor,
+    nowMs: number,
+  ): StoreIndexUpdate | undefined {
     const { currentEpoch } = this;
     const ageMs = nowMs - this.lastResponseMs;
     if (currentEpoch === undefined || ageMs >= INDEX_MAX_AGE_MS) return undefined;
     const next = this.firstChangeNumber + this.changes.length;
-    const isKnown = epoch === currentEpoch && since >= this.firstChangeNumber && since <= next;
-    const events = isKnown
+    const isPartial =
+      epoch === currentEpoch &&
+      log === this.log &&
+      since >= this.firstChangeNumber &&
+      since <= next;
+    const events = isPartial
       ? this.changes.slice(since - this.firstChangeNumber)
       : [...this.parts.values()].map((part) => ({ isAdded: true, part }));
-    return { epoch: currentEpoch, next, ageMs, events };
+    return { epoch: currentEpoch, log: this.log, isPartial, next, ageMs, events };
+  }
+
+  private removeOtherParts(events: readonly StorePartEvent[]): void {
+    const kept = new Set(events.map(({ part }) => createKey(part.salt, part.id)));
+    for (const [key, part] of [...this.parts]) {
+      if (kept.has(key)) continue;
+      this.parts.delete(key);
+      this.changes.push({ isAdded: false, part });
+    }
   }
 
   private removeOldChanges(): void {
