Hold back requests that crash endpoints after their first output

Cause: a crash counted only against requests without output, and for 60 s. Change: CrashCounter keeps all requests of a crash, begun and just answered ones too; the request in the most crashes explains them for all others. It is refused after three crashes, or two if it alone was in flight without output. Answers that an endpoint outlived, heartbeats, another established connection and probes show what is sound. Crashes count for 600 s, and a request is not sent again once it is quarantined. Why it works: the request that crashes endpoints is in all its crashes, sound ones are in some of them or are answered.

--- a/packages/exchange/src/connectionPool.ts
+++ b/packages/exchange/src/connectionPool.ts
@@ -21,6 +21,9 @@
 
   private openedConnectionCount = 0;
 
+  /** Called with the id of an endpoint that closed a connection between two exchanges. */
+  onIdleConnectionLost: (endpointId: string) => void = () => undefined;
+
   private constructor(private readonly pacer: ReadPacer) {}
 
   /** @param pacer limits the chunks that the process handles; by default one of this pool */
@@ -63,6 +66,13 @@
     return connection?.send(request, listener, (released) => this.release(endpointId, released));
   }
 
+  /** Whether a connection to an endpoint is established, which shows that its process runs. */
+  hasEstablishedConnection(endpointId: string): boolean {
+    for (const connection of this.byEndpoint.get(endpointId)?.all ?? [])
+      if (connection.isEstablished) return true;
+    return false;
+  }
+
   /** Closes the idle connections of an endpoint that accepts no more requests. */
   closeIdleConnections(endpointId: string): void {
     const connections = this.byEndpoint.get(endpointId);
@@ -93,8 +103,11 @@
     if (connections.all.size >= maxConnections) return undefined;
     // Registrations come from other writers, and the HTTP client throws on an invalid address.
     if (parseSocketAddress(address) === undefined) return undefined;
-    const created = EndpointConnection.create(address, this.pacer, (closed) =>
-      this.remove(endpointId, closed),
+    const created = EndpointConnection.create(
+      address,
+      this.pacer,
+      (closed) => this.remove(endpointId, closed),
+      () => this.onIdleConnectionLost(endpointId),
     );
     connections.all.add(created);
     this.byEndpoint.set(endpointId, connections);
--- a/packages/exchange/src/endpointConnection.ts
+++ b/packages/exchange/src/endpointConnection.ts
@@ -12,6 +12,9 @@
 } from './constants.js';
 import type { EndpointRequest, Exchange, ExchangeListener } from './types.js';
 
+/** Code of the error with which the HTTP client closes a connection itself. */
+const CLOSED_BY_CLIENT_CODE = 'UND_ERR_INFO';
+
 /**
  * One connection to an endpoint, for one exchange at a time. It does not reconnect after it closes.
  */
@@ -39,6 +42,7 @@
     address: string,
     private readonly pacer: ReadPacer,
     private readonly onClosed: (connection: EndpointConnection) => void,
+    private readonly onIdleLost: () => void,
   ) {
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
@@ -51,20 +55,27 @@
       connect: (options, callback) =>
         this.openSocket(options.hostname, Number(options.port), callback),
     });
-    this.client.on('disconnect', () => this.close());
+    this.client.on('disconnect', (_origin, _targets, error) => {
+      // The HTTP client itself closes connections that have expired or that the endpoint wants closed.
+      const isLost = !this.isBusy && !this.isClosed && error.code !== CLOSED_BY_CLIENT_CODE;
+      this.close();
+      if (isLost) this.onIdleLost();
+    });
     this.client.on('connectionError', () => this.close());
   }
 
   /**
    * @param pacer limits the chunks that the process handles
    * @param onClosed called once, when the connection closes
+   * @param onIdleLost called if the endpoint closes the connection between two exchanges
    */
   static create(
     address: string,
     pacer: ReadPacer,
     onClosed: (connection: EndpointConnection) => void,
+    onIdleLost: () => void = () => undefined,
   ): EndpointConnection {
-    return new EndpointConnection(address, pacer, onClosed);
+    return new EndpointConnection(address, pacer, onClosed, onIdleLost);
   }
 
   /** Whether the connection is open. */
@@ -72,6 +83,11 @@
     return !this.isClosed && this.socket !== undefined && !this.socket.destroyed;
   }
 
+  /** Whether the connection is established. */
+  get isEstablished(): boolean {
+    return this.isUsable && this.socket?.connecting === false;
+  }
+
   /** Closes the connection and fails the exchange in progress. */
   close(): void {
     if (this.isClosed) return;
--- a/packages/gateway/src/attemptFeedback.ts
+++ b/packages/gateway/src/attemptFeedback.ts
@@ -1,6 +1,11 @@
+import type { RequestCrash } from '@lovagearch/containment';
 import type { Placement } from '@lovagearch/endpoints';
 import { getEndpointStartKey } from './attempt.js';
-import { CRASH_AFTER_OUTPUT_MS, PUBLISHED_FINGERPRINT_LENGTH } from './constants.js';
+import {
+  CRASH_AFTER_OUTPUT_MS,
+  CRASH_CONFIRMATION_MS,
+  PUBLISHED_FINGERPRINT_LENGTH,
+} from './constants.js';
 import type { RoutedRequest } from './createAttempt.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { ChosenEndpoint } from './placeRequest.js';
@@ -34,23 +39,84 @@
   transferMeter.recordTransfer(address, nominalMs, measuredMs, nowMs);
 };
 
-/** Records that an endpoint may have crashed because of a request, and publishes this to peers. */
-export const recordStrike = (
-  { clusterState, strikePublisher, clock, log }: GatewayContext,
+/** Records that an endpoint crashed with requests in flight or just answered, and publishes this to peers. */
+const recordStrikes = (
+  { clusterState, settings, strikePublisher, log }: GatewayContext,
+  strikes: readonly RequestCrash[],
+  atMs: number,
+): void => {
+  for (const strike of strikes) {
+    if (!clusterState.strikes.recordCrash(strike, atMs, settings.nodeName)) continue;
+    strikePublisher.addStrike(strike);
+    const { fingerprint, endpointStart, hasOutput } = strike;
+    log.logProblem('crash_counted', {
+      fingerprint,
+      endpointStart,
+      hasOutput,
+      crashes: clusterState.strikes.countCrashes(fingerprint, atMs),
+    });
+  }
+};
+
+/**
+ * Records a crash of an endpoint that has closed a connection, unless another connection to it stays established: then
+ * it merely lost an answer.
+ *
+ * @param strike the request on the connection, if there was one
+ */
+export const recordLostConnection = (
+  context: GatewayContext,
+  endpointStart: string,
+  strike: RequestCrash | undefined,
+): void => {
+  const { clock, pool, recentAnswers } = context;
+  if (strike === undefined && !recentAnswers.hasAnswers(endpointStart)) return;
+  const atMs = clock.nowMs();
+  setTimeout(() => {
+    if (pool.hasEstablishedConnection(endpointStart)) return;
+    const strikes: RequestCrash[] = strike === undefined ? [] : [strike];
+    for (const fingerprint of recentAnswers.takeAnswers(endpointStart, atMs))
+      strikes.push({ fingerprint, endpointStart, hasOutput: true });
+    recordStrikes(context, strikes, atMs);
+  }, CRASH_CONFIRMATION_MS).unref();
+};
+
+/** Records that an endpoint may have crashed because of a request. */
+export const recordBrokenAttempt = (
+  context: GatewayContext,
   { head, account, body }: RoutedRequest,
   { endpoint }: ChosenEndpoint,
+  hasOutput: boolean,
 ): void => {
+  const endpointStart = getEndpointStartKey(endpoint);
   const fingerprint = computeFingerprint(account?.name ?? '', head.path, body);
-  const strike = { fingerprint, endpointStart: getEndpointStartKey(endpoint) };
-  const nowMs = clock.nowMs();
-  if (!clusterState.strikes.recordCrash(strike, nowMs)) return;
-  strikePublisher.addStrike(strike);
-  log.logProblem('crash_counted', {
-    request: head.requestId,
-    fingerprint,
-    endpointStart: strike.endpointStart,
-    crashes: clusterState.strikes.countCrashes(fingerprint, nowMs),
-  });
+  recordLostConnection(context, endpointStart, { fingerprint, endpointStart, hasOutput });
+};
+
+/** Records that an endpoint answered a request completely. */
+export const recordAnswer = (
+  { clock, recentAnswers }: GatewayContext,
+  { head, account, body }: RoutedRequest,
+  { endpoint }: ChosenEndpoint,
+): void =>
+  recentAnswers.recordAnswer(
+    getEndpointStartKey(endpoint),
+    computeFingerprint(account?.name ?? '', head.path, body),
+    clock.nowMs(),
+  );
+
+/** Counts the requests as sound whose endpoints have lived on after their answers. */
+export const recordOutlivedAnswers = ({
+  clock,
+  clusterState,
+  recentAnswers,
+  strikePublisher,
+}: Pick<GatewayContext, 'clock' | 'clusterState' | 'recentAnswers' | 'strikePublisher'>): void => {
+  for (const { fingerprint, atMs } of recentAnswers.takeOutlived(clock.nowMs())) {
+    if (clusterState.strikes.isEmpty) continue;
+    if (clusterState.strikes.recordCompletion(fingerprint, atMs))
+      strikePublisher.addAnswer(fingerprint, atMs);
+  }
 };
 
 /**
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -16,8 +16,9 @@
 import { recordSend } from './endpointRates.js';
 import type { GatewayContext } from './gatewayContext.js';
 import {
+  recordAnswer,
+  recordBrokenAttempt,
   recordInterruption,
-  recordStrike,
   recordTransferTime,
   recordWeightMismatch,
 } from './attemptFeedback.js';
@@ -25,7 +26,7 @@
 import { createFailure, createRefusal, type LocalReply, sendLocalReply } from './localReply.js';
 import { logAttemptFailed, logCallerLeft, logNotPlaced, logPlacement } from './requestLog.js';
 import { createCacheSalt, planReuse } from './reusePlan.js';
-import { createQuarantineRefusal, hasQuarantinedPart } from './quarantine.js';
+import { createQuarantineRefusal, isQuarantined } from './quarantine.js';
 import { readBody } from './requestBody.js';
 import { getTimeLimitMs, routeRequest } from './routeRequest.js';
 import { listSharedPartIds } from './sharedParts.js';
@@ -217,8 +218,8 @@
   private endIfQuarantined(routedRequest: RoutedRequest): boolean {
     const { head, route } = routedRequest;
     if (this.possibleRunCount > 0) {
-      if (!hasQuarantinedPart(this.context, head)) return false;
-      this.replyWithRefusalOrFailure(routedRequest, 'a part of the prompt is quarantined');
+      if (!isQuarantined(this.context, routedRequest)) return false;
+      this.replyWithRefusalOrFailure(routedRequest, 'the request or a part of it is quarantined');
       return true;
     }
     const refusal = createQuarantineRefusal(this.context, routedRequest);
@@ -290,8 +291,10 @@
     const outcome = await attempt.run();
     stopTracking?.();
     context.metrics.recordAttempt(service, outcome.type);
-    const mayHaveCrashed = outcome.type === 'broken' && !attempt.hasOutput;
-    if (mayHaveCrashed) recordStrike(context, routedRequest, chosen);
+    if (outcome.type === 'broken' && (outcome.isConnectionLost || !attempt.hasOutput))
+      recordBrokenAttempt(context, routedRequest, chosen, attempt.hasOutput);
+    if (outcome.type === 'passed_on' || outcome.type === 'answered')
+      recordAnswer(context, routedRequest, chosen);
     if (outcome.type === 'broken' && outcome.isConnectionLost)
       recordInterruption(
         context,
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -60,7 +60,14 @@
 /** Interval at which strikes are published, in milliseconds; each publication costs a store call. */
 export const STRIKE_PUBLISH_INTERVAL_MS = 400;
 /** Maximum number of strikes that a node publishes; older ones are dropped. */
-export const MAX_PUBLISHED_STRIKES = 48;
+export const MAX_PUBLISHED_STRIKES = 128;
+/** Maximum number of completed requests that a node publishes with them. */
+export const MAX_PUBLISHED_ANSWERS = 32;
+/**
+ * Time after a connection broke off until its endpoint counts as crashed, in milliseconds, unless another connection
+ * to it is established then. A crash breaks all of them.
+ */
+export const CRASH_CONFIRMATION_MS = 60;
 /** Maximum number of crashes in the row that a node publishes for prompt parts; older ones are dropped. */
 export const MAX_PUBLISHED_CRASHES = 32;
 /** Interrupted requests of one crash in that row. */
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -8,6 +8,7 @@
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { PromptPartContainment } from './promptPartContainment.js';
+import type { RecentAnswers } from './recentAnswers.js';
 import type { RouteDurations } from './routeDurations.js';
 import type { ShutdownPlan } from './shutdownPlan.js';
 import type { StrikePublisher } from './strikePublisher.js';
@@ -28,6 +29,7 @@
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
   readonly strikePublisher: StrikePublisher;
+  readonly recentAnswers: RecentAnswers;
   readonly promptPartContainment: PromptPartContainment;
   /** Returns the index of what a cache store VM holds, if the store is configured. */
   readonly findCacheStoreIndex: (address: string) => StoreIndex | undefined;
--- a/packages/gateway/src/quarantine.ts
+++ b/packages/gateway/src/quarantine.ts
@@ -1,26 +1,38 @@
+import type { Fingerprint } from '@lovagearch/common';
 import type { RoutedRequest } from './createAttempt.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { createRefusal, type LocalReply } from './localReply.js';
 import { listSharedPartIds } from './sharedParts.js';
 import { computeFingerprint } from './strikePublisher.js';
-import type { RequestHead } from './types.js';
 
-/** Whether a prompt part of the request is quarantined. */
-export const hasQuarantinedPart = (
-  { promptPartContainment }: GatewayContext,
-  head: RequestHead,
-): boolean => promptPartContainment.findQuarantine(listSharedPartIds(head)) !== undefined;
+/** Returns the fingerprint of a request that is quarantined itself, whatever its prompt parts. */
+const findQuarantinedFingerprint = (
+  { clock, clusterState }: GatewayContext,
+  { head, account, body }: RoutedRequest,
+): Fingerprint | undefined => {
+  const { strikes } = clusterState;
+  if (strikes.isEmpty) return undefined;
+  const fingerprint = computeFingerprint(account?.name ?? '', head.path, body);
+  return strikes.isQuarantined(fingerprint, clock.nowMs()) ? fingerprint : undefined;
+};
+
+/** Whether the request or a prompt part of it is quarantined. */
+export const isQuarantined = (context: GatewayContext, routedRequest: RoutedRequest): boolean =>
+  context.promptPartContainment.findQuarantine(listSharedPartIds(routedRequest.head)) !==
+    undefined || findQuarantinedFingerprint(context, routedRequest) !== undefined;
 
 const findQuarantineMessage = (
   context: GatewayContext,
-  { head, account, body }: RoutedRequest,
+  routedRequest: RoutedRequest,
 ): string | undefined => {
-  const { strikes } = context.clusterState;
-  if (!strikes.isEmpty) {
-    const fingerprint = computeFingerprint(account?.name ?? '', head.path, body);
-    if (strikes.isQuarantined(fingerprint, context.clock.nowMs()))
+  const { clock, clusterState, log, settings } = context;
+  const fingerprint = findQuarantinedFingerprint(context, routedRequest);
+  if (fingerprint !== undefined) {
+    if (!clusterState.strikes.tryProbe(fingerprint, settings.nodeName, clock.nowMs()))
       return 'the request is quarantined because it appears to crash endpoints';
+    log.logStateChange('request_probed', { fingerprint });
   }
+  const { head } = routedRequest;
   return context.promptPartContainment.checkRequest(listSharedPartIds(head)) !== undefined
     ? 'a part of the prompt is quarantined because it appears to crash endpoints'
     : undefined;
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -30,7 +30,9 @@
   createTableRelaySource,
 } from './peerExchange.js';
 import { getEndpointStartKey } from './attempt.js';
+import { recordLostConnection, recordOutlivedAnswers } from './attemptFeedback.js';
 import { PromptPartContainment } from './promptPartContainment.js';
+import { RecentAnswers } from './recentAnswers.js';
 import { RouteDurations } from './routeDurations.js';
 import { createShutdownPlan } from './shutdownPlan.js';
 import { CacheStoreWatcher } from './cacheStoreWatcher.js';
@@ -134,7 +136,9 @@
   endpointMirror.addListener(({ key }) => {
     const endpoint = clusterState.endpoints.findEndpoint(key);
     if (endpoint === undefined) return;
-    promptPartContainment.recordHeartbeat(getEndpointStartKey(endpoint), endpoint.record.heartbeat);
+    const startKey = getEndpointStartKey(endpoint);
+    promptPartContainment.recordHeartbeat(startKey, endpoint.record.heartbeat);
+    strikes.recordHeartbeat(startKey, endpoint.record.heartbeat);
   });
 
   const ownPeerAddress = `${settings.peerAddress.host}:${settings.peerAddress.port}`;
@@ -235,6 +239,7 @@
     log,
     metrics,
     strikePublisher,
+    recentAnswers: RecentAnswers.create(),
     promptPartContainment,
     suspensionClock,
     waitingAttempts: WaitingAttempts.create(),
@@ -260,6 +265,8 @@
     routeDurations: RouteDurations.create(),
     getShutdown: () => shutdown,
   };
+  context.pool.onIdleConnectionLost = (endpointStart) =>
+    recordLostConnection(context, endpointStart, undefined);
   const server = CallerServer.create(context);
   operatorMirror.addListener(() => {
     if (clusterState.trafficRules !== undefined)
@@ -369,6 +376,7 @@
   const housekeepingTimer = setInterval(() => {
     recordEventLoopDelay();
     clusterState.removeExpiredEndpoints();
+    recordOutlivedAnswers(context);
     const stoppedAttempts = context.waitingAttempts.stopOverdue(
       (model, version) => clusterState.getWeightsRemainingMs(model, version),
       // A timer of a busy process may be late.
--- a/packages/gateway/src/strikePublisher.ts
+++ b/packages/gateway/src/strikePublisher.ts
@@ -1,9 +1,13 @@
 import { createHash } from 'node:crypto';
-import { type Clock, type Fingerprint, toId } from '@lovagearch/common';
+import { BoundedMap, type Clock, type Fingerprint, toId } from '@lovagearch/common';
 import { CRASH_RETENTION_MS, type CrashCounter, type RequestCrash } from '@lovagearch/containment';
 import type { MirroredRow, StoreClock } from '@lovagearch/mirror';
 import * as z from 'zod';
-import { MAX_FAULT_REASON_LENGTH, MAX_PUBLISHED_STRIKES } from './constants.js';
+import {
+  MAX_FAULT_REASON_LENGTH,
+  MAX_PUBLISHED_ANSWERS,
+  MAX_PUBLISHED_STRIKES,
+} from './constants.js';
 import type { GatewayLog } from './gatewayLog.js';
 import { computeAgeMs, listStoreTimes } from './storeTime.js';
 import type { RowCodec, SharedTable } from './types.js';
@@ -11,9 +15,20 @@
 /** Key prefix of the rows in which each node publishes its strikes. */
 export const STRIKES_PREFIX = 'strikes/';
 
-/** Fingerprint, start of the endpoint, and the reading of the store's clock at the crash, if it was known. */
+/**
+ * Fingerprint, start of the endpoint, the reading of the store's clock at the crash, if it was known, and 1 if the
+ * endpoint had begun to answer.
+ */
 const strikeSchema = z.tuple([z.string(), z.string()]).rest(z.number());
-const rowSchema = z.object({ strikes: z.array(strikeSchema) });
+/** Fingerprint of a request that was answered completely, and the reading of the store's clock then. */
+const answerSchema = z.tuple([z.string(), z.number()]);
+const rowSchema = z.object({
+  strikes: z.array(strikeSchema),
+  answers: z.array(answerSchema).default([]),
+});
+
+/** Flag of a strike whose endpoint had begun to answer. */
+const HAS_OUTPUT = 1;
 
 interface PublishedStrike extends RequestCrash {
   readonly atMs: number;
@@ -46,6 +61,9 @@
 export class StrikePublisher {
   private recentStrikes: PublishedStrike[] = [];
 
+  /** Clock readings at the last complete answers of requests that crashes name. */
+  private readonly recentAnswers = BoundedMap.create<Fingerprint, number>(MAX_PUBLISHED_ANSWERS);
+
   private hasUnpublishedStrikes = false;
 
   private isWriting = false;
@@ -62,6 +80,13 @@
     this.hasUnpublishedStrikes = true;
   }
 
+  /** Publishes that a request is sound although it was in flight in crashes. */
+  addAnswer(fingerprint: Fingerprint, atMs: number): void {
+    const isNew = !this.recentAnswers.has(fingerprint);
+    this.recentAnswers.set(fingerprint, atMs);
+    if (isNew) this.hasUnpublishedStrikes = true;
+  }
+
   /** Counts the strikes of a node's row. This node's own row holds what it published before a restart. */
   applyRow({ key, value }: MirroredRow): void {
     if (value === undefined || !key.startsWith(STRIKES_PREFIX)) return;
@@ -73,14 +98,24 @@
       return;
     }
     const nowMs = clock.nowMs();
-    for (const [fingerprint, endpointStart, atStoreMs] of row.data.strikes) {
-      const strike = { fingerprint: toId<Fingerprint>(fingerprint), endpointStart };
+    const reporter = key.slice(STRIKES_PREFIX.length);
+    for (const [fingerprint, endpointStart, atStoreMs, outputFlag] of row.data.strikes) {
+      const strike = {
+        fingerprint: toId<Fingerprint>(fingerprint),
+        endpointStart,
+        hasOutput: outputFlag === HAS_OUTPUT,
+      };
       const atMs = nowMs - computeAgeMs(storeClock, atStoreMs);
       if (nowMs - atMs > CRASH_RETENTION_MS) continue;
-      strikes.recordCrash(strike, atMs);
-      if (key === `${STRIKES_PREFIX}${nodeName}` && !this.isPublished(strike))
+      strikes.recordCrash(strike, atMs, reporter);
+      if (reporter === nodeName && !this.isPublished(strike))
         this.recentStrikes.push({ ...strike, atMs });
     }
+    for (const [fingerprint, atStoreMs] of row.data.answers)
+      strikes.recordCompletion(
+        toId<Fingerprint>(fingerprint),
+        nowMs - computeAgeMs(storeClock, atStoreMs),
+      );
   }
 
   /** Writes the recent strikes if there are new ones; a failed write is retried by the next call. */
@@ -92,12 +127,16 @@
     // Other nodes would count a strike that has expired as a new one.
     const oldestMs = clock.nowMs() - CRASH_RETENTION_MS;
     this.recentStrikes = this.recentStrikes.filter(({ atMs }) => atMs >= oldestMs);
-    const strikes = this.recentStrikes.map(({ fingerprint, endpointStart, atMs }) => [
-      fingerprint,
-      endpointStart,
-      ...listStoreTimes(storeClock, clock.nowMs() - atMs),
-    ]);
-    const isWritten = await shared.write(`${STRIKES_PREFIX}${nodeName}`, { strikes });
+    const strikes = this.recentStrikes.map(({ fingerprint, endpointStart, hasOutput, atMs }) => {
+      const times = listStoreTimes(storeClock, clock.nowMs() - atMs);
+      const flags = hasOutput === true && times.length > 0 ? [HAS_OUTPUT] : [];
+      return [fingerprint, endpointStart, ...times, ...flags];
+    });
+    const answers = [...this.recentAnswers].flatMap(([fingerprint, atMs]) =>
+      listStoreTimes(storeClock, clock.nowMs() - atMs).map((storeMs) => [fingerprint, storeMs]),
+    );
+    const row = answers.length === 0 ? { strikes } : { strikes, answers };
+    const isWritten = await shared.write(`${STRIKES_PREFIX}${nodeName}`, row);
     this.isWriting = false;
     if (isWritten) return;
     this.hasUnpublishedStrikes = true;
