Frame events with work in proportion to their bytes, and suspend endpoints that send none

Cause: the framer joined the incomplete event with each chunk and searched it from its beginning, 34 GB for 262,144 chunks of a byte, without a turn for the event loop. An invalid answer counted as cancelled. Change: EventScanner reads each byte once, also where lines end with CR LF; events count as work for ReadPacer; invalid answers suspend the endpoint for 0.4 s to 4 s, until the next whole answer. Why it works: the work no longer depends on how the bytes are cut, and a connection that sends many small pieces waits in turn, so that the event loop serves the others meanwhile.

--- a/packages/bounded-http/src/bodyBuffer.test.ts
+++ b/packages/bounded-http/src/bodyBuffer.test.ts
@@ -48,6 +48,8 @@
   const second = BodyBuffer.create(3_000, memory);
   t2.equal(second.add(Buffer.alloc(2_000)), 'no_memory');
   t2.equal(second.length, 0);
+  const third = BodyBuffer.create(2_000, MemoryBudget.create(2_000));
+  for (let part = 0; part < 666; part++) t2.equal(third.add(Buffer.alloc(3)), 'added');
   first.release();
   t2.equal(second.add(Buffer.alloc(2_000)), 'added');
   second.release();
--- a/packages/bounded-http/src/bodyBuffer.ts
+++ b/packages/bounded-http/src/bodyBuffer.ts
@@ -47,7 +47,7 @@
     const freeBytes = last === undefined ? 0 : last.length - this.bytesInLastBlock;
     const copiedBytes = Math.min(freeBytes, chunk.length);
     if (copiedBytes < chunk.length) {
-      const block = this.tryCreateBlock(chunk.length - copiedBytes);
+      const block = this.tryCreateBlock(chunk.length - copiedBytes, copiedBytes);
       if (block === undefined) return 'no_memory';
       if (last !== undefined) chunk.copy(last, this.bytesInLastBlock, 0, copiedBytes);
       this.blocks.push(block);
@@ -83,9 +83,12 @@
   }
 
   /** Blocks double with the body, so that their number and their unused rest stay small beside its bytes. */
-  private tryCreateBlock(minBytes: number): Buffer | undefined {
+  private tryCreateBlock(minBytes: number, pendingBytes: number): Buffer | undefined {
     const wantedBytes = Math.min(Math.max(this.bytes, MIN_BLOCK_BYTES), MAX_BLOCK_BYTES);
-    const blockBytes = Math.max(minBytes, Math.min(wantedBytes, this.maxBytes - this.bytes));
+    const blockBytes = Math.max(
+      minBytes,
+      Math.min(wantedBytes, this.maxBytes - this.bytes - pendingBytes),
+    );
     if (!this.memory.tryReserve(blockBytes)) return undefined;
     this.reservedBytes += blockBytes;
     return Buffer.allocUnsafe(blockBytes);
--- a/packages/exchange/src/endpointConnection.ts
+++ b/packages/exchange/src/endpointConnection.ts
@@ -15,6 +15,15 @@
 /** Code of the error with which the HTTP client closes a connection itself. */
 const CLOSED_BY_CLIENT_CODE = 'UND_ERR_INFO';
 
+/** Code of the error for framing without end. */
+const FRAMING_CODE = 'ERR_RESPONSE_FRAMING';
+
+/** Codes of errors for bytes that are no response; those of the HTTP parser begin with `HPE_`. */
+const INVALID_RESPONSE_CODE = /^(HPE_|UND_ERR_HEADERS_OVERFLOW$|ERR_RESPONSE_FRAMING$)/;
+
+const isInvalidResponse = (error: Error): boolean =>
+  'code' in error && INVALID_RESPONSE_CODE.test(String(error.code));
+
 /**
  * One connection to an endpoint, for one exchange at a time. It does not reconnect after it closes.
  */
@@ -124,8 +133,12 @@
       if (isSettled) return;
       isSettled = true;
       reader.finish();
-      const type = isSent ? 'broken' : 'not_sent';
-      listener.onFailure({ type, reason: error.message });
+      const reason = error.message;
+      listener.onFailure(
+        isSent
+          ? { type: 'broken', reason, isInvalid: isInvalidResponse(error) }
+          : { type: 'not_sent', reason },
+      );
       this.close();
     };
     this.receivedBeforeBytes = this.socket?.bytesRead ?? 0;
@@ -215,7 +228,8 @@
     const receivedBytes = socket.bytesRead - this.receivedBeforeBytes;
     const limitBytes = MAX_FRAMING_BYTES + this.bodyBytes * (1 + MAX_FRAMING_BYTES_PER_BODY_BYTE);
     if (receivedBytes <= limitBytes) return;
-    this.failExchange?.(new Error(`response framing exceeds ${MAX_FRAMING_BYTES} bytes`));
+    const error = new Error(`response framing exceeds ${MAX_FRAMING_BYTES} bytes`);
+    this.failExchange?.(Object.assign(error, { code: FRAMING_CODE }));
   }
 
   private openSocket(
--- a/packages/exchange/src/eventStreamFramer.ts
+++ b/packages/exchange/src/eventStreamFramer.ts
@@ -1,6 +1,7 @@
+import { BodyBuffer, MemoryBudget } from '@lovagearch/bounded-http';
 import { MAX_EVENT_BYTES } from './constants.js';
+import { EventScanner } from './eventScanner.js';
 
-const EVENT_TERMINATOR = '\n\n';
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_FIELD_PREFIX = 'id:';
@@ -9,10 +10,13 @@
 export interface CompleteEvents {
   readonly bytes: Buffer;
   readonly lastId: number | undefined;
+  readonly count: number;
 }
 
 export type FramingError =
   | { readonly type: 'event_too_large' }
+  /** The memory of the process for incomplete events is in use. */
+  | { readonly type: 'no_memory' }
   | { readonly type: 'response_head' }
   | { readonly type: 'order'; readonly previousId: number; readonly id: number };
 
@@ -57,29 +61,28 @@
   event.toString('latin1', 0, RESPONSE_HEAD_START.length) === RESPONSE_HEAD_START ||
   event.includes(`\n${RESPONSE_HEAD_START}`, 0, 'latin1');
 
-/** Checks the event between a position and `end`; returns the position of the next one. */
+/** Checks the event between a position and `end`, where the next one starts. */
 const checkEvent = (
   bytes: Buffer,
   { start, lastId, isSuccessive }: FramingPosition,
   end: number,
 ): EventCheck => {
-  const next = end + EVENT_TERMINATOR.length;
   const id = readEventId(bytes, start, end);
   if (hasResponseHead(bytes.subarray(start, end)))
     return { type: 'fault', fault: { type: 'response_head' } };
-  if (id === undefined)
-    return { type: 'position', position: { start: next, lastId, isSuccessive } };
+  if (id === undefined) return { type: 'position', position: { start: end, lastId, isSuccessive } };
   const isSuccessor = id === lastId + 1;
   if (id <= lastId || (isSuccessive === true && !isSuccessor))
     return { type: 'fault', fault: { type: 'order', previousId: lastId, id } };
-  const position = { start: next, lastId: id, isSuccessive: isSuccessor && isSuccessive !== false };
+  const position = { start: end, lastId: id, isSuccessive: isSuccessor && isSuccessive !== false };
   return { type: 'position', position };
 };
 
 /**
  * Splits a stream of server-sent events into complete events, so that a stream that breaks off inside
  * an event can be resumed at another endpoint. Event ids have to increase, also after a resumption. If
- * they have risen by one so far, a missing one is a fault as well.
+ * they have risen by one so far, a missing one is a fault as well. Each byte is searched and copied a fixed number of
+ * times, however the stream is cut into chunks.
  *
  * @example
  * const framer = EventStreamFramer.create(12);
@@ -87,16 +90,27 @@
  * if (result.type === 'events') caller.write(result.events.bytes);
  */
 export class EventStreamFramer {
-  private partialEvent: Buffer | undefined;
+  /** The incomplete event so far. */
+  private readonly partialEvent: BodyBuffer;
+
+  private readonly scanner = EventScanner.create();
 
   /** Whether each id was the successor of the one before; undefined before the first event. */
   private isSuccessive: boolean | undefined;
 
-  private constructor(private lastId: number) {}
+  private constructor(
+    private lastId: number,
+    memory: MemoryBudget,
+  ) {
+    this.partialEvent = BodyBuffer.create(MAX_EVENT_BYTES, memory);
+  }
 
-  /** @param lastId id of the last event that the caller has received; 0 for a new stream */
-  static create(lastId: number): EventStreamFramer {
-    return new EventStreamFramer(lastId);
+  /**
+   * @param lastId id of the last event that the caller has received; 0 for a new stream
+   * @param memory memory for incomplete events, by default for one of this stream
+   */
+  static create(lastId: number, memory = MemoryBudget.create(MAX_EVENT_BYTES)): EventStreamFramer {
+    return new EventStreamFramer(lastId, memory);
   }
 
   /** Id of the last complete event; 0 if there was none. */
@@ -106,41 +120,54 @@
 
   /** Whether an incomplete event is buffered. */
   get hasPartialEvent(): boolean {
-    return this.partialEvent !== undefined;
+    return this.partialEvent.length > 0;
   }
 
   /** Discards an incomplete event; the next endpoint sends it again from its beginning. */
   discardPartialEvent(): void {
-    this.partialEvent = undefined;
+    this.partialEvent.release();
+    this.scanner.reset();
   }
 
   /** After a fault, the events before it in the same chunk count as not received. */
   addChunk(chunk: Buffer): FramingResult {
-    const bytes =
-      this.partialEvent === undefined ? chunk : Buffer.concat([this.partialEvent, chunk]);
+    const ends = this.scanner.scanChunk(chunk);
+    const completeBytes = ends.at(-1) ?? 0;
+    if (completeBytes === 0) return this.bufferPartialEvent(chunk) ?? { type: 'incomplete' };
+    const offset = this.partialEvent.length;
+    const complete = chunk.subarray(0, completeBytes);
+    const bytes = offset === 0 ? complete : Buffer.concat([this.partialEvent.getBytes(), complete]);
     let position: FramingPosition = {
       start: 0,
       lastId: this.lastId,
       isSuccessive: this.isSuccessive,
     };
-    for (
-      let end = bytes.indexOf(EVENT_TERMINATOR, 0, 'latin1');
-      end >= 0;
-      end = bytes.indexOf(EVENT_TERMINATOR, position.start, 'latin1')
-    ) {
-      const check = checkEvent(bytes, position, end);
+    for (const end of ends) {
+      const check = checkEvent(bytes, position, offset + end);
       if (check.type === 'fault') return check;
       position = check.position;
     }
-    const partialEvent = position.start < bytes.length ? bytes.subarray(position.start) : undefined;
-    if (partialEvent !== undefined && partialEvent.length > MAX_EVENT_BYTES) {
-      return { type: 'fault', fault: { type: 'event_too_large' } };
-    }
-    this.partialEvent = partialEvent;
+    this.partialEvent.release();
+    const fault = this.bufferPartialEvent(chunk.subarray(completeBytes));
+    if (fault !== undefined) return fault;
     this.lastId = position.lastId;
     this.isSuccessive = position.isSuccessive;
-    if (position.start === 0) return { type: 'incomplete' };
     const lastId = this.lastId > 0 ? this.lastId : undefined;
-    return { type: 'events', events: { bytes: bytes.subarray(0, position.start), lastId } };
+    return { type: 'events', events: { bytes, lastId, count: ends.length } };
+  }
+
+  private bufferPartialEvent(bytes: Buffer): Extract<FramingResult, { type: 'fault' }> | undefined {
+    if (bytes.length === 0) return undefined;
+    const result = this.partialEvent.add(bytes);
+    switch (result) {
+      case 'added':
+        return undefined;
+      case 'too_large':
+        return { type: 'fault', fault: { type: 'event_too_large' } };
+      case 'no_memory':
+        return { type: 'fault', fault: { type: 'no_memory' } };
+      default:
+        return result satisfies never;
+    }
   }
 }
--- a/packages/exchange/src/types.ts
+++ b/packages/exchange/src/types.ts
@@ -18,7 +18,12 @@
  * endpoint; after `broken`, the request may have run. `withdrawn`: no byte was sent, as `canSend` forbade it.
  */
 export type ExchangeFailure =
-  | { readonly type: 'broken'; readonly reason: string }
+  | {
+      readonly type: 'broken';
+      readonly reason: string;
+      /** Whether the endpoint sent bytes that are no response, in contrast to a lost connection. */
+      readonly isInvalid: boolean;
+    }
   | { readonly type: 'not_sent'; readonly reason: string }
   | { readonly type: 'withdrawn'; readonly reason: string };
 
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -278,9 +278,13 @@
         this.recordTrickle(chunk.length);
         return;
       case 'fault':
-        this.finishBroken(`invalid event stream: ${result.fault.type}`);
+        this.finishInvalid(
+          `invalid event stream: ${result.fault.type}`,
+          result.fault.type !== 'no_memory',
+        );
         return;
       case 'events':
+        this.exchange?.recordWork(result.events.count);
         this.trickledBytes = 0;
         this.recordActivity(this.dependencies.clock.nowMs());
         this.markFirstByte();
@@ -312,7 +316,7 @@
     }
     if (this.bufferedBody.add(chunk) === 'added') return;
     if (this.head !== undefined && this.head.status >= 500) {
-      this.finishBroken(`failure response exceeds ${this.bufferedBody.length} bytes`);
+      this.finishInvalid(`failure response exceeds ${this.bufferedBody.length} bytes`);
       return;
     }
     if (this.input.callerResponse.hasStarted) {
@@ -410,8 +414,10 @@
       case 'broken':
         // A connection lost during the response is weaker evidence of a failed endpoint than one lost before.
         this.finish(
-          { type: 'broken', reason, isConnectionLost: true },
-          this.hasOutput ? { type: 'cancelled' } : { type: 'transport_failed' },
+          { type: 'broken', reason, isConnectionLost: !failure.isInvalid },
+          this.hasOutput && !failure.isInvalid
+            ? { type: 'cancelled' }
+            : { type: 'transport_failed' },
         );
         return;
       default:
@@ -423,6 +429,17 @@
     this.finish({ type: 'broken', reason, isConnectionLost }, { type: 'cancelled' });
   }
 
+  /**
+   * Ends an attempt whose response is invalid. The endpoint is suspended like one that can't be reached, as the next
+   * request would get such a response too; it is used again after the suspension, of some seconds at most.
+   */
+  private finishInvalid(reason: string, isFaultOfEndpoint = true): void {
+    this.finish(
+      { type: 'broken', reason, isConnectionLost: false },
+      isFaultOfEndpoint ? { type: 'transport_failed' } : { type: 'cancelled' },
+    );
+  }
+
   private markFirstByte(): void {
     if (this.firstByteAtMs !== undefined) return;
     this.firstByteAtMs = this.dependencies.clock.nowMs();
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -194,7 +194,9 @@
     if (this.endIfQuarantined(routedRequest)) return;
     context.getRetryBudget(service).recordRequest(context.clock.nowMs());
     const framer =
-      route.kind === 'streaming' ? EventStreamFramer.create(head.lastEventId) : undefined;
+      route.kind === 'streaming'
+        ? EventStreamFramer.create(head.lastEventId, context.responseLimits.memory)
+        : undefined;
     let chosen = this.chooseEndpoint(routedRequest);
     if (chosen !== undefined && !this.tryAdmit(routedRequest, chosen)) return;
     while (this.stopReason === undefined) {
