Count no crashes of endpoints that leave, and publish fewer sound requests

What callers saw: nothing. Change: idle connections of an endpoint that is draining, leaving or not registered count for nothing, and a sound request is published only if it was in flight in two crashes or more, as nodes refuse none before. Evidence: found by reading; the five tests of crashingRequest.test.ts pass as before. Why it works: an endpoint that leaves closes all its connections, like one that crashes, but says so before.

--- a/packages/gateway/src/attemptFeedback.ts
+++ b/packages/gateway/src/attemptFeedback.ts
@@ -1,4 +1,4 @@
-import type { RequestCrash } from '@lovagearch/containment';
+import { MAX_CRASHES_WITHOUT_OUTPUT, type RequestCrash } from '@lovagearch/containment';
 import type { Placement } from '@lovagearch/endpoints';
 import { getEndpointStartKey } from './attempt.js';
 import {
@@ -64,7 +64,7 @@
  *
  * @param strike the request on the connection, if there was one
  */
-export const recordLostConnection = (
+const recordLostConnection = (
   context: GatewayContext,
   endpointStart: string,
   strike: RequestCrash | undefined,
@@ -81,6 +81,14 @@
   }, CRASH_CONFIRMATION_MS).unref();
 };
 
+/** Records that an endpoint has closed a connection between two requests; one that leaves closes all of them. */
+export const recordIdleConnectionLost = (context: GatewayContext, endpointStart: string): void => {
+  const id = endpointStart.slice(0, endpointStart.lastIndexOf('/'));
+  const endpoint = context.clusterState.endpoints.findEndpoint(id);
+  if (endpoint === undefined || endpoint.statements.leaving.isAnnounced) return;
+  if (endpoint.record.state === 'ready') recordLostConnection(context, endpointStart, undefined);
+};
+
 /** Records that an endpoint may have crashed because of a request. */
 export const recordBrokenAttempt = (
   context: GatewayContext,
@@ -112,9 +120,12 @@
   recentAnswers,
   strikePublisher,
 }: Pick<GatewayContext, 'clock' | 'clusterState' | 'recentAnswers' | 'strikePublisher'>): void => {
-  for (const { fingerprint, atMs } of recentAnswers.takeOutlived(clock.nowMs())) {
-    if (clusterState.strikes.isEmpty) continue;
-    if (clusterState.strikes.recordCompletion(fingerprint, atMs))
+  const { strikes } = clusterState;
+  const nowMs = clock.nowMs();
+  for (const { fingerprint, atMs } of recentAnswers.takeOutlived(nowMs)) {
+    if (strikes.isEmpty || !strikes.recordCompletion(fingerprint, atMs)) continue;
+    // Other nodes need to know only of requests that they may refuse.
+    if (strikes.countCrashes(fingerprint, nowMs) >= MAX_CRASHES_WITHOUT_OUTPUT)
       strikePublisher.addAnswer(fingerprint, atMs);
   }
 };
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -30,7 +30,7 @@
   createTableRelaySource,
 } from './peerExchange.js';
 import { getEndpointStartKey } from './attempt.js';
-import { recordLostConnection, recordOutlivedAnswers } from './attemptFeedback.js';
+import { recordIdleConnectionLost, recordOutlivedAnswers } from './attemptFeedback.js';
 import { PromptPartContainment } from './promptPartContainment.js';
 import { RecentAnswers } from './recentAnswers.js';
 import { RouteDurations } from './routeDurations.js';
@@ -266,7 +266,7 @@
     getShutdown: () => shutdown,
   };
   context.pool.onIdleConnectionLost = (endpointStart) =>
-    recordLostConnection(context, endpointStart, undefined);
+    recordIdleConnectionLost(context, endpointStart);
   const server = CallerServer.create(context);
   operatorMirror.addListener(() => {
     if (clusterState.trafficRules !== undefined)
