--- a/packages/bounded-http/src/bodyBuffer.test.ts
+++ b/packages/bounded-http/src/bodyBuffer.test.ts
@@ -1,3 +1,4 @@
+import assert from 'node:assert/strict';
 import fc from 'fast-check';
 import t from 'tap';
 import { BodyBuffer, MemoryBudget } from './index.js';
@@ -12,15 +13,16 @@
       const memory = MemoryBudget.create(UNLIMITED);
       const buffer = BodyBuffer.create(UNLIMITED, memory);
       const whole = Buffer.concat(parts);
-      for (const part of parts) t2.equal(buffer.add(Buffer.from(part)), 'added');
-      t2.ok(memory.reservedBytes <= 2 * whole.length + MIN_BLOCK_BYTES);
-      t2.equal(buffer.length, whole.length);
-      t2.ok(buffer.getBytes().equals(whole));
-      t2.ok(memory.reservedBytes <= whole.length + MIN_BLOCK_BYTES);
+      for (const part of parts) assert.equal(buffer.add(Buffer.from(part)), 'added');
+      assert.ok(memory.reservedBytes <= 2 * whole.length + MIN_BLOCK_BYTES);
+      assert.equal(buffer.length, whole.length);
+      assert.ok(buffer.getBytes().equals(whole));
+      assert.ok(memory.reservedBytes <= whole.length + MIN_BLOCK_BYTES);
       buffer.release();
-      t2.equal(memory.reservedBytes, 0);
+      assert.equal(memory.reservedBytes, 0);
     }),
   );
+  t2.end();
 });
 
 // Guards against objects for each chunk: blocks that hold one byte each would be as many.
--- a/packages/endpoints/src/endpoints.test.ts
+++ b/packages/endpoints/src/endpoints.test.ts
@@ -1,3 +1,4 @@
+import assert from 'node:assert/strict';
 import fc from 'fast-check';
 import t from 'tap';
 import { createRandom } from '@lovagearch/common';
@@ -175,16 +176,17 @@
           }
           const placement = chooseEndpoint(createInput(endpoints, { excluded }));
           const usable = states.filter(({ isExcluded }) => !isExcluded);
-          if (usable.length === 0) t2.equal(placement, undefined);
+          if (usable.length === 0) assert.equal(placement, undefined);
           else {
             const index = Number(placement!.endpointId.slice(2));
-            t2.notOk(states[index]!.isExcluded);
+            assert.ok(!states[index]!.isExcluded);
             const hasUnsuspended = usable.some(({ isSuspended }) => !isSuspended);
-            if (hasUnsuspended) t2.notOk(states[index]!.isSuspended);
+            if (hasUnsuspended) assert.ok(!states[index]!.isSuspended);
           }
         },
       ),
     );
+    t2.end();
   },
 );
 
--- a/packages/estimation/src/engineTimings.test.ts
+++ b/packages/estimation/src/engineTimings.test.ts
@@ -1,3 +1,4 @@
+import assert from 'node:assert/strict';
 import fc from 'fast-check';
 import t from 'tap';
 import { createRandom } from '@lovagearch/common';
@@ -85,13 +86,14 @@
         timings.recordFirstToken({ prefilledTokens: first, delayMs: second });
         timings.recordResidence({ memoryTokens: first, residenceMs: second }, index);
       }
-      t2.ok(timings.prefillTokensPerMs >= MIN_PREFILL_TOKENS_PER_MS);
-      t2.ok(timings.prefillTokensPerMs <= MAX_PREFILL_TOKENS_PER_MS);
-      t2.ok(timings.overheadMs >= 0 && timings.overheadMs <= MAX_OVERHEAD_MS);
-      t2.ok(timings.residenceMs >= MIN_RESIDENCE_MS && timings.residenceMs <= MAX_RESIDENCE_MS);
+      assert.ok(timings.prefillTokensPerMs >= MIN_PREFILL_TOKENS_PER_MS);
+      assert.ok(timings.prefillTokensPerMs <= MAX_PREFILL_TOKENS_PER_MS);
+      assert.ok(timings.overheadMs >= 0 && timings.overheadMs <= MAX_OVERHEAD_MS);
+      assert.ok(timings.residenceMs >= MIN_RESIDENCE_MS && timings.residenceMs <= MAX_RESIDENCE_MS);
     }),
     { numRuns: 200 },
   );
+  t2.end();
 });
 
 t.test('the residence time weights requests by the memory that they occupy', async (t2) => {
--- a/packages/exchange/src/eventStreamFramer.test.ts
+++ b/packages/exchange/src/eventStreamFramer.test.ts
@@ -1,3 +1,4 @@
+import assert from 'node:assert/strict';
 import fc from 'fast-check';
 import t from 'tap';
 import { MemoryBudget } from '@lovagearch/bounded-http';
@@ -71,13 +72,14 @@
           output += result.events.bytes.toString();
           events += result.events.count;
         }
-        t2.equal(output, text);
-        t2.equal(events, count);
-        t2.equal(framer.lastEventId, count);
-        t2.equal(framer.hasPartialEvent, false);
+        assert.equal(output, text);
+        assert.equal(events, count);
+        assert.equal(framer.lastEventId, count);
+        assert.equal(framer.hasPartialEvent, false);
       },
     ),
   );
+  t2.end();
 });
 
 t.test('incomplete events share the memory of the process', async (t2) => {
--- a/packages/exchange/src/exchange.test.ts
+++ b/packages/exchange/src/exchange.test.ts
@@ -1,3 +1,4 @@
+import assert from 'node:assert/strict';
 import { createServer, type Socket } from 'node:net';
 import { once } from 'node:events';
 import fc from 'fast-check';
@@ -46,19 +47,20 @@
         const hasRun = retryInput.possibleRuns > 0 || retryInput.result.type !== 'not_run';
         // Anything else in a response that has begun would be read as a part of it.
         if (step.type === 'deliver')
-          t2.ok(retryInput.result.type === 'answered' && !retryInput.hasResponseStarted);
+          assert.ok(retryInput.result.type === 'answered' && !retryInput.hasResponseStarted);
         if (step.type === 'refuse')
-          t2.notOk(retryInput.possibleRuns > 0 || retryInput.hasResponseStarted);
+          assert.ok(!(retryInput.possibleRuns > 0 || retryInput.hasResponseStarted));
         if (step.type === 'retry') {
-          t2.ok(
+          assert.ok(
             retryInput.hasRetryBudget &&
               retryInput.hasAlternative &&
               retryInput.possibleRuns < retryInput.maxPossibleRuns,
           );
-          t2.notOk(hasRun && !retryInput.isRetryable && retryInput.result.type !== 'not_run');
+          assert.ok(!(hasRun && !retryInput.isRetryable && retryInput.result.type !== 'not_run'));
         }
       }),
     );
+    t2.end();
   },
 );
 
@@ -98,14 +100,15 @@
           const result = framer.addChunk(remaining.subarray(0, chunkSize));
           remaining = remaining.subarray(chunkSize);
           if (result.type === 'events') output += result.events.bytes.toString();
-          t2.not(result.type, 'fault');
-          t2.ok(output === '' || output.endsWith('\n\n'));
+          assert.notEqual(result.type, 'fault');
+          assert.ok(output === '' || output.endsWith('\n\n'));
         }
-        t2.equal(output, text);
-        t2.equal(framer.lastEventId, count);
+        assert.equal(output, text);
+        assert.equal(framer.lastEventId, count);
       },
     ),
   );
+  t2.end();
 });
 
 t.test('events that were already received are rejected after a resumption', async (t2) => {
--- a/packages/gateway/src/packedRow.test.ts
+++ b/packages/gateway/src/packedRow.test.ts
@@ -1,3 +1,4 @@
+import assert from 'node:assert/strict';
 import { deflateRawSync } from 'node:zlib';
 import fc from 'fast-check';
 import { fastify } from 'fastify';
@@ -22,7 +23,7 @@
       const sent = unpack(pack(await packRow(row))) as unknown;
       const received = await unpackRow(packedRowSchema.parse(sent));
       // The wire carries UTF-8, which has no form for half a surrogate pair.
-      t2.equal(received.value, Buffer.from(value).toString('utf8'));
+      assert.equal(received.value, Buffer.from(value).toString('utf8'));
     }),
     { numRuns: 200 },
   );
--- a/packages/gateway/src/shutdownPlan.test.ts
+++ b/packages/gateway/src/shutdownPlan.test.ts
@@ -1,3 +1,4 @@
+import assert from 'node:assert/strict';
 import fc from 'fast-check';
 import t from 'tap';
 import { startGateway } from './index.js';
@@ -24,15 +25,16 @@
       fc.option(fc.integer({ min: 1, max: 60_000 }), { nil: undefined }),
       (graceMs, elapsedMs, timeLimitMs, usualDurationMs) => {
         const plan = createShutdownPlan(graceMs);
-        t2.ok(plan.acceptUntilMs <= plan.closeAtMs && plan.closeAtMs <= plan.endAtMs);
-        t2.ok(plan.endAtMs <= graceMs);
+        assert.ok(plan.acceptUntilMs <= plan.closeAtMs && plan.closeAtMs <= plan.endAtMs);
+        assert.ok(plan.endAtMs <= graceMs);
         const { type } = decideShutdownAdmission({ plan, elapsedMs, timeLimitMs, usualDurationMs });
         if (type !== 'take') return;
         const durationMs = Math.min(timeLimitMs, usualDurationMs ?? timeLimitMs);
-        t2.ok(elapsedMs + durationMs < plan.endAtMs && elapsedMs < plan.acceptUntilMs);
+        assert.ok(elapsedMs + durationMs < plan.endAtMs && elapsedMs < plan.acceptUntilMs);
       },
     ),
   );
+  t2.end();
 });
 
 t.test('short requests are taken until the load balancer has noticed the stop', async (t2) => {
--- a/packages/mirror/src/mirror.test.ts
+++ b/packages/mirror/src/mirror.test.ts
@@ -73,10 +73,11 @@
       const expected = [...store.values()].map(({ key, value }) => `${key}=${value}`).sort();
       for (const copy of [mirror, follower]) {
         const actual = [...copy.listRows()].map(({ key, value }) => `${key}=${value}`).sort();
-        t2.strictSame(actual, expected);
+        assert.deepEqual(actual, expected);
       }
     }),
   );
+  t2.end();
 });
 
 t.test(
--- a/packages/traffic/src/trafficRules.test.ts
+++ b/packages/traffic/src/trafficRules.test.ts
@@ -1,3 +1,4 @@
+import assert from 'node:assert/strict';
 import fc from 'fast-check';
 import t from 'tap';
 import { chooseTarget, isRetryable, type Route, TrafficRules } from './index.js';
@@ -46,9 +47,10 @@
       const expected = prefixes
         .filter((one) => requested.startsWith(one))
         .sort((a, b) => b.length - a.length)[0];
-      t2.equal(rules.findRoute('A.example', `${requested}?x=/a/b/`)?.prefix, expected);
+      assert.equal(rules.findRoute('A.example', `${requested}?x=/a/b/`)?.prefix, expected);
     }),
   );
+  t2.end();
 });
 
 t.test('lookups of an unknown host, path or key return undefined', async (t2) => {
