Cut off no request at the end of a planned stop that was answered in time

The new test of a stall fails before. The drain now waits for one more step of 50 ms, within the margin of 400 ms that the plan keeps. - A stall of 150 ms while requests are taken: a route without a response counts as the slowest other one, here a few milliseconds, although a request of it had been in progress for 1.6 s. Such a route now takes at least twice the time that its oldest request has been in progress; the unit test is new, as there was nothing to ask before. - The test counted a response as cut that the gateway had written in full and that the client, which is in the same process, had not read yet (seen with a stall of 80 ms, stop ended with 0 requests in progress). It now lets the client read what the system has before it counts; what the gateway has not written counts as before.

--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -142,6 +142,7 @@
     const { head, route, account, limits } = routing;
     this.accountName = account?.name ?? 'none';
     this.requestId = head.requestId;
+    context.routeDurations.recordArrival(route.name, this.startMs);
     this.timeLimitMs = getTimeLimitMs(head, route);
     this.timeLimitTimer = setTimeout(
       () => this.stop('time_limit'),
@@ -488,8 +489,10 @@
     if (this.hasLoggedCompletion) return;
     this.hasLoggedCompletion = true;
     const totalMs = this.getElapsedMs();
-    if (outcome === 'served' && route !== undefined)
-      context.routeDurations.recordResponse(route.name, totalMs);
+    if (route !== undefined) {
+      if (outcome === 'served') context.routeDurations.recordResponse(route.name, totalMs);
+      else context.routeDurations.recordFailure(route.name, this.startMs);
+    }
     context.metrics.recordRequest(route?.name ?? 'none', this.accountName, outcome, totalMs);
     const fields = {
       request: head?.requestId,
--- a/packages/gateway/src/routeRequest.ts
+++ b/packages/gateway/src/routeRequest.ts
@@ -47,11 +47,12 @@
 ): LocalReply | undefined => {
   const shutdown = context.getShutdown();
   if (shutdown === undefined) return undefined;
+  const nowMs = context.clock.nowMs();
   const admission = decideShutdownAdmission({
     plan: shutdown.plan,
-    elapsedMs: context.clock.nowMs() - shutdown.requestedAtMs,
+    elapsedMs: nowMs - shutdown.requestedAtMs,
     timeLimitMs: getTimeLimitMs(head, route),
-    usualDurationMs: context.routeDurations.getUsualMs(route.name),
+    usualDurationMs: context.routeDurations.getUsualMs(route.name, nowMs),
   });
   switch (admission.type) {
     case 'take':
--- a/packages/gateway/src/shutdownPlan.test.ts
+++ b/packages/gateway/src/shutdownPlan.test.ts
@@ -49,17 +49,44 @@
 // Guards against a stop that refuses requests which would end long before it: other nodes have their load already.
 t.test('the usual duration covers nearly all responses of a route', async (t2) => {
   const durations = RouteDurations.create();
-  t2.equal(durations.getUsualMs('r'), undefined);
+  t2.equal(durations.getUsualMs('r', 0), undefined);
   for (let index = 0; index < 200; index++) durations.recordResponse('r', 500 + (index % 10) * 40);
-  const usualMs = durations.getUsualMs('r') ?? 0;
+  const usualMs = durations.getUsualMs('r', 0) ?? 0;
   t2.ok(usualMs > 860 && usualMs < 2_000, `${usualMs}`);
   // A few responses of an overloaded time don't make the route a slow one.
   for (let index = 0; index < 100; index++)
     durations.recordResponse('late', index % 20 === 0 ? 6_000 : 800);
-  t2.ok((durations.getUsualMs('late') ?? 0) < 3_000, `${durations.getUsualMs('late')}`);
-  t2.equal(durations.getUsualMs('new'), Math.max(usualMs, durations.getUsualMs('late') ?? 0));
+  t2.ok((durations.getUsualMs('late', 0) ?? 0) < 3_000, `${durations.getUsualMs('late', 0)}`);
+  t2.equal(durations.getUsualMs('new', 0), Math.max(usualMs, durations.getUsualMs('late', 0) ?? 0));
 });
 
+// Guards against a stop that takes requests of a slow route without a response, as those of other routes are quick.
+t.test('a route without a response is at least as slow as its requests in progress', async (t2) => {
+  const durations = RouteDurations.create();
+  durations.recordArrival('slow', 1_000);
+  t2.equal(durations.getUsualMs('slow', 2_000), undefined, 'the time limit counts');
+  durations.recordResponse('quick', 5);
+  const quickMs = durations.getUsualMs('quick', 2_000);
+  t2.equal(durations.getUsualMs('slow', 1_001), quickMs);
+  t2.equal(durations.getUsualMs('slow', 2_500), 3_000);
+  durations.recordArrival('slow', 2_400);
+  durations.recordFailure('slow', 2_400);
+  t2.equal(durations.getUsualMs('slow', 2_500), 3_000, 'the oldest request is still in progress');
+  durations.recordFailure('slow', 1_000);
+  t2.equal(durations.getUsualMs('slow', 9_000), quickMs);
+  durations.recordArrival('slow', 9_000);
+  durations.recordResponse('slow', 4_000);
+  t2.equal(durations.getUsualMs('slow', 60_000), durations.getUsualMs('slow', 9_001));
+});
+
+/** Lets the client, which is in this process as well, read the bytes that the system had before the process ended. */
+const waitForDelivery = async (): Promise<void> => {
+  for (let turn = 0; turn < 3; turn++)
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+};
+
 const RESPONSE_DELAY_MS = 3_000;
 const REQUEST_INTERVAL_MS = 250;
 
@@ -86,7 +113,8 @@
   // The process ends when the drain has, with what is then in progress.
   const inProgress = new Set<string>();
   let cutIds: string[] | undefined;
-  const stopping = gateway.drain('test').then(() => {
+  const stopping = gateway.drain('test').then(async () => {
+    await waitForDelivery();
     cutIds = [...inProgress].filter((id) => endpoint.received.includes(id));
   });
   const results: Promise<string>[] = [];
@@ -113,3 +141,43 @@
   t2.equal((await beforeStop).text, 'whole');
   endpoint.stop();
 });
+
+// Guards against a stop that cuts off responses which arrived while the event loop stood still at its end.
+t.test(
+  'a response that arrives during a stall at the end of a planned stop is passed on',
+  async (t2) => {
+    const endpoint = new FakeEndpoint();
+    const port = await endpoint.start();
+    const gateway = await startGateway(SETTINGS, createDependencies(createRows([port])), '/ready');
+    await waitUntilReady(gateway);
+    const { endAtMs } = createShutdownPlan(SETTINGS.bounds.shutdownGraceMs);
+    const stallMs = 300;
+    endpoint.handle = (incoming, response) => {
+      setTimeout(() => {
+        response
+          .writeHead(200, {
+            [SEAL_HEADER]: '1',
+            [REQUEST_ID_HEADER]: String(incoming.headers[REQUEST_ID_HEADER]),
+          })
+          .end('whole');
+      }, endAtMs - 100);
+    };
+    const result = send(gateway, '/claim/x', 'stalled');
+    let isReceived = false;
+    const receiving = result.then(() => {
+      isReceived = true;
+    });
+    const stopping = gateway.drain('test').then(async () => {
+      await waitForDelivery();
+      return isReceived;
+    });
+    setTimeout(() => {
+      const stallEndMs = performance.now() + stallMs;
+      while (performance.now() < stallEndMs);
+    }, endAtMs - 200);
+    t2.ok(await stopping);
+    t2.equal((await result).text, 'whole');
+    await receiving;
+    endpoint.stop();
+  },
+);
--- a/packages/gateway/src/shutdownPlan.ts
+++ b/packages/gateway/src/shutdownPlan.ts
@@ -11,7 +11,7 @@
   readonly acceptUntilMs: number;
   /** Listener and idle connections are closed then. */
   readonly closeAtMs: number;
-  /** The process ends then at the latest; requests in progress are cut off. */
+  /** Requests in progress are cut off from then on, after responses that have arrived are passed on. */
   readonly endAtMs: number;
 }
 
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -439,17 +439,20 @@
     cacheStoreWatcher.stop();
     tableRelay.stop();
     log.logStateChange('stopping', { reason, active: server.activeRequestCount });
+    const waitForDrainStep = () =>
+      new Promise((resolve) => {
+        setTimeout(resolve, HOUSEKEEPING_INTERVAL_MS / 4);
+      });
     const waitUntil = async (isDone: () => boolean) => {
-      while (!isDone())
-        await new Promise((resolve) => {
-          setTimeout(resolve, HOUSEKEEPING_INTERVAL_MS / 4);
-        });
+      while (!isDone()) await waitForDrainStep();
     };
     const getElapsedMs = () => clock.nowMs() - startMs;
     await waitUntil(() => getElapsedMs() >= plan.closeAtMs);
     server.stopListening();
     server.closeIdleConnections();
     await waitUntil(() => server.activeRequestCount === 0 || getElapsedMs() >= plan.endAtMs);
+    // After a stall of the event loop, responses that arrived meanwhile are unread.
+    if (server.activeRequestCount > 0) await waitForDrainStep();
     log.logStateChange('stopped', {
       active: server.activeRequestCount,
       elapsedMs: Math.round(getElapsedMs()),
