Keep the known parts of a cache store when its watcher lacks events

A node that changes to a watcher which has started later forgot parts that the store still held. Prompts were then computed again. Cause: takes each whole index for a complete one. A store keeps only its newest events and says so (`lost`), which was not read, and a watcher has an empty index of the right epoch until its second call is answered. Evidence: both new tests fail on the program before: of the parts a, b and c only d, which is new, or none is left. Change: an index says whether it has all events of its epoch. Others are removed only by a complete one; any other names the removals that it has seen. Nodes of earlier releases don't say so and count as incomplete, which is how their updates were read before. Why it works: what is removed is either named as removed or missing from an index that would name it.

--- a/packages/gateway/src/cacheStoreFollower.ts
+++ b/packages/gateway/src/cacheStoreFollower.ts
@@ -108,7 +108,8 @@
     }
     const nowMs = clock.nowMs();
     this.index.recordRecovery(nowMs);
-    const isSameEpoch = this.index.applyResponse(response.epoch, response.events, nowMs);
+    const { epoch, events, hasGap } = response;
+    const isSameEpoch = this.index.applyResponse(epoch, events, nowMs, hasGap);
     this.nextEventNumber = isSameEpoch ? response.next : 0;
     this.logReachability(true, 'store');
     if (!isSameEpoch) return;
--- a/packages/gateway/src/peerExchange.ts
+++ b/packages/gateway/src/peerExchange.ts
@@ -70,9 +70,10 @@
 
 const relaySchema = z.object({
   epoch: z.number(),
-  /** A node of an earlier release names neither its index nor whether it sent all parts. */
+  /** A node of an earlier release names neither its index nor whether it sent all parts, or had all. */
   log: z.number().default(0),
   isPartial: z.boolean().default(true),
+  isComplete: z.boolean().default(false),
   next: z.number(),
   ageMs: z.number(),
   events: z.array(
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -120,6 +120,8 @@
   readonly epoch: number;
   /** Event number from which the next call continues. */
   readonly next: number;
+  /** Whether the cache store has discarded events between the earlier call and the first of these. */
+  readonly hasGap: boolean;
   readonly events: readonly StorePartEvent[];
 }
 
--- a/packages/reuse/src/storeIndex.test.ts
+++ b/packages/reuse/src/storeIndex.test.ts
@@ -13,6 +13,8 @@
   part: { salt: 'v1', id: 'p', tokens: 100, model: 'm0' },
 };
 
+const createPart = (id: string) => ({ ...ADDED, part: { ...ADDED.part, id } });
+
 const createIndex = () => {
   const index = StoreIndex.create();
   index.applyResponse(1, [], 0);
@@ -116,7 +118,6 @@
 // Guards against parts that a node reads from a store after they were removed there: a watcher that restarted counts
 // its changes anew, and a whole index names no removals.
 t.test('parts that were removed before a watcher restarted are not read any more', async (t2) => {
-  const createPart = (id: string) => ({ ...ADDED, part: { ...ADDED.part, id } });
   const before = StoreIndex.create(1);
   before.applyResponse(1, [], 0);
   before.applyResponse(1, [createPart('a'), createPart('b')], 0);
@@ -132,3 +133,51 @@
   const readable = ['a', 'b', 'c', 'd'].filter((id) => follower.canRead('v1', id, 100));
   t2.strictSame(readable, ['b', 'c', 'd']);
 });
+
+const listReadable = (index: StoreIndex, ids: readonly string[]) =>
+  ids.filter((id) => index.canRead('v1', id, 100));
+
+/** A follower that knows the parts a, b and c from a watcher with all events of the store. */
+const createFollower = () => {
+  const watcher = StoreIndex.create(1);
+  watcher.applyResponse(1, [], 0);
+  watcher.applyResponse(1, [createPart('a'), createPart('b'), createPart('c')], 0);
+  const follower = StoreIndex.create(2);
+  follower.applyUpdate(watcher.createUpdate({ epoch: 0, log: 0, since: 0 }, 0)!, 0);
+  return follower;
+};
+
+// Guards against nodes that forget most parts of a store when they change to a watcher that started later: it knows
+// the newest events only.
+t.test('a watcher that lacks events of the store removes what it saw removed', async (t2) => {
+  const follower = createFollower();
+  const watcher = StoreIndex.create(3);
+  watcher.applyResponse(1, [], 100);
+  watcher.applyResponse(1, [createPart('d'), { ...createPart('b'), isAdded: false }], 100, true);
+  const update = watcher.createUpdate({ epoch: 1, log: 1, since: 3 }, 100)!;
+  t2.equal(update.isComplete, false);
+  follower.applyUpdate(update, 100);
+  t2.strictSame(listReadable(follower, ['a', 'b', 'c', 'd']), ['a', 'c', 'd']);
+  // What it passes on is no more complete than what it got.
+  const passedOn = follower.createUpdate({ epoch: 0, log: 0, since: 0 }, 100)!;
+  t2.equal(passedOn.isComplete, false);
+  watcher.applyResponse(1, [{ ...createPart('a'), isAdded: false }], 100);
+  const changes = watcher.createUpdate({ epoch: 1, log: 3, since: update.next }, 100)!;
+  t2.equal(changes.isPartial, true);
+  follower.applyUpdate(changes, 100);
+  t2.strictSame(listReadable(follower, ['a', 'b', 'c', 'd']), ['c', 'd']);
+});
+
+// Guards against nodes that forget all parts of a store when its watcher has started and not read its events yet.
+t.test('a watcher that has not read the events of the store removes nothing', async (t2) => {
+  const follower = createFollower();
+  const watcher = StoreIndex.create(3);
+  watcher.applyResponse(1, [], 100);
+  follower.applyUpdate(watcher.createUpdate({ epoch: 1, log: 1, since: 3 }, 100)!, 100);
+  t2.strictSame(listReadable(follower, ['a', 'b', 'c']), ['a', 'b', 'c']);
+  watcher.applyResponse(1, [createPart('a')], 100);
+  const whole = watcher.createUpdate({ epoch: 1, log: 1, since: 3 }, 100)!;
+  t2.equal(whole.isComplete, true);
+  follower.applyUpdate(whole, 100);
+  t2.strictSame(listReadable(follower, ['a', 'b', 'c']), ['a']);
+});
--- a/packages/reuse/src/storeIndex.ts
+++ b/packages/reuse/src/storeIndex.ts
@@ -51,6 +51,8 @@
   readonly log: number;
   /** False if the events are all parts of the index, true if they are its changes. */
   readonly isPartial: boolean;
+  /** Whether the index names all parts of the store, so that it holds no others. */
+  readonly isComplete: boolean;
   /** Number of the first change after this update, to be passed in the next call. */
   readonly next: number;
   /** Age of the store's last response, in milliseconds. */
@@ -58,6 +60,9 @@
   readonly events: readonly StorePartEvent[];
 }
 
+/** Which events of the current epoch an index has; a store keeps only its newest ones. */
+type IndexCoverage = 'unread' | 'with_gaps' | 'complete';
+
 const createKey = (salt: string, id: string) => `${salt}/${id}`;
 
 /**
@@ -87,6 +92,8 @@
 
   private lastResponseMs = Number.NEGATIVE_INFINITY;
 
+  private coverage: IndexCoverage = 'unread';
+
   private constructor(private readonly log: number) {}
 
   /** @param log differs between the indexes of one node before and after its restart */
@@ -106,9 +113,15 @@
   /**
    * Applies a response of the store.
    *
+   * @param hasGap whether events before those of the response are missing
    * @returns false if the store has restarted; its events have to be read from the beginning then
    */
-  applyResponse(epoch: number, events: readonly StorePartEvent[], nowMs: number): boolean {
+  applyResponse(
+    epoch: number,
+    events: readonly StorePartEvent[],
+    nowMs: number,
+    hasGap = false,
+  ): boolean {
     this.lastResponseMs = nowMs;
     if (epoch !== this.currentEpoch) {
       this.removeAll();
@@ -116,6 +129,8 @@
       this.epochSinceMs = nowMs;
       return false;
     }
+    if (hasGap) this.coverage = 'with_gaps';
+    else if (this.coverage === 'unread') this.coverage = 'complete';
     for (const { isAdded, part } of events) {
       const key = createKey(part.salt, part.id);
       if (isAdded) this.parts.set(key, part);
@@ -127,10 +142,13 @@
   }
 
   /** Applies an update from the index of another node. */
-  applyUpdate({ epoch, isPartial, events }: StoreIndexUpdate, nowMs: number): void {
+  applyUpdate({ epoch, isPartial, isComplete, events }: StoreIndexUpdate, nowMs: number): void {
     if (epoch !== this.currentEpoch) this.applyResponse(epoch, [], nowMs);
-    if (!isPartial) this.removeOtherParts(events);
+    // The store may hold further parts than an incomplete index names.
+    if (!isPartial && isComplete) this.removeOtherParts(events);
+    const wasComplete = this.coverage === 'complete';
     this.applyResponse(epoch, events, nowMs);
+    this.coverage = isComplete && (wasComplete || !isPartial) ? 'complete' : 'with_gaps';
   }
 
   /** Records that the store did not respond; it may have restarted. */
@@ -174,7 +192,8 @@
 
   /**
    * Creates an update with the changes that a following node is missing, or with all parts if it
-   * knows another epoch, counted the changes of another index or is too far behind.
+   * knows another epoch, counted the changes of another index or is too far behind. Without all parts of the store, an
+   * index also names the removals that it knows of.
    *
    * @returns undefined while the store does not respond
    */
@@ -191,10 +210,20 @@
       log === this.log &&
       since >= this.firstChangeNumber &&
       since <= next;
+    const isComplete = this.coverage === 'complete';
     const events = isPartial
       ? this.changes.slice(since - this.firstChangeNumber)
-      : [...this.parts.values()].map((part) => ({ isAdded: true, part }));
-    return { epoch: currentEpoch, log: this.log, isPartial, next, ageMs, events };
+      : [
+          ...(isComplete ? [] : this.listRemovals()),
+          ...[...this.parts.values()].map((part) => ({ isAdded: true, part })),
+        ];
+    return { epoch: currentEpoch, log: this.log, isPartial, isComplete, next, ageMs, events };
+  }
+
+  private listRemovals(): StorePartEvent[] {
+    return this.changes.filter(
+      ({ isAdded, part }) => !isAdded && !this.parts.has(createKey(part.salt, part.id)),
+    );
   }
 
   private removeOtherParts(events: readonly StorePartEvent[]): void {
@@ -214,6 +243,7 @@
   }
 
   private removeAll(): void {
+    this.coverage = 'unread';
     this.firstChangeNumber += this.changes.length;
     this.changes = [];
     for (const key of [...this.parts.keys()]) this.parts.delete(key);
