Weigh the evidence about crashes only for requests that were in two of them

The evidence about all requests in flight was weighed again for the next request of any kind whenever a row of crashes had changed. Quarantines are the same; the tests of the crash counter pass as they are.

--- a/packages/containment/src/crashCounter.ts
+++ b/packages/containment/src/crashCounter.ts
@@ -122,6 +122,7 @@
     if (inFlight !== undefined || crash.requests.size >= MAX_REQUESTS_PER_CRASH) return false;
     crash.requests.set(fingerprint, { hasOutput, reporters: new Set([reporter]) });
     if (isNew) this.crashes.set(endpointStart, crash);
+    this.nextExpiryMs = Math.min(this.nextExpiryMs, crash.atMs + CRASH_RETENTION_MS + 1);
     this.isStale = true;
     return true;
   }
@@ -168,7 +169,10 @@
 
   /** Whether a request may not be sent to any endpoint. */
   isQuarantined(fingerprint: Fingerprint, nowMs: number): boolean {
-    if (this.isStale || nowMs >= this.nextExpiryMs) this.evaluate(nowMs);
+    if (nowMs >= this.nextExpiryMs) this.evaluate(nowMs);
+    // Most requests are in no crash or one; the evidence about all others is costly to weigh.
+    if (this.countCrashes(fingerprint, nowMs) < MAX_CRASHES_WITHOUT_OUTPUT) return false;
+    if (this.isStale) this.evaluate(nowMs);
     return this.quarantines.has(fingerprint);
   }
 
