Publish no whole mass crash: of many endpoints at once, only requests in another crash

Why it works: a request is held back after three crashes that nothing else explains; one of many crashes at once is hardly evidence against it. A request that does crash endpoints is in further crashes, and is published with those.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -61,6 +61,8 @@
 export const STRIKE_PUBLISH_INTERVAL_MS = 400;
 /** Maximum number of strikes that a node publishes; older ones are dropped. */
 export const MAX_PUBLISHED_STRIKES = 128;
+/** Endpoints whose crashes a node sees within one publication interval, up to which a request may be the cause of each. */
+export const MAX_SEPARATE_CRASHES = 4;
 /** Maximum number of completed requests that a node publishes with them. */
 export const MAX_PUBLISHED_ANSWERS = 32;
 /**
--- a/packages/gateway/src/strikePublisher.ts
+++ b/packages/gateway/src/strikePublisher.ts
@@ -7,6 +7,7 @@
   MAX_FAULT_REASON_LENGTH,
   MAX_PUBLISHED_ANSWERS,
   MAX_PUBLISHED_STRIKES,
+  MAX_SEPARATE_CRASHES,
 } from './constants.js';
 import type { GatewayLog } from './gatewayLog.js';
 import {
@@ -76,6 +77,9 @@
 export class StrikePublisher {
   private recentStrikes: PublishedStrike[] = [];
 
+  /** Strikes since the last publication interval. */
+  private newStrikes: PublishedStrike[] = [];
+
   /** Clock readings at the last complete answers of requests that crashes name. */
   private readonly recentAnswers = BoundedMap.create<Fingerprint, number>(MAX_PUBLISHED_ANSWERS);
 
@@ -90,14 +94,13 @@
   }
 
   addStrike({ fingerprint, endpointStart, hasOutput }: RequestCrash): void {
-    this.recentStrikes.push({
+    if (this.newStrikes.length >= MAX_PUBLISHED_STRIKES) this.newStrikes.shift();
+    this.newStrikes.push({
       fingerprint,
       startId: computeStartId(endpointStart),
       endpointStart: hasOutput === true ? undefined : endpointStart,
       atMs: this.dependencies.clock.nowMs(),
     });
-    if (this.recentStrikes.length > MAX_PUBLISHED_STRIKES) this.recentStrikes.shift();
-    this.hasUnpublishedStrikes = true;
   }
 
   /**
@@ -172,11 +175,12 @@
       hasOutput: endpointStart === undefined,
     };
     strikes.recordCrash(crash, atMs, reporter);
-    if (reporter === nodeName && !this.isPublished(strike)) this.recentStrikes.push(strike);
+    if (reporter === nodeName && !this.isKnown(strike)) this.recentStrikes.push(strike);
   }
 
   /** Writes the recent strikes if there are new ones; a failed write is retried by the next call. */
   async publish(): Promise<void> {
+    this.addNewStrikes();
     if (!this.hasUnpublishedStrikes || this.isWriting) return;
     this.isWriting = true;
     this.hasUnpublishedStrikes = false;
@@ -208,8 +212,28 @@
     log.logStateChange('strikes_not_published', { strikes: this.recentStrikes.length });
   }
 
-  private isPublished({ fingerprint, startId }: PublishedStrike): boolean {
-    return this.recentStrikes.some(
+  /**
+   * Adds the new strikes to the published ones. When many endpoints crash at once, hardly one request
+   * is the cause, and each node has sent some to most of them: of those with an output, only the ones that were in
+   * another crash as well are published.
+   */
+  private addNewStrikes(): void {
+    const { clock, strikes } = this.dependencies;
+    const starts = new Set(this.newStrikes.map(({ startId }) => startId));
+    const isMassCrash = starts.size > MAX_SEPARATE_CRASHES;
+    const isPublishable = ({ endpointStart, fingerprint }: PublishedStrike) =>
+      !isMassCrash ||
+      endpointStart !== undefined ||
+      strikes.countCrashes(fingerprint, clock.nowMs()) > 1;
+    const published = this.newStrikes.filter(isPublishable);
+    this.newStrikes = [];
+    if (published.length === 0) return;
+    this.hasUnpublishedStrikes = true;
+    this.recentStrikes = [...this.recentStrikes, ...published].slice(-MAX_PUBLISHED_STRIKES);
+  }
+
+  private isKnown({ fingerprint, startId }: PublishedStrike): boolean {
+    return [...this.recentStrikes, ...this.newStrikes].some(
       (known) => known.fingerprint === fingerprint && known.startId === startId,
     );
   }
