Log and count what showed the end of an endpoint's response

The incident's first hypothesis, that the end of a connection is taken for the end of a response, could not be told apart in logs or metrics: each of the streams that looked complete after half of their events was logged as served. The line `ended` and a new counter now say whether a length or chunks showed the end, or only the end of the connection, so that an operator sees which answers rest on the weaker sign.

--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -78,6 +78,9 @@
 
   private hasLoggedCompletion = false;
 
+  /** What showed the end of the endpoint's response, if one was passed on. */
+  private responseEnd: 'connection' | 'framing' | undefined;
+
   /** Number of attempts. */
   private sendCount = 0;
 
@@ -296,8 +299,11 @@
     context.metrics.recordAttempt(service, outcome.type);
     if (outcome.type === 'broken' && (outcome.isConnectionLost || !attempt.hasOutput))
       recordBrokenAttempt(context, routedRequest, chosen, attempt.hasOutput);
-    if (outcome.type === 'passed_on' || outcome.type === 'answered')
+    if (outcome.type === 'passed_on' || outcome.type === 'answered') {
       recordAnswer(context, routedRequest, chosen);
+      this.responseEnd = outcome.hasExplicitEnd ? 'framing' : 'connection';
+      context.metrics.recordResponseEnd(service, this.responseEnd);
+    }
     if (outcome.type === 'broken' && outcome.isConnectionLost)
       recordInterruption(
         context,
@@ -501,6 +507,7 @@
       outcome,
       reason,
       endpoints: this.triedEndpointIds,
+      responseEnd: outcome === 'served' ? this.responseEnd : undefined,
       firstByteMs: this.firstByteMs === undefined ? undefined : Math.round(this.firstByteMs),
       totalMs: Math.round(totalMs),
       limitMs: this.timeLimitMs,
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -21,6 +21,13 @@
     registers: [this.registry],
   });
 
+  private readonly responseEnds = new Counter({
+    name: 'lovagearch_response_ends_total',
+    help: 'Responses of endpoints by service and what showed their end',
+    labelNames: ['service', 'end'],
+    registers: [this.registry],
+  });
+
   private readonly droppedLines = new Counter({
     name: 'lovagearch_log_lines_dropped_total',
     help: 'Log lines that were not written',
@@ -74,6 +81,11 @@
     this.attempts.inc({ service, result });
   }
 
+  /** @param end `framing` for a length or chunks, `connection` if the response ended with its connection */
+  recordResponseEnd(service: string, end: 'connection' | 'framing'): void {
+    this.responseEnds.inc({ service, end });
+  }
+
   recordEventLoopDelay(delayMs: number): void {
     this.eventLoopDelay.observe(delayMs);
   }
