Complete a response that ended with its connection only if its endpoint runs

Callers got streams that looked complete before their last event, and halves of plain answers with status 200: the endpoint answered with neither a length nor chunks, and its process was killed between two events.

Cause: a kernel closes the connections of a killed process like those of one that is done, and the gateway took each end outside an event for the end of the response. Its final chunk states more than the endpoint has said.

Change: the exchange tells an end by framing from one by the connection. After the latter, a new connection takes the place of the ended one. The response is complete if the endpoint accepts it and keeps it for 15 ms, soon enough that the process can't have started again, or if an older connection outlives the end. If the endpoint refuses, or if its other connections ended too, the attempt is broken: resumed or repeated elsewhere where the route allows it, cut for its caller otherwise. The new connection serves the next request, so that no endpoint gets more connections, and no request is spent on a check. Bytes that may have been read late, after a pause, a delay of the event loop or a suspension, count from its beginning.

--- a/packages/exchange/src/connectionPool.ts
+++ b/packages/exchange/src/connectionPool.ts
@@ -1,6 +1,8 @@
 import { ReadPacer } from '@lovagearch/bounded-http';
-import { parseSocketAddress } from '@lovagearch/common';
-import { EndpointConnection } from './endpointConnection.js';
+import { BoundedMap, parseSocketAddress, processClock } from '@lovagearch/common';
+import { EndpointCheck } from './endpointCheck.js';
+import { type ConnectionDependencies, EndpointConnection } from './endpointConnection.js';
+import type { EndpointLife } from './endpointLife.js';
 import type { EndpointRequest, Exchange, ExchangeListener } from './types.js';
 
 interface EndpointConnections {
@@ -9,6 +11,9 @@
   readonly all: Set<EndpointConnection>;
 }
 
+/** Endpoint starts whose last lost connection is remembered. */
+const MAX_REMEMBERED_LOSSES = 10_000;
+
 /**
  * Keep-alive connections to all endpoints.
  *
@@ -19,16 +24,26 @@
 export class ConnectionPool {
   private readonly byEndpoint = new Map<string, EndpointConnections>();
 
+  /** Clock reading at which each endpoint last closed or reset a connection unexpectedly. */
+  private readonly lossTimes = BoundedMap.create<string, number>(MAX_REMEMBERED_LOSSES);
+
+  /** The check of each endpoint that was started last. */
+  private readonly checks = new Map<string, EndpointCheck>();
+
   private openedConnectionCount = 0;
 
   /** Called with the id of an endpoint that closed a connection between two exchanges. */
   onIdleConnectionLost: (endpointId: string) => void = () => undefined;
 
-  private constructor(private readonly pacer: ReadPacer) {}
+  private constructor(private readonly dependencies: ConnectionDependencies) {}
 
-  /** @param pacer limits the chunks that the process handles; by default one of this pool */
-  static create(pacer = ReadPacer.create()): ConnectionPool {
-    return new ConnectionPool(pacer);
+  /** By default, a pool has a pacer of its own and neither suspensions nor delays. */
+  static create({
+    pacer = ReadPacer.create(),
+    clock = processClock,
+    getReadDelayMs = () => 0,
+  }: Partial<ConnectionDependencies> = {}): ConnectionPool {
+    return new ConnectionPool({ pacer, clock, getReadDelayMs });
   }
 
   /** Number of connections opened since the process started. */
@@ -73,6 +88,43 @@
     return false;
   }
 
+  /**
+   * Finds out whether the process of an endpoint outlives the end of a connection that ended together with its
+   * response. A new connection takes the place of that one, and serves the next request if the endpoint accepts it.
+   *
+   * @param endpointId the id that the request was sent with
+   * @param silentSinceMs clock reading of the endpoint's last bytes before the end, as `ResponseEnd` has it
+   * @returns after a round trip as a rule, and after the connect timeout at most
+   * @example
+   * const life = await pool.checkEndpoint('i-7f3a', '10.1.2.3:8080', 40, end.silentSinceMs);
+   * if (life !== 'running') return resumeElsewhere();
+   */
+  checkEndpoint(
+    endpointId: string,
+    address: string,
+    maxConnections: number,
+    silentSinceMs: number,
+  ): Promise<EndpointLife> {
+    const known = this.checks.get(endpointId);
+    if (known?.canBeShared === true) return known.waitForResult(silentSinceMs);
+    const check = EndpointCheck.create(
+      {
+        create: () => this.createConnection(endpointId, address, maxConnections),
+        release: (connection) => this.release(endpointId, connection),
+        hasOlderThan: (atMs) => this.hasConnectionOlderThan(endpointId, atMs),
+        hasLostSince: (atMs) =>
+          (this.lossTimes.peek(endpointId) ?? Number.NEGATIVE_INFINITY) >= atMs,
+      },
+      this.dependencies.clock,
+      silentSinceMs,
+    );
+    this.checks.set(endpointId, check);
+    const result = check.waitForResult(silentSinceMs);
+    return result.finally(() => {
+      if (this.checks.get(endpointId) === check) this.checks.delete(endpointId);
+    });
+  }
+
   /** Closes the idle connections of an endpoint that accepts no more requests. */
   closeIdleConnections(endpointId: string): void {
     const connections = this.byEndpoint.get(endpointId);
@@ -87,28 +139,46 @@
     }
   }
 
+  private hasConnectionOlderThan(endpointId: string, atMs: number): boolean {
+    for (const connection of this.byEndpoint.get(endpointId)?.all ?? [])
+      if (connection.isOlderThan(atMs)) return true;
+    return false;
+  }
+
   private acquireConnection(
     endpointId: string,
     address: string,
     maxConnections: number,
     canReuse: boolean,
   ): EndpointConnection | undefined {
-    const connections = this.byEndpoint.get(endpointId) ?? { idle: [], all: new Set() };
+    const idleConnections = this.byEndpoint.get(endpointId)?.idle ?? [];
     while (canReuse) {
-      const idle = connections.idle.pop();
+      const idle = idleConnections.pop();
       if (idle === undefined) break;
       if (idle.isUsable) return idle;
       idle.close();
     }
+    return this.createConnection(endpointId, address, maxConnections);
+  }
+
+  private createConnection(
+    endpointId: string,
+    address: string,
+    maxConnections: number,
+  ): EndpointConnection | undefined {
+    const connections = this.byEndpoint.get(endpointId) ?? { idle: [], all: new Set() };
     if (connections.all.size >= maxConnections) return undefined;
     // Registrations come from other writers, and the HTTP client throws on an invalid address.
     if (parseSocketAddress(address) === undefined) return undefined;
-    const created = EndpointConnection.create(
-      address,
-      this.pacer,
-      (closed) => this.remove(endpointId, closed),
-      () => this.onIdleConnectionLost(endpointId),
-    );
+    const recordLoss = () => this.lossTimes.set(endpointId, this.dependencies.clock.nowMs());
+    const created = EndpointConnection.create(address, this.dependencies, {
+      onClosed: (closed) => this.remove(endpointId, closed),
+      onIdleLost: () => {
+        recordLoss();
+        this.onIdleConnectionLost(endpointId);
+      },
+      onBroken: recordLoss,
+    });
     connections.all.add(created);
     this.byEndpoint.set(endpointId, connections);
     this.openedConnectionCount += 1;
--- a/packages/exchange/src/constants.ts
+++ b/packages/exchange/src/constants.ts
@@ -17,3 +17,22 @@
 export const MAX_FRAMING_BYTES = 1_048_576;
 /** Further bytes of framing for each byte of the body; a chunk of one byte has five. */
 export const MAX_FRAMING_BYTES_PER_BODY_BYTE = 8;
+/**
+ * Time within which a process that has ended can't accept connections again, in milliseconds.
+ */
+export const MIN_RESTART_MS = 500;
+/**
+ * Time in which the ends of all connections of a process arrive, one retransmission included, in milliseconds.
+ */
+export const SETTLE_MS = 300;
+/**
+ * Time after an end for which an endpoint has to keep a new connection open, in milliseconds. The listener of a process
+ * that is killed may accept connections until the kernel has closed all of its files.
+ */
+export const OBSERVATION_MS = 15;
+/** Interval between two looks at the connections of an endpoint that may have ended, in milliseconds. */
+export const EVIDENCE_INTERVAL_MS = 5;
+/** Time after which a connection that no request has used is closed, in milliseconds. */
+export const UNUSED_CONNECTION_MS = 2_000;
+/** Time after a pause in which bytes and the end of a connection may have arrived during the pause, in milliseconds. */
+export const PAUSE_BACKLOG_MS = 1_000;
--- /dev/null
+++ b/packages/exchange/src/endpointCheck.test.ts
@@ -0,0 +1,205 @@
+import { once } from 'node:events';
+import { createServer, type Server, type Socket } from 'node:net';
+import { processClock } from '@lovagearch/common';
+import t, { type Test } from 'tap';
+import { MIN_RESTART_MS, OBSERVATION_MS, SETTLE_MS } from './constants.js';
+import { type ConnectionEvidence, decideEndpointLife } from './endpointLife.js';
+import { ConnectionPool, type EndpointLife } from './index.js';
+import { ArrivalTimes } from './arrivalTimes.js';
+
+const BASE: ConnectionEvidence = {
+  opening: 'accepted',
+  hasOlderConnection: false,
+  hasLostConnection: false,
+  silentForMs: 0,
+  waitedMs: OBSERVATION_MS,
+};
+
+const CASES: readonly [string, Partial<ConnectionEvidence>, EndpointLife | 'undecided'][] = [
+  ['an endpoint that accepts at once runs', {}, 'running'],
+  ['one that accepts is observed for some time', { waitedMs: 0 }, 'undecided'],
+  ['an endpoint that refuses has ended', { opening: 'refused' }, 'ended'],
+  [
+    'one that accepts after the time of a restart may be a new process',
+    { silentForMs: MIN_RESTART_MS },
+    'unknown',
+  ],
+  [
+    'one that accepts late runs if an older connection is open',
+    { silentForMs: MIN_RESTART_MS, hasOlderConnection: true },
+    'running',
+  ],
+  [
+    'one that accepts has ended if all its other connections ended',
+    { hasLostConnection: true },
+    'ended',
+  ],
+  [
+    'one that accepts and has closed one of several connections is looked at again',
+    { hasLostConnection: true, hasOlderConnection: true },
+    'undecided',
+  ],
+  [
+    'one that accepts and has closed one of several connections runs if others stay open',
+    { hasLostConnection: true, hasOlderConnection: true, waitedMs: SETTLE_MS },
+    'running',
+  ],
+  [
+    'one that refuses and has an older connection is looked at again',
+    { opening: 'refused', hasOlderConnection: true },
+    'undecided',
+  ],
+  [
+    'one that refuses runs if an older connection stays open, as it is leaving',
+    { opening: 'refused', hasOlderConnection: true, waitedMs: SETTLE_MS },
+    'running',
+  ],
+  ['one that accepts and closes is unknown', { opening: 'failed' }, 'unknown'],
+  [
+    'one that accepts and closes has ended if all its other connections ended',
+    { opening: 'failed', hasLostConnection: true },
+    'ended',
+  ],
+  ['one that does not answer is waited for', { opening: 'pending' }, 'undecided'],
+  [
+    'one that does not answer runs if an older connection stays open',
+    { opening: 'pending', hasOlderConnection: true, waitedMs: SETTLE_MS },
+    'running',
+  ],
+];
+
+t.test('whether the process of an endpoint outlives the end of a connection', async (t2) => {
+  for (const [name, evidence, life] of CASES)
+    t2.equal(decideEndpointLife({ ...BASE, ...evidence }), life, name);
+});
+
+// Guards against a process that started again while its predecessor's last bytes waited in the kernel.
+t.test('bytes that are read late may have arrived at the beginning of the delay', async (t2) => {
+  let nowMs = 100;
+  let readDelayMs = 0;
+  const arrivals = ArrivalTimes.create({ nowMs: () => nowMs }, () => readDelayMs);
+  nowMs = 1_000;
+  arrivals.recordRead(10);
+  nowMs = 1_200;
+  arrivals.recordRead(10);
+  t2.equal(arrivals.getSilentSinceMs(), 1_000, 'without new bytes');
+  readDelayMs = 150;
+  arrivals.recordRead(20);
+  t2.equal(arrivals.getSilentSinceMs(), 1_050, 'after a delay of the event loop');
+  readDelayMs = 0;
+  arrivals.recordPause();
+  nowMs = 4_000;
+  arrivals.recordResume();
+  arrivals.recordRead(30);
+  t2.equal(arrivals.getSilentSinceMs(), 1_200, 'after a pause');
+  nowMs = 9_000;
+  arrivals.recordRead(40);
+  t2.equal(arrivals.getSilentSinceMs(), 9_000, 'long after a pause');
+});
+
+const HEAD = 'HTTP/1.1 200 OK\r\n';
+const MAX_CONNECTIONS = 4;
+const RESPONSES = {
+  unframed: `${HEAD}\r\nbody`,
+  framed: `${HEAD}Content-Length: 4\r\n\r\nbody`,
+} as const;
+
+/** Endpoint that answers `/unframed` with a response that ends with its connection. */
+const startEndpoint = async (t2: Test) => {
+  const sockets = new Set<Socket>();
+  let connections = 0;
+  const server: Server = createServer((socket) => {
+    connections += 1;
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.once('close', () => sockets.delete(socket));
+    socket.on('data', (bytes) => {
+      if (bytes.includes('/unframed')) socket.end(RESPONSES.unframed);
+      else socket.write(RESPONSES.framed);
+    });
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const address = server.address();
+  const port = typeof address === 'object' && address !== null ? address.port : 0;
+  const end = () => {
+    server.close();
+    for (const socket of sockets) socket.end();
+  };
+  t2.teardown(end);
+  return { address: `127.0.0.1:${port}`, end, countConnections: () => connections };
+};
+
+type Framing = keyof typeof RESPONSES;
+
+const send = async (pool: ConnectionPool, address: string, framing: Framing): Promise<string> =>
+  new Promise((resolve) => {
+    const request = {
+      method: 'GET',
+      path: `/${framing}`,
+      headers: ['host', 'x'],
+      body: undefined,
+      isRepeat: false,
+    };
+    pool.send('i-1', address, MAX_CONNECTIONS, request, {
+      canSend: () => true,
+      onHeaders: () => undefined,
+      onData: () => undefined,
+      // The connection is released in a later turn of the event loop.
+      onEnd: ({ type }) => setImmediate(() => setImmediate(() => resolve(type))),
+      onFailure: ({ type }) => resolve(type),
+    });
+  });
+
+const check = async (pool: ConnectionPool, address: string): Promise<EndpointLife> =>
+  pool.checkEndpoint('i-1', address, MAX_CONNECTIONS, processClock.nowMs());
+
+t.test(
+  'an endpoint that runs keeps the connection of the check for its next request',
+  async (t2) => {
+    const endpoint = await startEndpoint(t2);
+    const pool = ConnectionPool.create();
+    t2.teardown(() => pool.closeAll());
+    t2.equal(await send(pool, endpoint.address, 'unframed'), 'connection');
+    t2.equal(await check(pool, endpoint.address), 'running');
+    t2.equal(await send(pool, endpoint.address, 'framed'), 'framing');
+    t2.equal(await send(pool, endpoint.address, 'unframed'), 'connection');
+    t2.equal(pool.openedConnections, 2);
+    t2.equal(endpoint.countConnections(), 2);
+  },
+);
+
+t.test('an endpoint whose listener and connections are closed has ended', async (t2) => {
+  const endpoint = await startEndpoint(t2);
+  const pool = ConnectionPool.create();
+  t2.equal(await send(pool, endpoint.address, 'framed'), 'framing');
+  t2.equal(await send(pool, endpoint.address, 'unframed'), 'connection');
+  endpoint.end();
+  t2.equal(await check(pool, endpoint.address), 'ended');
+  t2.notOk(pool.hasEstablishedConnection('i-1'));
+});
+
+// Guards against a killed process whose listener accepts connections until the kernel has closed it.
+t.test('an endpoint that accepts and closes at once may have ended', async (t2) => {
+  const server = createServer((socket) => socket.resetAndDestroy());
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  t2.teardown(() => server.close());
+  const address = server.address();
+  const port = typeof address === 'object' && address !== null ? address.port : 0;
+  t2.equal(await check(ConnectionPool.create(), `127.0.0.1:${port}`), 'unknown');
+});
+
+// Guards against a connection for each of many streams that end together.
+t.test('ends that are read together share a check', async (t2) => {
+  const endpoint = await startEndpoint(t2);
+  const pool = ConnectionPool.create();
+  t2.teardown(() => pool.closeAll());
+  const checks = [1, 2, 3].map(async () => check(pool, endpoint.address));
+  t2.strictSame(await Promise.all(checks), ['running', 'running', 'running']);
+  t2.equal(pool.openedConnections, 1);
+});
+
+t.test('an address that is not usable is unknown', async (t2) => {
+  t2.equal(await check(ConnectionPool.create(), 'localhost:1'), 'unknown');
+});
--- a/packages/exchange/src/endpointConnection.ts
+++ b/packages/exchange/src/endpointConnection.ts
@@ -1,6 +1,8 @@
 import type { Socket } from 'node:net';
 import { openBoundedSocket, PacedReader, type ReadPacer } from '@lovagearch/bounded-http';
+import { type Clock, parseSocketAddress } from '@lovagearch/common';
 import { Client, type Dispatcher } from 'undici';
+import { ArrivalTimes } from './arrivalTimes.js';
 import {
   CONNECT_TIMEOUT_MS,
   DEFAULT_KEEP_ALIVE_MS,
@@ -9,7 +11,10 @@
   MAX_FRAMING_BYTES_PER_BODY_BYTE,
   MAX_RESPONSE_HEADER_BYTES,
   MAX_KEEP_ALIVE_MS,
+  UNUSED_CONNECTION_MS,
 } from './constants.js';
+import type { OpeningResult } from './endpointLife.js';
+import { isFramed } from './isFramed.js';
 import type { EndpointRequest, Exchange, ExchangeListener } from './types.js';
 
 /** Code of the error with which the HTTP client closes a connection itself. */
@@ -24,16 +29,54 @@
 const isInvalidResponse = (error: Error): boolean =>
   'code' in error && INVALID_RESPONSE_CODE.test(String(error.code));
 
+type ConnectCallback = (...args: [Error, null] | [null, Socket]) => void;
+
+const classifyOpeningError = (error: Error): OpeningResult =>
+  'code' in error && error.code === 'ECONNREFUSED' ? 'refused' : 'failed';
+
+/** What the process-wide parts of a connection are. */
+export interface ConnectionDependencies {
+  /** Limits the chunks that the process handles. */
+  readonly pacer: ReadPacer;
+  /** A clock that includes suspensions of the VM. */
+  readonly clock: Clock;
+  /** Returns how late bytes that are read now may be read, in milliseconds. */
+  readonly getReadDelayMs: () => number;
+}
+
+export interface ConnectionListener {
+  /** Called once, when the connection closes. */
+  readonly onClosed: (connection: EndpointConnection) => void;
+  /** Called if the endpoint closes the connection between two exchanges. */
+  readonly onIdleLost: () => void;
+  /** Called if the connection is lost in the middle of an exchange. */
+  readonly onBroken: () => void;
+}
+
 /**
  * One connection to an endpoint, for one exchange at a time. It does not reconnect after it closes.
  */
 export class EndpointConnection {
   private socket: Socket | undefined;
 
+  /** Clock reading at which the connection was established. */
+  private establishedAtMs: number | undefined;
+
+  /** Whether the connection was opened ahead of its first request and not yet handed over to the HTTP client. */
+  private isOpenedAhead = false;
+
+  /** Hands the socket over to the HTTP client, once a connection that was opened ahead is established. */
+  private takeOpenedSocket: (() => Socket) | undefined;
+
+  private readonly arrivals: ArrivalTimes;
+
   private hasSocketFailed = false;
 
   private isClosed = false;
 
+  /** Whether the endpoint has ended the connection, which closes in this turn of the event loop. */
+  private hasEnded = false;
+
   /** Whether an exchange is in progress. */
   private isBusy = false;
 
@@ -48,11 +91,11 @@
   private readonly client: Client;
 
   private constructor(
-    address: string,
-    private readonly pacer: ReadPacer,
-    private readonly onClosed: (connection: EndpointConnection) => void,
-    private readonly onIdleLost: () => void,
+    private readonly address: string,
+    private readonly dependencies: ConnectionDependencies,
+    private readonly listener: ConnectionListener,
   ) {
+    this.arrivals = ArrivalTimes.create(dependencies.clock, dependencies.getReadDelayMs);
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -61,35 +104,34 @@
       keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       maxHeaderSize: MAX_RESPONSE_HEADER_BYTES,
-      connect: (options, callback) =>
-        this.openSocket(options.hostname, Number(options.port), callback),
+      connect: ({ hostname, port }, callback) => {
+        const { takeOpenedSocket } = this;
+        if (takeOpenedSocket === undefined) this.openSocket(hostname, Number(port), callback);
+        // The HTTP client sends nothing if it is called back before this call returns.
+        else queueMicrotask(() => callback(null, takeOpenedSocket()));
+      },
     });
     this.client.on('disconnect', (_origin, _targets, error) => {
       // The HTTP client itself closes connections that have expired or that the endpoint wants closed.
       const isLost = !this.isBusy && !this.isClosed && error.code !== CLOSED_BY_CLIENT_CODE;
       this.close();
-      if (isLost) this.onIdleLost();
+      if (isLost) this.listener.onIdleLost();
     });
     this.client.on('connectionError', () => this.close());
   }
 
-  /**
-   * @param pacer limits the chunks that the process handles
-   * @param onClosed called once, when the connection closes
-   * @param onIdleLost called if the endpoint closes the connection between two exchanges
-   */
   static create(
     address: string,
-    pacer: ReadPacer,
-    onClosed: (connection: EndpointConnection) => void,
-    onIdleLost: () => void = () => undefined,
+    dependencies: ConnectionDependencies,
+    listener: ConnectionListener,
   ): EndpointConnection {
-    return new EndpointConnection(address, pacer, onClosed, onIdleLost);
+    return new EndpointConnection(address, dependencies, listener);
   }
 
   /** Whether the connection is open. */
   get isUsable(): boolean {
-    return !this.isClosed && this.socket !== undefined && !this.socket.destroyed;
+    if (this.isClosed || this.hasEnded || this.socket === undefined) return false;
+    return !this.socket.destroyed;
   }
 
   /** Whether the connection is established. */
@@ -97,13 +139,45 @@
     return this.isUsable && this.socket?.connecting === false;
   }
 
+  /** Whether the connection is open and was established before a clock reading. */
+  isOlderThan(atMs: number): boolean {
+    return this.isEstablished && this.establishedAtMs !== undefined && this.establishedAtMs < atMs;
+  }
+
+  /**
+   * Opens the connection ahead of its first request. It closes if it isn't used soon.
+   *
+   * @returns what became of it; never `pending`
+   */
+  open(): Promise<OpeningResult> {
+    const address = parseSocketAddress(this.address);
+    if (address === undefined) {
+      this.close();
+      return Promise.resolve('failed');
+    }
+    this.isOpenedAhead = true;
+    return new Promise((resolve) => {
+      this.openSocket(address.host, address.port, (error, socket) => {
+        if (error === null) {
+          this.keepUntilUsed(socket);
+          resolve('accepted');
+          return;
+        }
+        this.close();
+        resolve(classifyOpeningError(error));
+      });
+    });
+  }
+
   /** Closes the connection and fails the exchange in progress. */
   close(): void {
     if (this.isClosed) return;
     this.isClosed = true;
-    this.onClosed(this);
+    this.listener.onClosed(this);
     // After a plain close, the kernel would still send the rest of an abandoned request over a slow link.
     if (this.isBusy && this.socket?.connecting === false) this.socket.resetAndDestroy();
+    // The HTTP client doesn't know a connection that no request has used.
+    if (this.isOpenedAhead) this.socket?.destroy();
     // The listener has already been notified of this error.
     this.client.destroy().catch(() => undefined);
   }
@@ -123,10 +197,15 @@
     this.isBusy = true;
     let controller: Dispatcher.DispatchController | undefined;
     let isPausedByListener = false;
-    const reader = PacedReader.create(this.pacer, {
-      pause: () => controller?.pause(),
+    const reader = PacedReader.create(this.dependencies.pacer, {
+      pause: () => {
+        this.arrivals.recordPause();
+        controller?.pause();
+      },
       resume: () => {
-        if (!isPausedByListener) controller?.resume();
+        if (isPausedByListener) return;
+        this.arrivals.recordResume();
+        controller?.resume();
       },
     });
     const fail = (error: Error) => {
@@ -139,11 +218,13 @@
           ? { type: 'broken', reason, isInvalid: isInvalidResponse(error) }
           : { type: 'not_sent', reason },
       );
+      if (isSent && !isInvalidResponse(error)) this.listener.onBroken();
       this.close();
     };
     this.receivedBeforeBytes = this.socket?.bytesRead ?? 0;
     this.bodyBytes = 0;
     this.failExchange = fail;
+    let hasFramedEnd = true;
     const handler: Dispatcher.DispatchHandler = {
       onRequestStart: (startController) => {
         controller = startController;
@@ -161,6 +242,7 @@
       },
       onResponseStart: (_controller, status, headers) => {
         reader.recordChunks(1);
+        hasFramedEnd = isFramed(request.method, status, headers);
         if (!isSettled && status >= 200) listener.onHeaders(status, headers);
       },
       onResponseData: (_controller, chunk) => {
@@ -179,7 +261,17 @@
         isSettled = true;
         reader.finish();
         this.isBusy = false;
-        listener.onEnd();
+        if (!hasFramedEnd) {
+          this.hasEnded = true;
+          // The HTTP client can't be closed from within this call.
+          setImmediate(() => this.close());
+          listener.onEnd({
+            type: 'connection',
+            silentSinceMs: this.arrivals.getSilentSinceMs(),
+          });
+          return;
+        }
+        listener.onEnd({ type: 'framing' });
         // If the endpoint sends extra bytes after the response, undici closes the connection.
         setImmediate(() => {
           if (this.isUsable) onReleased(this);
@@ -210,11 +302,14 @@
       },
       pause: () => {
         isPausedByListener = true;
+        this.arrivals.recordPause();
         controller?.pause();
       },
       resume: () => {
         isPausedByListener = false;
-        if (!reader.isPaused) controller?.resume();
+        if (reader.isPaused) return;
+        this.arrivals.recordResume();
+        controller?.resume();
       },
       recordWork: (units) => reader.recordChunks(units),
     };
@@ -232,11 +327,32 @@
     this.failExchange?.(Object.assign(error, { code: FRAMING_CODE }));
   }
 
-  private openSocket(
-    host: string,
-    port: number,
-    callback: (...args: [Error, null] | [null, Socket]) => void,
-  ): void {
+  /** Notices the end of a connection that no request has used, until the HTTP client reads from it. */
+  private keepUntilUsed(socket: Socket): void {
+    const timer = setTimeout(() => this.close(), UNUSED_CONNECTION_MS);
+    const handleReadable = () => {
+      // Without a request, the endpoint has nothing to send.
+      if (socket.read() !== null) this.close();
+    };
+    const handleClose = () => {
+      clearTimeout(timer);
+      if (this.isClosed) return;
+      this.close();
+      this.listener.onIdleLost();
+    };
+    socket.on('readable', handleReadable);
+    socket.once('close', handleClose);
+    this.takeOpenedSocket = () => {
+      clearTimeout(timer);
+      socket.off('readable', handleReadable);
+      socket.off('close', handleClose);
+      this.takeOpenedSocket = undefined;
+      this.isOpenedAhead = false;
+      return socket;
+    };
+  }
+
+  private openSocket(host: string, port: number, callback: ConnectCallback): void {
     const socket = openBoundedSocket(host, port);
     this.socket = socket;
     const timer = setTimeout(() => {
@@ -259,7 +375,13 @@
       if (socket.remotePort === undefined) this.hasSocketFailed = true;
     });
     socket.once('close', () => settle(new Error('connection closed while connecting'), null));
-    socket.on('readable', () => this.checkFraming(socket));
-    socket.once('connect', () => settle(null, socket));
+    socket.on('readable', () => {
+      this.arrivals.recordRead(socket.bytesRead);
+      this.checkFraming(socket);
+    });
+    socket.once('connect', () => {
+      this.establishedAtMs = this.dependencies.clock.nowMs();
+      settle(null, socket);
+    });
   }
 }
--- /dev/null
+++ b/packages/exchange/src/endpointLife.ts
@@ -0,0 +1,65 @@
+import { MIN_RESTART_MS, OBSERVATION_MS, SETTLE_MS } from './constants.js';
+
+/** What became of a connection that was opened to find out whether an endpoint still runs. */
+export type OpeningResult = 'accepted' | 'failed' | 'pending' | 'refused';
+
+/** What the connections of an endpoint say after one of them has ended together with its response. */
+export interface ConnectionEvidence {
+  readonly opening: OpeningResult;
+  /** Whether a connection that was established before the end is open. */
+  readonly hasOlderConnection: boolean;
+  /** Whether the endpoint has closed or reset another connection since its last bytes before the end. */
+  readonly hasLostConnection: boolean;
+  /** Time since the endpoint's last bytes before the end, in milliseconds. */
+  readonly silentForMs: number;
+  /** Time since the end was noticed, in milliseconds. */
+  readonly waitedMs: number;
+}
+
+/**
+ * `running`: the process that sent the response outlives its end. `ended`: it has ended as well, so the response may be
+ * incomplete. `unknown`: it may have ended and started again.
+ */
+export type EndpointLife = 'ended' | 'running' | 'unknown';
+
+/**
+ * Decides whether the process of an endpoint outlives the end of a connection, or returns `undecided` until there is
+ * more evidence. When a process ends, its kernel closes all of its connections and listeners within milliseconds. A
+ * listener that accepts may belong to a new process, unless there was no time for a restart or an older connection is
+ * still open.
+ *
+ * @example
+ * const life = decideEndpointLife(evidence);
+ * if (life === 'undecided') await waitForEvidence();
+ */
+export const decideEndpointLife = ({
+  opening,
+  hasOlderConnection,
+  hasLostConnection,
+  silentForMs,
+  waitedMs,
+}: ConnectionEvidence): EndpointLife | 'undecided' => {
+  const isSettled = waitedMs >= SETTLE_MS;
+  // An older connection that is still open may end a moment later.
+  const hasSurvivor = hasOlderConnection && isSettled;
+  switch (opening) {
+    case 'accepted':
+      if (hasLostConnection) {
+        if (!hasOlderConnection) return 'ended';
+        return hasSurvivor ? 'running' : 'undecided';
+      }
+      if (waitedMs < OBSERVATION_MS) return 'undecided';
+      return silentForMs < MIN_RESTART_MS || hasOlderConnection ? 'running' : 'unknown';
+    case 'refused':
+      // An endpoint that is leaving takes no more connections and completes its responses.
+      if (!hasOlderConnection) return 'ended';
+      return hasSurvivor ? 'running' : 'undecided';
+    case 'failed':
+      if (hasOlderConnection) return hasSurvivor ? 'running' : 'undecided';
+      return hasLostConnection ? 'ended' : 'unknown';
+    case 'pending':
+      return hasSurvivor ? 'running' : 'undecided';
+    default:
+      return opening satisfies never;
+  }
+};
--- a/packages/exchange/src/index.ts
+++ b/packages/exchange/src/index.ts
@@ -4,6 +4,7 @@
  */
 export { ConnectionPool } from './connectionPool.js';
 export * from './constants.js';
+export type { EndpointLife } from './endpointLife.js';
 export * from './nextStep.js';
 export * from './eventStreamFramer.js';
 export type * from './types.js';
--- a/packages/exchange/src/types.ts
+++ b/packages/exchange/src/types.ts
@@ -27,6 +27,18 @@
   | { readonly type: 'not_sent'; readonly reason: string }
   | { readonly type: 'withdrawn'; readonly reason: string };
 
+/**
+ * What showed the end of a response. `framing`: its length, its last chunk, or a status without a body. `connection`:
+ * only the end of the connection, which a process that is killed leaves behind as well.
+ */
+export type ResponseEnd =
+  | { readonly type: 'framing' }
+  | {
+      readonly type: 'connection';
+      /** Clock reading of the last bytes before the end; the earliest possible one if they may have been read late. */
+      readonly silentSinceMs: number;
+    };
+
 /** Receives the response of an exchange. Unless cancelled, exactly one of `onEnd` and `onFailure` is called. */
 export interface ExchangeListener {
   /** Called before the first byte is sent, which a new connection can delay; false withdraws the request. */
@@ -36,7 +48,7 @@
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ) => void;
   readonly onData: (chunk: Buffer) => void;
-  readonly onEnd: () => void;
+  readonly onEnd: (end: ResponseEnd) => void;
   readonly onFailure: (failure: ExchangeFailure) => void;
 }
 
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,12 +1,14 @@
 import { BodyBuffer, type MemoryBudget } from '@lovagearch/bounded-http';
-import type { Clock } from '@lovagearch/common';
+import { type Clock, getErrorMessage } from '@lovagearch/common';
 import type { Endpoint, EndpointOutcome, Placement, SentRequest } from '@lovagearch/endpoints';
 import {
   type ConnectionPool,
+  type EndpointLife,
   type EndpointRequest,
   type EventStreamFramer,
   type Exchange,
   type ExchangeFailure,
+  type ResponseEnd,
 } from '@lovagearch/exchange';
 import type { CallerResponse } from './callerResponse.js';
 import {
@@ -77,8 +79,16 @@
   /** Called with the head of each response that belongs to this request. */
   readonly onResponseHead: (head: ResponseHead, sentAtMs: number) => void;
   readonly onWeights: (endpointId: string, model: string, version: number) => void;
+  /** Called with what is known of the endpoint after a response that ended with its connection. */
+  readonly onConnectionEnd: (life: EndpointLife) => void;
 }
 
+/** Why a response that ended with its connection may be incomplete. */
+const CONNECTION_END_REASONS = {
+  ended: 'the endpoint ended together with its connection',
+  unknown: 'the connection ended, and the endpoint may have started again since',
+} as const satisfies Record<Exclude<EndpointLife, 'running'>, string>;
+
 /** Returns a key that differs between restarts of an endpoint; connections are pooled by it. */
 export const getEndpointStartKey = ({ record }: Endpoint): string =>
   `${record.id}/${record.startedUnixMs}`;
@@ -97,9 +107,6 @@
 
   private discardedBytes = 0;
 
-  /** Whether the response has neither a length nor chunks, so that its end is that of the connection. */
-  private endsWithConnection = false;
-
   private isFinished = false;
 
   /** Whether reading from the endpoint waits for the caller. */
@@ -191,7 +198,7 @@
         canSend: () => this.dependencies.canSend(),
         onHeaders: (status, headers) => this.handleHeaders(status, headers),
         onData: (chunk) => this.handleData(chunk),
-        onEnd: () => this.handleEnd(),
+        onEnd: (end) => this.handleEnd(end),
         onFailure: (failure) => this.handleFailure(failure),
       },
     );
@@ -230,8 +237,6 @@
     this.recordActivity(nowMs);
     const head = this.dependencies.headers.decodeResponseHead(status, headers);
     this.head = head;
-    this.endsWithConnection =
-      headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
     // A faulty endpoint may write an earlier response once more, so nothing in it says anything about this request.
     if (head.requestId !== requestId) {
       this.finishBroken(`response belongs to another request (${head.requestId ?? 'no id'})`);
@@ -344,8 +349,8 @@
     exchange?.pause();
   }
 
-  private handleEnd(): void {
-    const { framer, callerResponse } = this.input;
+  private handleEnd(end: ResponseEnd): void {
+    const { framer } = this.input;
     const { head } = this;
     if (this.isFinished) return;
     if (head === undefined) {
@@ -356,24 +361,68 @@
       this.handleRejection(head);
       return;
     }
-    const workMs = this.dependencies.clock.nowMs() - this.startMs;
+    if (framer !== undefined && this.isStreaming(head)) {
+      if (framer.hasPartialEvent) {
+        this.finishBroken('stream ended inside an event', true);
+        return;
+      }
+      // A crash before the first event looks like an end, and a stream has events.
+      if (end.type === 'connection' && framer.lastEventId === 0 && !this.hasOutput) {
+        this.finishBroken('stream ended before its first event', true);
+        return;
+      }
+    }
+    const processingMs = this.dependencies.clock.nowMs() - this.startMs;
+    switch (end.type) {
+      case 'framing':
+        this.complete(head, processingMs, true);
+        return;
+      case 'connection':
+        this.completeIfEndpointRuns(head, processingMs, end.silentSinceMs);
+        return;
+      default:
+        end satisfies never;
+    }
+  }
+
+  /**
+   * Completes a response that ended with its connection, unless the endpoint's process has ended as well: its kernel
+   * closes the connections of a killed process like those of one that is done.
+   */
+  private completeIfEndpointRuns(
+    head: ResponseHead,
+    processingMs: number,
+    silentSinceMs: number,
+  ): void {
+    const { endpoint, maxConnections } = this.input;
+    const { pool, onConnectionEnd } = this.dependencies;
+    pool
+      .checkEndpoint(
+        getEndpointStartKey(endpoint),
+        endpoint.record.address,
+        maxConnections,
+        silentSinceMs,
+      )
+      .then((life) => {
+        onConnectionEnd(life);
+        if (this.isFinished) return;
+        if (life === 'running') this.complete(head, processingMs, false);
+        else this.finishBroken(CONNECTION_END_REASONS[life], true);
+      })
+      .catch((error: unknown) => this.finishBroken(getErrorMessage(error)));
+  }
+
+  private complete(head: ResponseHead, processingMs: number, hasExplicitEnd: boolean): void {
+    const { framer, callerResponse } = this.input;
     const outcome: EndpointOutcome = {
       type: 'answered',
       isFailure: head.status >= 500,
-      processingMs: workMs,
+      processingMs,
     };
-    const hasExplicitEnd = !this.endsWithConnection;
     if (framer !== undefined && this.isStreaming(head)) {
-      const hasEvents = framer.lastEventId > 0 || this.hasOutput;
-      if (framer.hasPartialEvent) this.finishBroken('stream ended inside an event', true);
-      else if (this.endsWithConnection && !hasEvents) {
-        // A crash before the first event looks like an end, and a stream has events.
-        this.finishBroken('stream ended before its first event', true);
-      } else {
-        if (!callerResponse.hasStarted) callerResponse.start(head);
-        callerResponse.finish();
-        this.finish({ type: 'passed_on', hasExplicitEnd }, outcome);
-      }
+      if (!callerResponse.hasStarted) callerResponse.start(head);
+      callerResponse.finish();
+      this.finish({ type: 'passed_on', hasExplicitEnd }, outcome);
     } else if (this.bufferedBody === undefined) {
       callerResponse.finish();
       this.finish({ type: 'passed_on', hasExplicitEnd }, outcome);
--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -39,7 +39,7 @@
 /** Creates an attempt to send a request to the chosen endpoint. */
 export const createAttempt = (
   context: GatewayContext,
-  { head, route, account, body }: RoutedRequest,
+  { head, route, service, account, body }: RoutedRequest,
   { endpoint, placement, maxConnections }: ChosenEndpoint,
   { reusePlan, framer, remainingMs, isRepeat, callerResponse, onFirstByte }: AttemptOptions,
 ): Attempt => {
@@ -67,6 +67,7 @@
         applyStatements(context, endpoint, head.requestId, responseHead, sentAtMs),
       onWeights: (id, model, version) =>
         context.clusterState.recordEndpointWeights(id, model, version),
+      onConnectionEnd: (life) => context.metrics.recordConnectionEnd(service, life),
     },
     {
       requestId: head.requestId,
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -1,3 +1,4 @@
+import type { EndpointLife } from '@lovagearch/exchange';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 /** Latency histogram buckets, in milliseconds: from a cached read up to the longest stream. */
@@ -28,6 +29,13 @@
     registers: [this.registry],
   });
 
+  private readonly connectionEnds = new Counter({
+    name: 'lovagearch_connection_ends_total',
+    help: 'Responses that ended with their connection, by service and what is known of the endpoint',
+    labelNames: ['service', 'endpoint'],
+    registers: [this.registry],
+  });
+
   private readonly droppedLines = new Counter({
     name: 'lovagearch_log_lines_dropped_total',
     help: 'Log lines that were not written',
@@ -86,6 +94,10 @@
     this.responseEnds.inc({ service, end });
   }
 
+  recordConnectionEnd(service: string, endpoint: EndpointLife): void {
+    this.connectionEnds.inc({ service, endpoint });
+  }
+
   recordEventLoopDelay(delayMs: number): void {
     this.eventLoopDelay.observe(delayMs);
   }
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -231,7 +231,11 @@
     settings,
     headers: dependencies.headers,
     clusterState,
-    pool: ConnectionPool.create(responseLimits.pacer),
+    pool: ConnectionPool.create({
+      pacer: responseLimits.pacer,
+      clock: suspensionClock,
+      getReadDelayMs: () => eventLoopMonitor.getReadDelayMs(clock.nowMs()),
+    }),
     bodyMemory: MemoryBudget.create(settings.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE),
     responseLimits,
     clock,
