Wait for addresses that a predecessor still holds

Operators saw gateways that ended by themselves with code 1, `start_failed` and EADDRINUSE, about a second after their start: another process held one of their ports for some seconds, or the process before them still drained after SIGTERM. Callers saw a node that stayed away.

Cause: a start gave up on a condition that passes by itself. `acquireAddress` waits for an address at a short interval, for the grace period and a margin, and ends at once with an error that names the listener if the address can't be used. The load balancer's, the peers' and the callers' addresses are acquired in this order; until all are held, nothing of the node's identity starts, as its predecessor runs under the same name. The retry budget and the measure of event loop delays begin when they are held. Metrics and load reports, which callers don't need, are opened in the background.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -3,6 +3,7 @@
  * seeded random numbers, logging and metrics. It contains no domain logic and does no I/O besides
  * writing logs and metrics.
  */
+export * from './acquireAddress.js';
 export * from './boundedMap.js';
 export * from './clock.js';
 export * from './connectErrors.js';
@@ -15,5 +16,6 @@
 export * from './metrics.js';
 export * from './progressTimeout.js';
 export * from './random.js';
+export * from './retryWhilePassing.js';
 export * from './simulatedTime.js';
 export * from './socketAddress.js';
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import { createServer, type Server } from 'node:http';
 import type { Socket } from 'node:net';
 import type { CallerLimits } from '@lovagearch/traffic';
@@ -62,19 +63,12 @@
     return this.activeRequests;
   }
 
-  listen(address: Address): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(
-        { host: address.host, port: address.port, backlog: LISTEN_BACKLOG },
-        () => {
-          this.server.off('error', reject);
-          this.server.on('error', (error) => {
-            this.context.log.logProblem('listener_failed', { reason: error.message });
-          });
-          resolve();
-        },
-      );
+  /** Starts listening; rejects if the address can't be used, and may be called again then. */
+  async listen({ host, port }: Address): Promise<void> {
+    this.server.listen({ host, port, backlog: LISTEN_BACKLOG });
+    await once(this.server, 'listening');
+    this.server.on('error', (error) => {
+      this.context.log.logProblem('listener_failed', { reason: error.message });
     });
   }
 
--- a/packages/gateway/src/eventLoopMonitor.test.ts
+++ b/packages/gateway/src/eventLoopMonitor.test.ts
@@ -17,3 +17,11 @@
   const monitor = EventLoopMonitor.create(0);
   t2.equal(monitor.getReadDelayMs(HOUSEKEEPING_INTERVAL_MS + 800), 800);
 });
+
+// Guards against a first request that counts as old because the process has waited for its addresses.
+t.test('a wait before the first request is no delay', async (t2) => {
+  const monitor = EventLoopMonitor.create(0);
+  monitor.start(8_000);
+  t2.equal(monitor.getReadDelayMs(8_010), 0);
+  t2.equal(monitor.recordTick(8_000 + HOUSEKEEPING_INTERVAL_MS), 0);
+});
--- a/packages/gateway/src/eventLoopMonitor.ts
+++ b/packages/gateway/src/eventLoopMonitor.ts
@@ -17,6 +17,12 @@
     return new EventLoopMonitor(nowMs);
   }
 
+  /** Begins to measure: nothing was read from callers before. */
+  start(nowMs: number): void {
+    this.lastTickMs = nowMs;
+    this.lastDelayMs = 0;
+  }
+
   /** Records a tick of a timer with the housekeeping interval; returns how late it is, in milliseconds. */
   recordTick(nowMs: number): number {
     this.lastDelayMs = Math.max(0, nowMs - this.lastTickMs - HOUSEKEEPING_INTERVAL_MS);
--- a/packages/gateway/src/loadSharing.ts
+++ b/packages/gateway/src/loadSharing.ts
@@ -1,4 +1,5 @@
 import { createSocket, type Socket } from 'node:dgram';
+import { once } from 'node:events';
 import { pack, unpack } from 'msgpackr';
 import { type Clock, getErrorMessage } from '@lovagearch/common';
 import { applyLoadDigest, createLoadDigest, type LoadDigestEntry } from '@lovagearch/endpoints';
@@ -96,25 +97,26 @@
     private readonly socket: Socket,
   ) {}
 
-  /** Binds the socket and starts sending digests. */
-  static start(parts: LoadSharingDependencies): Promise<LoadSharing> {
-    return new Promise((resolve, reject) => {
-      const socket = createSocket('udp4');
-      const sharing = new LoadSharing(parts, socket);
-      socket.once('error', reject);
-      socket.on('message', (bytes) => sharing.receive(bytes));
-      socket.bind(parts.address.port, parts.address.host, () => {
-        socket.off('error', reject);
-        socket.on('error', (error) => {
-          parts.log.logProblem('load_socket_failed', { reason: getErrorMessage(error) });
-        });
-        sharing.scheduleNext();
-        resolve(sharing);
-      });
+  /** Binds the socket and starts sending digests; rejects if the address can't be used. */
+  static async start(parts: LoadSharingDependencies): Promise<LoadSharing> {
+    const socket = createSocket('udp4');
+    const sharing = new LoadSharing(parts, socket);
+    socket.on('message', (bytes) => sharing.receive(bytes));
+    try {
+      socket.bind(parts.address.port, parts.address.host);
+      await once(socket, 'listening');
+    } catch (error) {
+      socket.close();
+      throw error;
+    }
+    socket.on('error', (error) => {
+      parts.log.logProblem('load_socket_failed', { reason: getErrorMessage(error) });
     });
+    sharing.scheduleNext();
+    return sharing;
   }
 
-  stop(): void {
+  close(): void {
     clearTimeout(this.timer);
     this.socket.close();
   }
--- a/packages/gateway/src/managementServer.ts
+++ b/packages/gateway/src/managementServer.ts
@@ -6,9 +6,15 @@
 import { registerTableRoute, registerCacheStoreRoute } from './peerExchange.js';
 import type { Address } from './types.js';
 
+/** Listens, or closes the server if it can't: a server whose `listen` failed can't listen again. */
 const listen = async (server: FastifyInstance, { host, port }: Address) => {
-  await server.listen({ host, port });
-  return server;
+  try {
+    await server.listen({ host, port });
+    return server;
+  } catch (error) {
+    await server.close();
+    throw error;
+  }
 };
 
 /** Serves the load balancer's readiness check: 200 while this node accepts new connections, else 503. */
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -1,6 +1,11 @@
 import { SlidingWindowRetryBudget } from '@lovagearch/admission';
 import { MemoryBudget } from '@lovagearch/bounded-http';
-import { getErrorMessage, processClock } from '@lovagearch/common';
+import {
+  ADDRESS_WAIT_MARGIN_MS,
+  AddressUnavailableError,
+  getErrorMessage,
+  processClock,
+} from '@lovagearch/common';
 import { ConnectionPool } from '@lovagearch/exchange';
 import { type MirrorEvent, TableMirror, StoreClock } from '@lovagearch/mirror';
 import { TransferSlowdownTracker } from '@lovagearch/reuse';
@@ -21,6 +26,7 @@
 import { createTableFollower } from './createTableFollower.js';
 import { createGatewayLog } from './gatewayLog.js';
 import type { GatewayContext, Shutdown } from './gatewayContext.js';
+import { GatewayListeners } from './gatewayListeners.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
 import { LoadSharing } from './loadSharing.js';
 import { startMetricsServer, startPeerServer, startReadinessServer } from './managementServer.js';
@@ -69,6 +75,10 @@
  * and an endpoint, and takes part in sending orders to endpoints.
  *
  * @param readinessPath path of the load balancer's readiness check
+ * @throws {AddressUnavailableError} if an address that callers, the load balancer or peers use can't be obtained
+ * @example
+ * const gateway = await startGateway(settings, dependencies, '/ready');
+ * await gateway.drain('SIGTERM');
  */
 export const startGateway = async (
   settings: GatewaySettings,
@@ -76,7 +86,7 @@
   readinessPath: string,
 ): Promise<Gateway> => {
   const clock = processClock;
-  const processStartMs = clock.nowMs();
+  let addressesHeldAtMs = clock.nowMs();
   const { random, responseLimits } = dependencies;
   const metrics = GatewayMetrics.create();
   const log = createGatewayLog(settings.nodeName, clock, (lines) =>
@@ -256,7 +266,7 @@
       if (known !== undefined) return known;
       const created = SlidingWindowRetryBudget.create(
         retryBounds,
-        settings.isFirstStart ? undefined : processStartMs,
+        settings.isFirstStart ? undefined : addressesHeldAtMs,
       );
       budgets.set(service, created);
       return created;
@@ -322,31 +332,67 @@
     shutdown === undefined &&
     clusterState.trafficRules !== undefined &&
     clusterState.endpoints.size > 0;
-  const managementServers = [
-    await startReadinessServer(settings.readinessAddress, readinessPath, isReady),
-    await startPeerServer(
-      settings.peerAddress,
-      [operatorMirror, endpointMirror, sharedMirror],
-      clock,
-      // A peer without contact to the store would remove endpoints that this node still waits for.
-      (table) => table !== endpointMirror.table || !clusterState.isAwaitingRegistrations(),
-      (address) => cacheStoreWatcher.findIndex(address),
-      suspensionClock,
-    ),
-    await startMetricsServer(
-      { host: settings.callerAddress.host, port: settings.metricsPort },
-      metrics,
-    ),
-  ];
-  const loadSharing = await LoadSharing.start({
-    nodeName: settings.nodeName,
-    zone: settings.zone,
-    address: settings.loadAddress,
-    clusterState,
+  const listeners = GatewayListeners.create({
+    // The longest time for which a predecessor holds the addresses.
+    maxWaitMs: bounds.shutdownGraceMs + ADDRESS_WAIT_MARGIN_MS,
     clock,
     log,
   });
-  await server.listen(settings.callerAddress);
+  // The node's name, rows and lease are a predecessor's until it has released all of its addresses.
+  const opened = await listeners.openAll([
+    {
+      name: 'readiness',
+      address: settings.readinessAddress,
+      open: () => startReadinessServer(settings.readinessAddress, readinessPath, isReady),
+    },
+    {
+      name: 'peers',
+      address: settings.peerAddress,
+      open: () =>
+        startPeerServer(
+          settings.peerAddress,
+          [operatorMirror, endpointMirror, sharedMirror],
+          clock,
+          // A peer without contact to the store would remove endpoints that this node still waits for.
+          (table) => table !== endpointMirror.table || !clusterState.isAwaitingRegistrations(),
+          (address) => cacheStoreWatcher.findIndex(address),
+          suspensionClock,
+        ),
+    },
+    {
+      name: 'callers',
+      address: settings.callerAddress,
+      open: async () => {
+        await server.listen(settings.callerAddress);
+        return { close: () => server.stopListening() };
+      },
+    },
+  ]);
+  if (opened.isErr()) {
+    log.flush();
+    throw new AddressUnavailableError(opened.error);
+  }
+  addressesHeldAtMs = clock.nowMs();
+  eventLoopMonitor.start(addressesHeldAtMs);
+  const metricsAddress = { host: settings.callerAddress.host, port: settings.metricsPort };
+  listeners.openInBackground({
+    name: 'metrics',
+    address: metricsAddress,
+    open: () => startMetricsServer(metricsAddress, metrics),
+  });
+  listeners.openInBackground({
+    name: 'load reports',
+    address: settings.loadAddress,
+    open: () =>
+      LoadSharing.start({
+        nodeName: settings.nodeName,
+        zone: settings.zone,
+        address: settings.loadAddress,
+        clusterState,
+        clock,
+        log,
+      }),
+  });
   log.logStateChange('started', {
     zone: settings.zone,
     region: settings.region,
@@ -460,8 +506,7 @@
     for (const follower of followers) follower.stop();
     clearInterval(housekeepingTimer);
     clearInterval(publishTimer);
-    loadSharing.stop();
-    await Promise.all(managementServers.map((managementServer) => managementServer.close()));
+    await listeners.close();
     log.flush();
   };
   const recordReload: Gateway['recordReload'] = (result, faults) =>
