Don't resume a stream behind events without an id

Callers of a resumable route got events twice: an endpoint sent an event without an id behind the last one with an id, or a stream without any id that is a number, and broke off. The next endpoint starts behind the last id, or at the beginning, and sends these events again.

Events are passed on as early as before. Comments don't count, since repeating them changes nothing.

--- a/packages/exchange/src/eventStreamFramer.ts
+++ b/packages/exchange/src/eventStreamFramer.ts
@@ -4,6 +4,7 @@
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+const COLON = 0x3a;
 const ID_FIELD_PREFIX = 'id:';
 
 /** Complete events of a stream and the last numeric event id so far, if there is one. */
@@ -45,10 +46,24 @@
 /** The start of an HTTP response, which may follow a stream without a length on its connection. */
 const RESPONSE_HEAD_START = 'HTTP/1.';
 
+/** Whether an event consists of comments and empty lines only. */
+const isComment = (bytes: Buffer, start: number, end: number): boolean => {
+  for (let lineStart = start; lineStart < end;) {
+    const first = bytes[lineStart];
+    if (first !== COLON && first !== LINE_FEED && first !== CARRIAGE_RETURN) return false;
+    const lineEnd = bytes.indexOf(LINE_FEED, lineStart);
+    if (lineEnd < 0) return true;
+    lineStart = lineEnd + 1;
+  }
+  return true;
+};
+
 /** The position of the next event in a chunk, with the id of the event before it. */
 interface FramingPosition {
   readonly start: number;
   readonly lastId: number;
+  /** Whether events without an id follow the last one that has an id. */
+  readonly hasUnnumberedEvents: boolean;
   /** Whether each id was the successor of the one before; undefined before the first event. */
   readonly isSuccessive: boolean | undefined;
 }
@@ -62,19 +77,24 @@
   event.includes(`\n${RESPONSE_HEAD_START}`, 0, 'latin1');
 
 /** Checks the event between a position and `end`, where the next one starts. */
-const checkEvent = (
-  bytes: Buffer,
-  { start, lastId, isSuccessive }: FramingPosition,
-  end: number,
-): EventCheck => {
+const checkEvent = (bytes: Buffer, previous: FramingPosition, end: number): EventCheck => {
+  const { start, lastId, isSuccessive } = previous;
   const id = readEventId(bytes, start, end);
   if (hasResponseHead(bytes.subarray(start, end)))
     return { type: 'fault', fault: { type: 'response_head' } };
-  if (id === undefined) return { type: 'position', position: { start: end, lastId, isSuccessive } };
+  if (id === undefined) {
+    const hasUnnumberedEvents = previous.hasUnnumberedEvents || !isComment(bytes, start, end);
+    return { type: 'position', position: { ...previous, start: end, hasUnnumberedEvents } };
+  }
   const isSuccessor = id === lastId + 1;
   if (id <= lastId || (isSuccessive === true && !isSuccessor))
     return { type: 'fault', fault: { type: 'order', previousId: lastId, id } };
-  const position = { start: end, lastId: id, isSuccessive: isSuccessor && isSuccessive !== false };
+  const position = {
+    start: end,
+    lastId: id,
+    hasUnnumberedEvents: false,
+    isSuccessive: isSuccessor && isSuccessive !== false,
+  };
   return { type: 'position', position };
 };
 
@@ -98,6 +118,8 @@
   /** Whether each id was the successor of the one before; undefined before the first event. */
   private isSuccessive: boolean | undefined;
 
+  private hasUnnumbered = false;
+
   private constructor(
     private lastId: number,
     memory: MemoryBudget,
@@ -118,6 +140,14 @@
     return this.lastId;
   }
 
+  /**
+   * Whether events without an id follow the last one that has an id, or the start. An endpoint that resumes the
+   * stream would send them again.
+   */
+  get hasUnnumberedEvents(): boolean {
+    return this.hasUnnumbered;
+  }
+
   /** Whether an incomplete event is buffered. */
   get hasPartialEvent(): boolean {
     return this.partialEvent.length > 0;
@@ -140,6 +170,7 @@
     let position: FramingPosition = {
       start: 0,
       lastId: this.lastId,
+      hasUnnumberedEvents: this.hasUnnumbered,
       isSuccessive: this.isSuccessive,
     };
     for (const end of ends) {
@@ -151,6 +182,7 @@
     const fault = this.bufferPartialEvent(chunk.subarray(completeBytes));
     if (fault !== undefined) return fault;
     this.lastId = position.lastId;
+    this.hasUnnumbered = position.hasUnnumberedEvents;
     this.isSuccessive = position.isSuccessive;
     const lastId = this.lastId > 0 ? this.lastId : undefined;
     return { type: 'events', events: { bytes, lastId, count: ends.length } };
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -60,6 +60,9 @@
 
   private attempt: Attempt | undefined;
 
+  /** Undefined for requests that are not streaming. */
+  private framer: EventStreamFramer | undefined;
+
   private stopReason: StopReason | undefined;
 
   private timeLimitTimer: NodeJS.Timeout | undefined;
@@ -194,7 +197,7 @@
     }
     if (this.endIfQuarantined(routedRequest)) return;
     context.getRetryBudget(service).recordRequest(context.clock.nowMs());
-    const framer =
+    this.framer =
       route.kind === 'streaming'
         ? EventStreamFramer.create(head.lastEventId, context.responseLimits.memory)
         : undefined;
@@ -210,7 +213,7 @@
         return;
       }
       if (this.sendCount > 0 && this.endIfQuarantined(routedRequest)) return;
-      const outcome = await this.runAttempt(routedRequest, chosen, framer, remainingMs);
+      const outcome = await this.runAttempt(routedRequest, chosen, remainingMs);
       chosen = this.handleOutcome(routedRequest, chosen, outcome);
       if (chosen === undefined) return;
     }
@@ -250,7 +253,6 @@
   private async runAttempt(
     routedRequest: RoutedRequest,
     chosen: ChosenEndpoint,
-    framer: EventStreamFramer | undefined,
     remainingMs: number,
   ): Promise<AttemptOutcome> {
     const { context } = this;
@@ -273,7 +275,7 @@
     );
     const attempt = createAttempt(context, routedRequest, chosen, {
       reusePlan,
-      framer,
+      framer: this.framer,
       remainingMs,
       isRepeat,
       callerResponse: this.callerResponse,
@@ -353,6 +355,7 @@
       hasAlternative: next !== undefined,
       hasRetryBudget: budget.hasRetry(context.clusterState.nodeCount, nowMs),
       hasResponseStarted: this.callerResponse.hasStarted,
+      hasUnnumberedEvents: this.framer?.hasUnnumberedEvents ?? false,
     });
     if (outcome.type !== 'answered' || step.type !== 'deliver') {
       logAttemptFailed(context, head, chosen, outcome, step, {
--- a/packages/gateway/src/testGateway.ts
+++ b/packages/gateway/src/testGateway.ts
@@ -29,6 +29,7 @@
 export const ENDPOINT_HEADER = 'x-endpoint';
 export const WEIGHTS_HEADER = 'x-weights';
 export const LEAVING_HEADER = 'x-leaving';
+export const LAST_EVENT_HEADER = 'last-event-id';
 const KEY_HEADER = 'x-key';
 
 const createRoute = (name: string, overrides: Partial<Route>): Route => ({
@@ -162,7 +163,7 @@
           host: values.get('host') ?? '',
           key: values.get(KEY_HEADER),
           timeLimitMs: 5_000,
-          lastEventId: 0,
+          lastEventId: Number(values.get(LAST_EVENT_HEADER) ?? 0),
           model: values.get(MODEL_HEADER),
           promptParts: decodeParts(values.get(PARTS_HEADER)),
           promptTokens: 0,
@@ -180,7 +181,7 @@
       },
       encodeEndpointHeaders: (head, { lastEventId }) => [
         ...head.forwardedHeaders,
-        'last-event-id',
+        LAST_EVENT_HEADER,
         String(lastEventId),
       ],
       decodeResponseHead: (status, headers) => ({
