Read event ids as the readers of a stream do

A caller that resumes a stream sends the id that its reader of server-sent events knows: the last `id` field of an event, without those that contain NUL, and none behind an empty one. The gateway took the first field that had a colon, and took a carriage return inside a line for a part of the id. So it resumed at another event than the caller was at, with events missing or sent twice, for endpoints whose events repeat the field.

--- a/packages/exchange/src/eventStreamFramer.ts
+++ b/packages/exchange/src/eventStreamFramer.ts
@@ -5,7 +5,6 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const COLON = 0x3a;
-const ID_FIELD_PREFIX = 'id:';
 
 /** Complete events of a stream and the last numeric event id so far, if there is one. */
 export interface CompleteEvents {
@@ -26,21 +25,33 @@
   | { readonly type: 'fault'; readonly fault: FramingError }
   | { readonly type: 'incomplete' };
 
-/** Returns the numeric id of an event (`id: 12`), or undefined if it has none. */
-const readEventId = (bytes: Buffer, start: number, end: number): number | undefined => {
-  for (let lineStart = start; lineStart < end;) {
-    let lineEnd = bytes.indexOf(LINE_FEED, lineStart);
-    if (lineEnd < 0 || lineEnd > end) lineEnd = end;
-    if (
-      bytes.toString('latin1', lineStart, lineStart + ID_FIELD_PREFIX.length) === ID_FIELD_PREFIX
-    ) {
-      const textEnd = bytes[lineEnd - 1] === CARRIAGE_RETURN ? lineEnd - 1 : lineEnd;
-      const text = bytes.toString('latin1', lineStart + ID_FIELD_PREFIX.length, textEnd).trim();
-      return /^\d{1,15}$/.test(text) ? Number(text) : undefined;
+const ID_FIELD = Buffer.from('id');
+const NUMERIC_ID = /^\d{1,15}$/;
+
+/** Whether a line ends at a position; a carriage return ends it without a line feed as well. */
+const isLineEnd = (bytes: Buffer, position: number): boolean =>
+  position < 0 ||
+  position >= bytes.length ||
+  bytes[position] === LINE_FEED ||
+  bytes[position] === CARRIAGE_RETURN;
+
+/**
+ * Returns the numeric id of an event (`id: 12`), or undefined if it has none. As for readers of a stream, the last
+ * `id` field counts, and one that contains NUL is ignored.
+ */
+const readEventId = (event: Buffer): number | undefined => {
+  let id: string | undefined;
+  for (let start = event.indexOf(ID_FIELD); start >= 0;) {
+    const nameEnd = start + ID_FIELD.length;
+    let end = nameEnd;
+    if (isLineEnd(event, start - 1) && (event[nameEnd] === COLON || isLineEnd(event, nameEnd))) {
+      while (!isLineEnd(event, end)) end += 1;
+      const value = event.toString('latin1', nameEnd + 1, Math.max(end, nameEnd + 1));
+      if (!value.includes('\0')) id = value.trim();
     }
-    lineStart = lineEnd + 1;
+    start = event.indexOf(ID_FIELD, end);
   }
-  return undefined;
+  return id !== undefined && NUMERIC_ID.test(id) ? Number(id) : undefined;
 };
 
 /** The start of an HTTP response, which may follow a stream without a length on its connection. */
@@ -79,9 +90,9 @@
 /** Checks the event between a position and `end`, where the next one starts. */
 const checkEvent = (bytes: Buffer, previous: FramingPosition, end: number): EventCheck => {
   const { start, lastId, isSuccessive } = previous;
-  const id = readEventId(bytes, start, end);
-  if (hasResponseHead(bytes.subarray(start, end)))
-    return { type: 'fault', fault: { type: 'response_head' } };
+  const event = bytes.subarray(start, end);
+  const id = readEventId(event);
+  if (hasResponseHead(event)) return { type: 'fault', fault: { type: 'response_head' } };
   if (id === undefined) {
     const hasUnnumberedEvents = previous.hasUnnumberedEvents || !isComment(bytes, start, end);
     return { type: 'position', position: { ...previous, start: end, hasUnnumberedEvents } };
