Take a gap before the first event of a stream for a fault

Callers got streams without their first events and no sign of it: whether ids rise by one was known only from the second event of a stream on, so a gap behind the caller's own Last-Event-Id, or before the first event of a new stream, was passed on, and with it every later gap of that stream.

The gateway remembers per service whether the ids of the last eight streams rose by one. Where they did, the first event has to be the successor of the caller's last one; otherwise the request goes to another endpoint or fails.

--- a/packages/exchange/src/constants.ts
+++ b/packages/exchange/src/constants.ts
@@ -17,3 +17,7 @@
 export const MAX_FRAMING_BYTES = 1_048_576;
 /** Further bytes of framing for each byte of the body; a chunk of one byte has five. */
 export const MAX_FRAMING_BYTES_PER_BODY_BYTE = 8;
+/** Streams in a row with ids that rise by one after which a service is taken to number its events so. */
+export const MIN_SUCCESSIVE_STREAMS = 8;
+/** Streams in a row that begin behind a gap after which a service is not taken to number its events so any more. */
+export const MAX_GAPS_IN_A_ROW = 4;
--- a/packages/exchange/src/eventStreamFramer.ts
+++ b/packages/exchange/src/eventStreamFramer.ts
@@ -1,5 +1,6 @@
 import { BodyBuffer, MemoryBudget } from '@lovagearch/bounded-http';
 import { MAX_EVENT_BYTES } from './constants.js';
+import { EventIdHistory } from './eventIdHistory.js';
 import { EventScanner } from './eventScanner.js';
 
 const LINE_FEED = 0x0a;
@@ -26,6 +27,8 @@
   | { readonly type: 'incomplete' };
 
 const ID_FIELD = Buffer.from('id');
+/** Events with an id that show whether the ids of a stream rise by one. */
+const MIN_JUDGED_EVENTS = 2;
 const NUMERIC_ID = /^\d{1,15}$/;
 
 /** Whether a line ends at a position; a carriage return ends it without a line feed as well. */
@@ -75,7 +78,12 @@
   readonly lastId: number;
   /** Whether events without an id follow the last one that has an id. */
   readonly hasUnnumberedEvents: boolean;
-  /** Whether each id was the successor of the one before; undefined before the first event. */
+  /** Number of events with an id so far. */
+  readonly numberedEvents: number;
+  /**
+   * Whether each id was the successor of the one before; undefined before the first event, unless the service is
+   * known to number its events so.
+   */
   readonly isSuccessive: boolean | undefined;
 }
 
@@ -89,7 +97,7 @@
 
 /** Checks the event between a position and `end`, where the next one starts. */
 const checkEvent = (bytes: Buffer, previous: FramingPosition, end: number): EventCheck => {
-  const { start, lastId, isSuccessive } = previous;
+  const { start, lastId, numberedEvents, isSuccessive } = previous;
   const event = bytes.subarray(start, end);
   const id = readEventId(event);
   if (hasResponseHead(event)) return { type: 'fault', fault: { type: 'response_head' } };
@@ -104,6 +112,7 @@
     start: end,
     lastId: id,
     hasUnnumberedEvents: false,
+    numberedEvents: numberedEvents + 1,
     isSuccessive: isSuccessor && isSuccessive !== false,
   };
   return { type: 'position', position };
@@ -112,7 +121,7 @@
 /**
  * Splits a stream of server-sent events into complete events, so that a stream that breaks off inside
  * an event can be resumed at another endpoint. Event ids have to increase, also after a resumption. If
- * they have risen by one so far, a missing one is a fault as well. Each byte is searched and copied a fixed number of
+ * they have risen by one so far, or always do for this service, a missing one is a fault as well. Each byte is searched and copied a fixed number of
  * times, however the stream is cut into chunks.
  *
  * @example
@@ -126,24 +135,32 @@
 
   private readonly scanner = EventScanner.create();
 
-  /** Whether each id was the successor of the one before; undefined before the first event. */
   private isSuccessive: boolean | undefined;
 
+  private numberedEvents = 0;
+
   private hasUnnumbered = false;
 
   private constructor(
     private lastId: number,
     memory: MemoryBudget,
+    private readonly history: EventIdHistory,
   ) {
     this.partialEvent = BodyBuffer.create(MAX_EVENT_BYTES, memory);
+    this.isSuccessive = history.areIdsSuccessive ? true : undefined;
   }
 
   /**
    * @param lastId id of the last event that the caller has received; 0 for a new stream
    * @param memory memory for incomplete events, by default for one of this stream
+   * @param history how the service has numbered events so far, by default unknown
    */
-  static create(lastId: number, memory = MemoryBudget.create(MAX_EVENT_BYTES)): EventStreamFramer {
-    return new EventStreamFramer(lastId, memory);
+  static create(
+    lastId: number,
+    memory = MemoryBudget.create(MAX_EVENT_BYTES),
+    history = EventIdHistory.create(),
+  ): EventStreamFramer {
+    return new EventStreamFramer(lastId, memory, history);
   }
 
   /** Id of the last complete event; 0 if there was none. */
@@ -182,21 +199,38 @@
       start: 0,
       lastId: this.lastId,
       hasUnnumberedEvents: this.hasUnnumbered,
+      numberedEvents: this.numberedEvents,
       isSuccessive: this.isSuccessive,
     };
     for (const end of ends) {
       const check = checkEvent(bytes, position, offset + end);
-      if (check.type === 'fault') return check;
+      if (check.type === 'fault') {
+        this.recordFault(check.fault, position);
+        return check;
+      }
       position = check.position;
     }
     this.partialEvent.release();
     const fault = this.bufferPartialEvent(chunk.subarray(completeBytes));
     if (fault !== undefined) return fault;
+    this.recordPosition(position);
+    const lastId = this.lastId > 0 ? this.lastId : undefined;
+    return { type: 'events', events: { bytes, lastId, count: ends.length } };
+  }
+
+  private recordPosition(position: FramingPosition): void {
+    const isShort = this.numberedEvents < MIN_JUDGED_EVENTS;
     this.lastId = position.lastId;
     this.hasUnnumbered = position.hasUnnumberedEvents;
+    this.numberedEvents = position.numberedEvents;
     this.isSuccessive = position.isSuccessive;
-    const lastId = this.lastId > 0 ? this.lastId : undefined;
-    return { type: 'events', events: { bytes, lastId, count: ends.length } };
+    if (isShort && this.numberedEvents >= MIN_JUDGED_EVENTS)
+      this.history.recordStream(this.isSuccessive === true);
+  }
+
+  private recordFault(fault: FramingError, { numberedEvents }: FramingPosition): void {
+    if (fault.type === 'order' && numberedEvents === 0 && fault.id > fault.previousId)
+      this.history.recordGap();
   }
 
   private bufferPartialEvent(bytes: Buffer): Extract<FramingResult, { type: 'fault' }> | undefined {
--- a/packages/exchange/src/index.ts
+++ b/packages/exchange/src/index.ts
@@ -5,5 +5,6 @@
 export { ConnectionPool } from './connectionPool.js';
 export * from './constants.js';
 export * from './nextStep.js';
+export * from './eventIdHistory.js';
 export * from './eventStreamFramer.js';
 export type * from './types.js';
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -199,7 +199,11 @@
     context.getRetryBudget(service).recordRequest(context.clock.nowMs());
     this.framer =
       route.kind === 'streaming'
-        ? EventStreamFramer.create(head.lastEventId, context.responseLimits.memory)
+        ? EventStreamFramer.create(
+            head.lastEventId,
+            context.responseLimits.memory,
+            context.getEventIdHistory(service),
+          )
         : undefined;
     let chosen = this.chooseEndpoint(routedRequest);
     if (chosen !== undefined && !this.tryAdmit(routedRequest, chosen)) return;
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -1,7 +1,7 @@
 import type { SlidingWindowRetryBudget } from '@lovagearch/admission';
 import type { MemoryBudget, ReceiveLimits } from '@lovagearch/bounded-http';
 import type { Clock, Random } from '@lovagearch/common';
-import type { ConnectionPool } from '@lovagearch/exchange';
+import type { ConnectionPool, EventIdHistory } from '@lovagearch/exchange';
 import type { StoreIndex, TransferSlowdownTracker } from '@lovagearch/reuse';
 import type { ClusterState } from './clusterState.js';
 import type { EventLoopMonitor } from './eventLoopMonitor.js';
@@ -40,6 +40,8 @@
   /** Whether the copy of the endpoints' registrations is up to date. */
   readonly areHeartbeatsCurrent: () => boolean;
   readonly getRetryBudget: (service: string) => SlidingWindowRetryBudget;
+  /** Returns how a service has numbered the events of its streams so far. */
+  readonly getEventIdHistory: (service: string) => EventIdHistory;
   readonly eventLoopMonitor: EventLoopMonitor;
   readonly routeDurations: RouteDurations;
   /** The planned stop in progress, if there is one. */
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -1,7 +1,7 @@
 import { SlidingWindowRetryBudget } from '@lovagearch/admission';
 import { MemoryBudget } from '@lovagearch/bounded-http';
 import { getErrorMessage, processClock } from '@lovagearch/common';
-import { ConnectionPool } from '@lovagearch/exchange';
+import { ConnectionPool, EventIdHistory } from '@lovagearch/exchange';
 import { type MirrorEvent, TableMirror, StoreClock } from '@lovagearch/mirror';
 import { TransferSlowdownTracker } from '@lovagearch/reuse';
 import { createSuspensionClock, OrderLease, RolloutCoordinator } from '@lovagearch/rollout';
@@ -213,6 +213,7 @@
     windowS: bounds.retryWindowS,
   };
   const budgets = new Map<string, SlidingWindowRetryBudget>();
+  const eventIdHistories = new Map<string, EventIdHistory>();
   const suspensionClock = createSuspensionClock(clock, Date.now);
   const cacheStoreWatcher = CacheStoreWatcher.create({
     nodeName: settings.nodeName,
@@ -261,6 +262,11 @@
       budgets.set(service, created);
       return created;
     },
+    getEventIdHistory: (service) => {
+      const history = eventIdHistories.get(service) ?? EventIdHistory.create();
+      eventIdHistories.set(service, history);
+      return history;
+    },
     eventLoopMonitor,
     routeDurations: RouteDurations.create(),
     getShutdown: () => shutdown,
