Reset the connection of an HTTP/1.0 caller whose response is cut

A caller of HTTP/1.0 got a broken stream that looked whole: its responses have no chunks, so they end with their connection, and the gateway closed that as it does behind the last event. This is the fault of the incident on the caller's side of the gateway.

The new test failed before the change (npx tap packages/gateway/dist/oldCallers.test.js, with callerResponse.ts as it was): after an endpoint's reset the caller read a proper end.

A response without chunks is now cut by a reset, which a caller can tell from an end. Responses with chunks are closed as before, so that what was written still arrives. A gateway that is killed still ends such a stream like a whole one, since the kernel closes its connections; only callers of HTTP/1.1 can tell that.

--- a/packages/gateway/src/callerResponse.ts
+++ b/packages/gateway/src/callerResponse.ts
@@ -60,6 +60,8 @@
 
   /** Closes the connection, so that the caller detects an incomplete response. */
   abort(): void {
+    // To callers of HTTP/1.0, the end of the connection is that of the response; a reset is not.
+    if (!this.response.chunkedEncoding) this.response.socket?.resetAndDestroy();
     this.response.destroy();
   }
 
