--- a/packages/exchange/src/constants.ts
+++ b/packages/exchange/src/constants.ts
@@ -36,3 +36,7 @@
 export const UNUSED_CONNECTION_MS = 2_000;
 /** Time after a pause in which bytes and the end of a connection may have arrived during the pause, in milliseconds. */
 export const PAUSE_BACKLOG_MS = 1_000;
+/** Streams in a row with ids that rise by one after which a service is taken to number its events so. */
+export const MIN_SUCCESSIVE_STREAMS = 8;
+/** Streams in a row that begin behind a gap after which a service is not taken to number its events so any more. */
+export const MAX_GAPS_IN_A_ROW = 4;
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -60,6 +60,9 @@
 
   private attempt: Attempt | undefined;
 
+  /** Undefined for requests that are not streaming. */
+  private framer: EventStreamFramer | undefined;
+
   private stopReason: StopReason | undefined;
 
   private timeLimitTimer: NodeJS.Timeout | undefined;
@@ -197,9 +200,13 @@
     }
     if (this.endIfQuarantined(routedRequest)) return;
     context.getRetryBudget(service).recordRequest(context.clock.nowMs());
-    const framer =
+    this.framer =
       route.kind === 'streaming'
-        ? EventStreamFramer.create(head.lastEventId, context.responseLimits.memory)
+        ? EventStreamFramer.create(
+            head.lastEventId,
+            context.responseLimits.memory,
+            context.getEventIdHistory(service),
+          )
         : undefined;
     let chosen = this.chooseEndpoint(routedRequest);
     if (chosen !== undefined && !this.tryAdmit(routedRequest, chosen)) return;
@@ -213,7 +220,7 @@
         return;
       }
       if (this.sendCount > 0 && this.endIfQuarantined(routedRequest)) return;
-      const outcome = await this.runAttempt(routedRequest, chosen, framer, remainingMs);
+      const outcome = await this.runAttempt(routedRequest, chosen, remainingMs);
       chosen = this.handleOutcome(routedRequest, chosen, outcome);
       if (chosen === undefined) return;
     }
@@ -253,7 +260,6 @@
   private async runAttempt(
     routedRequest: RoutedRequest,
     chosen: ChosenEndpoint,
-    framer: EventStreamFramer | undefined,
     remainingMs: number,
   ): Promise<AttemptOutcome> {
     const { context } = this;
@@ -276,7 +282,7 @@
     );
     const attempt = createAttempt(context, routedRequest, chosen, {
       reusePlan,
-      framer,
+      framer: this.framer,
       remainingMs,
       isRepeat,
       callerResponse: this.callerResponse,
@@ -359,6 +365,7 @@
       hasAlternative: next !== undefined,
       hasRetryBudget: budget.hasRetry(context.clusterState.nodeCount, nowMs),
       hasResponseStarted: this.callerResponse.hasStarted,
+      hasUnnumberedEvents: this.framer?.hasUnnumberedEvents ?? false,
     });
     if (outcome.type !== 'answered' || step.type !== 'deliver') {
       logAttemptFailed(context, head, chosen, outcome, step, {
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -6,7 +6,7 @@
   getErrorMessage,
   processClock,
 } from '@lovagearch/common';
-import { ConnectionPool } from '@lovagearch/exchange';
+import { ConnectionPool, EventIdHistory } from '@lovagearch/exchange';
 import { type MirrorEvent, TableMirror, StoreClock } from '@lovagearch/mirror';
 import { TransferSlowdownTracker } from '@lovagearch/reuse';
 import { createSuspensionClock, OrderLease, RolloutCoordinator } from '@lovagearch/rollout';
@@ -223,6 +223,7 @@
     windowS: bounds.retryWindowS,
   };
   const budgets = new Map<string, SlidingWindowRetryBudget>();
+  const eventIdHistories = new Map<string, EventIdHistory>();
   const suspensionClock = createSuspensionClock(clock, Date.now);
   const cacheStoreWatcher = CacheStoreWatcher.create({
     nodeName: settings.nodeName,
@@ -275,6 +276,11 @@
       budgets.set(service, created);
       return created;
     },
+    getEventIdHistory: (service) => {
+      const history = eventIdHistories.get(service) ?? EventIdHistory.create();
+      eventIdHistories.set(service, history);
+      return history;
+    },
     eventLoopMonitor,
     routeDurations: RouteDurations.create(),
     getShutdown: () => shutdown,
