Log the processor time of a process whose event loop was late

The log said that the loop was late, but not whether the process worked all the while, which would be a fault of ours, or got no core.

`event_loop_delayed` now has `processorMs`, the processor time of the process since the tick before. A busy process uses about as much as the delay, one that waits for a core or a disk or is stopped far less.

--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -17,7 +17,7 @@
   SHARED_TABLE,
   STRIKE_PUBLISH_INTERVAL_MS,
 } from './constants.js';
-import { EventLoopMonitor } from './eventLoopMonitor.js';
+import { EventLoopMonitor, readProcessorMs } from './eventLoopMonitor.js';
 import { createTableFollower } from './createTableFollower.js';
 import { createGatewayLog } from './gatewayLog.js';
 import type { GatewayContext, Shutdown } from './gatewayContext.js';
@@ -226,7 +226,7 @@
     clock: suspensionClock,
     log,
   });
-  const eventLoopMonitor = EventLoopMonitor.create(clock.nowMs());
+  const eventLoopMonitor = EventLoopMonitor.create(clock.nowMs(), readProcessorMs());
   const context: GatewayContext = {
     settings,
     headers: dependencies.headers,
@@ -367,11 +367,14 @@
   let isAnnounced = false;
   let nextAnnouncementAtMs = clock.nowMs();
   const recordEventLoopDelay = () => {
-    const delayMs = eventLoopMonitor.recordTick(clock.nowMs());
+    const { delayMs, processorMs } = eventLoopMonitor.recordTick(clock.nowMs(), readProcessorMs());
     metrics.recordEventLoopDelay(delayMs);
     if (delayMs < LOGGED_EVENT_LOOP_DELAY_MS) return;
-    const active = server.activeRequestCount;
-    log.logStateChange('event_loop_delayed', { delayMs: Math.round(delayMs), active });
+    log.logStateChange('event_loop_delayed', {
+      delayMs: Math.round(delayMs),
+      processorMs: Math.round(processorMs),
+      active: server.activeRequestCount,
+    });
   };
   const housekeepingTimer = setInterval(() => {
     recordEventLoopDelay();
