--- a/packages/proving/src/faultProxy.ts
+++ b/packages/proving/src/faultProxy.ts
@@ -13,6 +13,8 @@
   readonly caller: Socket;
   readonly target: Socket;
   isSilent: boolean;
+  /** Whether bytes towards the caller were dropped, behind which no end of the connection may arrive. */
+  hasLostBytes: boolean;
 }
 
 export interface FaultProxyOptions {
@@ -72,6 +74,8 @@
     for (const connection of this.connections) {
       if (mode === 'silent_existing') connection.isSilent = true;
       if (mode === 'refuse') this.closeConnection(connection);
+      if (mode === 'pass' && connection.hasLostBytes && connection.target.destroyed)
+        this.closeConnection(connection);
     }
   }
 
@@ -93,7 +97,7 @@
       return;
     }
     const target = connect(this.targetPort, this.options.targetHost);
-    const connection: ProxiedConnection = { caller, target, isSilent: false };
+    const connection: ProxiedConnection = { caller, target, isSilent: false, hasLostBytes: false };
     this.connections.add(connection);
     caller.setNoDelay(true);
     target.setNoDelay(true);
@@ -102,14 +106,19 @@
       this.forward(target, chunk, this.options.towardsTarget);
     });
     target.on('data', (chunk: Buffer) => {
-      if (connection.isSilent || this.mode === 'silent' || this.mode === 'one_way') return;
+      if (connection.isSilent || this.mode === 'silent' || this.mode === 'one_way') {
+        connection.hasLostBytes = true;
+        return;
+      }
       this.forward(caller, chunk, this.options.towardsCaller);
     });
     for (const socket of [caller, target]) {
       socket.on('error', () => this.closeConnection(connection));
       socket.on('close', () => {
-        // A connection that went silent must look alive to both ends, so its end is not passed on.
-        if (!connection.isSilent) this.closeAfterDelay(connection);
+        // A connection that went silent must look alive to both ends, so its end is not passed on;
+        // neither is one behind lost bytes, which TCP would never deliver.
+        const isUnseen = connection.isSilent || (socket === target && connection.hasLostBytes);
+        if (!isUnseen) this.closeAfterDelay(connection);
       });
     }
   }
