Close a connection in use with an error, so that the HTTP client takes it for no end

Operators saw a gateway end by itself (FAULT), and callers of it lost their answers: each caller that left a response with neither a length nor chunks caused an error that nothing catches, and 20 of them within 10 s end the process.

Cause: the connection is reset when its request is cancelled. The HTTP client takes a close without an error for the end of such a response, completes a request that was aborted before, and an assertion fails.

Why it works: an error that the socket reports first tells the client that the response has not ended.

--- a/packages/exchange/src/endpointConnection.ts
+++ b/packages/exchange/src/endpointConnection.ts
@@ -175,7 +175,12 @@
     this.isClosed = true;
     this.listener.onClosed(this);
     // After a plain close, the kernel would still send the rest of an abandoned request over a slow link.
-    if (this.isBusy && this.socket?.connecting === false) this.socket.resetAndDestroy();
+    if (this.isBusy && this.socket?.connecting === false) {
+      // Without an error, the HTTP client takes the close for the end of a response that ends with its connection, and
+      // fails as its request was aborted before.
+      this.socket.emit('error', new Error('connection closed by its owner'));
+      this.socket.resetAndDestroy();
+    }
     // The HTTP client doesn't know a connection that no request has used.
     if (this.isOpenedAhead) this.socket?.destroy();
     // The listener has already been notified of this error.
--- a/packages/exchange/src/exchange.test.ts
+++ b/packages/exchange/src/exchange.test.ts
@@ -294,6 +294,40 @@
   },
 );
 
+// Guards against an error that nothing catches: 20 of them within 10 s end a process.
+t.test('cancelling a request during a response without a length is no error', async (t2) => {
+  const errors: string[] = [];
+  const handleError = (error: Error) => errors.push(error.message);
+  process.on('uncaughtException', handleError);
+  t2.teardown(() => process.off('uncaughtException', handleError));
+  const { promise: closed, resolve } = withResolvers();
+  const { server, port } = await startRawServer((socket) => {
+    socket.once('error', () => undefined);
+    socket.once('close', () => resolve(''));
+    socket.write('HTTP/1.1 200 OK\r\n\r\nfirst');
+  });
+  t2.teardown(() => server.close());
+  const pool = ConnectionPool.create();
+  const request = {
+    method: 'GET',
+    path: '/',
+    headers: ['host', 'x'],
+    body: undefined,
+    isRepeat: false,
+  };
+  const results: string[] = [];
+  const exchange = pool.send('i-1', `127.0.0.1:${port}`, 4, request, {
+    canSend: () => true,
+    onHeaders: () => undefined,
+    onData: () => setImmediate(() => exchange?.cancel()),
+    onEnd: () => results.push('end'),
+    onFailure: ({ type }) => results.push(type),
+  });
+  await closed;
+  t2.strictSame(errors, []);
+  t2.strictSame(results, []);
+});
+
 t.test('surplus bytes after a response are not read as the next response', async (t2) => {
   const extra = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra';
   const { server, port } = await startRawServer((socket) => {
