Let a starting entry VM wait for its predecessor's addresses

Operators who restarted an entry VM while the process before it still drained saw the new process end with code 1 and EADDRINUSE, and SIGTERM ended a process that was starting by the signal in place of code 0.

Cause: as in the gateway, a start gave up on an address that its predecessor releases at the end of its drain. The peer listener comes first, and a predecessor closes it after it has left the cluster, so that two nodes of one name aren't members at once. A start that fails later ends the process, which its timers kept alive before.

The end after a late failure of the start was read from the code and has no test. The steward doesn't listen.

--- a/packages/entry/src/buildNode.ts
+++ b/packages/entry/src/buildNode.ts
@@ -30,6 +30,7 @@
   createInstrumentedRunCoordinator,
 } from './instrumentation.js';
 import { ClusterDiscovery } from './clusterDiscovery.js';
+import { openListener } from './listenAddress.js';
 import type { NodeContext } from './nodeContext.js';
 import { createPromptReuse, type PromptReuse } from './promptReuse.js';
 import { createNodeRuns } from './nodeRuns.js';
@@ -114,12 +115,14 @@
   const clients = createNodeClients(settings);
   const { host, callerPort, adminPort, peerPort } = settings.listen;
   const clusterKey = Buffer.from(settings.clusterKey);
-  const mesh = await WsPeerMesh.create({
-    self: identity.id,
-    clusterKey,
+  const createMesh = () =>
+    WsPeerMesh.create({ self: identity.id, clusterKey, host, port: peerPort, log });
+  // A predecessor closes its peer listener last, so that two nodes of one name are never members at once.
+  const mesh = await openListener('peer', peerPort, createMesh, {
+    ...settings,
     host,
-    port: peerPort,
-    log,
+    clock,
+    log: log.withTag('entry'),
   });
   // The components refer to each other through callbacks, which run only after all are created.
   let cluster: ClusterDiscovery | undefined;
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -55,7 +55,16 @@
     return EXIT_BAD_INPUT;
   }
   const log = createLogger(settings.value.logLevel);
+  const exitBeforeStart = () => {
+    // The node has no callers yet; its parts would keep the process alive.
+    // eslint-disable-next-line n/no-process-exit
+    process.exit(0);
+  };
+  process.once('SIGTERM', exitBeforeStart);
+  process.once('SIGINT', exitBeforeStart);
   const node = await buildNode(settings.value, log);
+  process.off('SIGTERM', exitBeforeStart);
+  process.off('SIGINT', exitBeforeStart);
   const { id, ports } = node;
   process.stdout.write(`${JSON.stringify({ event: 'listening', id, ports })}\n`);
   await new Promise<void>((resolve) => {
@@ -76,5 +85,7 @@
   process.exitCode = await runEntry();
 } catch (error) {
   process.stderr.write(`lovagearch-entry: ${getErrorMessage(error)}\n`);
-  process.exitCode = 1;
+  // Parts of the node that have started would keep the process alive.
+  // eslint-disable-next-line n/no-process-exit
+  process.exit(1);
 }
--- a/packages/entry/src/startEntry.ts
+++ b/packages/entry/src/startEntry.ts
@@ -10,6 +10,7 @@
 import { DecisionLog } from './decisionLog.js';
 import { DrainController } from './drainController.js';
 import { GenerationOpener } from './generationOpener.js';
+import { openListener } from './listenAddress.js';
 import { ModelRequestHandler } from './modelRequestHandler.js';
 import { AtMostOnceCalls } from './atMostOnceCall.js';
 import { ResumeTokenCodec } from './resumeTokenCodec.js';
@@ -156,6 +157,7 @@
 /**
  * Creates the request handlers and starts the caller server and the administration server.
  *
+ * @throws {AddressUnavailableError} if an address can't be used or its holder doesn't release it
  * @example
  * const entry = await startEntry(options, parts);
  * await entry.stop();
@@ -183,8 +185,19 @@
   });
   const readers = createAdminReaders(parts, decisions, drain, abandoned);
   const admin = AdminServer.create(readers, options.operatorKeySha256, log.withTag('admin'));
-  const callerPort = await caller.listen(options.host, options.callerPort);
-  const adminPort = await admin.listen(options.host, options.adminPort);
+  const addresses = { ...options, clock, log: log.withTag('entry') };
+  const callerPort = await openListener(
+    'caller',
+    options.callerPort,
+    () => caller.listen(options.host, options.callerPort),
+    addresses,
+  );
+  const adminPort = await openListener(
+    'admin',
+    options.adminPort,
+    () => admin.listen(options.host, options.adminPort),
+    addresses,
+  );
   const shutDown = async (): Promise<void> => {
     drain.start();
     parts.handleDrainStart?.();
