Correct what a comment says of servers that fail to listen

The comment in managementServer.ts said that a fastify server whose listen failed can't listen again. A trial showed that it can: after three failures with EADDRINUSE the same instance listens and answers. The code closes the server all the same, so that an attempt that fails leaves nothing open, and creates one for each attempt.

--- a/packages/gateway/src/managementServer.ts
+++ b/packages/gateway/src/managementServer.ts
@@ -6,7 +6,7 @@
 import { registerTableRoute, registerCacheStoreRoute } from './peerExchange.js';
 import type { Address } from './types.js';
 
-/** Listens, or closes the server if it can't: a server whose `listen` failed can't listen again. */
+/** Listens, or closes the server if it can't. */
 const listen = async (server: FastifyInstance, { host, port }: Address) => {
   try {
     await server.listen({ host, port });
