Take a response with another transfer coding than chunks for truncated

The client for plain services accepts only responses whose end can be told from a lost connection. It took any Transfer-Encoding for chunks, so that half of a body with `identity` or `gzip`, which ends with its connection, was returned as the whole one.

The test for truncated responses has both as further cases; it failed before the change with "unexpected success" (npx tap packages/service-client/dist/httpServiceClient.test.js).

A response now counts as delimited if chunked is the last coding, or if it has a length and no coding; an HTTP client ignores a length beside a coding. All others are reported as connection_lost, as those without either.

--- a/packages/service-client/src/headers.ts
+++ b/packages/service-client/src/headers.ts
@@ -28,6 +28,10 @@
 
 const STATUSES_WITHOUT_BODY = new Set([204, 304]);
 
+/** Without chunks as the last transfer coding, a response ends with its connection. */
+const isChunked = (transferEncoding: unknown): boolean =>
+  /(?:^|[\s,])chunked\s*$/i.test(String(transferEncoding));
+
 /** Returns false if a truncated response could not be distinguished from a complete one. */
 export const isSelfDelimited = (
   method: string,
@@ -36,5 +40,5 @@
 ): boolean =>
   method.toUpperCase() === 'HEAD' ||
   STATUSES_WITHOUT_BODY.has(status) ||
-  headers['content-length'] !== undefined ||
-  headers['transfer-encoding'] !== undefined;
+  isChunked(headers['transfer-encoding']) ||
+  (headers['content-length'] !== undefined && headers['transfer-encoding'] === undefined);
--- a/packages/service-client/src/httpServiceClient.test.ts
+++ b/packages/service-client/src/httpServiceClient.test.ts
@@ -81,6 +81,8 @@
     'HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf',
     'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n',
     'HTTP/1.1 200 OK\r\n\r\nhalf',
+    'HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\nhalf',
+    'HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nhalf',
     'not http',
     '',
   ];
