Keep whole answers that end with their connection, and cut none off with an error

The check opened its connection at once and observed it, and counted the time since the last bytes or a pause as time for a restart. - Sound requests were counted as crashing their endpoints after such a check.

Cause: evidence that the check itself made, or that says nothing of the process.

Change: the check opens one connection 15 ms after the end, when the listener of a killed process is closed; a listener that accepts and closes still runs. Only a delay of this process counts as time in which the end may have waited. A registration of another start outweighs the check. The connection says nothing of a crash, nor does an endpoint that is leaving. The request no longer counts as running meanwhile. A socket that is reset reports an error of its own, and an end of the connection resumes a paused response.

--- a/packages/bounded-http/src/boundedSocket.ts
+++ b/packages/bounded-http/src/boundedSocket.ts
@@ -6,9 +6,25 @@
  * handles the first chunk and returns what it leaves for later, so that a response in small chunks would pile up.
  */
 class BoundedSocket extends Socket {
+  private isReset = false;
+
   override read(size?: number): unknown {
     return super.read(size ?? Math.min(this.readableLength, MAX_READ_BYTES));
   }
+
+  override resetAndDestroy(): this {
+    this.isReset = true;
+    return super.resetAndDestroy();
+  }
+
+  // eslint-disable-next-line no-underscore-dangle -- the name that streams call
+  override _destroy(error: Error | null, callback: (error?: Error | null) => void): void {
+    // After a reset, the HTTP client completes a response that ends with its connection, and throws if the response is
+    // paused or aborted, unless the connection has failed with another error.
+    const isReset = error === null ? this.isReset : 'code' in error && error.code === 'ECONNRESET';
+    // eslint-disable-next-line no-underscore-dangle
+    super._destroy(isReset ? new Error('connection reset', { cause: error }) : error, callback);
+  }
 }
 
 /**
--- a/packages/exchange/src/connectionPool.ts
+++ b/packages/exchange/src/connectionPool.ts
@@ -93,33 +93,34 @@
    * response. A new connection takes the place of that one, and serves the next request if the endpoint accepts it.
    *
    * @param endpointId the id that the request was sent with
-   * @param silentSinceMs clock reading of the endpoint's last bytes before the end, as `ResponseEnd` has it
-   * @returns after a round trip as a rule, and after the connect timeout at most
+   * @param unreadForMs time for which the end may have waited until it was read, as `ResponseEnd` has it
+   * @returns after 15 ms and a round trip as a rule, and after the connect timeout at most
    * @example
-   * const life = await pool.checkEndpoint('i-7f3a', '10.1.2.3:8080', 40, end.silentSinceMs);
+   * const life = await pool.checkEndpoint('i-7f3a', '10.1.2.3:8080', 40, end.unreadForMs);
    * if (life !== 'running') return resumeElsewhere();
    */
   checkEndpoint(
     endpointId: string,
     address: string,
     maxConnections: number,
-    silentSinceMs: number,
+    unreadForMs: number,
   ): Promise<EndpointLife> {
     const known = this.checks.get(endpointId);
-    if (known?.canBeShared === true) return known.waitForResult(silentSinceMs);
+    if (known?.canBeShared === true) return known.waitForResult(unreadForMs);
     const check = EndpointCheck.create(
       {
-        create: () => this.createConnection(endpointId, address, maxConnections),
+        // It takes the place of the connection that has ended, which another request may have taken already.
+        create: () => this.createConnection(endpointId, address, maxConnections + 1),
         release: (connection) => this.release(endpointId, connection),
         hasOlderThan: (atMs) => this.hasConnectionOlderThan(endpointId, atMs),
         hasLostSince: (atMs) =>
           (this.lossTimes.peek(endpointId) ?? Number.NEGATIVE_INFINITY) >= atMs,
       },
       this.dependencies.clock,
-      silentSinceMs,
+      unreadForMs,
     );
     this.checks.set(endpointId, check);
-    const result = check.waitForResult(silentSinceMs);
+    const result = check.waitForResult(unreadForMs);
     return result.finally(() => {
       if (this.checks.get(endpointId) === check) this.checks.delete(endpointId);
     });
--- a/packages/exchange/src/constants.ts
+++ b/packages/exchange/src/constants.ts
@@ -26,17 +26,18 @@
  */
 export const SETTLE_MS = 300;
 /**
- * Time after an end for which an endpoint has to keep a new connection open, in milliseconds. The listener of a process
- * that is killed may accept connections until the kernel has closed all of its files.
+ * Time after the end of a connection in which the kernel closes the listener of a killed process, in milliseconds.
  */
-export const OBSERVATION_MS = 15;
+export const LISTENER_CLOSE_MS = 15;
+/** Time within which the ends of the connections of a killed process are read, in milliseconds. */
+export const CLOSE_SPREAD_MS = 20;
 /** Interval between two looks at the connections of an endpoint that may have ended, in milliseconds. */
 export const EVIDENCE_INTERVAL_MS = 5;
 /** Time after which a connection that no request has used is closed, in milliseconds. */
 export const UNUSED_CONNECTION_MS = 2_000;
-/** Time after a pause in which bytes and the end of a connection may have arrived during the pause, in milliseconds. */
-export const PAUSE_BACKLOG_MS = 1_000;
 /** Streams in a row with ids that rise by one after which a service is taken to number its events so. */
 export const MIN_SUCCESSIVE_STREAMS = 8;
 /** Streams in a row that begin behind a gap after which a service is not taken to number its events so any more. */
 export const MAX_GAPS_IN_A_ROW = 4;
+/** Time within which ends of connections share a check, in milliseconds. */
+export const SHARED_CHECK_MS = 1;
--- a/packages/exchange/src/endpointCheck.ts
+++ b/packages/exchange/src/endpointCheck.ts
@@ -1,12 +1,17 @@
-import { setImmediate as nextLoopTurn, setTimeout as sleep } from 'node:timers/promises';
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { Clock } from '@lovagearch/common';
-import { EVIDENCE_INTERVAL_MS } from './constants.js';
+import {
+  CLOSE_SPREAD_MS,
+  EVIDENCE_INTERVAL_MS,
+  LISTENER_CLOSE_MS,
+  SHARED_CHECK_MS,
+} from './constants.js';
 import type { EndpointConnection } from './endpointConnection.js';
 import { decideEndpointLife, type EndpointLife, type OpeningResult } from './endpointLife.js';
 
 /** The connections of one endpoint, as a check sees them. */
 export interface CheckedConnections {
-  /** Creates a connection that is not open yet; undefined if the endpoint has as many as it may have. */
+  /** Creates a connection that is not open yet; undefined if the address is not usable. */
   readonly create: () => EndpointConnection | undefined;
   /** Hands over a connection that the check has opened, for the next request. */
   readonly release: (connection: EndpointConnection) => void;
@@ -17,84 +22,78 @@
 }
 
 /**
- * Finds out whether the process of an endpoint outlives the end of a connection. Ends that are read in one turn of the
- * event loop share a check.
+ * Finds out whether the process of an endpoint outlives the end of a connection, by opening another one. Ends that are
+ * read together share a check.
  */
 export class EndpointCheck {
-  /** What became of the connection that the check opens; undefined until the turn of the event loop is over. */
+  /** What became of the connection that the check opens; undefined before it does. */
   private opening: OpeningResult | undefined;
 
+  /** Clock reading at which the first end was read. */
   private readonly startMs: number;
 
+  private openedAtMs: number | undefined;
+
   private readonly result: Promise<EndpointLife>;
 
   private constructor(
     private readonly connections: CheckedConnections,
     private readonly clock: Clock,
-    private silentSinceMs: number,
+    /** Clock reading at which an end can have arrived, at the earliest. */
+    private arrivedSinceMs: number,
   ) {
     this.startMs = clock.nowMs();
     this.result = this.run();
   }
 
-  /** @param silentSinceMs clock reading of the endpoint's last bytes before the end */
-  static create(
-    connections: CheckedConnections,
-    clock: Clock,
-    silentSinceMs: number,
-  ): EndpointCheck {
-    return new EndpointCheck(connections, clock, silentSinceMs);
+  /** @param unreadForMs time for which the end may have waited until it was read, in milliseconds */
+  static create(connections: CheckedConnections, clock: Clock, unreadForMs: number): EndpointCheck {
+    return new EndpointCheck(connections, clock, clock.nowMs() - unreadForMs);
   }
 
   /** Whether an end that is read now can share the check. */
   get canBeShared(): boolean {
-    return this.opening === undefined;
+    return this.opening === undefined && this.clock.nowMs() - this.startMs < SHARED_CHECK_MS;
   }
 
   /** Returns the result for an end, which shares the check if `canBeShared`. */
-  waitForResult(silentSinceMs: number): Promise<EndpointLife> {
-    this.silentSinceMs = Math.min(this.silentSinceMs, silentSinceMs);
+  waitForResult(unreadForMs: number): Promise<EndpointLife> {
+    this.arrivedSinceMs = Math.min(this.arrivedSinceMs, this.clock.nowMs() - unreadForMs);
     return this.result;
   }
 
   private async run(): Promise<EndpointLife> {
-    // Ends of other connections may have arrived as well, and are read before this turn is over.
-    await nextLoopTurn();
+    // The listener of a process that is killed accepts connections until the kernel has closed it.
+    await sleep(LISTENER_CLOSE_MS);
+    this.openedAtMs = this.clock.nowMs();
     const connection = this.connections.create();
     this.opening = connection === undefined ? 'failed' : 'pending';
-    const opened = connection?.open().then(async (result) => {
-      await nextLoopTurn();
+    const opened = connection?.open().then((result) => {
       this.opening = result;
     });
     for (;;) {
-      const opening = this.getOpening(connection);
+      const opening = this.opening ?? 'pending';
       const life = this.decide(opening);
       if (life === 'undecided') {
         const wait = sleep(EVIDENCE_INTERVAL_MS);
         await (opening === 'pending' ? Promise.race([opened, wait]) : wait);
         continue;
       }
-      if (life === 'running' && connection?.isEstablished === true)
-        this.connections.release(connection);
-      else connection?.close();
+      if (life === 'ended' || connection?.isEstablished !== true) connection?.close();
+      else this.connections.release(connection);
       return life;
     }
   }
 
-  private getOpening(connection: EndpointConnection | undefined): OpeningResult {
-    const opening = this.opening ?? 'pending';
-    // An endpoint that has too many connections, and a proxy before one that has ended, accept and close.
-    return opening === 'accepted' && connection?.isEstablished !== true ? 'failed' : opening;
-  }
-
   private decide(opening: OpeningResult): EndpointLife | 'undecided' {
     const nowMs = this.clock.nowMs();
+    const { arrivedSinceMs, connections, openedAtMs = nowMs, startMs } = this;
     return decideEndpointLife({
       opening,
-      hasOlderConnection: this.connections.hasOlderThan(this.silentSinceMs),
-      hasLostConnection: this.connections.hasLostSince(this.silentSinceMs),
-      silentForMs: nowMs - this.silentSinceMs,
-      waitedMs: nowMs - this.startMs,
+      hasOlderConnection: connections.hasOlderThan(arrivedSinceMs),
+      hasLostConnection: connections.hasLostSince(startMs - CLOSE_SPREAD_MS),
+      openedAfterMs: openedAtMs - arrivedSinceMs,
+      waitedMs: nowMs - startMs,
     });
   }
 }
--- a/packages/exchange/src/endpointConnection.ts
+++ b/packages/exchange/src/endpointConnection.ts
@@ -2,7 +2,6 @@
 import { openBoundedSocket, PacedReader, type ReadPacer } from '@lovagearch/bounded-http';
 import { type Clock, parseSocketAddress } from '@lovagearch/common';
 import { Client, type Dispatcher } from 'undici';
-import { ArrivalTimes } from './arrivalTimes.js';
 import {
   CONNECT_TIMEOUT_MS,
   DEFAULT_KEEP_ALIVE_MS,
@@ -31,8 +30,13 @@
 
 type ConnectCallback = (...args: [Error, null] | [null, Socket]) => void;
 
-const classifyOpeningError = (error: Error): OpeningResult =>
-  'code' in error && error.code === 'ECONNREFUSED' ? 'refused' : 'failed';
+const classifyOpeningError = (error: Error & { readonly code?: string }): OpeningResult => {
+  // The socket wraps a reset in another error.
+  const { code } = error.cause instanceof Error ? (error.cause as NodeJS.ErrnoException) : error;
+  if (code === 'ECONNREFUSED') return 'refused';
+  // Without a listener, the endpoint would have refused; it closes a surplus connection at once.
+  return code === 'ECONNRESET' ? 'accepted' : 'failed';
+};
 
 /** What the process-wide parts of a connection are. */
 export interface ConnectionDependencies {
@@ -68,8 +72,6 @@
   /** Hands the socket over to the HTTP client, once a connection that was opened ahead is established. */
   private takeOpenedSocket: (() => Socket) | undefined;
 
-  private readonly arrivals: ArrivalTimes;
-
   private hasSocketFailed = false;
 
   private isClosed = false;
@@ -88,6 +90,9 @@
 
   private failExchange: ((error: Error) => void) | undefined;
 
+  /** Resumes reading, however it was paused. */
+  private resumeReading: (() => void) | undefined;
+
   private readonly client: Client;
 
   private constructor(
@@ -95,7 +100,6 @@
     private readonly dependencies: ConnectionDependencies,
     private readonly listener: ConnectionListener,
   ) {
-    this.arrivals = ArrivalTimes.create(dependencies.clock, dependencies.getReadDelayMs);
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -175,12 +179,7 @@
     this.isClosed = true;
     this.listener.onClosed(this);
     // After a plain close, the kernel would still send the rest of an abandoned request over a slow link.
-    if (this.isBusy && this.socket?.connecting === false) {
-      // Without an error, the HTTP client takes the close for the end of a response that ends with its connection, and
-      // fails as its request was aborted before.
-      this.socket.emit('error', new Error('connection closed by its owner'));
-      this.socket.resetAndDestroy();
-    }
+    if (this.isBusy && this.socket?.connecting === false) this.socket.resetAndDestroy();
     // The HTTP client doesn't know a connection that no request has used.
     if (this.isOpenedAhead) this.socket?.destroy();
     // The listener has already been notified of this error.
@@ -203,14 +202,9 @@
     let controller: Dispatcher.DispatchController | undefined;
     let isPausedByListener = false;
     const reader = PacedReader.create(this.dependencies.pacer, {
-      pause: () => {
-        this.arrivals.recordPause();
-        controller?.pause();
-      },
+      pause: () => controller?.pause(),
       resume: () => {
-        if (isPausedByListener) return;
-        this.arrivals.recordResume();
-        controller?.resume();
+        if (!isPausedByListener) controller?.resume();
       },
     });
     const fail = (error: Error) => {
@@ -229,6 +223,7 @@
     this.receivedBeforeBytes = this.socket?.bytesRead ?? 0;
     this.bodyBytes = 0;
     this.failExchange = fail;
+    this.resumeReading = () => controller?.resume();
     let hasFramedEnd = true;
     const handler: Dispatcher.DispatchHandler = {
       onRequestStart: (startController) => {
@@ -252,7 +247,8 @@
       },
       onResponseData: (_controller, chunk) => {
         this.bodyBytes += chunk.length;
-        if (isSettled) return;
+        // The HTTP client passes on an empty chunk when reading resumes.
+        if (isSettled || chunk.length === 0) return;
         reader.recordChunks(1);
         listener.onData(chunk);
       },
@@ -270,10 +266,8 @@
           this.hasEnded = true;
           // The HTTP client can't be closed from within this call.
           setImmediate(() => this.close());
-          listener.onEnd({
-            type: 'connection',
-            silentSinceMs: this.arrivals.getSilentSinceMs(),
-          });
+          const unreadForMs = this.dependencies.getReadDelayMs();
+          listener.onEnd({ type: 'connection', unreadForMs });
           return;
         }
         listener.onEnd({ type: 'framing' });
@@ -307,14 +301,11 @@
       },
       pause: () => {
         isPausedByListener = true;
-        this.arrivals.recordPause();
         controller?.pause();
       },
       resume: () => {
         isPausedByListener = false;
-        if (reader.isPaused) return;
-        this.arrivals.recordResume();
-        controller?.resume();
+        if (!reader.isPaused) controller?.resume();
       },
       recordWork: (units) => reader.recordChunks(units),
     };
@@ -339,11 +330,10 @@
       // Without a request, the endpoint has nothing to send.
       if (socket.read() !== null) this.close();
     };
+    // An endpoint with too many connections closes surplus ones, so that this is no sign of a crash.
     const handleClose = () => {
       clearTimeout(timer);
-      if (this.isClosed) return;
       this.close();
-      this.listener.onIdleLost();
     };
     socket.on('readable', handleReadable);
     socket.once('close', handleClose);
@@ -378,12 +368,11 @@
       // libuv reports a reset that arrives together with data as the end of the stream. After a reset,
       // the socket no longer has a remote port; after a normal end it still does.
       if (socket.remotePort === undefined) this.hasSocketFailed = true;
+      // The HTTP client throws if a response ends with its connection while it is paused.
+      this.resumeReading?.();
     });
     socket.once('close', () => settle(new Error('connection closed while connecting'), null));
-    socket.on('readable', () => {
-      this.arrivals.recordRead(socket.bytesRead);
-      this.checkFraming(socket);
-    });
+    socket.on('readable', () => this.checkFraming(socket));
     socket.once('connect', () => {
       this.establishedAtMs = this.dependencies.clock.nowMs();
       settle(null, socket);
--- a/packages/exchange/src/endpointLife.ts
+++ b/packages/exchange/src/endpointLife.ts
@@ -1,4 +1,4 @@
-import { MIN_RESTART_MS, OBSERVATION_MS, SETTLE_MS } from './constants.js';
+import { MIN_RESTART_MS, SETTLE_MS } from './constants.js';
 
 /** What became of a connection that was opened to find out whether an endpoint still runs. */
 export type OpeningResult = 'accepted' | 'failed' | 'pending' | 'refused';
@@ -6,13 +6,13 @@
 /** What the connections of an endpoint say after one of them has ended together with its response. */
 export interface ConnectionEvidence {
   readonly opening: OpeningResult;
-  /** Whether a connection that was established before the end is open. */
+  /** Whether a connection is open that was established before the end can have arrived. */
   readonly hasOlderConnection: boolean;
-  /** Whether the endpoint has closed or reset another connection since its last bytes before the end. */
+  /** Whether the endpoint has closed or reset another connection at the time of the end, or since. */
   readonly hasLostConnection: boolean;
-  /** Time since the endpoint's last bytes before the end, in milliseconds. */
-  readonly silentForMs: number;
-  /** Time since the end was noticed, in milliseconds. */
+  /** Longest time between the arrival of the end and the opening, in milliseconds. */
+  readonly openedAfterMs: number;
+  /** Time since the end was read, in milliseconds. */
   readonly waitedMs: number;
 }
 
@@ -25,8 +25,7 @@
 /**
  * Decides whether the process of an endpoint outlives the end of a connection, or returns `undecided` until there is
  * more evidence. When a process ends, its kernel closes all of its connections and listeners within milliseconds. A
- * listener that accepts may belong to a new process, unless there was no time for a restart or an older connection is
- * still open.
+ * listener that accepts later belongs to the same process, unless there was time for a restart.
  *
  * @example
  * const life = decideEndpointLife(evidence);
@@ -36,20 +35,18 @@
   opening,
   hasOlderConnection,
   hasLostConnection,
-  silentForMs,
+  openedAfterMs,
   waitedMs,
 }: ConnectionEvidence): EndpointLife | 'undecided' => {
-  const isSettled = waitedMs >= SETTLE_MS;
   // An older connection that is still open may end a moment later.
-  const hasSurvivor = hasOlderConnection && isSettled;
+  const hasSurvivor = hasOlderConnection && waitedMs >= SETTLE_MS;
   switch (opening) {
     case 'accepted':
       if (hasLostConnection) {
         if (!hasOlderConnection) return 'ended';
         return hasSurvivor ? 'running' : 'undecided';
       }
-      if (waitedMs < OBSERVATION_MS) return 'undecided';
-      return silentForMs < MIN_RESTART_MS || hasOlderConnection ? 'running' : 'unknown';
+      return openedAfterMs < MIN_RESTART_MS || hasOlderConnection ? 'running' : 'unknown';
     case 'refused':
       // An endpoint that is leaving takes no more connections and completes its responses.
       if (!hasOlderConnection) return 'ended';
--- a/packages/exchange/src/types.ts
+++ b/packages/exchange/src/types.ts
@@ -35,8 +35,8 @@
   | { readonly type: 'framing' }
   | {
       readonly type: 'connection';
-      /** Clock reading of the last bytes before the end; the earliest possible one if they may have been read late. */
-      readonly silentSinceMs: number;
+      /** Time for which the end may have waited until it was read, in milliseconds. */
+      readonly unreadForMs: number;
     };
 
 /** Receives the response of an exchange. Unless cancelled, exactly one of `onEnd` and `onFailure` is called. */
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -79,6 +79,8 @@
   /** Called with the head of each response that belongs to this request. */
   readonly onResponseHead: (head: ResponseHead, sentAtMs: number) => void;
   readonly onWeights: (endpointId: string, model: string, version: number) => void;
+  /** Whether another start of the endpoint's process is registered in its place. */
+  readonly isReplaced: (endpoint: Endpoint) => boolean;
   /** Called with what is known of the endpoint after a response that ended with its connection. */
   readonly onConnectionEnd: (life: EndpointLife) => void;
 }
@@ -109,6 +111,8 @@
 
   private isFinished = false;
 
+  private hasRecordedCompletion = false;
+
   /** Whether reading from the endpoint waits for the caller. */
   private isPaused = false;
 
@@ -378,7 +382,7 @@
         this.complete(head, processingMs, true);
         return;
       case 'connection':
-        this.completeIfEndpointRuns(head, processingMs, end.silentSinceMs);
+        this.completeIfEndpointRuns(head, processingMs, end.unreadForMs);
         return;
       default:
         end satisfies never;
@@ -392,22 +396,32 @@
   private completeIfEndpointRuns(
     head: ResponseHead,
     processingMs: number,
-    silentSinceMs: number,
+    unreadForMs: number,
   ): void {
     const { endpoint, maxConnections } = this.input;
     const { pool, onConnectionEnd } = this.dependencies;
+    clearTimeout(this.stallTimer);
+    this.recordCompletion({ type: 'answered', isFailure: head.status >= 500, processingMs });
     pool
       .checkEndpoint(
         getEndpointStartKey(endpoint),
         endpoint.record.address,
         maxConnections,
-        silentSinceMs,
+        unreadForMs,
       )
-      .then((life) => {
+      .then((found) => {
+        const life = this.dependencies.isReplaced(endpoint) ? 'ended' : found;
         onConnectionEnd(life);
         if (this.isFinished) return;
         if (life === 'running') this.complete(head, processingMs, false);
-        else this.finishBroken(CONNECTION_END_REASONS[life], true);
+        // Only an endpoint that isn't about to leave has crashed.
+        else
+          this.finishBroken(
+            CONNECTION_END_REASONS[life],
+            life === 'ended' &&
+              endpoint.record.state === 'ready' &&
+              !endpoint.statements.leaving.isAnnounced,
+          );
       })
       .catch((error: unknown) => this.finishBroken(getErrorMessage(error)));
   }
@@ -501,13 +515,21 @@
     this.input.endpoint.recordBytesReceived(nowMs);
   }
 
+  /** Tells the endpoint's load that the request is done; only the first outcome counts. */
+  private recordCompletion(outcome: EndpointOutcome): void {
+    if (this.hasRecordedCompletion) return;
+    this.hasRecordedCompletion = true;
+    const { clock } = this.dependencies;
+    this.input.endpoint.recordCompletion(this.sentRequest, outcome, clock.nowMs());
+  }
+
   private finish(outcome: AttemptOutcome, endpointOutcome: EndpointOutcome): void {
     if (this.isFinished) return;
     this.isFinished = true;
     clearTimeout(this.stallTimer);
     clearTimeout(this.rejectionTimer);
-    const { endpoint, framer } = this.input;
-    endpoint.recordCompletion(this.sentRequest, endpointOutcome, this.dependencies.clock.nowMs());
+    const { framer } = this.input;
+    this.recordCompletion(endpointOutcome);
     // An incomplete event must not be joined with the first event of the next attempt.
     framer?.discardPartialEvent();
     this.bufferedBody?.release();
--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -67,6 +67,10 @@
         applyStatements(context, endpoint, head.requestId, responseHead, sentAtMs),
       onWeights: (id, model, version) =>
         context.clusterState.recordEndpointWeights(id, model, version),
+      isReplaced: ({ record }) => {
+        const registered = context.clusterState.endpoints.findEndpoint(record.id);
+        return registered !== undefined && registered.record.startedUnixMs !== record.startedUnixMs;
+      },
       onConnectionEnd: (life) => context.metrics.recordConnectionEnd(service, life),
     },
     {
