Move the opening of the gateway's listeners out of startGateway

What each listener serves, which of them are waited for and in which order now stands in openGatewayListeners.ts; the behaviour is the same. The tests of overlapping starts, planned stops, the retry budget after a restart and odd rows pass on this code, as do those of the other files that start a gateway and were run.

--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -1,11 +1,6 @@
 import { SlidingWindowRetryBudget } from '@lovagearch/admission';
 import { MemoryBudget } from '@lovagearch/bounded-http';
-import {
-  ADDRESS_WAIT_MARGIN_MS,
-  AddressUnavailableError,
-  getErrorMessage,
-  processClock,
-} from '@lovagearch/common';
+import { AddressUnavailableError, getErrorMessage, processClock } from '@lovagearch/common';
 import { ConnectionPool } from '@lovagearch/exchange';
 import { type MirrorEvent, TableMirror, StoreClock } from '@lovagearch/mirror';
 import { TransferSlowdownTracker } from '@lovagearch/reuse';
@@ -26,10 +21,8 @@
 import { createTableFollower } from './createTableFollower.js';
 import { createGatewayLog } from './gatewayLog.js';
 import type { GatewayContext, Shutdown } from './gatewayContext.js';
-import { GatewayListeners } from './gatewayListeners.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
-import { LoadSharing } from './loadSharing.js';
-import { startMetricsServer, startPeerServer, startReadinessServer } from './managementServer.js';
+import { openGatewayListeners } from './openGatewayListeners.js';
 import {
   createPeerSource,
   createCacheStoreRelaySource,
@@ -332,67 +325,29 @@
     shutdown === undefined &&
     clusterState.trafficRules !== undefined &&
     clusterState.endpoints.size > 0;
-  const listeners = GatewayListeners.create({
-    // The longest time for which a predecessor holds the addresses.
-    maxWaitMs: bounds.shutdownGraceMs + ADDRESS_WAIT_MARGIN_MS,
+  // The node's name, rows and lease are a predecessor's until it has released all of its addresses.
+  const listeners = await openGatewayListeners({
+    settings,
+    readinessPath,
+    isReady,
+    server,
+    mirrors: [operatorMirror, endpointMirror, sharedMirror],
+    // A peer without contact to the store would remove endpoints that this node still waits for.
+    isServable: (table) =>
+      table !== endpointMirror.table || !clusterState.isAwaitingRegistrations(),
+    findCacheStoreIndex: (address) => cacheStoreWatcher.findIndex(address),
+    indexClock: suspensionClock,
+    metrics,
+    clusterState,
     clock,
     log,
   });
-  // The node's name, rows and lease are a predecessor's until it has released all of its addresses.
-  const opened = await listeners.openAll([
-    {
-      name: 'readiness',
-      address: settings.readinessAddress,
-      open: () => startReadinessServer(settings.readinessAddress, readinessPath, isReady),
-    },
-    {
-      name: 'peers',
-      address: settings.peerAddress,
-      open: () =>
-        startPeerServer(
-          settings.peerAddress,
-          [operatorMirror, endpointMirror, sharedMirror],
-          clock,
-          // A peer without contact to the store would remove endpoints that this node still waits for.
-          (table) => table !== endpointMirror.table || !clusterState.isAwaitingRegistrations(),
-          (address) => cacheStoreWatcher.findIndex(address),
-          suspensionClock,
-        ),
-    },
-    {
-      name: 'callers',
-      address: settings.callerAddress,
-      open: async () => {
-        await server.listen(settings.callerAddress);
-        return { close: () => server.stopListening() };
-      },
-    },
-  ]);
-  if (opened.isErr()) {
+  if (listeners.isErr()) {
     log.flush();
-    throw new AddressUnavailableError(opened.error);
+    throw new AddressUnavailableError(listeners.error);
   }
   addressesHeldAtMs = clock.nowMs();
   eventLoopMonitor.start(addressesHeldAtMs);
-  const metricsAddress = { host: settings.callerAddress.host, port: settings.metricsPort };
-  listeners.openInBackground({
-    name: 'metrics',
-    address: metricsAddress,
-    open: () => startMetricsServer(metricsAddress, metrics),
-  });
-  listeners.openInBackground({
-    name: 'load reports',
-    address: settings.loadAddress,
-    open: () =>
-      LoadSharing.start({
-        nodeName: settings.nodeName,
-        zone: settings.zone,
-        address: settings.loadAddress,
-        clusterState,
-        clock,
-        log,
-      }),
-  });
   log.logStateChange('started', {
     zone: settings.zone,
     region: settings.region,
@@ -506,7 +461,7 @@
     for (const follower of followers) follower.stop();
     clearInterval(housekeepingTimer);
     clearInterval(publishTimer);
-    await listeners.close();
+    await listeners.value.close();
     log.flush();
   };
   const recordReload: Gateway['recordReload'] = (result, faults) =>
