Try background listeners once a second and name errors for any wait

Operators would read `in_use` for a start that lacked descriptors: a trial with a limit of 20 descriptors (EMFILE at the callers' listener) waits as for an address in use. The error after a wait is now `timed_out`, with the reason of the last attempt. The metrics port and the port of load reports were tried every 100 ms for as long as another process holds them, although callers don't need them; once a second costs a tenth of that.

Evidence: the tests of acquireAddress, overlapping starts and settings at the start pass (79 checks).

--- a/packages/common/src/acquireAddress.ts
+++ b/packages/common/src/acquireAddress.ts
@@ -23,10 +23,10 @@
   typeof error.code === 'string' &&
   PASSING_CODES.has(error.code);
 
-/** Why a process has no listener on an address: `in_use` after the whole wait, `unusable` at once. */
+/** Why a process has no listener on an address: `timed_out` after the whole wait, `unusable` at once. */
 export type AddressError =
   | {
-      readonly type: 'in_use';
+      readonly type: 'timed_out';
       readonly listener: string;
       /** `host:port` */
       readonly address: string;
@@ -65,6 +65,8 @@
   readonly open: () => Promise<T>;
   /** Longest wait, in milliseconds; may be `Infinity`. */
   readonly maxWaitMs: number;
+  /** Time between two attempts, in milliseconds; `ADDRESS_RETRY_INTERVAL_MS` by default. */
+  readonly intervalMs?: number;
   readonly clock: Clock;
   /** Ends the wait. */
   readonly signal?: AbortSignal | undefined;
@@ -94,6 +96,7 @@
   port,
   open,
   maxWaitMs,
+  intervalMs = ADDRESS_RETRY_INTERVAL_MS,
   clock,
   signal,
   onEvent,
@@ -103,7 +106,7 @@
   const { result, waitedMs } = await retryWhilePassing({
     attempt: async () => ResultAsync.fromPromise(open(), (error) => error),
     isPassing: isPassingError,
-    intervalMs: ADDRESS_RETRY_INTERVAL_MS,
+    intervalMs,
     maxWaitMs,
     clock,
     signal,
@@ -118,7 +121,7 @@
   }
   const reason = getErrorMessage(result.error);
   return isPassingError(result.error)
-    ? err({ type: 'in_use', listener, address, waitedMs, reason })
+    ? err({ type: 'timed_out', listener, address, waitedMs, reason })
     : err({ type: 'unusable', listener, address, reason });
 };
 
@@ -126,7 +129,7 @@
 export const formatAddressError = (error: AddressError): string => {
   const { listener, address, reason } = error;
   switch (error.type) {
-    case 'in_use':
+    case 'timed_out':
       return `the ${listener} listener could not get ${address} within ${error.waitedMs} ms: ${reason}`;
     case 'unusable':
       return `the ${listener} listener can't use ${address}: ${reason}`;
--- a/packages/gateway/src/gatewayListeners.ts
+++ b/packages/gateway/src/gatewayListeners.ts
@@ -1,5 +1,6 @@
 import {
   acquireAddress,
+  ADDRESS_RETRY_INTERVAL_MS,
   type AddressError,
   type AddressEvent,
   type Clock,
@@ -10,6 +11,9 @@
 import type { GatewayLog } from './gatewayLog.js';
 import type { Address } from './types.js';
 
+/** Time between two attempts to open a listener that callers don't need, in milliseconds. */
+const BACKGROUND_RETRY_INTERVAL_MS = 1_000;
+
 /** An open listener. */
 interface Closable {
   readonly close: () => Promise<void> | void;
@@ -60,7 +64,11 @@
    */
   async openAll(listeners: readonly GatewayListener[]): Promise<Result<void, AddressError>> {
     for (const listener of listeners) {
-      const opened = await this.acquire(listener, this.options.maxWaitMs);
+      const opened = await this.acquire(
+        listener,
+        this.options.maxWaitMs,
+        ADDRESS_RETRY_INTERVAL_MS,
+      );
       if (opened.isOk()) continue;
       await this.close();
       return err(opened.error);
@@ -73,7 +81,7 @@
     const { log } = this.options;
     const logFailure = (reason: string) =>
       log.logProblem('address_unavailable', { listener: listener.name, reason });
-    this.acquire(listener, Infinity).then(
+    this.acquire(listener, Infinity, BACKGROUND_RETRY_INTERVAL_MS).then(
       (opened) => {
         if (opened.isErr() && !this.closing.signal.aborted)
           logFailure(formatAddressError(opened.error));
@@ -91,6 +99,7 @@
   private async acquire(
     { name, address, open }: GatewayListener,
     maxWaitMs: number,
+    intervalMs: number,
   ): Promise<Result<void, AddressError>> {
     const { clock } = this.options;
     const { signal } = this.closing;
@@ -99,6 +108,7 @@
       ...address,
       open,
       maxWaitMs,
+      intervalMs,
       clock,
       signal,
       onEvent: (event) => this.logEvent(event),
