Log how far each stream came

The logs of the incident say `served` for whole streams and short ones alike, so that neither a gap at the beginning nor an early end could be told from them, nor at which event a second endpoint went on.

The `ended` line of a streaming request now has the id of the caller's own last event (`callerEventId`), that of the last event passed on and the number of events with an id; `attempt_failed` has the id behind which the next endpoint goes on. For ids that rise by one, a stream is without a gap if the last id is the caller's plus the number of events; a short one ends below what the request asked for.

--- a/packages/exchange/src/eventStreamFramer.ts
+++ b/packages/exchange/src/eventStreamFramer.ts
@@ -168,6 +168,11 @@
     return this.lastId;
   }
 
+  /** Number of events with an id so far. */
+  get numberedEventCount(): number {
+    return this.numberedEvents;
+  }
+
   /**
    * Whether events without an id follow the last one that has an id, or the start. An endpoint that resumes the
    * stream would send them again.
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -24,7 +24,13 @@
 } from './attemptFeedback.js';
 import { type ChosenEndpoint, type PlacementResult, placeRequest } from './placeRequest.js';
 import { createFailure, createRefusal, type LocalReply, sendLocalReply } from './localReply.js';
-import { logAttemptFailed, logCallerLeft, logNotPlaced, logPlacement } from './requestLog.js';
+import {
+  createStreamFields,
+  logAttemptFailed,
+  logCallerLeft,
+  logNotPlaced,
+  logPlacement,
+} from './requestLog.js';
 import { createCacheSalt, planReuse } from './reusePlan.js';
 import { createQuarantineRefusal, isQuarantined } from './quarantine.js';
 import { readBody } from './requestBody.js';
@@ -367,6 +373,7 @@
         runs: this.possibleRunCount,
         elapsedMs: this.getElapsedMs(),
         hasOutput: this.attempt?.hasOutput ?? false,
+        lastEventId: this.framer?.lastEventId,
       });
     }
     switch (step.type) {
@@ -508,6 +515,7 @@
       outcome,
       reason,
       endpoints: this.triedEndpointIds,
+      ...createStreamFields(head, this.framer),
       firstByteMs: this.firstByteMs === undefined ? undefined : Math.round(this.firstByteMs),
       totalMs: Math.round(totalMs),
       limitMs: this.timeLimitMs,
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -7,7 +7,7 @@
   Placement,
   RateLimitChange,
 } from '@lovagearch/endpoints';
-import type { NextStep } from '@lovagearch/exchange';
+import type { EventStreamFramer, NextStep } from '@lovagearch/exchange';
 import type { Route } from '@lovagearch/traffic';
 import type { AttemptOutcome } from './attempt.js';
 import type { RoutedRequest } from './createAttempt.js';
@@ -93,6 +93,8 @@
   readonly elapsedMs: number;
   /** Whether the endpoint had sent a part of the response body. */
   readonly hasOutput: boolean;
+  /** Id of the last event that was passed on; undefined for requests that are not streaming. */
+  readonly lastEventId: number | undefined;
 }
 
 /** What the gateway was doing for a request when it noticed that the caller had left. */
@@ -117,6 +119,22 @@
     elapsedMs: Math.round(elapsedMs),
   });
 
+/**
+ * Creates the fields that tell a whole stream from a short one and from one with a gap at its beginning: the caller's
+ * last event, the last one passed on, and how many events with an id were.
+ */
+export const createStreamFields = (
+  head: RequestHead | undefined,
+  framer: EventStreamFramer | undefined,
+) =>
+  framer === undefined
+    ? {}
+    : {
+        callerEventId: head?.lastEventId,
+        lastEventId: framer.lastEventId,
+        events: framer.numberedEventCount,
+      };
+
 /** Parts named in one log line; prompts of the deployments have up to four. */
 const MAX_LOGGED_PARTS = 8;
 
@@ -127,7 +145,7 @@
   { endpoint }: ChosenEndpoint,
   outcome: AttemptOutcome,
   next: NextStep,
-  { sends, runs, elapsedMs, hasOutput }: RequestProgress,
+  { sends, runs, elapsedMs, hasOutput, lastEventId }: RequestProgress,
 ): void => {
   log.logProblem('attempt_failed', {
     request: head.requestId,
@@ -141,6 +159,8 @@
     runs,
     elapsedMs: Math.round(elapsedMs),
     hasOutput,
+    // Shows at which event the next endpoint goes on.
+    lastEventId,
     // Shows what the requests that one endpoint broke off have in common.
     sharedParts: listSharedPartIds(head).slice(0, MAX_LOGGED_PARTS),
   });
