--- a/packages/exchange/src/endpointConnection.ts
+++ b/packages/exchange/src/endpointConnection.ts
@@ -163,7 +163,7 @@
     return new Promise((resolve) => {
       this.openSocket(address.host, address.port, (error, socket) => {
         if (error === null) {
-          this.keepUntilUsed(socket);
+          this.trackUntilUsed(socket);
           resolve('accepted');
           return;
         }
@@ -324,7 +324,7 @@
   }
 
   /** Notices the end of a connection that no request has used, until the HTTP client reads from it. */
-  private keepUntilUsed(socket: Socket): void {
+  private trackUntilUsed(socket: Socket): void {
     const timer = setTimeout(() => this.close(), UNUSED_CONNECTION_MS);
     const handleReadable = () => {
       // Without a request, the endpoint has nothing to send.
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -379,10 +379,10 @@
     const processingMs = this.dependencies.clock.nowMs() - this.startMs;
     switch (end.type) {
       case 'framing':
-        this.complete(head, processingMs, true);
+        this.finishResponse(head, processingMs, true);
         return;
       case 'connection':
-        this.completeIfEndpointRuns(head, processingMs, end.unreadForMs);
+        this.finishIfEndpointRuns(head, processingMs, end.unreadForMs);
         return;
       default:
         end satisfies never;
@@ -393,7 +393,7 @@
    * Completes a response that ended with its connection, unless the endpoint's process has ended as well: its kernel
    * closes the connections of a killed process like those of one that is done.
    */
-  private completeIfEndpointRuns(
+  private finishIfEndpointRuns(
     head: ResponseHead,
     processingMs: number,
     unreadForMs: number,
@@ -413,7 +413,7 @@
         const life = this.dependencies.isReplaced(endpoint) ? 'ended' : found;
         onConnectionEnd(life);
         if (this.isFinished) return;
-        if (life === 'running') this.complete(head, processingMs, false);
+        if (life === 'running') this.finishResponse(head, processingMs, false);
         // Only an endpoint that isn't about to leave has crashed.
         else
           this.finishBroken(
@@ -426,7 +426,7 @@
       .catch((error: unknown) => this.finishBroken(getErrorMessage(error)));
   }
 
-  private complete(head: ResponseHead, processingMs: number, hasExplicitEnd: boolean): void {
+  private finishResponse(head: ResponseHead, processingMs: number, hasExplicitEnd: boolean): void {
     const { framer, callerResponse } = this.input;
     const outcome: EndpointOutcome = {
       type: 'answered',
