Keep whole answers whose endpoint closes another connection at the same time

What callers saw: a whole answer with neither a length nor chunks was broken off, or its stream resumed, when the endpoint had reset or closed another connection in the 20 ms before it, and no third connection was open. An idle connection that times out is enough.

Cause: the check for endpoints that run took any lost connection beside an accepted one for the death of the process.

Change: the listener of a process that has ended resets the connections that it has accepted. So the new connection counts as a survivor once it has stayed open for the time in which all connections of a process end.

--- a/packages/exchange/src/endpointCheck.test.ts
+++ b/packages/exchange/src/endpointCheck.test.ts
@@ -8,6 +8,7 @@
 
 const BASE: ConnectionEvidence = {
   opening: 'accepted',
+  hasOpenedConnection: false,
   hasOlderConnection: false,
   hasLostConnection: false,
   openedAfterMs: 0,
@@ -32,6 +33,26 @@
     { hasLostConnection: true },
     'ended',
   ],
+  [
+    'one that accepts and has closed its other connections is looked at again',
+    { hasLostConnection: true, hasOpenedConnection: true },
+    'undecided',
+  ],
+  [
+    'one that accepts and has closed its other connections runs if the new one stays open',
+    { hasLostConnection: true, hasOpenedConnection: true, waitedMs: SETTLE_MS },
+    'running',
+  ],
+  [
+    'one that accepts after the time of a restart and has closed its other connections has ended',
+    {
+      hasLostConnection: true,
+      hasOpenedConnection: true,
+      openedAfterMs: MIN_RESTART_MS,
+      waitedMs: SETTLE_MS,
+    },
+    'ended',
+  ],
   [
     'one that accepts and has closed one of several connections is looked at again',
     { hasLostConnection: true, hasOlderConnection: true },
@@ -103,6 +124,7 @@
     socket.once('close', () => sockets.delete(socket));
     socket.on('data', (bytes) => {
       if (bytes.includes('/unframed')) socket.end(RESPONSES.unframed);
+      else if (bytes.includes('/reset')) socket.resetAndDestroy();
       else socket.write(RESPONSES.framed);
     });
   });
@@ -110,21 +132,29 @@
   await once(server, 'listening');
   const address = server.address();
   const port = typeof address === 'object' && address !== null ? address.port : 0;
+  const closeConnections = () => {
+    for (const socket of sockets) socket.end();
+  };
   const end = () => {
     server.close();
-    for (const socket of sockets) socket.end();
+    closeConnections();
   };
   t2.teardown(end);
-  return { address: `127.0.0.1:${port}`, end, countConnections: () => connections };
+  return {
+    address: `127.0.0.1:${port}`,
+    closeConnections,
+    end,
+    countConnections: () => connections,
+  };
 };
 
-type Framing = keyof typeof RESPONSES;
+type Answer = keyof typeof RESPONSES | 'reset';
 
-const send = async (pool: ConnectionPool, address: string, framing: Framing): Promise<string> =>
+const send = async (pool: ConnectionPool, address: string, answer: Answer): Promise<string> =>
   new Promise((resolve) => {
     const request = {
       method: 'GET',
-      path: `/${framing}`,
+      path: `/${answer}`,
       headers: ['host', 'x'],
       body: undefined,
       isRepeat: false,
@@ -182,6 +212,29 @@
   t2.strictSame(lost, [], 'which is no sign of a crash');
 });
 
+// Guards against whole answers that are cut because the endpoint closes another connection at the time of their end.
+t.test('an endpoint that resets another exchange at the same time runs', async (t2) => {
+  const endpoint = await startEndpoint(t2);
+  const pool = ConnectionPool.create();
+  t2.teardown(() => pool.closeAll());
+  const reset = send(pool, endpoint.address, 'reset');
+  t2.equal(await send(pool, endpoint.address, 'unframed'), 'connection');
+  t2.equal(await reset, 'broken');
+  t2.equal(await check(pool, endpoint.address), 'running');
+});
+
+t.test('an endpoint that closes an idle connection at the same time runs', async (t2) => {
+  const endpoint = await startEndpoint(t2);
+  const pool = ConnectionPool.create();
+  t2.teardown(() => pool.closeAll());
+  const framed = send(pool, endpoint.address, 'framed');
+  t2.equal(await send(pool, endpoint.address, 'unframed'), 'connection');
+  t2.equal(await framed, 'framing');
+  const life = check(pool, endpoint.address);
+  endpoint.closeConnections();
+  t2.equal(await life, 'running');
+});
+
 // Guards against a connection for each of many streams that end together.
 t.test('ends that are read together share a check', async (t2) => {
   const endpoint = await startEndpoint(t2);
--- a/packages/exchange/src/endpointCheck.ts
+++ b/packages/exchange/src/endpointCheck.ts
@@ -34,6 +34,9 @@
 
   private openedAtMs: number | undefined;
 
+  /** The connection that the check opens; undefined before it does, or if the address is not usable. */
+  private connection: EndpointConnection | undefined;
+
   private readonly result: Promise<EndpointLife>;
 
   private constructor(
@@ -67,6 +70,7 @@
     await sleep(LISTENER_CLOSE_MS);
     this.openedAtMs = this.clock.nowMs();
     const connection = this.connections.create();
+    this.connection = connection;
     this.opening = connection === undefined ? 'failed' : 'pending';
     const opened = connection?.open().then((result) => {
       this.opening = result;
@@ -87,9 +91,10 @@
 
   private decide(opening: OpeningResult): EndpointLife | 'undecided' {
     const nowMs = this.clock.nowMs();
-    const { arrivedSinceMs, connections, openedAtMs = nowMs, startMs } = this;
+    const { arrivedSinceMs, connection, connections, openedAtMs = nowMs, startMs } = this;
     return decideEndpointLife({
       opening,
+      hasOpenedConnection: connection?.isEstablished === true,
       hasOlderConnection: connections.hasOlderThan(arrivedSinceMs),
       hasLostConnection: connections.hasLostSince(startMs - CLOSE_SPREAD_MS),
       openedAfterMs: openedAtMs - arrivedSinceMs,
--- a/packages/exchange/src/endpointLife.ts
+++ b/packages/exchange/src/endpointLife.ts
@@ -6,6 +6,8 @@
 /** What the connections of an endpoint say after one of them has ended together with its response. */
 export interface ConnectionEvidence {
   readonly opening: OpeningResult;
+  /** Whether the connection that was opened is still open. */
+  readonly hasOpenedConnection: boolean;
   /** Whether a connection is open that was established before the end can have arrived. */
   readonly hasOlderConnection: boolean;
   /** Whether the endpoint has closed or reset another connection at the time of the end, or since. */
@@ -33,6 +35,7 @@
  */
 export const decideEndpointLife = ({
   opening,
+  hasOpenedConnection,
   hasOlderConnection,
   hasLostConnection,
   openedAfterMs,
@@ -40,13 +43,15 @@
 }: ConnectionEvidence): EndpointLife | 'undecided' => {
   // An older connection that is still open may end a moment later.
   const hasSurvivor = hasOlderConnection && waitedMs >= SETTLE_MS;
+  const wasOpenedBeforeRestart = openedAfterMs < MIN_RESTART_MS;
   switch (opening) {
     case 'accepted':
-      if (hasLostConnection) {
-        if (!hasOlderConnection) return 'ended';
-        return hasSurvivor ? 'running' : 'undecided';
-      }
-      return openedAfterMs < MIN_RESTART_MS || hasOlderConnection ? 'running' : 'unknown';
+      if (!hasLostConnection)
+        return wasOpenedBeforeRestart || hasOlderConnection ? 'running' : 'unknown';
+      // The endpoint may have closed the lost connection on its own, and its listener, when it closes, resets the
+      // connections that it has accepted.
+      if (!hasOlderConnection && !(hasOpenedConnection && wasOpenedBeforeRestart)) return 'ended';
+      return waitedMs >= SETTLE_MS ? 'running' : 'undecided';
     case 'refused':
       // An endpoint that is leaving takes no more connections and completes its responses.
       if (!hasOlderConnection) return 'ended';
