Let the check of an endpoint conclude only from connections that it can watch

What callers saw: (a) half of a response with neither a length nor chunks as whole, if the gateway's event loop stood still behind the end of a killed endpoint, or if another response of it waited for its caller to read; (b) a whole one broken off, if the endpoint reset the connection of the check as a surplus one shortly after another exchange, or if other requests had taken the places of two connections that ended one after the other.

Cause: the check took what it could not see for evidence. An older connection counted as open while its end was unread: timers expire before sockets are read, and paused connections aren't read at all. A limit of the gateway itself, and a reset of a connection that had been accepted, counted like a dead endpoint.

Change: the time of the check counts looks, with a turn of the event loop before each; connections that aren't read are waited for and prove nothing; a connection that was accepted and reset is opened once more, since a listener that has closed refuses. The connection of the check has no limit, as it takes the place of the one that has ended.

--- a/packages/exchange/src/connectionPool.ts
+++ b/packages/exchange/src/connectionPool.ts
@@ -96,23 +96,18 @@
    * @param unreadForMs time for which the end may have waited until it was read, as `ResponseEnd` has it
    * @returns after 15 ms and a round trip as a rule, and after the connect timeout at most
    * @example
-   * const life = await pool.checkEndpoint('i-7f3a', '10.1.2.3:8080', 40, end.unreadForMs);
+   * const life = await pool.checkEndpoint('i-7f3a', '10.1.2.3:8080', end.unreadForMs);
    * if (life !== 'running') return resumeElsewhere();
    */
-  checkEndpoint(
-    endpointId: string,
-    address: string,
-    maxConnections: number,
-    unreadForMs: number,
-  ): Promise<EndpointLife> {
+  checkEndpoint(endpointId: string, address: string, unreadForMs: number): Promise<EndpointLife> {
     const known = this.checks.get(endpointId);
     if (known?.canBeShared === true) return known.waitForResult(unreadForMs);
     const check = EndpointCheck.create(
       {
         // It takes the place of the connection that has ended, which another request may have taken already.
-        create: () => this.createConnection(endpointId, address, maxConnections + 1),
+        create: () => this.createConnection(endpointId, address),
         release: (connection) => this.release(endpointId, connection),
-        hasOlderThan: (atMs) => this.hasConnectionOlderThan(endpointId, atMs),
+        hasOlderThan: (atMs, isRead) => this.hasConnectionOlderThan(endpointId, atMs, isRead),
         hasLostSince: (atMs) =>
           (this.lossTimes.peek(endpointId) ?? Number.NEGATIVE_INFINITY) >= atMs,
       },
@@ -140,9 +135,9 @@
     }
   }
 
-  private hasConnectionOlderThan(endpointId: string, atMs: number): boolean {
+  private hasConnectionOlderThan(endpointId: string, atMs: number, isRead: boolean): boolean {
     for (const connection of this.byEndpoint.get(endpointId)?.all ?? [])
-      if (connection.isOlderThan(atMs)) return true;
+      if (connection.isRead === isRead && connection.isOlderThan(atMs)) return true;
     return false;
   }
 
@@ -159,16 +154,14 @@
       if (idle.isUsable) return idle;
       idle.close();
     }
-    return this.createConnection(endpointId, address, maxConnections);
+    const openConnections = this.byEndpoint.get(endpointId)?.all.size ?? 0;
+    return openConnections < maxConnections
+      ? this.createConnection(endpointId, address)
+      : undefined;
   }
 
-  private createConnection(
-    endpointId: string,
-    address: string,
-    maxConnections: number,
-  ): EndpointConnection | undefined {
+  private createConnection(endpointId: string, address: string): EndpointConnection | undefined {
     const connections = this.byEndpoint.get(endpointId) ?? { idle: [], all: new Set() };
-    if (connections.all.size >= maxConnections) return undefined;
     // Registrations come from other writers, and the HTTP client throws on an invalid address.
     if (parseSocketAddress(address) === undefined) return undefined;
     const recordLoss = () => this.lossTimes.set(endpointId, this.dependencies.clock.nowMs());
--- a/packages/exchange/src/constants.ts
+++ b/packages/exchange/src/constants.ts
@@ -25,6 +25,8 @@
  * Time in which the ends of all connections of a process arrive, one retransmission included, in milliseconds.
  */
 export const SETTLE_MS = 300;
+/** Time for which a connection that isn't read is waited for, in milliseconds. */
+export const UNREAD_SETTLE_MS = 2 * SETTLE_MS;
 /**
  * Time after the end of a connection in which the kernel closes the listener of a killed process, in milliseconds.
  */
--- a/packages/exchange/src/endpointCheck.test.ts
+++ b/packages/exchange/src/endpointCheck.test.ts
@@ -1,114 +1,15 @@
 import { once } from 'node:events';
 import { createServer, type Server, type Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import t, { type Test } from 'tap';
-import { MIN_RESTART_MS, SETTLE_MS } from './constants.js';
-import { type ConnectionEvidence, decideEndpointLife } from './endpointLife.js';
-import { ConnectionPool, type EndpointLife } from './index.js';
-import { isFramed } from './isFramed.js';
-
-const BASE: ConnectionEvidence = {
-  opening: 'accepted',
-  hasOpenedConnection: false,
-  hasOlderConnection: false,
-  hasLostConnection: false,
-  openedAfterMs: 0,
-  waitedMs: 0,
-};
-
-const CASES: readonly [string, Partial<ConnectionEvidence>, EndpointLife | 'undecided'][] = [
-  ['an endpoint that accepts at once runs', {}, 'running'],
-  ['an endpoint that refuses has ended', { opening: 'refused' }, 'ended'],
-  [
-    'one that accepts after the time of a restart may be a new process',
-    { openedAfterMs: MIN_RESTART_MS },
-    'unknown',
-  ],
-  [
-    'one that accepts late runs if an older connection is open',
-    { openedAfterMs: MIN_RESTART_MS, hasOlderConnection: true },
-    'running',
-  ],
-  [
-    'one that accepts has ended if all its other connections ended',
-    { hasLostConnection: true },
-    'ended',
-  ],
-  [
-    'one that accepts and has closed its other connections is looked at again',
-    { hasLostConnection: true, hasOpenedConnection: true },
-    'undecided',
-  ],
-  [
-    'one that accepts and has closed its other connections runs if the new one stays open',
-    { hasLostConnection: true, hasOpenedConnection: true, waitedMs: SETTLE_MS },
-    'running',
-  ],
-  [
-    'one that accepts after the time of a restart and has closed its other connections has ended',
-    {
-      hasLostConnection: true,
-      hasOpenedConnection: true,
-      openedAfterMs: MIN_RESTART_MS,
-      waitedMs: SETTLE_MS,
-    },
-    'ended',
-  ],
-  [
-    'one that accepts and has closed one of several connections is looked at again',
-    { hasLostConnection: true, hasOlderConnection: true },
-    'undecided',
-  ],
-  [
-    'one that accepts and has closed one of several connections runs if others stay open',
-    { hasLostConnection: true, hasOlderConnection: true, waitedMs: SETTLE_MS },
-    'running',
-  ],
-  [
-    'one that refuses and has an older connection is looked at again',
-    { opening: 'refused', hasOlderConnection: true },
-    'undecided',
-  ],
-  [
-    'one that refuses runs if an older connection stays open, as it is leaving',
-    { opening: 'refused', hasOlderConnection: true, waitedMs: SETTLE_MS },
-    'running',
-  ],
-  ['one that does not accept is unknown', { opening: 'failed' }, 'unknown'],
-  [
-    'one that does not accept has ended if all its other connections ended',
-    { opening: 'failed', hasLostConnection: true },
-    'ended',
-  ],
-  ['one that does not answer is waited for', { opening: 'pending' }, 'undecided'],
-  [
-    'one that does not answer runs if an older connection stays open',
-    { opening: 'pending', hasOlderConnection: true, waitedMs: SETTLE_MS },
-    'running',
-  ],
-];
-
-t.test('whether the process of an endpoint outlives the end of a connection', async (t2) => {
-  for (const [name, evidence, life] of CASES)
-    t2.equal(decideEndpointLife({ ...BASE, ...evidence }), life, name);
-});
-
-// Guards against half of a body that counts as whole because of a transfer coding that is not chunked.
-t.test('a response shows its end by a length, by chunks or by having no body', async (t2) => {
-  t2.ok(isFramed('GET', 200, { 'content-length': '5' }));
-  t2.ok(isFramed('GET', 200, { 'transfer-encoding': 'chunked' }));
-  t2.ok(isFramed('GET', 200, { 'transfer-encoding': 'gzip, Chunked' }));
-  t2.ok(isFramed('HEAD', 200, {}));
-  t2.ok(isFramed('GET', 204, {}));
-  t2.ok(isFramed('GET', 304, {}));
-  t2.notOk(isFramed('GET', 200, {}));
-  t2.notOk(isFramed('GET', 200, { 'transfer-encoding': 'gzip' }));
-  t2.notOk(isFramed('GET', 200, { 'transfer-encoding': 'chunked, gzip' }));
-  t2.notOk(isFramed('GET', 200, { 'transfer-encoding': 'identity', 'content-length': '5' }));
-});
+import { LISTENER_CLOSE_MS, SETTLE_MS } from './constants.js';
+import { ConnectionPool, type EndpointLife, type Exchange } from './index.js';
 
 const HEAD = 'HTTP/1.1 200 OK\r\n';
 const MAX_CONNECTIONS = 4;
+const MAX_BUFFERED_BYTES = 1_048_576;
 const RESPONSES = {
+  endless: `${HEAD}\r\n${'x'.repeat(MAX_BUFFERED_BYTES)}`,
   unframed: `${HEAD}\r\nbody`,
   framed: `${HEAD}Content-Length: 4\r\n\r\nbody`,
 } as const;
@@ -117,6 +18,7 @@
 const startEndpoint = async (t2: Test) => {
   const sockets = new Set<Socket>();
   let connections = 0;
+  let closesAtOnce = false;
   const server: Server = createServer((socket) => {
     connections += 1;
     sockets.add(socket);
@@ -124,9 +26,13 @@
     socket.once('close', () => sockets.delete(socket));
     socket.on('data', (bytes) => {
       if (bytes.includes('/unframed')) socket.end(RESPONSES.unframed);
+      else if (bytes.includes('/late'))
+        setTimeout(() => socket.end(RESPONSES.unframed), LISTENER_CLOSE_MS / 3);
       else if (bytes.includes('/reset')) socket.resetAndDestroy();
-      else socket.write(RESPONSES.framed);
+      else if (bytes.includes('/endless')) socket.write(RESPONSES.endless);
+      else if (!bytes.includes('/silent')) socket.write(RESPONSES.framed);
     });
+    if (closesAtOnce) socket.resetAndDestroy();
   });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
@@ -139,18 +45,38 @@
     server.close();
     closeConnections();
   };
+  /** Closes everything within the call, as the kernel does for a process that is killed. */
+  const kill = () => {
+    server.close();
+    for (const socket of sockets) socket.destroy();
+  };
   t2.teardown(end);
   return {
     address: `127.0.0.1:${port}`,
     closeConnections,
     end,
+    kill,
+    resetNewConnections: () => {
+      closesAtOnce = true;
+    },
     countConnections: () => connections,
   };
 };
 
-type Answer = keyof typeof RESPONSES | 'reset';
+type Answer = keyof typeof RESPONSES | 'late' | 'reset' | 'silent';
+
+interface SendOptions {
+  readonly maxConnections?: number;
+  /** Whether the response is not read beyond its first bytes. */
+  readonly isPaused?: boolean;
+}
 
-const send = async (pool: ConnectionPool, address: string, answer: Answer): Promise<string> =>
+const send = async (
+  pool: ConnectionPool,
+  address: string,
+  answer: Answer,
+  { maxConnections = MAX_CONNECTIONS, isPaused = false }: SendOptions = {},
+): Promise<string> =>
   new Promise((resolve) => {
     const request = {
       method: 'GET',
@@ -159,10 +85,12 @@
       body: undefined,
       isRepeat: false,
     };
-    pool.send('i-1', address, MAX_CONNECTIONS, request, {
+    const exchange: Exchange | undefined = pool.send('i-1', address, maxConnections, request, {
       canSend: () => true,
       onHeaders: () => undefined,
-      onData: () => undefined,
+      onData: () => {
+        if (isPaused) exchange?.pause();
+      },
       // The connection is released in a later turn of the event loop.
       onEnd: ({ type }) => setImmediate(() => setImmediate(() => resolve(type))),
       onFailure: ({ type }) => resolve(type),
@@ -170,7 +98,7 @@
   });
 
 const check = async (pool: ConnectionPool, address: string): Promise<EndpointLife> =>
-  pool.checkEndpoint('i-1', address, MAX_CONNECTIONS, 0);
+  pool.checkEndpoint('i-1', address, 0);
 
 t.test(
   'an endpoint that runs keeps the connection of the check for its next request',
@@ -235,6 +163,66 @@
   t2.equal(await life, 'running');
 });
 
+// Guards against whole answers that are cut because the endpoint has too many connections for another one.
+t.test('an endpoint that resets an exchange and surplus connections runs', async (t2) => {
+  const endpoint = await startEndpoint(t2);
+  const pool = ConnectionPool.create();
+  t2.teardown(() => pool.closeAll());
+  const reset = send(pool, endpoint.address, 'reset');
+  t2.equal(await send(pool, endpoint.address, 'unframed'), 'connection');
+  t2.equal(await reset, 'broken');
+  endpoint.resetNewConnections();
+  t2.equal(await check(pool, endpoint.address), 'running');
+});
+
+// Guards against whole answers that are cut because other requests have taken the places of their connections.
+t.test('an endpoint whose connections are all in use again runs', async (t2) => {
+  const endpoint = await startEndpoint(t2);
+  const pool = ConnectionPool.create();
+  t2.teardown(() => pool.closeAll());
+  const options = { maxConnections: 2 };
+  const lives: Promise<EndpointLife>[] = [];
+  const sendUnframed = async (answer: 'late' | 'unframed') => {
+    t2.equal(await send(pool, endpoint.address, answer, options), 'connection');
+    lives.push(check(pool, endpoint.address));
+  };
+  await Promise.all([sendUnframed('unframed'), sendUnframed('late')]);
+  const held = [1, 2].map(async () => send(pool, endpoint.address, 'silent', options));
+  t2.strictSame(await Promise.all(lives), ['running', 'running']);
+  pool.closeAll();
+  t2.strictSame(await Promise.all(held), ['broken', 'broken']);
+});
+
+// Guards against half of a stream that counts as whole because the end of another one is behind bytes that its caller
+// doesn't read.
+t.test('a connection that is not read does not show that its endpoint runs', async (t2) => {
+  const endpoint = await startEndpoint(t2);
+  const pool = ConnectionPool.create();
+  t2.teardown(() => pool.closeAll());
+  const held = send(pool, endpoint.address, 'endless', { isPaused: true });
+  await sleep(LISTENER_CLOSE_MS);
+  t2.equal(await send(pool, endpoint.address, 'unframed'), 'connection');
+  endpoint.kill();
+  t2.equal(await check(pool, endpoint.address), 'ended');
+  pool.closeAll();
+  t2.equal(await held, 'broken');
+});
+
+// Guards against half of a stream that counts as whole because the ends of other connections are read late.
+t.test('a delay of the event loop does not show that an endpoint runs', async (t2) => {
+  const endpoint = await startEndpoint(t2);
+  const pool = ConnectionPool.create();
+  t2.teardown(() => pool.closeAll());
+  const held = send(pool, endpoint.address, 'silent');
+  t2.equal(await send(pool, endpoint.address, 'unframed'), 'connection');
+  const life = check(pool, endpoint.address);
+  endpoint.kill();
+  const endMs = performance.now() + 2 * SETTLE_MS;
+  while (performance.now() < endMs);
+  t2.equal(await life, 'ended');
+  t2.equal(await held, 'broken');
+});
+
 // Guards against a connection for each of many streams that end together.
 t.test('ends that are read together share a check', async (t2) => {
   const endpoint = await startEndpoint(t2);
--- a/packages/exchange/src/endpointCheck.ts
+++ b/packages/exchange/src/endpointCheck.ts
@@ -1,4 +1,4 @@
-import { setTimeout as sleep } from 'node:timers/promises';
+import { setImmediate as waitForTurn, setTimeout as sleep } from 'node:timers/promises';
 import type { Clock } from '@lovagearch/common';
 import {
   CLOSE_SPREAD_MS,
@@ -7,7 +7,12 @@
   SHARED_CHECK_MS,
 } from './constants.js';
 import type { EndpointConnection } from './endpointConnection.js';
-import { decideEndpointLife, type EndpointLife, type OpeningResult } from './endpointLife.js';
+import {
+  decideEndpointLife,
+  type EndpointLife,
+  type EndpointLifeDecision,
+  type OpeningResult,
+} from './endpointLife.js';
 
 /** The connections of one endpoint, as a check sees them. */
 export interface CheckedConnections {
@@ -15,8 +20,8 @@
   readonly create: () => EndpointConnection | undefined;
   /** Hands over a connection that the check has opened, for the next request. */
   readonly release: (connection: EndpointConnection) => void;
-  /** Whether a connection is open that was established before a clock reading. */
-  readonly hasOlderThan: (atMs: number) => boolean;
+  /** Whether a connection is open that was established before a clock reading and is read, or isn't. */
+  readonly hasOlderThan: (atMs: number, isRead: boolean) => boolean;
   /** Whether the endpoint has closed or reset a connection since a clock reading. */
   readonly hasLostSince: (atMs: number) => boolean;
 }
@@ -26,17 +31,24 @@
  * read together share a check.
  */
 export class EndpointCheck {
-  /** What became of the connection that the check opens; undefined before it does. */
+  /** What became of the connection that the check opened last; undefined before it opens one. */
   private opening: OpeningResult | undefined;
 
+  private connection: EndpointConnection | undefined;
+
+  /** Resolves when the opening is no longer pending. */
+  private opened: Promise<void> | undefined;
+
+  private hasAcceptedBefore = false;
+
+  /** Time for which the connections have been watched since the last opening, in milliseconds. */
+  private watchedMs = 0;
+
   /** Clock reading at which the first end was read. */
   private readonly startMs: number;
 
   private openedAtMs: number | undefined;
 
-  /** The connection that the check opens; undefined before it does, or if the address is not usable. */
-  private connection: EndpointConnection | undefined;
-
   private readonly result: Promise<EndpointLife>;
 
   private constructor(
@@ -68,37 +80,64 @@
   private async run(): Promise<EndpointLife> {
     // The listener of a process that is killed accepts connections until the kernel has closed it.
     await sleep(LISTENER_CLOSE_MS);
-    this.openedAtMs = this.clock.nowMs();
-    const connection = this.connections.create();
-    this.connection = connection;
-    this.opening = connection === undefined ? 'failed' : 'pending';
-    const opened = connection?.open().then((result) => {
-      this.opening = result;
-    });
+    this.open();
     for (;;) {
-      const opening = this.opening ?? 'pending';
-      const life = this.decide(opening);
-      if (life === 'undecided') {
-        const wait = sleep(EVIDENCE_INTERVAL_MS);
-        await (opening === 'pending' ? Promise.race([opened, wait]) : wait);
-        continue;
+      const decision = this.decide();
+      switch (decision) {
+        case 'reopen':
+          this.hasAcceptedBefore = true;
+          this.open();
+          break;
+        case 'undecided':
+          await this.watch();
+          break;
+        default:
+          this.finish(decision);
+          return decision;
       }
-      if (life === 'ended' || connection?.isEstablished !== true) connection?.close();
-      else this.connections.release(connection);
-      return life;
     }
   }
 
-  private decide(opening: OpeningResult): EndpointLife | 'undecided' {
+  private open(): void {
+    this.openedAtMs = this.clock.nowMs();
+    this.connection = this.connections.create();
+    this.opening = this.connection === undefined ? 'failed' : 'pending';
+    this.opened = this.connection?.open().then((result) => {
+      this.opening = result;
+      this.watchedMs = 0;
+    });
+  }
+
+  /** Waits until there may be more evidence. */
+  private async watch(): Promise<void> {
+    const wait = sleep(EVIDENCE_INTERVAL_MS);
+    if (this.opening === 'pending') {
+      await Promise.race([this.opened, wait]);
+      if (this.opening !== 'pending') return;
+    } else await wait;
+    // After a delay of the event loop, timers expire before the ends of connections are read.
+    await waitForTurn();
+    this.watchedMs += EVIDENCE_INTERVAL_MS;
+  }
+
+  private finish(life: EndpointLife): void {
+    const { connection } = this;
+    if (life === 'ended' || connection?.isEstablished !== true) connection?.close();
+    else this.connections.release(connection);
+  }
+
+  private decide(): EndpointLifeDecision {
     const nowMs = this.clock.nowMs();
     const { arrivedSinceMs, connection, connections, openedAtMs = nowMs, startMs } = this;
     return decideEndpointLife({
-      opening,
+      opening: this.opening ?? 'pending',
       hasOpenedConnection: connection?.isEstablished === true,
-      hasOlderConnection: connections.hasOlderThan(arrivedSinceMs),
+      hasAcceptedBefore: this.hasAcceptedBefore,
+      hasOlderConnection: connections.hasOlderThan(arrivedSinceMs, true),
+      hasUnreadConnection: connections.hasOlderThan(arrivedSinceMs, false),
       hasLostConnection: connections.hasLostSince(startMs - CLOSE_SPREAD_MS),
       openedAfterMs: openedAtMs - arrivedSinceMs,
-      waitedMs: nowMs - startMs,
+      watchedMs: this.watchedMs,
     });
   }
 }
--- a/packages/exchange/src/endpointConnection.ts
+++ b/packages/exchange/src/endpointConnection.ts
@@ -88,6 +88,8 @@
   /** Body bytes of the current exchange. */
   private bodyBytes = 0;
 
+  private hasPausedReading: () => boolean = () => false;
+
   private failExchange: ((error: Error) => void) | undefined;
 
   /** Resumes reading, however it was paused. */
@@ -143,6 +145,11 @@
     return this.isUsable && this.socket?.connecting === false;
   }
 
+  /** Whether the end of the connection would be noticed; an exchange that is paused leaves it unread. */
+  get isRead(): boolean {
+    return !this.hasPausedReading();
+  }
+
   /** Whether the connection is open and was established before a clock reading. */
   isOlderThan(atMs: number): boolean {
     return this.isEstablished && this.establishedAtMs !== undefined && this.establishedAtMs < atMs;
@@ -223,6 +230,7 @@
     this.receivedBeforeBytes = this.socket?.bytesRead ?? 0;
     this.bodyBytes = 0;
     this.failExchange = fail;
+    this.hasPausedReading = () => !isSettled && (isPausedByListener || reader.isPaused);
     this.resumeReading = () => controller?.resume();
     let hasFramedEnd = true;
     const handler: Dispatcher.DispatchHandler = {
--- a/packages/exchange/src/endpointLife.ts
+++ b/packages/exchange/src/endpointLife.ts
@@ -1,21 +1,26 @@
-import { MIN_RESTART_MS, SETTLE_MS } from './constants.js';
+import { MIN_RESTART_MS, SETTLE_MS, UNREAD_SETTLE_MS } from './constants.js';
 
 /** What became of a connection that was opened to find out whether an endpoint still runs. */
 export type OpeningResult = 'accepted' | 'failed' | 'pending' | 'refused';
 
 /** What the connections of an endpoint say after one of them has ended together with its response. */
 export interface ConnectionEvidence {
+  /** What became of the connection that was opened last. */
   readonly opening: OpeningResult;
-  /** Whether the connection that was opened is still open. */
+  /** Whether that connection is still open. */
   readonly hasOpenedConnection: boolean;
-  /** Whether a connection is open that was established before the end can have arrived. */
+  /** Whether the endpoint accepted another one before that and closed it. */
+  readonly hasAcceptedBefore: boolean;
+  /** Whether a connection is open and read that was established before the end can have arrived. */
   readonly hasOlderConnection: boolean;
+  /** Whether such a connection isn't read at the moment, so that its end would not be noticed. */
+  readonly hasUnreadConnection: boolean;
   /** Whether the endpoint has closed or reset another connection at the time of the end, or since. */
   readonly hasLostConnection: boolean;
   /** Longest time between the arrival of the end and the opening, in milliseconds. */
   readonly openedAfterMs: number;
-  /** Time since the end was read, in milliseconds. */
-  readonly waitedMs: number;
+  /** Time for which all connections have been watched since the opening, in milliseconds. */
+  readonly watchedMs: number;
 }
 
 /**
@@ -24,44 +29,51 @@
  */
 export type EndpointLife = 'ended' | 'running' | 'unknown';
 
+/** `reopen`: another connection has to be opened. `undecided`: there will be more evidence. */
+export type EndpointLifeDecision = EndpointLife | 'reopen' | 'undecided';
+
+/** Decides by the connections that are older than the end. */
+const decideByOlderConnections = ({
+  hasOlderConnection,
+  hasUnreadConnection,
+  watchedMs,
+}: ConnectionEvidence): 'none' | 'running' | 'undecided' => {
+  // An older connection that is still open may end a moment later.
+  if (hasOlderConnection) return watchedMs >= SETTLE_MS ? 'running' : 'undecided';
+  return hasUnreadConnection && watchedMs < UNREAD_SETTLE_MS ? 'undecided' : 'none';
+};
+
 /**
- * Decides whether the process of an endpoint outlives the end of a connection, or returns `undecided` until there is
- * more evidence. When a process ends, its kernel closes all of its connections and listeners within milliseconds. A
+ * Decides whether the process of an endpoint outlives the end of a connection. When a process ends, its kernel closes
+ * all of its connections and listeners within milliseconds, and resets the connections that a listener has accepted. A
  * listener that accepts later belongs to the same process, unless there was time for a restart.
  *
  * @example
  * const life = decideEndpointLife(evidence);
  * if (life === 'undecided') await waitForEvidence();
  */
-export const decideEndpointLife = ({
-  opening,
-  hasOpenedConnection,
-  hasOlderConnection,
-  hasLostConnection,
-  openedAfterMs,
-  waitedMs,
-}: ConnectionEvidence): EndpointLife | 'undecided' => {
-  // An older connection that is still open may end a moment later.
-  const hasSurvivor = hasOlderConnection && waitedMs >= SETTLE_MS;
-  const wasOpenedBeforeRestart = openedAfterMs < MIN_RESTART_MS;
-  switch (opening) {
+export const decideEndpointLife = (evidence: ConnectionEvidence): EndpointLifeDecision => {
+  const { hasLostConnection, watchedMs } = evidence;
+  const byOlder = decideByOlderConnections(evidence);
+  const canBeRestart = evidence.openedAfterMs >= MIN_RESTART_MS;
+  switch (evidence.opening) {
     case 'accepted':
       if (!hasLostConnection)
-        return wasOpenedBeforeRestart || hasOlderConnection ? 'running' : 'unknown';
-      // The endpoint may have closed the lost connection on its own, and its listener, when it closes, resets the
-      // connections that it has accepted.
-      if (!hasOlderConnection && !(hasOpenedConnection && wasOpenedBeforeRestart)) return 'ended';
-      return waitedMs >= SETTLE_MS ? 'running' : 'undecided';
+        return canBeRestart && !evidence.hasOlderConnection ? 'unknown' : 'running';
+      if (canBeRestart) return byOlder === 'none' ? 'ended' : byOlder;
+      // A running endpoint closes connections too: idle ones, surplus ones, and those of requests that failed.
+      if (evidence.hasAcceptedBefore) return 'running';
+      if (!evidence.hasOpenedConnection) return 'reopen';
+      return watchedMs >= SETTLE_MS ? 'running' : 'undecided';
     case 'refused':
       // An endpoint that is leaving takes no more connections and completes its responses.
-      if (!hasOlderConnection) return 'ended';
-      return hasSurvivor ? 'running' : 'undecided';
+      return byOlder === 'none' ? 'ended' : byOlder;
     case 'failed':
-      if (hasOlderConnection) return hasSurvivor ? 'running' : 'undecided';
+      if (byOlder !== 'none') return byOlder;
       return hasLostConnection ? 'ended' : 'unknown';
     case 'pending':
-      return hasSurvivor ? 'running' : 'undecided';
+      return byOlder === 'none' ? 'undecided' : byOlder;
     default:
-      return opening satisfies never;
+      return evidence.opening satisfies never;
   }
 };
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -398,17 +398,12 @@
     processingMs: number,
     unreadForMs: number,
   ): void {
-    const { endpoint, maxConnections } = this.input;
+    const { endpoint } = this.input;
     const { pool, onConnectionEnd } = this.dependencies;
     clearTimeout(this.stallTimer);
     this.recordCompletion({ type: 'answered', isFailure: head.status >= 500, processingMs });
     pool
-      .checkEndpoint(
-        getEndpointStartKey(endpoint),
-        endpoint.record.address,
-        maxConnections,
-        unreadForMs,
-      )
+      .checkEndpoint(getEndpointStartKey(endpoint), endpoint.record.address, unreadForMs)
       .then((found) => {
         const life = this.dependencies.isReplaced(endpoint) ? 'ended' : found;
         onConnectionEnd(life);
