--- a/packages/exchange/src/connectionPool.ts
+++ b/packages/exchange/src/connectionPool.ts
@@ -94,7 +94,7 @@
    *
    * @param endpointId the id that the request was sent with
    * @param unreadForMs time for which the end may have waited until it was read, as `ResponseEnd` has it
-   * @returns after 15 ms and a round trip as a rule, and after the connect timeout at most
+   * @returns after 15 ms and a round trip as a rule, and after two connect timeouts at most
    * @example
    * const life = await pool.checkEndpoint('i-7f3a', '10.1.2.3:8080', end.unreadForMs);
    * if (life !== 'running') return resumeElsewhere();
--- a/packages/exchange/src/endpointCheck.ts
+++ b/packages/exchange/src/endpointCheck.ts
@@ -20,7 +20,7 @@
   readonly create: () => EndpointConnection | undefined;
   /** Hands over a connection that the check has opened, for the next request. */
   readonly release: (connection: EndpointConnection) => void;
-  /** Whether a connection is open that was established before a clock reading and is read, or isn't. */
+  /** Whether a connection is open that was established before a clock reading and that `isRead` applies to. */
   readonly hasOlderThan: (atMs: number, isRead: boolean) => boolean;
   /** Whether the endpoint has closed or reset a connection since a clock reading. */
   readonly hasLostSince: (atMs: number) => boolean;
@@ -39,6 +39,7 @@
   /** Resolves when the opening is no longer pending. */
   private opened: Promise<void> | undefined;
 
+  /** Whether the endpoint accepted the connection before the last one, and closed it. */
   private hasAcceptedBefore = false;
 
   /** Time for which the connections have been watched since the last opening, in milliseconds. */
