Pass a reset on as a reset in the proxy of the stand-ins

Endpoints that cut an answer with neither a length nor chunks reset its connection, and the gateway read an end.

Cause: Node.js reports a reset that arrives together with bytes as an end, and the proxy ended the caller's connection in turn.

--- a/packages/proving/src/faultProxy.ts
+++ b/packages/proving/src/faultProxy.ts
@@ -113,12 +113,19 @@
       this.forward(caller, chunk, this.options.towardsCaller);
     });
     for (const socket of [caller, target]) {
+      let wasReset = false;
       socket.on('error', () => this.closeConnection(connection));
+      // Node.js reports a reset that arrives together with bytes as an end, behind which there is no remote port.
+      socket.on('end', () => {
+        wasReset = socket.remotePort === undefined;
+      });
       socket.on('close', () => {
         // A connection that went silent must look alive to both ends, so its end is not passed on;
         // neither is one behind lost bytes, which TCP would never deliver.
         const isUnseen = connection.isSilent || (socket === target && connection.hasLostBytes);
-        if (!isUnseen) this.closeAfterDelay(connection);
+        if (isUnseen) return;
+        if (wasReset) this.closeConnection(connection);
+        else this.closeAfterDelay(connection);
       });
     }
   }
