Take an endpoint that loses all of its connections for one that has ended, whoever accepts

Cause: a connection that is accepted and stays open shows that a listener lives, not that the process does.

Change: a loss counts again at once, but only if it came after the request was sent, since the endpoint has answered the request.

--- a/packages/exchange/src/connectionPool.ts
+++ b/packages/exchange/src/connectionPool.ts
@@ -1,6 +1,6 @@
 import { ReadPacer } from '@lovagearch/bounded-http';
 import { BoundedMap, parseSocketAddress, processClock } from '@lovagearch/common';
-import { EndpointCheck } from './endpointCheck.js';
+import { type ConnectionEnd, EndpointCheck } from './endpointCheck.js';
 import { type ConnectionDependencies, EndpointConnection } from './endpointConnection.js';
 import type { EndpointLife } from './endpointLife.js';
 import type { EndpointRequest, Exchange, ExchangeListener } from './types.js';
@@ -93,15 +93,14 @@
    * response. A new connection takes the place of that one, and serves the next request if the endpoint accepts it.
    *
    * @param endpointId the id that the request was sent with
-   * @param unreadForMs time for which the end may have waited until it was read, as `ResponseEnd` has it
    * @returns after 15 ms and a round trip as a rule, and after two connect timeouts at most
    * @example
-   * const life = await pool.checkEndpoint('i-7f3a', '10.1.2.3:8080', end.unreadForMs);
+   * const life = await pool.checkEndpoint('i-7f3a', '10.1.2.3:8080', { sentAtMs, unreadForMs });
    * if (life !== 'running') return resumeElsewhere();
    */
-  checkEndpoint(endpointId: string, address: string, unreadForMs: number): Promise<EndpointLife> {
+  checkEndpoint(endpointId: string, address: string, end: ConnectionEnd): Promise<EndpointLife> {
     const known = this.checks.get(endpointId);
-    if (known?.canBeShared === true) return known.waitForResult(unreadForMs);
+    if (known?.canBeShared === true) return known.waitForResult(end);
     const check = EndpointCheck.create(
       {
         // It takes the place of the connection that has ended, which another request may have taken already.
@@ -112,10 +111,10 @@
           (this.lossTimes.peek(endpointId) ?? Number.NEGATIVE_INFINITY) >= atMs,
       },
       this.dependencies.clock,
-      unreadForMs,
+      end,
     );
     this.checks.set(endpointId, check);
-    const result = check.waitForResult(unreadForMs);
+    const result = check.waitForResult(end);
     return result.finally(() => {
       if (this.checks.get(endpointId) === check) this.checks.delete(endpointId);
     });
--- a/packages/exchange/src/endpointCheck.ts
+++ b/packages/exchange/src/endpointCheck.ts
@@ -7,12 +7,15 @@
   SHARED_CHECK_MS,
 } from './constants.js';
 import type { EndpointConnection } from './endpointConnection.js';
-import {
-  decideEndpointLife,
-  type EndpointLife,
-  type EndpointLifeDecision,
-  type OpeningResult,
-} from './endpointLife.js';
+import { decideEndpointLife, type EndpointLife, type OpeningResult } from './endpointLife.js';
+
+/** The end of a connection that ended together with its response. */
+export interface ConnectionEnd {
+  /** Clock reading at which the request was sent, or an earlier one. */
+  readonly sentAtMs: number;
+  /** Time for which the end may have waited until it was read, in milliseconds. */
+  readonly unreadForMs: number;
+}
 
 /** The connections of one endpoint, as a check sees them. */
 export interface CheckedConnections {
@@ -31,7 +34,7 @@
  * read together share a check.
  */
 export class EndpointCheck {
-  /** What became of the connection that the check opened last; undefined before it opens one. */
+  /** What became of the connection that the check opens; undefined before it does. */
   private opening: OpeningResult | undefined;
 
   private connection: EndpointConnection | undefined;
@@ -39,10 +42,7 @@
   /** Resolves when the opening is no longer pending. */
   private opened: Promise<void> | undefined;
 
-  /** Whether the endpoint accepted the connection before the last one, and closed it. */
-  private hasAcceptedBefore = false;
-
-  /** Time for which the connections have been watched since the last opening, in milliseconds. */
+  /** Time for which the connections have been watched since the opening, in milliseconds. */
   private watchedMs = 0;
 
   /** Clock reading at which the first end was read. */
@@ -57,14 +57,19 @@
     private readonly clock: Clock,
     /** Clock reading at which an end can have arrived, at the earliest. */
     private arrivedSinceMs: number,
+    /** Clock reading of a request that the endpoint has answered, so that it outlived what it lost before. */
+    private sentAtMs: number,
   ) {
     this.startMs = clock.nowMs();
     this.result = this.run();
   }
 
-  /** @param unreadForMs time for which the end may have waited until it was read, in milliseconds */
-  static create(connections: CheckedConnections, clock: Clock, unreadForMs: number): EndpointCheck {
-    return new EndpointCheck(connections, clock, clock.nowMs() - unreadForMs);
+  static create(
+    connections: CheckedConnections,
+    clock: Clock,
+    { sentAtMs, unreadForMs }: ConnectionEnd,
+  ): EndpointCheck {
+    return new EndpointCheck(connections, clock, clock.nowMs() - unreadForMs, sentAtMs);
   }
 
   /** Whether an end that is read now can share the check. */
@@ -73,8 +78,9 @@
   }
 
   /** Returns the result for an end, which shares the check if `canBeShared`. */
-  waitForResult(unreadForMs: number): Promise<EndpointLife> {
+  waitForResult({ sentAtMs, unreadForMs }: ConnectionEnd): Promise<EndpointLife> {
     this.arrivedSinceMs = Math.min(this.arrivedSinceMs, this.clock.nowMs() - unreadForMs);
+    this.sentAtMs = Math.max(this.sentAtMs, sentAtMs);
     return this.result;
   }
 
@@ -83,19 +89,13 @@
     await sleep(LISTENER_CLOSE_MS);
     this.open();
     for (;;) {
-      const decision = this.decide();
-      switch (decision) {
-        case 'reopen':
-          this.hasAcceptedBefore = true;
-          this.open();
-          break;
-        case 'undecided':
-          await this.watch();
-          break;
-        default:
-          this.finish(decision);
-          return decision;
+      const life = this.decide();
+      if (life === 'undecided') {
+        await this.watch();
+        continue;
       }
+      this.finish(life);
+      return life;
     }
   }
 
@@ -127,16 +127,14 @@
     else this.connections.release(connection);
   }
 
-  private decide(): EndpointLifeDecision {
+  private decide(): EndpointLife | 'undecided' {
     const nowMs = this.clock.nowMs();
-    const { arrivedSinceMs, connection, connections, openedAtMs = nowMs, startMs } = this;
+    const { arrivedSinceMs, connections, openedAtMs = nowMs, sentAtMs, startMs } = this;
     return decideEndpointLife({
       opening: this.opening ?? 'pending',
-      hasOpenedConnection: connection?.isEstablished === true,
-      hasAcceptedBefore: this.hasAcceptedBefore,
       hasOlderConnection: connections.hasOlderThan(arrivedSinceMs, true),
       hasUnreadConnection: connections.hasOlderThan(arrivedSinceMs, false),
-      hasLostConnection: connections.hasLostSince(startMs - CLOSE_SPREAD_MS),
+      hasLostConnection: connections.hasLostSince(Math.max(startMs - CLOSE_SPREAD_MS, sentAtMs)),
       openedAfterMs: openedAtMs - arrivedSinceMs,
       watchedMs: this.watchedMs,
     });
--- a/packages/exchange/src/endpointLife.ts
+++ b/packages/exchange/src/endpointLife.ts
@@ -5,17 +5,12 @@
 
 /** What the connections of an endpoint say after one of them has ended together with its response. */
 export interface ConnectionEvidence {
-  /** What became of the connection that was opened last. */
   readonly opening: OpeningResult;
-  /** Whether that connection is still open. */
-  readonly hasOpenedConnection: boolean;
-  /** Whether the endpoint accepted another one before that and closed it. */
-  readonly hasAcceptedBefore: boolean;
   /** Whether a connection is open and read that was established before the end can have arrived. */
   readonly hasOlderConnection: boolean;
   /** Whether such a connection isn't read at the moment, so that its end would not be noticed. */
   readonly hasUnreadConnection: boolean;
-  /** Whether the endpoint has closed or reset another connection at the time of the end, or since. */
+  /** Whether the endpoint has closed or reset another connection at the time of the end, or since, and after the request. */
   readonly hasLostConnection: boolean;
   /** Longest time between the arrival of the end and the opening, in milliseconds. */
   readonly openedAfterMs: number;
@@ -29,9 +24,6 @@
  */
 export type EndpointLife = 'ended' | 'running' | 'unknown';
 
-/** `reopen`: another connection has to be opened. `undecided`: there will be more evidence. */
-export type EndpointLifeDecision = EndpointLife | 'reopen' | 'undecided';
-
 /** Decides by the connections that are older than the end. */
 const decideByOlderConnections = ({
   hasOlderConnection,
@@ -45,26 +37,23 @@
 
 /**
  * Decides whether the process of an endpoint outlives the end of a connection. When a process ends, its kernel closes
- * all of its connections and listeners within milliseconds, and resets the connections that a listener has accepted. A
- * listener that accepts later belongs to the same process, unless there was time for a restart.
+ * all of its connections and listeners within milliseconds. A listener that accepts later belongs to the same process,
+ * unless there was time for a restart. Returns `undecided` until there is more evidence.
  *
  * @example
  * const life = decideEndpointLife(evidence);
  * if (life === 'undecided') await waitForEvidence();
  */
-export const decideEndpointLife = (evidence: ConnectionEvidence): EndpointLifeDecision => {
-  const { hasLostConnection, watchedMs } = evidence;
+export const decideEndpointLife = (evidence: ConnectionEvidence): EndpointLife | 'undecided' => {
+  const { hasLostConnection } = evidence;
   const byOlder = decideByOlderConnections(evidence);
-  const canBeRestart = evidence.openedAfterMs >= MIN_RESTART_MS;
   switch (evidence.opening) {
     case 'accepted':
-      if (!hasLostConnection)
-        return canBeRestart && !evidence.hasOlderConnection ? 'unknown' : 'running';
-      if (canBeRestart) return byOlder === 'none' ? 'ended' : byOlder;
-      // A running endpoint closes connections too: idle ones, surplus ones, and those of requests that failed.
-      if (evidence.hasAcceptedBefore) return 'running';
-      if (!evidence.hasOpenedConnection) return 'reopen';
-      return watchedMs >= SETTLE_MS ? 'running' : 'undecided';
+      // A proxy or another worker may accept for a process that has ended, whose connections are all lost.
+      if (hasLostConnection) return byOlder === 'none' ? 'ended' : byOlder;
+      return evidence.openedAfterMs < MIN_RESTART_MS || evidence.hasOlderConnection
+        ? 'running'
+        : 'unknown';
     case 'refused':
       // An endpoint that is leaving takes no more connections and completes its responses.
       return byOlder === 'none' ? 'ended' : byOlder;
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -403,7 +403,10 @@
     clearTimeout(this.stallTimer);
     this.recordCompletion({ type: 'answered', isFailure: head.status >= 500, processingMs });
     pool
-      .checkEndpoint(getEndpointStartKey(endpoint), endpoint.record.address, unreadForMs)
+      .checkEndpoint(getEndpointStartKey(endpoint), endpoint.record.address, {
+        sentAtMs: this.startMs,
+        unreadForMs,
+      })
       .then((found) => {
         const life = this.dependencies.isReplaced(endpoint) ? 'ended' : found;
         onConnectionEnd(life);
