Leave a request in the queue of a working engine instead of withdrawing it twice

The stall check cancelled first and looked for another endpoint afterwards.

Change: decideFirstEventWait looks at the responses that peers reported as well, and withdraws a request without a first event only from an endpoint that nobody has heard from within the stall limit, or for one that answers earlier by more than the cost of the move. A stream is withdrawn once at most, and a request that can't be sent elsewhere stays. After the first event nothing changes.

--- a/packages/endpoints/src/constants.ts
+++ b/packages/endpoints/src/constants.ts
@@ -89,3 +89,10 @@
  * taken for seconds, would take the endpoint away for good; an endpoint that wants no requests leaves instead.
  */
 export const MAX_HOLD_MS = 600_000;
+/** Interval at which a request in the queue of an endpoint is compared with its alternatives, in milliseconds. */
+export const FIRST_EVENT_RECHECK_MS = 300;
+/**
+ * Time by which another endpoint has to answer a queued request earlier, in milliseconds, in addition to the work that
+ * is lost: the errors of two forecasts of queues, each of about three prompts.
+ */
+export const MOVE_MARGIN_MS = 200;
--- a/packages/endpoints/src/endpoint.ts
+++ b/packages/endpoints/src/endpoint.ts
@@ -59,6 +59,9 @@
   /** Clock reading of the last bytes received from the endpoint, on any request. */
   lastBytesAtMs = Number.NEGATIVE_INFINITY;
 
+  /** Clock reading of the last response of the endpoint that a peer reported. */
+  lastPeerResponseAtMs = Number.NEGATIVE_INFINITY;
+
   /** Requests of this process without a first byte, in the order in which they were sent. */
   private readonly waiting = new Set<SentRequest>();
 
@@ -167,6 +170,7 @@
 
   /** Records a load report that a peer received, unless a newer one is known. */
   recordPeerReport(report: LoadReport, reportedAtMs: number): void {
+    this.lastPeerResponseAtMs = Math.max(this.lastPeerResponseAtMs, reportedAtMs);
     if (reportedAtMs <= this.reportedAtMs) return;
     this.report = report;
     this.reportedAtMs = reportedAtMs;
@@ -319,6 +323,20 @@
     );
   }
 
+  /**
+   * Estimates the time until a request that already waits is answered, in milliseconds. Unlike `estimateWaitMs`, it
+   * counts only work that is known to be queued, so it is low rather than high.
+   */
+  estimateRemainingWaitMs(sent: SentRequest, nowMs: number): number {
+    let { pendingTokens } = this;
+    for (const { entry } of this.listPeerLoads(nowMs)) pendingTokens += entry.pendingTokens;
+    return Math.max(
+      sent.sentAtMs + sent.ownMs + sent.expectedWaitMs - nowMs,
+      this.estimateRequests(nowMs).waiting * WAITING_REQUEST_DELAY_MS,
+      pendingTokens / (this.timings.prefillTokensPerMs * BUSY_PREFILL_SHARE),
+    );
+  }
+
   private listPeerLoads(nowMs: number): PeerLoad[] {
     const recent: PeerLoad[] = [];
     for (const [peer, load] of this.peerLoads) {
--- a/packages/endpoints/src/index.ts
+++ b/packages/endpoints/src/index.ts
@@ -8,6 +8,7 @@
 export * from './endpointAvailability.js';
 export * from './endpointStatements.js';
 export * from './endpointTable.js';
+export * from './firstEventWait.js';
 export * from './leavingNotice.js';
 export * from './loadDigest.js';
 export * from './promptCacheEstimator.js';
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,6 +1,14 @@
 import { BodyBuffer, type MemoryBudget } from '@lovagearch/bounded-http';
 import { type Clock, getErrorMessage } from '@lovagearch/common';
-import type { Endpoint, EndpointOutcome, Placement, SentRequest } from '@lovagearch/endpoints';
+import {
+  decideFirstEventWait,
+  type Endpoint,
+  type EndpointOutcome,
+  type FirstEventDecision,
+  type MoveOption,
+  type Placement,
+  type SentRequest,
+} from '@lovagearch/endpoints';
 import {
   type ConnectionPool,
   type EndpointLife,
@@ -79,12 +87,24 @@
   /** Called with the head of each response that belongs to this request. */
   readonly onResponseHead: (head: ResponseHead, sentAtMs: number) => void;
   readonly onWeights: (endpointId: string, model: string, version: number) => void;
+  /** Returns whether the request could be sent to another endpoint now. */
+  readonly findMove: () => MoveOption;
+  /** Called with each new decision about a request that waits for its first event, and what it is based on. */
+  readonly onFirstEventDecision: (decision: FirstEventDecision, ages: FirstEventAges) => void;
   /** Whether another start of the endpoint's process is registered in its place. */
   readonly isReplaced: (endpoint: Endpoint) => boolean;
   /** Called with what is known of the endpoint after a response that ended with its connection. */
   readonly onConnectionEnd: (life: EndpointLife) => void;
 }
 
+/** What a decision about a request that waits for its first event is based on, in milliseconds. */
+export interface FirstEventAges {
+  readonly waitedMs: number;
+  readonly silentMs: number;
+  readonly peerResponseAgeMs: number;
+  readonly remainingMs: number;
+}
+
 /** Why a response that ended with its connection may be incomplete. */
 const CONNECTION_END_REASONS = {
   ended: 'the endpoint ended together with its connection',
@@ -128,6 +148,9 @@
   /** Bytes of a body or an event that has not arrived completely, as far as they don't count as progress yet. */
   private trickledBytes = 0;
 
+  /** Why the request last stayed at a busy endpoint. */
+  private stayReason: string | undefined;
+
   private stallTimer: NodeJS.Timeout | undefined;
 
   private rejectionTimer: NodeJS.Timeout | undefined;
@@ -228,10 +251,49 @@
     const lastActivityMs = Math.max(this.lastProgressMs, endpoint.lastBytesAtMs);
     // While the caller does not read, the endpoint is silent because it is not read either.
     const silentMs = this.isPaused ? 0 : nowMs - lastActivityMs;
-    if (silentMs >= stallTimeoutMs) this.finish({ type: 'stalled' }, { type: 'transport_failed' });
+    if (!this.hasOutput && silentMs >= stallTimeoutMs)
+      this.checkFirstEventWait(nowMs, silentMs, stallTimeoutMs);
+    else if (silentMs >= stallTimeoutMs)
+      this.finish({ type: 'stalled' }, { type: 'transport_failed' });
     else this.scheduleStallCheck(stallTimeoutMs - silentMs);
   }
 
+  private checkFirstEventWait(nowMs: number, silentMs: number, stallTimeoutMs: number): void {
+    const { endpoint } = this.input;
+    const { findMove, onFirstEventDecision } = this.dependencies;
+    const peerResponseAgeMs = nowMs - endpoint.lastPeerResponseAtMs;
+    const remainingMs = endpoint.estimateRemainingWaitMs(this.sentRequest, nowMs);
+    const decision = decideFirstEventWait({
+      silentMs,
+      peerResponseAgeMs,
+      stallTimeoutMs,
+      remainingMs,
+      ownMs: this.sentRequest.ownMs,
+      findMove,
+    });
+    const ages = { waitedMs: nowMs - this.startMs, silentMs, peerResponseAgeMs, remainingMs };
+    switch (decision.type) {
+      case 'stay':
+        if (decision.reason !== this.stayReason) {
+          this.stayReason = decision.reason;
+          onFirstEventDecision(decision, ages);
+          // Other requests avoid the endpoint, although this one has no better place.
+          if (decision.isSilent) endpoint.recordTransportFailure(nowMs);
+        }
+        this.scheduleStallCheck(decision.recheckMs);
+        return;
+      case 'withdraw':
+        onFirstEventDecision(decision, ages);
+        this.finish(
+          { type: 'stalled' },
+          decision.reason === 'silent' ? { type: 'transport_failed' } : { type: 'cancelled' },
+        );
+        return;
+      default:
+        decision satisfies never;
+    }
+  }
+
   private handleHeaders(
     status: number,
     headers: Readonly<Record<string, string | string[] | undefined>>,
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -1,6 +1,12 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { setImmediate as nextLoopTurn } from 'node:timers/promises';
-import { type AttemptResult, decideNextStep, EventStreamFramer } from '@lovagearch/exchange';
+import type { MoveOption } from '@lovagearch/endpoints';
+import {
+  type AttemptResult,
+  decideNextStep,
+  EventStreamFramer,
+  type NextStep,
+} from '@lovagearch/exchange';
 import { chooseTarget, isRetryable, type Route } from '@lovagearch/traffic';
 import { createOverloadRefusal } from './createOverloadRefusal.js';
 import { CallerResponse } from './callerResponse.js';
@@ -96,6 +102,9 @@
   /** Number of attempts that may have run the request. */
   private possibleRunCount = 0;
 
+  /** Number of attempts that were withdrawn before their first event. */
+  private withdrawalCount = 0;
+
   private lastPlacement: PlacementResult | undefined;
 
   private readonly triedEndpointIds: string[] = [];
@@ -292,6 +301,7 @@
       remainingMs,
       isRepeat,
       callerResponse: this.callerResponse,
+      findMove: () => this.findMove(routedRequest),
       onFirstByte: (firstByteDelayMs) => {
         this.recordFirstByte(route);
         recordTransferTime(context, head, placement, reusePlan, firstByteDelayMs);
@@ -345,6 +355,7 @@
       this.handleStop(routedRequest);
       return undefined;
     }
+    if (outcome.type === 'stalled' && this.attempt?.hasOutput === false) this.withdrawalCount += 1;
     if (outcome.type !== 'not_run') this.possibleRunCount += 1;
     else if (outcome.weightMismatch !== undefined) {
       const { version } = outcome.weightMismatch;
@@ -360,19 +371,7 @@
     const next = this.chooseEndpoint(routedRequest);
     const budget = context.getRetryBudget(service);
     const nowMs = context.clock.nowMs();
-    const step = decideNextStep({
-      result,
-      isRetryable: isRetryable(route),
-      possibleRuns: this.possibleRunCount,
-      sends: this.sendCount,
-      maxPossibleRuns: route.maxAttempts,
-      remainingMs: this.timeLimitMs - this.getElapsedMs(),
-      expectedMs: next?.placement.expectedMs ?? 0,
-      hasAlternative: next !== undefined,
-      hasRetryBudget: budget.hasRetry(context.clusterState.nodeCount, nowMs),
-      hasResponseStarted: this.callerResponse.hasStarted,
-      hasUnnumberedEvents: this.framer?.hasUnnumberedEvents ?? false,
-    });
+    const step = this.decideStep(routedRequest, result, next, this.possibleRunCount);
     if (outcome.type !== 'answered' || step.type !== 'deliver') {
       logAttemptFailed(context, head, chosen, outcome, step, {
         sends: this.sendCount,
@@ -406,6 +405,45 @@
     }
   }
 
+  private decideStep(
+    { route, service }: RoutedRequest,
+    result: AttemptResult,
+    next: ChosenEndpoint | undefined,
+    possibleRuns: number,
+  ): NextStep {
+    const { clock, clusterState, getRetryBudget } = this.context;
+    return decideNextStep({
+      result,
+      isRetryable: isRetryable(route),
+      possibleRuns,
+      sends: this.sendCount,
+      maxPossibleRuns: route.maxAttempts,
+      remainingMs: this.timeLimitMs - this.getElapsedMs(),
+      expectedMs: next?.placement.expectedMs ?? 0,
+      hasAlternative: next !== undefined,
+      hasRetryBudget: getRetryBudget(service).hasRetry(clusterState.nodeCount, clock.nowMs()),
+      hasResponseStarted: this.callerResponse.hasStarted,
+      hasUnnumberedEvents: this.framer?.hasUnnumberedEvents ?? false,
+    });
+  }
+
+  /** Returns whether the attempt in progress could be withdrawn and the request sent to another endpoint. */
+  private findMove(routedRequest: RoutedRequest): MoveOption {
+    // A stream that was moved once has lost its place in two queues already.
+    if (routedRequest.route.kind === 'streaming' && this.withdrawalCount > 0)
+      return { type: 'blocked', reason: 'withdrawn before' };
+    const next = this.chooseEndpoint(routedRequest);
+    const step = this.decideStep(
+      routedRequest,
+      { type: 'stalled' },
+      next,
+      this.possibleRunCount + 1,
+    );
+    return step.type === 'retry' && next !== undefined
+      ? { type: 'possible', expectedMs: next.placement.expectedMs }
+      : { type: 'blocked', reason: step.type === 'deliver' ? 'answered' : step.reason };
+  }
+
   private recordFirstByte(route: Route): void {
     if (this.firstByteMs !== undefined) return;
     this.firstByteMs = this.getElapsedMs();
--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -1,3 +1,4 @@
+import type { MoveOption } from '@lovagearch/endpoints';
 import type { EventStreamFramer } from '@lovagearch/exchange';
 import { type Account, isRetryable, type Route } from '@lovagearch/traffic';
 import type { CallerResponse } from './callerResponse.js';
@@ -7,6 +8,7 @@
 import type { GatewayContext } from './gatewayContext.js';
 import type { ChosenEndpoint } from './placeRequest.js';
 import type { ReusePlan } from './reusePlan.js';
+import { logFirstEventDecision } from './requestLog.js';
 import type { RequestHead } from './types.js';
 
 /** A request with its route, service, account and complete body. It may still be refused by admission. */
@@ -26,6 +28,7 @@
   /** Whether the request was sent to the same endpoint before. */
   readonly isRepeat: boolean;
   readonly callerResponse: CallerResponse;
+  readonly findMove: () => MoveOption;
   readonly onFirstByte: (sinceStartMs: number) => void;
 }
 
@@ -41,7 +44,15 @@
   context: GatewayContext,
   { head, route, service, account, body }: RoutedRequest,
   { endpoint, placement, maxConnections }: ChosenEndpoint,
-  { reusePlan, framer, remainingMs, isRepeat, callerResponse, onFirstByte }: AttemptOptions,
+  {
+    reusePlan,
+    framer,
+    remainingMs,
+    isRepeat,
+    callerResponse,
+    findMove,
+    onFirstByte,
+  }: AttemptOptions,
 ): Attempt => {
   const isStreaming = route.kind === 'streaming';
   const headers = context.headers.encodeEndpointHeaders(head, {
@@ -62,6 +73,11 @@
       clock: context.clock,
       memory: context.responseLimits.memory,
       canSend: () => isTakingRequests(context, endpoint),
+      findMove,
+      onFirstEventDecision: (decision, ages) => {
+        context.metrics.recordFirstEventDecision(service, decision);
+        logFirstEventDecision(context, head, endpoint, decision, ages);
+      },
       onFirstByte,
       onResponseHead: (responseHead, sentAtMs) =>
         applyStatements(context, endpoint, head.requestId, responseHead, sentAtMs),
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -1,3 +1,4 @@
+import type { FirstEventDecision } from '@lovagearch/endpoints';
 import type { EndpointLife } from '@lovagearch/exchange';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
@@ -72,6 +73,13 @@
     registers: [this.registry],
   });
 
+  private readonly firstEventDecisions = new Counter({
+    name: 'lovagearch_first_event_decisions_total',
+    help: 'Decisions on requests that wait for their first event at a quiet endpoint, by service',
+    labelNames: ['service', 'decision', 'reason'],
+    registers: [this.registry],
+  });
+
   static create(): GatewayMetrics {
     return new GatewayMetrics();
   }
@@ -106,6 +114,10 @@
     this.droppedLines.inc(lines);
   }
 
+  recordFirstEventDecision(service: string, { type, reason }: FirstEventDecision): void {
+    this.firstEventDecisions.inc({ service, decision: type, reason: reason.replaceAll(' ', '_') });
+  }
+
   setGauge(name: string, value: number): void {
     this.gauges.set({ name }, value);
   }
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -2,6 +2,7 @@
 import type {
   AvailabilityCounts,
   Endpoint,
+  FirstEventDecision,
   HoldChange,
   LeavingChange,
   Placement,
@@ -9,7 +10,7 @@
 } from '@lovagearch/endpoints';
 import type { EventStreamFramer, NextStep } from '@lovagearch/exchange';
 import type { Route } from '@lovagearch/traffic';
-import type { AttemptOutcome } from './attempt.js';
+import type { AttemptOutcome, FirstEventAges } from './attempt.js';
 import type { RoutedRequest } from './createAttempt.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { ChosenEndpoint } from './placeRequest.js';
@@ -165,3 +166,24 @@
     sharedParts: listSharedPartIds(head).slice(0, MAX_LOGGED_PARTS),
   });
 };
+
+/** Logs why a request that waits for its first event stays at its endpoint or is withdrawn from it. */
+export const logFirstEventDecision = (
+  { log }: GatewayContext,
+  head: RequestHead,
+  { record }: Endpoint,
+  { type, reason }: FirstEventDecision,
+  { waitedMs, silentMs, peerResponseAgeMs, remainingMs }: FirstEventAges,
+): void =>
+  log.logProblem('first_event_wait', {
+    request: head.requestId,
+    endpoint: record.id,
+    decision: type,
+    reason,
+    waitedMs: Math.round(waitedMs),
+    silentMs: Math.round(silentMs),
+    peerResponseAgeMs: Number.isFinite(peerResponseAgeMs)
+      ? Math.round(peerResponseAgeMs)
+      : undefined,
+    remainingMs: Math.round(remainingMs),
+  });
