Read the duration of work that endpoints state, and forecast by it

What was missing: X-Lovagearch-Instance-Load may state a fourth figure, the current duration of work in percent of the usual one. It was ignored, and a VM of 85 knew the speed of an application server only from the 0.45 responses a second that it got from it.

Change: LoadReport.workPercent. Contention (packages/estimation) keeps an endpoint's usual factor and lets the last one fade towards it with 50 ms, as it changes about 20 times a second; the mean over the work counts, from its expected start. Forecasts of engines (own prefill, queue) and of plain calls are work times contention. WorkTime keeps the duration of calls by service and by endpoint. Digests carry the figure and the age of the last bytes in two more fields, only for endpoints that state it; all others send the same bytes.

Without the figure every factor is 1 and forecasts are as before.

--- a/packages/endpoints/src/chooseEndpoint.ts
+++ b/packages/endpoints/src/chooseEndpoint.ts
@@ -140,7 +140,7 @@
   const promptTokens = request.parts.reduce((sum, { tokens }) => sum + tokens, 0);
   if (promptTokens === 0) {
     const { running, waiting } = endpoint.estimateRequests(nowMs);
-    const processingMs = endpoint.meanProcessingMs;
+    const processingMs = endpoint.estimateProcessingMs(nowMs);
     const slots = Math.max(1, endpoint.record.slots);
     const queueMs = (Math.max(0, running + waiting + 1 - slots) / slots) * processingMs;
     // Endpoints slow down as their slots fill up.
@@ -172,24 +172,22 @@
   });
   const uncachedTokens = promptTokens - cached;
   const prefill = computePrefillTimes(input, endpoint, uncachedTokens);
+  const waitMs = endpoint.estimateWaitMs(nowMs);
   const queueMs =
-    endpoint.estimateWaitMs(nowMs) +
-    endpoint.estimateMemoryWaitMs(request.memoryTokens, request.engineMemoryTokens, nowMs);
+    waitMs + endpoint.estimateMemoryWaitMs(request.memoryTokens, request.engineMemoryTokens, nowMs);
+  const prefillMs = prefill.ownMs + prefill.sharedMs;
+  const contentionFactor = endpoint.contention.estimateOver(prefillMs, nowMs, queueMs);
   const sharedTokens = promptTokens - (request.parts.at(-1)?.tokens ?? 0);
   const storeTransferMs = computeStoreTransferMs(input, endpoint, sharedTokens);
   const ownMs =
-    roundTripMs +
-    endpoint.timings.overheadMs +
-    prefill.ownMs +
-    prefill.sharedMs +
-    prefill.transferMs;
+    roundTripMs + (endpoint.timings.overheadMs + prefillMs) * contentionFactor + prefill.transferMs;
   const expectedMs = queueMs + ownMs;
   const costMs =
     roundTripMs +
     penaltyMs +
     queueMs +
-    prefill.ownMs +
-    prefill.sharedMs * SHARED_PREFILL_WEIGHT +
+    prefill.ownMs * contentionFactor +
+    prefill.sharedMs * contentionFactor * SHARED_PREFILL_WEIGHT +
     prefill.transferMs +
     failureMs;
   return {
--- a/packages/endpoints/src/constants.ts
+++ b/packages/endpoints/src/constants.ts
@@ -96,3 +96,5 @@
  * is lost: the errors of two forecasts of queues, each of about three prompts.
  */
 export const MOVE_MARGIN_MS = 200;
+/** Largest age of an endpoint's last bytes in a digest, in milliseconds; peers tell no older ones apart. */
+export const MAX_REPORTED_AGE_MS = 60_000;
--- a/packages/endpoints/src/endpoint.ts
+++ b/packages/endpoints/src/endpoint.ts
@@ -1,4 +1,4 @@
-import { EngineTimings } from '@lovagearch/estimation';
+import { Contention, EngineTimings, WorkTime } from '@lovagearch/estimation';
 import {
   BUSY_PREFILL_SHARE,
   DEFAULT_PROCESSING_MS,
@@ -66,6 +66,12 @@
   private readonly waiting = new Set<SentRequest>();
 
   /** Clock readings at the first bytes of responses in progress. */
+  /** How much longer work currently takes than usual. */
+  readonly contention = Contention.create();
+
+  /** Duration of plain calls without waiting and contention; recorded only of endpoints that state their contention. */
+  private readonly workTime = WorkTime.create();
+
   private readonly firstByteAtMs = new Map<SentRequest, number>();
 
   private pendingTokens = 0;
@@ -163,18 +169,19 @@
   }
 
   recordLoadReport(report: LoadReport, nowMs: number): void {
-    this.report = report;
-    this.reportedAtMs = nowMs;
-    this.isDirectReport = true;
+    this.acceptReport(report, nowMs, true);
   }
 
   /** Records a load report that a peer received, unless a newer one is known. */
   recordPeerReport(report: LoadReport, reportedAtMs: number): void {
-    this.lastPeerResponseAtMs = Math.max(this.lastPeerResponseAtMs, reportedAtMs);
+    this.recordPeerBytes(reportedAtMs);
     if (reportedAtMs <= this.reportedAtMs) return;
-    this.report = report;
-    this.reportedAtMs = reportedAtMs;
-    this.isDirectReport = false;
+    this.acceptReport(report, reportedAtMs, false);
+  }
+
+  /** Records that a peer received bytes from the endpoint. */
+  recordPeerBytes(atMs: number): void {
+    this.lastPeerResponseAtMs = Math.max(this.lastPeerResponseAtMs, atMs);
   }
 
   recordPeerLoad(peer: string, entry: LoadDigestEntry, nowMs: number): void {
@@ -205,7 +212,9 @@
     this.firstByteAtMs.set(sent, nowMs);
     const { expectedWaitMs, roundTripMs, sentAtMs, tokens, mayLoadParts } = sent;
     if (mayLoadParts || expectedWaitMs > QUIET_WAIT_MS) return;
-    const delayMs = Math.max(0, nowMs - sentAtMs - roundTripMs - expectedWaitMs);
+    // The rate is that of an engine without contention; over many samples, the usual one is their mean.
+    const delayMs =
+      Math.max(0, nowMs - sentAtMs - roundTripMs - expectedWaitMs) / this.contention.usualFactor;
     this.timings.recordFirstToken({ prefilledTokens: tokens, delayMs });
   }
 
@@ -229,6 +238,7 @@
           const residenceMs = sent.ownMs + nowMs - firstByteAtMs;
           this.timings.recordResidence({ memoryTokens: sent.memoryTokens, residenceMs }, nowMs);
         }
+        if (!outcome.isFailure) this.recordWork(sent, outcome.processingMs, nowMs);
         if (!outcome.isFailure)
           this.processingMs += (outcome.processingMs - this.processingMs) * PROCESSING_EWMA_WEIGHT;
         return;
@@ -245,6 +255,17 @@
     }
   }
 
+  /**
+   * Estimates the processing time of a plain call, in milliseconds. If the endpoint states its contention, it is the
+   * duration of work times that, as a node of many sees few responses of each endpoint; otherwise their average.
+   */
+  estimateProcessingMs(nowMs: number): number {
+    if (!this.contention.isReported) return this.processingMs;
+    const serviceMs = this.timings.workTime.estimate(DEFAULT_PROCESSING_MS);
+    const workMs = this.workTime.estimate(serviceMs);
+    return workMs * this.contention.estimateOver(workMs, nowMs);
+  }
+
   /** Suspends the endpoint; consecutive failures without a response in between suspend it longer. */
   recordTransportFailure(nowMs: number): void {
     // A crash fails many requests at once, which count as one failure.
@@ -306,6 +327,7 @@
    */
   estimateWaitMs(nowMs: number): number {
     const { running, waiting } = this.estimateRequests(nowMs);
+    const { usualFactor } = this.contention;
     let { pendingTokens } = this;
     let oldestMs = this.getOldestWaitMs(nowMs);
     for (const { entry, atMs } of this.listPeerLoads(nowMs)) {
@@ -316,10 +338,10 @@
       Math.max(
         this.getObservedWaitMs(nowMs),
         oldestMs,
-        waiting * WAITING_REQUEST_DELAY_MS,
-        pendingTokens / (this.timings.prefillTokensPerMs * BUSY_PREFILL_SHARE),
+        waiting * WAITING_REQUEST_DELAY_MS * usualFactor,
+        (pendingTokens * usualFactor) / (this.timings.prefillTokensPerMs * BUSY_PREFILL_SHARE),
       ) +
-      running * RUNNING_REQUEST_DELAY_MS
+      running * RUNNING_REQUEST_DELAY_MS * usualFactor
     );
   }
 
@@ -328,12 +350,13 @@
    * counts only work that is known to be queued, so it is low rather than high.
    */
   estimateRemainingWaitMs(sent: SentRequest, nowMs: number): number {
+    const { usualFactor } = this.contention;
     let { pendingTokens } = this;
     for (const { entry } of this.listPeerLoads(nowMs)) pendingTokens += entry.pendingTokens;
     return Math.max(
       sent.sentAtMs + sent.ownMs + sent.expectedWaitMs - nowMs,
-      this.estimateRequests(nowMs).waiting * WAITING_REQUEST_DELAY_MS,
-      pendingTokens / (this.timings.prefillTokensPerMs * BUSY_PREFILL_SHARE),
+      this.estimateRequests(nowMs).waiting * WAITING_REQUEST_DELAY_MS * usualFactor,
+      (pendingTokens * usualFactor) / (this.timings.prefillTokensPerMs * BUSY_PREFILL_SHARE),
     );
   }
 
@@ -346,6 +369,23 @@
     return recent;
   }
 
+  private acceptReport(report: LoadReport, atMs: number, isDirect: boolean): void {
+    this.report = report;
+    this.reportedAtMs = atMs;
+    this.isDirectReport = isDirect;
+    if (report.workPercent !== undefined) this.contention.record(report.workPercent, atMs);
+  }
+
+  private recordWork(sent: SentRequest, processingMs: number, nowMs: number): void {
+    // A call that waited says more about the queue than about the work.
+    if (!this.contention.isReported || sent.memoryTokens > 0 || sent.expectedWaitMs > 0) return;
+    const spentMs = Math.max(0, processingMs - sent.roundTripMs);
+    // The report came at the end of the work.
+    const workMs = spentMs / this.contention.estimateOver(spentMs, nowMs);
+    this.workTime.record(workMs);
+    this.timings.workTime.record(workMs);
+  }
+
   private removeWaiting(sent: SentRequest): boolean {
     if (!this.waiting.delete(sent)) return false;
     this.pendingTokens = Math.max(0, this.pendingTokens - sent.tokens);
--- a/packages/endpoints/src/loadDigest.ts
+++ b/packages/endpoints/src/loadDigest.ts
@@ -1,4 +1,5 @@
 import { computeHash32 } from '@lovagearch/common';
+import { MAX_REPORTED_AGE_MS } from './constants.js';
 import type { Endpoint } from './endpoint.js';
 
 /** Load of one node at one endpoint. All fields are numbers, so that many entries fit in a datagram. */
@@ -17,11 +18,26 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** Duration of work in the load report; with `bytesAgeMs` only of endpoints that state it. */
+  readonly workPercent?: number | undefined;
+  /** Age of the last bytes that the node received from the endpoint, in milliseconds. */
+  readonly bytesAgeMs?: number | undefined;
 }
 
 /** Computes the key of an endpoint in load digests. */
 export const computeDigestKey = (endpointId: string): number => computeHash32(endpointId);
 
+const createContentionFields = (
+  { lastReport, lastBytesAtMs }: Endpoint,
+  nowMs: number,
+): Pick<LoadDigestEntry, 'bytesAgeMs' | 'workPercent'> =>
+  lastReport?.workPercent === undefined
+    ? {}
+    : {
+        workPercent: lastReport.workPercent,
+        bytesAgeMs: Math.round(Math.min(nowMs - lastBytesAtMs, MAX_REPORTED_AGE_MS)),
+      };
+
 /**
  * Creates the entries for endpoints with active or just finished requests or a recent load report.
  *
@@ -49,6 +65,7 @@
       running: report?.running ?? 0,
       waiting: report?.waiting ?? 0,
       slots: report?.slots ?? 0,
+      ...createContentionFields(endpoint, nowMs),
     });
   }
   return entries;
@@ -65,8 +82,9 @@
     const endpoint = findEndpointByKey(entry.endpoint);
     if (endpoint === undefined) continue;
     endpoint.recordPeerLoad(peer, entry, nowMs);
+    if (entry.bytesAgeMs !== undefined) endpoint.recordPeerBytes(nowMs - entry.bytesAgeMs);
     if (entry.reportAgeMs < 0) continue;
-    const { running, waiting, slots } = entry;
-    endpoint.recordPeerReport({ running, waiting, slots }, nowMs - entry.reportAgeMs);
+    const { running, waiting, slots, workPercent } = entry;
+    endpoint.recordPeerReport({ running, waiting, slots, workPercent }, nowMs - entry.reportAgeMs);
   }
 };
--- a/packages/endpoints/src/types.ts
+++ b/packages/endpoints/src/types.ts
@@ -23,6 +23,8 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** Current duration of work in percent of its usual one; undefined if the endpoint doesn't state it. */
+  readonly workPercent?: number | undefined;
 }
 
 /** What a response says about the requests per second that its endpoint accepts from all nodes together. */
--- a/packages/estimation/src/constants.ts
+++ b/packages/estimation/src/constants.ts
@@ -34,3 +34,16 @@
 export const PRIOR_RESIDENCE_WEIGHT = 4;
 /** Largest number of tokens or milliseconds in a sample; a larger one is no measurement. */
 export const MAX_SAMPLE_VALUE = 1e9;
+/** Time in which a reported contention loses its weight, in milliseconds; it changes about 20 times a second. */
+export const CONTENTION_DECAY_MS = 50;
+/** Weight of a new figure in the usual contention of an endpoint; 20 figures arrive in some seconds. */
+export const USUAL_CONTENTION_WEIGHT = 0.05;
+/** Bounds of a reported duration of work in percent; no load of a machine explains a value outside. */
+export const MIN_WORK_PERCENT = 10;
+export const MAX_WORK_PERCENT = 2_000;
+/** Weight of a new sample in the mean duration of calls. */
+export const WORK_TIME_WEIGHT = 0.02;
+/** Number of samples of an endpoint from which its own mean counts more than that of its service. */
+export const PRIOR_WORK_WEIGHT = 8;
+/** Longest sample of the duration of calls as a multiple of the mean. */
+export const MAX_WORK_SAMPLE_FACTOR = 4;
--- a/packages/estimation/src/engineTimings.ts
+++ b/packages/estimation/src/engineTimings.ts
@@ -14,6 +14,7 @@
   RESIDENCE_DECAY_MS,
   SAMPLES_PER_FIT,
 } from './constants.js';
+import { WorkTime } from './workTime.js';
 import { fitLine, type Sample } from './fitLine.js';
 
 /** The time to the first token of a request that hardly waited. */
@@ -47,6 +48,9 @@
  * const forecastMs = timings.overheadMs + tokens / timings.prefillTokensPerMs;
  */
 export class EngineTimings {
+  /** Duration of plain calls. */
+  readonly workTime = WorkTime.create();
+
   private readonly samples: Sample[] = [];
 
   private samplesSinceFit = 0;
--- a/packages/estimation/src/index.ts
+++ b/packages/estimation/src/index.ts
@@ -3,5 +3,7 @@
  * engine. It takes values and clock readings and returns values; it sends nothing and chooses no endpoint.
  */
 export * from './constants.js';
+export * from './contention.js';
 export * from './engineTimings.js';
 export * from './fitLine.js';
+export * from './workTime.js';
--- a/packages/gateway/src/loadSharing.ts
+++ b/packages/gateway/src/loadSharing.ts
@@ -16,7 +16,7 @@
 import type { Address } from './types.js';
 
 /** The fields of an entry in wire order; arrays instead of objects keep the datagrams small. */
-const entrySchema = z.tuple([
+const loadSchema = z.tuple([
   z.number(),
   z.number(),
   z.number(),
@@ -27,21 +27,32 @@
   z.number(),
   z.number(),
 ]);
+/** The fields of an entry of an endpoint that states the duration of its work. */
+const contentionSchema = z.tuple([...loadSchema.def.items, z.number(), z.number()]);
+export const entrySchema = z.union([loadSchema, contentionSchema]);
 const digestSchema = z.tuple([z.string(), z.number(), z.array(entrySchema)]);
 
-const encodeEntry = (entry: LoadDigestEntry): z.infer<typeof entrySchema> => [
-  entry.endpoint,
-  entry.pendingTokens,
-  entry.active,
-  entry.activeTokens,
-  entry.oldestWaitMs,
-  entry.reportAgeMs,
-  entry.running,
-  entry.waiting,
-  entry.slots,
-];
-
-const decodeEntry = ([
+/** Encodes an entry. One without a duration of work has the same bytes as before that could be stated. */
+export const encodeEntry = (entry: LoadDigestEntry): z.infer<typeof entrySchema> => {
+  const load: z.infer<typeof loadSchema> = [
+    entry.endpoint,
+    entry.pendingTokens,
+    entry.active,
+    entry.activeTokens,
+    entry.oldestWaitMs,
+    entry.reportAgeMs,
+    entry.running,
+    entry.waiting,
+    entry.slots,
+  ];
+  const { workPercent, bytesAgeMs } = entry;
+  return workPercent === undefined || bytesAgeMs === undefined
+    ? load
+    : [...load, workPercent, bytesAgeMs];
+};
+
+/** Decodes an entry of either length. */
+export const decodeEntry = ([
   endpoint,
   pendingTokens,
   active,
@@ -51,6 +62,8 @@
   running,
   waiting,
   slots,
+  workPercent,
+  bytesAgeMs,
 ]: z.infer<typeof entrySchema>): LoadDigestEntry => ({
   endpoint,
   pendingTokens,
@@ -61,6 +74,8 @@
   running,
   waiting,
   slots,
+  workPercent,
+  bytesAgeMs,
 });
 
 export interface LoadSharingDependencies {
