Count the age of the load report at each choice of an endpoint

What was missing: operators could read the age of the load data only in the log line of each placement, not as a distribution over all choices.

Change: the histogram lovagearch_load_age_ms, by service, counts the age of the chosen endpoint's last report at each send. Endpoints that have reported none are not counted, as prom-client throws for infinite values.

--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -287,6 +287,7 @@
     const isRepeat = this.triedEndpointIds.includes(endpoint.record.id);
     this.triedEndpointIds.push(endpoint.record.id);
     const nowMs = context.clock.nowMs();
+    context.metrics.recordLoadAge(service, endpoint.getLoadAgeMs(nowMs));
     if (this.sendCount === 1) logPlacement(context, routedRequest, chosen, reusePlan);
     context.clusterState.promptMemory.recordSent(
       head.promptParts,
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -5,6 +5,9 @@
 /** Latency histogram buckets, in milliseconds: from a cached read up to the longest stream. */
 const LATENCY_BUCKETS_MS = [5, 10, 20, 40, 80, 160, 320, 640, 1_280, 2_560, 5_120, 15_000];
 
+/** Buckets of the age of load reports, in milliseconds: from a changing contention up to a report that counts no more. */
+const LOAD_AGE_BUCKETS_MS = [10, 25, 50, 100, 200, 400, 800, 1_600, 3_200, 10_000];
+
 /** Prometheus metrics of the gateway process. */
 export class GatewayMetrics {
   private readonly registry = new Registry();
@@ -80,6 +83,14 @@
     registers: [this.registry],
   });
 
+  private readonly loadAge = new Histogram({
+    name: 'lovagearch_load_age_ms',
+    help: 'Age of the load report of the chosen endpoint at each choice, by service',
+    labelNames: ['service'],
+    buckets: LOAD_AGE_BUCKETS_MS,
+    registers: [this.registry],
+  });
+
   static create(): GatewayMetrics {
     return new GatewayMetrics();
   }
@@ -118,6 +129,11 @@
     this.firstEventDecisions.inc({ service, decision: type, reason: reason.replaceAll(' ', '_') });
   }
 
+  /** Records the age of a load report; an endpoint that has reported none is not counted. */
+  recordLoadAge(service: string, ageMs: number): void {
+    if (Number.isFinite(ageMs)) this.loadAge.observe({ service }, ageMs);
+  }
+
   setGauge(name: string, value: number): void {
     this.gauges.set({ name }, value);
   }
