Keep requests, stored prompt parts and transfers in their home regions

Change: the regions of the route and the account are decoded, and their intersection restricts the endpoint of every send, checked against the current configuration and once more when a connection opens late. The store VM of a prompt part, saves, fetches and transfers between engines stay in these regions. The cache salt contains them, unless a request has none, whose salt is unchanged. An empty intersection is refused at once with 503 and the error type no_allowed_region.

--- a/packages/common/src/errors.ts
+++ b/packages/common/src/errors.ts
@@ -17,6 +17,7 @@
   | 'headers_too_large'
   | 'idempotency_key_required'
   | 'idempotency_key_reused'
+  | 'no_allowed_region'
   | 'no_endpoint'
   | 'not_found'
   | 'not_ready'
@@ -74,6 +75,7 @@
   headers_too_large: 431,
   idempotency_key_required: 400,
   idempotency_key_reused: 422,
+  no_allowed_region: 503,
   no_endpoint: 503,
   not_found: 404,
   not_ready: 503,
--- a/packages/endpoints/src/endpointAvailability.test.ts
+++ b/packages/endpoints/src/endpointAvailability.test.ts
@@ -9,6 +9,7 @@
 } from './index.js';
 
 const USABLE = {
+  isInAllowedRegion: true,
   isLeaving: false,
   heldUntilMs: undefined,
   hasFreeConnection: true,
--- a/packages/endpoints/src/endpointAvailability.ts
+++ b/packages/endpoints/src/endpointAvailability.ts
@@ -9,12 +9,15 @@
   | { readonly type: 'held'; readonly untilMs: number }
   /** The endpoint is loading weights; it is used if no other is available. */
   | { readonly type: 'loading_weights' }
+  /** The endpoint is in a region in which the request may not be processed. */
+  | { readonly type: 'outside_region' }
   /** All connections that this node may open to the endpoint are in use. */
   | { readonly type: 'no_connection' }
   /** The limit of requests per second that the endpoint named allows this node none now. */
   | { readonly type: 'rate_limited' };
 
 export interface AvailabilityInput {
+  readonly isInAllowedRegion: boolean;
   readonly isLeaving: boolean;
   /** Clock reading until which the endpoint wants no requests, if there is one. */
   readonly heldUntilMs: number | undefined;
@@ -46,12 +49,14 @@
  * if (availability.type === 'available') send(endpoint);
  */
 export const decideAvailability = ({
+  isInAllowedRegion,
   isLeaving,
   heldUntilMs,
   hasFreeConnection,
   isWithinRateLimit,
   isLoadingWeights,
 }: AvailabilityInput): EndpointAvailability => {
+  if (!isInAllowedRegion) return { type: 'outside_region' };
   if (isLeaving) return { type: 'leaving' };
   if (heldUntilMs !== undefined) return { type: 'held', untilMs: heldUntilMs };
   if (!hasFreeConnection) return { type: 'no_connection' };
@@ -86,6 +91,7 @@
         break;
       case 'leaving':
       case 'no_connection':
+      case 'outside_region':
         break;
       default:
         availability satisfies never;
@@ -116,7 +122,7 @@
 ): number | undefined => {
   let earliestMs: number | undefined;
   for (const { availability } of candidates) {
-    if (availability.type === 'leaving') continue;
+    if (availability.type === 'leaving' || availability.type === 'outside_region') continue;
     if (availability.type !== 'held') return undefined;
     earliestMs = Math.min(earliestMs ?? availability.untilMs, availability.untilMs);
   }
--- a/packages/gateway/src/cacheStoreWatcher.ts
+++ b/packages/gateway/src/cacheStoreWatcher.ts
@@ -16,6 +16,7 @@
 import type { GatewayLog } from './gatewayLog.js';
 import type { CacheStoreRelaySource } from './peerExchange.js';
 import { parseSaltVersion } from './reusePlan.js';
+import { UnusedRegionRules } from './unusedRegionRules.js';
 import { CacheStoreFollower } from './cacheStoreFollower.js';
 import type { CacheStoreClient } from './types.js';
 
@@ -35,7 +36,7 @@
 
 /**
  * Keeps an index of the prompt parts that each cache store VM holds, and frees those that were computed
- * with model weights that no endpoint uses any longer. A store serves few concurrent requests for its
+ * with model weights that no endpoint uses any longer, or for region rules that no request has any longer. A store serves few concurrent requests for its
  * events, so in larger deployments only some nodes (the watchers) poll the stores, and the other nodes poll
  * a watcher.
  */
@@ -45,6 +46,8 @@
   /** Target version by model, and the clock reading since which no endpoint has older weights. */
   private readonly settledVersions = new Map<string, { version: number; sinceMs: number }>();
 
+  private readonly unusedRegionRules = UnusedRegionRules.create();
+
   private isWatching = false;
 
   /** Watchers that this node can poll; empty if it is a watcher itself. */
@@ -176,18 +179,27 @@
   }
 
   /**
-   * Frees prompt parts that were computed with replaced weights. They are no longer read: a request refers
-   * only to parts computed with the weights that it expects, and an endpoint with other weights rejects it.
+   * Whether a part was computed with replaced weights. It is no longer read: a request refers only to parts computed
+   * with the weights that it expects, and an endpoint with other weights rejects it.
    */
+  private hasReplacedWeights({ model, salt }: StoredPart, nowMs: number): boolean {
+    const settled = this.settledVersions.get(model);
+    const version = parseSaltVersion(salt);
+    if (settled === undefined || version === undefined || version >= settled.version) return false;
+    return nowMs - settled.sinceMs >= OLD_PARTS_FREE_DELAY_MS;
+  }
+
+  /** Frees prompt parts that no request reads any longer. */
   private async freeOldParts({ store, index, isPartRemover }: CacheStoreFollower): Promise<void> {
     if (!isPartRemover || !store.isManaged || index.epoch === undefined) return;
     const nowMs = this.dependencies.clock.nowMs();
+    const usedNames = this.dependencies.clusterState.trafficRules?.regionRuleNames;
     const oldParts: StoredPart[] = [];
     for (const part of index.listParts()) {
-      const settled = this.settledVersions.get(part.model);
-      const version = parseSaltVersion(part.salt);
-      if (settled === undefined || version === undefined || version >= settled.version) continue;
-      if (nowMs - settled.sinceMs < OLD_PARTS_FREE_DELAY_MS) continue;
+      const isUnused =
+        this.hasReplacedWeights(part, nowMs) ||
+        (usedNames !== undefined && this.unusedRegionRules.isUnused(part.salt, usedNames, nowMs));
+      if (!isUnused) continue;
       oldParts.push(part);
       if (oldParts.length >= MAX_FREED_PARTS_PER_CALL) break;
     }
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -271,7 +271,7 @@
     const { context } = this;
     const { head, route, service, account } = routedRequest;
     const { endpoint, placement } = chosen;
-    const reusePlan = planReuse(context, head, account, endpoint, placement);
+    const reusePlan = planReuse(context, head, account, chosen);
     this.sendCount += 1;
     recordSend(context, endpoint);
     this.excludedEndpointIds.add(endpoint.record.id);
@@ -281,7 +281,7 @@
     if (this.sendCount === 1) logPlacement(context, routedRequest, chosen, reusePlan);
     context.clusterState.promptMemory.recordSent(
       head.promptParts,
-      createCacheSalt(account, undefined) ?? '',
+      createCacheSalt(account, undefined, chosen.regionRule) ?? '',
       endpoint.record.id,
       placement.uncachedTokens,
       nowMs,
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -190,6 +190,8 @@
  * milliseconds.
  */
 export const OLD_PARTS_FREE_DELAY_MS = 6_000;
+/** Region rules remembered as unused; an operator names a few at most. */
+export const MAX_UNUSED_REGION_RULES = 256;
 /** Maximum number of prompt parts freed by one call. */
 export const MAX_FREED_PARTS_PER_CALL = 200;
 /** Minimum interval of load digests to peers, in milliseconds; an endpoint serves about one request in it. */
--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -1,11 +1,12 @@
 import type { EventStreamFramer } from '@lovagearch/exchange';
-import { type Account, isRetryable, type Route } from '@lovagearch/traffic';
+import { type Account, areRulesEqual, isRetryable, type Route } from '@lovagearch/traffic';
 import type { CallerResponse } from './callerResponse.js';
 import { Attempt } from './attempt.js';
 import { CALL_STALL_FACTOR, STREAM_STALL_TIMEOUT_MS } from './constants.js';
 import { applyStatements, isTakingRequests } from './endpointStatements.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { ChosenEndpoint } from './placeRequest.js';
+import { findRegionRule } from './regionRules.js';
 import type { ReusePlan } from './reusePlan.js';
 import type { RequestHead } from './types.js';
 
@@ -40,9 +41,10 @@
 export const createAttempt = (
   context: GatewayContext,
   { head, route, service, account, body }: RoutedRequest,
-  { endpoint, placement, maxConnections }: ChosenEndpoint,
+  chosen: ChosenEndpoint,
   { reusePlan, framer, remainingMs, isRepeat, callerResponse, onFirstByte }: AttemptOptions,
 ): Attempt => {
+  const { endpoint, placement, maxConnections, regionRule } = chosen;
   const isStreaming = route.kind === 'streaming';
   const headers = context.headers.encodeEndpointHeaders(head, {
     endpointId: endpoint.record.id,
@@ -61,7 +63,9 @@
       headers: context.headers,
       clock: context.clock,
       memory: context.responseLimits.memory,
-      canSend: () => isTakingRequests(context, endpoint),
+      canSend: () =>
+        isTakingRequests(context, endpoint) &&
+        areRulesEqual(findRegionRule(context, head, route, account), regionRule),
       onFirstByte,
       onResponseHead: (responseHead, sentAtMs) =>
         applyStatements(context, endpoint, head.requestId, responseHead, sentAtMs),
--- a/packages/gateway/src/placeRequest.ts
+++ b/packages/gateway/src/placeRequest.ts
@@ -9,11 +9,12 @@
   type Placement,
   selectCandidates,
 } from '@lovagearch/endpoints';
-import type { Account, Route } from '@lovagearch/traffic';
+import { isRegionAllowed, type Account, type RegionRule, type Route } from '@lovagearch/traffic';
 import { CONNECTION_LIMIT_SHARE, MIN_CONNECTIONS_PER_ENDPOINT } from './constants.js';
 import { getEndpointStartKey } from './attempt.js';
 import { isWithinRateLimit } from './endpointRates.js';
 import type { GatewayContext } from './gatewayContext.js';
+import { findRegionRule } from './regionRules.js';
 import { createCacheSalt, findStoreReach } from './reusePlan.js';
 import type { RequestHead } from './types.js';
 
@@ -22,6 +23,8 @@
   readonly endpoint: Endpoint;
   readonly placement: Placement;
   readonly maxConnections: number;
+  /** Where the request may be processed according to the configuration at the time of the choice. */
+  readonly regionRule: RegionRule;
 }
 
 /** The endpoint for a request, or how many endpoints of its service are in which state if none may take it. */
@@ -49,11 +52,13 @@
   context: GatewayContext,
   endpoint: Endpoint,
   maxConnections: number,
+  regionRule: RegionRule,
 ): EndpointAvailability => {
-  const { clusterState, clock, pool } = context;
+  const { clusterState, clock, pool, settings } = context;
   const { record, statements } = endpoint;
   const nowMs = clock.nowMs();
   return decideAvailability({
+    isInAllowedRegion: isRegionAllowed(regionRule, settings.regionByZone.get(record.zone)),
     isLeaving: statements.leaving.isAnnounced,
     heldUntilMs: statements.hold.getEndMs(nowMs),
     hasFreeConnection: pool.hasFreeConnection(getEndpointStartKey(endpoint), maxConnections),
@@ -73,9 +78,10 @@
 ): PlacementResult => {
   const { clusterState, clock, settings, random } = context;
   const maxConnections = computeMaxConnections(context, service);
+  const regionRule = findRegionRule(context, head, route, account);
   const candidates = clusterState.endpoints.listReady(service).map((endpoint) => ({
     endpoint,
-    availability: getAvailability(context, endpoint, maxConnections),
+    availability: getAvailability(context, endpoint, maxConnections, regionRule),
   }));
   const { endpoints, unavailableIds } = selectCandidates(candidates);
   const parts = route.hasPromptParts ? head.promptParts : [];
@@ -85,10 +91,12 @@
       service,
       parts,
       // The salt has no weight version, so that prompt affinity survives an update of the weights.
-      cacheSalt: createCacheSalt(account, undefined),
+      cacheSalt: createCacheSalt(account, undefined, regionRule),
       memoryTokens: head.promptTokens + head.maxOutputTokens,
       engineMemoryTokens: engine?.memoryTokens ?? 0,
-      store: route.hasPromptParts ? findStoreReach(context, head, account, engine) : undefined,
+      store: route.hasPromptParts
+        ? findStoreReach(context, head, account, engine, regionRule)
+        : undefined,
       model: head.model,
       excluded: unavailableIds.length === 0 ? excluded : new Set([...excluded, ...unavailableIds]),
       getWeightsRemainingMs: (version) =>
@@ -111,5 +119,5 @@
       counts: countAvailabilities(candidates),
       holdEndMs: findEarliestHoldEndMs(candidates),
     };
-  return { type: 'placed', chosen: { endpoint, placement, maxConnections } };
+  return { type: 'placed', chosen: { endpoint, placement, maxConnections, regionRule } };
 };
--- a/packages/gateway/src/reusePlan.ts
+++ b/packages/gateway/src/reusePlan.ts
@@ -1,14 +1,20 @@
 import {
   getAffinityPart,
   type Endpoint,
-  type Placement,
   type PromptPart,
   type PromptPartStore,
 } from '@lovagearch/endpoints';
 import { chooseStore } from '@lovagearch/reuse';
-import type { Account, EngineCapacity } from '@lovagearch/traffic';
+import {
+  isRegionAllowed,
+  type Account,
+  type CacheStore,
+  type EngineCapacity,
+  type RegionRule,
+} from '@lovagearch/traffic';
 import { MIN_STORED_TOKENS } from './constants.js';
 import type { GatewayContext } from './gatewayContext.js';
+import type { ChosenEndpoint } from './placeRequest.js';
 import type { RequestHead } from './types.js';
 
 /** Where an engine loads and saves the cached parts of a prompt, and the salt and weights they belong to. */
@@ -22,23 +28,42 @@
 /**
  * Returns the cache salt of a request. Engines and stores share cached parts only under the same salt.
  * The weight version in it separates parts that were computed with other weights, and the account name
- * separates an isolated account from all others.
+ * separates an isolated account from all others. The allowed regions separate parts that may not leave them.
  */
 export const createCacheSalt = (
   account: Account | undefined,
   weightVersion: number | undefined,
+  regionRule: RegionRule,
 ): string | undefined => {
-  const version = weightVersion === undefined ? undefined : `v${weightVersion}`;
+  const regions = regionRule.type === 'only' ? `[${regionRule.canonicalName}]` : undefined;
+  const version =
+    weightVersion === undefined && regions === undefined
+      ? undefined
+      : `v${weightVersion ?? ''}${regions ?? ''}`;
   if (account?.isIsolated !== true) return version;
   return `${version ?? 'v'}/${account.name}`;
 };
 
 /** Returns the weight version in a salt, or undefined if `createCacheSalt` did not create it. */
 export const parseSaltVersion = (salt: string): number | undefined => {
-  const match = /^v(\d{1,15})(\/|$)/.exec(salt);
+  const match = /^v(\d{1,15})(\[|\/|$)/.exec(salt);
   return match?.[1] === undefined ? undefined : Number(match[1]);
 };
 
+/** Returns the canonical name of the regions in a salt, or undefined if it has none. */
+export const parseSaltRegions = (salt: string): string | undefined =>
+  /^v\d{0,15}\[([^\]/]+)\](\/|$)/.exec(salt)?.[1];
+
+/** Lists the store VMs that may hold parts of requests with a region rule. */
+const listAllowedStores = (
+  { clusterState, settings }: GatewayContext,
+  regionRule: RegionRule,
+): readonly CacheStore[] => {
+  const stores = clusterState.trafficRules?.cacheStores ?? [];
+  if (regionRule.type === 'any') return stores;
+  return stores.filter(({ zone }) => isRegionAllowed(regionRule, settings.regionByZone.get(zone)));
+};
+
 /** Returns whether an endpoint has the latest target version of the weights, or a newer one. */
 const hasLatestWeights = (context: GatewayContext, endpoint: Endpoint, model: string): boolean => {
   const weightTarget = context.clusterState.findWeightTarget(model);
@@ -53,11 +78,12 @@
   head: RequestHead,
   account: Account | undefined,
   engine: EngineCapacity | undefined,
+  regionRule: RegionRule,
 ): PromptPartStore | undefined => {
   const part = getAffinityPart(head.promptParts);
   if (part === undefined || engine === undefined || head.model === undefined) return undefined;
   // The store is chosen without the salt, so that it stays the same when the weights change.
-  const store = chooseStore(part.id, context.clusterState.trafficRules?.cacheStores ?? []);
+  const store = chooseStore(part.id, listAllowedStores(context, regionRule));
   if (store === undefined) return undefined;
   const index = context.findCacheStoreIndex(store.address);
   const nowMs = context.suspensionClock.nowMs();
@@ -68,7 +94,7 @@
     address: store.address,
     zone: store.zone,
     hasPartsFor: (weightVersion) => {
-      const salt = createCacheSalt(account, weightVersion);
+      const salt = createCacheSalt(account, weightVersion, regionRule);
       return salt !== undefined && index?.canRead(salt, part.id, nowMs) === true;
     },
     transferLatencyMs: store.firstMs * factor,
@@ -81,17 +107,19 @@
   context: GatewayContext,
   part: PromptPart,
   salt: string,
-  endpoint: Endpoint,
-  ownerId: string | undefined,
+  { endpoint, placement: { ownerId }, regionRule }: ChosenEndpoint,
   model: string,
 ): Endpoint | undefined => {
-  const { clusterState, clock } = context;
+  const { clusterState, clock, settings } = context;
   const nowMs = clock.nowMs();
   const holderId = clusterState.promptMemory.findRecentEndpoint(part.id, salt, nowMs) ?? ownerId;
   if (holderId === undefined || holderId === endpoint.record.id) return undefined;
   const holder = clusterState.endpoints.findEndpoint(holderId);
   // A transfer from an endpoint that doesn't respond would delay the request.
   if (holder === undefined || holder.isSuspended(nowMs)) return undefined;
+  // The owner was chosen, or the part sent there, possibly under an earlier configuration.
+  const region = settings.regionByZone.get(holder.record.zone);
+  if (!isRegionAllowed(regionRule, region)) return undefined;
   const hasSameWeights = holder.record.weights.get(model) === endpoint.record.weights.get(model);
   return hasSameWeights ? holder : undefined;
 };
@@ -105,19 +133,19 @@
   context: GatewayContext,
   head: RequestHead,
   account: Account | undefined,
-  endpoint: Endpoint,
-  { ownerId, isTransferWorthwhile }: Placement,
+  chosen: ChosenEndpoint,
 ): ReusePlan => {
-  const { clusterState, suspensionClock } = context;
+  const { endpoint, placement, regionRule } = chosen;
+  const { suspensionClock } = context;
   const { model, promptParts } = head;
   const weights = model === undefined ? undefined : endpoint.record.weights.get(model);
-  const cacheSalt = createCacheSalt(account, weights);
+  const cacheSalt = createCacheSalt(account, weights, regionRule);
   const plan = { cacheSalt, expectedWeights: weights, fetchFrom: [], saveTo: [] };
   if (model === undefined || cacheSalt === undefined) return plan;
   // Parts of weights that are being replaced are still loaded, but no longer saved.
   const isCurrent = hasLatestWeights(context, endpoint, model);
-  const stores = clusterState.trafficRules?.cacheStores ?? [];
-  const memorySalt = createCacheSalt(account, undefined) ?? '';
+  const stores = listAllowedStores(context, regionRule);
+  const memorySalt = createCacheSalt(account, undefined, regionRule) ?? '';
   const nowMs = suspensionClock.nowMs();
   const fetchFrom: (string | undefined)[] = [];
   const saveTo: (string | undefined)[] = [];
@@ -127,13 +155,11 @@
     const store = isStorable ? chooseStore(part.id, stores) : undefined;
     const storeIndex = store === undefined ? undefined : context.findCacheStoreIndex(store.address);
     const isStored = storeIndex?.canRead(cacheSalt, part.id, nowMs) === true;
-    const canRead = isStored && isTransferWorthwhile;
+    const canRead = isStored && placement.isTransferWorthwhile;
     const shouldSave = isCurrent && storeIndex?.shouldSave(cacheSalt, part.id, nowMs) === true;
     if (shouldSave) storeIndex.recordSave(cacheSalt, part.id, nowMs);
     const holder =
-      canRead || !isStorable
-        ? undefined
-        : findPartHolder(context, part, memorySalt, endpoint, ownerId, model);
+      canRead || !isStorable ? undefined : findPartHolder(context, part, memorySalt, chosen, model);
     fetchFrom.push(canRead ? store?.address : holder?.record.address);
     saveTo.push(shouldSave ? store?.address : undefined);
   }
--- a/packages/gateway/src/routeRequest.ts
+++ b/packages/gateway/src/routeRequest.ts
@@ -1,8 +1,9 @@
 import type { IncomingMessage } from 'node:http';
-import type { Account, Route, TrafficRules } from '@lovagearch/traffic';
+import { decideRegionRule, type Account, type Route, type TrafficRules } from '@lovagearch/traffic';
 import {
   DEFAULT_TIME_LIMIT_MS,
   DRAINING_RETRY_AFTER_MS,
+  MAX_RETRY_AFTER_MS,
   NOT_READY_RETRY_AFTER_MS,
 } from './constants.js';
 import type { GatewayContext } from './gatewayContext.js';
@@ -97,6 +98,10 @@
   const account = key === undefined ? undefined : trafficRules.findAccount(key);
   if (trafficRules.hasAccounts && !route.isPublic && account === undefined)
     return refuse(createRefusal('unauthorized', 'no client account has this key'), route);
+  if (decideRegionRule(route, account).type === 'none') {
+    const message = 'the route and the client account allow no region in common';
+    return refuse(createRefusal('no_allowed_region', message, MAX_RETRY_AFTER_MS), route);
+  }
   const draining = createDrainingRefusal(context, decoded.head, route);
   if (draining !== undefined) return refuse(draining, route);
   return { type: 'routed', head: decoded.head, route, account, limits };
--- a/packages/gateway/src/testGateway.ts
+++ b/packages/gateway/src/testGateway.ts
@@ -21,6 +21,7 @@
 
 const OPERATOR_TABLE = 'operator';
 const ENDPOINT_TABLE = 'endpoints';
+export const CONFIGURATION_KEY = 'configuration';
 export const SEAL_HEADER = 'x-seal';
 export const REQUEST_ID_HEADER = 'x-id';
 export const PARTS_HEADER = 'x-parts';
@@ -49,7 +50,7 @@
   ...overrides,
 });
 
-const CONFIGURATION: TrafficConfiguration = {
+export const CONFIGURATION: TrafficConfiguration = {
   version: 1,
   routes: [
     createRoute('read', {}),
@@ -132,15 +133,20 @@
 /** Name of the table that gateways share. */
 const SHARED_TABLE = 'lovagearch';
 
-/** @param registrations table with the registrations of endpoints, if they change during the test */
+/**
+ * @param registrations table with the registrations of endpoints, if they change during the test
+ * @param operator table of the operator, if it changes during the test; fields of a configuration replace the usual ones
+ */
 export const createDependencies = (
   rows: ReadonlyMap<string, readonly MirroredRow[]>,
   shared = new FakeSharedTable(),
   random: Random = Math.random,
   registrations?: FakeSharedTable,
+  operator?: FakeSharedTable,
 ): GatewayDependencies => {
   const findChangingTable = (table: string): FakeSharedTable | undefined => {
     if (table === SHARED_TABLE) return shared;
+    if (table === OPERATOR_TABLE) return operator;
     return table === ENDPOINT_TABLE ? registrations : undefined;
   };
   const readAll = async (table: string): Promise<ReadResult> =>
@@ -203,7 +209,10 @@
     rows: {
       operatorTable: OPERATOR_TABLE,
       endpointTable: ENDPOINT_TABLE,
-      decodeConfiguration: () => ({ type: 'value', value: CONFIGURATION }),
+      decodeConfiguration: (key, value) =>
+        key === CONFIGURATION_KEY
+          ? { type: 'value', value: { ...CONFIGURATION, ...JSON.parse(value) } }
+          : { type: 'ignored' },
       decodeWeightTarget: () => ({ type: 'ignored' }),
       decodeEndpoint: (_key, value) => ({
         type: 'value',
@@ -297,7 +306,7 @@
     return { key: registration.id, version: 1, value: JSON.stringify(registration) };
   });
   return new Map([
-    [OPERATOR_TABLE, [{ key: 'configuration', version: 1, value: 'x' }]],
+    [OPERATOR_TABLE, [{ key: CONFIGURATION_KEY, version: 1, value: '{}' }]],
     [ENDPOINT_TABLE, endpoints],
   ]);
 };
--- a/packages/traffic/src/trafficRules.ts
+++ b/packages/traffic/src/trafficRules.ts
@@ -1,3 +1,4 @@
+import { listRegionRuleNames } from './allowedRegions.js';
 import type {
   Account,
   CacheStore,
@@ -19,6 +20,9 @@
     private readonly accountsByKey: ReadonlyMap<string, Account>,
     private readonly services: ReadonlyMap<string, Service>,
     readonly cacheStores: readonly CacheStore[],
+    private readonly accountsByName: ReadonlyMap<string, Account>,
+    /** Canonical names of the region rules that requests can have. */
+    readonly regionRuleNames: ReadonlySet<string>,
   ) {}
 
   /**
@@ -35,7 +39,8 @@
       routesByHost.set(host, routes);
     }
     const accountsByKey = new Map<string, Account>();
-    for (const account of configuration.accounts ?? []) {
+    const accounts = configuration.accounts ?? [];
+    for (const account of accounts) {
       for (const key of account.keys) accountsByKey.set(key, account);
     }
     return new TrafficRules(
@@ -46,9 +51,16 @@
       accountsByKey,
       new Map(configuration.services.map((service) => [service.name, service])),
       configuration.cacheStores,
+      new Map(accounts.map((account) => [account.name, account])),
+      listRegionRuleNames(configuration.routes, accounts),
     );
   }
 
+  /** Finds an account whose keys may have changed. */
+  findAccountByName(name: string): Account | undefined {
+    return this.accountsByName.get(name);
+  }
+
   /** Finds the route with the longest matching path prefix; the query string is ignored. */
   findRoute(host: string, pathWithQuery: string): Route | undefined {
     const routes = this.routesByHost.get(host.toLowerCase());
--- a/packages/traffic/src/types.ts
+++ b/packages/traffic/src/types.ts
@@ -28,6 +28,8 @@
   readonly isResumable: boolean;
   /** Whether requests list the parts of their prompt. */
   readonly hasPromptParts: boolean;
+  /** Regions in which requests may be processed; absent or empty for any. */
+  readonly allowedRegions?: readonly string[];
 }
 
 /** Capacity of each engine of a model service. */
@@ -78,6 +80,8 @@
   readonly priority?: number;
   /** Whether the account shares no cached prompt parts with other accounts. */
   readonly isIsolated: boolean;
+  /** Regions in which requests may be processed; absent or empty for any. */
+  readonly allowedRegions?: readonly string[];
 }
 
 /** A complete version of the traffic configuration. */
