Split the attempts of a request from the handling of its caller

RequestAttempts now holds where a request was sent, how often it may have run and what follows an outcome; the handler reads, refuses, replies and logs. The behaviour is unchanged.

--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -1,11 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { setImmediate as nextLoopTurn } from 'node:timers/promises';
-import { type AttemptResult, decideNextStep, EventStreamFramer } from '@lovagearch/exchange';
-import { chooseTarget, isRetryable, type Route } from '@lovagearch/traffic';
+import { chooseTarget, type Route } from '@lovagearch/traffic';
 import { createOverloadRefusal } from './createOverloadRefusal.js';
 import { CallerResponse } from './callerResponse.js';
-import type { Attempt, AttemptOutcome } from './attempt.js';
-import { type RoutedRequest, createAttempt } from './createAttempt.js';
+import type { RoutedRequest } from './createAttempt.js';
 import {
   DEFAULT_TIME_LIMIT_MS,
   MAX_RETRY_AFTER_MS,
@@ -13,44 +10,16 @@
   MIN_REMAINING_TO_SEND_MS,
   TIMEOUT_RESPONSE_GRACE_MS,
 } from './constants.js';
-import { recordSend } from './endpointRates.js';
 import type { GatewayContext } from './gatewayContext.js';
-import {
-  recordAnswer,
-  recordBrokenAttempt,
-  recordInterruption,
-  recordTransferTime,
-  recordWeightMismatch,
-} from './attemptFeedback.js';
-import { type ChosenEndpoint, type PlacementResult, placeRequest } from './placeRequest.js';
+import type { ChosenEndpoint } from './placeRequest.js';
 import { createFailure, createRefusal, type LocalReply, sendLocalReply } from './localReply.js';
-import {
-  createStreamFields,
-  logAttemptFailed,
-  logCallerLeft,
-  logNotPlaced,
-  logPlacement,
-} from './requestLog.js';
-import { createCacheSalt, planReuse } from './reusePlan.js';
+import { createStreamFields, logCallerLeft, logNotPlaced } from './requestLog.js';
 import { createQuarantineRefusal, isQuarantined } from './quarantine.js';
+import { RequestAttempts } from './requestAttempts.js';
 import { readBody } from './requestBody.js';
 import { getTimeLimitMs, routeRequest } from './routeRequest.js';
-import { listSharedPartIds } from './sharedParts.js';
 import type { RequestHead } from './types.js';
-
-/** Turns of the event loop in which a close is read that arrived together with a request. */
-const CLOSE_READ_TURNS = 2;
-/** The same in a process that is late, where a close that arrived later than the request is waiting as well. */
-const LATE_CLOSE_READ_TURNS = 5;
-
-/**
- * Waits until a close has been read that arrived before the request could be served. A late process would otherwise
- * send requests whose callers have given up.
- */
-const waitForQueuedClose = async (readDelayMs: number): Promise<void> => {
-  const turns = readDelayMs > 0 ? LATE_CLOSE_READ_TURNS : CLOSE_READ_TURNS;
-  for (let turn = 0; turn < turns; turn++) await nextLoopTurn();
-};
+import { waitForQueuedClose } from './waitForQueuedClose.js';
 
 /** Why a request was stopped before its response was complete. */
 type StopReason = 'caller_left' | 'time_limit';
@@ -64,10 +33,8 @@
 
   private readonly callerResponse: CallerResponse;
 
-  private attempt: Attempt | undefined;
-
-  /** Undefined for requests that are not streaming. */
-  private framer: EventStreamFramer | undefined;
+  /** Undefined until the request may be sent. */
+  private attempts: RequestAttempts | undefined;
 
   private stopReason: StopReason | undefined;
 
@@ -87,21 +54,6 @@
 
   private hasLoggedCompletion = false;
 
-  /** What showed the end of the endpoint's response, if one was passed on. */
-  private responseEnd: 'connection' | 'framing' | undefined;
-
-  /** Number of attempts. */
-  private sendCount = 0;
-
-  /** Number of attempts that may have run the request. */
-  private possibleRunCount = 0;
-
-  private lastPlacement: PlacementResult | undefined;
-
-  private readonly triedEndpointIds: string[] = [];
-
-  private readonly excludedEndpointIds = new Set<string>();
-
   private constructor(
     private readonly context: GatewayContext,
     private readonly incoming: IncomingMessage,
@@ -206,15 +158,15 @@
     }
     if (this.endIfQuarantined(routedRequest)) return;
     context.getRetryBudget(service).recordRequest(context.clock.nowMs());
-    this.framer =
-      route.kind === 'streaming'
-        ? EventStreamFramer.create(
-            head.lastEventId,
-            context.responseLimits.memory,
-            context.getEventIdHistory(service),
-          )
-        : undefined;
-    let chosen = this.chooseEndpoint(routedRequest);
+    const attempts = RequestAttempts.create(context, {
+      routedRequest,
+      callerResponse: this.callerResponse,
+      timeLimitMs: this.timeLimitMs,
+      getElapsedMs: () => this.getElapsedMs(),
+      onFirstByte: () => this.recordFirstByte(route),
+    });
+    this.attempts = attempts;
+    let chosen = attempts.chooseEndpoint();
     if (chosen !== undefined && !this.tryAdmit(routedRequest, chosen)) return;
     while (this.stopReason === undefined) {
       const remainingMs = this.timeLimitMs - this.getElapsedMs();
@@ -225,14 +177,33 @@
         );
         return;
       }
-      if (this.sendCount > 0 && this.endIfQuarantined(routedRequest)) return;
-      const outcome = await this.runAttempt(routedRequest, chosen, remainingMs);
-      chosen = this.handleOutcome(routedRequest, chosen, outcome);
-      if (chosen === undefined) return;
+      if (attempts.sendCount > 0 && this.endIfQuarantined(routedRequest)) return;
+      const conclusion = await attempts.run(chosen, remainingMs);
+      switch (conclusion.type) {
+        case 'retry':
+          chosen = conclusion.chosen;
+          break;
+        case 'served':
+          this.logCompletion(head, route, 'served', conclusion.status);
+          return;
+        case 'stopped':
+          this.handleStop(routedRequest);
+          return;
+        case 'ended':
+          this.replyWithRefusalOrFailure(routedRequest, conclusion.reason);
+          return;
+        default:
+          conclusion satisfies never;
+      }
     }
     this.handleStop(routedRequest);
   }
 
+  /** Number of attempts that may have run the request. */
+  private get possibleRunCount(): number {
+    return this.attempts?.possibleRunCount ?? 0;
+  }
+
   /** Ends a request that is quarantined; returns whether it is. Checked before each send. */
   private endIfQuarantined(routedRequest: RoutedRequest): boolean {
     const { head, route } = routedRequest;
@@ -255,157 +226,6 @@
     return refusal === undefined;
   }
 
-  private chooseEndpoint(routedRequest: RoutedRequest): ChosenEndpoint | undefined {
-    const { context, excludedEndpointIds } = this;
-    const { head, route, service, account } = routedRequest;
-    const result = placeRequest(context, head, route, service, account, excludedEndpointIds);
-    this.lastPlacement = result;
-    return result.type === 'placed' ? result.chosen : undefined;
-  }
-
-  private async runAttempt(
-    routedRequest: RoutedRequest,
-    chosen: ChosenEndpoint,
-    remainingMs: number,
-  ): Promise<AttemptOutcome> {
-    const { context } = this;
-    const { head, route, service, account } = routedRequest;
-    const { endpoint, placement } = chosen;
-    const reusePlan = planReuse(context, head, account, endpoint, placement);
-    this.sendCount += 1;
-    recordSend(context, endpoint);
-    this.excludedEndpointIds.add(endpoint.record.id);
-    const isRepeat = this.triedEndpointIds.includes(endpoint.record.id);
-    this.triedEndpointIds.push(endpoint.record.id);
-    const nowMs = context.clock.nowMs();
-    if (this.sendCount === 1) logPlacement(context, routedRequest, chosen, reusePlan);
-    context.clusterState.promptMemory.recordSent(
-      head.promptParts,
-      createCacheSalt(account, undefined) ?? '',
-      endpoint.record.id,
-      placement.uncachedTokens,
-      nowMs,
-    );
-    const attempt = createAttempt(context, routedRequest, chosen, {
-      reusePlan,
-      framer: this.framer,
-      remainingMs,
-      isRepeat,
-      callerResponse: this.callerResponse,
-      onFirstByte: (firstByteDelayMs) => {
-        this.recordFirstByte(route);
-        recordTransferTime(context, head, placement, reusePlan, firstByteDelayMs);
-      },
-    });
-    this.attempt = attempt;
-    const stopTracking =
-      head.model === undefined
-        ? undefined
-        : context.waitingAttempts.add({
-            attempt,
-            model: head.model,
-            weightVersion: endpoint.record.weights.get(head.model) ?? 0,
-          });
-    const outcome = await attempt.run();
-    stopTracking?.();
-    context.metrics.recordAttempt(service, outcome.type);
-    if (outcome.type === 'broken' && (outcome.isConnectionLost || !attempt.hasOutput))
-      recordBrokenAttempt(context, routedRequest, chosen, attempt.hasOutput);
-    if (outcome.type === 'passed_on' || outcome.type === 'answered') {
-      recordAnswer(context, routedRequest, chosen);
-      this.responseEnd = outcome.hasExplicitEnd ? 'framing' : 'connection';
-      context.metrics.recordResponseEnd(service, this.responseEnd);
-    }
-    if (outcome.type === 'broken' && outcome.isConnectionLost)
-      recordInterruption(
-        context,
-        routedRequest,
-        chosen,
-        attempt.getOutputAgeMs(context.clock.nowMs()),
-      );
-    return outcome;
-  }
-
-  /** Handles the outcome of an attempt. Returns the endpoint for a retry, or undefined if the request has ended. */
-  private handleOutcome(
-    routedRequest: RoutedRequest,
-    chosen: ChosenEndpoint,
-    outcome: AttemptOutcome,
-  ): ChosenEndpoint | undefined {
-    const { context } = this;
-    const { head, route, service } = routedRequest;
-    if (outcome.type === 'passed_on') {
-      if (outcome.hasExplicitEnd)
-        context.promptPartContainment.recordCompletion(listSharedPartIds(head));
-      this.logCompletion(head, route, 'served', 200);
-      return undefined;
-    }
-    if (outcome.type === 'stopped') {
-      if (outcome.wasSent) this.possibleRunCount += 1;
-      this.handleStop(routedRequest);
-      return undefined;
-    }
-    if (outcome.type !== 'not_run') this.possibleRunCount += 1;
-    else if (outcome.weightMismatch !== undefined) {
-      const { version } = outcome.weightMismatch;
-      // The endpoint would accept the request with the correct weight version.
-      if (recordWeightMismatch(context, head, chosen, version)) {
-        this.excludedEndpointIds.delete(chosen.endpoint.record.id);
-      }
-    }
-    const result: AttemptResult =
-      outcome.type === 'answered'
-        ? { type: 'answered', isFailure: outcome.head.status >= 500 }
-        : outcome;
-    const next = this.chooseEndpoint(routedRequest);
-    const budget = context.getRetryBudget(service);
-    const nowMs = context.clock.nowMs();
-    const step = decideNextStep({
-      result,
-      isRetryable: isRetryable(route),
-      possibleRuns: this.possibleRunCount,
-      sends: this.sendCount,
-      maxPossibleRuns: route.maxAttempts,
-      remainingMs: this.timeLimitMs - this.getElapsedMs(),
-      expectedMs: next?.placement.expectedMs ?? 0,
-      hasAlternative: next !== undefined,
-      hasRetryBudget: budget.hasRetry(context.clusterState.nodeCount, nowMs),
-      hasResponseStarted: this.callerResponse.hasStarted,
-      hasUnnumberedEvents: this.framer?.hasUnnumberedEvents ?? false,
-    });
-    if (outcome.type !== 'answered' || step.type !== 'deliver') {
-      logAttemptFailed(context, head, chosen, outcome, step, {
-        sends: this.sendCount,
-        runs: this.possibleRunCount,
-        elapsedMs: this.getElapsedMs(),
-        hasOutput: this.attempt?.hasOutput ?? false,
-        lastEventId: this.framer?.lastEventId,
-      });
-    }
-    switch (step.type) {
-      case 'deliver':
-        if (outcome.type === 'answered') {
-          this.callerResponse.sendEndpointResponse(outcome.head, outcome.body);
-          if (outcome.head.status < 300 && outcome.hasExplicitEnd)
-            context.promptPartContainment.recordCompletion(listSharedPartIds(head));
-          this.logCompletion(head, route, 'served', outcome.head.status);
-        }
-        return undefined;
-      case 'retry':
-        // Sending a request that the endpoint did not receive again costs no retry budget.
-        if (outcome.type !== 'not_run' || outcome.wasReceived) {
-          budget.tryTake(context.clusterState.nodeCount, nowMs);
-        }
-        return next;
-      case 'refuse':
-      case 'fail':
-        this.replyWithRefusalOrFailure(routedRequest, step.reason);
-        return undefined;
-      default:
-        return step satisfies never;
-    }
-  }
-
   private recordFirstByte(route: Route): void {
     if (this.firstByteMs !== undefined) return;
     this.firstByteMs = this.getElapsedMs();
@@ -415,8 +235,9 @@
   /** Ends a request without a complete response of an endpoint. */
   private replyWithRefusalOrFailure(routedRequest: RoutedRequest, reason: string): void {
     const { head, route } = routedRequest;
-    if (this.lastPlacement?.type === 'none')
-      logNotPlaced(this.context, routedRequest, this.lastPlacement.counts);
+    const lastPlacement = this.attempts?.lastPlacement;
+    if (lastPlacement?.type === 'none')
+      logNotPlaced(this.context, routedRequest, lastPlacement.counts);
     if (this.callerResponse.hasStarted) {
       this.callerResponse.abort();
       this.logCompletion(head, route, 'broken_off', undefined, reason);
@@ -450,7 +271,8 @@
    * time don't retry at the same time.
    */
   private computeRetryAfterMs(): number {
-    const { context, lastPlacement } = this;
+    const { context } = this;
+    const lastPlacement = this.attempts?.lastPlacement;
     const spreadMs = context.random() * MIN_RETRY_AFTER_MS;
     if (lastPlacement?.type === 'none' && lastPlacement.holdEndMs !== undefined)
       return Math.max(0, lastPlacement.holdEndMs - context.clock.nowMs()) + spreadMs;
@@ -461,7 +283,7 @@
     if (this.stopReason !== undefined) return;
     this.stopReason = reason;
     if (reason === 'caller_left') this.logDeparture();
-    this.attempt?.stop();
+    this.attempts?.stop();
     // The rest of the body may never arrive, so the connection can't be reused for another request.
     if (this.isReadingBody && reason === 'time_limit') this.incoming.destroy();
   }
@@ -469,9 +291,9 @@
   private logDeparture(): void {
     logCallerLeft(this.context, this.requestId, {
       isReadingBody: this.isReadingBody,
-      endpoint: this.triedEndpointIds.at(-1),
-      wasSent: this.attempt?.wasSent ?? false,
-      sends: this.sendCount,
+      endpoint: this.attempts?.triedEndpointIds.at(-1),
+      wasSent: this.attempts?.wasSent ?? false,
+      sends: this.attempts?.sendCount ?? 0,
       elapsedMs: this.getElapsedMs(),
     });
   }
@@ -520,9 +342,9 @@
       status,
       outcome,
       reason,
-      endpoints: this.triedEndpointIds,
-      responseEnd: outcome === 'served' ? this.responseEnd : undefined,
-      ...createStreamFields(head, this.framer),
+      endpoints: this.attempts?.triedEndpointIds ?? [],
+      responseEnd: outcome === 'served' ? this.attempts?.responseEnd : undefined,
+      ...createStreamFields(head, this.attempts?.framer),
       firstByteMs: this.firstByteMs === undefined ? undefined : Math.round(this.firstByteMs),
       totalMs: Math.round(totalMs),
       limitMs: this.timeLimitMs,
