Decide without sockets when a late request is sent to a second endpoint

A request at an endpoint that stands still waits until its stall timeout, 1.2 s for streams, although another endpoint would answer at once. decideHedge takes values only and names why it refuses: overload, a late VM, many late requests or a single late zone, the share, the retry budget, attempts, quarantine, a departed caller. The delay is a quantile of the response times relative to their forecasts, of the route and the endpoint, from a histogram with fixed buckets and decay. Nothing calls it yet.

--- a/packages/exchange/src/index.ts
+++ b/packages/exchange/src/index.ts
@@ -9,3 +9,5 @@
 export * from './eventIdHistory.js';
 export * from './eventStreamFramer.js';
 export type * from './types.js';
+export * from './decideHedge.js';
+export * from './latenessDistribution.js';
