Send a late request to a second endpoint, and cancel the send that loses

A request at an endpoint that stands still waits for its stall timeout. With shares for hedging, the first send of a repeatable request gets a second one beside it when it is later than its forecast allows; the first complete answer, or the first event of a stream, wins, and the other send is cancelled before a byte of the winner is passed on. Each send has its own event framer, so that incomplete events of two endpoints are not joined. A hedge counts towards the share, the retry budget, max_attempts and the possible runs.

--- a/packages/exchange/src/decideHedge.ts
+++ b/packages/exchange/src/decideHedge.ts
@@ -23,11 +23,11 @@
   | 'alternative_has_queue'
   | 'attempts_used_up'
   | 'caller_left'
+  | 'crash_suspect'
   | 'many_late'
   | 'no_alternative'
   | 'not_repeatable'
   | 'overload'
-  | 'quarantined'
   | 'response_started'
   | 'retry_budget_used_up'
   | 'share_used_up'
@@ -71,7 +71,8 @@
   readonly hasShare: boolean;
   /** Whether the retry budget shared by all nodes allows another send. */
   readonly hasRetryBudget: boolean;
-  readonly isQuarantined: () => boolean;
+  /** Whether the request is quarantined or was in flight when an endpoint crashed. */
+  readonly isSuspect: () => boolean;
   /** Places the request on another endpoint; not called if something else forbids the hedge. */
   readonly findAlternative: () => Alternative | undefined;
   readonly targetLatencyMs: number;
@@ -145,7 +146,7 @@
   if (commonCause !== undefined) return skip(commonCause);
   if (!input.hasShare) return skip('share_used_up');
   if (!input.hasRetryBudget) return skip('retry_budget_used_up');
-  if (input.isQuarantined()) return skip('quarantined');
+  if (input.isSuspect()) return skip('crash_suspect');
   const alternative = input.findAlternative();
   if (alternative === undefined) return skip('no_alternative');
   if (alternative.expectedMs >= input.remainingMs) return skip('time_is_short');
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -76,6 +76,8 @@
   readonly canSend: () => boolean;
   /** Called with the time from the start of the attempt to the first byte, in milliseconds. */
   readonly onFirstByte: (sinceStartMs: number) => void;
+  /** Called before the first byte of a response is passed on to the caller. */
+  readonly onResponseStart: () => void;
   /** Called with the head of each response that belongs to this request. */
   readonly onResponseHead: (head: ResponseHead, sentAtMs: number) => void;
   readonly onWeights: (endpointId: string, model: string, version: number) => void;
@@ -342,7 +344,7 @@
     const { callerResponse } = this.input;
     const { head, exchange } = this;
     if (head === undefined || callerResponse.isClosed) return;
-    if (!callerResponse.hasStarted) callerResponse.start(head);
+    if (!callerResponse.hasStarted) this.startResponse(head);
     const resume = () => {
       this.isPaused = false;
       this.recordActivity(this.dependencies.clock.nowMs());
@@ -353,6 +355,11 @@
     exchange?.pause();
   }
 
+  private startResponse(head: ResponseHead): void {
+    this.dependencies.onResponseStart();
+    this.input.callerResponse.start(head);
+  }
+
   private handleEnd(end: ResponseEnd): void {
     const { framer } = this.input;
     const { head } = this;
@@ -432,7 +439,7 @@
       processingMs,
     };
     if (framer !== undefined && this.isStreaming(head)) {
-      if (!callerResponse.hasStarted) callerResponse.start(head);
+      if (!callerResponse.hasStarted) this.startResponse(head);
       callerResponse.finish();
       this.finish({ type: 'passed_on', hasExplicitEnd }, outcome);
     } else if (this.bufferedBody === undefined) {
--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -27,6 +27,8 @@
   readonly isRepeat: boolean;
   readonly callerResponse: CallerResponse;
   readonly onFirstByte: (sinceStartMs: number) => void;
+  /** Called before the first byte of a response is passed on to the caller. */
+  readonly onResponseStart: () => void;
 }
 
 /** Returns the time without data after which a retryable request is sent to another endpoint. */
@@ -41,8 +43,9 @@
   context: GatewayContext,
   { head, route, service, account, body }: RoutedRequest,
   { endpoint, placement, maxConnections }: ChosenEndpoint,
-  { reusePlan, framer, remainingMs, isRepeat, callerResponse, onFirstByte }: AttemptOptions,
+  options: AttemptOptions,
 ): Attempt => {
+  const { reusePlan, framer, remainingMs, isRepeat, callerResponse } = options;
   const isStreaming = route.kind === 'streaming';
   const headers = context.headers.encodeEndpointHeaders(head, {
     endpointId: endpoint.record.id,
@@ -62,7 +65,8 @@
       clock: context.clock,
       memory: context.responseLimits.memory,
       canSend: () => isTakingRequests(context, endpoint),
-      onFirstByte,
+      onFirstByte: options.onFirstByte,
+      onResponseStart: options.onResponseStart,
       onResponseHead: (responseHead, sentAtMs) =>
         applyStatements(context, endpoint, head.requestId, responseHead, sentAtMs),
       onWeights: (id, model, version) =>
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -7,6 +7,7 @@
 import type { EventLoopMonitor } from './eventLoopMonitor.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
+import type { Hedging } from './hedging.js';
 import type { PromptPartContainment } from './promptPartContainment.js';
 import type { RecentAnswers } from './recentAnswers.js';
 import type { RouteDurations } from './routeDurations.js';
@@ -44,6 +45,8 @@
   readonly getEventIdHistory: (service: string) => EventIdHistory;
   readonly eventLoopMonitor: EventLoopMonitor;
   readonly routeDurations: RouteDurations;
+  /** Undefined if hedging is switched off. */
+  readonly hedging: Hedging | undefined;
   /** The planned stop in progress, if there is one. */
   readonly getShutdown: () => Shutdown | undefined;
 }
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -72,6 +72,13 @@
     registers: [this.registry],
   });
 
+  private readonly hedges = new Counter({
+    name: 'lovagearch_hedges_total',
+    help: 'Second sends of late requests, and late requests without one, by service and result',
+    labelNames: ['service', 'result'],
+    registers: [this.registry],
+  });
+
   static create(): GatewayMetrics {
     return new GatewayMetrics();
   }
@@ -106,6 +113,11 @@
     this.droppedLines.inc(lines);
   }
 
+  /** @param result what became of the hedge, or `skipped_` with the reason why there was none */
+  recordHedge(service: string, result: string): void {
+    this.hedges.inc({ service, result });
+  }
+
   setGauge(name: string, value: number): void {
     this.gauges.set({ name }, value);
   }
--- a/packages/gateway/src/quarantine.ts
+++ b/packages/gateway/src/quarantine.ts
@@ -21,6 +21,16 @@
   context.promptPartContainment.findQuarantine(listSharedPartIds(routedRequest.head)) !==
     undefined || findQuarantinedFingerprint(context, routedRequest) !== undefined;
 
+/** Whether a request is quarantined or was in flight when an endpoint crashed, so that it had better not run twice. */
+export const isSuspect = (context: GatewayContext, routedRequest: RoutedRequest): boolean => {
+  const { clock, clusterState } = context;
+  if (isQuarantined(context, routedRequest)) return true;
+  if (clusterState.strikes.isEmpty) return false;
+  const { head, account, body } = routedRequest;
+  const fingerprint = computeFingerprint(account?.name ?? '', head.path, body);
+  return clusterState.strikes.countCrashes(fingerprint, clock.nowMs()) > 0;
+};
+
 const findQuarantineMessage = (
   context: GatewayContext,
   routedRequest: RoutedRequest,
--- a/packages/gateway/src/requestAttempts.ts
+++ b/packages/gateway/src/requestAttempts.ts
@@ -15,6 +15,7 @@
 import { type ChosenEndpoint, type PlacementResult, placeRequest } from './placeRequest.js';
 import { logAttemptFailed, logPlacement } from './requestLog.js';
 import { createCacheSalt, planReuse } from './reusePlan.js';
+import { type Send, SendRace } from './sendRace.js';
 import { listSharedPartIds } from './sharedParts.js';
 
 /** What becomes of a request after an attempt. */
@@ -48,8 +49,8 @@
  * if (chosen !== undefined) await attempts.run(chosen, remainingMs);
  */
 export class RequestAttempts {
-  /** Undefined for requests that are not streaming. */
-  readonly framer: EventStreamFramer | undefined;
+  /** Events that were passed on; undefined for requests that are not streaming. */
+  framer: EventStreamFramer | undefined;
 
   readonly triedEndpointIds: string[] = [];
 
@@ -64,7 +65,12 @@
   /** What showed the end of the endpoint's response, if one was passed on. */
   responseEnd: 'connection' | 'framing' | undefined;
 
-  private attempt: Attempt | undefined;
+  /** The sends in progress, or else the last ones. */
+  private sends: readonly Send[] = [];
+
+  private race: SendRace | undefined;
+
+  private isStopped = false;
 
   private readonly excludedEndpointIds = new Set<string>();
 
@@ -72,15 +78,7 @@
     private readonly context: GatewayContext,
     private readonly input: AttemptsInput,
   ) {
-    const { head, route, service } = input.routedRequest;
-    this.framer =
-      route.kind === 'streaming'
-        ? EventStreamFramer.create(
-            head.lastEventId,
-            context.responseLimits.memory,
-            context.getEventIdHistory(service),
-          )
-        : undefined;
+    this.framer = this.createFramer();
   }
 
   static create(context: GatewayContext, input: AttemptsInput): RequestAttempts {
@@ -89,33 +87,84 @@
 
   /** Whether an endpoint may have received a part of the last attempt. */
   get wasSent(): boolean {
-    return this.attempt?.wasSent ?? false;
+    return this.sends.some(({ attempt }) => attempt.wasSent);
   }
 
   /** Places the request on an endpoint that it was not sent to before. */
   chooseEndpoint(): ChosenEndpoint | undefined {
-    const { head, route, service, account } = this.input.routedRequest;
-    const { context, excludedEndpointIds } = this;
-    const result = placeRequest(context, head, route, service, account, excludedEndpointIds);
+    const result = this.placeRequest();
     this.lastPlacement = result;
     return result.type === 'placed' ? result.chosen : undefined;
   }
 
-  /** Sends the request to an endpoint and decides what to do after the attempt. */
+  /** Sends the request to an endpoint, to a second one if that is late, and decides what to do afterwards. */
   async run(chosen: ChosenEndpoint, remainingMs: number): Promise<AttemptConclusion> {
-    const outcome = await this.runAttempt(chosen, remainingMs);
-    return this.handleOutcome(chosen, outcome);
+    const first = this.startSend(chosen, remainingMs, this.framer);
+    this.sends = [first];
+    this.race = this.createRace(first);
+    if (this.race === undefined) return this.handleOutcome(first, await first.outcome);
+    const { decisive, other } = await this.race.run();
+    if (other !== undefined) this.recordOutcome(other.send.chosen, other.outcome);
+    return this.handleOutcome(decisive.send, decisive.outcome);
   }
 
-  /** Cancels the attempt in progress. */
+  /** Cancels the attempts in progress. */
   stop(): void {
-    this.attempt?.stop();
+    this.isStopped = true;
+    for (const { attempt } of this.sends) attempt.stop();
+  }
+
+  private placeRequest(): PlacementResult {
+    const { head, route, service, account } = this.input.routedRequest;
+    return placeRequest(this.context, head, route, service, account, this.excludedEndpointIds);
+  }
+
+  private createFramer(): EventStreamFramer | undefined {
+    const { context } = this;
+    const { head, route, service } = this.input.routedRequest;
+    if (route.kind !== 'streaming') return undefined;
+    const { memory } = context.responseLimits;
+    return EventStreamFramer.create(head.lastEventId, memory, context.getEventIdHistory(service));
+  }
+
+  /** Returns the race in which the first send of a request may get a second one beside it. */
+  private createRace(first: Send): SendRace | undefined {
+    const { context } = this;
+    const { hedging } = context;
+    const { routedRequest, callerResponse, getElapsedMs, timeLimitMs } = this.input;
+    const { route, service } = routedRequest;
+    if (hedging?.isEnabled(service) !== true || this.sendCount > 1) return undefined;
+    hedging.recordRequest(service, first.sentAtMs);
+    if (!isRetryable(route) || route.maxAttempts < 2) return undefined;
+    return SendRace.create(context, {
+      routedRequest,
+      hedging,
+      first,
+      getRemainingMs: () => timeLimitMs - getElapsedMs(),
+      hasResponseStarted: () => callerResponse.hasStarted,
+      isStopped: () => this.isStopped,
+      getSendCount: () => this.sendCount,
+      findAlternative: () => {
+        const result = this.placeRequest();
+        return result.type === 'placed' ? result.chosen : undefined;
+      },
+      send: (chosen, remainingMs) => {
+        // Incomplete events of two endpoints must not be joined.
+        const hedge = this.startSend(chosen, remainingMs, this.createFramer());
+        this.sends = [first, hedge];
+        return hedge;
+      },
+    });
   }
 
-  private async runAttempt(chosen: ChosenEndpoint, remainingMs: number): Promise<AttemptOutcome> {
+  private startSend(
+    chosen: ChosenEndpoint,
+    remainingMs: number,
+    framer: EventStreamFramer | undefined,
+  ): Send {
     const { context } = this;
     const { routedRequest, callerResponse, onFirstByte } = this.input;
-    const { head, service, account } = routedRequest;
+    const { head, account } = routedRequest;
     const { endpoint, placement } = chosen;
     const reusePlan = planReuse(context, head, account, endpoint, placement);
     this.sendCount += 1;
@@ -124,16 +173,17 @@
     const isRepeat = this.triedEndpointIds.includes(endpoint.record.id);
     this.triedEndpointIds.push(endpoint.record.id);
     if (this.sendCount === 1) logPlacement(context, routedRequest, chosen, reusePlan);
+    const sentAtMs = context.clock.nowMs();
     context.clusterState.promptMemory.recordSent(
       head.promptParts,
       createCacheSalt(account, undefined) ?? '',
       endpoint.record.id,
       placement.uncachedTokens,
-      context.clock.nowMs(),
+      sentAtMs,
     );
     const attempt = createAttempt(context, routedRequest, chosen, {
       reusePlan,
-      framer: this.framer,
+      framer,
       remainingMs,
       isRepeat,
       callerResponse,
@@ -141,15 +191,24 @@
         onFirstByte();
         recordTransferTime(context, head, placement, reusePlan, firstByteDelayMs);
       },
+      onResponseStart: () => {
+        this.framer = framer;
+        this.race?.claimResponse(attempt);
+      },
     });
-    this.attempt = attempt;
+    return { chosen, attempt, framer, sentAtMs, outcome: this.runAttempt(chosen, attempt) };
+  }
+
+  private async runAttempt(chosen: ChosenEndpoint, attempt: Attempt): Promise<AttemptOutcome> {
+    const { context } = this;
+    const { head, service } = this.input.routedRequest;
     const stopTracking =
       head.model === undefined
         ? undefined
         : context.waitingAttempts.add({
             attempt,
             model: head.model,
-            weightVersion: endpoint.record.weights.get(head.model) ?? 0,
+            weightVersion: chosen.endpoint.record.weights.get(head.model) ?? 0,
           });
     const outcome = await attempt.run();
     stopTracking?.();
@@ -192,7 +251,7 @@
       this.excludedEndpointIds.delete(chosen.endpoint.record.id);
   }
 
-  private handleOutcome(chosen: ChosenEndpoint, outcome: AttemptOutcome): AttemptConclusion {
+  private handleOutcome({ chosen, attempt }: Send, outcome: AttemptOutcome): AttemptConclusion {
     const { context } = this;
     const { routedRequest, callerResponse, getElapsedMs, timeLimitMs } = this.input;
     const { head, route, service } = routedRequest;
@@ -227,7 +286,7 @@
         sends: this.sendCount,
         runs: this.possibleRunCount,
         elapsedMs: getElapsedMs(),
-        hasOutput: this.attempt?.hasOutput ?? false,
+        hasOutput: attempt.hasOutput,
         lastEventId: this.framer?.lastEventId,
       });
     }
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -7,13 +7,19 @@
   Placement,
   RateLimitChange,
 } from '@lovagearch/endpoints';
-import type { EventStreamFramer, NextStep } from '@lovagearch/exchange';
+import type {
+  EventStreamFramer,
+  HedgeInput,
+  HedgeSkipReason,
+  NextStep,
+} from '@lovagearch/exchange';
 import type { Route } from '@lovagearch/traffic';
 import type { AttemptOutcome } from './attempt.js';
 import type { RoutedRequest } from './createAttempt.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { ChosenEndpoint } from './placeRequest.js';
 import type { ReusePlan } from './reusePlan.js';
+import type { HedgeResult, PlacedAlternative } from './sendRace.js';
 import { listSharedPartIds } from './sharedParts.js';
 import type { RequestHead } from './types.js';
 
@@ -165,3 +171,76 @@
     sharedParts: listSharedPartIds(head).slice(0, MAX_LOGGED_PARTS),
   });
 };
+
+/** What a decision about a hedge rests on. */
+export interface HedgeDetails {
+  readonly delayMs: number;
+  readonly first: ChosenEndpoint;
+  readonly input: HedgeInput<PlacedAlternative>;
+}
+
+const createHedgeFields = (
+  { clock }: GatewayContext,
+  { head, service }: RoutedRequest,
+  { delayMs, first, input }: HedgeDetails,
+) => ({
+  request: head.requestId,
+  service,
+  first: first.endpoint.record.id,
+  delayMs: Math.round(delayMs),
+  expectedMs: Math.round(first.placement.expectedMs),
+  loadAgeMs: Math.round(first.endpoint.getLoadAgeMs(clock.nowMs())),
+  eventLoopDelayMs: Math.round(input.eventLoopDelayMs),
+  inProgress: input.inProgress.total,
+  late: input.inProgress.late,
+  lateZones: input.inProgress.lateZones,
+  remainingMs: Math.round(input.remainingMs),
+});
+
+/** Logs that a late request is sent to a second endpoint as well, and what the decision rests on. */
+export const logHedged = (
+  context: GatewayContext,
+  routedRequest: RoutedRequest,
+  details: HedgeDetails,
+  { chosen, expectedMs, waitMs, queuedRequests }: PlacedAlternative,
+): void =>
+  context.log.logRequest('hedged', {
+    ...createHedgeFields(context, routedRequest, details),
+    endpoint: chosen.endpoint.record.id,
+    alternativeExpectedMs: Math.round(expectedMs),
+    alternativeWaitMs: Math.round(waitMs),
+    alternativeQueue: queuedRequests,
+    alternativeLoadAgeMs: Math.round(chosen.endpoint.getLoadAgeMs(context.clock.nowMs())),
+  });
+
+/** Logs why a late request is not sent to a second endpoint. */
+export const logHedgeSkipped = (
+  context: GatewayContext,
+  routedRequest: RoutedRequest,
+  details: HedgeDetails,
+  reason: HedgeSkipReason,
+): void =>
+  context.log.logRequest('hedge_skipped', {
+    ...createHedgeFields(context, routedRequest, details),
+    reason,
+  });
+
+/** Logs what became of a hedge, with the times since both sends. */
+export const logHedgeEnded = (
+  { log }: GatewayContext,
+  { head, service }: RoutedRequest,
+  result: HedgeResult,
+  times: {
+    readonly endpoint: string;
+    readonly firstElapsedMs: number;
+    readonly hedgeElapsedMs: number;
+  },
+): void =>
+  log.logRequest('hedge_ended', {
+    request: head.requestId,
+    service,
+    result,
+    endpoint: times.endpoint,
+    firstElapsedMs: Math.round(times.firstElapsedMs),
+    hedgeElapsedMs: Math.round(times.hedgeElapsedMs),
+  });
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -22,6 +22,7 @@
 import { createGatewayLog } from './gatewayLog.js';
 import type { GatewayContext, Shutdown } from './gatewayContext.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
+import { Hedging } from './hedging.js';
 import { openGatewayListeners } from './openGatewayListeners.js';
 import {
   createPeerSource,
@@ -276,6 +277,8 @@
     },
     eventLoopMonitor,
     routeDurations: RouteDurations.create(),
+    hedging:
+      settings.hedgingShares === undefined ? undefined : Hedging.create(settings.hedgingShares),
     getShutdown: () => shutdown,
   };
   context.pool.onIdleConnectionLost = (endpointStart) =>
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -12,6 +12,7 @@
 import type { StoredPart, StorePartEvent } from '@lovagearch/reuse';
 import type { LeaseStore, OrderClient, WeightTarget } from '@lovagearch/rollout';
 import type { TrafficConfiguration } from '@lovagearch/traffic';
+import type { HedgingShares } from './hedging.js';
 
 /** The decoded request line and headers of a caller's request. */
 export interface RequestHead {
@@ -182,6 +183,8 @@
   /** Whether the whole deployment starts for the first time, so that no process ran here before. */
   readonly isFirstStart: boolean;
   readonly bounds: GatewayBounds;
+  /** Undefined if late requests are not hedged. */
+  readonly hedgingShares?: HedgingShares | undefined;
 }
 
 export interface Address {
