--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -31,6 +31,8 @@
   readonly callerResponse: CallerResponse;
   readonly findMove: () => MoveOption;
   readonly onFirstByte: (sinceStartMs: number) => void;
+  /** Called before the first byte of a response is passed on to the caller. */
+  readonly onResponseStart: () => void;
 }
 
 /** Returns the time without data after which a retryable request is sent to another endpoint. */
@@ -45,17 +47,10 @@
   context: GatewayContext,
   { head, route, service, account, body }: RoutedRequest,
   chosen: ChosenEndpoint,
-  {
-    reusePlan,
-    framer,
-    remainingMs,
-    isRepeat,
-    callerResponse,
-    findMove,
-    onFirstByte,
-  }: AttemptOptions,
+  options: AttemptOptions,
 ): Attempt => {
   const { endpoint, placement, maxConnections, regionRule } = chosen;
+  const { reusePlan, framer, remainingMs, isRepeat, callerResponse } = options;
   const isStreaming = route.kind === 'streaming';
   const headers = context.headers.encodeEndpointHeaders(head, {
     endpointId: endpoint.record.id,
@@ -77,12 +72,13 @@
       canSend: () =>
         isTakingRequests(context, endpoint) &&
         areRulesEqual(findRegionRule(context, head, route, account), regionRule),
-      findMove,
+      findMove: options.findMove,
       onFirstEventDecision: (decision, ages) => {
         context.metrics.recordFirstEventDecision(service, decision);
         logFirstEventDecision(context, head, endpoint, decision, ages);
       },
-      onFirstByte,
+      onFirstByte: options.onFirstByte,
+      onResponseStart: options.onResponseStart,
       onResponseHead: (responseHead, sentAtMs) =>
         applyStatements(context, endpoint, head.requestId, responseHead, sentAtMs),
       onWeights: (id, model, version) =>
--- /dev/null
+++ b/packages/gateway/src/requestAttempts.ts
@@ -0,0 +1,354 @@
+import type { MoveOption } from '@lovagearch/endpoints';
+import {
+  type AttemptResult,
+  decideNextStep,
+  EventStreamFramer,
+  type NextStep,
+} from '@lovagearch/exchange';
+import { isRetryable } from '@lovagearch/traffic';
+import type { Attempt, AttemptOutcome } from './attempt.js';
+import {
+  recordAnswer,
+  recordBrokenAttempt,
+  recordInterruption,
+  recordTransferTime,
+  recordWeightMismatch,
+} from './attemptFeedback.js';
+import type { CallerResponse } from './callerResponse.js';
+import { type RoutedRequest, createAttempt } from './createAttempt.js';
+import { recordSend } from './endpointRates.js';
+import type { GatewayContext } from './gatewayContext.js';
+import { type ChosenEndpoint, type PlacementResult, placeRequest } from './placeRequest.js';
+import { logAttemptFailed, logPlacement } from './requestLog.js';
+import { createCacheSalt, planReuse } from './reusePlan.js';
+import { type Send, SendRace } from './sendRace.js';
+import { listSharedPartIds } from './sharedParts.js';
+
+/** What becomes of a request after an attempt. */
+export type AttemptConclusion =
+  | { readonly type: 'retry'; readonly chosen: ChosenEndpoint }
+  /** The response was passed on to the caller. */
+  | { readonly type: 'served'; readonly status: number }
+  /** The attempt was stopped for the caller or the time limit. */
+  | { readonly type: 'stopped' }
+  /** There is no complete response, and there will be no further attempt. */
+  | { readonly type: 'ended'; readonly reason: string };
+
+/** What the attempts need to know of their request and its caller. */
+export interface AttemptsInput {
+  readonly routedRequest: RoutedRequest;
+  readonly callerResponse: CallerResponse;
+  /** Time from the arrival of the request to the end of its time limit, in milliseconds. */
+  readonly timeLimitMs: number;
+  /** Returns the time since the arrival of the request, in milliseconds. */
+  readonly getElapsedMs: () => number;
+  /** Called with the first byte of each attempt. */
+  readonly onFirstByte: () => void;
+}
+
+/**
+ * The attempts of one request: where it was sent, how often it may have run, and what to do after each attempt.
+ *
+ * @example
+ * const attempts = RequestAttempts.create(context, input);
+ * const chosen = attempts.chooseEndpoint();
+ * if (chosen !== undefined) await attempts.run(chosen, remainingMs);
+ */
+export class RequestAttempts {
+  /** Events that were passed on; undefined for requests that are not streaming. */
+  framer: EventStreamFramer | undefined;
+
+  readonly triedEndpointIds: string[] = [];
+
+  /** Number of attempts. */
+  sendCount = 0;
+
+  /** Number of attempts that may have run the request. */
+  possibleRunCount = 0;
+
+  lastPlacement: PlacementResult | undefined;
+
+  /** Number of attempts that were withdrawn before their first event. */
+  private withdrawalCount = 0;
+
+  /** What showed the end of the endpoint's response, if one was passed on. */
+  responseEnd: 'connection' | 'framing' | undefined;
+
+  /** The sends in progress, or else the last ones. */
+  private sends: readonly Send[] = [];
+
+  private race: SendRace | undefined;
+
+  private isStopped = false;
+
+  private readonly excludedEndpointIds = new Set<string>();
+
+  private constructor(
+    private readonly context: GatewayContext,
+    private readonly input: AttemptsInput,
+  ) {
+    this.framer = this.createFramer();
+  }
+
+  static create(context: GatewayContext, input: AttemptsInput): RequestAttempts {
+    return new RequestAttempts(context, input);
+  }
+
+  /** Whether an endpoint may have received a part of the last attempt. */
+  get wasSent(): boolean {
+    return this.sends.some(({ attempt }) => attempt.wasSent);
+  }
+
+  /** Places the request on an endpoint that it was not sent to before. */
+  chooseEndpoint(): ChosenEndpoint | undefined {
+    const result = this.placeRequest();
+    this.lastPlacement = result;
+    return result.type === 'placed' ? result.chosen : undefined;
+  }
+
+  /** Sends the request to an endpoint, to a second one if that is late, and decides what to do afterwards. */
+  async run(chosen: ChosenEndpoint, remainingMs: number): Promise<AttemptConclusion> {
+    const first = this.startSend(chosen, remainingMs, this.framer);
+    this.sends = [first];
+    this.race = this.createRace(first);
+    if (this.race === undefined) return this.handleOutcome(first, await first.outcome);
+    const { decisive, other } = await this.race.run();
+    if (other !== undefined) this.recordOutcome(other.send.chosen, other.outcome);
+    return this.handleOutcome(decisive.send, decisive.outcome);
+  }
+
+  /** Cancels the attempts in progress. */
+  stop(): void {
+    this.isStopped = true;
+    for (const { attempt } of this.sends) attempt.stop();
+  }
+
+  private placeRequest(): PlacementResult {
+    const { head, route, service, account } = this.input.routedRequest;
+    return placeRequest(this.context, head, route, service, account, this.excludedEndpointIds);
+  }
+
+  private createFramer(): EventStreamFramer | undefined {
+    const { context } = this;
+    const { head, route, service } = this.input.routedRequest;
+    if (route.kind !== 'streaming') return undefined;
+    const { memory } = context.responseLimits;
+    return EventStreamFramer.create(head.lastEventId, memory, context.getEventIdHistory(service));
+  }
+
+  /** Returns the race in which the first send of a request may get a second one beside it. */
+  private createRace(first: Send): SendRace | undefined {
+    const { context } = this;
+    const { hedging } = context;
+    const { routedRequest, callerResponse, getElapsedMs, timeLimitMs } = this.input;
+    const { route, service } = routedRequest;
+    if (hedging?.isEnabled(service) !== true || this.sendCount > 1) return undefined;
+    hedging.recordRequest(service, first.sentAtMs);
+    if (!isRetryable(route) || route.maxAttempts < 2) return undefined;
+    return SendRace.create(context, {
+      routedRequest,
+      hedging,
+      first,
+      getRemainingMs: () => timeLimitMs - getElapsedMs(),
+      hasResponseStarted: () => callerResponse.hasStarted,
+      isStopped: () => this.isStopped,
+      getSendCount: () => this.sendCount,
+      findAlternative: () => {
+        const result = this.placeRequest();
+        return result.type === 'placed' ? result.chosen : undefined;
+      },
+      send: (chosen, remainingMs) => {
+        // Incomplete events of two endpoints must not be joined.
+        const hedge = this.startSend(chosen, remainingMs, this.createFramer());
+        this.sends = [first, hedge];
+        return hedge;
+      },
+    });
+  }
+
+  private startSend(
+    chosen: ChosenEndpoint,
+    remainingMs: number,
+    framer: EventStreamFramer | undefined,
+  ): Send {
+    const { context } = this;
+    const { routedRequest, callerResponse, onFirstByte } = this.input;
+    const { head, account, service } = routedRequest;
+    const { endpoint, placement } = chosen;
+    const reusePlan = planReuse(context, head, account, chosen);
+    this.sendCount += 1;
+    recordSend(context, endpoint);
+    this.excludedEndpointIds.add(endpoint.record.id);
+    const isRepeat = this.triedEndpointIds.includes(endpoint.record.id);
+    this.triedEndpointIds.push(endpoint.record.id);
+    if (this.sendCount === 1) logPlacement(context, routedRequest, chosen, reusePlan);
+    const sentAtMs = context.clock.nowMs();
+    context.metrics.recordLoadAge(service, endpoint.getLoadAgeMs(sentAtMs));
+    context.clusterState.promptMemory.recordSent(
+      head.promptParts,
+      createCacheSalt(account, undefined, chosen.regionRule) ?? '',
+      endpoint.record.id,
+      placement.uncachedTokens,
+      sentAtMs,
+    );
+    const attempt = createAttempt(context, routedRequest, chosen, {
+      reusePlan,
+      framer,
+      remainingMs,
+      isRepeat,
+      callerResponse,
+      findMove: () => this.findMove(),
+      onFirstByte: (firstByteDelayMs) => {
+        onFirstByte();
+        recordTransferTime(context, head, placement, reusePlan, firstByteDelayMs);
+      },
+      onResponseStart: () => {
+        this.framer = framer;
+        this.race?.claimResponse(attempt);
+      },
+    });
+    return { chosen, attempt, framer, sentAtMs, outcome: this.runAttempt(chosen, attempt) };
+  }
+
+  private async runAttempt(chosen: ChosenEndpoint, attempt: Attempt): Promise<AttemptOutcome> {
+    const { context } = this;
+    const { head, service } = this.input.routedRequest;
+    const stopTracking =
+      head.model === undefined
+        ? undefined
+        : context.waitingAttempts.add({
+            attempt,
+            model: head.model,
+            weightVersion: chosen.endpoint.record.weights.get(head.model) ?? 0,
+          });
+    const outcome = await attempt.run();
+    stopTracking?.();
+    context.metrics.recordAttempt(service, outcome.type);
+    this.recordFeedback(chosen, attempt, outcome);
+    return outcome;
+  }
+
+  /** Records what an attempt shows about its request and endpoint, for the containment of crashes. */
+  private recordFeedback(chosen: ChosenEndpoint, attempt: Attempt, outcome: AttemptOutcome): void {
+    const { context } = this;
+    const { routedRequest } = this.input;
+    if (outcome.type === 'broken' && (outcome.isConnectionLost || !attempt.hasOutput))
+      recordBrokenAttempt(context, routedRequest, chosen, attempt.hasOutput);
+    if (outcome.type === 'passed_on' || outcome.type === 'answered') {
+      recordAnswer(context, routedRequest, chosen);
+      this.responseEnd = outcome.hasExplicitEnd ? 'framing' : 'connection';
+      context.metrics.recordResponseEnd(routedRequest.service, this.responseEnd);
+    }
+    if (outcome.type === 'broken' && outcome.isConnectionLost) {
+      const outputAgeMs = attempt.getOutputAgeMs(context.clock.nowMs());
+      recordInterruption(context, routedRequest, chosen, outputAgeMs);
+    }
+  }
+
+  /** Counts a possible run, and notes other weights than expected. */
+  private recordOutcome(chosen: ChosenEndpoint, outcome: AttemptOutcome): void {
+    if (outcome.type === 'stopped') {
+      if (outcome.wasSent) this.possibleRunCount += 1;
+      return;
+    }
+    if (outcome.type !== 'not_run') {
+      this.possibleRunCount += 1;
+      return;
+    }
+    if (outcome.weightMismatch === undefined) return;
+    const { head } = this.input.routedRequest;
+    // The endpoint would accept the request with the correct weight version.
+    if (recordWeightMismatch(this.context, head, chosen, outcome.weightMismatch.version))
+      this.excludedEndpointIds.delete(chosen.endpoint.record.id);
+  }
+
+  private handleOutcome({ chosen, attempt }: Send, outcome: AttemptOutcome): AttemptConclusion {
+    const { context } = this;
+    const { routedRequest, callerResponse, getElapsedMs } = this.input;
+    const { head, service } = routedRequest;
+    if (outcome.type === 'passed_on') {
+      if (outcome.hasExplicitEnd) this.recordPartCompletion();
+      return { type: 'served', status: 200 };
+    }
+    this.recordOutcome(chosen, outcome);
+    if (outcome.type === 'stopped') return { type: 'stopped' };
+    if (outcome.type === 'stalled' && !attempt.hasOutput) this.withdrawalCount += 1;
+    const result: AttemptResult =
+      outcome.type === 'answered'
+        ? { type: 'answered', isFailure: outcome.head.status >= 500 }
+        : outcome;
+    const next = this.chooseEndpoint();
+    const budget = context.getRetryBudget(service);
+    const nowMs = context.clock.nowMs();
+    const step = this.decideStep(result, next, this.possibleRunCount);
+    if (outcome.type !== 'answered' || step.type !== 'deliver') {
+      logAttemptFailed(context, head, chosen, outcome, step, {
+        sends: this.sendCount,
+        runs: this.possibleRunCount,
+        elapsedMs: getElapsedMs(),
+        hasOutput: attempt.hasOutput,
+        lastEventId: this.framer?.lastEventId,
+      });
+    }
+    switch (step.type) {
+      case 'deliver':
+        if (outcome.type !== 'answered') return { type: 'ended', reason: outcome.type };
+        callerResponse.sendEndpointResponse(outcome.head, outcome.body);
+        if (outcome.head.status < 300 && outcome.hasExplicitEnd) this.recordPartCompletion();
+        return { type: 'served', status: outcome.head.status };
+      case 'retry':
+        if (next === undefined) return { type: 'ended', reason: step.reason };
+        // Sending a request that the endpoint did not receive again costs no retry budget.
+        if (outcome.type !== 'not_run' || outcome.wasReceived)
+          budget.tryTake(context.clusterState.nodeCount, nowMs);
+        return { type: 'retry', chosen: next };
+      case 'refuse':
+      case 'fail':
+        return { type: 'ended', reason: step.reason };
+      default:
+        return step satisfies never;
+    }
+  }
+
+  private decideStep(
+    result: AttemptResult,
+    next: ChosenEndpoint | undefined,
+    possibleRuns: number,
+  ): NextStep {
+    const { clock, clusterState, getRetryBudget } = this.context;
+    const { routedRequest, callerResponse, getElapsedMs, timeLimitMs } = this.input;
+    const { route, service } = routedRequest;
+    return decideNextStep({
+      result,
+      isRetryable: isRetryable(route),
+      possibleRuns,
+      sends: this.sendCount,
+      maxPossibleRuns: route.maxAttempts,
+      remainingMs: timeLimitMs - getElapsedMs(),
+      expectedMs: next?.placement.expectedMs ?? 0,
+      hasAlternative: next !== undefined,
+      hasRetryBudget: getRetryBudget(service).hasRetry(clusterState.nodeCount, clock.nowMs()),
+      hasResponseStarted: callerResponse.hasStarted,
+      hasUnnumberedEvents: this.framer?.hasUnnumberedEvents ?? false,
+    });
+  }
+
+  /** Returns whether the attempt in progress could be withdrawn and the request sent to another endpoint. */
+  private findMove(): MoveOption {
+    // A stream that was moved once has lost its place in two queues already.
+    if (this.framer !== undefined && this.withdrawalCount > 0)
+      return { type: 'blocked', reason: 'withdrawn before' };
+    // A request with two sends in progress has been moved already.
+    if (this.sends.length > 1) return { type: 'blocked', reason: 'hedged' };
+    const next = this.chooseEndpoint();
+    const step = this.decideStep({ type: 'stalled' }, next, this.possibleRunCount + 1);
+    return step.type === 'retry' && next !== undefined
+      ? { type: 'possible', expectedMs: next.placement.expectedMs }
+      : { type: 'blocked', reason: step.type === 'deliver' ? 'answered' : step.reason };
+  }
+
+  private recordPartCompletion(): void {
+    const { head } = this.input.routedRequest;
+    this.context.promptPartContainment.recordCompletion(listSharedPartIds(head));
+  }
+}
