--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -72,6 +72,7 @@
       canSend: () =>
         isTakingRequests(context, endpoint) &&
         areRulesEqual(findRegionRule(context, head, route, account), regionRule),
+      nodeCount: context.clusterState.nodeCount,
       findMove: options.findMove,
       onFirstEventDecision: (decision, ages) => {
         context.metrics.recordFirstEventDecision(service, decision);
