Count the delay of a send that is overtaken by its hedge

A send that loses is cancelled, and cancelled requests say nothing about their endpoint, so that one that stands still looked idle: its requests never reached the stall timeout that suspends it, and it stayed the first choice for the next ones. Its delay so far now raises the observed wait and the processing time, as a late response does. Only hedging calls this.

--- a/packages/endpoints/src/endpoint.ts
+++ b/packages/endpoints/src/endpoint.ts
@@ -193,10 +193,7 @@
 
   recordFirstByte(sent: SentRequest, nowMs: number): void {
     if (!this.removeWaiting(sent)) return;
-    const waitMs = Math.max(0, nowMs - sent.sentAtMs - sent.ownMs);
-    const previousMs = this.getObservedWaitMs(nowMs);
-    this.observedWaitMs = previousMs + (waitMs - previousMs) * WAIT_EWMA_WEIGHT;
-    this.observedAtMs = nowMs;
+    this.recordWait(sent, nowMs);
     if (sent.memoryTokens === 0) return;
     this.firstByteAtMs.set(sent, nowMs);
     const { expectedWaitMs, roundTripMs, sentAtMs, tokens, mayLoadParts } = sent;
@@ -205,6 +202,18 @@
     this.timings.recordFirstToken({ prefilledTokens: tokens, delayMs });
   }
 
+  /**
+   * Records that a request is about to be cancelled because another endpoint answered it first. The delay so far counts
+   * if it is above that of recent responses; otherwise an endpoint that stands still would look idle.
+   */
+  recordOvertaken(sent: SentRequest, nowMs: number): void {
+    if (!this.waiting.has(sent)) return;
+    const leastMs = nowMs - sent.sentAtMs;
+    if (leastMs > this.processingMs)
+      this.processingMs += (leastMs - this.processingMs) * PROCESSING_EWMA_WEIGHT;
+    if (leastMs - sent.ownMs > this.getObservedWaitMs(nowMs)) this.recordWait(sent, nowMs);
+  }
+
   recordBytesReceived(nowMs: number): void {
     this.lastBytesAtMs = nowMs;
   }
@@ -328,6 +337,13 @@
     return recent;
   }
 
+  private recordWait({ sentAtMs, ownMs }: SentRequest, nowMs: number): void {
+    const waitMs = Math.max(0, nowMs - sentAtMs - ownMs);
+    const previousMs = this.getObservedWaitMs(nowMs);
+    this.observedWaitMs = previousMs + (waitMs - previousMs) * WAIT_EWMA_WEIGHT;
+    this.observedAtMs = nowMs;
+  }
+
   private removeWaiting(sent: SentRequest): boolean {
     if (!this.waiting.delete(sent)) return false;
     this.pendingTokens = Math.max(0, this.pendingTokens - sent.tokens);
--- a/packages/endpoints/src/endpoints.test.ts
+++ b/packages/endpoints/src/endpoints.test.ts
@@ -77,6 +77,20 @@
   random: createRandom(1),
 });
 
+// Guards against a standing endpoint that looks idle, as all its requests are answered elsewhere and cancelled.
+t.test('an endpoint whose requests are overtaken is forecast as slow', async (test) => {
+  const endpoint = Endpoint.create(createRecord('i-1'), 0);
+  const { meanProcessingMs } = endpoint;
+  endpoint.recordSent(SENT);
+  endpoint.recordOvertaken(SENT, 400);
+  endpoint.recordCompletion(SENT, { type: 'cancelled' }, 400);
+  const waitMs = endpoint.estimateWaitMs(400);
+  test.ok(waitMs > 50, `${waitMs} ms`);
+  test.ok(endpoint.meanProcessingMs > meanProcessingMs, 'for calls as well');
+  endpoint.recordOvertaken(SENT, 800);
+  test.ok(endpoint.estimateWaitMs(800) < waitMs, 'a request that has ended shows nothing');
+});
+
 t.test(
   'an endpoint whose entry lapsed in a store outage is removed only after its grace period',
   async (t2) => {
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -187,6 +187,13 @@
     this.finish({ type: 'stopped', wasSent: this.wasSent }, { type: 'cancelled' });
   }
 
+  /** Cancels the attempt because another endpoint answered first, and counts its delay so far. */
+  stopOvertaken(): void {
+    if (!this.isFinished)
+      this.input.endpoint.recordOvertaken(this.sentRequest, this.dependencies.clock.nowMs());
+    this.stop();
+  }
+
   /** Cancels the attempt like a stalled one, unless the endpoint has sent a part of the response. */
   stopWaiting(): void {
     if (!this.hasOutput) this.finish({ type: 'stalled' }, { type: 'cancelled' });
--- a/packages/gateway/src/sendRace.ts
+++ b/packages/gateway/src/sendRace.ts
@@ -133,7 +133,7 @@
 
   private setWinner(winner: Send): void {
     this.winner = winner;
-    for (const send of this.sends) if (send !== winner) send.attempt.stop();
+    for (const send of this.sends) if (send !== winner) send.attempt.stopOvertaken();
   }
 
   private endWaiting(): void {
