Count the requests of other zones in the memory of an engine where more than 16 VMs share it

What was missing: above 16 VMs a VM knows only the tokens that its own zone has placed on an engine. Six zones each took the rest of the memory for free, and an engine whose prompts exceed its memory preempts some of them midway.

Change: requests that the endpoint reports beyond those that the zone knows count as the average request in memory of the service (EngineTimings.meanMemoryTokens), plus one standard deviation of their number. The usual load fades without a further report, as an engine that everybody takes for full gets no requests and reports no more; peer digests are summed in PeerLoads. Up to 16 VMs nothing changes.

--- a/packages/endpoints/src/chooseEndpoint.ts
+++ b/packages/endpoints/src/chooseEndpoint.ts
@@ -126,7 +126,7 @@
   endpoint: Endpoint,
 ): number => {
   if (engineMemoryTokens === 0) return Number.POSITIVE_INFINITY;
-  const freeTokens = engineMemoryTokens - endpoint.estimateMemoryTokens(nowMs);
+  const freeTokens = engineMemoryTokens - endpoint.estimateMemoryTokens(nowMs, nodeCount);
   return Math.max(0, freeTokens) / nodeCount;
 };
 
@@ -175,7 +175,13 @@
   const prefill = computePrefillTimes(input, endpoint, uncachedTokens);
   const waitMs = endpoint.estimateWaitMs(nowMs, nodeCount);
   const queueMs =
-    waitMs + endpoint.estimateMemoryWaitMs(request.memoryTokens, request.engineMemoryTokens, nowMs);
+    waitMs +
+    endpoint.estimateMemoryWaitMs(
+      request.memoryTokens,
+      request.engineMemoryTokens,
+      nowMs,
+      nodeCount,
+    );
   const prefillMs = prefill.ownMs + prefill.sharedMs;
   const contentionFactor = endpoint.contention.estimateOver(prefillMs, nowMs, queueMs);
   const sharedTokens = promptTokens - (request.parts.at(-1)?.tokens ?? 0);
--- a/packages/endpoints/src/constants.ts
+++ b/packages/endpoints/src/constants.ts
@@ -107,10 +107,15 @@
 export const LOAD_REPORT_DECAY_MS = 300;
 /** Weight of a new report in the usual load of an endpoint. */
 export const USUAL_LOAD_WEIGHT = 0.1;
-/** Age of the last report from which the usual load says nothing any more, in milliseconds. */
-export const USUAL_LOAD_MAX_AGE_MS = 10_000;
+/**
+ * Time in which the usual load loses its weight without a further report, in milliseconds. An endpoint that everybody
+ * takes for full gets no requests and reports no more, so that nobody would learn that it is free.
+ */
+export const USUAL_LOAD_DECAY_MS = 1_000;
 /**
  * The same share for calls that queue at endpoints whose contention is reported. With 0.05, the mean time of 950 calls
  * per second of 85 nodes was 5 % longer in contendedCalls.test.ts.
  */
 export const STALE_TIE_SHARE = 0.2;
+/** Requests of other zones that are added to their estimated number, in standard deviations of a Poisson process. */
+export const UNKNOWN_REQUESTS_MARGIN = 1;
--- a/packages/endpoints/src/endpoint.ts
+++ b/packages/endpoints/src/endpoint.ts
@@ -9,16 +9,17 @@
   MAX_SUSPENSION_MS,
   MEMORY_FULL_SHARE,
   OBSERVED_WAIT_DECAY_MS,
-  PEER_LOAD_MAX_AGE_MS,
   QUIET_WAIT_MS,
   REJECTION_SUSPENSION_MS,
   RUNNING_REQUEST_DELAY_MS,
+  UNKNOWN_REQUESTS_MARGIN,
   WAIT_EWMA_WEIGHT,
   WAITING_REQUEST_DELAY_MS,
   PROCESSING_EWMA_WEIGHT,
 } from './constants.js';
 import type { LoadDigestEntry } from './loadDigest.js';
 import { EndpointStatements } from './endpointStatements.js';
+import { PeerLoads } from './peerLoads.js';
 import { type EndpointRequests, ReportedLoad } from './reportedLoad.js';
 import type { EndpointRecord, LoadReport } from './types.js';
 
@@ -45,11 +46,6 @@
   readonly sentAtMs: number;
 }
 
-interface PeerLoad {
-  readonly entry: LoadDigestEntry;
-  readonly atMs: number;
-}
-
 /** State of one endpoint process: its registration, and load and health observed from requests. */
 export class Endpoint {
   /** Number of this process's requests in progress at the endpoint. */
@@ -77,7 +73,7 @@
 
   private activeTokens = 0;
 
-  private readonly peerLoads = new Map<string, PeerLoad>();
+  private readonly peerLoads = PeerLoads.create();
 
   /** Moving average of the queueing delay of recent responses. */
   private observedWaitMs = 0;
@@ -185,7 +181,7 @@
   }
 
   recordPeerLoad(peer: string, entry: LoadDigestEntry, nowMs: number): void {
-    this.peerLoads.set(peer, { entry, atMs: nowMs });
+    this.peerLoads.record(peer, entry, nowMs);
   }
 
   /** Returns the time since the last load report; infinite without one. */
@@ -287,8 +283,7 @@
    * others, so that its view is never complete, and an aged report counts.
    */
   estimateRequests(nowMs: number, nodeCount = 1): EndpointRequests {
-    let total = this.active;
-    for (const { entry } of this.listPeerLoads(nowMs)) total += entry.active;
+    let total = this.active + this.peerLoads.sum(nowMs).active;
     const slots = Math.max(1, this.lastReport?.slots ?? this.current.slots);
     const reported = this.findReportedLoad(nowMs, nodeCount);
     if (reported !== undefined) total = Math.max(total, reported.running + reported.waiting);
@@ -303,11 +298,18 @@
     return this.getLoadAgeMs(nowMs) < LOAD_REPORT_MAX_AGE_MS ? this.lastReport : undefined;
   }
 
-  /** Estimates the tokens that the requests of all nodes occupy in the endpoint's memory. */
-  estimateMemoryTokens(nowMs: number): number {
-    let tokens = this.activeTokens;
-    for (const { entry } of this.listPeerLoads(nowMs)) tokens += entry.activeTokens;
-    return tokens;
+  /**
+   * Estimates the tokens that the requests of all nodes occupy in the endpoint's memory. Of many nodes, the requests of
+   * other zones are known only by their number; they count like the average one.
+   */
+  estimateMemoryTokens(nowMs: number, nodeCount = 1): number {
+    const peers = this.peerLoads.sum(nowMs);
+    const tokens = this.activeTokens + peers.activeTokens;
+    if (nodeCount <= MAX_FULL_VIEW_NODES) return tokens;
+    const { running, waiting } = this.estimateRequests(nowMs, nodeCount);
+    const unknown = Math.max(0, running + waiting - this.active - peers.active);
+    const margin = Math.sqrt(unknown) * UNKNOWN_REQUESTS_MARGIN;
+    return tokens + (unknown + margin) * this.timings.meanMemoryTokens;
   }
 
   /**
@@ -316,9 +318,14 @@
    *
    * @param capacityTokens memory of the endpoint in tokens; 0 if unknown
    */
-  estimateMemoryWaitMs(memoryTokens: number, capacityTokens: number, nowMs: number): number {
+  estimateMemoryWaitMs(
+    memoryTokens: number,
+    capacityTokens: number,
+    nowMs: number,
+    nodeCount = 1,
+  ): number {
     if (capacityTokens === 0) return 0;
-    const usedTokens = this.estimateMemoryTokens(nowMs);
+    const usedTokens = this.estimateMemoryTokens(nowMs, nodeCount);
     const missingTokens = usedTokens + memoryTokens - capacityTokens * MEMORY_FULL_SHARE;
     if (missingTokens <= 0) return 0;
     const runningTokens = Math.max(1, Math.min(usedTokens, capacityTokens));
@@ -333,16 +340,13 @@
   estimateWaitMs(nowMs: number, nodeCount = 1): number {
     const { running, waiting } = this.estimateRequests(nowMs, nodeCount);
     const { usualFactor } = this.contention;
-    let { pendingTokens } = this;
-    let oldestMs = this.getOldestWaitMs(nowMs);
-    for (const { entry, atMs } of this.listPeerLoads(nowMs)) {
-      pendingTokens += entry.pendingTokens;
-      if (entry.oldestWaitMs > 0) oldestMs = Math.max(oldestMs, entry.oldestWaitMs + nowMs - atMs);
-    }
+    const peers = this.peerLoads.sum(nowMs);
+    const pendingTokens = this.pendingTokens + peers.pendingTokens;
     return (
       Math.max(
         this.getObservedWaitMs(nowMs),
-        oldestMs,
+        this.getOldestWaitMs(nowMs),
+        peers.oldestWaitMs,
         waiting * WAITING_REQUEST_DELAY_MS * usualFactor,
         (pendingTokens * usualFactor) / (this.timings.prefillTokensPerMs * BUSY_PREFILL_SHARE),
       ) +
@@ -356,8 +360,7 @@
    */
   estimateRemainingWaitMs(sent: SentRequest, nowMs: number, nodeCount = 1): number {
     const { usualFactor } = this.contention;
-    let { pendingTokens } = this;
-    for (const { entry } of this.listPeerLoads(nowMs)) pendingTokens += entry.pendingTokens;
+    const pendingTokens = this.pendingTokens + this.peerLoads.sum(nowMs).pendingTokens;
     return Math.max(
       sent.sentAtMs + sent.ownMs + sent.expectedWaitMs - nowMs,
       this.estimateRequests(nowMs, nodeCount).waiting * WAITING_REQUEST_DELAY_MS * usualFactor,
@@ -365,15 +368,6 @@
     );
   }
 
-  private listPeerLoads(nowMs: number): PeerLoad[] {
-    const recent: PeerLoad[] = [];
-    for (const [peer, load] of this.peerLoads) {
-      if (nowMs - load.atMs < PEER_LOAD_MAX_AGE_MS) recent.push(load);
-      else this.peerLoads.delete(peer);
-    }
-    return recent;
-  }
-
   private recordWork(sent: SentRequest, processingMs: number, nowMs: number): void {
     // A call that waited says more about the queue than about the work.
     if (!this.contention.isReported || sent.memoryTokens > 0 || sent.expectedWaitMs > 0) return;
--- a/packages/endpoints/src/index.ts
+++ b/packages/endpoints/src/index.ts
@@ -13,6 +13,7 @@
 export * from './loadDigest.js';
 export * from './promptCacheEstimator.js';
 export * from './rateShare.js';
+export * from './peerLoads.js';
 export * from './reportedLoad.js';
 export * from './requestHold.js';
 export * from './requestRateLimit.js';
--- a/packages/endpoints/src/reportedLoad.ts
+++ b/packages/endpoints/src/reportedLoad.ts
@@ -1,5 +1,5 @@
 import { Contention } from '@lovagearch/estimation';
-import { LOAD_REPORT_DECAY_MS, USUAL_LOAD_MAX_AGE_MS, USUAL_LOAD_WEIGHT } from './constants.js';
+import { LOAD_REPORT_DECAY_MS, USUAL_LOAD_DECAY_MS, USUAL_LOAD_WEIGHT } from './constants.js';
 import type { LoadReport } from './types.js';
 
 /** Requests at an endpoint from all nodes. */
@@ -66,17 +66,20 @@
    * Estimates the load now: the last report, aged towards the usual load, plus the requests that this node has sent
    * since.
    *
-   * @returns undefined without a report that still says anything
+   * @returns undefined without a report
    */
   estimate(ownActive: number, nowMs: number): EndpointRequests | undefined {
     const ageMs = Math.max(0, nowMs - this.atMs);
-    if (this.report === undefined || ageMs > USUAL_LOAD_MAX_AGE_MS) return undefined;
+    if (this.report === undefined) return undefined;
     const weight = Math.exp(-ageMs / LOAD_REPORT_DECAY_MS);
+    const usualShare = Math.exp(-ageMs / USUAL_LOAD_DECAY_MS);
+    const usualRunning = this.usualRunning * usualShare;
+    const usualWaiting = this.usualWaiting * usualShare;
     const { running, waiting } = this.report;
     const sentSince = Math.max(0, ownActive - this.ownActive);
     return {
-      running: this.usualRunning + (running - this.usualRunning) * weight + sentSince,
-      waiting: this.usualWaiting + (waiting - this.usualWaiting) * weight,
+      running: usualRunning + (running - usualRunning) * weight + sentSince,
+      waiting: usualWaiting + (waiting - usualWaiting) * weight,
     };
   }
 }
--- a/packages/estimation/src/engineTimings.ts
+++ b/packages/estimation/src/engineTimings.ts
@@ -64,6 +64,11 @@
 
   private tokenSum = 0;
 
+  /** Decayed sums over requests of tokens times residence without the prior, and of residence. */
+  private runningTokenSum = 0;
+
+  private timeSum = 0;
+
   private residenceAtMs = Number.NEGATIVE_INFINITY;
 
   static create(): EngineTimings {
@@ -87,6 +92,11 @@
     return clamp(meanMs, MIN_RESIDENCE_MS, MAX_RESIDENCE_MS);
   }
 
+  /** Mean of the tokens that each request occupies in an engine's memory, over the time for which it runs; 0 if unknown. */
+  get meanMemoryTokens(): number {
+    return this.timeSum === 0 ? 0 : this.runningTokenSum / this.timeSum;
+  }
+
   recordFirstToken({ prefilledTokens, delayMs }: FirstTokenSample): void {
     if (!isUsable(prefilledTokens, delayMs)) return;
     this.samples.push({ x: prefilledTokens, y: delayMs });
@@ -114,5 +124,7 @@
     const boundedMs = clamp(residenceMs, MIN_RESIDENCE_MS, MAX_RESIDENCE_MS);
     this.residenceSum = this.residenceSum * keptShare + memoryTokens * boundedMs;
     this.tokenSum = this.tokenSum * keptShare + memoryTokens;
+    this.runningTokenSum = this.runningTokenSum * keptShare + memoryTokens * boundedMs;
+    this.timeSum = this.timeSum * keptShare + boundedMs;
   }
 }
