Buffer more for callers that read slowly, and let go those that take nothing

What was seen: reading from an engine paused at 128 KB of unsent bytes and went on only when all of them had been taken. An engine holds its slot meanwhile and aborts a response that is unread for some seconds; a caller that never read blocked it for good.

Change: up to 1 MB of one response is buffered, as far as 5 % of the memory limit for all callers allow; reading goes on when half is taken. A caller for whom reading has paused and who takes nothing in three checks of 1 s is disconnected and counted in lovagearch_slow_callers_total.

--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -119,10 +119,11 @@
     const nowMs = context.clock.nowMs();
     this.readDelayMs = context.eventLoopMonitor.getReadDelayMs(nowMs);
     this.startMs = nowMs - this.readDelayMs;
-    this.callerResponse = CallerResponse.create(
-      response,
-      () => context.getShutdown() !== undefined,
-    );
+    this.callerResponse = CallerResponse.create(response, {
+      isDraining: () => context.getShutdown() !== undefined,
+      unsentMemory: context.unsentMemory,
+      onSlowCaller: () => context.metrics.recordSlowCaller(),
+    });
   }
 
   static create(
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -33,8 +33,16 @@
 export const MAX_REJECTION_BODY_BYTES = 65_536;
 /** Time up to which the body of a rejection is read, in milliseconds. */
 export const REJECTION_BODY_TIMEOUT_MS = 200;
-/** Unsent bytes for a slow caller at which reading from the endpoint pauses (backpressure). */
+/** Unsent bytes for a slow caller that are buffered in any case; more are, as far as there is memory for them. */
 export const MAX_UNSENT_BYTES = 131_072;
+/** Unsent bytes for a slow caller at which reading from the endpoint pauses (backpressure): a buffered response. */
+export const MAX_SLOW_CALLER_BYTES = MAX_BUFFERED_RESPONSE_BYTES;
+/** Fraction of the memory limit that unsent bytes of slow callers may use beyond those buffered in any case. */
+export const SLOW_CALLER_MEMORY_SHARE = 0.05;
+/** Interval at which a caller is checked for whom reading from the endpoint has paused, in milliseconds. */
+export const SLOW_CALLER_CHECK_MS = 1_000;
+/** Checks without a byte taken after which such a caller is disconnected; engines abort unread responses after seconds. */
+export const MAX_SLOW_CALLER_CHECKS = 3;
 /** Fraction of the memory limit that the bodies of waiting requests may use. */
 export const BODY_MEMORY_SHARE = 0.15;
 /** Age of the endpoints' copy from which peers are queried after a failed call, in milliseconds. */
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -23,6 +23,8 @@
   readonly pool: ConnectionPool;
   /** Memory for the bodies of requests. */
   readonly bodyMemory: MemoryBudget;
+  /** Memory for bytes that slow callers have not taken. */
+  readonly unsentMemory: MemoryBudget;
   readonly responseLimits: ReceiveLimits;
   readonly clock: Clock;
   readonly random: Random;
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -91,6 +91,12 @@
     registers: [this.registry],
   });
 
+  private readonly slowCallers = new Counter({
+    name: 'lovagearch_slow_callers_total',
+    help: 'Callers that were disconnected as they took nothing of an unfinished response',
+    registers: [this.registry],
+  });
+
   static create(): GatewayMetrics {
     return new GatewayMetrics();
   }
@@ -134,6 +140,10 @@
     if (Number.isFinite(ageMs)) this.loadAge.observe({ service }, ageMs);
   }
 
+  recordSlowCaller(): void {
+    this.slowCallers.inc();
+  }
+
   setGauge(name: string, value: number): void {
     this.gauges.set({ name }, value);
   }
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -10,6 +10,7 @@
 import {
   ANNOUNCE_RETRY_DELAY_MS,
   BODY_MEMORY_SHARE,
+  SLOW_CALLER_MEMORY_SHARE,
   ENDPOINT_TABLE_FALLBACK_AGE_MS,
   HOUSEKEEPING_INTERVAL_MS,
   LOGGED_EVENT_LOOP_DELAY_MS,
@@ -241,6 +242,7 @@
       getReadDelayMs: () => eventLoopMonitor.getReadDelayMs(clock.nowMs()),
     }),
     bodyMemory: MemoryBudget.create(settings.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE),
+    unsentMemory: MemoryBudget.create(settings.memoryMb * BYTES_PER_MB * SLOW_CALLER_MEMORY_SHARE),
     responseLimits,
     clock,
     random,
