Move the wait for the first event out of Attempt, and suspend endpoints that become silent

Change: FirstEventWait of the gateway keeps the last decision, with whether the endpoint was silent; a change of either is logged, counted and, if the endpoint is silent, suspends it. Attempt only asks it.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,14 +1,6 @@
 import { BodyBuffer, type MemoryBudget } from '@lovagearch/bounded-http';
 import { type Clock, getErrorMessage } from '@lovagearch/common';
-import {
-  decideFirstEventWait,
-  type Endpoint,
-  type EndpointOutcome,
-  type FirstEventDecision,
-  type MoveOption,
-  type Placement,
-  type SentRequest,
-} from '@lovagearch/endpoints';
+import type { Endpoint, EndpointOutcome, Placement, SentRequest } from '@lovagearch/endpoints';
 import {
   type ConnectionPool,
   type EndpointLife,
@@ -25,6 +17,7 @@
   MIN_PROGRESS_BYTES,
   REJECTION_BODY_TIMEOUT_MS,
 } from './constants.js';
+import { type FirstEventDependencies, FirstEventWait } from './firstEventWait.js';
 import type { ResponseHead, HeaderCodec } from './types.js';
 
 /** Outcome of one attempt at an endpoint. */
@@ -74,7 +67,7 @@
   readonly stallTimeoutMs: number | undefined;
 }
 
-export interface AttemptDependencies {
+export interface AttemptDependencies extends FirstEventDependencies {
   readonly pool: ConnectionPool;
   readonly headers: HeaderCodec;
   readonly clock: Clock;
@@ -87,26 +80,12 @@
   /** Called with the head of each response that belongs to this request. */
   readonly onResponseHead: (head: ResponseHead, sentAtMs: number) => void;
   readonly onWeights: (endpointId: string, model: string, version: number) => void;
-  /** Number of nodes that send requests to the endpoint. */
-  readonly nodeCount: number;
-  /** Returns whether the request could be sent to another endpoint now. */
-  readonly findMove: () => MoveOption;
-  /** Called with each new decision about a request that waits for its first event, and what it is based on. */
-  readonly onFirstEventDecision: (decision: FirstEventDecision, ages: FirstEventAges) => void;
   /** Whether another start of the endpoint's process is registered in its place. */
   readonly isReplaced: (endpoint: Endpoint) => boolean;
   /** Called with what is known of the endpoint after a response that ended with its connection. */
   readonly onConnectionEnd: (life: EndpointLife) => void;
 }
 
-/** What a decision about a request that waits for its first event is based on, in milliseconds. */
-export interface FirstEventAges {
-  readonly waitedMs: number;
-  readonly silentMs: number;
-  readonly peerResponseAgeMs: number;
-  readonly remainingMs: number;
-}
-
 /** Why a response that ended with its connection may be incomplete. */
 const CONNECTION_END_REASONS = {
   ended: 'the endpoint ended together with its connection',
@@ -150,8 +129,7 @@
   /** Bytes of a body or an event that has not arrived completely, as far as they don't count as progress yet. */
   private trickledBytes = 0;
 
-  /** Why the request last stayed at a busy endpoint. */
-  private stayReason: string | undefined;
+  private readonly firstEventWait: FirstEventWait;
 
   private stallTimer: NodeJS.Timeout | undefined;
 
@@ -176,6 +154,7 @@
       mayLoadParts: input.mayLoadParts,
       sentAtMs: this.startMs,
     };
+    this.firstEventWait = FirstEventWait.create(dependencies, input.endpoint, this.sentRequest);
   }
 
   static create(parts: AttemptDependencies, input: AttemptInput): Attempt {
@@ -261,31 +240,12 @@
   }
 
   private checkFirstEventWait(nowMs: number, silentMs: number, stallTimeoutMs: number): void {
-    const { endpoint } = this.input;
-    const { findMove, nodeCount, onFirstEventDecision } = this.dependencies;
-    const peerResponseAgeMs = nowMs - endpoint.lastPeerResponseAtMs;
-    const remainingMs = endpoint.estimateRemainingWaitMs(this.sentRequest, nowMs, nodeCount);
-    const decision = decideFirstEventWait({
-      silentMs,
-      peerResponseAgeMs,
-      stallTimeoutMs,
-      remainingMs,
-      ownMs: this.sentRequest.ownMs,
-      findMove,
-    });
-    const ages = { waitedMs: nowMs - this.startMs, silentMs, peerResponseAgeMs, remainingMs };
+    const decision = this.firstEventWait.check(nowMs, silentMs, stallTimeoutMs);
     switch (decision.type) {
       case 'stay':
-        if (decision.reason !== this.stayReason) {
-          this.stayReason = decision.reason;
-          onFirstEventDecision(decision, ages);
-          // Other requests avoid the endpoint, although this one has no better place.
-          if (decision.isSilent) endpoint.recordTransportFailure(nowMs);
-        }
         this.scheduleStallCheck(decision.recheckMs);
         return;
       case 'withdraw':
-        onFirstEventDecision(decision, ages);
         this.finish(
           { type: 'stalled' },
           decision.reason === 'silent' ? { type: 'transport_failed' } : { type: 'cancelled' },
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -10,8 +10,9 @@
 } from '@lovagearch/endpoints';
 import type { EventStreamFramer, NextStep } from '@lovagearch/exchange';
 import type { Route } from '@lovagearch/traffic';
-import type { AttemptOutcome, FirstEventAges } from './attempt.js';
+import type { AttemptOutcome } from './attempt.js';
 import type { RoutedRequest } from './createAttempt.js';
+import type { FirstEventAges } from './firstEventWait.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { ChosenEndpoint } from './placeRequest.js';
 import type { ReusePlan } from './reusePlan.js';
