Average the usual contention of an endpoint over more figures

What was seen: with a weight of 0.05, one figure of 900 percent made a steady engine look slower than one of 130 percent until some 15 more figures had arrived (contendedPrompts.test.ts failed).

Change: a weight of 0.02.

--- a/packages/estimation/src/constants.ts
+++ b/packages/estimation/src/constants.ts
@@ -36,8 +36,11 @@
 export const MAX_SAMPLE_VALUE = 1e9;
 /** Time in which a reported contention loses its weight, in milliseconds; it changes about 20 times a second. */
 export const CONTENTION_DECAY_MS = 50;
-/** Weight of a new figure in the usual contention of an endpoint; 20 figures arrive in some seconds. */
-export const USUAL_CONTENTION_WEIGHT = 0.05;
+/**
+ * Weight of a new figure in the usual contention of an endpoint: 50 figures arrive in some seconds. With 0.05, one figure
+ * of 900 percent made a steady engine look slower than one of 130 percent.
+ */
+export const USUAL_CONTENTION_WEIGHT = 0.02;
 /** Bounds of a reported duration of work in percent; no load of a machine explains a value outside. */
 export const MIN_WORK_PERCENT = 10;
 export const MAX_WORK_PERCENT = 2_000;
