--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -98,6 +98,12 @@
     registers: [this.registry],
   });
 
+  private readonly slowCallers = new Counter({
+    name: 'lovagearch_slow_callers_total',
+    help: 'Callers that were disconnected as they took nothing of an unfinished response',
+    registers: [this.registry],
+  });
+
   static create(): GatewayMetrics {
     return new GatewayMetrics();
   }
@@ -146,6 +152,10 @@
     this.hedges.inc({ service, result });
   }
 
+  recordSlowCaller(): void {
+    this.slowCallers.inc();
+  }
+
   setGauge(name: string, value: number): void {
     this.gauges.set({ name }, value);
   }
