Send nothing to the endpoints of a zone while its evacuation row exists

What callers saw: the rows evacuate/ZONE of the operator's table were ignored, and so was every removal in that table, so that requests went on to endpoints that may get none.

Change: the endpoints of such a zone are no candidates of any send, and a request that waits for a connection to one is withdrawn and placed again. Running requests end undisturbed; whether their endpoint outlived the end of a connection is judged by the other connections, as a probe would reach it. The limit evacuate_ms bounds how often the operator's table is read. A node that has just started reads a peer's copy only after its own call to the store has failed, as the copy of a peer that is cut off may lack the row; it sends nothing without the configuration, which is in the same table.

--- a/packages/endpoints/src/endpointAvailability.test.ts
+++ b/packages/endpoints/src/endpointAvailability.test.ts
@@ -10,6 +10,7 @@
 
 const USABLE = {
   isInAllowedRegion: true,
+  isEvacuated: false,
   isLeaving: false,
   heldUntilMs: undefined,
   hasFreeConnection: true,
--- a/packages/endpoints/src/endpointAvailability.ts
+++ b/packages/endpoints/src/endpointAvailability.ts
@@ -9,6 +9,8 @@
   | { readonly type: 'held'; readonly untilMs: number }
   /** The endpoint is loading weights; it is used if no other is available. */
   | { readonly type: 'loading_weights' }
+  /** The operator has evacuated the endpoint's zone. */
+  | { readonly type: 'evacuated' }
   /** The endpoint is in a region in which the request may not be processed. */
   | { readonly type: 'outside_region' }
   /** All connections that this node may open to the endpoint are in use. */
@@ -18,6 +20,7 @@
 
 export interface AvailabilityInput {
   readonly isInAllowedRegion: boolean;
+  readonly isEvacuated: boolean;
   readonly isLeaving: boolean;
   /** Clock reading until which the endpoint wants no requests, if there is one. */
   readonly heldUntilMs: number | undefined;
@@ -50,6 +53,7 @@
  */
 export const decideAvailability = ({
   isInAllowedRegion,
+  isEvacuated,
   isLeaving,
   heldUntilMs,
   hasFreeConnection,
@@ -57,6 +61,7 @@
   isLoadingWeights,
 }: AvailabilityInput): EndpointAvailability => {
   if (!isInAllowedRegion) return { type: 'outside_region' };
+  if (isEvacuated) return { type: 'evacuated' };
   if (isLeaving) return { type: 'leaving' };
   if (heldUntilMs !== undefined) return { type: 'held', untilMs: heldUntilMs };
   if (!hasFreeConnection) return { type: 'no_connection' };
@@ -90,6 +95,7 @@
         unavailableIds.push(endpoint.record.id);
         break;
       case 'leaving':
+      case 'evacuated':
       case 'no_connection':
       case 'outside_region':
         break;
@@ -122,9 +128,22 @@
 ): number | undefined => {
   let earliestMs: number | undefined;
   for (const { availability } of candidates) {
-    if (availability.type === 'leaving' || availability.type === 'outside_region') continue;
-    if (availability.type !== 'held') return undefined;
-    earliestMs = Math.min(earliestMs ?? availability.untilMs, availability.untilMs);
+    switch (availability.type) {
+      case 'leaving':
+      case 'evacuated':
+      case 'outside_region':
+        break;
+      case 'held':
+        earliestMs = Math.min(earliestMs ?? availability.untilMs, availability.untilMs);
+        break;
+      case 'available':
+      case 'loading_weights':
+      case 'no_connection':
+      case 'rate_limited':
+        return undefined;
+      default:
+        return availability satisfies never;
+    }
   }
   return earliestMs;
 };
--- a/packages/exchange/src/index.ts
+++ b/packages/exchange/src/index.ts
@@ -4,6 +4,7 @@
  */
 export { ConnectionPool } from './connectionPool.js';
 export * from './constants.js';
+export type { ConnectionEnd } from './endpointCheck.js';
 export type { EndpointLife } from './endpointLife.js';
 export * from './nextStep.js';
 export * from './eventIdHistory.js';
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -2,6 +2,7 @@
 import { type Clock, getErrorMessage } from '@lovagearch/common';
 import type { Endpoint, EndpointOutcome, Placement, SentRequest } from '@lovagearch/endpoints';
 import {
+  type ConnectionEnd,
   type ConnectionPool,
   type EndpointLife,
   type EndpointRequest,
@@ -79,6 +80,8 @@
   /** Called with the head of each response that belongs to this request. */
   readonly onResponseHead: (head: ResponseHead, sentAtMs: number) => void;
   readonly onWeights: (endpointId: string, model: string, version: number) => void;
+  /** Finds out whether the endpoint outlived a connection that ended together with its response. */
+  readonly checkEndpoint: (end: ConnectionEnd) => Promise<EndpointLife>;
   /** Whether another start of the endpoint's process is registered in its place. */
   readonly isReplaced: (endpoint: Endpoint) => boolean;
   /** Called with what is known of the endpoint after a response that ended with its connection. */
@@ -399,14 +402,10 @@
     unreadForMs: number,
   ): void {
     const { endpoint } = this.input;
-    const { pool, onConnectionEnd } = this.dependencies;
+    const { checkEndpoint, onConnectionEnd } = this.dependencies;
     clearTimeout(this.stallTimer);
     this.recordCompletion({ type: 'answered', isFailure: head.status >= 500, processingMs });
-    pool
-      .checkEndpoint(getEndpointStartKey(endpoint), endpoint.record.address, {
-        sentAtMs: this.startMs,
-        unreadForMs,
-      })
+    checkEndpoint({ sentAtMs: this.startMs, unreadForMs })
       .then((found) => {
         const life = this.dependencies.isReplaced(endpoint) ? 'ended' : found;
         onConnectionEnd(life);
--- a/packages/gateway/src/clusterState.ts
+++ b/packages/gateway/src/clusterState.ts
@@ -77,6 +77,8 @@
 
   private currentPeerRevision = 0;
 
+  private readonly evacuatedZones = new Set<string>();
+
   private readonly announcedOrders = new Map<
     string,
     AnnouncedOrder & { readonly endsMs: number }
@@ -192,8 +194,17 @@
     return this.clock.nowMs() - this.storeRecoveredAtMs < EXPIRY_WINDOW_MS;
   }
 
+  /** Whether the operator has evacuated a zone, so that its endpoints may get no requests. */
+  isZoneEvacuated(zone: string): boolean {
+    return this.evacuatedZones.has(zone);
+  }
+
   applyOperatorRow({ key, value, version }: MirroredRow, committedAfterMs?: number): void {
-    if (value === undefined) return;
+    const evacuation = this.codec.decodeEvacuation(key);
+    if (evacuation.type === 'fault') this.logRejectedRow('evacuation', key, evacuation.reason);
+    if (evacuation.type === 'value')
+      this.applyEvacuation(evacuation.value, value !== undefined, version, committedAfterMs);
+    if (evacuation.type !== 'ignored' || value === undefined) return;
     const configuration = this.codec.decodeConfiguration(key, value);
     if (configuration.type === 'fault')
       this.logRejectedRow('configuration', key, configuration.reason);
@@ -306,6 +317,28 @@
     return startedAtStoreMs + contactLimitMs - weightRolloutLimitMs;
   }
 
+  private applyEvacuation(
+    zone: string,
+    isEvacuated: boolean,
+    rowVersion: number,
+    committedAfterMs: number | undefined,
+  ): void {
+    if (isEvacuated === this.evacuatedZones.has(zone)) return;
+    if (isEvacuated) this.evacuatedZones.add(zone);
+    else this.evacuatedZones.delete(zone);
+    const storeMs = this.storeClock.nowMs();
+    this.log.logStateChange(isEvacuated ? 'zone_evacuated' : 'zone_restored', {
+      zone,
+      rowVersion,
+      endpoints: [...this.endpoints.listAll()].filter(({ record }) => record.zone === zone).length,
+      // The row is at most that old.
+      maxAgeMs:
+        storeMs === undefined || committedAfterMs === undefined
+          ? undefined
+          : Math.round(storeMs - committedAfterMs),
+    });
+  }
+
   private applyEndpointRemoval(key: string, version: number, nowMs: number): void {
     // Entries expire during an outage of the store; endpoints that are alive soon register again.
     const sinceRecoveryMs = nowMs - this.storeRecoveredAtMs;
--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -3,6 +3,7 @@
 import type { CallerResponse } from './callerResponse.js';
 import { Attempt } from './attempt.js';
 import { CALL_STALL_FACTOR, STREAM_STALL_TIMEOUT_MS } from './constants.js';
+import { checkEndpointLife } from './checkEndpointLife.js';
 import { applyStatements, isTakingRequests } from './endpointStatements.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { ChosenEndpoint } from './placeRequest.js';
@@ -65,12 +66,14 @@
       memory: context.responseLimits.memory,
       canSend: () =>
         isTakingRequests(context, endpoint) &&
+        !context.clusterState.isZoneEvacuated(endpoint.record.zone) &&
         areRulesEqual(findRegionRule(context, head, route, account), regionRule),
       onFirstByte,
       onResponseHead: (responseHead, sentAtMs) =>
         applyStatements(context, endpoint, head.requestId, responseHead, sentAtMs),
       onWeights: (id, model, version) =>
         context.clusterState.recordEndpointWeights(id, model, version),
+      checkEndpoint: (end) => checkEndpointLife(context, endpoint, end),
       isReplaced: ({ record }) => {
         const registered = context.clusterState.endpoints.findEndpoint(record.id);
         return registered !== undefined && registered.record.startedUnixMs !== record.startedUnixMs;
--- a/packages/gateway/src/placeRequest.ts
+++ b/packages/gateway/src/placeRequest.ts
@@ -59,6 +59,7 @@
   const nowMs = clock.nowMs();
   return decideAvailability({
     isInAllowedRegion: isRegionAllowed(regionRule, settings.regionByZone.get(record.zone)),
+    isEvacuated: clusterState.isZoneEvacuated(record.zone),
     isLeaving: statements.leaving.isAnnounced,
     heldUntilMs: statements.hold.getEndMs(nowMs),
     hasFreeConnection: pool.hasFreeConnection(getEndpointStartKey(endpoint), maxConnections),
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -316,6 +316,10 @@
         .map(({ record }) => record)
         .filter(({ state, weights }) => state === 'ready' && weights.size > 0),
     listTargets: () => clusterState.listWeightTargets(),
+    isEvacuated: ({ id }) => {
+      const zone = clusterState.endpoints.findEndpoint(id)?.record.zone;
+      return zone !== undefined && clusterState.isZoneEvacuated(zone);
+    },
     getRemainingMs: (model, version) => clusterState.getWeightsRemainingMs(model, version),
     onEvent: (event) => {
       const { type, ...fields } = event;
--- a/packages/gateway/src/tableTiming.ts
+++ b/packages/gateway/src/tableTiming.ts
@@ -12,7 +12,7 @@
 /** The limits of a deployment from which the timings are derived. */
 export type TableLimits = Pick<
   GatewaySettings['bounds'],
-  'configurationLimitMs' | 'contactLimitMs' | 'endpointLeaveLimitMs'
+  'configurationLimitMs' | 'contactLimitMs' | 'endpointLeaveLimitMs' | 'evacuationLimitMs'
 >;
 
 /** Maximum time that a response of the store may take in addition to a long poll, in milliseconds. */
@@ -75,7 +75,14 @@
  * createOperatorTableTiming(settings.bounds).longPollMs;
  */
 export const createOperatorTableTiming = (limits: TableLimits): TableTiming =>
-  createTiming(Math.min(limits.configurationLimitMs, limits.contactLimitMs), OPERATOR_TABLE_PACE);
+  createTiming(
+    Math.min(
+      limits.configurationLimitMs,
+      limits.contactLimitMs,
+      limits.evacuationLimitMs ?? Number.POSITIVE_INFINITY,
+    ),
+    OPERATOR_TABLE_PACE,
+  );
 
 /** Returns the timing of the endpoints' registrations. */
 export const createEndpointTableTiming = (limits: TableLimits): TableTiming =>
@@ -98,6 +105,7 @@
     limits.configurationLimitMs,
     limits.endpointLeaveLimitMs,
     limits.contactLimitMs,
+    limits.evacuationLimitMs ?? Number.POSITIVE_INFINITY,
   );
   const lastCheckMs = limitMs - TABLE_RELAY_INTERVAL_MS - OVERDUE_MARGIN_MS;
   return Math.max(1, Math.min(MAX_RELAYED_COPY_AGE_MS, lastCheckMs));
--- a/packages/gateway/src/testGateway.ts
+++ b/packages/gateway/src/testGateway.ts
@@ -22,6 +22,7 @@
 const OPERATOR_TABLE = 'operator';
 const ENDPOINT_TABLE = 'endpoints';
 export const CONFIGURATION_KEY = 'configuration';
+export const EVACUATION_PREFIX = 'evacuated/';
 export const SEAL_HEADER = 'x-seal';
 export const REQUEST_ID_HEADER = 'x-id';
 export const PARTS_HEADER = 'x-parts';
@@ -214,6 +215,10 @@
           ? { type: 'value', value: { ...CONFIGURATION, ...JSON.parse(value) } }
           : { type: 'ignored' },
       decodeWeightTarget: () => ({ type: 'ignored' }),
+      decodeEvacuation: (key) =>
+        key.startsWith(EVACUATION_PREFIX)
+          ? { type: 'value', value: key.slice(EVACUATION_PREFIX.length) }
+          : { type: 'ignored' },
       decodeEndpoint: (_key, value) => ({
         type: 'value',
         value: { ...(JSON.parse(value) as EndpointRecord), weights: new Map() },
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -110,6 +110,8 @@
   readonly endpointTable: string;
   readonly decodeConfiguration: (key: string, value: string) => DecodeResult<TrafficConfiguration>;
   readonly decodeWeightTarget: (key: string, value: string) => DecodeResult<WeightTarget>;
+  /** Returns the zone that the row evacuates while it exists. */
+  readonly decodeEvacuation: (key: string) => DecodeResult<string>;
   readonly decodeEndpoint: (key: string, value: string) => DecodeResult<EndpointRecord>;
   readonly decodeSharedValue: (value: string) => unknown;
 }
@@ -162,6 +164,12 @@
   readonly weightRolloutLimitMs: number;
   /** Minimum time between orders from two different lease holders. */
   readonly leaseHandoverDelayMs: number;
+  /** Time within which the evacuation of a zone has to be in force on every node. */
+  readonly evacuationLimitMs?: number;
+  /** Requests that a cold endpoint bears in any second, as a multiple of its requests per second. */
+  readonly coldOverage?: number;
+  /** Requests that a cold endpoint bears in any second in addition to that. */
+  readonly coldSlack?: number;
 }
 
 export interface GatewaySettings {
--- a/packages/mirror/src/mirrorFollower.ts
+++ b/packages/mirror/src/mirrorFollower.ts
@@ -148,6 +148,8 @@
     const ageMs = mirror.getAgeMs(clock.nowMs());
     // The first copy is on its way from another node.
     if (mirror.version === 0 && !options.isStoreReadDue(ageMs)) return false;
+    // A peer that is cut off from the store may have an old copy, by which a node that reaches the store must not act.
+    if (mirror.version === 0 && !this.hasFailedCall) return false;
     switch (peerFallback.type) {
       case 'when_overdue':
         return ageMs >= peerFallback.getOverdueAgeMs();
--- a/packages/rollout/src/planOrders.ts
+++ b/packages/rollout/src/planOrders.ts
@@ -18,6 +18,8 @@
   readonly targets: readonly WeightTarget[];
   /** Ids of the endpoints that have an order in progress. */
   readonly updating: ReadonlySet<string>;
+  /** Whether an endpoint gets no requests, so that the others are updated first. */
+  readonly isEvacuated?: (endpoint: RolloutEndpoint) => boolean;
   /** Returns the time for which requests may still start on a version of a model, in milliseconds. */
   readonly getRemainingMs: (model: string, version: number) => number;
 }
@@ -54,7 +56,7 @@
 };
 
 /**
- * Plans the orders that may be sent now, endpoints with the oldest weights first.
+ * Plans the orders that may be sent now, endpoints with the oldest weights first and those of evacuated zones last.
  *
  * @example
  * const planned = planOrders({ endpoints, targets, updating, getRemainingMs });
@@ -64,6 +66,7 @@
   endpoints,
   targets,
   updating,
+  isEvacuated = () => false,
   getRemainingMs,
 }: PlanInput): PlannedOrder[] => {
   const planned: PlannedOrder[] = [];
@@ -78,7 +81,10 @@
     planned.push(order);
     remainingMs = Math.min(remainingMs, getRemainingMs(target.model, getVersion(order)));
   }
-  planned.sort((a, b) => getVersion(a) - getVersion(b));
+  const evacuated = new Set(planned.filter(({ endpoint }) => isEvacuated(endpoint)));
+  planned.sort(
+    (a, b) => Number(evacuated.has(a)) - Number(evacuated.has(b)) || getVersion(a) - getVersion(b),
+  );
   const stale = planned.length + updating.size;
   const free =
     computeMaxUnavailable(endpoints.length, stale, remainingMs - ROLLOUT_MARGIN_MS) - updating.size;
--- a/packages/rollout/src/rollout.test.ts
+++ b/packages/rollout/src/rollout.test.ts
@@ -76,6 +76,21 @@
   t2.ok(late.slice(0, 6).every(({ endpoint }) => endpoint.weights.get('m0') === 1));
 });
 
+// Guards against orders that take serving endpoints out of service later than those which get no requests anyway.
+t.test('endpoints of evacuated zones are updated last', async (t2) => {
+  const endpoints = [createEndpoint('away', 1), createEndpoint('a', 2), createEndpoint('b', 2)];
+  const plan = (updated: readonly string[]) =>
+    planOrders({
+      endpoints: endpoints.filter(({ id }) => !updated.includes(id)),
+      targets: [{ model: 'm0', version: 3 }],
+      updating: new Set(),
+      isEvacuated: ({ id }) => id === 'away',
+      getRemainingMs: () => 60_000,
+    }).map(({ endpoint }) => endpoint.id);
+  t2.strictSame(plan([]), ['a']);
+  t2.strictSame(plan(['a', 'b']), ['away']);
+});
+
 /** A store for the lease's row in which writes take effect but their responses may be lost. */
 const createFakeStore = (isResponseLost: () => boolean) => {
   let row: LeaseRow | null = null;
--- a/packages/rollout/src/rolloutCoordinator.ts
+++ b/packages/rollout/src/rolloutCoordinator.ts
@@ -42,6 +42,8 @@
   readonly random: () => number;
   readonly listEndpoints: () => readonly RolloutEndpoint[];
   readonly listTargets: () => readonly WeightTarget[];
+  /** Whether an endpoint gets no requests; by default none is. */
+  readonly isEvacuated?: (endpoint: RolloutEndpoint) => boolean;
   /** Returns the time for which requests may still start on a version of a model, in milliseconds. */
   readonly getRemainingMs: (model: string, version: number) => number;
   readonly onEvent: (event: RolloutEvent) => void;
@@ -97,12 +99,14 @@
   }
 
   private async runOnce(): Promise<void> {
-    const { listEndpoints, listTargets, getRemainingMs, lease, clock, random } = this.options;
+    const { listEndpoints, listTargets, isEvacuated, getRemainingMs, lease, clock, random } =
+      this.options;
     const { updating } = this;
     const planned = planOrders({
       endpoints: listEndpoints(),
       targets: listTargets(),
       updating,
+      ...(isEvacuated === undefined ? {} : { isEvacuated }),
       getRemainingMs,
     });
     if (planned.length === 0) {
