Keep prompts where they were computed when a hedge loses, and log both outcomes

A hedge was recorded as having its prompt's parts at once, so that the next requests of a session would have followed it to an endpoint that had cancelled them. It is now recorded when its response begins. The line hedge_ended names the outcomes of both sends, as a first send that fails beside a hedge has no line of its own.

--- a/packages/gateway/src/requestAttempts.ts
+++ b/packages/gateway/src/requestAttempts.ts
@@ -150,7 +150,7 @@
       },
       send: (chosen, remainingMs) => {
         // Incomplete events of two endpoints must not be joined.
-        const hedge = this.startSend(chosen, remainingMs, this.createFramer());
+        const hedge = this.startSend(chosen, remainingMs, this.createFramer(), true);
         this.sends = [first, hedge];
         return hedge;
       },
@@ -161,6 +161,7 @@
     chosen: ChosenEndpoint,
     remainingMs: number,
     framer: EventStreamFramer | undefined,
+    isHedge = false,
   ): Send {
     const { context } = this;
     const { routedRequest, callerResponse, onFirstByte } = this.input;
@@ -174,13 +175,8 @@
     this.triedEndpointIds.push(endpoint.record.id);
     if (this.sendCount === 1) logPlacement(context, routedRequest, chosen, reusePlan);
     const sentAtMs = context.clock.nowMs();
-    context.clusterState.promptMemory.recordSent(
-      head.promptParts,
-      createCacheSalt(account, undefined) ?? '',
-      endpoint.record.id,
-      placement.uncachedTokens,
-      sentAtMs,
-    );
+    // The parts of a hedge that loses are not computed at its endpoint, and the next requests shall not follow it.
+    if (!isHedge) this.recordPrompt(chosen);
     const attempt = createAttempt(context, routedRequest, chosen, {
       reusePlan,
       framer,
@@ -193,12 +189,26 @@
       },
       onResponseStart: () => {
         this.framer = framer;
+        if (isHedge) this.recordPrompt(chosen);
         this.race?.claimResponse(attempt);
       },
     });
     return { chosen, attempt, framer, sentAtMs, outcome: this.runAttempt(chosen, attempt) };
   }
 
+  /** Records that the endpoint gets the parts of the prompt, for the placement of later requests. */
+  private recordPrompt({ endpoint, placement }: ChosenEndpoint): void {
+    const { clusterState, clock } = this.context;
+    const { head, account } = this.input.routedRequest;
+    clusterState.promptMemory.recordSent(
+      head.promptParts,
+      createCacheSalt(account, undefined) ?? '',
+      endpoint.record.id,
+      placement.uncachedTokens,
+      clock.nowMs(),
+    );
+  }
+
   private async runAttempt(chosen: ChosenEndpoint, attempt: Attempt): Promise<AttemptOutcome> {
     const { context } = this;
     const { head, service } = this.input.routedRequest;
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -225,13 +225,15 @@
     reason,
   });
 
-/** Logs what became of a hedge, with the times since both sends. */
+/** Logs what became of a hedge, with the outcomes of both sends and the times since them. */
 export const logHedgeEnded = (
   { log }: GatewayContext,
   { head, service }: RoutedRequest,
   result: HedgeResult,
-  times: {
+  end: {
     readonly endpoint: string;
+    readonly firstOutcome: AttemptOutcome['type'] | undefined;
+    readonly hedgeOutcome: AttemptOutcome['type'] | undefined;
     readonly firstElapsedMs: number;
     readonly hedgeElapsedMs: number;
   },
@@ -240,7 +242,7 @@
     request: head.requestId,
     service,
     result,
-    endpoint: times.endpoint,
-    firstElapsedMs: Math.round(times.firstElapsedMs),
-    hedgeElapsedMs: Math.round(times.hedgeElapsedMs),
+    ...end,
+    firstElapsedMs: Math.round(end.firstElapsedMs),
+    hedgeElapsedMs: Math.round(end.hedgeElapsedMs),
   });
--- a/packages/gateway/src/sendRace.ts
+++ b/packages/gateway/src/sendRace.ts
@@ -232,8 +232,11 @@
     else if (winner === first) result = 'lost';
     context.metrics.recordHedge(routedRequest.service, result);
     const nowMs = context.clock.nowMs();
+    const findOutcome = (sent: Send) => this.ended.find(({ send }) => send === sent)?.outcome.type;
     logHedgeEnded(context, routedRequest, result, {
       endpoint: hedge.chosen.endpoint.record.id,
+      firstOutcome: findOutcome(first),
+      hedgeOutcome: findOutcome(hedge),
       firstElapsedMs: nowMs - first.sentAtMs,
       hedgeElapsedMs: nowMs - hedge.sentAtMs,
     });
