Show where a gateway VM would send a described request, and why

After a misplaced or refused request, operators had only the log line of the chosen endpoint, without the forecasts of the others or what excluded them. Nothing is sent; the probe of a named rate limit is asked on a copy, and random numbers come from another generator.

--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -5,6 +5,7 @@
 import { PublishCommand } from './publishCommand.js';
 import { ShowCommand } from './showCommand.js';
 import { StatusCommand } from './statusCommand.js';
+import { WhereCommand } from './whereCommand.js';
 
 /** Commands by name; oclif loads this export, which package.json names. */
 export const COMMANDS = {
@@ -15,4 +16,5 @@
   publish: PublishCommand,
   show: ShowCommand,
   status: StatusCommand,
+  where: WhereCommand,
 };
--- a/packages/endpoints/src/chooseEndpoint.ts
+++ b/packages/endpoints/src/chooseEndpoint.ts
@@ -43,8 +43,14 @@
   readonly nodeCount: number;
   readonly nowMs: number;
   readonly random: Random;
+  /** Called with the placements among which the choice is made, for explanations. */
+  readonly onCompared?: (placements: readonly Placement[]) => void;
 }
 
+/** Why an endpoint is not among those that a choice is made among. */
+export type ExclusionReason =
+  'excluded' | 'missed_heartbeats' | 'suspended' | 'weights_expire' | 'weights_expire_during_wait';
+
 interface NetworkCost {
   readonly roundTripMs: number;
   readonly penaltyMs: number;
@@ -244,6 +250,18 @@
   return unsuspended.length > 0 ? unsuspended : allowed;
 };
 
+/** Returns why an endpoint is not compared, given that it is not. */
+export const findExclusionReason = (
+  input: EndpointChoiceInput,
+  endpoint: Endpoint,
+): ExclusionReason => {
+  if (input.request.excluded.has(endpoint.record.id)) return 'excluded';
+  if (!canStartInTime(input, endpoint, 0)) return 'weights_expire';
+  if (endpoint.isSuspended(input.nowMs)) return 'suspended';
+  if (hasMissedHeartbeats(input, endpoint)) return 'missed_heartbeats';
+  return 'weights_expire_during_wait';
+};
+
 /** Chooses the affinity owner of a prompt's shared parts, if possible in the zone of their store. */
 const chooseOwnerId = ({ request, endpoints }: EndpointChoiceInput): string | undefined => {
   const part = getAffinityPart(request.parts);
@@ -276,6 +294,7 @@
     const placement = computePlacement(input, endpoint, ownerId);
     if (canStartInTime(input, endpoint, placement.expectedMs)) placements.push(placement);
   }
+  input.onCompared?.(placements);
   if (placements.length === 0) return undefined;
   const best = placements.reduce((least, placement) =>
     placement.costMs < least.costMs ? placement : least,
--- a/packages/endpoints/src/requestRateLimit.test.ts
+++ b/packages/endpoints/src/requestRateLimit.test.ts
@@ -189,3 +189,26 @@
     t2.ok(sends > 0, `${name}: ${share.type}, ${sends} sends in ${DURATION_MS} ms`);
   }
 });
+
+// Guards against an operator's question that uses up the probe by which a node notices a lifted limit.
+t.test('a question on a copy does not change when the next request may be sent', async (t2) => {
+  for (const limitPerS of [0.1, 2]) {
+    const listSends = (hasQuestions: boolean): number[] => {
+      const random = createRandom(7);
+      const names = Array.from({ length: 40 }, (_, index) => `edge-${index}`);
+      const share = computeRateShare(limitPerS, 'i-1', 'edge-3', names);
+      const limit = RequestRateLimit.create();
+      limit.applyStatement({ type: 'named', requestsPerS: limitPerS }, 0, 0);
+      const sends: number[] = [];
+      for (let nowMs = 0; nowMs < 600_000; nowMs += 100) {
+        if (hasQuestions) limit.createCopy().canSend(share, nowMs, createRandom(nowMs));
+        if (nowMs % 300 !== 0 || !limit.canSend(share, nowMs, random)) continue;
+        limit.recordSent(share, nowMs);
+        sends.push(nowMs);
+      }
+      return sends;
+    };
+    t2.strictSame(listSends(true), listSends(false), `${limitPerS} per second`);
+    t2.ok(listSends(false).length > 0);
+  }
+});
--- a/packages/endpoints/src/requestRateLimit.ts
+++ b/packages/endpoints/src/requestRateLimit.ts
@@ -42,6 +42,11 @@
     return new RequestRateLimit();
   }
 
+  /** Creates an independent copy, on which a question does not use up the time of a probe. */
+  createCopy(): RequestRateLimit {
+    return Object.assign(RequestRateLimit.create(), this);
+  }
+
   /** The limit in force, or undefined. */
   get limitPerS(): number | undefined {
     return this.requestsPerS;
--- a/packages/gateway/src/endpointRates.ts
+++ b/packages/gateway/src/endpointRates.ts
@@ -11,7 +11,7 @@
 const knownShares = new WeakMap<Endpoint, KnownShare>();
 
 /** Returns this node's share of an endpoint's limit, or undefined if the endpoint names none. */
-const findRateShare = (
+export const findRateShare = (
   { clusterState, settings }: GatewayContext,
   endpoint: Endpoint,
 ): RateShare | undefined => {
@@ -30,8 +30,10 @@
 /** Whether the limit that an endpoint named allows this node another request now. */
 export const isWithinRateLimit = (context: GatewayContext, endpoint: Endpoint): boolean => {
   const share = findRateShare(context, endpoint);
-  const { clock, random } = context;
-  return share === undefined || endpoint.statements.rateLimit.canSend(share, clock.nowMs(), random);
+  const { clock, random, isExplanation } = context;
+  const { rateLimit } = endpoint.statements;
+  const limit = isExplanation === true ? rateLimit.createCopy() : rateLimit;
+  return share === undefined || limit.canSend(share, clock.nowMs(), random);
 };
 
 /** Records a request, a repeat as well, that is sent to an endpoint. */
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -45,6 +45,8 @@
   readonly getEventIdHistory: (service: string) => EventIdHistory;
   readonly eventLoopMonitor: EventLoopMonitor;
   readonly routeDurations: RouteDurations;
+  /** Whether a decision is only explained, so that it may change no state. */
+  readonly isExplanation?: boolean;
   /** Undefined if hedging is switched off. */
   readonly hedging: Hedging | undefined;
   /** The planned stop in progress, if there is one. */
--- a/packages/gateway/src/managementServer.ts
+++ b/packages/gateway/src/managementServer.ts
@@ -5,6 +5,7 @@
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import { registerTableRoute, registerCacheStoreRoute } from './peerExchange.js';
 import type { Address } from './types.js';
+import { type ExplainRequest, registerWhereRoute } from './whereRoute.js';
 
 /** Listens, or closes the server if it can't. */
 const listen = async (server: FastifyInstance, { host, port }: Address) => {
@@ -31,6 +32,7 @@
 /**
  * Serves this node's copies of the store's tables, and its indexes of cache stores, to peers.
  *
+ * @param explain explains where a described request would be sent
  * @param isServable whether the copy of a table may be served now
  */
 export const startPeerServer = (
@@ -40,8 +42,10 @@
   isServable: (table: string) => boolean,
   findIndex: (address: string) => StoreIndex | undefined,
   indexClock: Clock,
+  explain: ExplainRequest,
 ): Promise<FastifyInstance> => {
   const server = fastify();
+  registerWhereRoute(server, explain);
   registerTableRoute(server, mirrors, clock, isServable);
   registerCacheStoreRoute(server, findIndex, indexClock);
   return listen(server, address);
--- a/packages/gateway/src/openGatewayListeners.ts
+++ b/packages/gateway/src/openGatewayListeners.ts
@@ -10,6 +10,7 @@
 import { LoadSharing } from './loadSharing.js';
 import { startMetricsServer, startPeerServer, startReadinessServer } from './managementServer.js';
 import type { GatewaySettings } from './types.js';
+import type { ExplainRequest } from './whereRoute.js';
 
 /** What the listeners of a gateway serve. */
 export interface ServedParts {
@@ -23,6 +24,7 @@
   readonly isServable: (table: string) => boolean;
   readonly findCacheStoreIndex: (address: string) => StoreIndex | undefined;
   readonly indexClock: Clock;
+  readonly explain: ExplainRequest;
   readonly metrics: GatewayMetrics;
   readonly clusterState: ClusterState;
   readonly clock: Clock;
@@ -66,6 +68,7 @@
           parts.isServable,
           parts.findCacheStoreIndex,
           parts.indexClock,
+          parts.explain,
         ),
     },
     {
--- a/packages/gateway/src/placeRequest.ts
+++ b/packages/gateway/src/placeRequest.ts
@@ -5,6 +5,8 @@
   decideAvailability,
   type Endpoint,
   type EndpointAvailability,
+  type EndpointCandidate,
+  type EndpointChoiceInput,
   findEarliestHoldEndMs,
   type Placement,
   selectCandidates,
@@ -34,6 +36,14 @@
     }
   | { readonly type: 'placed'; readonly chosen: ChosenEndpoint };
 
+/** Receives what a choice is made from, for explanations. */
+export interface PlacementObserver {
+  readonly onCandidates: (candidates: readonly EndpointCandidate[]) => void;
+  /** Called with the input of the choice, before it is made. */
+  readonly onChoice: (input: EndpointChoiceInput) => void;
+  readonly onCompared: (placements: readonly Placement[]) => void;
+}
+
 /** Returns this node's share of the connections that each endpoint of a service allows. */
 const computeMaxConnections = (context: GatewayContext, service: string): number => {
   const connectionLimit =
@@ -70,6 +80,7 @@
   service: string,
   account: Account | undefined,
   excluded: ReadonlySet<string>,
+  observer?: PlacementObserver,
 ): PlacementResult => {
   const { clusterState, clock, settings, random } = context;
   const maxConnections = computeMaxConnections(context, service);
@@ -77,10 +88,11 @@
     endpoint,
     availability: getAvailability(context, endpoint, maxConnections),
   }));
+  observer?.onCandidates(candidates);
   const { endpoints, unavailableIds } = selectCandidates(candidates);
   const parts = route.hasPromptParts ? head.promptParts : [];
   const engine = clusterState.trafficRules?.findService(service)?.engine;
-  const placement = chooseEndpoint({
+  const choice: EndpointChoiceInput = {
     request: {
       service,
       parts,
@@ -102,7 +114,10 @@
     nodeCount: clusterState.nodeCount,
     nowMs: clock.nowMs(),
     random,
-  });
+    ...(observer === undefined ? {} : { onCompared: observer.onCompared }),
+  };
+  observer?.onChoice(choice);
+  const placement = chooseEndpoint(choice);
   const endpoint =
     placement === undefined ? undefined : clusterState.endpoints.findEndpoint(placement.endpointId);
   if (placement === undefined || endpoint === undefined)
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -20,6 +20,7 @@
 import { EventLoopMonitor, readProcessorMs } from './eventLoopMonitor.js';
 import { createTableFollower } from './createTableFollower.js';
 import { createGatewayLog } from './gatewayLog.js';
+import { explainPlacement } from './explainPlacement.js';
 import type { GatewayContext, Shutdown } from './gatewayContext.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
 import { Hedging } from './hedging.js';
@@ -350,6 +351,7 @@
       table !== endpointMirror.table || !clusterState.isAwaitingRegistrations(),
     findCacheStoreIndex: (address) => cacheStoreWatcher.findIndex(address),
     indexClock: suspensionClock,
+    explain: (described) => explainPlacement(context, described),
     metrics,
     clusterState,
     clock,
