--- a/packages/traffic/src/trafficRules.ts
+++ b/packages/traffic/src/trafficRules.ts
@@ -80,11 +80,6 @@
     return this.accountsByKey.get(key);
   }
 
-  findAccountByName(name: string): Account | undefined {
-    for (const account of this.accountsByKey.values()) if (account.name === name) return account;
-    return undefined;
-  }
-
   findService(name: string): Service | undefined {
     return this.services.get(name);
   }
