Admit connections and requests by what clients hold on all listeners

Clients that sent requests ahead ended the process with a full heap: Node.js parses all of a read of 64 KB at once, emits each request in it and queues their responses. Connections had no limit either, and Node.js dropped the fields of a head behind the first 2,000, so that a legal head of 16 KiB got status 400. A gate before the parser of each connection now hands over one request at a time and leaves the rest unread, or closes the connection if it can't see its end for 400 ms. A ledger of all listeners admits connections by max_fds and requests by memory; idle, unread, incomplete and waiting connections give way in this order. Bodies of refused requests are read up to 64 KB.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -2,6 +2,7 @@
 import { createServer, type Server } from 'node:http';
 import type { Socket } from 'node:net';
 import type { CallerLimits } from '@lovagearch/traffic';
+import type { ConnectionAdmission } from './connectionAdmission.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { CallerRequestHandler } from './callerRequestHandler.js';
 import type { Address } from './types.js';
@@ -24,7 +25,12 @@
 
   private readonly idleSockets = new Set<Socket>();
 
-  private constructor(private readonly context: GatewayContext) {
+  private maxBodyBytes = 0;
+
+  private constructor(
+    private readonly context: GatewayContext,
+    admission: ConnectionAdmission,
+  ) {
     this.server = createServer({
       maxHeaderSize: PARSER_MAX_HEADER_BYTES,
       connectionsCheckingInterval: SLOW_CALLER_CHECK_MS,
@@ -33,6 +39,9 @@
       keepAlive: true,
       noDelay: true,
     });
+    // By default, Node.js drops the fields of a head behind the first 2,000.
+    this.server.maxHeadersCount = 0;
+    admission.protect(this.server, 'callers', () => this.maxBodyBytes);
     this.server.on('connection', (socket: Socket) => {
       this.idleSockets.add(socket);
       socket.once('close', () => this.idleSockets.delete(socket));
@@ -54,8 +63,8 @@
     });
   }
 
-  static create(context: GatewayContext): CallerServer {
-    return new CallerServer(context);
+  static create(context: GatewayContext, admission: ConnectionAdmission): CallerServer {
+    return new CallerServer(context, admission);
   }
 
   /** Number of requests whose response is not complete yet. */
@@ -79,6 +88,7 @@
   }
 
   applyLimits(limits: CallerLimits): void {
+    this.maxBodyBytes = limits.maxBodyBytes;
     this.server.headersTimeout = limits.headerTimeoutMs;
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
   }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -207,3 +207,54 @@
 export const MAX_FULL_MESH_NODES = 16;
 /** Maximum length of the reason logged for a row that is rejected; a row can have thousands of faults. */
 export const MAX_FAULT_REASON_LENGTH = 200;
+/** Descriptors of `max_fds` that the platform counts for files; the rest is for sockets. */
+export const RESERVED_FDS = 200;
+/** Descriptors that are assumed if the settings state no limit; the usual limit of a process on Linux. */
+export const DEFAULT_MAX_FDS = 1_024;
+/** Fraction of the sockets that is left for endpoints, peers and the store; each request may need a connection to one. */
+export const ENDPOINT_FDS_SHARE = 0.5;
+/** Connections of clients that are accepted in any case. */
+export const MIN_CALLER_CONNECTIONS = 32;
+/** Connections of each listener that other listeners' connections don't displace; a load balancer needs a few. */
+export const GUARANTEED_CONNECTIONS = 8;
+/** Memory of the process without clients, in bytes: the program, its heap and Node.js; 85 MB were measured. */
+export const PROCESS_BYTES = 94_371_840;
+/** Fraction of the memory beyond that which connections, heads and unread responses may use. */
+export const CALLER_MEMORY_SHARE = 0.25;
+/** Fraction of the heap that they may use; heads are JavaScript objects. */
+export const CALLER_HEAP_SHARE = 0.2;
+/** Fraction of the memory beyond the process's own that bodies may use; the rest is for responses and garbage. */
+export const MAX_BODY_MEMORY_SHARE_OF_FREE = 0.3;
+/** Memory that is granted in any case, in bytes; two bodies of 4 MiB. */
+export const MIN_CALLER_MEMORY_BYTES = 8_388_608;
+/** Memory of a connection beside what it has received, in bytes: socket, parser and timers. */
+export const CONNECTION_BYTES = 8_192;
+/** Memory of a request in progress beside its head, in bytes. */
+export const REQUEST_BYTES = 16_384;
+/** Memory of a byte of a head, which is held as received, as parsed and as forwarded. */
+export const HEAD_BYTE_FACTOR = 4;
+/** Memory of a field of a head in addition, in bytes: strings and list entries; 150 were measured. */
+export const HEAD_FIELD_BYTES = 150;
+/** Bytes of a connection that are handed to the parser at a time. */
+export const MAX_SLICE_BYTES = 16_384;
+/** Bytes sent ahead of a response that are held; further ones are left unread. A read of a socket has up to as many. */
+export const MAX_SENT_AHEAD_BYTES = 65_536;
+/**
+ * Time for which a request may be in progress while bytes behind it are left unread, in milliseconds. The end of such
+ * a connection can't be seen, and nothing may reach an endpoint 500 ms after its caller has left.
+ */
+export const SENT_AHEAD_LIMIT_MS = 400;
+/** Bytes of a refused body that are read so that the connection can be used again. */
+export const MAX_DISCARDED_BYTES = 65_536;
+/** Time for which the body of a refused request is read, in milliseconds. */
+export const DISCARD_LIMIT_MS = 2_000;
+/** Time without any progress after which a response that isn't read is given up, in milliseconds. */
+export const UNREAD_RESPONSE_LIMIT_MS = 10_000;
+/** Time after which a request whose turn didn't come for lack of memory is given up, in milliseconds. */
+export const ADMISSION_WAIT_LIMIT_MS = 3_000;
+/** Time without progress after which a body or a response counts as standing still, in milliseconds. */
+export const STALLED_AFTER_MS = 1_000;
+/** Use of the memory for bodies from which those that stand still give way. */
+export const MAX_BODY_MEMORY_USE = 0.75;
+/** Interval of the checks of connections, in milliseconds. */
+export const CONNECTION_CHECK_INTERVAL_MS = 100;
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -65,6 +65,13 @@
     registers: [this.registry],
   });
 
+  private readonly callerLimits = new Counter({
+    name: 'lovagearch_caller_limits_total',
+    help: 'Connections closed and requests refused as clients held too much, by limit',
+    labelNames: ['limit'],
+    registers: [this.registry],
+  });
+
   private readonly gauges = new Gauge({
     name: 'lovagearch_state',
     help: 'Current sizes and versions, by name',
@@ -106,6 +113,10 @@
     this.droppedLines.inc(lines);
   }
 
+  recordCallerLimit(limit: string): void {
+    this.callerLimits.inc({ limit });
+  }
+
   setGauge(name: string, value: number): void {
     this.gauges.set({ name }, value);
   }
--- a/packages/gateway/src/managementServer.ts
+++ b/packages/gateway/src/managementServer.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '@lovagearch/common';
 import type { TableMirror } from '@lovagearch/mirror';
 import type { StoreIndex } from '@lovagearch/reuse';
+import type { ConnectionAdmission } from './connectionAdmission.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import { registerTableRoute, registerCacheStoreRoute } from './peerExchange.js';
 import type { Address } from './types.js';
@@ -22,8 +23,10 @@
   address: Address,
   path: string,
   isReady: () => boolean,
+  admission: ConnectionAdmission,
 ): Promise<FastifyInstance> => {
   const server = fastify();
+  admission.protect(server.server, 'readiness');
   server.get(path, (_request, reply) => reply.code(isReady() ? 200 : 503).send());
   return listen(server, address);
 };
@@ -40,8 +43,10 @@
   isServable: (table: string) => boolean,
   findIndex: (address: string) => StoreIndex | undefined,
   indexClock: Clock,
+  admission: ConnectionAdmission,
 ): Promise<FastifyInstance> => {
   const server = fastify();
+  admission.protect(server.server, 'peers');
   registerTableRoute(server, mirrors, clock, isServable);
   registerCacheStoreRoute(server, findIndex, indexClock);
   return listen(server, address);
@@ -51,8 +56,10 @@
 export const startMetricsServer = (
   address: Address,
   metrics: GatewayMetrics,
+  admission: ConnectionAdmission,
 ): Promise<FastifyInstance> => {
   const server = fastify();
+  admission.protect(server.server, 'metrics');
   server.get('/metrics', async (_request, reply) =>
     reply.type('text/plain; version=0.0.4').send(await metrics.render()),
   );
--- a/packages/gateway/src/openGatewayListeners.ts
+++ b/packages/gateway/src/openGatewayListeners.ts
@@ -4,6 +4,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { CallerServer } from './callerServer.js';
 import type { ClusterState } from './clusterState.js';
+import type { ConnectionAdmission } from './connectionAdmission.js';
 import { GatewayListeners } from './gatewayListeners.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
@@ -18,6 +19,7 @@
   readonly readinessPath: string;
   readonly isReady: () => boolean;
   readonly server: CallerServer;
+  readonly admission: ConnectionAdmission;
   readonly mirrors: readonly TableMirror[];
   /** Whether peers may get the copy of a table now. */
   readonly isServable: (table: string) => boolean;
@@ -42,7 +44,7 @@
 export const openGatewayListeners = async (
   parts: ServedParts,
 ): Promise<Result<GatewayListeners, AddressError>> => {
-  const { settings, server, mirrors, clusterState, clock, log } = parts;
+  const { settings, server, admission, mirrors, clusterState, clock, log } = parts;
   const { readinessAddress, peerAddress, callerAddress, loadAddress, nodeName, zone } = settings;
   const listeners = GatewayListeners.create({
     maxWaitMs: settings.bounds.shutdownGraceMs + ADDRESS_WAIT_MARGIN_MS,
@@ -53,7 +55,8 @@
     {
       name: 'readiness',
       address: readinessAddress,
-      open: () => startReadinessServer(readinessAddress, parts.readinessPath, parts.isReady),
+      open: () =>
+        startReadinessServer(readinessAddress, parts.readinessPath, parts.isReady, admission),
     },
     {
       name: 'peers',
@@ -66,6 +69,7 @@
           parts.isServable,
           parts.findCacheStoreIndex,
           parts.indexClock,
+          admission,
         ),
     },
     {
@@ -83,7 +87,7 @@
   listeners.openInBackground({
     name: 'metrics',
     address: metricsAddress,
-    open: () => startMetricsServer(metricsAddress, parts.metrics),
+    open: () => startMetricsServer(metricsAddress, parts.metrics, admission),
   });
   listeners.openInBackground({
     name: 'load reports',
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -1,3 +1,4 @@
+import { getHeapStatistics } from 'node:v8';
 import { SlidingWindowRetryBudget } from '@lovagearch/admission';
 import { MemoryBudget } from '@lovagearch/bounded-http';
 import { AddressUnavailableError, getErrorMessage, processClock } from '@lovagearch/common';
@@ -6,10 +7,10 @@
 import { TransferSlowdownTracker } from '@lovagearch/reuse';
 import { createSuspensionClock, OrderLease, RolloutCoordinator } from '@lovagearch/rollout';
 import { ClusterState, LEASE_KEY, PEER_PREFIX, readAttemptId } from './clusterState.js';
+import { deriveCallerLimits } from './callerLimits.js';
 import { CallerServer } from './callerServer.js';
 import {
   ANNOUNCE_RETRY_DELAY_MS,
-  BODY_MEMORY_SHARE,
   ENDPOINT_TABLE_FALLBACK_AGE_MS,
   HOUSEKEEPING_INTERVAL_MS,
   LOGGED_EVENT_LOOP_DELAY_MS,
@@ -18,6 +19,7 @@
   STRIKE_PUBLISH_INTERVAL_MS,
 } from './constants.js';
 import { EventLoopMonitor, readProcessorMs } from './eventLoopMonitor.js';
+import { ConnectionAdmission } from './connectionAdmission.js';
 import { createTableFollower } from './createTableFollower.js';
 import { createGatewayLog } from './gatewayLog.js';
 import type { GatewayContext, Shutdown } from './gatewayContext.js';
@@ -230,6 +232,11 @@
     clock: suspensionClock,
     log,
   });
+  const callerLimits = deriveCallerLimits({
+    memoryBytes: settings.memoryMb * BYTES_PER_MB,
+    heapBytes: getHeapStatistics().heap_size_limit,
+    maxFds: settings.maxFds,
+  });
   const eventLoopMonitor = EventLoopMonitor.create(clock.nowMs(), readProcessorMs());
   const context: GatewayContext = {
     settings,
@@ -240,7 +247,7 @@
       clock: suspensionClock,
       getReadDelayMs: () => eventLoopMonitor.getReadDelayMs(clock.nowMs()),
     }),
-    bodyMemory: MemoryBudget.create(settings.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE),
+    bodyMemory: MemoryBudget.create(callerLimits.bodyMemoryBytes),
     responseLimits,
     clock,
     random,
@@ -280,7 +287,14 @@
   };
   context.pool.onIdleConnectionLost = (endpointStart) =>
     recordIdleConnectionLost(context, endpointStart);
-  const server = CallerServer.create(context);
+  const admission = ConnectionAdmission.create({
+    limits: callerLimits,
+    bodyMemory: context.bodyMemory,
+    clock,
+    log,
+    metrics,
+  });
+  const server = CallerServer.create(context, admission);
   operatorMirror.addListener(() => {
     if (clusterState.trafficRules !== undefined)
       server.applyLimits(clusterState.trafficRules.limits);
@@ -341,6 +355,7 @@
     readinessPath,
     isReady,
     server,
+    admission,
     mirrors: [operatorMirror, endpointMirror, sharedMirror],
     // A peer without contact to the store would remove endpoints that this node still waits for.
     isServable: (table) =>
@@ -475,6 +490,7 @@
     clearInterval(housekeepingTimer);
     clearInterval(publishTimer);
     await listeners.value.close();
+    admission.stop();
     log.flush();
   };
   const recordReload: Gateway['recordReload'] = (result, faults) =>
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -178,6 +178,8 @@
   /** Addresses of peers to contact before any peer is known from the shared table. */
   readonly seeds: readonly string[];
   readonly memoryMb: number;
+  /** Files and sockets that the process may have open; undefined if the platform states no limit. */
+  readonly maxFds?: number | undefined;
   readonly heartbeatMs: number;
   /** Whether the whole deployment starts for the first time, so that no process ran here before. */
   readonly isFirstStart: boolean;
