--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -69,6 +69,13 @@
     registers: [this.registry],
   });
 
+  private readonly callerLimits = new Counter({
+    name: 'lovagearch_caller_limits_total',
+    help: 'Connections closed and requests refused as clients held too much, by limit',
+    labelNames: ['limit'],
+    registers: [this.registry],
+  });
+
   private readonly gauges = new Gauge({
     name: 'lovagearch_state',
     help: 'Current sizes and versions, by name',
@@ -156,6 +163,10 @@
     this.slowCallers.inc();
   }
 
+  recordCallerLimit(limit: string): void {
+    this.callerLimits.inc({ limit });
+  }
+
   setGauge(name: string, value: number): void {
     this.gauges.set({ name }, value);
   }
