Plan the return of refused requests from the forecast of room

Callers that were refused together came back together: all kinds got the same delay with 40% of jitter, and the kind with the longest target the shortest one, so that bulk prompts returned first and met queues that were still too long. Retry-After is now planned by each node from the time in which the excess wait drains, at the rate at which the node's share of the endpoints can work off what it refused, urgent kinds first, at most a third of the time left. Requests that can't return within it are spread over the second half of that time.

--- a/packages/admission/src/decideAdmission.ts
+++ b/packages/admission/src/decideAdmission.ts
@@ -10,6 +10,11 @@
 const MAX_RETRY_DELAY_SHARE = 1 / 3;
 /** Width of the jitter as a share of the delay; it spreads the retries of callers refused together. */
 const RETRY_JITTER_SHARE = 0.4;
+/**
+ * Wait at which refused requests return, as a share of the latency limit. Returns at the full limit of 408 ms met
+ * longer queues than forecast, and a quarter of them were late or refused again.
+ */
+const RETURN_WAIT_SHARE = 0.5;
 
 export interface AdmissionInput {
   /** Forecast time to the first byte at the best endpoint, in milliseconds. */
@@ -31,6 +36,8 @@
   | {
       readonly type: 'refuse';
       readonly retryAfterMs: number;
+      /** Time until the wait is well within the request's limit if the queue drains and gets no other work. */
+      readonly drainMs: number;
       readonly reason: 'late' | 'hopeless';
     };
 
@@ -59,9 +66,6 @@
  */
 export const decideAdmission = (input: AdmissionInput): AdmissionDecision => {
   const { expectedMs, ownMs, targetLatencyMs, elapsedMs, remainingMs } = input;
-  if (expectedMs > remainingMs) {
-    return { type: 'refuse', reason: 'hopeless', retryAfterMs: computeRetryAfterMs(input) };
-  }
   const share =
     LATENCY_LIMIT_SHARES_BY_PRIORITY[
       Math.min(input.priority, LATENCY_LIMIT_SHARES_BY_PRIORITY.length - 1)
@@ -69,6 +73,13 @@
   const waitMs = expectedMs - ownMs;
   const limitMs = targetLatencyMs * share;
   const isLate = expectedMs + elapsedMs > limitMs && waitMs > limitMs / 2;
-  if (!isLate) return { type: 'admit' };
-  return { type: 'refuse', reason: 'late', retryAfterMs: computeRetryAfterMs(input) };
+  const isHopeless = expectedMs > remainingMs;
+  if (!isLate && !isHopeless) return { type: 'admit' };
+  return {
+    type: 'refuse',
+    reason: isHopeless ? 'hopeless' : 'late',
+    retryAfterMs: computeRetryAfterMs(input),
+    // A request that returns is as old as a new one.
+    drainMs: Math.max(0, waitMs - limitMs * RETURN_WAIT_SHARE),
+  };
 };
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -11,6 +11,7 @@
 export * from './decideAdmission.js';
 export * from './rateMeter.js';
 export * from './retryBudget.js';
+export * from './returnSchedule.js';
 export * from './tokenBucket.js';
 export * from './types.js';
 export * from './slidingWindowRetryBudget.js';
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -8,7 +8,6 @@
 import { type RoutedRequest, createAttempt } from './createAttempt.js';
 import {
   DEFAULT_TIME_LIMIT_MS,
-  MAX_RETRY_AFTER_MS,
   MIN_RETRY_AFTER_MS,
   MIN_REMAINING_TO_SEND_MS,
   TIMEOUT_RESPONSE_GRACE_MS,
@@ -22,6 +21,7 @@
   recordTransferTime,
   recordWeightMismatch,
 } from './attemptFeedback.js';
+import { planReturn } from './planReturn.js';
 import { type ChosenEndpoint, type PlacementResult, placeRequest } from './placeRequest.js';
 import { createFailure, createRefusal, type LocalReply, sendLocalReply } from './localReply.js';
 import {
@@ -423,7 +423,8 @@
     } else if (this.possibleRunCount > 0) {
       this.reply(head, route, createFailure('endpoint_failed', reason));
     } else {
-      this.reply(head, route, createRefusal('overloaded', reason, this.computeRetryAfterMs()));
+      const retryAfterMs = this.computeRetryAfterMs(routedRequest);
+      this.reply(head, route, createRefusal('overloaded', reason, retryAfterMs));
     }
   }
 
@@ -445,16 +446,20 @@
     }
   }
 
-  /**
-   * Returns the delay until an endpoint may take the request, with jitter, so that callers refused at the same
-   * time don't retry at the same time.
-   */
-  private computeRetryAfterMs(): number {
+  /** Returns the delay until an endpoint may take the request; refused requests return one after the other. */
+  private computeRetryAfterMs(routedRequest: RoutedRequest): number {
     const { context, lastPlacement } = this;
-    const spreadMs = context.random() * MIN_RETRY_AFTER_MS;
-    if (lastPlacement?.type === 'none' && lastPlacement.holdEndMs !== undefined)
-      return Math.max(0, lastPlacement.holdEndMs - context.clock.nowMs()) + spreadMs;
-    return Math.min(MAX_RETRY_AFTER_MS, MIN_RETRY_AFTER_MS + spreadMs);
+    if (lastPlacement?.type === 'none' && lastPlacement.holdEndMs !== undefined) {
+      const forecast = { drainMs: 0, workMs: undefined, remainingMs: Number.POSITIVE_INFINITY };
+      const untilHoldEndMs = Math.max(0, lastPlacement.holdEndMs - context.clock.nowMs());
+      // Before the end of the hold, a return is of no use even if the caller can't wait for it.
+      return untilHoldEndMs + planReturn(context, routedRequest, forecast);
+    }
+    return planReturn(context, routedRequest, {
+      drainMs: MIN_RETRY_AFTER_MS,
+      workMs: undefined,
+      remainingMs: this.timeLimitMs - this.getElapsedMs(),
+    });
   }
 
   private stop(reason: StopReason): void {
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -5,9 +5,8 @@
  * because another process serves the next attempt.
  */
 export const DRAINING_RETRY_AFTER_MS = 50;
-/** Range of the retry delay advised to callers of a service at capacity, in milliseconds. */
+/** Minimum retry delay advised to callers of a service that no endpoint can take a request of, in milliseconds. */
 export const MIN_RETRY_AFTER_MS = 300;
-export const MAX_RETRY_AFTER_MS = 4_000;
 /** Time limit of a request that states none, in milliseconds. */
 export const DEFAULT_TIME_LIMIT_MS = 30_000;
 /** Time beyond a request's limit for the endpoint's own timeout response to arrive, in milliseconds. */
@@ -207,3 +206,7 @@
 export const MAX_FULL_MESH_NODES = 16;
 /** Maximum length of the reason logged for a row that is rejected; a row can have thousands of faults. */
 export const MAX_FAULT_REASON_LENGTH = 200;
+/** Services whose overload is tracked; deployments have a few dozen. */
+export const MAX_OVERLOAD_SERVICES = 256;
+/** Work of a request that no endpoint was compared for, in milliseconds: that of a plain call. */
+export const UNKNOWN_WORK_MS = 20;
--- a/packages/gateway/src/createOverloadRefusal.ts
+++ b/packages/gateway/src/createOverloadRefusal.ts
@@ -3,6 +3,7 @@
 import type { GatewayContext } from './gatewayContext.js';
 import { createRefusal, type LocalReply } from './localReply.js';
 import type { ChosenEndpoint } from './placeRequest.js';
+import { computeWorkMs, planReturn } from './planReturn.js';
 import { logNotAdmitted } from './requestLog.js';
 
 /**
@@ -13,22 +14,33 @@
  */
 export const createOverloadRefusal = (
   context: GatewayContext,
-  { head, route, account }: RoutedRequest,
-  { placement }: ChosenEndpoint,
+  routedRequest: RoutedRequest,
+  chosen: ChosenEndpoint,
   elapsedMs: number,
   timeLimitMs: number,
 ): LocalReply | undefined => {
+  const { head, route, account } = routedRequest;
+  const { placement } = chosen;
+  const remainingMs = timeLimitMs - elapsedMs;
   const decision = decideAdmission({
     expectedMs: placement.expectedMs,
     ownMs: placement.ownMs,
     targetLatencyMs: route.targetLatencyMs,
     elapsedMs,
-    remainingMs: timeLimitMs - elapsedMs,
+    remainingMs,
     priority: account?.priority ?? route.priority,
     randomFraction: context.random(),
   });
   if (decision.type === 'admit') return undefined;
-  logNotAdmitted(context, head, route, placement, decision);
+  const retryAfterMs =
+    decision.reason === 'hopeless'
+      ? decision.retryAfterMs
+      : planReturn(context, routedRequest, {
+          drainMs: decision.drainMs,
+          workMs: computeWorkMs(routedRequest, chosen),
+          remainingMs,
+        });
+  logNotAdmitted(context, head, route, placement, { ...decision, retryAfterMs });
   const message = `the best endpoint would take ${Math.round(placement.expectedMs)} ms`;
-  return createRefusal('overloaded', message, decision.retryAfterMs);
+  return createRefusal('overloaded', message, retryAfterMs);
 };
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -7,6 +7,7 @@
 import type { EventLoopMonitor } from './eventLoopMonitor.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
+import type { OverloadState } from './overloadState.js';
 import type { PromptPartContainment } from './promptPartContainment.js';
 import type { RecentAnswers } from './recentAnswers.js';
 import type { RouteDurations } from './routeDurations.js';
@@ -44,6 +45,7 @@
   readonly getEventIdHistory: (service: string) => EventIdHistory;
   readonly eventLoopMonitor: EventLoopMonitor;
   readonly routeDurations: RouteDurations;
+  readonly overloadState: OverloadState;
   /** The planned stop in progress, if there is one. */
   readonly getShutdown: () => Shutdown | undefined;
 }
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -52,7 +52,7 @@
   head: RequestHead,
   route: Route,
   placement: Placement,
-  { reason, retryAfterMs }: Extract<AdmissionDecision, { type: 'refuse' }>,
+  { reason, retryAfterMs, drainMs }: Extract<AdmissionDecision, { type: 'refuse' }>,
 ): void => {
   log.logProblem('not_admitted', {
     request: head.requestId,
@@ -62,6 +62,7 @@
     expectedMs: Math.round(placement.expectedMs),
     ownMs: Math.round(placement.ownMs),
     targetMs: route.targetLatencyMs,
+    drainMs: Math.round(drainMs),
     retryAfterMs: Math.round(retryAfterMs),
   });
 };
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -30,6 +30,7 @@
 } from './peerExchange.js';
 import { getEndpointStartKey } from './attempt.js';
 import { recordIdleConnectionLost, recordOutlivedAnswers } from './attemptFeedback.js';
+import { OverloadState } from './overloadState.js';
 import { PromptPartContainment } from './promptPartContainment.js';
 import { RecentAnswers } from './recentAnswers.js';
 import { RouteDurations } from './routeDurations.js';
@@ -276,6 +277,7 @@
     },
     eventLoopMonitor,
     routeDurations: RouteDurations.create(),
+    overloadState: OverloadState.create(),
     getShutdown: () => shutdown,
   };
   context.pool.onIdleConnectionLost = (endpointStart) =>
