Decide admission with the demand of other kinds and accounts

Each request was decided about in isolation: bulk prompts filled the queues of the engines up to their long target, and urgent streams with a short one were refused until the burst was over. Now each node meters the demand for a service by kind and account. Less urgent kinds are admitted only while urgent arrivals still meet their target behind them; else they wait at the node, by account in deficit round robin, those that can be in time first, and are refused if that can't succeed before their callers give up. Urgent streams no longer count the less urgent part of the queue, which engines start after them. An account above its max-min fair share gives way first. A large request may wait as long as a usual one. A request that is repeated before its time gets the same answer without a choice of endpoint. Without a queue of 25 ms at the best endpoint, all is decided as before.

--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -2,7 +2,7 @@
 import { setImmediate as nextLoopTurn } from 'node:timers/promises';
 import { type AttemptResult, decideNextStep, EventStreamFramer } from '@lovagearch/exchange';
 import { chooseTarget, isRetryable, type Route } from '@lovagearch/traffic';
-import { createOverloadRefusal } from './createOverloadRefusal.js';
+import { createRepeatRefusal, decideOverload } from './createOverloadRefusal.js';
 import { CallerResponse } from './callerResponse.js';
 import type { Attempt, AttemptOutcome } from './attempt.js';
 import { type RoutedRequest, createAttempt } from './createAttempt.js';
@@ -71,6 +71,9 @@
 
   private stopReason: StopReason | undefined;
 
+  /** Ends the wait at this node, if the request has started one. */
+  private cancelHold: (() => void) | undefined;
+
   private timeLimitTimer: NodeJS.Timeout | undefined;
 
   private timeLimitMs = DEFAULT_TIME_LIMIT_MS;
@@ -214,8 +217,16 @@
             context.getEventIdHistory(service),
           )
         : undefined;
+    const repeatRefusal = createRepeatRefusal(context, routedRequest);
+    if (repeatRefusal !== undefined) {
+      this.reply(head, route, repeatRefusal);
+      return;
+    }
     let chosen = this.chooseEndpoint(routedRequest);
-    if (chosen !== undefined && !this.tryAdmit(routedRequest, chosen)) return;
+    if (chosen !== undefined) {
+      chosen = await this.waitForAdmission(routedRequest, chosen);
+      if (chosen === undefined) return;
+    }
     while (this.stopReason === undefined) {
       const remainingMs = this.timeLimitMs - this.getElapsedMs();
       if (chosen === undefined || remainingMs < MIN_REMAINING_TO_SEND_MS) {
@@ -246,13 +257,51 @@
     return refusal !== undefined;
   }
 
-  /** Returns whether the request is admitted; replies with a refusal if its response would be late. */
-  private tryAdmit(routedRequest: RoutedRequest, chosen: ChosenEndpoint): boolean {
-    const { context, timeLimitMs } = this;
-    const elapsedMs = this.getElapsedMs();
-    const refusal = createOverloadRefusal(context, routedRequest, chosen, elapsedMs, timeLimitMs);
-    if (refusal !== undefined) this.reply(routedRequest.head, routedRequest.route, refusal);
-    return refusal === undefined;
+  /** Returns the endpoint once the request is admitted; replies and returns undefined if it is refused. */
+  private async waitForAdmission(
+    routedRequest: RoutedRequest,
+    chosen: ChosenEndpoint,
+  ): Promise<ChosenEndpoint | undefined> {
+    const { context } = this;
+    const { head, route } = routedRequest;
+    const decide = (candidate: ChosenEndpoint, isHeld: boolean) => {
+      const timing = { elapsedMs: this.getElapsedMs(), timeLimitMs: this.timeLimitMs };
+      return decideOverload(context, routedRequest, candidate, timing, isHeld);
+    };
+    const decision = decide(chosen, false);
+    switch (decision.type) {
+      case 'admit':
+        return chosen;
+      case 'refuse':
+        this.reply(head, route, decision.refusal);
+        return undefined;
+      case 'hold': {
+        const hold = context.heldCalls.hold(context, {
+          routedRequest,
+          chosen,
+          reason: decision.reason,
+          elapsedMs: this.getElapsedMs(),
+          timeLimitMs: this.timeLimitMs,
+          findRoom: () => {
+            const next = this.chooseEndpoint(routedRequest);
+            return next !== undefined && decide(next, true).type === 'admit' ? next : undefined;
+          },
+        });
+        this.cancelHold = hold?.cancel;
+        const released = await hold?.ended;
+        if (this.stopReason !== undefined) {
+          this.handleStop(routedRequest);
+          return undefined;
+        }
+        if (released !== undefined) return released;
+        const reason = hold === undefined ? 'hold_full' : 'expired';
+        context.metrics.recordAdmission(route.name, 'refuse', reason);
+        this.replyWithRefusalOrFailure(routedRequest, 'no endpoint has room');
+        return undefined;
+      }
+      default:
+        return decision satisfies never;
+    }
   }
 
   private chooseEndpoint(routedRequest: RoutedRequest): ChosenEndpoint | undefined {
@@ -467,6 +516,7 @@
     this.stopReason = reason;
     if (reason === 'caller_left') this.logDeparture();
     this.attempt?.stop();
+    this.cancelHold?.();
     // The rest of the body may never arrive, so the connection can't be reused for another request.
     if (this.isReadingBody && reason === 'time_limit') this.incoming.destroy();
   }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -210,3 +210,16 @@
 export const MAX_OVERLOAD_SERVICES = 256;
 /** Work of a request that no endpoint was compared for, in milliseconds: that of a plain call. */
 export const UNKNOWN_WORK_MS = 20;
+/** Minimum time for which callers of streams wait for the next event, in milliseconds; from the users' letter. */
+export const MIN_CALLER_PATIENCE_MS = 2_000;
+/** The same as multiples of the route's target latency and of its event gap; callers wait for the largest of the three. */
+export const HELD_TARGETS = 4;
+export const HELD_EVENT_GAPS = 8;
+/** Interval at which requests that wait at this node are tried, in milliseconds; shorter ones cost processor time. */
+export const HOLD_CHECK_INTERVAL_MS = 50;
+/** Time before a caller gives up at which a held request is refused, in milliseconds, as answers take time. */
+export const HOLD_END_MARGIN_MS = 300;
+/** Maximum number of requests of a service that wait at this node. */
+export const MAX_HELD_CALLS = 512;
+/** Share of the memory for bodies that the waiting requests of a service may use. */
+export const HELD_BODY_SHARE = 0.25;
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -5,6 +5,7 @@
 import type { StoreIndex, TransferSlowdownTracker } from '@lovagearch/reuse';
 import type { ClusterState } from './clusterState.js';
 import type { EventLoopMonitor } from './eventLoopMonitor.js';
+import type { HeldCalls } from './heldCalls.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { OverloadState } from './overloadState.js';
@@ -46,6 +47,7 @@
   readonly eventLoopMonitor: EventLoopMonitor;
   readonly routeDurations: RouteDurations;
   readonly overloadState: OverloadState;
+  readonly heldCalls: HeldCalls;
   /** The planned stop in progress, if there is one. */
   readonly getShutdown: () => Shutdown | undefined;
 }
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -3,6 +3,8 @@
 
 /** Latency histogram buckets, in milliseconds: from a cached read up to the longest stream. */
 const LATENCY_BUCKETS_MS = [5, 10, 20, 40, 80, 160, 320, 640, 1_280, 2_560, 5_120, 15_000];
+/** Headroom buckets, in milliseconds; below 0, less urgent requests wait. */
+const HEADROOM_BUCKETS_MS = [-1_280, -320, -80, 0, 20, 40, 80, 160, 320, 640];
 
 /** Prometheus metrics of the gateway process. */
 export class GatewayMetrics {
@@ -72,6 +74,21 @@
     registers: [this.registry],
   });
 
+  private readonly admissions = new Counter({
+    name: 'lovagearch_admission_total',
+    help: 'Decisions about requests by route, decision and its reason',
+    labelNames: ['route', 'decision', 'reason'],
+    registers: [this.registry],
+  });
+
+  private readonly headroom = new Histogram({
+    name: 'lovagearch_admission_headroom_ms',
+    help: 'Wait that could be added before more urgent requests are late, by priority of the request',
+    labelNames: ['priority'],
+    buckets: HEADROOM_BUCKETS_MS,
+    registers: [this.registry],
+  });
+
   static create(): GatewayMetrics {
     return new GatewayMetrics();
   }
@@ -110,6 +127,14 @@
     this.gauges.set({ name }, value);
   }
 
+  recordAdmission(route: string, decision: 'admit' | 'hold' | 'refuse', reason: string): void {
+    this.admissions.inc({ route, decision, reason });
+  }
+
+  recordHeadroom(priority: number, headroomMs: number): void {
+    this.headroom.observe({ priority }, headroomMs);
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   render(): Promise<string> {
     return this.registry.metrics();
--- a/packages/gateway/src/planReturn.ts
+++ b/packages/gateway/src/planReturn.ts
@@ -1,3 +1,4 @@
+import type { EndpointWork, RequestDemand } from '@lovagearch/admission';
 import { UNKNOWN_WORK_MS } from './constants.js';
 import type { RoutedRequest } from './createAttempt.js';
 import type { GatewayContext } from './gatewayContext.js';
@@ -12,16 +13,44 @@
   readonly remainingMs: number;
 }
 
-/** Returns the time for which a request keeps an endpoint from starting others, in milliseconds. */
-export const computeWorkMs = (
-  { route }: RoutedRequest,
+/** Computes the time for which a request alone uses up each resource of an endpoint. */
+const computeWork = (
+  context: GatewayContext,
+  { head, route, service }: RoutedRequest,
   { endpoint, placement }: ChosenEndpoint,
-): number => {
-  const workMs = Math.max(0, placement.ownMs - placement.roundTripMs);
-  // Engines read one prompt after the other; other endpoints run as many calls as they have slots.
-  return route.hasPromptParts ? workMs : workMs / Math.max(1, endpoint.record.slots);
+): EndpointWork => {
+  const ownMs = Math.max(0, placement.ownMs - placement.roundTripMs);
+  const slots = Math.max(1, endpoint.record.slots);
+  if (!route.hasPromptParts) return { prefillMs: 0, memoryMs: 0, slotMs: ownMs / slots };
+  const { residenceMs } = endpoint.timings;
+  const memoryTokens = head.promptTokens + head.maxOutputTokens;
+  const capacityTokens =
+    context.clusterState.trafficRules?.findService(service)?.engine?.memoryTokens;
+  return {
+    prefillMs: ownMs,
+    memoryMs: capacityTokens ? (residenceMs * memoryTokens) / capacityTokens : 0,
+    slotMs: residenceMs / slots,
+  };
 };
 
+/** Returns the account's priority, or that of the route if the account has none; 0 is the most urgent. */
+export const getPriority = ({ route, account }: RoutedRequest): number =>
+  account?.priority ?? route.priority;
+
+/** Describes what a request takes of the chosen endpoint. */
+export const createDemand = (
+  context: GatewayContext,
+  routedRequest: RoutedRequest,
+  chosen: ChosenEndpoint,
+): RequestDemand => ({
+  route: routedRequest.route.name,
+  account: routedRequest.account?.name ?? '',
+  priority: getPriority(routedRequest),
+  targetLatencyMs: routedRequest.route.targetLatencyMs,
+  ownMs: chosen.placement.ownMs,
+  work: computeWork(context, routedRequest, chosen),
+});
+
 /** Returns this node's share of the work that a service does, in milliseconds of work per millisecond. */
 export const computeCapacityShare = ({ clusterState }: GatewayContext, service: string): number =>
   Math.max(1, clusterState.endpoints.listReady(service).length) / clusterState.nodeCount;
@@ -29,12 +58,13 @@
 /** Plans the return of a refused request; returns its delay in milliseconds. */
 export const planReturn = (
   context: GatewayContext,
-  { route, service, account }: RoutedRequest,
+  routedRequest: RoutedRequest,
   { drainMs, workMs, remainingMs }: RoomForecast,
-): number =>
-  context.overloadState.getService(service).returnSchedule.plan(
+): number => {
+  const { service } = routedRequest;
+  return context.overloadState.getService(service).returnSchedule.plan(
     {
-      priority: account?.priority ?? route.priority,
+      priority: getPriority(routedRequest),
       drainMs,
       workMs: workMs ?? UNKNOWN_WORK_MS,
       capacity: computeCapacityShare(context, service),
@@ -43,3 +73,4 @@
     },
     context.clock.nowMs(),
   );
+};
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -4,11 +4,9 @@
   Endpoint,
   HoldChange,
   LeavingChange,
-  Placement,
   RateLimitChange,
 } from '@lovagearch/endpoints';
 import type { EventStreamFramer, NextStep } from '@lovagearch/exchange';
-import type { Route } from '@lovagearch/traffic';
 import type { AttemptOutcome } from './attempt.js';
 import type { RoutedRequest } from './createAttempt.js';
 import type { GatewayContext } from './gatewayContext.js';
@@ -48,11 +46,10 @@
 
 /** Logs why admission refused a request. */
 export const logNotAdmitted = (
-  { log }: GatewayContext,
-  head: RequestHead,
-  route: Route,
-  placement: Placement,
-  { reason, retryAfterMs, drainMs }: Extract<AdmissionDecision, { type: 'refuse' }>,
+  { log, clock }: GatewayContext,
+  { head, route }: RoutedRequest,
+  { endpoint, placement }: ChosenEndpoint,
+  { reason, retryAfterMs, drainMs, headroomMs }: Extract<AdmissionDecision, { type: 'refuse' }>,
 ): void => {
   log.logProblem('not_admitted', {
     request: head.requestId,
@@ -62,8 +59,10 @@
     expectedMs: Math.round(placement.expectedMs),
     ownMs: Math.round(placement.ownMs),
     targetMs: route.targetLatencyMs,
+    headroomMs: headroomMs === undefined ? undefined : Math.round(headroomMs),
     drainMs: Math.round(drainMs),
     retryAfterMs: Math.round(retryAfterMs),
+    loadAgeMs: Math.round(endpoint.getLoadAgeMs(clock.nowMs())),
   });
 };
 
@@ -166,3 +165,31 @@
     sharedParts: listSharedPartIds(head).slice(0, MAX_LOGGED_PARTS),
   });
 };
+
+/** Logs that a request waits at this node for room at an endpoint. */
+export const logHeld = (
+  { log, clock }: GatewayContext,
+  { head, route }: RoutedRequest,
+  { endpoint, placement }: ChosenEndpoint,
+  reason: string,
+  heldCount: number,
+): void =>
+  log.logRequest('held', {
+    request: head.requestId,
+    route: route.name,
+    reason,
+    expectedMs: Math.round(placement.expectedMs),
+    ownMs: Math.round(placement.ownMs),
+    targetMs: route.targetLatencyMs,
+    held: heldCount,
+    loadAgeMs: Math.round(endpoint.getLoadAgeMs(clock.nowMs())),
+  });
+
+/** Logs the end of such a wait. */
+export const logHoldEnded = (
+  { log }: GatewayContext,
+  { head }: RoutedRequest,
+  heldMs: number,
+  isReleased: boolean,
+): void =>
+  log.logRequest('hold_ended', { request: head.requestId, heldMs: Math.round(heldMs), isReleased });
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -10,6 +10,8 @@
 import {
   ANNOUNCE_RETRY_DELAY_MS,
   BODY_MEMORY_SHARE,
+  HELD_BODY_SHARE,
+  MAX_HELD_CALLS,
   ENDPOINT_TABLE_FALLBACK_AGE_MS,
   HOUSEKEEPING_INTERVAL_MS,
   LOGGED_EVENT_LOOP_DELAY_MS,
@@ -30,6 +32,7 @@
 } from './peerExchange.js';
 import { getEndpointStartKey } from './attempt.js';
 import { recordIdleConnectionLost, recordOutlivedAnswers } from './attemptFeedback.js';
+import { HeldCalls } from './heldCalls.js';
 import { OverloadState } from './overloadState.js';
 import { PromptPartContainment } from './promptPartContainment.js';
 import { RecentAnswers } from './recentAnswers.js';
@@ -277,7 +280,11 @@
     },
     eventLoopMonitor,
     routeDurations: RouteDurations.create(),
-    overloadState: OverloadState.create(),
+    overloadState: OverloadState.create({
+      maxCount: MAX_HELD_CALLS,
+      maxBytes: settings.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE * HELD_BODY_SHARE,
+    }),
+    heldCalls: HeldCalls.create(),
     getShutdown: () => shutdown,
   };
   context.pool.onIdleConnectionLost = (endpointStart) =>
