--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -1,16 +1,16 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { chooseTarget, type Route } from '@lovagearch/traffic';
-import { createOverloadRefusal } from './createOverloadRefusal.js';
+import { createRepeatRefusal, decideOverload } from './createOverloadRefusal.js';
 import { CallerResponse } from './callerResponse.js';
 import type { RoutedRequest } from './createAttempt.js';
 import {
   DEFAULT_TIME_LIMIT_MS,
-  MAX_RETRY_AFTER_MS,
   MIN_RETRY_AFTER_MS,
   MIN_REMAINING_TO_SEND_MS,
   TIMEOUT_RESPONSE_GRACE_MS,
 } from './constants.js';
 import type { GatewayContext } from './gatewayContext.js';
+import { planReturn } from './planReturn.js';
 import type { ChosenEndpoint } from './placeRequest.js';
 import { createFailure, createRefusal, type LocalReply, sendLocalReply } from './localReply.js';
 import { createStreamFields, logCallerLeft, logNotPlaced } from './requestLog.js';
@@ -38,6 +38,9 @@
 
   private stopReason: StopReason | undefined;
 
+  /** Ends the wait at this node, if the request has started one. */
+  private cancelHold: (() => void) | undefined;
+
   private timeLimitTimer: NodeJS.Timeout | undefined;
 
   private timeLimitMs = DEFAULT_TIME_LIMIT_MS;
@@ -167,8 +170,16 @@
       onFirstByte: () => this.recordFirstByte(route),
     });
     this.attempts = attempts;
+    const repeatRefusal = createRepeatRefusal(context, routedRequest);
+    if (repeatRefusal !== undefined) {
+      this.reply(head, route, repeatRefusal);
+      return;
+    }
     let chosen = attempts.chooseEndpoint();
-    if (chosen !== undefined && !this.tryAdmit(routedRequest, chosen)) return;
+    if (chosen !== undefined) {
+      chosen = await this.waitForAdmission(routedRequest, attempts, chosen);
+      if (chosen === undefined) return;
+    }
     while (this.stopReason === undefined) {
       const remainingMs = this.timeLimitMs - this.getElapsedMs();
       if (chosen === undefined || remainingMs < MIN_REMAINING_TO_SEND_MS) {
@@ -218,13 +229,52 @@
     return refusal !== undefined;
   }
 
-  /** Returns whether the request is admitted; replies with a refusal if its response would be late. */
-  private tryAdmit(routedRequest: RoutedRequest, chosen: ChosenEndpoint): boolean {
-    const { context, timeLimitMs } = this;
-    const elapsedMs = this.getElapsedMs();
-    const refusal = createOverloadRefusal(context, routedRequest, chosen, elapsedMs, timeLimitMs);
-    if (refusal !== undefined) this.reply(routedRequest.head, routedRequest.route, refusal);
-    return refusal === undefined;
+  /** Returns the endpoint once the request is admitted; replies and returns undefined if it is refused. */
+  private async waitForAdmission(
+    routedRequest: RoutedRequest,
+    attempts: RequestAttempts,
+    chosen: ChosenEndpoint,
+  ): Promise<ChosenEndpoint | undefined> {
+    const { context } = this;
+    const { head, route } = routedRequest;
+    const decide = (candidate: ChosenEndpoint, isHeld: boolean) => {
+      const timing = { elapsedMs: this.getElapsedMs(), timeLimitMs: this.timeLimitMs };
+      return decideOverload(context, routedRequest, candidate, timing, isHeld);
+    };
+    const decision = decide(chosen, false);
+    switch (decision.type) {
+      case 'admit':
+        return chosen;
+      case 'refuse':
+        this.reply(head, route, decision.refusal);
+        return undefined;
+      case 'hold': {
+        const hold = context.heldCalls.hold(context, {
+          routedRequest,
+          chosen,
+          reason: decision.reason,
+          elapsedMs: this.getElapsedMs(),
+          timeLimitMs: this.timeLimitMs,
+          findRoom: () => {
+            const next = attempts.chooseEndpoint();
+            return next !== undefined && decide(next, true).type === 'admit' ? next : undefined;
+          },
+        });
+        this.cancelHold = hold?.cancel;
+        const released = await hold?.ended;
+        if (this.stopReason !== undefined) {
+          this.handleStop(routedRequest);
+          return undefined;
+        }
+        if (released !== undefined) return released;
+        const reason = hold === undefined ? 'hold_full' : 'expired';
+        context.metrics.recordAdmission(route.name, 'refuse', reason);
+        this.replyWithRefusalOrFailure(routedRequest, 'no endpoint has room');
+        return undefined;
+      }
+      default:
+        return decision satisfies never;
+    }
   }
 
   private recordFirstByte(route: Route): void {
@@ -245,7 +295,8 @@
     } else if (this.possibleRunCount > 0) {
       this.reply(head, route, createFailure('endpoint_failed', reason));
     } else {
-      this.reply(head, route, createRefusal('overloaded', reason, this.computeRetryAfterMs()));
+      const retryAfterMs = this.computeRetryAfterMs(routedRequest);
+      this.reply(head, route, createRefusal('overloaded', reason, retryAfterMs));
     }
   }
 
@@ -267,17 +318,21 @@
     }
   }
 
-  /**
-   * Returns the delay until an endpoint may take the request, with jitter, so that callers refused at the same
-   * time don't retry at the same time.
-   */
-  private computeRetryAfterMs(): number {
+  /** Returns the delay until an endpoint may take the request; refused requests return one after the other. */
+  private computeRetryAfterMs(routedRequest: RoutedRequest): number {
     const { context } = this;
     const lastPlacement = this.attempts?.lastPlacement;
-    const spreadMs = context.random() * MIN_RETRY_AFTER_MS;
-    if (lastPlacement?.type === 'none' && lastPlacement.holdEndMs !== undefined)
-      return Math.max(0, lastPlacement.holdEndMs - context.clock.nowMs()) + spreadMs;
-    return Math.min(MAX_RETRY_AFTER_MS, MIN_RETRY_AFTER_MS + spreadMs);
+    if (lastPlacement?.type === 'none' && lastPlacement.holdEndMs !== undefined) {
+      const forecast = { drainMs: 0, workMs: undefined, remainingMs: Number.POSITIVE_INFINITY };
+      const untilHoldEndMs = Math.max(0, lastPlacement.holdEndMs - context.clock.nowMs());
+      // Before the end of the hold, a return is of no use even if the caller can't wait for it.
+      return untilHoldEndMs + planReturn(context, routedRequest, forecast);
+    }
+    return planReturn(context, routedRequest, {
+      drainMs: MIN_RETRY_AFTER_MS,
+      workMs: undefined,
+      remainingMs: this.timeLimitMs - this.getElapsedMs(),
+    });
   }
 
   private stop(reason: StopReason): void {
@@ -285,6 +340,7 @@
     this.stopReason = reason;
     if (reason === 'caller_left') this.logDeparture();
     this.attempts?.stop();
+    this.cancelHold?.();
     // The rest of the body may never arrive, so the connection can't be reused for another request.
     if (this.isReadingBody && reason === 'time_limit') this.incoming.destroy();
   }
--- a/packages/gateway/src/explainPlacement.ts
+++ b/packages/gateway/src/explainPlacement.ts
@@ -175,7 +175,13 @@
     admission:
       placed === undefined
         ? undefined
-        : decideRequestAdmission(context, { route, account }, placed, 0, timeLimitMs),
+        : decideRequestAdmission(
+            context,
+            { head, route, service, account, body: undefined },
+            placed,
+            { elapsedMs: 0, timeLimitMs },
+            false,
+          ),
     candidates: observed.candidates.map((candidate) =>
       explainCandidate(context, observed, candidate, chosen),
     ),
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -5,9 +5,11 @@
 import type { StoreIndex, TransferSlowdownTracker } from '@lovagearch/reuse';
 import type { ClusterState } from './clusterState.js';
 import type { EventLoopMonitor } from './eventLoopMonitor.js';
+import type { HeldCalls } from './heldCalls.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { Hedging } from './hedging.js';
+import type { OverloadState } from './overloadState.js';
 import type { PromptPartContainment } from './promptPartContainment.js';
 import type { RecentAnswers } from './recentAnswers.js';
 import type { RouteDurations } from './routeDurations.js';
@@ -51,6 +53,8 @@
   readonly isExplanation?: boolean;
   /** Undefined if hedging is switched off. */
   readonly hedging: Hedging | undefined;
+  readonly overloadState: OverloadState;
+  readonly heldCalls: HeldCalls;
   /** The planned stop in progress, if there is one. */
   readonly getShutdown: () => Shutdown | undefined;
 }
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -4,6 +4,8 @@
 
 /** Latency histogram buckets, in milliseconds: from a cached read up to the longest stream. */
 const LATENCY_BUCKETS_MS = [5, 10, 20, 40, 80, 160, 320, 640, 1_280, 2_560, 5_120, 15_000];
+/** Headroom buckets, in milliseconds; below 0, less urgent requests wait. */
+const HEADROOM_BUCKETS_MS = [-1_280, -320, -80, 0, 20, 40, 80, 160, 320, 640];
 
 /** Buckets of the age of load reports, in milliseconds: from a changing contention up to a report that counts no more. */
 const LOAD_AGE_BUCKETS_MS = [10, 25, 50, 100, 200, 400, 800, 1_600, 3_200, 10_000];
@@ -111,6 +113,21 @@
     registers: [this.registry],
   });
 
+  private readonly admissions = new Counter({
+    name: 'lovagearch_admission_total',
+    help: 'Decisions about requests by route, decision and its reason',
+    labelNames: ['route', 'decision', 'reason'],
+    registers: [this.registry],
+  });
+
+  private readonly headroom = new Histogram({
+    name: 'lovagearch_admission_headroom_ms',
+    help: 'Wait that could be added before more urgent requests are late, by priority of the request',
+    labelNames: ['priority'],
+    buckets: HEADROOM_BUCKETS_MS,
+    registers: [this.registry],
+  });
+
   static create(): GatewayMetrics {
     return new GatewayMetrics();
   }
@@ -171,6 +188,14 @@
     this.gauges.set({ name }, value);
   }
 
+  recordAdmission(route: string, decision: 'admit' | 'hold' | 'refuse', reason: string): void {
+    this.admissions.inc({ route, decision, reason });
+  }
+
+  recordHeadroom(priority: number, headroomMs: number): void {
+    this.headroom.observe({ priority }, headroomMs);
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   render(): Promise<string> {
     return this.registry.metrics();
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -5,7 +5,6 @@
   FirstEventDecision,
   HoldChange,
   LeavingChange,
-  Placement,
   RateLimitChange,
 } from '@lovagearch/endpoints';
 import type {
@@ -14,7 +13,6 @@
   HedgeSkipReason,
   NextStep,
 } from '@lovagearch/exchange';
-import type { Route } from '@lovagearch/traffic';
 import type { AttemptOutcome } from './attempt.js';
 import type { RoutedRequest } from './createAttempt.js';
 import type { FirstEventAges } from './firstEventWait.js';
@@ -56,11 +54,10 @@
 
 /** Logs why admission refused a request. */
 export const logNotAdmitted = (
-  { log }: GatewayContext,
-  head: RequestHead,
-  route: Route,
-  placement: Placement,
-  { reason, retryAfterMs }: Extract<AdmissionDecision, { type: 'refuse' }>,
+  { log, clock }: GatewayContext,
+  { head, route }: RoutedRequest,
+  { endpoint, placement }: ChosenEndpoint,
+  { reason, retryAfterMs, drainMs, headroomMs }: Extract<AdmissionDecision, { type: 'refuse' }>,
 ): void => {
   log.logProblem('not_admitted', {
     request: head.requestId,
@@ -70,7 +67,10 @@
     expectedMs: Math.round(placement.expectedMs),
     ownMs: Math.round(placement.ownMs),
     targetMs: route.targetLatencyMs,
+    headroomMs: headroomMs === undefined ? undefined : Math.round(headroomMs),
+    drainMs: Math.round(drainMs),
     retryAfterMs: Math.round(retryAfterMs),
+    loadAgeMs: Math.round(endpoint.getLoadAgeMs(clock.nowMs())),
   });
 };
 
@@ -269,3 +269,31 @@
     firstElapsedMs: Math.round(end.firstElapsedMs),
     hedgeElapsedMs: Math.round(end.hedgeElapsedMs),
   });
+
+/** Logs that a request waits at this node for room at an endpoint. */
+export const logHeld = (
+  { log, clock }: GatewayContext,
+  { head, route }: RoutedRequest,
+  { endpoint, placement }: ChosenEndpoint,
+  reason: string,
+  heldCount: number,
+): void =>
+  log.logRequest('held', {
+    request: head.requestId,
+    route: route.name,
+    reason,
+    expectedMs: Math.round(placement.expectedMs),
+    ownMs: Math.round(placement.ownMs),
+    targetMs: route.targetLatencyMs,
+    held: heldCount,
+    loadAgeMs: Math.round(endpoint.getLoadAgeMs(clock.nowMs())),
+  });
+
+/** Logs the end of such a wait. */
+export const logHoldEnded = (
+  { log }: GatewayContext,
+  { head }: RoutedRequest,
+  heldMs: number,
+  isReleased: boolean,
+): void =>
+  log.logRequest('hold_ended', { request: head.requestId, heldMs: Math.round(heldMs), isReleased });
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -12,6 +12,9 @@
 import {
   ANNOUNCE_RETRY_DELAY_MS,
   SLOW_CALLER_MEMORY_SHARE,
+  BODY_MEMORY_SHARE,
+  HELD_BODY_SHARE,
+  MAX_HELD_CALLS,
   ENDPOINT_TABLE_FALLBACK_AGE_MS,
   HOUSEKEEPING_INTERVAL_MS,
   LOGGED_EVENT_LOOP_DELAY_MS,
@@ -35,6 +38,8 @@
 } from './peerExchange.js';
 import { getEndpointStartKey } from './attempt.js';
 import { recordIdleConnectionLost, recordOutlivedAnswers } from './attemptFeedback.js';
+import { HeldCalls } from './heldCalls.js';
+import { OverloadState } from './overloadState.js';
 import { PromptPartContainment } from './promptPartContainment.js';
 import { RecentAnswers } from './recentAnswers.js';
 import { RouteDurations } from './routeDurations.js';
@@ -289,6 +294,11 @@
     routeDurations: RouteDurations.create(),
     hedging:
       settings.hedgingShares === undefined ? undefined : Hedging.create(settings.hedgingShares),
+    overloadState: OverloadState.create({
+      maxCount: MAX_HELD_CALLS,
+      maxBytes: settings.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE * HELD_BODY_SHARE,
+    }),
+    heldCalls: HeldCalls.create(),
     getShutdown: () => shutdown,
   };
   context.pool.onIdleConnectionLost = (endpointStart) =>
--- a/packages/gateway/src/testGateway.ts
+++ b/packages/gateway/src/testGateway.ts
@@ -278,6 +278,7 @@
   seeds: [],
   memoryMb: 100,
   heartbeatMs: 1_000,
+  isDemandAdmissionEnabled: true,
   isFirstStart: true,
   bounds: {
     retryBudgetRatio: 0.2,
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -190,6 +190,11 @@
   /** Files and sockets that the process may have open; undefined if the platform states no limit. */
   readonly maxFds?: number | undefined;
   readonly heartbeatMs: number;
+  /**
+   * Whether callers compete for the endpoints, so that admission weighs the demand of other kinds and accounts, holds
+   * requests at this node, and plans the return of refused ones.
+   */
+  readonly isDemandAdmissionEnabled: boolean;
   /** Whether the whole deployment starts for the first time, so that no process ran here before. */
   readonly isFirstStart: boolean;
   readonly bounds: GatewayBounds;
