--- a/packages/gateway/src/connectionGate.ts
+++ b/packages/gateway/src/connectionGate.ts
@@ -91,7 +91,7 @@
 
   private isDeliveryScheduled = false;
 
-  private readonly pushToParser: (bytes: Buffer | null) => boolean;
+  private readonly pushEnd: () => boolean;
 
   private readonly readFromKernel: () => void;
 
@@ -101,7 +101,8 @@
     private readonly host: GateHost,
   ) {
     this.progressAtMs = host.clock.nowMs();
-    this.pushToParser = socket.push.bind(socket);
+    const push = socket.push.bind(socket);
+    this.pushEnd = () => push(null);
     // eslint-disable-next-line no-underscore-dangle -- the name that streams call
     const read = socket._read.bind(socket);
     this.readFromKernel = () => read(MAX_SENT_AHEAD_BYTES);
@@ -111,11 +112,14 @@
   static attach(socket: Socket, listener: string, host: GateHost): ConnectionGate {
     const gate = new ConnectionGate(socket, listener, host);
     // With a listener for data, the parser gets the bytes from the stream and not from the handle.
-    socket.on('data', () => undefined);
+    const ignore = () => undefined;
+    socket.on('data', ignore);
+    socket.off('data', ignore);
     Object.assign(socket, {
       push: (bytes: Buffer | null) => gate.receive(bytes),
       _read: () => gate.read(),
     });
+    socket.on('resume', () => gate.read());
     return gate;
   }
 
@@ -149,8 +153,8 @@
     this.response = response;
     if (encoding !== undefined) this.phase = { type: 'chunks' };
     else if (Number(length) > 0) this.phase = { type: 'length', remainingBytes: Number(length) };
-    response.once('prefinish', () => this.updateHeldBytes());
-    response.once('close', () => this.finishRequest());
+    response.on('prefinish', this.updateHeldBytes);
+    response.on('close', this.finishRequest);
   }
 
   /** Goes on after a wait for memory. */
@@ -211,7 +215,7 @@
     if (bytes === null) {
       // What wasn't begun is not served, as its caller has left.
       this.received = undefined;
-      return this.pushToParser(null);
+      return this.pushEnd();
     }
     this.progressAtMs = this.host.clock.nowMs();
     if (this.received === undefined) {
@@ -237,18 +241,20 @@
     this.isDeliveryScheduled = false;
     const { socket } = this;
     while (this.received !== undefined && !this.isBusy && !socket.destroyed) {
-      // The stream calls `read` once it has handed on what it has.
+      // Goes on with `resume`.
       if (socket.readableFlowing !== true || socket.readableLength > 0) return;
       if (this.isBodyComplete) this.phase = { type: 'head' };
       const { received, phase } = this;
       const end = findSliceEnd(received, phase);
-      const slice = received.subarray(0, end);
+      const isAll = end === received.length;
+      const slice = isAll ? received : received.subarray(0, end);
       if (phase.type === 'head' && !this.tryBeginHead(slice)) return;
       if (phase.type === 'length')
         this.phase = { type: 'length', remainingBytes: phase.remainingBytes - end };
-      this.received = end === received.length ? undefined : received.subarray(end);
+      this.received = isAll ? undefined : received.subarray(end);
       if (this.discardingSinceMs !== undefined && !this.tryDiscard(end)) return;
-      this.pushToParser(slice);
+      // What `push` does as well if the stream flows and holds nothing, at less cost.
+      socket.emit('data', slice);
       if (this.received !== undefined && phase.type === 'chunks') {
         this.scheduleDelivery();
         return;
@@ -291,7 +297,7 @@
     setImmediate(() => this.deliver());
   }
 
-  private finishRequest(): void {
+  private readonly finishRequest = (): void => {
     this.openRequests -= 1;
     if (this.openRequests > 0 || this.socket.destroyed) return;
     this.requestBytes = 0;
@@ -304,10 +310,10 @@
       this.discardingSinceMs = this.host.clock.nowMs();
     }
     if (this.received !== undefined) this.scheduleDelivery();
-  }
+  };
 
-  private updateHeldBytes(): void {
+  private readonly updateHeldBytes = (): void => {
     const unsent = this.response?.writableLength ?? 0;
     this.host.setHeldBytes(this, (this.received?.length ?? 0) + this.requestBytes + unsent);
-  }
+  };
 }
--- a/packages/gateway/src/connectionLedger.ts
+++ b/packages/gateway/src/connectionLedger.ts
@@ -26,6 +26,22 @@
   working: 4,
 };
 
+/** Compares by use, then by what the address holds, then by size or by the time since the last progress. */
+const isBefore = (
+  entry: LedgerEntry,
+  other: LedgerEntry,
+  addressBytes: ReadonlyMap<string, number>,
+  isBySize: boolean,
+): boolean => {
+  const ranks = DROP_RANK[entry.getUse()] - DROP_RANK[other.getUse()];
+  if (ranks !== 0) return ranks < 0;
+  const difference =
+    (addressBytes.get(entry.address) ?? 0) - (addressBytes.get(other.address) ?? 0);
+  if (difference !== 0) return difference > 0;
+  if (isBySize && entry.heldBytes !== other.heldBytes) return entry.heldBytes > other.heldBytes;
+  return entry.progressAtMs < other.progressAtMs;
+};
+
 export interface LedgerLimits {
   readonly maxConnections: number;
   readonly memoryBytes: number;
@@ -44,8 +60,6 @@
 
   private readonly connectionsByListener = new Map<string, number>();
 
-  private readonly bytesByAddress = new Map<string, number>();
-
   private totalBytes = 0;
 
   private constructor(private readonly limits: LedgerLimits) {}
@@ -79,20 +93,20 @@
     this.entries.add(entry);
     const { listener } = entry;
     this.connectionsByListener.set(listener, this.countConnections(listener) + 1);
-    this.changeBytes(entry.address, CONNECTION_BYTES + entry.heldBytes);
+    this.totalBytes += CONNECTION_BYTES + entry.heldBytes;
   }
 
   remove(entry: Entry): void {
     if (!this.entries.delete(entry)) return;
     this.connectionsByListener.set(entry.listener, this.countConnections(entry.listener) - 1);
-    this.changeBytes(entry.address, -CONNECTION_BYTES - entry.heldBytes);
+    this.totalBytes -= CONNECTION_BYTES + entry.heldBytes;
   }
 
   setHeldBytes(entry: Entry, heldBytes: number): void {
-    const difference = heldBytes - entry.heldBytes;
-    // eslint-disable-next-line no-param-reassign -- the ledger keeps the sums of this field
+    if (heldBytes === entry.heldBytes) return;
+    if (this.entries.has(entry)) this.totalBytes += heldBytes - entry.heldBytes;
+    // eslint-disable-next-line no-param-reassign -- the ledger keeps the sum of this field
     entry.heldBytes = heldBytes;
-    if (this.entries.has(entry)) this.changeBytes(entry.address, difference);
   }
 
   /**
@@ -123,30 +137,20 @@
     return this.connectionsByListener.get(listener) ?? 0;
   }
 
-  private changeBytes(address: string, difference: number): void {
-    this.totalBytes += difference;
-    const bytes = (this.bytesByAddress.get(address) ?? 0) + difference;
-    if (bytes > 0) this.bytesByAddress.set(address, bytes);
-    else this.bytesByAddress.delete(address);
+  private sumBytesByAddress(): ReadonlyMap<string, number> {
+    const sums = new Map<string, number>();
+    for (const { address, heldBytes } of this.entries)
+      sums.set(address, (sums.get(address) ?? 0) + CONNECTION_BYTES + heldBytes);
+    return sums;
   }
 
-  /** By use, then by what the address holds, then by size or by the time since the last progress. */
   private chooseFirst(isEligible: (entry: Entry) => boolean, isBySize: boolean): Entry | undefined {
+    const addressBytes = this.sumBytesByAddress();
     let first: Entry | undefined;
     for (const entry of this.entries) {
-      if (isEligible(entry) && (first === undefined || this.isBefore(entry, first, isBySize)))
-        first = entry;
+      if (!isEligible(entry)) continue;
+      if (first === undefined || isBefore(entry, first, addressBytes, isBySize)) first = entry;
     }
     return first;
   }
-
-  private isBefore(entry: Entry, other: Entry, isBySize: boolean): boolean {
-    const ranks = DROP_RANK[entry.getUse()] - DROP_RANK[other.getUse()];
-    if (ranks !== 0) return ranks < 0;
-    const addressBytes =
-      (this.bytesByAddress.get(entry.address) ?? 0) - (this.bytesByAddress.get(other.address) ?? 0);
-    if (addressBytes !== 0) return addressBytes > 0;
-    if (isBySize && entry.heldBytes !== other.heldBytes) return entry.heldBytes > other.heldBytes;
-    return entry.progressAtMs < other.progressAtMs;
-  }
 }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -223,8 +223,11 @@
 export const CALLER_MEMORY_SHARE = 0.25;
 /** Fraction of the heap that they may use; heads are JavaScript objects. */
 export const CALLER_HEAP_SHARE = 0.2;
-/** Fraction of the memory beyond the process's own that bodies may use; the rest is for responses and garbage. */
-export const MAX_BODY_MEMORY_SHARE_OF_FREE = 0.3;
+/**
+ * Fraction of the memory beyond the process's own that bodies may use. The rest is for responses, and for buffers that
+ * are no longer used and not yet collected: with 0.3, bodies over the limit took more than the memory limit.
+ */
+export const MAX_BODY_MEMORY_SHARE_OF_FREE = 0.2;
 /** Memory that is granted in any case, in bytes; two bodies of 4 MiB. */
 export const MIN_CALLER_MEMORY_BYTES = 8_388_608;
 /** Memory of a connection beside what it has received, in bytes: socket, parser and timers. */
--- a/packages/gateway/src/requestSlices.ts
+++ b/packages/gateway/src/requestSlices.ts
@@ -14,18 +14,24 @@
   | { readonly type: 'head' }
   | { readonly type: 'length'; readonly remainingBytes: number };
 
-/** Returns the end of the first empty line from a position, or -1; parsers take single line feeds as well. */
+const EMPTY_LINE = Buffer.from('\n\r\n');
+const BARE_EMPTY_LINE = Buffer.from('\n\n');
+const LAST_CHUNK_START = Buffer.from('\n0');
+
+const limitLength = (bytes: Buffer, maxBytes: number): Buffer =>
+  bytes.length > maxBytes ? bytes.subarray(0, maxBytes) : bytes;
+
+/** Returns the end of the first empty line from a position, or -1; parsers may take single line feeds as well. */
 const findEmptyLineEnd = (bytes: Buffer, from: number): number => {
-  const withReturn = bytes.indexOf('\n\r\n', from, 'latin1');
-  const range = withReturn < 0 ? bytes : bytes.subarray(0, withReturn);
-  const withoutReturn = range.indexOf('\n\n', from, 'latin1');
-  if (withoutReturn >= 0) return withoutReturn + 2;
-  return withReturn < 0 ? -1 : withReturn + 3;
+  const withReturn = bytes.indexOf(EMPTY_LINE, from);
+  const bare = bytes.indexOf(BARE_EMPTY_LINE, from);
+  if (bare >= 0 && (withReturn < 0 || bare < withReturn)) return bare + BARE_EMPTY_LINE.length;
+  return withReturn < 0 ? -1 : withReturn + EMPTY_LINE.length;
 };
 
 /** Returns a position from which the last chunk may begin, which has the size 0, or -1. */
 const findLastChunk = (bytes: Buffer): number =>
-  bytes[0] === DIGIT_ZERO ? 0 : bytes.indexOf('\n0', 0, 'latin1');
+  bytes[0] === DIGIT_ZERO ? 0 : bytes.indexOf(LAST_CHUNK_START);
 
 /**
  * Returns how many of the received bytes the parser gets next, so that it parses one request at a time: up to the end
@@ -37,7 +43,7 @@
 export const findSliceEnd = (received: Buffer, phase: RequestPhase): number => {
   switch (phase.type) {
     case 'head': {
-      const bytes = received.subarray(0, MAX_SLICE_BYTES);
+      const bytes = limitLength(received, MAX_SLICE_BYTES);
       const end = findEmptyLineEnd(bytes, 0);
       // Empty lines before a request line are skipped by the parser.
       return end < 0 ? bytes.length : end;
@@ -45,7 +51,7 @@
     case 'length':
       return Math.min(received.length, phase.remainingBytes);
     case 'chunks': {
-      const bytes = received.subarray(0, MAX_CHUNKS_SLICE_BYTES);
+      const bytes = limitLength(received, MAX_CHUNKS_SLICE_BYTES);
       const lastChunk = findLastChunk(bytes);
       const end = lastChunk < 0 ? -1 : findEmptyLineEnd(bytes, lastChunk);
       return end < 0 ? bytes.length : end;
