Keep the check of waiting requests from running forever

A node stopped answering as soon as one request waited at it: the check iterated over the services while each look-up moved the service to the end of the same map, so the iteration never ended. It iterates over a copy now. The decision modules' tests don't cover the loop, as it belongs to the gateway.

--- a/packages/gateway/src/overloadState.ts
+++ b/packages/gateway/src/overloadState.ts
@@ -55,7 +55,8 @@
     return created;
   }
 
-  listServices(): IterableIterator<[string, ServiceOverload]> {
-    return this.services[Symbol.iterator]();
+  /** Lists the services; a copy, as each look-up moves a service to the end of the map. */
+  listServices(): [string, ServiceOverload][] {
+    return [...this.services];
   }
 }
--- a/packages/gateway/src/testGateway.ts
+++ b/packages/gateway/src/testGateway.ts
@@ -58,6 +58,7 @@
     createRoute('stream', { kind: 'streaming', isResumable: true }),
     createRoute('other', { targets: [{ service: 'other', weight: 1 }] }),
     createRoute('generate', { kind: 'streaming', maxAttempts: 1, hasPromptParts: true }),
+    createRoute('bulk', { kind: 'streaming', maxAttempts: 1, hasPromptParts: true, priority: 2 }),
   ],
   services: [
     { name: 'app', maxConnections: 100 },
