Withdraw a call from a silent endpoint after its hedge has failed

What callers saw: a call or stream whose first endpoint was silent, and whose hedge was rejected or broke off, waited at the silent endpoint until its time limit and got 504, although max_attempts, the budget and a third endpoint allowed another send. The same held for a hedge at a silent endpoint whose first send had failed.

Cause: a request counted as hedged for the first-event wait as long as its last sends were two, whether or not one had ended, and runs of an ended send were counted only after both had ended.

Change: only two sends in progress block a move, and each send counts as a possible run when it ends.

--- a/packages/gateway/src/requestAttempts.ts
+++ b/packages/gateway/src/requestAttempts.ts
@@ -77,6 +77,9 @@
   /** The sends in progress, or else the last ones. */
   private sends: readonly Send[] = [];
 
+  /** Number of sends that have not ended. */
+  private inProgressCount = 0;
+
   private race: SendRace | undefined;
 
   private isStopped = false;
@@ -112,8 +115,7 @@
     this.sends = [first];
     this.race = this.createRace(first);
     if (this.race === undefined) return this.handleOutcome(first, await first.outcome);
-    const { decisive, other } = await this.race.run();
-    if (other !== undefined) this.recordOutcome(other.send.chosen, other.outcome);
+    const decisive = await this.race.run();
     return this.handleOutcome(decisive.send, decisive.outcome);
   }
 
@@ -231,8 +233,12 @@
             model: head.model,
             weightVersion: chosen.endpoint.record.weights.get(head.model) ?? 0,
           });
+    this.inProgressCount += 1;
     const outcome = await attempt.run();
+    this.inProgressCount -= 1;
     stopTracking?.();
+    // The other send of a hedged request may depend on it.
+    this.recordOutcome(chosen, outcome);
     context.metrics.recordAttempt(service, outcome.type);
     this.recordFeedback(chosen, attempt, outcome);
     return outcome;
@@ -280,7 +286,6 @@
       if (outcome.hasExplicitEnd) this.recordPartCompletion();
       return { type: 'served', status: 200 };
     }
-    this.recordOutcome(chosen, outcome);
     if (outcome.type === 'stopped') return { type: 'stopped' };
     if (outcome.type === 'stalled' && !attempt.hasOutput) this.withdrawalCount += 1;
     const result: AttemptResult =
@@ -348,8 +353,8 @@
     // A stream that was moved once has lost its place in two queues already.
     if (this.framer !== undefined && this.withdrawalCount > 0)
       return { type: 'blocked', reason: 'withdrawn before' };
-    // A request with two sends in progress has been moved already.
-    if (this.sends.length > 1) return { type: 'blocked', reason: 'hedged' };
+    // The other send takes the place of a move, as long as it may still be answered.
+    if (this.inProgressCount > 1) return { type: 'blocked', reason: 'hedged' };
     const next = this.chooseEndpoint();
     const step = this.decideStep({ type: 'stalled' }, next, this.possibleRunCount + 1);
     return step.type === 'retry' && next !== undefined
--- a/packages/gateway/src/sendRace.ts
+++ b/packages/gateway/src/sendRace.ts
@@ -68,7 +68,7 @@
  *
  * @example
  * const race = SendRace.create(context, input);
- * const { decisive, other } = await race.run();
+ * const { send, outcome } = await race.run();
  */
 export class SendRace {
   private readonly sends: Send[];
@@ -101,9 +101,9 @@
   /**
    * Waits until all sends have ended.
    *
-   * @returns the send whose outcome counts for the request, and the other one if there was one
+   * @returns the send whose outcome counts for the request
    */
-  async run(): Promise<{ readonly decisive: EndedSend; readonly other: EndedSend | undefined }> {
+  async run(): Promise<EndedSend> {
     const { first, hedging, routedRequest } = this.input;
     const delayMs = hedging.getDelayMs(describeSend(routedRequest, first), first.sentAtMs);
     if (delayMs !== undefined) {
@@ -116,9 +116,8 @@
     // A hedge that begins meanwhile is appended.
     for (const ending of this.followed) await ending;
     const decisive = this.findDecisive();
-    const other = this.ended.find((candidate) => candidate !== decisive);
     if (this.hedge !== undefined) this.recordHedgeEnd(this.hedge);
-    return { decisive, other };
+    return decisive;
   }
 
   /** Makes a send the winner, as its response is about to be passed on to the caller. */
