Count the delay of overtaken calls where endpoints state their contention

What callers saw: an application server that stands still, and whose calls are answered by hedges, kept its usual forecast in deployments whose endpoints state their contention, so that calls went on to it and each took a hedge from the share.

Cause: an overtaken call raises the mean processing time, which the forecast no longer uses once the endpoint has stated its contention: it uses the duration of work, and a cancelled call shows none.

Change: the time by which overtaken calls exceed their forecast is averaged, fades with 1.5 s like the observed wait, and is added to the forecast of such endpoints. Without hedging it is 0.

--- a/packages/endpoints/src/endpoint.ts
+++ b/packages/endpoints/src/endpoint.ts
@@ -8,7 +8,6 @@
   MAX_FULL_VIEW_NODES,
   MAX_SUSPENSION_MS,
   MEMORY_FULL_SHARE,
-  OBSERVED_WAIT_DECAY_MS,
   QUIET_WAIT_MS,
   REJECTION_SUSPENSION_MS,
   RUNNING_REQUEST_DELAY_MS,
@@ -17,6 +16,7 @@
   WAITING_REQUEST_DELAY_MS,
   PROCESSING_EWMA_WEIGHT,
 } from './constants.js';
+import { DecayingAverage } from './decayingAverage.js';
 import type { LoadDigestEntry } from './loadDigest.js';
 import { EndpointStatements } from './endpointStatements.js';
 import { PeerLoads } from './peerLoads.js';
@@ -75,10 +75,11 @@
 
   private readonly peerLoads = PeerLoads.create();
 
-  /** Moving average of the queueing delay of recent responses. */
-  private observedWaitMs = 0;
+  /** Queueing delay of recent responses. */
+  private readonly observedWait = DecayingAverage.create();
 
-  private observedAtMs = Number.NEGATIVE_INFINITY;
+  /** Time by which recent calls that were overtaken exceeded their forecast. */
+  private readonly overtakenDelay = DecayingAverage.create();
 
   private readonly reported = ReportedLoad.create();
 
@@ -218,9 +219,12 @@
   recordOvertaken(sent: SentRequest, nowMs: number): void {
     if (!this.waiting.has(sent)) return;
     const leastMs = nowMs - sent.sentAtMs;
+    const excessMs = leastMs - sent.ownMs - sent.expectedWaitMs;
+    if (sent.memoryTokens === 0 && excessMs > this.overtakenDelay.estimate(nowMs))
+      this.overtakenDelay.record(excessMs, PROCESSING_EWMA_WEIGHT, nowMs);
     if (leastMs > this.processingMs)
       this.processingMs += (leastMs - this.processingMs) * PROCESSING_EWMA_WEIGHT;
-    if (leastMs - sent.ownMs > this.getObservedWaitMs(nowMs)) this.recordWait(sent, nowMs);
+    if (leastMs - sent.ownMs > this.observedWait.estimate(nowMs)) this.recordWait(sent, nowMs);
   }
 
   recordBytesReceived(nowMs: number): void {
@@ -262,13 +266,16 @@
 
   /**
    * Estimates the processing time of a plain call, in milliseconds. If the endpoint states its contention, it is the
-   * duration of work times that, as a node of many sees few responses of each endpoint; otherwise their average.
+   * duration of work times that, as a node of many sees few responses of each endpoint, plus the recent delay of calls
+   * that were overtaken, which show no duration; otherwise their average.
    */
   estimateProcessingMs(nowMs: number): number {
     if (!this.contention.isReported) return this.processingMs;
     const serviceMs = this.timings.workTime.estimate(DEFAULT_PROCESSING_MS);
     const workMs = this.workTime.estimate(serviceMs);
-    return workMs * this.contention.estimateOver(workMs, nowMs);
+    return (
+      workMs * this.contention.estimateOver(workMs, nowMs) + this.overtakenDelay.estimate(nowMs)
+    );
   }
 
   /** Suspends the endpoint; consecutive failures without a response in between suspend it longer. */
@@ -353,7 +360,7 @@
     const pendingTokens = this.pendingTokens + peers.pendingTokens;
     return (
       Math.max(
-        this.getObservedWaitMs(nowMs),
+        this.observedWait.estimate(nowMs),
         this.getOldestWaitMs(nowMs),
         peers.oldestWaitMs,
         waiting * WAITING_REQUEST_DELAY_MS * usualFactor,
@@ -389,9 +396,7 @@
 
   private recordWait({ sentAtMs, ownMs }: SentRequest, nowMs: number): void {
     const waitMs = Math.max(0, nowMs - sentAtMs - ownMs);
-    const previousMs = this.getObservedWaitMs(nowMs);
-    this.observedWaitMs = previousMs + (waitMs - previousMs) * WAIT_EWMA_WEIGHT;
-    this.observedAtMs = nowMs;
+    this.observedWait.record(waitMs, WAIT_EWMA_WEIGHT, nowMs);
   }
 
   private removeWaiting(sent: SentRequest): boolean {
@@ -399,8 +404,4 @@
     this.pendingTokens = Math.max(0, this.pendingTokens - sent.tokens);
     return true;
   }
-
-  private getObservedWaitMs(nowMs: number): number {
-    return this.observedWaitMs * Math.exp(-(nowMs - this.observedAtMs) / OBSERVED_WAIT_DECAY_MS);
-  }
 }
--- a/packages/endpoints/src/endpoints.test.ts
+++ b/packages/endpoints/src/endpoints.test.ts
@@ -91,6 +91,23 @@
   test.ok(endpoint.estimateWaitMs(800) < waitMs, 'a request that has ended shows nothing');
 });
 
+// Guards against a standing endpoint that reported its contention before, and looks idle to calls since.
+t.test(
+  'an endpoint that states its contention is forecast as slow while its calls are overtaken',
+  async (test) => {
+    const endpoint = Endpoint.create(createRecord('i-1'), 0);
+    const call = { ...SENT, tokens: 0, memoryTokens: 0, ownMs: 20 };
+    endpoint.recordLoadReport({ running: 0, waiting: 0, slots: 6, workPercent: 100 }, 0);
+    const usualMs = endpoint.estimateProcessingMs(400);
+    endpoint.recordSent(call);
+    endpoint.recordOvertaken(call, 400);
+    endpoint.recordCompletion(call, { type: 'cancelled' }, 400);
+    const overtakenMs = endpoint.estimateProcessingMs(400);
+    test.ok(overtakenMs > usualMs + 30, `${overtakenMs} ms after ${usualMs} ms`);
+    test.ok(endpoint.estimateProcessingMs(8_000) < usualMs + 1, 'the delay fades');
+  },
+);
+
 t.test(
   'an endpoint whose entry lapsed in a store outage is removed only after its grace period',
   async (t2) => {
