Count aged load reports in the queue at the endpoint of a hedge

What callers saw: with more than 16 VMs, a late call was hedged at an endpoint whose last reports all named a queue, once the last one was over 1 s old. A VM hears of an endpoint only through its zone there, and the hedge queues before requests of other zones.

Change: a queue by either estimate forbids the hedge, so that none is added for deployments of up to 16 nodes or for fresh reports.

--- a/packages/gateway/src/sendRace.ts
+++ b/packages/gateway/src/sendRace.ts
@@ -215,7 +215,11 @@
         const chosen = findAlternative();
         if (chosen === undefined) return undefined;
         const { expectedMs, ownMs } = chosen.placement;
-        const queuedRequests = chosen.endpoint.estimateRequests(nowMs).waiting;
+        // Of many nodes, each hears of an endpoint so rarely that an aged report counts as well.
+        const queuedRequests = Math.max(
+          chosen.endpoint.estimateRequests(nowMs).waiting,
+          Math.round(chosen.endpoint.estimateRequests(nowMs, clusterState.nodeCount).waiting),
+        );
         return { chosen, expectedMs, waitMs: expectedMs - ownMs, queuedRequests };
       },
       targetLatencyMs: route.targetLatencyMs,
