End the search for room while requests wait at a node

Callers of a gateway with demand admission got no answers any more from the first request that was held on: the process hung until it was killed. The check of held requests iterated over the map of services while each look-up of a service moved its entry to the end of the map, so that the iteration met it again without end. The check now iterates over a copy.

--- /dev/null
+++ b/packages/gateway/src/heldCalls.test.ts
@@ -0,0 +1,80 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import t from 'tap';
+import { HOLD_CHECK_INTERVAL_MS } from './constants.js';
+import type { RoutedRequest } from './createAttempt.js';
+import type { GatewayContext } from './gatewayContext.js';
+import { HeldCalls } from './heldCalls.js';
+import { OverloadState } from './overloadState.js';
+import type { ChosenEndpoint } from './placeRequest.js';
+
+/** Room is sought for two requests at once at most; without a bound, a search that never ends would hang the test. */
+const MAX_SEARCHES = 1_000;
+const TIME_LIMIT_MS = 5_000;
+/** Prompt that takes several rounds of the deficit round robin. */
+const PROMPT_TOKENS = 1_000;
+
+const createContext = () =>
+  ({
+    clock: { nowMs: () => performance.now() },
+    overloadState: OverloadState.create({ maxCount: 10, maxBytes: 1_000 }),
+    getShutdown: () => undefined,
+    metrics: { recordAdmission: () => undefined },
+    log: { logRequest: () => undefined, logProblem: () => undefined },
+    clusterState: { endpoints: { listReady: () => [1] }, nodeCount: 1, trafficRules: undefined },
+  }) as unknown as GatewayContext;
+
+const createChosen = (id: string) =>
+  ({
+    endpoint: {
+      record: { id, slots: 4 },
+      timings: { residenceMs: 100 },
+      getLoadAgeMs: () => 1,
+    },
+    placement: { expectedMs: 300, ownMs: 50, roundTripMs: 1, uncachedTokens: PROMPT_TOKENS },
+  }) as unknown as ChosenEndpoint;
+
+const createRequest = (account: string) =>
+  ({
+    head: { requestId: account, promptTokens: PROMPT_TOKENS, maxOutputTokens: 10 },
+    route: {
+      name: 'chat',
+      kind: 'streaming',
+      targetLatencyMs: 400,
+      maxEventGapMs: 300,
+      hasPromptParts: true,
+      priority: 1,
+    },
+    service: 'engines',
+    account: { name: account },
+    body: undefined,
+  }) as unknown as RoutedRequest;
+
+const holdRequests = (rooms: Readonly<Record<string, ChosenEndpoint | undefined>>) => {
+  const context = createContext();
+  const heldCalls = HeldCalls.create();
+  let searches = 0;
+  const holds = Object.entries(rooms).map(([account, room]) =>
+    heldCalls.hold(context, {
+      routedRequest: createRequest(account),
+      chosen: createChosen('best'),
+      reason: 'headroom',
+      elapsedMs: 0,
+      timeLimitMs: TIME_LIMIT_MS,
+      findRoom: () => {
+        searches += 1;
+        if (searches > MAX_SEARCHES) throw new Error('the search for room does not end');
+        return room;
+      },
+    }),
+  );
+  return { holds, countSearches: () => searches };
+};
+
+// Guards against a process that hangs while a request waits at it.
+t.test('room is sought once per interval for a request that finds none', async (t2) => {
+  const { holds, countSearches } = holdRequests({ a: undefined });
+  await sleep(3 * HOLD_CHECK_INTERVAL_MS);
+  t2.ok(countSearches() > 0 && countSearches() < 10, `${countSearches()} searches`);
+  holds[0]!.cancel();
+  t2.equal(await holds[0]!.ended, undefined);
+});
--- a/packages/gateway/src/overloadState.ts
+++ b/packages/gateway/src/overloadState.ts
@@ -55,7 +55,8 @@
     return created;
   }
 
-  listServices(): IterableIterator<[string, ServiceOverload]> {
-    return this.services[Symbol.iterator]();
+  /** Lists the services as they are now; `getService` changes their order, so that an iterator would not end. */
+  listServices(): readonly (readonly [string, ServiceOverload])[] {
+    return [...this.services];
   }
 }
