Send a held request to the endpoint that has room for it

A held request with a long prompt was refused although an endpoint had room for it, or was sent to the endpoint that was found for a request of another account, with the forecast and the home regions of that request. The queue asks for two requests before it takes the first one, and only the last answer was kept. The answers are now kept by request.

--- a/packages/gateway/src/heldCalls.test.ts
+++ b/packages/gateway/src/heldCalls.test.ts
@@ -78,3 +78,16 @@
   holds[0]!.cancel();
   t2.equal(await holds[0]!.ended, undefined);
 });
+
+// Guards against a request that is sent to the endpoint found for another one, or refused as another one has no room.
+t.test('each request is sent to the endpoint that has room for it', async (t2) => {
+  const [first, second] = [createChosen('first'), createChosen('second')];
+  const both = holdRequests({ a: first, b: second });
+  t2.strictSame(
+    (await Promise.all(both.holds.map((hold) => hold!.ended))).map((room) => room?.endpoint.record),
+    [first, second].map((room) => room.endpoint.record),
+  );
+  const { holds } = holdRequests({ a: first, b: undefined });
+  t2.equal(await holds[0]!.ended, first);
+  holds[1]!.cancel();
+});
--- a/packages/gateway/src/heldCalls.ts
+++ b/packages/gateway/src/heldCalls.ts
@@ -100,15 +100,17 @@
   /** Sends the next request that has room, and then the one after it once the first counts at its endpoint. */
   private releaseNext(context: GatewayContext, service: string): void {
     const { heldCalls } = context.overloadState.getService(service);
-    let chosen: ChosenEndpoint | undefined;
+    // The queue may ask for several requests, and take the first one after it has asked for another.
+    const rooms = new Map<HeldCall, ChosenEndpoint>();
     const hasRoom = (call: HeldCall): boolean => {
-      chosen = call.findRoom();
+      const chosen = call.findRoom();
+      if (chosen !== undefined) rooms.set(call, chosen);
       return chosen !== undefined;
     };
     const capacity = computeCapacityShare(context, service);
     const call = heldCalls.take(hasRoom, capacity, context.clock.nowMs());
     if (call === undefined) return;
-    call.finish(chosen);
+    call.finish(rooms.get(call));
     if (heldCalls.size > 0) setImmediate(() => this.releaseNext(context, service));
   }
 }
