Hand on the rest of a body after its connection was paused

A body in many small chunks, or one whose stream was full for a moment, was never complete: callers got no answer until their time limit. While a connection is paused, the gate keeps what has arrived, and waited for a call of `_read`; a stream that had asked for bytes before the pause doesn't repeat the call. The gate now goes on at the event `resume`, and a request that waits for memory no longer renews its turn by a read. Measured: 3,000 chunks of one byte with a pause of 20 ms got no answer in 2 s before, and one at once now.

--- /dev/null
+++ b/packages/gateway/src/connectionGate.test.ts
@@ -0,0 +1,72 @@
+import { once } from 'node:events';
+import { createServer, type RequestListener } from 'node:http';
+import { connect } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import t, { type Test } from 'tap';
+import { MemoryBudget } from '@lovagearch/bounded-http';
+import { ConnectionAdmission } from './connectionAdmission.js';
+import type { GatewayLog } from './gatewayLog.js';
+import type { GatewayMetrics } from './gatewayMetrics.js';
+
+const MEMORY_BYTES = 10_000_000;
+const PAUSE_MS = 20;
+
+/** A server behind gates whose clock runs ahead by `skippedMs`. */
+const startServer = async (t2: Test, handle: RequestListener) => {
+  const server = createServer(handle);
+  const state = { skippedMs: 0, limits: [] as string[] };
+  const limits = { maxConnections: 10, memoryBytes: MEMORY_BYTES, bodyMemoryBytes: MEMORY_BYTES };
+  const admission = ConnectionAdmission.create({
+    limits,
+    bodyMemory: MemoryBudget.create(MEMORY_BYTES),
+    clock: { nowMs: () => performance.now() + state.skippedMs },
+    log: { logProblem: () => undefined } as unknown as GatewayLog,
+    metrics: {
+      recordCallerLimit: (limit: string) => state.limits.push(limit),
+    } as unknown as GatewayMetrics,
+  });
+  admission.protect(server, 'callers', () => MEMORY_BYTES);
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  t2.teardown(() => {
+    admission.stop();
+    server.close();
+    server.closeAllConnections();
+  });
+  const address = server.address();
+  return { state, port: typeof address === 'object' && address !== null ? address.port : 0 };
+};
+
+/** Sends bytes on a new connection and returns what was answered until it ends. */
+const sendBytes = async (port: number, bytes: string): Promise<string> => {
+  const socket = connect(port, '127.0.0.1');
+  let text = '';
+  socket.on('data', (chunk) => {
+    text += chunk.toString('latin1');
+  });
+  socket.on('error', () => undefined);
+  socket.write(bytes);
+  await once(socket, 'close');
+  return text;
+};
+
+const CHUNKED_HEAD =
+  'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n';
+
+// Guards against a body of many chunks that is never handed on, as the process paused its connection for a while.
+t.test('a body goes on after its connection was paused', async (t2) => {
+  const { port } = await startServer(t2, (incoming, response) => {
+    let length = 0;
+    incoming.once('data', () => {
+      incoming.socket.pause();
+      setTimeout(() => incoming.socket.resume(), PAUSE_MS);
+    });
+    incoming.on('data', (chunk: Buffer) => {
+      length += chunk.length;
+    });
+    incoming.once('end', () => response.end(`length ${length}`));
+  });
+  const body = `${'1\r\na\r\n'.repeat(3_000)}0\r\n\r\n`;
+  const answer = await Promise.race([sendBytes(port, CHUNKED_HEAD + body), sleep(2_000, 'none')]);
+  t2.match(answer, /length 3000$/);
+});
--- a/packages/gateway/src/connectionGate.ts
+++ b/packages/gateway/src/connectionGate.ts
@@ -112,6 +112,8 @@
     const gate = new ConnectionGate(socket, listener, host);
     // With a listener for data, the parser gets the bytes from the stream and not from the handle.
     socket.on('data', () => undefined);
+    // A stream that asked for bytes before it was paused doesn't call `_read` again.
+    socket.on('resume', () => gate.scheduleHeldDelivery());
     Object.assign(socket, {
       push: (bytes: Buffer | null) => gate.receive(bytes),
       _read: () => gate.read(),
@@ -203,7 +205,7 @@
   /** The stream wants more bytes. */
   private read(): void {
     if (this.received === undefined) this.readFromKernel();
-    else this.scheduleDelivery();
+    else this.scheduleHeldDelivery();
   }
 
   /** Takes bytes from the kernel; returns whether it should read on. */
@@ -285,6 +287,10 @@
     return false;
   }
 
+  private scheduleHeldDelivery(): void {
+    if (this.received !== undefined && this.waitingSinceMs === undefined) this.scheduleDelivery();
+  }
+
   private scheduleDelivery(): void {
     if (this.isDeliveryScheduled) return;
     this.isDeliveryScheduled = true;
