Count the time of an unread response from its first unsent byte

Callers whose request took over ten seconds lost their connection in the middle of the answer if its last bytes were on their way at a check: the time without progress counted from the last bytes of the request, so that the time of the work counted as time in which the answer wasn't read, and a stream that was full for a moment lost its endpoint. It now starts when bytes are first seen unsent.

--- a/packages/gateway/src/connectionGate.test.ts
+++ b/packages/gateway/src/connectionGate.test.ts
@@ -1,10 +1,15 @@
 import { once } from 'node:events';
 import { createServer, type RequestListener } from 'node:http';
-import { connect } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import t, { type Test } from 'tap';
 import { MemoryBudget } from '@lovagearch/bounded-http';
 import { ConnectionAdmission } from './connectionAdmission.js';
+import {
+  ADMISSION_WAIT_LIMIT_MS,
+  CONNECTION_CHECK_INTERVAL_MS,
+  UNREAD_RESPONSE_LIMIT_MS,
+} from './constants.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 
@@ -12,10 +17,16 @@
 const PAUSE_MS = 20;
 
 /** A server behind gates whose clock runs ahead by `skippedMs`. */
-const startServer = async (t2: Test, handle: RequestListener) => {
+const startServer = async (t2: Test, handle: RequestListener, memoryBytes = MEMORY_BYTES) => {
   const server = createServer(handle);
-  const state = { skippedMs: 0, limits: [] as string[] };
-  const limits = { maxConnections: 10, memoryBytes: MEMORY_BYTES, bodyMemoryBytes: MEMORY_BYTES };
+  const state = { skippedMs: 0, memoryBytes, limits: [] as string[] };
+  const limits = {
+    maxConnections: 10,
+    bodyMemoryBytes: MEMORY_BYTES,
+    get memoryBytes() {
+      return state.memoryBytes;
+    },
+  };
   const admission = ConnectionAdmission.create({
     limits,
     bodyMemory: MemoryBudget.create(MEMORY_BYTES),
@@ -34,7 +45,11 @@
     server.closeAllConnections();
   });
   const address = server.address();
-  return { state, port: typeof address === 'object' && address !== null ? address.port : 0 };
+  return {
+    server,
+    state,
+    port: typeof address === 'object' && address !== null ? address.port : 0,
+  };
 };
 
 /** Sends bytes on a new connection and returns what was answered until it ends. */
@@ -70,3 +85,23 @@
   const answer = await Promise.race([sendBytes(port, CHUNKED_HEAD + body), sleep(2_000, 'none')]);
   t2.match(answer, /length 3000$/);
 });
+
+// Guards against a response that is cut because the process worked on it for longer than a caller may take to read it.
+t.test('a response that was long in coming may take a moment to be read', async (t2) => {
+  const body = Buffer.alloc(8_000_000, 'a');
+  const { state, port } = await startServer(t2, (_, response) => {
+    state.skippedMs = 2 * UNREAD_RESPONSE_LIMIT_MS;
+    response.end(body);
+  });
+  const socket = connect(port, '127.0.0.1');
+  socket.on('error', () => undefined);
+  socket.write('GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n');
+  await sleep(3 * CONNECTION_CHECK_INTERVAL_MS);
+  let length = 0;
+  socket.on('data', (chunk: Buffer) => {
+    length += chunk.length;
+  });
+  await once(socket, 'close');
+  t2.ok(length > body.length, `${length} bytes`);
+  t2.strictSame(state.limits, []);
+});
--- a/packages/gateway/src/connectionGate.ts
+++ b/packages/gateway/src/connectionGate.ts
@@ -169,7 +169,9 @@
   /** Closes the connection if it has made no progress for too long. */
   check(nowMs: number): void {
     const unsentBytes = readUnsentBytes(this.socket);
-    if (unsentBytes < this.unsentBytes) this.progressAtMs = nowMs;
+    const hasBegun = unsentBytes > 0 && this.unsentBytes === 0;
+    // The time in which a response was worked on is not one in which it wasn't read.
+    if (hasBegun || unsentBytes < this.unsentBytes) this.progressAtMs = nowMs;
     this.unsentBytes = unsentBytes;
     if (this.openRequests > 0) this.updateHeldBytes();
     const isPast = (sinceMs: number | undefined, limitMs: number) =>
