Read nothing more from a connection whose request was refused

A caller whose request waited for memory too long is told 503, not run, but bytes that arrived before its connection was closed were still handed to the parser: the rest of the request, or a request inside its body, could run after all. Its turn was also kept until the connection had closed, so that a client that reads nothing held up all others. The gate now drops what arrives after the refusal, and its turn ends with it. Measured: a request pushed right behind the refusal ran before; now none does.

--- a/packages/gateway/src/connectionAdmission.ts
+++ b/packages/gateway/src/connectionAdmission.ts
@@ -138,7 +138,11 @@
 
   private checkConnections(): void {
     const nowMs = this.parts.clock.nowMs();
-    for (const gate of this.ledger.connections) if (gate.getUse() !== 'idle') gate.check(nowMs);
+    for (const gate of this.ledger.connections) {
+      if (gate.getUse() !== 'idle') gate.check(nowMs);
+      // Its refusal may have to wait for the client, which is no reason for others to wait.
+      if (gate.isRefused) this.waiting.delete(gate);
+    }
     while (this.ledger.isOverMemory) {
       const victim = this.ledger.chooseFreed(undefined, true);
       if (victim === undefined) break;
--- a/packages/gateway/src/connectionGate.test.ts
+++ b/packages/gateway/src/connectionGate.test.ts
@@ -105,3 +105,31 @@
   t2.ok(length > body.length, `${length} bytes`);
   t2.strictSame(state.limits, []);
 });
+
+// Guards against a refused request, or one inside its body, that runs after all.
+t.test('nothing that arrives behind a request that was refused is read', async (t2) => {
+  const paths: string[] = [];
+  const { state, port, server } = await startServer(
+    t2,
+    (incoming, response) => {
+      paths.push(incoming.url ?? '');
+      response.end();
+    },
+    1,
+  );
+  const accepted = once(server, 'connection') as Promise<[Socket]>;
+  const answer = sendBytes(port, 'GET /refused HTTP/1.1\r\nHost: a\r\n\r\n');
+  const [socket] = await accepted;
+  await sleep(PAUSE_MS);
+  const end = socket.end.bind(socket);
+  state.skippedMs = 2 * ADMISSION_WAIT_LIMIT_MS;
+  Object.assign(socket, {
+    end: (bytes: string, onEnd: () => void) => {
+      state.memoryBytes = MEMORY_BYTES;
+      end(bytes, onEnd);
+      socket.push(Buffer.from('GET /behind HTTP/1.1\r\nHost: a\r\n\r\n'));
+    },
+  });
+  t2.match(await answer, /^HTTP\/1.1 503 /);
+  t2.strictSame(paths, []);
+});
--- a/packages/gateway/src/connectionGate.ts
+++ b/packages/gateway/src/connectionGate.ts
@@ -59,6 +59,9 @@
 
   progressAtMs: number;
 
+  /** Set with a refusal, after which nothing more is parsed. */
+  isRefused = false;
+
   private received: Buffer | undefined;
 
   /** Bytes received since the gate held nothing, each piece with a least size. */
@@ -201,6 +204,7 @@
     this.host.recordLimit('admission_wait', this.listener);
     this.waitingSinceMs = undefined;
     this.received = undefined;
+    this.isRefused = true;
     this.socket.end(NOT_RUN_RESPONSE, () => this.socket.destroy());
   }
 
@@ -217,6 +221,7 @@
       this.received = undefined;
       return this.pushToParser(null);
     }
+    if (this.isRefused) return true;
     this.progressAtMs = this.host.clock.nowMs();
     if (this.received === undefined) {
       this.receivedCost = 0;
