Count a held request as admitted once

An account with held requests gave way to others although it had not had its share: each search that found room for a held request recorded its work as admitted, also where the turn of another one came first, so that one request could count several times within seconds. The admission is now recorded when the request is released. Measured: three searches with room record no admission now and the release records one; before, each search recorded one.

--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { chooseTarget, type Route } from '@lovagearch/traffic';
-import { createRepeatRefusal, decideOverload } from './createOverloadRefusal.js';
+import { createRepeatRefusal, decideOverload, recordAdmitted } from './createOverloadRefusal.js';
 import { CallerResponse } from './callerResponse.js';
 import type { RoutedRequest } from './createAttempt.js';
 import {
@@ -266,7 +266,10 @@
           this.handleStop(routedRequest);
           return undefined;
         }
-        if (released !== undefined) return released;
+        if (released !== undefined) {
+          recordAdmitted(context, routedRequest, released, true);
+          return released;
+        }
         const reason = hold === undefined ? 'hold_full' : 'expired';
         context.metrics.recordAdmission(route.name, 'refuse', reason);
         this.replyWithRefusalOrFailure(routedRequest, 'no endpoint has room');
--- a/packages/gateway/src/createOverloadRefusal.ts
+++ b/packages/gateway/src/createOverloadRefusal.ts
@@ -118,6 +118,19 @@
   });
 };
 
+/** Records that a request is sent to the chosen endpoint. */
+export const recordAdmitted = (
+  context: GatewayContext,
+  routedRequest: RoutedRequest,
+  chosen: ChosenEndpoint,
+  isHeld: boolean,
+): void => {
+  const { route, service } = routedRequest;
+  const { demand } = context.overloadState.getService(service);
+  demand.recordAdmission(createDemand(context, routedRequest, chosen), context.clock.nowMs());
+  context.metrics.recordAdmission(route.name, 'admit', isHeld ? 'held' : 'room');
+};
+
 /**
  * Decides whether a request is sent to the chosen endpoint, waits at this node for room, or is refused because its
  * response would be late or would make more urgent ones late.
@@ -136,15 +149,14 @@
   const remainingMs = timing.timeLimitMs - timing.elapsedMs;
   const nowMs = context.clock.nowMs();
   const { demand } = context.overloadState.getService(service);
-  const requestDemand = createDemand(context, routedRequest, chosen);
-  if (!isHeld) demand.recordArrival(requestDemand, nowMs);
+  if (!isHeld) demand.recordArrival(createDemand(context, routedRequest, chosen), nowMs);
   const decision = decideRequestAdmission(context, routedRequest, chosen, timing, isHeld);
   if (decision.headroomMs !== undefined)
     context.metrics.recordHeadroom(priority, decision.headroomMs);
   switch (decision.type) {
     case 'admit':
-      demand.recordAdmission(requestDemand, nowMs);
-      context.metrics.recordAdmission(route.name, 'admit', isHeld ? 'held' : 'room');
+      // Room is found for held requests whose turn has not come, and again at their turn.
+      if (!isHeld) recordAdmitted(context, routedRequest, chosen, false);
       return { type: 'admit' };
     case 'hold':
       return decision;
--- a/packages/gateway/src/heldCalls.test.ts
+++ b/packages/gateway/src/heldCalls.test.ts
@@ -2,6 +2,7 @@
 import t from 'tap';
 import { HOLD_CHECK_INTERVAL_MS } from './constants.js';
 import type { RoutedRequest } from './createAttempt.js';
+import { decideOverload, recordAdmitted } from './createOverloadRefusal.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { HeldCalls } from './heldCalls.js';
 import { OverloadState } from './overloadState.js';
@@ -23,14 +24,14 @@
     clusterState: { endpoints: { listReady: () => [1] }, nodeCount: 1, trafficRules: undefined },
   }) as unknown as GatewayContext;
 
-const createChosen = (id: string) =>
+const createChosen = (id: string, expectedMs = 300) =>
   ({
     endpoint: {
       record: { id, slots: 4 },
       timings: { residenceMs: 100 },
       getLoadAgeMs: () => 1,
     },
-    placement: { expectedMs: 300, ownMs: 50, roundTripMs: 1, uncachedTokens: PROMPT_TOKENS },
+    placement: { expectedMs, ownMs: 50, roundTripMs: 1, uncachedTokens: PROMPT_TOKENS },
   }) as unknown as ChosenEndpoint;
 
 const createRequest = (account: string) =>
@@ -91,3 +92,26 @@
   t2.equal(await holds[0]!.ended, first);
   holds[1]!.cancel();
 });
+
+// Guards against accounts that give way since room was found for their held requests more than once.
+t.test('a held request counts as admitted once', async (t2) => {
+  const context = createContext();
+  let admissions = 0;
+  Object.assign(context, {
+    settings: { isDemandAdmissionEnabled: true },
+    random: () => 0,
+    metrics: {
+      recordHeadroom: () => undefined,
+      recordAdmission: () => {
+        admissions += 1;
+      },
+    },
+  });
+  const [request, chosen] = [createRequest('a'), createChosen('first', 60)];
+  const timing = { elapsedMs: 0, timeLimitMs: TIME_LIMIT_MS };
+  for (let search = 0; search < 3; search++)
+    t2.equal(decideOverload(context, request, chosen, timing, true).type, 'admit');
+  t2.equal(admissions, 0);
+  recordAdmitted(context, request, chosen, true);
+  t2.equal(admissions, 1);
+});
