Refuse a held request that is quarantined while it waits

A request that waited at a node was sent to an endpoint although other nodes had meanwhile found that it crashes endpoints, as the quarantine was only checked on arrival and before repeated sends. It is now checked again after the wait, except for a request that is sent to test its quarantine. Measured: in a gateway with one endpoint, a request quarantined 350 ms before its release was answered by the endpoint before; now it is refused and no endpoint gets it.

--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -249,6 +249,8 @@
         this.reply(head, route, decision.refusal);
         return undefined;
       case 'hold': {
+        // A node may send a quarantined request once to test it.
+        const isProbe = isQuarantined(context, routedRequest);
         const hold = context.heldCalls.hold(context, {
           routedRequest,
           chosen,
@@ -266,6 +268,7 @@
           this.handleStop(routedRequest);
           return undefined;
         }
+        if (!isProbe && this.endIfQuarantined(routedRequest)) return undefined;
         if (released !== undefined) {
           recordAdmitted(context, routedRequest, released, true);
           return released;
