Answer readiness while callers' requests take all memory

A load balancer got the answer of the readiness path after 3 s, or a refusal, while requests in progress with heads of thousands of fields took all memory for connections: requests of all listeners wait in one queue, whose first one could not begin.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -2,7 +2,7 @@
 import { createServer, type Server } from 'node:http';
 import type { Socket } from 'node:net';
 import type { CallerLimits } from '@lovagearch/traffic';
-import type { ConnectionAdmission } from './connectionAdmission.js';
+import { CALLER_LISTENER, type ConnectionAdmission } from './connectionAdmission.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { CallerRequestHandler } from './callerRequestHandler.js';
 import type { Address } from './types.js';
@@ -41,7 +41,7 @@
     });
     // By default, Node.js drops the fields of a head behind the first 2,000.
     this.server.maxHeadersCount = 0;
-    admission.protect(this.server, 'callers', () => this.maxBodyBytes);
+    admission.protect(this.server, CALLER_LISTENER, () => this.maxBodyBytes);
     this.server.on('connection', (socket: Socket) => {
       this.idleSockets.add(socket);
       socket.once('close', () => this.idleSockets.delete(socket));
--- a/packages/gateway/src/connectionAdmission.ts
+++ b/packages/gateway/src/connectionAdmission.ts
@@ -7,13 +7,18 @@
 import { ConnectionLedger } from './connectionLedger.js';
 import {
   CONNECTION_CHECK_INTERVAL_MS,
+  GUARANTEED_CONNECTIONS,
   MAX_BODY_MEMORY_USE,
   MAX_DISCARDED_BYTES,
+  MAX_GUARANTEED_REQUEST_BYTES,
   STALLED_AFTER_MS,
 } from './constants.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 
+/** Name of the listener for callers. */
+export const CALLER_LISTENER = 'callers';
+
 export interface ConnectionAdmissionParts {
   readonly limits: CallerLimits;
   readonly bodyMemory: MemoryBudget;
@@ -116,10 +121,26 @@
         return true;
       }
     }
+    if (this.isGuaranteed(gate, bytes)) {
+      this.waiting.delete(gate);
+      return true;
+    }
     this.waiting.set(gate, bytes);
     return false;
   }
 
+  /** Whether a request may begin without memory: a few of other listeners than the callers' may, for readiness. */
+  private isGuaranteed(gate: ConnectionGate, bytes: number): boolean {
+    const { listener } = gate;
+    if (listener === CALLER_LISTENER || bytes > MAX_GUARANTEED_REQUEST_BYTES) return false;
+    let count = 0;
+    for (const other of this.ledger.connections) {
+      if (other === gate || other.listener !== listener || other.heldBytes === 0) continue;
+      if (!this.waiting.has(other)) count += 1;
+    }
+    return count < GUARANTEED_CONNECTIONS;
+  }
+
   private closeForMemory(gate: ConnectionGate): void {
     gate.close('memory');
     this.remove(gate);
--- a/packages/gateway/src/connectionGate.test.ts
+++ b/packages/gateway/src/connectionGate.test.ts
@@ -4,7 +4,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import t, { type Test } from 'tap';
 import { MemoryBudget } from '@lovagearch/bounded-http';
-import { ConnectionAdmission } from './connectionAdmission.js';
+import { CALLER_LISTENER, ConnectionAdmission } from './connectionAdmission.js';
 import {
   ADMISSION_WAIT_LIMIT_MS,
   CONNECTION_CHECK_INTERVAL_MS,
@@ -17,7 +17,12 @@
 const PAUSE_MS = 20;
 
 /** A server behind gates whose clock runs ahead by `skippedMs`. */
-const startServer = async (t2: Test, handle: RequestListener, memoryBytes = MEMORY_BYTES) => {
+const startServer = async (
+  t2: Test,
+  handle: RequestListener,
+  memoryBytes = MEMORY_BYTES,
+  listener = CALLER_LISTENER,
+) => {
   const server = createServer(handle);
   const state = { skippedMs: 0, memoryBytes, limits: [] as string[] };
   const limits = {
@@ -36,7 +41,7 @@
       recordCallerLimit: (limit: string) => state.limits.push(limit),
     } as unknown as GatewayMetrics,
   });
-  admission.protect(server, 'callers', () => MEMORY_BYTES);
+  admission.protect(server, listener, () => MEMORY_BYTES);
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   t2.teardown(() => {
@@ -133,3 +138,11 @@
   t2.match(await answer, /^HTTP\/1.1 503 /);
   t2.strictSame(paths, []);
 });
+
+// Guards against a process that counts as not ready while callers' requests in progress take all memory.
+t.test('readiness is answered at once without memory for requests', async (t2) => {
+  const { state, port } = await startServer(t2, (_, response) => response.end(), 1, 'readiness');
+  const request = 'GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n';
+  t2.match(await sendBytes(port, request), /^HTTP\/1.1 200 /);
+  t2.strictSame(state.limits, []);
+});
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -237,6 +237,8 @@
 export const CONNECTION_BYTES = 8_192;
 /** Memory of a request in progress beside its head, in bytes. */
 export const REQUEST_BYTES = 16_384;
+/** Memory of a request up to which a few on other listeners than the callers' never wait: a head of some 2 KB. */
+export const MAX_GUARANTEED_REQUEST_BYTES = 32_768;
 /** Memory of a byte of a head, which is held as received, as parsed and as forwarded. */
 export const HEAD_BYTE_FACTOR = 4;
 /** Memory of a field of a head in addition, in bytes: strings and list entries; 150 were measured. */
