--- a/packages/gateway/src/connectionGate.ts
+++ b/packages/gateway/src/connectionGate.ts
@@ -59,6 +59,9 @@
 
   progressAtMs: number;
 
+  /** Set with a refusal, after which nothing more is parsed. */
+  isRefused = false;
+
   private received: Buffer | undefined;
 
   /** Bytes received since the gate held nothing, each piece with a least size. */
@@ -115,6 +118,8 @@
     const ignore = () => undefined;
     socket.on('data', ignore);
     socket.off('data', ignore);
+    // A stream that asked for bytes before it was paused doesn't call `_read` again.
+    socket.on('resume', () => gate.scheduleHeldDelivery());
     Object.assign(socket, {
       push: (bytes: Buffer | null) => gate.receive(bytes),
       _read: () => gate.read(),
@@ -171,7 +176,9 @@
   /** Closes the connection if it has made no progress for too long. */
   check(nowMs: number): void {
     const unsentBytes = readUnsentBytes(this.socket);
-    if (unsentBytes < this.unsentBytes) this.progressAtMs = nowMs;
+    const hasBegun = unsentBytes > 0 && this.unsentBytes === 0;
+    // The time in which a response was worked on is not one in which it wasn't read.
+    if (hasBegun || unsentBytes < this.unsentBytes) this.progressAtMs = nowMs;
     this.unsentBytes = unsentBytes;
     if (this.openRequests > 0) this.updateHeldBytes();
     const isPast = (sinceMs: number | undefined, limitMs: number) =>
@@ -201,13 +208,14 @@
     this.host.recordLimit('admission_wait', this.listener);
     this.waitingSinceMs = undefined;
     this.received = undefined;
+    this.isRefused = true;
     this.socket.end(NOT_RUN_RESPONSE, () => this.socket.destroy());
   }
 
   /** The stream wants more bytes. */
   private read(): void {
     if (this.received === undefined) this.readFromKernel();
-    else this.scheduleDelivery();
+    else this.scheduleHeldDelivery();
   }
 
   /** Takes bytes from the kernel; returns whether it should read on. */
@@ -217,6 +225,7 @@
       this.received = undefined;
       return this.pushEnd();
     }
+    if (this.isRefused) return true;
     this.progressAtMs = this.host.clock.nowMs();
     if (this.received === undefined) {
       this.receivedCost = 0;
@@ -291,6 +300,10 @@
     return false;
   }
 
+  private scheduleHeldDelivery(): void {
+    if (this.received !== undefined && this.waitingSinceMs === undefined) this.scheduleDelivery();
+  }
+
   private scheduleDelivery(): void {
     if (this.isDeliveryScheduled) return;
     this.isDeliveryScheduled = true;
--- a/packages/gateway/src/overloadState.ts
+++ b/packages/gateway/src/overloadState.ts
@@ -55,8 +55,8 @@
     return created;
   }
 
-  /** Lists the services; a copy, as each look-up moves a service to the end of the map. */
-  listServices(): [string, ServiceOverload][] {
+  /** Lists the services as they are now; `getService` changes their order, so that an iterator would not end. */
+  listServices(): readonly (readonly [string, ServiceOverload])[] {
     return [...this.services];
   }
 }
