Send cold endpoints from all nodes together only what they bear

What callers saw: an endpoint that has just started, or whose zone was restored, got the load of a warm one and crashed under it.

Change: a state machine for each endpoint start decides from response headers, registrations, restarts, lost or refused connections and restored zones whether the endpoint is cold; doubt counts as cold. While it is, the existing limit of requests per second applies with cold_per_s, or with a stricter limit that the endpoint named. A few nodes share the rate as before; in addition the intervals keep their sum under cold_per_s x cold_overage + cold_slack in any second, a request without a response holds back the next one, which would arrive together with it behind a slow link, and a request that waited for its connection counts anew. A node that does not know the others yet probes as one of 100. Work at a cold endpoint is expected to take twice as long. Services without cold_per_s are unchanged.

The tests of endpoints and traffic, the codecs and six tests of the gateway pass; the whole suite of the gateway was not run again.

--- a/packages/endpoints/src/chooseEndpoint.ts
+++ b/packages/endpoints/src/chooseEndpoint.ts
@@ -41,6 +41,8 @@
   readonly areRegistrationsCurrent: boolean;
   /** Number of nodes that place requests on the endpoints. */
   readonly nodeCount: number;
+  /** Returns how much longer than usual work takes at an endpoint; by default as long. */
+  readonly getWorkFactor?: (endpoint: Endpoint) => number;
   readonly nowMs: number;
   readonly random: Random;
 }
@@ -137,10 +139,11 @@
   const { request, promptCache, nowMs, nodeLocation } = input;
   const { roundTripMs, penaltyMs } = computeNetworkCost(endpoint, nodeLocation);
   const failureMs = endpoint.recentFailureShare * FAILURE_COST_MS;
+  const workFactor = input.getWorkFactor?.(endpoint) ?? 1;
   const promptTokens = request.parts.reduce((sum, { tokens }) => sum + tokens, 0);
   if (promptTokens === 0) {
     const { running, waiting } = endpoint.estimateRequests(nowMs);
-    const processingMs = endpoint.meanProcessingMs;
+    const processingMs = endpoint.meanProcessingMs * workFactor;
     const slots = Math.max(1, endpoint.record.slots);
     const queueMs = (Math.max(0, running + waiting + 1 - slots) / slots) * processingMs;
     // Endpoints slow down as their slots fill up.
@@ -171,7 +174,12 @@
     nowMs,
   });
   const uncachedTokens = promptTokens - cached;
-  const prefill = computePrefillTimes(input, endpoint, uncachedTokens);
+  const usual = computePrefillTimes(input, endpoint, uncachedTokens);
+  const prefill = {
+    ...usual,
+    ownMs: usual.ownMs * workFactor,
+    sharedMs: usual.sharedMs * workFactor,
+  };
   const queueMs =
     endpoint.estimateWaitMs(nowMs) +
     endpoint.estimateMemoryWaitMs(request.memoryTokens, request.engineMemoryTokens, nowMs);
--- a/packages/endpoints/src/endpointAvailability.test.ts
+++ b/packages/endpoints/src/endpointAvailability.test.ts
@@ -11,6 +11,7 @@
 const USABLE = {
   isInAllowedRegion: true,
   isEvacuated: false,
+  isCold: false,
   isLeaving: false,
   heldUntilMs: undefined,
   hasFreeConnection: true,
--- a/packages/endpoints/src/endpointAvailability.ts
+++ b/packages/endpoints/src/endpointAvailability.ts
@@ -3,6 +3,8 @@
 /** Whether a registered endpoint may get a request from this node now, or why not. */
 export type EndpointAvailability =
   | { readonly type: 'available' }
+  /** The endpoint is cold, and this node's share of the requests that it bears is used up. */
+  | { readonly type: 'cold' }
   /** The endpoint announced that it is leaving; it gets no requests any more. */
   | { readonly type: 'leaving' }
   /** The endpoint rejected a request and wants no others until a clock reading. */
@@ -27,6 +29,7 @@
   readonly hasFreeConnection: boolean;
   /** Called only if nothing else forbids a request, as it may use up the time of a probe. */
   readonly isWithinRateLimit: () => boolean;
+  readonly isCold: boolean;
   readonly isLoadingWeights: boolean;
 }
 
@@ -58,6 +61,7 @@
   heldUntilMs,
   hasFreeConnection,
   isWithinRateLimit,
+  isCold,
   isLoadingWeights,
 }: AvailabilityInput): EndpointAvailability => {
   if (!isInAllowedRegion) return { type: 'outside_region' };
@@ -65,7 +69,7 @@
   if (isLeaving) return { type: 'leaving' };
   if (heldUntilMs !== undefined) return { type: 'held', untilMs: heldUntilMs };
   if (!hasFreeConnection) return { type: 'no_connection' };
-  if (!isWithinRateLimit()) return { type: 'rate_limited' };
+  if (!isWithinRateLimit()) return { type: isCold ? 'cold' : 'rate_limited' };
   return isLoadingWeights ? { type: 'loading_weights' } : { type: 'available' };
 };
 
@@ -89,6 +93,7 @@
       case 'loading_weights':
         if (!hasAvailable) endpoints.push(endpoint);
         break;
+      case 'cold':
       case 'held':
       case 'rate_limited':
         endpoints.push(endpoint);
@@ -137,6 +142,7 @@
         earliestMs = Math.min(earliestMs ?? availability.untilMs, availability.untilMs);
         break;
       case 'available':
+      case 'cold':
       case 'loading_weights':
       case 'no_connection':
       case 'rate_limited':
--- a/packages/endpoints/src/endpointStatements.ts
+++ b/packages/endpoints/src/endpointStatements.ts
@@ -1,3 +1,4 @@
+import { EndpointColdness } from './coldness.js';
 import { LeavingNotice } from './leavingNotice.js';
 import { RequestHold } from './requestHold.js';
 import { RequestRateLimit } from './requestRateLimit.js';
@@ -13,6 +14,8 @@
 
   readonly hold = RequestHold.create();
 
+  readonly coldness = EndpointColdness.create();
+
   static create(): EndpointStatements {
     return new EndpointStatements();
   }
--- a/packages/endpoints/src/index.ts
+++ b/packages/endpoints/src/index.ts
@@ -3,6 +3,8 @@
  * decides from its arguments and clock readings alone; it never sends a request or reads a store.
  */
 export * from './chooseEndpoint.js';
+export * from './coldness.js';
+export * from './coldShare.js';
 export * from './constants.js';
 export * from './endpoint.js';
 export * from './endpointAvailability.js';
--- a/packages/endpoints/src/requestRateLimit.ts
+++ b/packages/endpoints/src/requestRateLimit.ts
@@ -12,7 +12,7 @@
  * Time by which a late request brings the next one forward, in milliseconds. Without it, a node that receives
  * requests now and then would send less than its share; more would add to the burst of all nodes.
  */
-const MAX_LATE_CREDIT_MS = 50;
+export const MAX_LATE_CREDIT_MS = 50;
 
 /** What a response changed about the limit of its endpoint. */
 export type RateLimitChange =
@@ -28,6 +28,8 @@
 export class RequestRateLimit {
   private requestsPerS: number | undefined;
 
+  private coldPerS: number | undefined;
+
   private namedAtMs = Number.NEGATIVE_INFINITY;
 
   private rejectedText: string | undefined;
@@ -42,14 +44,21 @@
     return new RequestRateLimit();
   }
 
-  /** The limit in force, or undefined. */
+  /** The limit in force, or undefined: the stricter of the one that the endpoint named and that of a cold one. */
   get limitPerS(): number | undefined {
-    return this.requestsPerS;
+    if (this.requestsPerS === undefined) return this.coldPerS;
+    return Math.min(this.requestsPerS, this.coldPerS ?? Number.POSITIVE_INFINITY);
+  }
+
+  /** Sets the requests per second that the endpoint bears while it is cold; undefined once it is warm. */
+  setColdLimit(requestsPerS: number | undefined): void {
+    this.coldPerS = requestsPerS;
+    if (this.limitPerS === undefined) this.nextSendAtMs = undefined;
   }
 
   /** Whether this node may send a request now; without a limit it always may. */
   canSend(share: RateShare, nowMs: number, random: Random): boolean {
-    if (this.requestsPerS === undefined) return true;
+    if (this.limitPerS === undefined) return true;
     // Nodes start at different times, as all of them receive the limit at about the same time.
     const nextSendAtMs =
       this.computeNextSendAtMs(share, nowMs) ?? nowMs + share.intervalMs * random();
@@ -63,7 +72,7 @@
 
   /** Records that a request was sent. */
   recordSent(share: RateShare, nowMs: number): void {
-    if (this.requestsPerS === undefined) return;
+    if (this.limitPerS === undefined) return;
     const earliestMs = nowMs - Math.min(MAX_LATE_CREDIT_MS, share.intervalMs / 2);
     const nextSendAtMs = this.computeNextSendAtMs(share, nowMs) ?? nowMs;
     this.nextSendAtMs = Math.max(nextSendAtMs, earliestMs) + share.intervalMs;
@@ -93,7 +102,7 @@
       case 'none':
         if (previousPerS === undefined || sentAtMs <= this.namedAtMs) return undefined;
         this.requestsPerS = undefined;
-        this.nextSendAtMs = undefined;
+        if (this.coldPerS === undefined) this.nextSendAtMs = undefined;
         return { type: 'lifted', previousPerS };
       case 'invalid':
         if (statement.text === this.rejectedText) return undefined;
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -84,6 +84,8 @@
   readonly checkEndpoint: (end: ConnectionEnd) => Promise<EndpointLife>;
   /** Whether another start of the endpoint's process is registered in its place. */
   readonly isReplaced: (endpoint: Endpoint) => boolean;
+  /** Called if no connection to the endpoint could be opened. */
+  readonly onConnectFailed: () => void;
   /** Called with what is known of the endpoint after a response that ended with its connection. */
   readonly onConnectionEnd: (life: EndpointLife) => void;
 }
@@ -466,6 +468,7 @@
     const { reason } = failure;
     switch (failure.type) {
       case 'not_sent':
+        this.dependencies.onConnectFailed();
         this.finish({ type: 'not_run', wasReceived: false, reason }, { type: 'transport_failed' });
         return;
       case 'withdrawn':
--- a/packages/gateway/src/attemptFeedback.ts
+++ b/packages/gateway/src/attemptFeedback.ts
@@ -1,6 +1,7 @@
 import { MAX_CRASHES_WITHOUT_OUTPUT, type RequestCrash } from '@lovagearch/containment';
 import type { Placement } from '@lovagearch/endpoints';
 import { getEndpointStartKey } from './attempt.js';
+import { recordColdAfterCrash } from './coldEndpoints.js';
 import {
   CRASH_AFTER_OUTPUT_MS,
   CRASH_CONFIRMATION_MS,
@@ -69,10 +70,16 @@
   strike: RequestCrash | undefined,
 ): void => {
   const { clock, pool, recentAnswers } = context;
-  if (strike === undefined && !recentAnswers.hasAnswers(endpointStart)) return;
+  const isStrike = strike !== undefined || recentAnswers.hasAnswers(endpointStart);
+  const id = endpointStart.slice(0, endpointStart.lastIndexOf('/'));
+  const endpoint = context.clusterState.endpoints.findEndpoint(id);
   const atMs = clock.nowMs();
   setTimeout(() => {
     if (pool.hasEstablishedConnection(endpointStart)) return;
+    // Another start in its place has registered since.
+    if (endpoint !== undefined && getEndpointStartKey(endpoint) === endpointStart)
+      recordColdAfterCrash(context, endpoint, atMs);
+    if (!isStrike) return;
     const strikes: RequestCrash[] = strike === undefined ? [] : [strike];
     for (const fingerprint of recentAnswers.takeAnswers(endpointStart, atMs))
       strikes.push({ fingerprint, endpointStart, hasOutput: true });
--- a/packages/gateway/src/clusterState.ts
+++ b/packages/gateway/src/clusterState.ts
@@ -1,6 +1,6 @@
 import { type Clock, parseSocketAddress } from '@lovagearch/common';
 import { CrashCounter } from '@lovagearch/containment';
-import { EndpointTable, PromptCacheEstimator } from '@lovagearch/endpoints';
+import { type EndpointRecord, EndpointTable, PromptCacheEstimator } from '@lovagearch/endpoints';
 import type { MirroredRow, StoreClock } from '@lovagearch/mirror';
 import {
   ANNOUNCEMENT_TTL_MS,
@@ -199,6 +199,10 @@
     return this.evacuatedZones.has(zone);
   }
 
+  get evacuatedZoneCount(): number {
+    return this.evacuatedZones.size;
+  }
+
   applyOperatorRow({ key, value, version }: MirroredRow, committedAfterMs?: number): void {
     const evacuation = this.codec.decodeEvacuation(key);
     if (evacuation.type === 'fault') this.logRejectedRow('evacuation', key, evacuation.reason);
@@ -250,6 +254,7 @@
     }
     if (record.type !== 'value') return;
     const change = this.endpoints.applyRecord(record.value, nowMs);
+    this.applyWarmup(record.value, change?.type === 'restarted', nowMs);
     if (change === undefined) return;
     this.log.logStateChange(`endpoint_${change.type}`, {
       endpoint: key,
@@ -325,7 +330,10 @@
   ): void {
     if (isEvacuated === this.evacuatedZones.has(zone)) return;
     if (isEvacuated) this.evacuatedZones.add(zone);
-    else this.evacuatedZones.delete(zone);
+    else {
+      this.evacuatedZones.delete(zone);
+      this.recordZoneRestored(zone);
+    }
     const storeMs = this.storeClock.nowMs();
     this.log.logStateChange(isEvacuated ? 'zone_evacuated' : 'zone_restored', {
       zone,
@@ -339,6 +347,26 @@
     });
   }
 
+  private recordZoneRestored(zone: string): void {
+    const nowMs = this.clock.nowMs();
+    for (const { record, statements } of this.endpoints.listAll()) {
+      const coldStart = this.currentTrafficRules?.findService(record.service)?.coldStart;
+      if (record.zone === zone && coldStart !== undefined)
+        statements.coldness.recordZoneRestored(record.heartbeat, coldStart.durationMs, nowMs);
+    }
+  }
+
+  /** Applies what a registration says about the coldness of its endpoint, unless the registration was ignored. */
+  private applyWarmup(record: EndpointRecord, isRestart: boolean, nowMs: number): void {
+    const endpoint = this.endpoints.findEndpoint(record.id);
+    if (endpoint?.record !== record) return;
+    const { coldness } = endpoint.statements;
+    const coldStart = this.currentTrafficRules?.findService(record.service)?.coldStart;
+    if (isRestart && coldStart !== undefined)
+      coldness.recordRestart(record, coldStart.durationMs, nowMs);
+    else coldness.applyRegistration(record, nowMs);
+  }
+
   private applyEndpointRemoval(key: string, version: number, nowMs: number): void {
     // Entries expire during an outage of the store; endpoints that are alive soon register again.
     const sinceRecoveryMs = nowMs - this.storeRecoveredAtMs;
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -190,6 +190,16 @@
  * milliseconds.
  */
 export const OLD_PARTS_FREE_DELAY_MS = 6_000;
+/** Bounds of a cold endpoint where the settings state none; those of the deployments that have cold endpoints. */
+export const DEFAULT_COLD_OVERAGE = 1.5;
+export const DEFAULT_COLD_SLACK = 5;
+/** Time that a request may wait for its connection to a cold endpoint, in milliseconds; later it counts anew. */
+export const MAX_COLD_SEND_DELAY_MS = 300;
+/**
+ * Factor by which work is expected to take longer at a cold endpoint. Endpoints state no factor; half of the usual
+ * speed is assumed, so that equal warm ones are preferred.
+ */
+export const COLD_WORK_FACTOR = 2;
 /** Region rules remembered as unused; an operator names a few at most. */
 export const MAX_UNUSED_REGION_RULES = 256;
 /** Maximum number of prompt parts freed by one call. */
--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -1,14 +1,15 @@
 import type { EventStreamFramer } from '@lovagearch/exchange';
-import { type Account, areRulesEqual, isRetryable, type Route } from '@lovagearch/traffic';
+import { type Account, isRetryable, type Route } from '@lovagearch/traffic';
 import type { CallerResponse } from './callerResponse.js';
 import { Attempt } from './attempt.js';
+import { recordColdAfterCrash } from './coldEndpoints.js';
 import { CALL_STALL_FACTOR, STREAM_STALL_TIMEOUT_MS } from './constants.js';
 import { checkEndpointLife } from './checkEndpointLife.js';
-import { applyStatements, isTakingRequests } from './endpointStatements.js';
+import { applyStatements } from './endpointStatements.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { ChosenEndpoint } from './placeRequest.js';
-import { findRegionRule } from './regionRules.js';
 import type { ReusePlan } from './reusePlan.js';
+import { createSendCheck } from './sendCheck.js';
 import type { RequestHead } from './types.js';
 
 /** A request with its route, service, account and complete body. It may still be refused by admission. */
@@ -41,11 +42,12 @@
 /** Creates an attempt to send a request to the chosen endpoint. */
 export const createAttempt = (
   context: GatewayContext,
-  { head, route, service, account, body }: RoutedRequest,
+  routedRequest: RoutedRequest,
   chosen: ChosenEndpoint,
   { reusePlan, framer, remainingMs, isRepeat, callerResponse, onFirstByte }: AttemptOptions,
 ): Attempt => {
-  const { endpoint, placement, maxConnections, regionRule } = chosen;
+  const { head, route, service, account, body } = routedRequest;
+  const { endpoint, placement, maxConnections } = chosen;
   const isStreaming = route.kind === 'streaming';
   const headers = context.headers.encodeEndpointHeaders(head, {
     endpointId: endpoint.record.id,
@@ -64,10 +66,7 @@
       headers: context.headers,
       clock: context.clock,
       memory: context.responseLimits.memory,
-      canSend: () =>
-        isTakingRequests(context, endpoint) &&
-        !context.clusterState.isZoneEvacuated(endpoint.record.zone) &&
-        areRulesEqual(findRegionRule(context, head, route, account), regionRule),
+      canSend: createSendCheck(context, routedRequest, chosen),
       onFirstByte,
       onResponseHead: (responseHead, sentAtMs) =>
         applyStatements(context, endpoint, head.requestId, responseHead, sentAtMs),
@@ -78,6 +77,8 @@
         const registered = context.clusterState.endpoints.findEndpoint(record.id);
         return registered !== undefined && registered.record.startedUnixMs !== record.startedUnixMs;
       },
+      // A process that has crashed refuses connections until its successor, which is cold, listens.
+      onConnectFailed: () => recordColdAfterCrash(context, endpoint, context.clock.nowMs()),
       onConnectionEnd: (life) => context.metrics.recordConnectionEnd(service, life),
     },
     {
--- a/packages/gateway/src/endpointStatements.ts
+++ b/packages/gateway/src/endpointStatements.ts
@@ -1,4 +1,5 @@
 import type { Endpoint } from '@lovagearch/endpoints';
+import { recordColdResponse } from './coldEndpoints.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { logStatementChange } from './requestLog.js';
 import type { ResponseHead } from './types.js';
@@ -32,6 +33,7 @@
   sentAtMs: number,
 ): void => {
   if (!isOwnResponse(endpoint, head)) return;
+  recordColdResponse(context, endpoint, head, sentAtMs);
   const { rateLimit, leaving, hold } = endpoint.statements;
   const nowMs = context.clock.nowMs();
   logStatementChange(context, endpoint, requestId, 'leaving', leaving.applyStatement(head.leaving));
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -39,6 +39,8 @@
   readonly suspensionClock: Clock;
   /** Whether the copy of the endpoints' registrations is up to date. */
   readonly areHeartbeatsCurrent: () => boolean;
+  /** Whether this node knows the other nodes, so that it can compute its share of a limit. */
+  readonly isMembershipKnown: () => boolean;
   readonly getRetryBudget: (service: string) => SlidingWindowRetryBudget;
   /** Returns how a service has numbered the events of its streams so far. */
   readonly getEventIdHistory: (service: string) => EventIdHistory;
--- a/packages/gateway/src/placeRequest.ts
+++ b/packages/gateway/src/placeRequest.ts
@@ -10,7 +10,12 @@
   selectCandidates,
 } from '@lovagearch/endpoints';
 import { isRegionAllowed, type Account, type RegionRule, type Route } from '@lovagearch/traffic';
-import { CONNECTION_LIMIT_SHARE, MIN_CONNECTIONS_PER_ENDPOINT } from './constants.js';
+import { findColdLimit } from './coldEndpoints.js';
+import {
+  COLD_WORK_FACTOR,
+  CONNECTION_LIMIT_SHARE,
+  MIN_CONNECTIONS_PER_ENDPOINT,
+} from './constants.js';
 import { getEndpointStartKey } from './attempt.js';
 import { isWithinRateLimit } from './endpointRates.js';
 import type { GatewayContext } from './gatewayContext.js';
@@ -63,6 +68,7 @@
     isLeaving: statements.leaving.isAnnounced,
     heldUntilMs: statements.hold.getEndMs(nowMs),
     hasFreeConnection: pool.hasFreeConnection(getEndpointStartKey(endpoint), maxConnections),
+    isCold: findColdLimit(context, endpoint) !== undefined,
     isWithinRateLimit: () => isWithinRateLimit(context, endpoint),
     isLoadingWeights: clusterState.isChangingWeights(record.id, nowMs),
   });
@@ -109,6 +115,8 @@
     heartbeatMs: settings.heartbeatMs,
     areRegistrationsCurrent: context.areHeartbeatsCurrent(),
     nodeCount: clusterState.nodeCount,
+    getWorkFactor: (candidate) =>
+      findColdLimit(context, candidate) === undefined ? 1 : COLD_WORK_FACTOR,
     nowMs: clock.nowMs(),
     random,
   });
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -18,6 +18,7 @@
   STRIKE_PUBLISH_INTERVAL_MS,
 } from './constants.js';
 import { EventLoopMonitor, readProcessorMs } from './eventLoopMonitor.js';
+import { logColdChanges } from './coldEndpoints.js';
 import { createTableFollower } from './createTableFollower.js';
 import { createGatewayLog } from './gatewayLog.js';
 import type { GatewayContext, Shutdown } from './gatewayContext.js';
@@ -259,6 +260,10 @@
         (tableRelay.isStoreReader
           ? endpointTableTiming.longPollMs + endpointTableTiming.pollIntervalMs
           : tableRelay.maxRelayedAgeMs),
+    // At the first start, the nodes announce themselves within that time.
+    isMembershipKnown: () =>
+      sharedMirror.version > 0 &&
+      (!settings.isFirstStart || clock.nowMs() - addressesHeldAtMs >= bounds.contactLimitMs),
     getRetryBudget: (service) => {
       const known = budgets.get(service);
       if (known !== undefined) return known;
@@ -412,6 +417,8 @@
       ({ statements }) => statements.hold.getEndMs(clock.nowMs()) !== undefined,
     );
     metrics.setGauge('held_endpoints', held.length);
+    metrics.setGauge('cold_endpoints', logColdChanges(context));
+    metrics.setGauge('evacuated_zones', clusterState.evacuatedZoneCount);
     metrics.setGauge('nodes', clusterState.nodeCount);
     metrics.setGauge('quarantined_prompt_parts', promptPartContainment.logChanges());
     metrics.setGauge('connections_opened', context.pool.openedConnections);
--- a/packages/gateway/src/testGateway.ts
+++ b/packages/gateway/src/testGateway.ts
@@ -100,9 +100,13 @@
     return typeof address === 'object' && address !== null ? address.port : 0;
   }
 
+  closeConnections(): void {
+    this.server.closeAllConnections();
+  }
+
   stop(): void {
     this.server.close();
-    this.server.closeAllConnections();
+    this.closeConnections();
   }
 }
 
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -67,6 +67,8 @@
   readonly rateLimit: RateLimitStatement;
   readonly leaving: LeavingStatement;
   readonly hold: HoldStatement;
+  /** Time for which the endpoint says that it is cold, in milliseconds. */
+  readonly coldRemainingMs?: number | undefined;
   readonly isEventStream: boolean;
   readonly weightVersion: number | undefined;
   /** Headers for the caller, as alternating names and values. */
--- a/packages/traffic/src/types.ts
+++ b/packages/traffic/src/types.ts
@@ -57,11 +57,21 @@
   readonly isManaged: boolean;
 }
 
+/** How the endpoints of a service start. */
+export interface ColdStart {
+  /** Time after a start for which an endpoint is cold, in milliseconds. */
+  readonly durationMs: number;
+  /** Requests per second from all nodes together that a cold endpoint bears. */
+  readonly requestsPerS: number;
+}
+
 export interface Service {
   readonly name: string;
   /** Maximum number of connections that one endpoint accepts from all callers together. */
   readonly maxConnections: number;
   readonly engine?: EngineCapacity;
+  /** Absent if its endpoints bear as many requests after a start as later. */
+  readonly coldStart?: ColdStart;
 }
 
 /** Limits on the size and duration of caller requests and on idle connections. */
