--- a/packages/endpoints/src/chooseEndpoint.ts
+++ b/packages/endpoints/src/chooseEndpoint.ts
@@ -42,6 +42,8 @@
   readonly areRegistrationsCurrent: boolean;
   /** Number of nodes that place requests on the endpoints. */
   readonly nodeCount: number;
+  /** Returns how much longer than usual work takes at an endpoint; by default as long. */
+  readonly getWorkFactor?: (endpoint: Endpoint) => number;
   readonly nowMs: number;
   readonly random: Random;
   /** Called with the placements among which the choice is made, for explanations. */
@@ -144,10 +146,11 @@
   const { request, promptCache, nowMs, nodeLocation, nodeCount } = input;
   const { roundTripMs, penaltyMs } = computeNetworkCost(endpoint, nodeLocation);
   const failureMs = endpoint.recentFailureShare * FAILURE_COST_MS;
+  const workFactor = input.getWorkFactor?.(endpoint) ?? 1;
   const promptTokens = request.parts.reduce((sum, { tokens }) => sum + tokens, 0);
   if (promptTokens === 0) {
     const { running, waiting } = endpoint.estimateRequests(nowMs, nodeCount);
-    const processingMs = endpoint.estimateProcessingMs(nowMs);
+    const processingMs = endpoint.estimateProcessingMs(nowMs) * workFactor;
     const slots = Math.max(1, endpoint.record.slots);
     const queueMs = (Math.max(0, running + waiting + 1 - slots) / slots) * processingMs;
     // Endpoints slow down as their slots fill up.
@@ -178,7 +181,12 @@
     nowMs,
   });
   const uncachedTokens = promptTokens - cached;
-  const prefill = computePrefillTimes(input, endpoint, uncachedTokens);
+  const usual = computePrefillTimes(input, endpoint, uncachedTokens);
+  const prefill = {
+    ...usual,
+    ownMs: usual.ownMs * workFactor,
+    sharedMs: usual.sharedMs * workFactor,
+  };
   const waitMs = endpoint.estimateWaitMs(nowMs, nodeCount);
   const queueMs =
     waitMs +
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -24,6 +24,7 @@
 } from './constants.js';
 import { EventLoopMonitor, readProcessorMs } from './eventLoopMonitor.js';
 import { ConnectionAdmission } from './connectionAdmission.js';
+import { logColdChanges } from './coldEndpoints.js';
 import { createTableFollower } from './createTableFollower.js';
 import { createGatewayLog } from './gatewayLog.js';
 import { explainPlacement } from './explainPlacement.js';
@@ -275,6 +276,10 @@
         (tableRelay.isStoreReader
           ? endpointTableTiming.longPollMs + endpointTableTiming.pollIntervalMs
           : tableRelay.maxRelayedAgeMs),
+    // At the first start, the nodes announce themselves within that time.
+    isMembershipKnown: () =>
+      sharedMirror.version > 0 &&
+      (!settings.isFirstStart || clock.nowMs() - addressesHeldAtMs >= bounds.contactLimitMs),
     getRetryBudget: (service) => {
       const known = budgets.get(service);
       if (known !== undefined) return known;
@@ -444,6 +449,8 @@
       ({ statements }) => statements.hold.getEndMs(clock.nowMs()) !== undefined,
     );
     metrics.setGauge('held_endpoints', held.length);
+    metrics.setGauge('cold_endpoints', logColdChanges(context));
+    metrics.setGauge('evacuated_zones', clusterState.evacuatedZoneCount);
     metrics.setGauge('nodes', clusterState.nodeCount);
     metrics.setGauge('quarantined_prompt_parts', promptPartContainment.logChanges());
     metrics.setGauge('connections_opened', context.pool.openedConnections);
