Show what home regions, evacuated zones and cold endpoints keep requests from

What is missing: a placement line did not say why a request went to a distant endpoint, and nothing counted these rules.

--- a/packages/endpoints/src/endpointAvailability.test.ts
+++ b/packages/endpoints/src/endpointAvailability.test.ts
@@ -1,6 +1,7 @@
 import t from 'tap';
 import {
   countAvailabilities,
+  countRestrictions,
   decideAvailability,
   Endpoint,
   type EndpointAvailability,
@@ -112,3 +113,11 @@
   t2.equal(find([{ type: 'leaving' }]), undefined);
   t2.equal(find([]), undefined);
 });
+
+// Guards against a placement line that says nothing of the rules which kept a request from an endpoint.
+t.test('endpoints that placement rules exclude are counted', async (t2) => {
+  const types = ['available', 'outside_region', 'evacuated', 'cold', 'cold', 'leaving'] as const;
+  t2.strictSame(countRestrictions(createCandidates(types)), { region: 1, evacuated: 1, cold: 2 });
+  t2.equal(countRestrictions(createCandidates(['available', 'leaving'])), undefined);
+  t2.strictSame(selectIds(types), { ids: ['i-0', 'i-3', 'i-4'], unavailableIds: ['i-3', 'i-4'] });
+});
--- a/packages/endpoints/src/endpointAvailability.ts
+++ b/packages/endpoints/src/endpointAvailability.ts
@@ -124,6 +124,22 @@
   return counts;
 };
 
+/** Why a request is kept from an endpoint that could serve it otherwise. */
+export type PlacementRestriction = 'cold' | 'evacuated' | 'region';
+
+/** Counts the endpoints that placement rules keep from a request, by rule; undefined if there are none. */
+export const countRestrictions = (
+  candidates: readonly EndpointCandidate[],
+): Partial<Record<PlacementRestriction, number>> | undefined => {
+  const { outside_region: region, evacuated, cold } = countAvailabilities(candidates);
+  if (region === undefined && evacuated === undefined && cold === undefined) return undefined;
+  return {
+    ...(region === undefined ? {} : { region }),
+    ...(evacuated === undefined ? {} : { evacuated }),
+    ...(cold === undefined ? {} : { cold }),
+  };
+};
+
 /**
  * Returns the clock reading at which the first held endpoint may get requests again, if nothing but holds
  * keeps the endpoints that stay from getting one; otherwise undefined.
--- a/packages/gateway/src/checkEndpointLife.ts
+++ b/packages/gateway/src/checkEndpointLife.ts
@@ -16,7 +16,7 @@
 ): Promise<EndpointLife> => {
   const { address, zone } = endpoint.record;
   const startKey = getEndpointStartKey(endpoint);
-  if (!clusterState.isZoneEvacuated(zone)) return pool.checkEndpoint(startKey, address, end);
+  if (!clusterState.evacuatedZones.has(zone)) return pool.checkEndpoint(startKey, address, end);
   await waitMs(CRASH_CONFIRMATION_MS);
   return pool.hasEstablishedConnection(startKey) ? 'running' : 'unknown';
 };
--- a/packages/gateway/src/clusterState.ts
+++ b/packages/gateway/src/clusterState.ts
@@ -18,6 +18,7 @@
   MAX_FAULT_REASON_LENGTH,
   MIN_MISSED_HEARTBEATS_TO_LAPSE,
 } from './constants.js';
+import { EvacuatedZones } from './evacuatedZones.js';
 import type { GatewayLog } from './gatewayLog.js';
 import { computeAgeMs } from './storeTime.js';
 import type { GatewayBounds, RowCodec } from './types.js';
@@ -77,7 +78,7 @@
 
   private currentPeerRevision = 0;
 
-  private readonly evacuatedZones = new Set<string>();
+  readonly evacuatedZones: EvacuatedZones;
 
   private readonly announcedOrders = new Map<
     string,
@@ -99,6 +100,13 @@
   ) {
     this.weightTargets = WeightTargets.create(settings.bounds.weightRolloutLimitMs);
     this.startMs = clock.nowMs();
+    this.evacuatedZones = EvacuatedZones.create({
+      endpoints: this.endpoints,
+      getTrafficRules: () => this.currentTrafficRules,
+      clock,
+      storeClock,
+      log,
+    });
   }
 
   static create(
@@ -194,20 +202,16 @@
     return this.clock.nowMs() - this.storeRecoveredAtMs < EXPIRY_WINDOW_MS;
   }
 
-  /** Whether the operator has evacuated a zone, so that its endpoints may get no requests. */
-  isZoneEvacuated(zone: string): boolean {
-    return this.evacuatedZones.has(zone);
-  }
-
-  get evacuatedZoneCount(): number {
-    return this.evacuatedZones.size;
-  }
-
   applyOperatorRow({ key, value, version }: MirroredRow, committedAfterMs?: number): void {
     const evacuation = this.codec.decodeEvacuation(key);
     if (evacuation.type === 'fault') this.logRejectedRow('evacuation', key, evacuation.reason);
     if (evacuation.type === 'value')
-      this.applyEvacuation(evacuation.value, value !== undefined, version, committedAfterMs);
+      this.evacuatedZones.applyRow({
+        zone: evacuation.value,
+        isEvacuated: value !== undefined,
+        version,
+        committedAfterMs,
+      });
     if (evacuation.type !== 'ignored' || value === undefined) return;
     const configuration = this.codec.decodeConfiguration(key, value);
     if (configuration.type === 'fault')
@@ -322,40 +326,6 @@
     return startedAtStoreMs + contactLimitMs - weightRolloutLimitMs;
   }
 
-  private applyEvacuation(
-    zone: string,
-    isEvacuated: boolean,
-    rowVersion: number,
-    committedAfterMs: number | undefined,
-  ): void {
-    if (isEvacuated === this.evacuatedZones.has(zone)) return;
-    if (isEvacuated) this.evacuatedZones.add(zone);
-    else {
-      this.evacuatedZones.delete(zone);
-      this.recordZoneRestored(zone);
-    }
-    const storeMs = this.storeClock.nowMs();
-    this.log.logStateChange(isEvacuated ? 'zone_evacuated' : 'zone_restored', {
-      zone,
-      rowVersion,
-      endpoints: [...this.endpoints.listAll()].filter(({ record }) => record.zone === zone).length,
-      // The row is at most that old.
-      maxAgeMs:
-        storeMs === undefined || committedAfterMs === undefined
-          ? undefined
-          : Math.round(storeMs - committedAfterMs),
-    });
-  }
-
-  private recordZoneRestored(zone: string): void {
-    const nowMs = this.clock.nowMs();
-    for (const { record, statements } of this.endpoints.listAll()) {
-      const coldStart = this.currentTrafficRules?.findService(record.service)?.coldStart;
-      if (record.zone === zone && coldStart !== undefined)
-        statements.coldness.recordZoneRestored(record.heartbeat, coldStart.durationMs, nowMs);
-    }
-  }
-
   /** Applies what a registration says about the coldness of its endpoint, unless the registration was ignored. */
   private applyWarmup(record: EndpointRecord, isRestart: boolean, nowMs: number): void {
     const endpoint = this.endpoints.findEndpoint(record.id);
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -72,6 +72,13 @@
     registers: [this.registry],
   });
 
+  private readonly placementRestrictions = new Counter({
+    name: 'lovagearch_placement_restrictions_total',
+    help: 'Requests that were kept from endpoints, by reason: region, evacuated or cold',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
+
   static create(): GatewayMetrics {
     return new GatewayMetrics();
   }
@@ -98,6 +105,10 @@
     this.connectionEnds.inc({ service, endpoint });
   }
 
+  recordPlacementRestrictions(restrictions: Readonly<Record<string, number>>): void {
+    for (const reason of Object.keys(restrictions)) this.placementRestrictions.inc({ reason });
+  }
+
   recordEventLoopDelay(delayMs: number): void {
     this.eventLoopDelay.observe(delayMs);
   }
--- a/packages/gateway/src/placeRequest.ts
+++ b/packages/gateway/src/placeRequest.ts
@@ -1,6 +1,7 @@
 import {
   type AvailabilityCounts,
   chooseEndpoint,
+  countRestrictions,
   countAvailabilities,
   decideAvailability,
   type Endpoint,
@@ -30,6 +31,8 @@
   readonly maxConnections: number;
   /** Where the request may be processed according to the configuration at the time of the choice. */
   readonly regionRule: RegionRule;
+  /** Number of endpoints that home regions, evacuated zones or cold starts keep from the request. */
+  readonly restrictions: ReturnType<typeof countRestrictions>;
 }
 
 /** The endpoint for a request, or how many endpoints of its service are in which state if none may take it. */
@@ -64,7 +67,7 @@
   const nowMs = clock.nowMs();
   return decideAvailability({
     isInAllowedRegion: isRegionAllowed(regionRule, settings.regionByZone.get(record.zone)),
-    isEvacuated: clusterState.isZoneEvacuated(record.zone),
+    isEvacuated: clusterState.evacuatedZones.has(record.zone),
     isLeaving: statements.leaving.isAnnounced,
     heldUntilMs: statements.hold.getEndMs(nowMs),
     hasFreeConnection: pool.hasFreeConnection(getEndpointStartKey(endpoint), maxConnections),
@@ -128,5 +131,9 @@
       counts: countAvailabilities(candidates),
       holdEndMs: findEarliestHoldEndMs(candidates),
     };
-  return { type: 'placed', chosen: { endpoint, placement, maxConnections, regionRule } };
+  const restrictions = countRestrictions(candidates);
+  return {
+    type: 'placed',
+    chosen: { endpoint, placement, maxConnections, regionRule, restrictions },
+  };
 };
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -19,11 +19,12 @@
 
 /** Logs the endpoint chosen for a request, the estimates behind the choice and the age of the load data. */
 export const logPlacement = (
-  { log, clock }: GatewayContext,
+  { log, clock, metrics }: GatewayContext,
   { head, service }: RoutedRequest,
-  { endpoint, placement }: ChosenEndpoint,
+  { endpoint, placement, restrictions }: ChosenEndpoint,
   reusePlan: ReusePlan,
 ): void => {
+  if (restrictions !== undefined) metrics.recordPlacementRestrictions(restrictions);
   log.logRequest('placed', {
     request: head.requestId,
     service,
@@ -36,6 +37,9 @@
     savedParts: reusePlan.saveTo.filter((address) => address !== undefined).length,
     weights: reusePlan.expectedWeights,
     loadAgeMs: Math.round(endpoint.getLoadAgeMs(clock.nowMs())),
+    outsideRegion: restrictions?.region,
+    inEvacuatedZone: restrictions?.evacuated,
+    coldAtLimit: restrictions?.cold,
   });
 };
 
--- a/packages/gateway/src/reusePlan.ts
+++ b/packages/gateway/src/reusePlan.ts
@@ -120,7 +120,7 @@
   // The owner was chosen, or the part sent there, possibly under an earlier configuration.
   const region = settings.regionByZone.get(holder.record.zone);
   if (!isRegionAllowed(regionRule, region)) return undefined;
-  if (clusterState.isZoneEvacuated(holder.record.zone)) return undefined;
+  if (clusterState.evacuatedZones.has(holder.record.zone)) return undefined;
   const hasSameWeights = holder.record.weights.get(model) === endpoint.record.weights.get(model);
   return hasSameWeights ? holder : undefined;
 };
--- a/packages/gateway/src/sendCheck.ts
+++ b/packages/gateway/src/sendCheck.ts
@@ -34,7 +34,7 @@
   };
   return () =>
     isTakingRequests(context, endpoint) &&
-    !clusterState.isZoneEvacuated(endpoint.record.zone) &&
+    !clusterState.evacuatedZones.has(endpoint.record.zone) &&
     areRulesEqual(findRegionRule(context, head, route, account), regionRule) &&
     isWithinColdLimit();
 };
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -323,7 +323,7 @@
     listTargets: () => clusterState.listWeightTargets(),
     isEvacuated: ({ id }) => {
       const zone = clusterState.endpoints.findEndpoint(id)?.record.zone;
-      return zone !== undefined && clusterState.isZoneEvacuated(zone);
+      return zone !== undefined && clusterState.evacuatedZones.has(zone);
     },
     getRemainingMs: (model, version) => clusterState.getWeightsRemainingMs(model, version),
     onEvent: (event) => {
@@ -418,7 +418,7 @@
     );
     metrics.setGauge('held_endpoints', held.length);
     metrics.setGauge('cold_endpoints', logColdChanges(context));
-    metrics.setGauge('evacuated_zones', clusterState.evacuatedZoneCount);
+    metrics.setGauge('evacuated_zones', clusterState.evacuatedZones.size);
     metrics.setGauge('nodes', clusterState.nodeCount);
     metrics.setGauge('quarantined_prompt_parts', promptPartContainment.logChanges());
     metrics.setGauge('connections_opened', context.pool.openedConnections);
