--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -488,8 +488,15 @@
   tableRelay.run().catch(logCrash);
 
   const drain = async (reason: string, requestedAtMs?: number): Promise<void> => {
-    if (shutdown !== undefined) return;
     const startMs = requestedAtMs ?? clock.nowMs();
+    if (shutdown !== undefined) {
+      log.logStateChange('stop_repeated', {
+        reason,
+        active: server.activeRequestCount,
+        elapsedMs: Math.round(startMs - shutdown.requestedAtMs),
+      });
+      return;
+    }
     const plan = createShutdownPlan(bounds.shutdownGraceMs);
     shutdown = { plan, requestedAtMs: startMs };
     rollout.stop();
