Complete a stop that is requested again

What callers saw: connections closed without an answer during a planned stop (LOST). Cause: `drain` returned at once if a stop was under way, and the signal's handler ends the process when `drain` has returned. A second SIGTERM therefore ended the process with the requests that it waited for. Evidence: `stop_repeated` with active requests and `exited` with code 0 in the same millisecond, 500 ms after `stopping`; 4 of 4 requests cut off in three runs of platform/soak/dist/repeatedSignals.test.js. Change: all requests to stop share one shutdown and its promise; its times count from the first.

--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -64,7 +64,8 @@
 /** A running gateway process. */
 export interface Gateway {
   /**
-   * Shuts down within the grace period; requests that finish in this time are not cut off.
+   * Shuts down within the grace period; requests that finish in this time are not cut off. Repeated calls don't
+   * change the shutdown and return its promise.
    *
    * @param requestedAtMs reading of the process's clock from which the grace period runs, by default now
    */
@@ -487,16 +488,7 @@
   cacheStoreWatcher.run().catch(logCrash);
   tableRelay.run().catch(logCrash);
 
-  const drain = async (reason: string, requestedAtMs?: number): Promise<void> => {
-    const startMs = requestedAtMs ?? clock.nowMs();
-    if (shutdown !== undefined) {
-      log.logStateChange('stop_repeated', {
-        reason,
-        active: server.activeRequestCount,
-        elapsedMs: Math.round(startMs - shutdown.requestedAtMs),
-      });
-      return;
-    }
+  const runShutdown = async (reason: string, startMs: number): Promise<void> => {
     const plan = createShutdownPlan(bounds.shutdownGraceMs);
     shutdown = { plan, requestedAtMs: startMs };
     rollout.stop();
@@ -528,6 +520,17 @@
     admission.stop();
     log.flush();
   };
+  let shutdownPromise: Promise<void> | undefined;
+  const drain = (reason: string, requestedAtMs = clock.nowMs()): Promise<void> => {
+    if (shutdown !== undefined)
+      log.logStateChange('stop_repeated', {
+        reason,
+        active: server.activeRequestCount,
+        elapsedMs: Math.round(requestedAtMs - shutdown.requestedAtMs),
+      });
+    shutdownPromise ??= runShutdown(reason, requestedAtMs);
+    return shutdownPromise;
+  };
   const recordReload: Gateway['recordReload'] = (result, faults) =>
     log.logStateChange('reloaded', { result, faults });
   return { drain, recordReload, callerPort: server.getPort() };
