Drain the entry and the steward to the end when signals are repeated

What callers saw: a node of the project's own interface that drains ends at a second SIGTERM, or at a second SIGINT, and closes the connections of running requests; a steward leaves its leases to expire. Cause: the handlers were installed for one signal each, so that the next one met its default action; the entry also had no handler between the end of its start and its first request to stop. The class is that of the gateway's stop: a request that comes while the first is carried out is taken for a new one. Change: TerminationSignals handles both signals from the start to the end of a process.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -19,3 +19,4 @@
 export * from './retryWhilePassing.js';
 export * from './simulatedTime.js';
 export * from './socketAddress.js';
+export * from './terminationSignals.js';
--- a/packages/entry/src/entryProcess.test.ts
+++ b/packages/entry/src/entryProcess.test.ts
@@ -6,6 +6,7 @@
 import { join } from 'node:path';
 import { createInterface } from 'node:readline';
 import type { Readable } from 'node:stream';
+import { setTimeout as wait } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import { getStandinFile, startProcess } from '@lovagearch/standins';
 import t, { type Test } from 'tap';
@@ -66,6 +67,9 @@
   return child;
 };
 
+const DRAINING = 'draining';
+/** Time between two signals, without which they may arrive as one, in milliseconds. */
+const SIGNAL_GAP_MS = 100;
 const WAITING = 'Waiting for the peer address';
 
 // Guards against a restarted node that ends because its predecessor still drains.
@@ -99,3 +103,18 @@
   node.kill('SIGTERM');
   t2.strictSame(await exited, [0, null]);
 });
+
+// Guards against a further signal whose default action ends a draining node, with the requests that it waits for.
+t.test('signals during a drain do not end the node', async (t2) => {
+  const { file } = await createEntry(t2);
+  const node = startNode(t2, file);
+  const exited = once(node, 'exit');
+  await readUntil(node.stdout, 'listening');
+  node.kill('SIGTERM');
+  await readUntil(node.stderr, DRAINING);
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGINT'] as const) {
+    node.kill(signal);
+    await wait(SIGNAL_GAP_MS);
+  }
+  t2.strictSame(await exited, [0, null]);
+});
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,5 +1,5 @@
 import { parseArgs } from 'node:util';
-import { createLogger, getErrorMessage } from '@lovagearch/common';
+import { createLogger, getErrorMessage, TerminationSignals } from '@lovagearch/common';
 import { formatSettingsError, loadProcessSettings } from '@lovagearch/settings';
 import { err, ok, type Result } from 'neverthrow';
 import { buildNode } from './buildNode.js';
@@ -11,7 +11,7 @@
   --settings FILE  settings file in JSON with comments (docs/operators.md)
   --help           print this help
 
-Prints one JSON line with its ports once it listens. SIGTERM starts a drain.
+Prints one JSON line with its ports once it listens. SIGTERM starts a drain; further ones don't change it.
 `;
 
 interface UsageError {
@@ -55,23 +55,22 @@
     return EXIT_BAD_INPUT;
   }
   const log = createLogger(settings.value.logLevel);
-  const exitBeforeStart = () => {
+  const signals = TerminationSignals.create(() => {
     // The node has no callers yet; its parts would keep the process alive.
     // eslint-disable-next-line n/no-process-exit
     process.exit(0);
-  };
-  process.once('SIGTERM', exitBeforeStart);
-  process.once('SIGINT', exitBeforeStart);
+  });
   const node = await buildNode(settings.value, log);
-  process.off('SIGTERM', exitBeforeStart);
-  process.off('SIGINT', exitBeforeStart);
   const { id, ports } = node;
-  process.stdout.write(`${JSON.stringify({ event: 'listening', id, ports })}\n`);
-  await new Promise<void>((resolve) => {
-    process.once('SIGTERM', resolve);
-    process.once('SIGINT', resolve);
+  const requested = new Promise<void>((resolve) => {
+    signals.setHandler((isRepeated) => {
+      const action = isRepeated ? 'already draining' : 'draining';
+      log.withTag('entry').info(`Received a termination signal; ${action}.`);
+      resolve();
+    });
   });
-  log.withTag('entry').info('Received a termination signal; draining.');
+  process.stdout.write(`${JSON.stringify({ event: 'listening', id, ports })}\n`);
+  await requested;
   await node.stop();
   return 0;
 };
--- a/packages/standins/src/standinServer.ts
+++ b/packages/standins/src/standinServer.ts
@@ -1,3 +1,4 @@
+import { TerminationSignals } from '@lovagearch/common';
 import { fastify, type FastifyInstance } from 'fastify';
 import type { AddressInfo } from 'node:net';
 import { z } from 'zod';
@@ -60,8 +61,8 @@
     process.off('disconnect', stopWithParent);
     process.disconnect?.();
   };
-  process.once('SIGTERM', () => {
-    stop().catch(stopWithParent);
+  TerminationSignals.create((isRepeated) => {
+    if (!isRepeated) stop().catch(stopWithParent);
   });
   process.once('disconnect', stopWithParent);
   process.stdout.write(
--- a/packages/steward/src/main.ts
+++ b/packages/steward/src/main.ts
@@ -1,5 +1,11 @@
 import { parseArgs } from 'node:util';
-import { createId, createLogger, getErrorMessage, processClock } from '@lovagearch/common';
+import {
+  createId,
+  createLogger,
+  getErrorMessage,
+  processClock,
+  TerminationSignals,
+} from '@lovagearch/common';
 import { HttpEngineClient } from '@lovagearch/engine-client';
 import { HttpObjectClient, HttpTableClient, HttpVmListClient } from '@lovagearch/platform-client';
 import { formatSettingsError, loadProcessSettings } from '@lovagearch/settings';
@@ -52,14 +58,13 @@
     random: Math.random,
     log,
   });
-  const handleSignal = () => {
-    const closeClients = () => Promise.all([table, objects, vmList, engines].map((c) => c.close()));
-    steward
-      .stop()
-      .then(closeClients)
-      .catch((error: unknown) => log.error(`Shutdown failed: ${getErrorMessage(error)}.`));
+  const stop = async () => {
+    await steward.stop();
+    await Promise.all([table, objects, vmList, engines].map((client) => client.close()));
   };
-  process.once('SIGTERM', handleSignal);
-  process.once('SIGINT', handleSignal);
+  TerminationSignals.create((isRepeated) => {
+    if (isRepeated) return;
+    stop().catch((error: unknown) => log.error(`Shutdown failed: ${getErrorMessage(error)}.`));
+  });
   process.stdout.write(`${JSON.stringify({ event: 'listening', id, ports: {} })}\n`);
 };
