Read the era of the store and log copies that are discarded

After a restore of the store the log repeats `history_lost` without saying what the store has, and a whole read that the copy of a table ignores leaves no line. `Store-Era` is read from all responses; `history_lost` names era and version, `copy_discarded` both versions. No decision depends on them yet.

--- a/packages/mirror/src/index.ts
+++ b/packages/mirror/src/index.ts
@@ -4,5 +4,6 @@
  */
 export * from './mirrorFollower.js';
 export * from './storeClock.js';
+export * from './storeEra.js';
 export * from './tableMirror.js';
 export type * from './types.js';
--- a/packages/mirror/src/mirrorFollower.ts
+++ b/packages/mirror/src/mirrorFollower.ts
@@ -19,7 +19,22 @@
       /** Age that the copy had reached when the store responded. */
       readonly copyAgeMs: number;
     }
-  | { readonly type: 'history_lost'; readonly table: string; readonly afterVersion: number }
+  | {
+      readonly type: 'history_lost';
+      readonly table: string;
+      readonly afterVersion: number;
+      /** Era and newest version of the store, if its response names them. */
+      readonly era: number | undefined;
+      readonly version: number | undefined;
+    }
+  /** A response of the store was not applied, as its version is below that of the copy. */
+  | {
+      readonly type: 'copy_discarded';
+      readonly table: string;
+      readonly era: number | undefined;
+      readonly version: number;
+      readonly copyVersion: number;
+    }
   | {
       readonly type: 'peer_used';
       readonly table: string;
@@ -196,6 +211,8 @@
         type: 'history_lost',
         table: mirror.table,
         afterVersion: mirror.version,
+        era: failure.era,
+        version: failure.version,
       });
       return this.followOnce();
     }
@@ -210,7 +227,15 @@
     this.lostCopyAgeMs = Math.max(this.lostCopyAgeMs, mirror.getAgeMs(nowMs));
     // Listeners have to know that the store has recovered before they see which rows were removed.
     this.recordStoreReachable();
-    mirror.applyBatch(result.batch, nowMs);
+    const { batch } = result;
+    if (mirror.applyBatch(batch, nowMs)) return;
+    this.dependencies.onEvent({
+      type: 'copy_discarded',
+      table: mirror.table,
+      era: batch.era,
+      version: batch.version,
+      copyVersion: mirror.version,
+    });
   }
 
   private recordStoreReachable(): void {
--- a/packages/mirror/src/types.ts
+++ b/packages/mirror/src/types.ts
@@ -28,10 +28,18 @@
   readonly ageMs: number;
   /** Reading of the store's clock as of which the rows are complete; undefined if the source has none. */
   readonly asOfStoreMs?: number | undefined;
+  /** Era of the store that the versions belong to; undefined if the source names none. */
+  readonly era?: number | undefined;
 }
 
 export type ReadFailure =
-  { readonly type: 'history_lost' } | { readonly type: 'unavailable'; readonly reason: string };
+  | {
+      readonly type: 'history_lost';
+      /** Era and newest version of the store, if its response names them. */
+      readonly era?: number | undefined;
+      readonly version?: number | undefined;
+    }
+  | { readonly type: 'unavailable'; readonly reason: string };
 
 export type ReadResult =
   | { readonly type: 'rows'; readonly batch: RowBatch }
