Compare versions of the store within one era only

Cause: row versions were taken to rise for ever. After a restore they go back and are given out again, so a copy of a table ignored all reads until the versions had passed its own; where they already had, a read of changes went on in the new era and skipped what was written below. Change: batches and rows carry the era of the store, and are compared by era, then by version. A node that starts after a restore asks peers for what they know beyond the store; peers pass on era, removals and lost rows.

--- a/packages/gateway/src/packedRow.test.ts
+++ b/packages/gateway/src/packedRow.test.ts
@@ -55,7 +55,7 @@
 t.test('peers exchange packed rows', async (t2) => {
   const { server, peer } = await startPeer();
   const response = await createTableRelaySource(createReceiveLimits())(peer, [
-    { table: 'op', version: 0 },
+    { table: 'op', version: 0, era: 0 },
   ]);
   const batch = typeof response === 'string' ? undefined : response.get('op');
   t2.equal(batch?.rows[0]?.value, LARGE_VALUE);
@@ -100,7 +100,7 @@
     const address = server.server.address();
     const port = typeof address === 'object' && address !== null ? address.port : 0;
     const response = await createTableRelaySource(createReceiveLimits())(`127.0.0.1:${port}`, [
-      { table: 'op', version: 0 },
+      { table: 'op', version: 0, era: 0 },
     ]);
     t2.type(response, 'string');
     await server.close();
--- a/packages/gateway/src/packedRow.ts
+++ b/packages/gateway/src/packedRow.ts
@@ -17,6 +17,7 @@
 export const packedRowSchema = z.object({
   key: z.string(),
   version: z.number(),
+  era: z.number().optional(),
   value: z.string().optional(),
   packed: z
     .object({ encoding: z.enum(['base64', 'utf8']), bytes: z.instanceof(Uint8Array) })
@@ -27,13 +28,16 @@
 /** Rows of copies are immutable, and many peers ask for the same ones. */
 const packedRows = new WeakMap<MirroredRow, Promise<PackedRow>>();
 
-const compressRow = async ({ key, version }: MirroredRow, value: string): Promise<PackedRow> => {
+const compressRow = async (
+  { key, version, era }: MirroredRow,
+  value: string,
+): Promise<PackedRow> => {
   // Base64 hides repetitions from the compression.
   const decoded = Buffer.from(value, 'base64');
   const encoding = decoded.toString('base64') === value ? 'base64' : 'utf8';
   const raw = encoding === 'base64' ? decoded : Buffer.from(value, 'utf8');
   const bytes = await compress(raw, { level: COMPRESSION_LEVEL });
-  return { key, version, packed: { encoding, bytes } };
+  return { key, version, era, packed: { encoding, bytes } };
 };
 
 /**
@@ -44,9 +48,9 @@
  * const received = await unpackRow(packedRowSchema.parse(sent));
  */
 export const packRow = async (row: MirroredRow): Promise<PackedRow> => {
-  const { key, version, value } = row;
+  const { key, version, era, value } = row;
   if (value === undefined || value.length < MIN_COMPRESSED_VALUE_LENGTH)
-    return { key, version, value };
+    return { key, version, era, value };
   const known = packedRows.get(row);
   if (known !== undefined) return known;
   const packed = compressRow(row, value);
@@ -62,10 +66,11 @@
 export const unpackRow = async ({
   key,
   version,
+  era,
   value,
   packed,
 }: PackedRow): Promise<MirroredRow> => {
-  if (packed === undefined) return { key, version, value };
+  if (packed === undefined) return { key, version, era, value };
   const raw = await decompress(packed.bytes, { maxOutputLength: MAX_PEER_RESPONSE_BYTES });
-  return { key, version, value: raw.toString(packed.encoding) };
+  return { key, version, era, value: raw.toString(packed.encoding) };
 };
--- a/packages/gateway/src/peerExchange.test.ts
+++ b/packages/gateway/src/peerExchange.test.ts
@@ -37,7 +37,7 @@
   const address = server.server.address();
   const port = typeof address === 'object' && address !== null ? address.port : 0;
   const source = createTableRelaySource(createReceiveLimits());
-  const response = await source(`127.0.0.1:${port}`, [{ table: 'endpoints', version: 3 }]);
+  const response = await source(`127.0.0.1:${port}`, [{ table: 'endpoints', version: 3, era: 0 }]);
   const batch = typeof response === 'string' ? undefined : response.get('endpoints');
   t2.equal(batch?.isPartial, true);
   t2.strictSame(batch?.gaps, [{ afterVersion: 3, untilVersion: 7 }]);
--- a/packages/gateway/src/peerExchange.ts
+++ b/packages/gateway/src/peerExchange.ts
@@ -27,6 +27,9 @@
   gaps: z.array(z.object({ afterVersion: z.number(), untilVersion: z.number() })).optional(),
   ageMs: z.number(),
   asOfStoreMs: z.number().optional(),
+  /** A node of an earlier release names neither. */
+  era: z.number().optional(),
+  lostKeys: z.array(z.string()).optional(),
 });
 const batchesSchema = z.array(z.tuple([z.string(), batchSchema]));
 
@@ -133,10 +136,11 @@
   };
 };
 
-/** Version up to which a node knows a table; `TABLE/VERSION` in a query string. */
+/** Version and era up to which a node knows a table; `TABLE/VERSION/ERA` in a query string. */
 export interface TableCursor {
   readonly table: string;
   readonly version: number;
+  readonly era: number;
 }
 
 /** `packing` names the form of large values that the caller reads; a node of an earlier release sends none. */
@@ -167,13 +171,16 @@
     const acceptsPackedRows = incoming.query.packing === ROW_PACKING;
     const batches: [string, unknown][] = [];
     for (const cursor of (incoming.query.known ?? '').split(',')) {
-      const [table = '', version] = cursor.split('/');
+      const [table = '', version, era] = cursor.split('/');
       const afterVersion = Number(version);
       const mirror = mirrors.find((known) => known.table === table);
       if (mirror === undefined || !Number.isSafeInteger(afterVersion)) continue;
+      // A node of an earlier release names no era.
+      const afterEra = era === undefined ? mirror.era : Number(era);
+      if (!Number.isSafeInteger(afterEra) || afterEra > mirror.era) continue;
       if (!isServable(table)) continue;
       if (mirror.getAgeMs(nowMs) > MAX_PEER_COPY_AGE_MS) continue;
-      const batch = mirror.createBatch(afterVersion, nowMs);
+      const batch = mirror.createBatch(afterVersion, nowMs, afterEra);
       const rows = acceptsPackedRows ? await Promise.all(batch.rows.map(packRow)) : batch.rows;
       batches.push([table, { ...batch, rows }]);
     }
@@ -185,7 +192,7 @@
 export const createTableRelaySource = (limits: ReceiveLimits): TableRelaySource => {
   const agent = createPeerAgent();
   return async (peer, cursors) => {
-    const known = cursors.map(({ table, version }) => `${table}/${version}`).join(',');
+    const known = cursors.map(({ table, version, era }) => `${table}/${version}/${era}`).join(',');
     try {
       const url = `http://${peer}/peer/tables?known=${known}&packing=${ROW_PACKING}`;
       const { status, body } = await requestBytes(agent, url, limits);
@@ -202,6 +209,12 @@
   };
 };
 
+const isNewerBatch = (batch: RowBatch, other: RowBatch): boolean => {
+  const era = batch.era ?? 0;
+  const otherEra = other.era ?? 0;
+  return era === otherEra ? batch.version > other.version : era > otherEra;
+};
+
 /**
  * Creates the source that asks several random peers for a table and uses the newest response.
  *
@@ -212,15 +225,17 @@
   listPeers: () => readonly string[],
   random: () => number,
 ): PeerSource => ({
-  readChanges: async (table, version): Promise<ReadResult> => {
+  readChanges: async (table, version, era): Promise<ReadResult> => {
     const peers = [...listPeers()].sort(() => random() - 0.5).slice(0, PEERS_PER_READ);
-    const responses = await Promise.all(peers.map((peer) => relay(peer, [{ table, version }])));
+    const responses = await Promise.all(
+      peers.map((peer) => relay(peer, [{ table, version, era }])),
+    );
     let newest: RowBatch | undefined;
     const reasons: string[] = [];
     for (const response of responses) {
       const batch = typeof response === 'string' ? response : response.get(table);
       if (typeof batch === 'string') reasons.push(batch);
-      else if (batch !== undefined && (newest === undefined || batch.version > newest.version)) {
+      else if (batch !== undefined && (newest === undefined || isNewerBatch(batch, newest))) {
         newest = batch;
       }
     }
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -3,7 +3,7 @@
 import { MemoryBudget } from '@lovagearch/bounded-http';
 import { AddressUnavailableError, getErrorMessage, processClock } from '@lovagearch/common';
 import { ConnectionPool, EventIdHistory } from '@lovagearch/exchange';
-import { type MirrorEvent, TableMirror, StoreClock } from '@lovagearch/mirror';
+import { type MirrorEvent, StoreClock, StoreEra, TableMirror } from '@lovagearch/mirror';
 import { TransferSlowdownTracker } from '@lovagearch/reuse';
 import { createSuspensionClock, OrderLease, RolloutCoordinator } from '@lovagearch/rollout';
 import { ClusterState, LEASE_KEY, PEER_PREFIX, readAttemptId } from './clusterState.js';
@@ -16,6 +16,7 @@
   HELD_BODY_SHARE,
   MAX_HELD_CALLS,
   ENDPOINT_TABLE_FALLBACK_AGE_MS,
+  EXPIRY_GRACE_MS,
   HOUSEKEEPING_INTERVAL_MS,
   LOGGED_EVENT_LOOP_DELAY_MS,
   SHARED_TABLE_FALLBACK_AGE_MS,
@@ -99,16 +100,21 @@
   );
   const storeClock = StoreClock.create(clock);
   const clusterState = ClusterState.create(dependencies.rows, clock, storeClock, settings, log);
-  const createMirror = (table: string) =>
+  const storeEra = dependencies.storeEra ?? StoreEra.create(clock);
+  const createMirror = (table: string, lostRowGraceMs = settings.bounds.contactLimitMs) =>
     TableMirror.create(table, {
       storeClock,
+      storeEra,
+      lostRowGraceMs,
+      onEraChange: (change) => log.logStateChange('copy_restored', { table, ...change }),
+      onLostRowsRemoved: (rows) => log.logStateChange('lost_rows_removed', { table, rows }),
       onRowFault: ({ key, version }, error) => {
         const reason = getErrorMessage(error);
         log.logStateChange('row_rejected', { kind: table, key, rowVersion: version, reason });
       },
     });
   const operatorMirror = createMirror(dependencies.rows.operatorTable);
-  const endpointMirror = createMirror(dependencies.rows.endpointTable);
+  const endpointMirror = createMirror(dependencies.rows.endpointTable, EXPIRY_GRACE_MS);
   const sharedMirror = createMirror(SHARED_TABLE);
   operatorMirror.addListener((row, committedAfterMs) =>
     clusterState.applyOperatorRow(row, committedAfterMs),
@@ -336,6 +342,10 @@
     random,
     onChange: ({ type, ...fields }) => log.logStateChange(`order_lease_${type}`, fields),
   });
+  storeEra.addListener((era, previousEra) => {
+    if (previousEra === 0) return;
+    log.logStateChange('store_restored', { era, previousEra });
+  });
   sharedMirror.addListener((row) => {
     if (row.key !== LEASE_KEY || row.value === undefined) return;
     const value = dependencies.rows.decodeSharedValue(row.value);
@@ -457,6 +467,12 @@
     metrics.setGauge('connections_opened', context.pool.openedConnections);
     metrics.setGauge('configuration_version', clusterState.trafficRules?.version ?? 0);
     metrics.setGauge('operator_table_age_ms', operatorMirror.getAgeMs(clock.nowMs()));
+    metrics.setGauge('store_era', storeEra.current);
+    const mirrors = [operatorMirror, endpointMirror, sharedMirror];
+    metrics.setGauge(
+      'unconfirmed_rows',
+      mirrors.reduce((count, { unconfirmedCount }) => count + unconfirmedCount, 0),
+    );
     if (isAnnounced || clock.nowMs() < nextAnnouncementAtMs) return;
     nextAnnouncementAtMs = clock.nowMs() + ANNOUNCE_RETRY_DELAY_MS;
     announceNode()
--- a/packages/gateway/src/tableRelay.ts
+++ b/packages/gateway/src/tableRelay.ts
@@ -144,7 +144,7 @@
         ? 'its address is unknown'
         : await relay(
             address,
-            mirrors.map(({ table, version }) => ({ table, version })),
+            mirrors.map(({ table, version, era }) => ({ table, version, era })),
           );
     if (typeof response === 'string') {
       this.health.recordFailure(this.source, clock.nowMs());
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -8,7 +8,7 @@
   PromptPart,
   RateLimitStatement,
 } from '@lovagearch/endpoints';
-import type { TableSource } from '@lovagearch/mirror';
+import type { StoreEra, TableSource } from '@lovagearch/mirror';
 import type { StoredPart, StorePartEvent } from '@lovagearch/reuse';
 import type { LeaseStore, OrderClient, WeightTarget } from '@lovagearch/rollout';
 import type { TrafficConfiguration } from '@lovagearch/traffic';
@@ -216,6 +216,8 @@
   readonly tables: TableSource;
   readonly shared: SharedTable;
   readonly lease: LeaseStore;
+  /** Told the era of the store by the client of its tables; by default the store is never restored. */
+  readonly storeEra?: StoreEra;
   readonly orders: OrderClient;
   readonly cacheStores: CacheStoreClient;
   /** What the process may spend on what endpoints, cache stores and peers send. */
--- a/packages/mirror/src/mirrorFollower.ts
+++ b/packages/mirror/src/mirrorFollower.ts
@@ -44,6 +44,10 @@
       readonly ageMs: number;
     };
 
+/** Era of a store that was never restored, and one that no store has, in which all rows of a peer are asked for. */
+const FIRST_ERA = 1;
+const NO_ERA = -1;
+
 /** When a table is read from peers instead of the store. */
 export type PeerFallback =
   /** After a failed call, if the copy has reached an age. */
@@ -105,6 +109,9 @@
 
   private hasLostHistory = false;
 
+  /** Whether the first read came after a restore of the store, and no peer was asked yet what the store has lost. */
+  private needsPeerCopy = false;
+
   /** Whether a call to the store has failed since the last that succeeded or since peers were queried. */
   private hasFailedCall = false;
 
@@ -153,7 +160,8 @@
     const { options, wait = waitForTimer } = this.dependencies;
     while (!this.isStopped) {
       await wait(options.retryDelayMs);
-      if (this.isPeerReadDue()) await this.readFromPeers();
+      if (this.needsPeerCopy) await this.mergePeerCopy();
+      else if (this.isPeerReadDue()) await this.readFromPeers();
     }
   }
 
@@ -192,34 +200,41 @@
       if (mirror.version > 0) this.recordStoreReachable();
       return true;
     }
+    const { era, version } = mirror;
     const result = this.needsFullRead
       ? await source.readAll(mirror.table, options.answerTimeoutMs)
       : await source.readChanges(
           mirror.table,
-          mirror.version,
+          version,
           options.getLongPollMs(),
           options.answerTimeoutMs,
         );
     if (result.type === 'rows') {
-      this.applyStoreRows(result);
-      return true;
+      const { batch } = result;
+      if (!batch.isPartial || (batch.era ?? era) === era) {
+        // A peer may have brought the copy into a later era meanwhile, to which `version` doesn't belong.
+        if (!batch.isPartial || mirror.era === era) this.applyStoreRows(result);
+        return true;
+      }
+      // The store was restored, so that the version belongs to a history that it doesn't have.
+      return this.readWhole(version, batch);
     }
     const { failure } = result;
-    if (failure.type === 'history_lost') {
-      this.hasLostHistory = true;
-      this.dependencies.onEvent({
-        type: 'history_lost',
-        table: mirror.table,
-        afterVersion: mirror.version,
-        era: failure.era,
-        version: failure.version,
-      });
-      return this.followOnce();
-    }
+    if (failure.type === 'history_lost') return this.readWhole(version, failure);
     this.recordFailedCall(failure.reason);
     return false;
   }
 
+  private async readWhole(
+    afterVersion: number,
+    { era, version }: { readonly era?: number | undefined; readonly version?: number | undefined },
+  ): Promise<boolean> {
+    const { mirror, onEvent } = this.dependencies;
+    this.hasLostHistory = true;
+    onEvent({ type: 'history_lost', table: mirror.table, afterVersion, era, version });
+    return this.followOnce();
+  }
+
   private applyStoreRows(result: Extract<ReadResult, { type: 'rows' }>): void {
     const { mirror, clock } = this.dependencies;
     const nowMs = clock.nowMs();
@@ -228,7 +243,11 @@
     // Listeners have to know that the store has recovered before they see which rows were removed.
     this.recordStoreReachable();
     const { batch } = result;
-    if (mirror.applyBatch(batch, nowMs)) return;
+    const isFirst = mirror.version === 0;
+    if (mirror.applyBatch(batch, nowMs)) {
+      if (isFirst && mirror.era > FIRST_ERA) this.needsPeerCopy = true;
+      return;
+    }
     this.dependencies.onEvent({
       type: 'copy_discarded',
       table: mirror.table,
@@ -265,15 +284,28 @@
     onEvent({ type: 'store_lost', table: mirror.table, reason, copyAgeMs });
   }
 
+  /** Asks peers for what they know from before a restore of the store; without an answer, again after a pause. */
+  private async mergePeerCopy(): Promise<void> {
+    const { mirror, peers, clock, onEvent } = this.dependencies;
+    const result = await peers.readChanges(mirror.table, 0, NO_ERA);
+    if (result.type === 'failure') return;
+    this.needsPeerCopy = false;
+    const { batch } = result;
+    if ((batch.era ?? 0) > mirror.era) mirror.applyBatch(batch, clock.nowMs());
+    else mirror.mergeCopy(batch, clock.nowMs());
+    const { version, isPartial, ageMs } = batch;
+    onEvent({ type: 'peer_used', table: mirror.table, version, isPartial, ageMs });
+  }
+
   private async readFromPeers(): Promise<void> {
     const { mirror, peers, clock, onEvent } = this.dependencies;
     this.hasFailedCall = false;
-    const result = await peers.readChanges(mirror.table, mirror.version);
+    const result = await peers.readChanges(mirror.table, mirror.version, mirror.era);
     if (result.type === 'failure') return;
-    const previousVersion = mirror.version;
+    const { era: previousEra, version: previousVersion } = mirror;
     const { batch } = result;
     const isApplied = mirror.applyBatch(batch, clock.nowMs());
-    if (!isApplied || mirror.version === previousVersion) return;
+    if (!isApplied || (mirror.version === previousVersion && mirror.era === previousEra)) return;
     onEvent({
       type: 'peer_used',
       table: mirror.table,
--- a/packages/mirror/src/tableMirror.ts
+++ b/packages/mirror/src/tableMirror.ts
@@ -1,4 +1,7 @@
+import { BoundedMap, computeSha256Hex } from '@lovagearch/common';
+import { estimateRestorePoint } from './restorePoint.js';
 import type { StoreClock } from './storeClock.js';
+import type { StoreEra } from './storeEra.js';
 import type { MirroredRow, RowBatch, VersionGap } from './types.js';
 
 /**
@@ -10,9 +13,26 @@
 /** Maximum number of gaps; beyond it, the versions up to the oldest count as incomplete. */
 const MAX_GAPS = 8;
 
+/** Maximum number of row changes that are remembered to recognize them after a restore of the store. */
+const MAX_SEEN_CHANGES = 2_048;
+
 const isInGap = (version: number, { afterVersion, untilVersion }: VersionGap): boolean =>
   version > afterVersion && version < untilVersion;
 
+const getEra = ({ era }: MirroredRow): number => era ?? 0;
+
+const isNewer = (row: MirroredRow, known: MirroredRow): boolean =>
+  getEra(row) === getEra(known) ? row.version > known.version : getEra(row) > getEra(known);
+
+/** Rows of one transaction share a version. */
+const getChangeKey = ({ key, version }: MirroredRow): string => `${version}/${key}`;
+
+const computeValueDigest = ({ value }: MirroredRow): string =>
+  value === undefined ? '' : computeSha256Hex(value);
+
+const isSameChange = (row: MirroredRow, known: MirroredRow): boolean =>
+  row.version === known.version && row.value === known.value;
+
 /**
  * Called for each change of a row.
  *
@@ -21,16 +41,41 @@
  */
 export type RowListener = (row: MirroredRow, committedAfterMs: number | undefined) => void;
 
+/** A copy that went over to a later era of the store. */
+export interface EraChange {
+  readonly era: number;
+  readonly previousEra: number;
+  readonly version: number;
+  readonly previousVersion: number;
+  /** Version of the store's copy, as estimated. */
+  readonly restorePoint: number;
+  /** Number of rows that the store has lost and that stay in force for now. */
+  readonly lostRows: number;
+  /** Number of rows for which the store has an older state than the copy. */
+  readonly outdatedRows: number;
+}
+
 export interface TableMirrorOptions {
   /** Called with a row that a listener could not handle. */
   readonly onRowFault?: (row: MirroredRow, error: unknown) => void;
   /** Kept in sync with the readings that batches carry. */
   readonly storeClock?: StoreClock;
+  /** Told the eras that batches name. */
+  readonly storeEra?: StoreEra;
+  /** Time after a restore for which rows that the store has lost stay in force, in milliseconds; 0 by default. */
+  readonly lostRowGraceMs?: number;
+  readonly onEraChange?: (change: EraChange) => void;
+  /** Called with the number of lost rows that were not written again in time. */
+  readonly onLostRowsRemoved?: (count: number) => void;
 }
 
 /**
- * A local copy of one table. Row versions only increase: a batch that is older than the copy, for example
- * from a peer that lags, is ignored.
+ * A local copy of one table. Versions only increase within an era of the store: a batch that is older than the copy, for
+ * example from a peer that lags, is ignored.
+ *
+ * In a later era the store has lost some changes. What the copy knows stays in force until the store has a newer state: rows
+ * of the store's copy don't replace later ones, and rows that it lacks are kept for a while, in which their writers write
+ * them again.
  *
  * @example
  * const mirror = TableMirror.create('op');
@@ -48,12 +93,31 @@
    * One for each read of the whole table, which skips the changes since the version before: a row that was added and
    * removed meanwhile has no tombstone. Changes from a peer bring the gaps of the peer.
    */
-  private readonly gaps: VersionGap[] = [];
+  private gaps: VersionGap[] = [];
 
   private readonly listeners: RowListener[] = [];
 
   private knownVersion = 0;
 
+  private currentEra = 0;
+
+  /** For each era that is known, the version up to which its rows were written in earlier ones. */
+  private readonly restorePoints = new Map<number, number>();
+
+  /** Version of the first read; earlier removals are unknown. */
+  private firstVersion = 0;
+
+  /** Digests of the values that rows were seen with, by row and version. */
+  private seenChanges = BoundedMap.create<string, string>(MAX_SEEN_CHANGES);
+
+  /** Rows that the store lacks since its restore. */
+  private readonly lostKeys = new Set<string>();
+
+  /** Rows for which the store has an older state since its restore. */
+  private readonly outdatedKeys = new Set<string>();
+
+  private lostRowsEndMs = Number.POSITIVE_INFINITY;
+
   /** Clock reading at which the copy was last known to be complete. */
   private completeAsOfMs = Number.NEGATIVE_INFINITY;
 
@@ -73,6 +137,11 @@
     return this.knownVersion;
   }
 
+  /** Era of the store that the version belongs to; 0 if the store names none. */
+  get era(): number {
+    return this.currentEra;
+  }
+
   addListener(listener: RowListener): void {
     this.listeners.push(listener);
   }
@@ -85,6 +154,16 @@
     return this.rows.values();
   }
 
+  /** Whether a restore of the store has lost the state of a row that the copy has, and nobody has written it again. */
+  isUnconfirmed(key: string): boolean {
+    return this.lostKeys.has(key) || this.outdatedKeys.has(key);
+  }
+
+  /** Number of rows that a restore of the store has lost or set back, and that nobody has written again. */
+  get unconfirmedCount(): number {
+    return this.lostKeys.size + this.outdatedKeys.size;
+  }
+
   /** Returns the time since the copy was last known to be complete; infinite before the first batch. */
   getAgeMs(nowMs: number): number {
     return nowMs - this.completeAsOfMs;
@@ -92,50 +171,187 @@
 
   /** Applies a batch; returns false if it is older than the copy, or lacks removals since its version, and was ignored. */
   applyBatch(batch: RowBatch, nowMs: number): boolean {
+    const era = batch.era ?? this.currentEra;
+    this.options.storeEra?.recordEra(era);
+    if (era < this.currentEra) return false;
     const { asOfStoreMs } = batch;
     if (asOfStoreMs !== undefined)
       this.options.storeClock?.recordReading(asOfStoreMs + batch.ageMs);
-    if (batch.version < this.knownVersion) return false;
-    if (batch.isPartial) {
-      const gaps = batch.gaps ?? [];
-      // The copy may have advanced into a gap since it asked for the changes.
-      if (gaps.some((gap) => isInGap(this.knownVersion, gap))) return false;
-      for (const gap of gaps) this.recordGap(gap);
-    } else {
-      this.removeMissingRows(batch);
-      this.recordGap({ afterVersion: this.knownVersion, untilVersion: batch.version });
-    }
-    for (const row of batch.rows) this.applyRow(row);
+    if (era > this.currentEra) {
+      if (batch.isPartial) return false;
+      this.startEra(batch, era, nowMs);
+    } else if (!this.applyInEra(batch)) return false;
     this.knownVersion = batch.version;
     this.completeAsOfMs = Math.max(this.completeAsOfMs, nowMs - batch.ageMs);
     if (asOfStoreMs !== undefined)
       this.asOfStoreMs = Math.max(this.asOfStoreMs ?? asOfStoreMs, asOfStoreMs);
+    this.removeLostRows();
     return true;
   }
 
-  /** Returns the changes after a version, or all rows if some removal since then is unknown. */
-  createBatch(afterVersion: number, nowMs: number): RowBatch {
-    const isPartial = this.hasAllRemovalsSince(afterVersion);
-    const rows: MirroredRow[] = [];
-    for (const row of this.rows.values()) {
-      if (!isPartial || row.version > afterVersion) rows.push(row);
+  /**
+   * Takes what a peer knows beyond this copy, whose first read came after a restore of the store. The copy's version stays as
+   * it is.
+   */
+  mergeCopy({ rows, era }: RowBatch, nowMs: number): void {
+    this.options.storeEra?.recordEra(era ?? 0);
+    for (const row of rows) {
+      if (row.era === undefined) continue;
+      const known = this.findChange(row.key);
+      if (known !== undefined && !isNewer(row, known)) continue;
+      const isLost = known === undefined && getEra(row) < this.currentEra;
+      if (isLost && row.value !== undefined) this.addLostKey(row.key, nowMs);
+      else if (known !== undefined && getEra(row) < this.currentEra && !isSameChange(row, known))
+        this.outdatedKeys.add(row.key);
+      this.applyRow(row, undefined);
     }
-    if (isPartial) {
-      for (const row of this.tombstones.values()) if (row.version > afterVersion) rows.push(row);
+  }
+
+  /**
+   * Returns the changes after a version, or all rows if some removal since then is unknown.
+   *
+   * @param era era of the version; all rows and removals are returned if it isn't that of the copy
+   */
+  createBatch(afterVersion: number, nowMs: number, era = this.currentEra): RowBatch {
+    const isSameEra = era === this.currentEra;
+    const isPartial = isSameEra && this.hasAllRemovalsSince(afterVersion);
+    const isIncluded = (row: MirroredRow) =>
+      !isPartial || (row.version > afterVersion && getEra(row) === this.currentEra);
+    const rows: MirroredRow[] = [];
+    for (const row of this.rows.values()) if (isIncluded(row)) rows.push(row);
+    if (isPartial || !isSameEra) {
+      for (const row of this.tombstones.values()) if (isIncluded(row)) rows.push(row);
     }
     return {
       rows,
       version: this.knownVersion,
       isPartial,
+      era: this.currentEra,
       ...(isPartial ? { gaps: this.listGapsSince(afterVersion) } : {}),
+      ...(isPartial || this.lostKeys.size === 0 ? {} : { lostKeys: [...this.lostKeys] }),
       ageMs: Math.max(0, this.getAgeMs(nowMs)),
       ...(this.asOfStoreMs === undefined ? {} : { asOfStoreMs: this.asOfStoreMs }),
     };
   }
 
-  private applyRow(row: MirroredRow): void {
-    const known = this.rows.get(row.key) ?? this.tombstones.get(row.key);
-    if (known !== undefined && known.version >= row.version) return;
+  private applyInEra(batch: RowBatch): boolean {
+    if (batch.version < this.knownVersion) return false;
+    if (batch.isPartial) {
+      const gaps = batch.gaps ?? [];
+      // The copy may have advanced into a gap since it asked for the changes.
+      if (gaps.some((gap) => isInGap(this.knownVersion, gap))) return false;
+      for (const gap of gaps) this.recordGap(gap);
+    } else {
+      if (this.knownVersion === 0) this.firstVersion = batch.version;
+      this.removeMissingRows(batch);
+      this.recordGap({ afterVersion: this.knownVersion, untilVersion: batch.version });
+    }
+    for (const row of batch.rows) {
+      const isCommittedSince = row.version > this.knownVersion;
+      this.applyRow(this.addEra(row), isCommittedSince ? this.asOfStoreMs : undefined);
+    }
+    return true;
+  }
+
+  /** Goes over to a later era with all rows that the store, or a peer that has gone over to it, has. */
+  private startEra(batch: RowBatch, era: number, nowMs: number): void {
+    const previousEra = this.currentEra;
+    const previousVersion = this.knownVersion;
+    const isFirst = previousVersion === 0;
+    const restorePoint = isFirst ? batch.version : this.estimateRestorePoint(batch);
+    for (let skipped = previousEra + 1; skipped <= era; skipped++)
+      this.restorePoints.set(skipped, restorePoint);
+    this.currentEra = era;
+    const committedAfterMs = isFirst ? undefined : this.asOfStoreMs;
+    this.lostKeys.clear();
+    this.outdatedKeys.clear();
+    const missingKeys = new Set(this.rows.keys());
+    for (const row of batch.rows) {
+      missingKeys.delete(row.key);
+      const isWrittenSince = getEra(this.addEra(row)) === era;
+      this.applyRow(this.addEra(row), isWrittenSince ? committedAfterMs : undefined);
+      const known = this.findChange(row.key);
+      if (known?.value !== undefined && known.value !== row.value) this.outdatedKeys.add(row.key);
+    }
+    for (const key of [...missingKeys, ...(batch.lostKeys ?? [])]) this.addLostKey(key, nowMs);
+    this.gaps = [];
+    this.prunedVersion = batch.version;
+    this.firstVersion = batch.version;
+    this.seenChanges = BoundedMap.create<string, string>(MAX_SEEN_CHANGES);
+    for (const row of batch.rows) this.recordSeen(row);
+    this.asOfStoreMs = batch.asOfStoreMs;
+    this.lostRowsEndMs = nowMs + (this.options.lostRowGraceMs ?? 0);
+    if (isFirst) return;
+    this.options.onEraChange?.({
+      era,
+      previousEra,
+      version: batch.version,
+      previousVersion,
+      restorePoint,
+      lostRows: this.lostKeys.size,
+      outdatedRows: this.outdatedKeys.size,
+    });
+  }
+
+  private estimateRestorePoint({ rows, version }: RowBatch): number {
+    return estimateRestorePoint(rows, version, {
+      copyVersion: this.knownVersion,
+      prunedVersion: Math.max(this.prunedVersion, this.firstVersion),
+      // Versions of rows that the store had lost before belong to an earlier era.
+      findRow: (key) =>
+        this.isUnconfirmed(key)
+          ? { key, version: Number.POSITIVE_INFINITY, value: undefined }
+          : this.findChange(key),
+      compareSeen: (row) => {
+        const seen = this.seenChanges.peek(getChangeKey(row));
+        if (seen === undefined) return 'unseen';
+        return seen === computeValueDigest(row) ? 'same' : 'different';
+      },
+    });
+  }
+
+  /** Adds the era in which a row of the store was written, as far as its version tells. */
+  private addEra(row: MirroredRow): MirroredRow {
+    if (row.era !== undefined || this.currentEra === 0) return row;
+    let era = this.currentEra;
+    while (row.version <= (this.restorePoints.get(era) ?? Number.NEGATIVE_INFINITY)) era -= 1;
+    return { ...row, era };
+  }
+
+  private recordSeen(row: MirroredRow): void {
+    this.seenChanges.set(getChangeKey(row), computeValueDigest(row));
+  }
+
+  private findChange(key: string): MirroredRow | undefined {
+    return this.rows.get(key) ?? this.tombstones.get(key);
+  }
+
+  private addLostKey(key: string, nowMs: number): void {
+    this.lostKeys.add(key);
+    this.lostRowsEndMs = Math.min(this.lostRowsEndMs, nowMs + (this.options.lostRowGraceMs ?? 0));
+  }
+
+  /** Removes lost rows once the store has been followed for longer than they are kept. */
+  private removeLostRows(): void {
+    if (this.lostKeys.size === 0 || this.completeAsOfMs < this.lostRowsEndMs) return;
+    const keys = [...this.lostKeys];
+    for (const key of keys)
+      this.applyRow(
+        { key, version: this.knownVersion, value: undefined, era: this.currentEra },
+        undefined,
+      );
+    this.lostKeys.clear();
+    this.options.onLostRowsRemoved?.(keys.length);
+  }
+
+  private applyRow(row: MirroredRow, committedAfterMs: number | undefined): void {
+    const known = this.findChange(row.key);
+    if (known !== undefined && !isNewer(row, known)) return;
+    this.recordSeen(row);
+    if (getEra(row) === this.currentEra) {
+      this.lostKeys.delete(row.key);
+      this.outdatedKeys.delete(row.key);
+    }
     if (row.value === undefined) {
       this.rows.delete(row.key);
       this.recordTombstone(row);
@@ -143,9 +359,8 @@
     } else {
       this.tombstones.delete(row.key);
       this.rows.set(row.key, row);
+      if (known !== undefined && isSameChange(row, known)) return;
     }
-    const isCommittedSince = row.version > this.knownVersion;
-    const committedAfterMs = isCommittedSince ? this.asOfStoreMs : undefined;
     for (const listener of this.listeners) this.callListener(listener, row, committedAfterMs);
   }
 
@@ -164,9 +379,15 @@
 
   private removeMissingRows(batch: RowBatch): void {
     const presentKeys = new Set(batch.rows.map(({ key }) => key));
-    for (const { key, version } of [...this.rows.values()]) {
-      if (presentKeys.has(key) || version > batch.version) continue;
-      this.applyRow({ key, version: batch.version, value: undefined });
+    const era = this.currentEra;
+    for (const row of [...this.rows.values()]) {
+      const { key } = row;
+      if (presentKeys.has(key) || this.lostKeys.has(key)) continue;
+      if (getEra(row) === era && row.version > batch.version) continue;
+      this.applyRow(
+        { key, version: batch.version, value: undefined, ...(era === 0 ? {} : { era }) },
+        batch.version > this.knownVersion ? this.asOfStoreMs : undefined,
+      );
     }
   }
 
@@ -194,6 +415,7 @@
     const oldest = this.tombstones.values().next();
     if (oldest.done) return;
     this.tombstones.delete(oldest.value.key);
-    this.prunedVersion = Math.max(this.prunedVersion, oldest.value.version);
+    if (getEra(oldest.value) === this.currentEra)
+      this.prunedVersion = Math.max(this.prunedVersion, oldest.value.version);
   }
 }
--- a/packages/mirror/src/types.ts
+++ b/packages/mirror/src/types.ts
@@ -4,6 +4,11 @@
   /** Version of the store at the row's last change. */
   readonly version: number;
   readonly value: string | undefined;
+  /**
+   * Era of the store in which the row was written; 0 if that isn't known. Rows are compared by era, then by version. The
+   * store doesn't name it; a copy of the table does.
+   */
+  readonly era?: number | undefined;
 }
 
 /**
@@ -30,6 +35,8 @@
   readonly asOfStoreMs?: number | undefined;
   /** Era of the store that the versions belong to; undefined if the source names none. */
   readonly era?: number | undefined;
+  /** Keys of rows that a restore of the store has lost, and that were not written again; from peers only. */
+  readonly lostKeys?: readonly string[] | undefined;
 }
 
 export type ReadFailure =
@@ -60,6 +67,6 @@
 
 /** Peers, from which a mirror reads a table while the store is unavailable. */
 export interface PeerSource {
-  /** Reads the rows that changed after a version, or all rows for version 0, from any peer that responds. */
-  readonly readChanges: (table: string, afterVersion: number) => Promise<ReadResult>;
+  /** Reads the rows that changed after a version of an era, or all rows for version 0, from any peer that responds. */
+  readonly readChanges: (table: string, afterVersion: number, era: number) => Promise<ReadResult>;
 }
