Give the order lease up when the store is restored

What is at stake: after a restore two nodes give orders within the time that endpoints need between holders, or the next holder starts at fencing number 1, which endpoints that check numbers refuse for good (ONE). Cause: the row of the lease, its versions and its fencing numbers were taken to last. A restore loses the row or brings an older one back, by whose age the lease looks free; a write of before it can meet the same version of another row. Change: at a new era the lease is not held, pending writes are forgotten, and rows whose number is not of the era count as held for as long as one that was confirmed just before. Numbers of an era are above those of all earlier ones, at nodes too that never saw these.

--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -337,6 +337,7 @@
     store: dependencies.lease,
     clock,
     storeClock,
+    storeEra,
     suspensionClock,
     minHandoverMs: bounds.leaseHandoverDelayMs,
     random,
@@ -345,9 +346,12 @@
   storeEra.addListener((era, previousEra) => {
     if (previousEra === 0) return;
     log.logStateChange('store_restored', { era, previousEra });
+    lease.startEra();
   });
   sharedMirror.addListener((row) => {
     if (row.key !== LEASE_KEY || row.value === undefined) return;
+    // Versions of the copy are those of its own era.
+    if (sharedMirror.era !== storeEra.current) return;
     const value = dependencies.rows.decodeSharedValue(row.value);
     lease.updateRow({ value, version: row.version, attemptId: readAttemptId(value) });
   });
--- a/packages/leases/src/lease.ts
+++ b/packages/leases/src/lease.ts
@@ -34,6 +34,10 @@
  * current version. Both are not earlier, so the holder's lease ends before a takeover. The former also holds
  * for a challenger that has just started. A row that can't be parsed counts as held for this process's lease duration.
  *
+ * If the table is restored from a copy, later rows of the lease are lost, and their versions are given out again. The
+ * lease is then not held, a row of an earlier era says nothing, and nobody takes the lease before one that was held at the
+ * restore has ended. Tokens of an era are above those of all earlier ones.
+ *
  * @example
  * const lease = Lease.create('south-1/boot-7', times, () => createId('lease'));
  * const step = lease.getNextStep(clock.nowMs());
@@ -50,7 +54,7 @@
   private highestFencingToken = 0;
 
   /** Send time of each write that may still have succeeded, by attempt id. */
-  private readonly pendingWrites = BoundedMap.create<string, number>(MAX_PENDING_WRITES);
+  private pendingWrites = BoundedMap.create<string, number>(MAX_PENDING_WRITES);
 
   private constructor(
     readonly holder: string,
@@ -69,6 +73,15 @@
     return new Lease(holder, times, createAttemptId, context);
   }
 
+  /** Gives the lease up and forgets the row, as the table was restored from a copy. */
+  startEra(): void {
+    this.observed = undefined;
+    this.held = undefined;
+    this.isReadNeeded = true;
+    this.nextActionAtMs = Number.NEGATIVE_INFINITY;
+    this.pendingWrites = BoundedMap.create<string, number>(MAX_PENDING_WRITES);
+  }
+
   /** Returns the fencing token, or undefined if the lease is not held or has expired. */
   getFencingToken(nowMs: number): number | undefined {
     return this.getRemainingMs(nowMs) > 0 ? this.held?.fencing : undefined;
@@ -92,10 +105,13 @@
     const { observed } = this;
     if (observed === undefined || this.isReadNeeded) return { type: 'read' };
     const fencing = observed.value?.fencing ?? 0;
-    const isOwn = observed.value?.holder === this.holder;
+    const isOwn = this.isOwn(observed.value);
     if (!isOwn && nowMs < this.getAvailableAtMs(observed, nowMs)) return { type: 'read' };
     const isTokenCurrent = isOwn && fencing >= this.highestFencingToken;
-    const nextFencing = isTokenCurrent ? fencing : Math.max(fencing, this.highestFencingToken) + 1;
+    const floor = this.context.getEra?.()?.fencingFloor ?? 0;
+    const nextFencing = isTokenCurrent
+      ? fencing
+      : Math.max(fencing, this.highestFencingToken, floor) + 1;
     return this.createWrite(observed, nextFencing, nowMs);
   }
 
@@ -117,7 +133,7 @@
     const unchangedSinceMs = isUnchanged ? (this.observed?.unchangedSinceMs ?? nowMs) : nowMs;
     this.observed = { value, version, unchangedSinceMs };
     if (value !== null) this.updateHighestFencingToken(value.fencing);
-    if (value?.holder !== this.holder) {
+    if (value === null || !this.isOwn(value)) {
       this.held = undefined;
       const waitMs = Math.max(0, this.getAvailableAtMs(this.observed, nowMs) - nowMs);
       this.nextActionAtMs = nowMs + Math.min(this.times.watchIntervalMs, waitMs);
@@ -166,12 +182,24 @@
   /** Returns the time until another process may take the lease over, in milliseconds; 0 if it may now. */
   getTakeoverDelayMs(nowMs: number): number {
     const { observed } = this;
-    if (observed === undefined || observed.value?.holder === this.holder) return 0;
+    if (observed === undefined || this.isOwn(observed.value)) return 0;
     return Math.max(0, this.getAvailableAtMs(observed, nowMs) - nowMs);
   }
 
+  private isOwn(value: LeaseValue | null): boolean {
+    return value?.holder === this.holder && this.isOfEra(value);
+  }
+
+  private isOfEra(value: LeaseValue | null): boolean {
+    const era = this.context.getEra?.();
+    return era === undefined || (value !== null && value.fencing > era.fencingFloor);
+  }
+
   private getAvailableAtMs({ value, version, unchangedSinceMs }: ObservedRow, nowMs: number) {
     const { durationMs, takeoverDelayMs } = this.times;
+    const era = this.context.getEra?.();
+    if (era !== undefined && !this.isOfEra(value))
+      return era.sinceMs + durationMs + takeoverDelayMs;
     if (version === 0) return unchangedSinceMs;
     const isPredecessor = value !== null && this.context.isPredecessor(value.holder);
     const waitMs = (value?.durationMs ?? durationMs) + (isPredecessor ? 0 : takeoverDelayMs);
@@ -186,7 +214,7 @@
   private createWrite(observed: ObservedRow, fencing: number, nowMs: number): LeaseStep {
     const attemptId = this.createAttemptId();
     this.pendingWrites.set(attemptId, nowMs);
-    const isRenewal = observed.value?.holder === this.holder;
+    const isRenewal = this.isOwn(observed.value);
     const renewals = isRenewal ? (observed.value?.renewals ?? 0) + 1 : 0;
     const { durationMs } = this.times;
     const sentAtStoreMs = this.context.getStoreMs();
--- a/packages/leases/src/types.ts
+++ b/packages/leases/src/types.ts
@@ -50,6 +50,14 @@
   | { readonly type: 'wait'; readonly untilMs: number }
   | { readonly type: 'write'; readonly write: LeaseWrite };
 
+/** The present era of a table that was restored from a copy, and so may have lost rows of the lease. */
+export interface LeaseEra {
+  /** Fencing tokens of earlier eras are not above it. */
+  readonly fencingFloor: number;
+  /** Reading of the process's monotonic clock at which the process learned of the era. */
+  readonly sinceMs: number;
+}
+
 /** What a process knows about its table and its VM, beyond the row; without it, the row alone decides. */
 export interface LeaseContext {
   /** Reads the store's clock, which is common to all holders; undefined if it is not known. */
@@ -59,6 +67,8 @@
    * time, so only the lease itself is waited for, in which calls of the former process may still arrive.
    */
   readonly isPredecessor: (holder: string) => boolean;
+  /** Returns undefined if the table was never restored. */
+  readonly getEra?: () => LeaseEra | undefined;
 }
 
 export interface LeaseTimes {
--- a/packages/rollout/src/constants.ts
+++ b/packages/rollout/src/constants.ts
@@ -8,6 +8,8 @@
  * slow store and the lead of the announcement, and ends before the lease.
  */
 export const CONFIRMATION_MAX_AGE_MS = 1_400;
+/** Fencing tokens of each era of the store; far more than orders can be given in one. */
+export const FENCING_TOKENS_PER_ERA = 1_000_000;
 /** Safety margin added to the receivers' minimum handover time, in milliseconds. */
 export const TAKEOVER_MARGIN_MS = 300;
 /** Maximum random delay before trying to acquire the lease, in milliseconds. */
--- a/packages/rollout/src/orderLease.ts
+++ b/packages/rollout/src/orderLease.ts
@@ -3,6 +3,7 @@
 import {
   LEASE_ACQUIRE_JITTER_MS,
   CONFIRMATION_MAX_AGE_MS,
+  FENCING_TOKENS_PER_ERA,
   MIN_LEASE_READ_INTERVAL_MS,
   ORDER_LEASE_MS,
   TAKEOVER_MARGIN_MS,
@@ -52,12 +53,22 @@
   readonly recordReading: (storeMs: number) => void;
 }
 
+/** Era of the store, which rises when it is restored from a copy. */
+export interface SharedEra {
+  /** 0 if the store names none. */
+  readonly current: number;
+  /** Reading of the process's clock at which the process learned of the era. */
+  readonly sinceMs: number;
+}
+
 export interface OrderLeaseOptions {
   /** Identity of the VM and of this start of its process. */
   readonly holder: { readonly vm: string; readonly start: string };
   readonly store: LeaseStore;
   readonly clock: Clock;
   readonly storeClock: SharedClock;
+  /** By default the store is never restored. */
+  readonly storeEra?: SharedEra;
   /** Includes time during which the VM was suspended. */
   readonly suspensionClock: Clock;
   /** Minimum time between orders of different holders that receivers accept, in milliseconds. */
@@ -118,6 +129,11 @@
     this.lease = Lease.create(this.holder, times, () => createId('lease'), {
       getStoreMs: () => options.storeClock.nowMs(),
       isPredecessor: (holder) => holder !== this.holder && holder.startsWith(`${vm}/`),
+      getEra: () => {
+        const { current = 0, sinceMs = 0 } = options.storeEra ?? {};
+        if (current <= 1) return undefined;
+        return { fencingFloor: (current - 1) * FENCING_TOKENS_PER_ERA, sinceMs };
+      },
     });
   }
 
@@ -135,6 +151,16 @@
     return this.heldFencing !== undefined;
   }
 
+  /** Gives the lease up, as the store was restored from a copy. */
+  startEra(): void {
+    this.lease.startEra();
+    this.lastSeenVersion = -1;
+    this.awaitedHolder = undefined;
+    if (this.heldFencing === undefined) return;
+    this.heldFencing = undefined;
+    this.options.onChange({ type: 'lost', holder: '' });
+  }
+
   /** Applies the row as seen by the mirror, which may lag behind this process's own writes. */
   updateRow(row: LeaseRow | null): void {
     const version = row?.version ?? 0;
