Write the rows of nodes again that a restore of the store has lost

What is at stake: after a restore a node that starts knows neither the addresses of nodes that announced themselves since the copy, nor strikes, crashes of prompt parts and times of named weights, so that quarantined requests reach endpoints again and old weights count as new. Cause: each node writes its rows once, or when they change, as the store was taken to keep what it confirms. Change: once the copy of the shared table has gone over to a new era, each node writes those of its rows again that the store lacks or has in an older state, once for each restore, and none that the store still has.

--- a/packages/gateway/src/promptPartContainment.ts
+++ b/packages/gateway/src/promptPartContainment.ts
@@ -160,6 +160,12 @@
     return current.size;
   }
 
+  /** Lets the next publication write what this node has published, as the store has lost it. */
+  publishAgain(): void {
+    if (this.published.size > 0 || this.publishedCompletions.size > 0)
+      this.hasUnpublishedCrashes = true;
+  }
+
   /**
    * Writes this node's row if it has new crashes, or a completed request that clears a part which
    * another node reported. A failed write is repeated by the next call.
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -41,6 +41,7 @@
 import { getEndpointStartKey } from './attempt.js';
 import { recordIdleConnectionLost, recordOutlivedAnswers } from './attemptFeedback.js';
 import { HeldCalls } from './heldCalls.js';
+import { LostRows } from './lostRows.js';
 import { OverloadState } from './overloadState.js';
 import { PromptPartContainment } from './promptPartContainment.js';
 import { RecentAnswers } from './recentAnswers.js';
@@ -432,6 +433,17 @@
     return isWritten;
   };
   let isAnnounced = false;
+  const lostRows = LostRows.create({
+    nodeName,
+    sharedMirror,
+    strikePublisher,
+    promptPartContainment,
+    weightTargetTimes,
+    listModels: () => clusterState.listWeightTargets().map(({ model }) => model),
+    announceAgain: () => {
+      isAnnounced = false;
+    },
+  });
   let nextAnnouncementAtMs = clock.nowMs();
   const recordEventLoopDelay = () => {
     const { delayMs, processorMs } = eventLoopMonitor.recordTick(clock.nowMs(), readProcessorMs());
@@ -490,6 +502,7 @@
   const publishRows = async () => {
     // Before the first read, this node's rows of an earlier start would be overwritten.
     if (sharedMirror.version === 0) return;
+    lostRows.publishAgain();
     // In large deployments, those that read the store for the others write the times.
     if (tableRelay.isStoreReader) await weightTargetTimes.publish();
     await strikePublisher.publish();
--- a/packages/gateway/src/strikePublisher.ts
+++ b/packages/gateway/src/strikePublisher.ts
@@ -178,6 +178,12 @@
     if (reporter === nodeName && !this.isKnown(strike)) this.recentStrikes.push(strike);
   }
 
+  /** Lets the next publication write what this node has published, as the store has lost it. */
+  publishAgain(): void {
+    if (this.recentStrikes.length > 0 || this.recentAnswers.size > 0)
+      this.hasUnpublishedStrikes = true;
+  }
+
   /** Writes the recent strikes if there are new ones; a failed write is retried by the next call. */
   async publish(): Promise<void> {
     this.addNewStrikes();
--- a/packages/gateway/src/weightTargetTimes.ts
+++ b/packages/gateway/src/weightTargetTimes.ts
@@ -62,6 +62,11 @@
     this.publishedVersions.set(model, newest);
   }
 
+  /** Writes the times of a model again, as the store has lost them. */
+  publishAgain(model: string): void {
+    this.publishedVersions.delete(model);
+  }
+
   /** Writes the times that this node has observed and that are not in the table yet. */
   async publish(): Promise<void> {
     if (this.isWriting) return;
