Carry the store's clock on when a peer names a new era first

What is at stake: if the restore sets the store's clock back, times of named weights, strikes and crashes lie in the future, and old weights are used for longer. Cause: the shift of readings was computed only if the response that carried a reading was also the first one to name the era; a peer or a write without a reading may name it before. Evidence: found by reading; restoredStore.test.ts fails on the clock with the peer's word first.

--- a/packages/mirror/src/restoredStore.test.ts
+++ b/packages/mirror/src/restoredStore.test.ts
@@ -159,6 +159,8 @@
   const storeEra = StoreEra.create({ nowMs: () => nowMs });
   t2.equal(storeEra.recordResponse(1, 50_000), 50_000);
   nowMs = 2_000;
+  // A peer may name the era before the store does.
+  storeEra.recordEra(2);
   t2.equal(storeEra.recordResponse(2, 43_000), 52_000);
   nowMs = 3_000;
   t2.equal(storeEra.recordResponse(2, 44_000), 53_000);
--- a/packages/mirror/src/storeEra.ts
+++ b/packages/mirror/src/storeEra.ts
@@ -23,7 +23,8 @@
   /** Added to readings of the present era, so that they go on from those of the era before. */
   private shiftMs = 0;
 
-  private lastReading: { readonly storeMs: number; readonly atMs: number } | undefined;
+  private lastReading:
+    { readonly storeMs: number; readonly atMs: number; readonly era: number } | undefined;
 
   private readonly listeners: EraListener[] = [];
 
@@ -66,19 +67,19 @@
    * @returns the reading on a clock that isn't set back by a restore; undefined without one of the present era
    */
   recordResponse(era: number | undefined, storeMs: number | undefined): number | undefined {
-    const previousEra = this.currentEra;
     if (era !== undefined) this.recordEra(era);
-    if (storeMs === undefined || (era !== undefined && era < this.currentEra)) return undefined;
+    const { currentEra } = this;
+    if (storeMs === undefined || (era !== undefined && era < currentEra)) return undefined;
     const nowMs = this.clock.nowMs();
-    if (this.currentEra !== previousEra) this.adjustShift(storeMs, nowMs);
+    this.adjustShift(storeMs, nowMs);
     const shiftedMs = storeMs + this.shiftMs;
-    this.lastReading = { storeMs: shiftedMs, atMs: nowMs };
+    this.lastReading = { storeMs: shiftedMs, atMs: nowMs, era: currentEra };
     return shiftedMs;
   }
 
   private adjustShift(storeMs: number, nowMs: number): void {
-    const { lastReading } = this;
-    if (lastReading === undefined) return;
+    const { currentEra, lastReading } = this;
+    if (lastReading === undefined || lastReading.era === currentEra) return;
     const expectedMs = lastReading.storeMs + nowMs - lastReading.atMs;
     const lagMs = expectedMs - (storeMs + this.shiftMs);
     if (lagMs > CLOCK_TOLERANCE_MS) this.shiftMs += lagMs;
