Ask peers about restored rows from before the first read of a copy

What is at stake: a node that started a few seconds before a restore took rows of the store's copy for new ones, as it had not seen them: an evacuation or an endpoint that had ended came back, and peers that start would take the older state from it. Cause: the restore point counted every row that the copy had not seen as written since the restore, also those from before its first read. Change: a row from before the first read is taken for an older one until a peer tells otherwise. Without a peer the store decides after the time for which lost rows are kept.

--- a/packages/mirror/src/mirrorFollower.ts
+++ b/packages/mirror/src/mirrorFollower.ts
@@ -160,7 +160,7 @@
     const { options, wait = waitForTimer } = this.dependencies;
     while (!this.isStopped) {
       await wait(options.retryDelayMs);
-      if (this.needsPeerCopy) await this.mergePeerCopy();
+      if (this.needsPeerCopy || this.dependencies.mirror.isUncertain) await this.mergePeerCopy();
       else if (this.isPeerReadDue()) await this.readFromPeers();
     }
   }
--- a/packages/mirror/src/restoredStore.test.ts
+++ b/packages/mirror/src/restoredStore.test.ts
@@ -142,6 +142,29 @@
   t2.notOk(mirror.applyBatch(late.createBatch(0, 100), 100), 'an earlier era is ignored');
 });
 
+// Guards against a node that has just started and takes restored rows from before its first read for new ones.
+t.test('a restored row from before the first read waits for the word of a peer', async (t2) => {
+  const restored = [createRow('a', 5, 'a5'), createRow('b', 7, 'b7')];
+  const createStarted = () => {
+    const { mirror } = createMirror();
+    const rows = [createRow('a', 10, 'a10'), createRow('b', 9, 'b9')];
+    mirror.applyBatch(createBatch(1, 10, rows), 0);
+    mirror.applyBatch(createBatch(2, 7, restored), 100);
+    return mirror;
+  };
+  const mirror = createStarted();
+  t2.strictSame(readValues(mirror), { a: 'a10', b: 'b9' });
+  t2.ok(mirror.isUncertain);
+  const { mirror: peer } = createKnown();
+  peer.applyBatch(createBatch(2, 7, restored), 100);
+  mirror.mergeCopy(peer.createBatch(0, 100, -1), 100);
+  t2.strictSame(readValues(mirror), { a: 'a10', b: 'b7' });
+  t2.notOk(mirror.isUncertain);
+  const alone = createStarted();
+  alone.applyBatch(createBatch(2, 7, [], { isPartial: true }), 100 + GRACE_MS);
+  t2.strictSame(readValues(alone), { a: 'a5', b: 'b7' }, 'without a peer the store decides');
+});
+
 // Guards against copies that a second restore sets back.
 t.test('what is in force outlasts two restores', async (t2) => {
   const { mirror, changes } = createKnown();
--- a/packages/mirror/src/tableMirror.ts
+++ b/packages/mirror/src/tableMirror.ts
@@ -1,5 +1,5 @@
 import { BoundedMap, computeSha256Hex } from '@lovagearch/common';
-import { estimateRestorePoint } from './restorePoint.js';
+import { estimateRestorePoint, type RestorePoint } from './restorePoint.js';
 import type { StoreClock } from './storeClock.js';
 import type { StoreEra } from './storeEra.js';
 import type { MirroredRow, RowBatch, VersionGap } from './types.js';
@@ -116,6 +116,9 @@
   /** Rows for which the store has an older state since its restore. */
   private readonly outdatedKeys = new Set<string>();
 
+  /** Rows of the store that were taken for older ones although they may have been written since its restore. */
+  private uncertainRows: readonly MirroredRow[] = [];
+
   private lostRowsEndMs = Number.POSITIVE_INFINITY;
 
   /** Clock reading at which the copy was last known to be complete. */
@@ -164,6 +167,11 @@
     return this.lostKeys.size + this.outdatedKeys.size;
   }
 
+  /** Whether a peer may know more about what the store has lost than this copy. */
+  get isUncertain(): boolean {
+    return this.uncertainRows.length > 0;
+  }
+
   /** Returns the time since the copy was last known to be complete; infinite before the first batch. */
   getAgeMs(nowMs: number): number {
     return nowMs - this.completeAsOfMs;
@@ -195,6 +203,7 @@
    */
   mergeCopy({ rows, era }: RowBatch, nowMs: number): void {
     this.options.storeEra?.recordEra(era ?? 0);
+    this.uncertainRows = [];
     for (const row of rows) {
       if (row.era === undefined) continue;
       const known = this.findChange(row.key);
@@ -258,9 +267,12 @@
     const previousEra = this.currentEra;
     const previousVersion = this.knownVersion;
     const isFirst = previousVersion === 0;
-    const restorePoint = isFirst ? batch.version : this.estimateRestorePoint(batch);
+    const { version: restorePoint, uncertainRows } = isFirst
+      ? { version: batch.version, uncertainRows: [] }
+      : this.estimateRestorePoint(batch);
     for (let skipped = previousEra + 1; skipped <= era; skipped++)
       this.restorePoints.set(skipped, restorePoint);
+    this.uncertainRows = uncertainRows;
     this.currentEra = era;
     const committedAfterMs = isFirst ? undefined : this.asOfStoreMs;
     this.lostKeys.clear();
@@ -293,10 +305,10 @@
     });
   }
 
-  private estimateRestorePoint({ rows, version }: RowBatch): number {
+  private estimateRestorePoint({ rows, version }: RowBatch): RestorePoint {
     return estimateRestorePoint(rows, version, {
       copyVersion: this.knownVersion,
-      prunedVersion: Math.max(this.prunedVersion, this.firstVersion),
+      firstVersion: Math.max(this.prunedVersion, this.firstVersion),
       // Versions of rows that the store had lost before belong to an earlier era.
       findRow: (key) =>
         this.isUnconfirmed(key)
@@ -331,9 +343,15 @@
     this.lostRowsEndMs = Math.min(this.lostRowsEndMs, nowMs + (this.options.lostRowGraceMs ?? 0));
   }
 
-  /** Removes lost rows once the store has been followed for longer than they are kept. */
+  /** Lets the store decide once it has been followed for longer than lost rows are kept. */
   private removeLostRows(): void {
-    if (this.lostKeys.size === 0 || this.completeAsOfMs < this.lostRowsEndMs) return;
+    if (this.completeAsOfMs < this.lostRowsEndMs) return;
+    for (const row of this.uncertainRows) {
+      if (this.outdatedKeys.has(row.key))
+        this.applyRow({ ...row, era: this.currentEra }, undefined);
+    }
+    this.uncertainRows = [];
+    if (this.lostKeys.size === 0) return;
     const keys = [...this.lostKeys];
     for (const key of keys)
       this.applyRow(
