Split the copy of a table into its history, unconfirmed rows and the rest

RowHistory tells what the copy has seen and in which era a row was written, UnconfirmedRows which rows a restore has lost. Two things change: changes from before the restore point stay known after a restore, for a second one, and a removal that a peer passes on no longer hides that a row is lost.

--- a/packages/gateway/src/lostRows.test.ts
+++ b/packages/gateway/src/lostRows.test.ts
@@ -18,7 +18,7 @@
     promptPartContainment: createWriter('crashes'),
     weightTargetTimes: createWriter('weights of '),
     listModels: () => ['m0'],
-    announceAgain: () => written.push('address'),
+    publishAddressAgain: () => written.push('address'),
   });
   const read = (era: number, rows: typeof ROWS) => {
     sharedMirror.applyBatch({ rows, version: 9, era, isPartial: false, ageMs: 0 }, 0);
--- a/packages/gateway/src/lostRows.ts
+++ b/packages/gateway/src/lostRows.ts
@@ -13,7 +13,7 @@
   /** Lists the models whose weights operators have named. */
   readonly listModels: () => readonly string[];
   /** Lets this node announce its address again. */
-  readonly announceAgain: () => void;
+  readonly publishAddressAgain: () => void;
 }
 
 /** The rows that this node writes to the shared table, which are written again after a restore of the store. */
@@ -34,7 +34,7 @@
     const isRestored = this.era !== undefined && this.era !== era;
     this.era = era;
     if (!isRestored) return;
-    if (this.isLost(`${PEER_PREFIX}${nodeName}`)) this.dependencies.announceAgain();
+    if (this.isLost(`${PEER_PREFIX}${nodeName}`)) this.dependencies.publishAddressAgain();
     if (this.isLost(`${STRIKES_PREFIX}${nodeName}`))
       this.dependencies.strikePublisher.publishAgain();
     if (this.isLost(`${CRASHES_PREFIX}${nodeName}`))
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -440,7 +440,7 @@
     promptPartContainment,
     weightTargetTimes,
     listModels: () => clusterState.listWeightTargets().map(({ model }) => model),
-    announceAgain: () => {
+    publishAddressAgain: () => {
       isAnnounced = false;
     },
   });
--- a/packages/mirror/src/mirrorFollower.ts
+++ b/packages/mirror/src/mirrorFollower.ts
@@ -292,7 +292,7 @@
     this.needsPeerCopy = false;
     const { batch } = result;
     if ((batch.era ?? 0) > mirror.era) mirror.applyBatch(batch, clock.nowMs());
-    else mirror.mergeCopy(batch, clock.nowMs());
+    else mirror.mergeCopy(batch);
     const { version, isPartial, ageMs } = batch;
     onEvent({ type: 'peer_used', table: mirror.table, version, isPartial, ageMs });
   }
--- a/packages/mirror/src/restoredFollower.test.ts
+++ b/packages/mirror/src/restoredFollower.test.ts
@@ -108,11 +108,11 @@
     all: createResult(2, 12, [createRow('a', 5), createRow('b', 7)]),
     changes: (after) => createResult(2, 12, after < 7 ? [createRow('b', 7)] : [], true),
   };
-  const bringEra = (nowMs: number) => {
+  const applyPeerBatch = (nowMs: number) => {
     if (nowMs > RUN_MS / 2 && mirror.era === 1) mirror.applyBatch(batch, nowMs);
   };
   const getState = (nowMs: number) => (nowMs < RUN_MS / 2 - CALL_MS ? FIRST : restored);
-  await follow(mirror, getState, undefined, bringEra);
+  await follow(mirror, getState, undefined, applyPeerBatch);
   t2.equal(mirror.era, 2);
   t2.equal(mirror.getRow('b')?.value, 'b7');
 });
--- a/packages/mirror/src/restoredStore.test.ts
+++ b/packages/mirror/src/restoredStore.test.ts
@@ -122,7 +122,7 @@
   const { mirror } = createMirror();
   mirror.applyBatch(createBatch(2, 13, restored), 100);
   t2.strictSame(readValues(mirror), { a: 'a5', c: 'c12', d: 'd13' });
-  mirror.mergeCopy(peer.createBatch(0, 100, -1), 100);
+  mirror.mergeCopy(peer.createBatch(0, 100, -1));
   t2.strictSame(readValues(mirror), { a: 'a10', b: 'b8', d: 'd13' });
   mirror.applyBatch(createBatch(2, 13, [], { isPartial: true }), 100 + GRACE_MS);
   t2.strictSame(readValues(mirror), { a: 'a10', d: 'd13' }, 'what was lost ends with its grace');
@@ -157,7 +157,7 @@
   t2.ok(mirror.isUncertain);
   const { mirror: peer } = createKnown();
   peer.applyBatch(createBatch(2, 7, restored), 100);
-  mirror.mergeCopy(peer.createBatch(0, 100, -1), 100);
+  mirror.mergeCopy(peer.createBatch(0, 100, -1));
   t2.strictSame(readValues(mirror), { a: 'a10', b: 'b7' });
   t2.notOk(mirror.isUncertain);
   const alone = createStarted();
--- a/packages/mirror/src/tableMirror.ts
+++ b/packages/mirror/src/tableMirror.ts
@@ -1,8 +1,9 @@
-import { BoundedMap, computeSha256Hex } from '@lovagearch/common';
 import { estimateRestorePoint, type RestorePoint } from './restorePoint.js';
+import { getEra, isNewer, RowHistory } from './rowHistory.js';
 import type { StoreClock } from './storeClock.js';
 import type { StoreEra } from './storeEra.js';
 import type { MirroredRow, RowBatch, VersionGap } from './types.js';
+import { UnconfirmedRows } from './unconfirmedRows.js';
 
 /**
  * Maximum number of tombstones kept for peers that ask for changes; a peer that needs older ones gets a full
@@ -13,23 +14,9 @@
 /** Maximum number of gaps; beyond it, the versions up to the oldest count as incomplete. */
 const MAX_GAPS = 8;
 
-/** Maximum number of row changes that are remembered to recognize them after a restore of the store. */
-const MAX_SEEN_CHANGES = 2_048;
-
 const isInGap = (version: number, { afterVersion, untilVersion }: VersionGap): boolean =>
   version > afterVersion && version < untilVersion;
 
-const getEra = ({ era }: MirroredRow): number => era ?? 0;
-
-const isNewer = (row: MirroredRow, known: MirroredRow): boolean =>
-  getEra(row) === getEra(known) ? row.version > known.version : getEra(row) > getEra(known);
-
-/** Rows of one transaction share a version. */
-const getChangeKey = ({ key, version }: MirroredRow): string => `${version}/${key}`;
-
-const computeValueDigest = ({ value }: MirroredRow): string =>
-  value === undefined ? '' : computeSha256Hex(value);
-
 const isSameChange = (row: MirroredRow, known: MirroredRow): boolean =>
   row.version === known.version && row.value === known.value;
 
@@ -101,25 +88,12 @@
 
   private currentEra = 0;
 
-  /** For each era that is known, the version up to which its rows were written in earlier ones. */
-  private readonly restorePoints = new Map<number, number>();
-
   /** Version of the first read; earlier removals are unknown. */
   private firstVersion = 0;
 
-  /** Digests of the values that rows were seen with, by row and version. */
-  private seenChanges = BoundedMap.create<string, string>(MAX_SEEN_CHANGES);
+  private readonly history = RowHistory.create();
 
-  /** Rows that the store lacks since its restore. */
-  private readonly lostKeys = new Set<string>();
-
-  /** Rows for which the store has an older state since its restore. */
-  private readonly outdatedKeys = new Set<string>();
-
-  /** Rows of the store that were taken for older ones although they may have been written since its restore. */
-  private uncertainRows: readonly MirroredRow[] = [];
-
-  private lostRowsEndMs = Number.POSITIVE_INFINITY;
+  private readonly unconfirmed: UnconfirmedRows;
 
   /** Clock reading at which the copy was last known to be complete. */
   private completeAsOfMs = Number.NEGATIVE_INFINITY;
@@ -130,7 +104,9 @@
   private constructor(
     readonly table: string,
     private readonly options: TableMirrorOptions,
-  ) {}
+  ) {
+    this.unconfirmed = UnconfirmedRows.create(options.lostRowGraceMs ?? 0);
+  }
 
   static create(table: string, options: TableMirrorOptions = {}): TableMirror {
     return new TableMirror(table, options);
@@ -159,17 +135,17 @@
 
   /** Whether a restore of the store has lost the state of a row that the copy has, and nobody has written it again. */
   isUnconfirmed(key: string): boolean {
-    return this.lostKeys.has(key) || this.outdatedKeys.has(key);
+    return this.unconfirmed.has(key);
   }
 
   /** Number of rows that a restore of the store has lost or set back, and that nobody has written again. */
   get unconfirmedCount(): number {
-    return this.lostKeys.size + this.outdatedKeys.size;
+    return this.unconfirmed.lostCount + this.unconfirmed.outdatedCount;
   }
 
   /** Whether a peer may know more about what the store has lost than this copy. */
   get isUncertain(): boolean {
-    return this.uncertainRows.length > 0;
+    return this.unconfirmed.isUncertain;
   }
 
   /** Returns the time since the copy was last known to be complete; infinite before the first batch. */
@@ -193,25 +169,21 @@
     this.completeAsOfMs = Math.max(this.completeAsOfMs, nowMs - batch.ageMs);
     if (asOfStoreMs !== undefined)
       this.asOfStoreMs = Math.max(this.asOfStoreMs ?? asOfStoreMs, asOfStoreMs);
-    this.removeLostRows();
+    this.finishUnconfirmedRows();
     return true;
   }
 
   /**
-   * Takes what a peer knows beyond this copy, whose first read came after a restore of the store. The copy's version stays as
-   * it is.
+   * Takes what a peer knows beyond this copy of what a restore of the store has lost. The copy's version stays as it is.
    */
-  mergeCopy({ rows, era }: RowBatch, nowMs: number): void {
+  mergeCopy({ rows, era }: RowBatch): void {
     this.options.storeEra?.recordEra(era ?? 0);
-    this.uncertainRows = [];
+    this.unconfirmed.recordPeerCopy();
     for (const row of rows) {
       if (row.era === undefined) continue;
       const known = this.findChange(row.key);
       if (known !== undefined && !isNewer(row, known)) continue;
-      const isLost = known === undefined && getEra(row) < this.currentEra;
-      if (isLost && row.value !== undefined) this.addLostKey(row.key, nowMs);
-      else if (known !== undefined && getEra(row) < this.currentEra && !isSameChange(row, known))
-        this.outdatedKeys.add(row.key);
+      if (getEra(row) < this.currentEra) this.recordUnconfirmed(row, known);
       this.applyRow(row, undefined);
     }
   }
@@ -237,7 +209,9 @@
       isPartial,
       era: this.currentEra,
       ...(isPartial ? { gaps: this.listGapsSince(afterVersion) } : {}),
-      ...(isPartial || this.lostKeys.size === 0 ? {} : { lostKeys: [...this.lostKeys] }),
+      ...(isPartial || this.unconfirmed.lostCount === 0
+        ? {}
+        : { lostKeys: this.unconfirmed.listLostKeys() }),
       ageMs: Math.max(0, this.getAgeMs(nowMs)),
       ...(this.asOfStoreMs === undefined ? {} : { asOfStoreMs: this.asOfStoreMs }),
     };
@@ -257,7 +231,10 @@
     }
     for (const row of batch.rows) {
       const isCommittedSince = row.version > this.knownVersion;
-      this.applyRow(this.addEra(row), isCommittedSince ? this.asOfStoreMs : undefined);
+      this.applyRow(
+        this.history.addEra(row, this.currentEra),
+        isCommittedSince ? this.asOfStoreMs : undefined,
+      );
     }
     return true;
   }
@@ -270,29 +247,27 @@
     const { version: restorePoint, uncertainRows } = isFirst
       ? { version: batch.version, uncertainRows: [] }
       : this.estimateRestorePoint(batch);
-    for (let skipped = previousEra + 1; skipped <= era; skipped++)
-      this.restorePoints.set(skipped, restorePoint);
-    this.uncertainRows = uncertainRows;
+    this.history.startEra(previousEra, era, restorePoint);
+    this.unconfirmed.startEra(uncertainRows, nowMs);
     this.currentEra = era;
     const committedAfterMs = isFirst ? undefined : this.asOfStoreMs;
-    this.lostKeys.clear();
-    this.outdatedKeys.clear();
     const missingKeys = new Set(this.rows.keys());
-    for (const row of batch.rows) {
-      missingKeys.delete(row.key);
-      const isWrittenSince = getEra(this.addEra(row)) === era;
-      this.applyRow(this.addEra(row), isWrittenSince ? committedAfterMs : undefined);
-      const known = this.findChange(row.key);
-      if (known?.value !== undefined && known.value !== row.value) this.outdatedKeys.add(row.key);
+    for (const storeRow of batch.rows) {
+      const row = this.history.addEra(storeRow, era);
+      const { key, value } = row;
+      if (value !== undefined) missingKeys.delete(key);
+      this.applyRow(row, getEra(row) === era ? committedAfterMs : undefined);
+      this.history.recordSeen(row);
+      const known = this.rows.get(key);
+      if (value !== undefined && known !== undefined && known.value !== value)
+        this.unconfirmed.addOutdated(key);
     }
-    for (const key of [...missingKeys, ...(batch.lostKeys ?? [])]) this.addLostKey(key, nowMs);
+    for (const key of [...missingKeys, ...(batch.lostKeys ?? [])])
+      if (this.rows.has(key)) this.unconfirmed.addLost(key);
     this.gaps = [];
     this.prunedVersion = batch.version;
     this.firstVersion = batch.version;
-    this.seenChanges = BoundedMap.create<string, string>(MAX_SEEN_CHANGES);
-    for (const row of batch.rows) this.recordSeen(row);
     this.asOfStoreMs = batch.asOfStoreMs;
-    this.lostRowsEndMs = nowMs + (this.options.lostRowGraceMs ?? 0);
     if (isFirst) return;
     this.options.onEraChange?.({
       era,
@@ -300,8 +275,8 @@
       version: batch.version,
       previousVersion,
       restorePoint,
-      lostRows: this.lostKeys.size,
-      outdatedRows: this.outdatedKeys.size,
+      lostRows: this.unconfirmed.lostCount,
+      outdatedRows: this.unconfirmed.outdatedCount,
     });
   }
 
@@ -314,62 +289,37 @@
         this.isUnconfirmed(key)
           ? { key, version: Number.POSITIVE_INFINITY, value: undefined }
           : this.findChange(key),
-      compareSeen: (row) => {
-        const seen = this.seenChanges.peek(getChangeKey(row));
-        if (seen === undefined) return 'unseen';
-        return seen === computeValueDigest(row) ? 'same' : 'different';
-      },
+      compareSeen: (row) => this.history.compareSeen(row),
     });
   }
 
-  /** Adds the era in which a row of the store was written, as far as its version tells. */
-  private addEra(row: MirroredRow): MirroredRow {
-    if (row.era !== undefined || this.currentEra === 0) return row;
-    let era = this.currentEra;
-    while (row.version <= (this.restorePoints.get(era) ?? Number.NEGATIVE_INFINITY)) era -= 1;
-    return { ...row, era };
-  }
-
-  private recordSeen(row: MirroredRow): void {
-    this.seenChanges.set(getChangeKey(row), computeValueDigest(row));
-  }
-
   private findChange(key: string): MirroredRow | undefined {
     return this.rows.get(key) ?? this.tombstones.get(key);
   }
 
-  private addLostKey(key: string, nowMs: number): void {
-    this.lostKeys.add(key);
-    this.lostRowsEndMs = Math.min(this.lostRowsEndMs, nowMs + (this.options.lostRowGraceMs ?? 0));
+  /** Records a row that a peer knows from before the restore, in place of what this copy has read from the store. */
+  private recordUnconfirmed(row: MirroredRow, known: MirroredRow | undefined): void {
+    if (known === undefined) {
+      if (row.value !== undefined) this.unconfirmed.addLost(row.key);
+    } else if (!isSameChange(row, known)) this.unconfirmed.addOutdated(row.key);
   }
 
-  /** Lets the store decide once it has been followed for longer than lost rows are kept. */
-  private removeLostRows(): void {
-    if (this.completeAsOfMs < this.lostRowsEndMs) return;
-    for (const row of this.uncertainRows) {
-      if (this.outdatedKeys.has(row.key))
-        this.applyRow({ ...row, era: this.currentEra }, undefined);
-    }
-    this.uncertainRows = [];
-    if (this.lostKeys.size === 0) return;
-    const keys = [...this.lostKeys];
-    for (const key of keys)
-      this.applyRow(
-        { key, version: this.knownVersion, value: undefined, era: this.currentEra },
-        undefined,
-      );
-    this.lostKeys.clear();
-    this.options.onLostRowsRemoved?.(keys.length);
+  /** Lets the store decide on rows that nobody has written again in time. */
+  private finishUnconfirmedRows(): void {
+    const ended = this.unconfirmed.tryEnd(this.completeAsOfMs);
+    if (ended === undefined) return;
+    const era = this.currentEra;
+    for (const row of ended.uncertainRows) this.applyRow({ ...row, era }, undefined);
+    for (const key of ended.lostKeys)
+      this.applyRow({ key, version: this.knownVersion, value: undefined, era }, undefined);
+    if (ended.lostKeys.length > 0) this.options.onLostRowsRemoved?.(ended.lostKeys.length);
   }
 
   private applyRow(row: MirroredRow, committedAfterMs: number | undefined): void {
     const known = this.findChange(row.key);
     if (known !== undefined && !isNewer(row, known)) return;
-    this.recordSeen(row);
-    if (getEra(row) === this.currentEra) {
-      this.lostKeys.delete(row.key);
-      this.outdatedKeys.delete(row.key);
-    }
+    this.history.recordSeen(row);
+    if (getEra(row) === this.currentEra) this.unconfirmed.recordWritten(row.key);
     if (row.value === undefined) {
       this.rows.delete(row.key);
       this.recordTombstone(row);
@@ -400,7 +350,7 @@
     const era = this.currentEra;
     for (const row of [...this.rows.values()]) {
       const { key } = row;
-      if (presentKeys.has(key) || this.lostKeys.has(key)) continue;
+      if (presentKeys.has(key) || this.unconfirmed.hasLost(key)) continue;
       if (getEra(row) === era && row.version > batch.version) continue;
       this.applyRow(
         { key, version: batch.version, value: undefined, ...(era === 0 ? {} : { era }) },
