Leave a silent endpoint only if the response can go on elsewhere

Callers lost streams whose endpoint was silent for 1.2 s, most of all around planned stops: a process that has just started has no retry budget, and one that stops has no reason to give up what it waits for.

Cause: once a response had begun, the stall timeout ended its attempt before anything was known of where the request could go on. With no other endpoint, no attempt or no retry budget left, the response ended there, although the endpoint may go on and the caller may wait. The wait for the first event asked for an alternative before; the rest of a response did not.

Evidence: `attempt_failed` with `stalled`, `fail` and `no other endpoint` 1.2 s after the last event, 0.3 s before the endpoint goes on; `retry budget used up` and `attempts used up` in the lines of the users' record, at the endpoints of the lost streams.

Change: a silent endpoint is left only if the rest can be requested from another endpoint that isn't suspended. Otherwise the response stays, other requests avoid the endpoint, and the alternatives are compared again every 200 ms. If the other endpoint rejects the rest, the request may return to the one that it left. `response_silent` and lovagearch_silent_responses_total show the decisions.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -19,6 +19,7 @@
   REJECTION_BODY_TIMEOUT_MS,
 } from './constants.js';
 import { type FirstEventDependencies, FirstEventWait } from './firstEventWait.js';
+import { type SilenceDependencies, SilentResponse } from './silentResponse.js';
 import type { ResponseHead, HeaderCodec } from './types.js';
 
 /** Outcome of one attempt at an endpoint. */
@@ -64,11 +65,11 @@
   /** Undefined for requests that are not streaming. */
   readonly framer: EventStreamFramer | undefined;
   readonly callerResponse: CallerResponse;
-  /** The attempt is stopped if the endpoint sends nothing for this long; undefined for no limit. */
+  /** Time without data after which the request may be sent to another endpoint; undefined if it may not. */
   readonly stallTimeoutMs: number | undefined;
 }
 
-export interface AttemptDependencies extends FirstEventDependencies {
+export interface AttemptDependencies extends FirstEventDependencies, SilenceDependencies {
   readonly pool: ConnectionPool;
   readonly headers: HeaderCodec;
   readonly clock: Clock;
@@ -138,6 +139,8 @@
 
   private readonly firstEventWait: FirstEventWait;
 
+  private readonly silentResponse: SilentResponse;
+
   private stallTimer: NodeJS.Timeout | undefined;
 
   private rejectionTimer: NodeJS.Timeout | undefined;
@@ -162,6 +165,7 @@
       sentAtMs: this.startMs,
     };
     this.firstEventWait = FirstEventWait.create(dependencies, input.endpoint, this.sentRequest);
+    this.silentResponse = SilentResponse.create(dependencies, input.endpoint);
   }
 
   static create(parts: AttemptDependencies, input: AttemptInput): Attempt {
@@ -246,11 +250,23 @@
     const lastActivityMs = Math.max(this.lastProgressMs, endpoint.lastBytesAtMs);
     // While the caller does not read, the endpoint is silent because it is not read either.
     const silentMs = this.isPaused ? 0 : nowMs - lastActivityMs;
-    if (!this.hasOutput && silentMs >= stallTimeoutMs)
-      this.checkFirstEventWait(nowMs, silentMs, stallTimeoutMs);
-    else if (silentMs >= stallTimeoutMs)
-      this.finish({ type: 'stalled' }, { type: 'transport_failed' });
-    else this.scheduleStallCheck(stallTimeoutMs - silentMs);
+    if (silentMs < stallTimeoutMs) this.scheduleStallCheck(stallTimeoutMs - silentMs);
+    else if (this.hasOutput) this.checkSilence(nowMs, silentMs);
+    else this.checkFirstEventWait(nowMs, silentMs, stallTimeoutMs);
+  }
+
+  private checkSilence(nowMs: number, silentMs: number): void {
+    const decision = this.silentResponse.check(nowMs, silentMs);
+    switch (decision.type) {
+      case 'stay':
+        this.scheduleStallCheck(decision.recheckMs);
+        return;
+      case 'leave':
+        this.finish({ type: 'stalled' }, { type: 'transport_failed' });
+        return;
+      default:
+        decision satisfies never;
+    }
   }
 
   private checkFirstEventWait(nowMs: number, silentMs: number, stallTimeoutMs: number): void {
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -24,6 +24,8 @@
  * endpoint, in milliseconds.
  */
 export const STREAM_STALL_TIMEOUT_MS = 1_200;
+/** Interval at which a response of a silent endpoint is compared with its alternatives, in milliseconds. */
+export const SILENCE_RECHECK_MS = 200;
 /** Bytes of an incomplete event from which its sender makes progress. */
 export const MIN_PROGRESS_BYTES = 1_024;
 /** Stall timeout of calls that are not streamed, as a multiple of the route's target latency. */
--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -10,7 +10,7 @@
 import type { GatewayContext } from './gatewayContext.js';
 import type { ChosenEndpoint } from './placeRequest.js';
 import type { ReusePlan } from './reusePlan.js';
-import { logFirstEventDecision } from './requestLog.js';
+import { logFirstEventDecision, logSilence } from './requestLog.js';
 import { createSendCheck } from './sendCheck.js';
 import type { RequestHead } from './types.js';
 
@@ -79,6 +79,10 @@
         context.metrics.recordFirstEventDecision(service, decision);
         logFirstEventDecision(context, head, endpoint, decision, ages);
       },
+      onSilence: (decision, silentMs) => {
+        context.metrics.recordSilence(service, decision);
+        logSilence(context, head, endpoint, decision, silentMs);
+      },
       onFirstByte: options.onFirstByte,
       onResponseStart: options.onResponseStart,
       onResponseHead: (responseHead, sentAtMs) =>
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -1,6 +1,7 @@
 import type { FirstEventDecision } from '@lovagearch/endpoints';
 import type { EndpointLife } from '@lovagearch/exchange';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { SilenceDecision } from './silentResponse.js';
 
 /** Latency histogram buckets, in milliseconds: from a cached read up to the longest stream. */
 const LATENCY_BUCKETS_MS = [5, 10, 20, 40, 80, 160, 320, 640, 1_280, 2_560, 5_120, 15_000];
@@ -92,6 +93,13 @@
     registers: [this.registry],
   });
 
+  private readonly silenceDecisions = new Counter({
+    name: 'lovagearch_silent_responses_total',
+    help: 'Decisions on responses that have begun and whose endpoint is silent, by service',
+    labelNames: ['service', 'decision', 'reason'],
+    registers: [this.registry],
+  });
+
   private readonly loadAge = new Histogram({
     name: 'lovagearch_load_age_ms',
     help: 'Age of the load report of the chosen endpoint at each choice, by service',
@@ -177,6 +185,11 @@
     this.firstEventDecisions.inc({ service, decision: type, reason: reason.replaceAll(' ', '_') });
   }
 
+  recordSilence(service: string, decision: SilenceDecision): void {
+    const reason = decision.type === 'stay' ? decision.reason.replaceAll(' ', '_') : 'none';
+    this.silenceDecisions.inc({ service, decision: decision.type, reason });
+  }
+
   /** Records the age of a load report; an endpoint that has reported none is not counted. */
   recordLoadAge(service: string, ageMs: number): void {
     if (Number.isFinite(ageMs)) this.loadAge.observe({ service }, ageMs);
--- a/packages/gateway/src/requestAttempts.ts
+++ b/packages/gateway/src/requestAttempts.ts
@@ -71,6 +71,9 @@
   /** Number of attempts that were withdrawn before their first event. */
   private withdrawalCount = 0;
 
+  /** Endpoints that the request left before they answered; they may still serve it. */
+  private readonly leftEndpointIds = new Set<string>();
+
   /** What showed the end of the endpoint's response, if one was passed on. */
   responseEnd: 'connection' | 'framing' | undefined;
 
@@ -102,9 +105,13 @@
     return this.sends.some(({ attempt }) => attempt.wasSent);
   }
 
-  /** Places the request on an endpoint that it was not sent to before. */
+  /** Places the request on an endpoint that it was not sent to before, or else on one that it left. */
   chooseEndpoint(): ChosenEndpoint | undefined {
-    const result = this.placeRequest();
+    let result = this.placeRequest();
+    if (result.type === 'none' && this.leftEndpointIds.size > 0) {
+      const excluded = [...this.excludedEndpointIds].filter((id) => !this.leftEndpointIds.has(id));
+      result = this.placeRequest(new Set(excluded));
+    }
     this.lastPlacement = result;
     return result.type === 'placed' ? result.chosen : undefined;
   }
@@ -125,9 +132,9 @@
     for (const { attempt } of this.sends) attempt.stop();
   }
 
-  private placeRequest(): PlacementResult {
+  private placeRequest(excluded: ReadonlySet<string> = this.excludedEndpointIds): PlacementResult {
     const { head, route, service, account } = this.input.routedRequest;
-    return placeRequest(this.context, head, route, service, account, this.excludedEndpointIds);
+    return placeRequest(this.context, head, route, service, account, excluded);
   }
 
   private createFramer(): EventStreamFramer | undefined {
@@ -287,7 +294,10 @@
       return { type: 'served', status: 200 };
     }
     if (outcome.type === 'stopped') return { type: 'stopped' };
-    if (outcome.type === 'stalled' && !attempt.hasOutput) this.withdrawalCount += 1;
+    if (outcome.type === 'stalled') {
+      this.leftEndpointIds.add(chosen.endpoint.record.id);
+      if (!attempt.hasOutput) this.withdrawalCount += 1;
+    }
     const result: AttemptResult =
       outcome.type === 'answered'
         ? { type: 'answered', isFailure: outcome.head.status >= 500 }
@@ -350,12 +360,17 @@
 
   /** Returns whether the attempt in progress could be withdrawn and the request sent to another endpoint. */
   private findMove(): MoveOption {
+    const { hasStarted } = this.input.callerResponse;
     // A stream that was moved once has lost its place in two queues already.
-    if (this.framer !== undefined && this.withdrawalCount > 0)
+    if (this.framer !== undefined && this.withdrawalCount > 0 && !hasStarted)
       return { type: 'blocked', reason: 'withdrawn before' };
     // The other send takes the place of a move, as long as it may still be answered.
     if (this.inProgressCount > 1) return { type: 'blocked', reason: 'hedged' };
+    if (hasStarted && this.framer === undefined)
+      return { type: 'blocked', reason: 'a response without events has begun' };
     const next = this.chooseEndpoint();
+    if (hasStarted && next?.endpoint.isSuspended(this.context.clock.nowMs()) === true)
+      return { type: 'blocked', reason: 'other endpoints are suspended' };
     const step = this.decideStep({ type: 'stalled' }, next, this.possibleRunCount + 1);
     return step.type === 'retry' && next !== undefined
       ? { type: 'possible', expectedMs: next.placement.expectedMs }
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -21,6 +21,7 @@
 import type { ReusePlan } from './reusePlan.js';
 import type { HedgeResult, PlacedAlternative } from './sendRace.js';
 import { listSharedPartIds } from './sharedParts.js';
+import type { SilenceDecision } from './silentResponse.js';
 import type { RequestHead } from './types.js';
 
 /** Logs the endpoint chosen for a request, the estimates behind the choice and the age of the load data. */
@@ -199,6 +200,22 @@
     remainingMs: Math.round(remainingMs),
   });
 
+/** Logs why a response whose endpoint is silent stays there or is requested elsewhere. */
+export const logSilence = (
+  { log }: GatewayContext,
+  head: RequestHead,
+  { record }: Endpoint,
+  decision: SilenceDecision,
+  silentMs: number,
+): void =>
+  log.logProblem('response_silent', {
+    request: head.requestId,
+    endpoint: record.id,
+    decision: decision.type,
+    reason: decision.type === 'stay' ? decision.reason : undefined,
+    silentMs: Math.round(silentMs),
+  });
+
 /** What a decision about a hedge rests on. */
 export interface HedgeDetails {
   readonly delayMs: number;
--- a/packages/gateway/src/stalledStreams.test.ts
+++ b/packages/gateway/src/stalledStreams.test.ts
@@ -16,6 +16,7 @@
 const EVENT_3 = 'id: 3\ndata: c\n\n';
 const TRICKLE_INTERVAL_MS = 100;
 const SLOW_INTERVAL_MS = 700;
+const SILENCE_MS = 1_500;
 
 const createHead = (id: string) => ({
   [SEAL_HEADER]: '1',
@@ -92,6 +93,41 @@
     t3.equal(attempts, 1);
   });
 
+  // Guards against a stream that is cut at its second endpoint because it may be sent to no third one.
+  await t2.test('a stream waits for the last endpoint that it may be sent to', async (t3) => {
+    handleAll((incoming, response) => {
+      const lastId = String(incoming.headers['last-event-id']);
+      response.writeHead(200, createHead(String(incoming.headers[REQUEST_ID_HEADER])));
+      if (lastId === '0') {
+        response.write(EVENT_1);
+        return;
+      }
+      response.write(EVENT_2);
+      setTimeout(() => response.end(EVENT_3), SILENCE_MS);
+    });
+    const { text } = await send(gateway, '/stream/x', 's3', 'prompt');
+    t3.equal(text, `${EVENT_1}${EVENT_2}${EVENT_3}`);
+  });
+
+  // Guards against a stream that is cut because it left a silent endpoint for one that rejects it.
+  await t2.test('a stream returns to a silent endpoint if the other one rejects it', async (t3) => {
+    let attempts = 0;
+    handleAll((incoming, response) => {
+      attempts += 1;
+      const id = String(incoming.headers[REQUEST_ID_HEADER]);
+      if (attempts === 2) {
+        response.writeHead(503, { [REQUEST_ID_HEADER]: id, 'x-not-run': '1' }).end();
+        return;
+      }
+      response.writeHead(200, createHead(id));
+      if (attempts === 1) response.write(EVENT_1);
+      else response.end(EVENT_2);
+    });
+    const { text } = await send(gateway, '/stream/x', 's4', 'prompt');
+    t3.equal(text, `${EVENT_1}${EVENT_2}`);
+    t3.equal(attempts, 3);
+  });
+
   await gateway.drain('test');
   for (const endpoint of endpoints) endpoint.stop();
 });
