Log the software version of endpoints and the streams that callers take up

A stream whose parts come from two software versions can't be told from others in the logs: neither the version of an endpoint nor the request that a caller's stream began with is read. `placed` and `attempt_failed` name the version as `software`, `placed` also names `resumes` and `callerEventId`. No decision depends on them yet.

--- a/packages/endpoints/src/contendedCalls.test.ts
+++ b/packages/endpoints/src/contendedCalls.test.ts
@@ -46,6 +46,7 @@
       {
         id: `i-${index}`,
         startedUnixMs: 1,
+        softwareVersion: 'v1',
         service: 'app',
         address: '10.0.0.1:80',
         zone,
--- a/packages/endpoints/src/contendedPrompts.test.ts
+++ b/packages/endpoints/src/contendedPrompts.test.ts
@@ -12,6 +12,7 @@
     {
       id,
       startedUnixMs: 1,
+      softwareVersion: 'v1',
       service: 'llm',
       address: '10.0.0.1:80',
       zone: 'z1',
--- a/packages/endpoints/src/endpointAvailability.test.ts
+++ b/packages/endpoints/src/endpointAvailability.test.ts
@@ -28,6 +28,7 @@
     {
       id: `i-${index}`,
       startedUnixMs: 1,
+      softwareVersion: 'v1',
       service: 'llm',
       address: '10.0.0.1:80',
       zone: 'z1',
--- a/packages/endpoints/src/endpoints.test.ts
+++ b/packages/endpoints/src/endpoints.test.ts
@@ -20,6 +20,7 @@
 const createRecord = (id: string, overrides: Partial<EndpointRecord> = {}): EndpointRecord => ({
   id,
   startedUnixMs: 1,
+  softwareVersion: 'v1',
   service: 'llm',
   address: '10.0.0.1:80',
   zone: 'z1',
--- a/packages/endpoints/src/memoryPressure.test.ts
+++ b/packages/endpoints/src/memoryPressure.test.ts
@@ -23,6 +23,7 @@
   const record: EndpointRecord = {
     id,
     startedUnixMs: 1,
+    softwareVersion: 'v1',
     service: 'llm',
     address: '10.0.0.1:80',
     zone,
--- a/packages/endpoints/src/partialView.test.ts
+++ b/packages/endpoints/src/partialView.test.ts
@@ -10,6 +10,7 @@
     {
       id: 'i-1',
       startedUnixMs: 1,
+      softwareVersion: 'v1',
       service: 'app',
       address: '10.0.0.1:80',
       zone: 'z1',
--- a/packages/endpoints/src/types.ts
+++ b/packages/endpoints/src/types.ts
@@ -5,6 +5,8 @@
   readonly id: string;
   /** Start time of the process in Unix milliseconds; it tells restarts under one id apart. */
   readonly startedUnixMs: number;
+  /** Version of the endpoint's program, in contrast to that of its weights. */
+  readonly softwareVersion: string;
   readonly service: string;
   /** Host and port. */
   readonly address: string;
--- a/packages/endpoints/src/unchangedRegistration.test.ts
+++ b/packages/endpoints/src/unchangedRegistration.test.ts
@@ -14,6 +14,7 @@
 const createRecord = (id: string, heartbeat: number, weights: number): EndpointRecord => ({
   id,
   startedUnixMs: 1,
+  softwareVersion: 'v1',
   service: 'llm',
   address: `${id}:1`,
   zone: 'z1',
--- a/packages/gateway/src/explainPlacement.ts
+++ b/packages/gateway/src/explainPlacement.ts
@@ -83,6 +83,7 @@
   key: undefined,
   timeLimitMs: described.timeLimitMs,
   lastEventId: 0,
+  resumedRequestId: undefined,
   model: described.model,
   promptParts: described.parts,
   promptTokens: described.promptTokens,
--- a/packages/gateway/src/loadSharing.test.ts
+++ b/packages/gateway/src/loadSharing.test.ts
@@ -5,6 +5,7 @@
 const RECORD = {
   id: 'i-1',
   startedUnixMs: 1,
+  softwareVersion: 'v1',
   service: 'app',
   address: '10.0.0.1:80',
   zone: 'z1',
--- a/packages/gateway/src/removalAfterDroppedCall.test.ts
+++ b/packages/gateway/src/removalAfterDroppedCall.test.ts
@@ -13,6 +13,7 @@
   value: JSON.stringify({
     id: 'i-1',
     startedUnixMs: 1,
+    softwareVersion: 'v1',
     service: 'app',
     address: 'x:1',
     zone: 'z1',
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -24,6 +24,9 @@
 import type { SilenceDecision } from './silentResponse.js';
 import type { RequestHead } from './types.js';
 
+/** Characters of an id that a caller chose; longer ones are cut off. */
+const MAX_LOGGED_ID_LENGTH = 64;
+
 /** Logs the endpoint chosen for a request, the estimates behind the choice and the age of the load data. */
 export const logPlacement = (
   { log, clock, metrics }: GatewayContext,
@@ -36,6 +39,9 @@
     request: head.requestId,
     service,
     endpoint: endpoint.record.id,
+    software: endpoint.record.softwareVersion,
+    resumes: head.resumedRequestId?.slice(0, MAX_LOGGED_ID_LENGTH),
+    callerEventId: head.lastEventId === 0 ? undefined : head.lastEventId,
     costMs: Math.round(placement.costMs),
     expectedMs: Math.round(placement.expectedMs),
     uncachedTokens: Math.round(placement.uncachedTokens),
@@ -163,6 +169,7 @@
   log.logProblem('attempt_failed', {
     request: head.requestId,
     endpoint: endpoint.record.id,
+    software: endpoint.record.softwareVersion,
     result: outcome.type,
     status: outcome.type === 'answered' ? outcome.head.status : undefined,
     reason: 'reason' in outcome ? outcome.reason : undefined,
--- a/packages/gateway/src/testGateway.ts
+++ b/packages/gateway/src/testGateway.ts
@@ -32,6 +32,7 @@
 export const WEIGHTS_HEADER = 'x-weights';
 export const LEAVING_HEADER = 'x-leaving';
 export const LAST_EVENT_HEADER = 'last-event-id';
+export const RESUMES_HEADER = 'x-resumes';
 const KEY_HEADER = 'x-key';
 
 const createRoute = (name: string, overrides: Partial<Route>): Route => ({
@@ -176,6 +177,7 @@
           key: values.get(KEY_HEADER),
           timeLimitMs: 5_000,
           lastEventId: Number(values.get(LAST_EVENT_HEADER) ?? 0),
+          resumedRequestId: values.get(RESUMES_HEADER),
           model: values.get(MODEL_HEADER),
           promptParts: decodeParts(values.get(PARTS_HEADER)),
           promptTokens: 0,
@@ -302,6 +304,7 @@
 export const createRegistration = (id: string, port: number, service = 'app') => ({
   id,
   startedUnixMs: 1,
+  softwareVersion: 'v1',
   service,
   address: `127.0.0.1:${port}`,
   zone: 'z1',
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -26,6 +26,8 @@
   readonly timeLimitMs: number | undefined;
   /** Id of the last stream event that the caller received; 0 if there is none. */
   readonly lastEventId: number;
+  /** Id of the request that brought the first event of the stream that the caller takes up. */
+  readonly resumedRequestId: string | undefined;
   readonly model: string | undefined;
   readonly promptParts: readonly PromptPart[];
   readonly promptTokens: number;
