Go on with a stream at the software version that began it

Cause: the registration's software version and the request that a stream began with were not read; every endpoint of the service counted as able to go on with every stream.

Change: a stream has an origin, its service and software version, from its first event on. Attempts after that are placed on endpoints of this version only, and a caller that takes the stream up finds the origin by the id in `Resumes` and its client account. While several versions were in use within 30 s, nodes tell peers of new streams in datagrams every 40 ms, and one of them writes those of all to the shared table every 0.4 s, with the versions in use, for nodes that start after all others were killed. A stream whose version isn't certain is refused at once with 503: two versions were in use and nobody knows it, or the table wasn't read yet. A stream in progress is admitted by its caller's patience, not by the target of the first event, which the caller has got.

--- a/packages/endpoints/src/constants.ts
+++ b/packages/endpoints/src/constants.ts
@@ -89,6 +89,10 @@
  * taken for seconds, would take the endpoint away for good; an endpoint that wants no requests leaves instead.
  */
 export const MAX_HOLD_MS = 600_000;
+/** Services whose software versions are kept; deployments have a few dozen. */
+export const MAX_VERSIONED_SERVICES = 256;
+/** Software versions of a service that are kept; two or three are in use at a time. */
+export const MAX_VERSIONS_PER_SERVICE = 16;
 /** Interval at which a request in the queue of an endpoint is compared with its alternatives, in milliseconds. */
 export const FIRST_EVENT_RECHECK_MS = 300;
 /**
--- a/packages/endpoints/src/endpointAvailability.test.ts
+++ b/packages/endpoints/src/endpointAvailability.test.ts
@@ -13,6 +13,7 @@
   isInAllowedRegion: true,
   isEvacuated: false,
   isCold: false,
+  hasNeededSoftware: true,
   isLeaving: false,
   heldUntilMs: undefined,
   hasFreeConnection: true,
--- a/packages/endpoints/src/endpointAvailability.ts
+++ b/packages/endpoints/src/endpointAvailability.ts
@@ -15,12 +15,16 @@
   | { readonly type: 'evacuated' }
   /** The endpoint is in a region in which the request may not be processed. */
   | { readonly type: 'outside_region' }
+  /** The request goes on with a stream that another software version began. */
+  | { readonly type: 'other_software' }
   /** All connections that this node may open to the endpoint are in use. */
   | { readonly type: 'no_connection' }
   /** The limit of requests per second that the endpoint named allows this node none now. */
   | { readonly type: 'rate_limited' };
 
 export interface AvailabilityInput {
+  /** Whether the endpoint has the software version that the request needs, if it needs one. */
+  readonly hasNeededSoftware: boolean;
   readonly isInAllowedRegion: boolean;
   readonly isEvacuated: boolean;
   readonly isLeaving: boolean;
@@ -55,6 +59,7 @@
  * if (availability.type === 'available') send(endpoint);
  */
 export const decideAvailability = ({
+  hasNeededSoftware,
   isInAllowedRegion,
   isEvacuated,
   isLeaving,
@@ -64,6 +69,7 @@
   isCold,
   isLoadingWeights,
 }: AvailabilityInput): EndpointAvailability => {
+  if (!hasNeededSoftware) return { type: 'other_software' };
   if (!isInAllowedRegion) return { type: 'outside_region' };
   if (isEvacuated) return { type: 'evacuated' };
   if (isLeaving) return { type: 'leaving' };
@@ -102,6 +108,7 @@
       case 'leaving':
       case 'evacuated':
       case 'no_connection':
+      case 'other_software':
       case 'outside_region':
         break;
       default:
@@ -152,6 +159,7 @@
     switch (availability.type) {
       case 'leaving':
       case 'evacuated':
+      case 'other_software':
       case 'outside_region':
         break;
       case 'held':
--- a/packages/endpoints/src/endpointTable.ts
+++ b/packages/endpoints/src/endpointTable.ts
@@ -4,6 +4,7 @@
 import { Endpoint } from './endpoint.js';
 import type { EndpointStatements } from './endpointStatements.js';
 import { computeDigestKey } from './loadDigest.js';
+import { SoftwareVersions } from './softwareVersions.js';
 import type { EndpointRecord } from './types.js';
 
 /** A change in the set or state of endpoints. */
@@ -69,6 +70,9 @@
     MAX_UNREGISTERED_STARTS,
   );
 
+  /** Uses of software versions by endpoints that are gone, or that other nodes know. */
+  private readonly softwareVersions = SoftwareVersions.create();
+
   static create(): EndpointTable {
     return new EndpointTable();
   }
@@ -94,6 +98,28 @@
     return ready;
   }
 
+  /**
+   * Lists the software versions of a service that were in use within the last `windowMs`, with the clock reading of
+   * their last use.
+   */
+  listSoftware(
+    service: string,
+    nowMs: number,
+    windowMs: number,
+  ): [version: string, lastUseMs: number][] {
+    for (const id of this.idsByService.get(service) ?? []) {
+      const endpoint = this.endpoints.get(id);
+      if (endpoint !== undefined)
+        this.softwareVersions.recordUse(service, endpoint.record.softwareVersion, nowMs);
+    }
+    return this.softwareVersions.listSince(service, nowMs - windowMs);
+  }
+
+  /** Records that an endpoint of a service, which may be unknown here, had a software version. */
+  recordSoftwareUse(service: string, version: string, atMs: number): void {
+    this.softwareVersions.recordUse(service, version, atMs);
+  }
+
   listAll(): IterableIterator<Endpoint> {
     return this.endpoints.values();
   }
@@ -114,10 +140,11 @@
     if (isBehind && !this.isCounting(record)) return undefined;
     this.olderEntries.delete(record.id);
     if (isBehind || record.startedUnixMs > startedUnixMs || record.address !== address) {
-      this.removeEndpoint(known);
+      this.removeEndpoint(known, nowMs);
       return this.addEndpoint(record, nowMs, 'restarted');
     }
     this.pendingRemovals.delete(record.id);
+    this.softwareVersions.recordUse(known.record.service, known.record.softwareVersion, nowMs);
     known.updateRecord(record, nowMs);
     if (record.state === state || record.state === 'ready') return undefined;
     return { type: 'draining', record };
@@ -137,7 +164,7 @@
         this.pendingRemovals.set(id, { removeAtMs: nowMs + graceMs });
       return { type: 'lapsed', record: known.record };
     }
-    this.removeEndpoint(known);
+    this.removeEndpoint(known, nowMs);
     return { type: 'removed', record: known.record };
   }
 
@@ -149,7 +176,7 @@
       const known = this.endpoints.get(id);
       this.pendingRemovals.delete(id);
       if (known === undefined) continue;
-      this.removeEndpoint(known);
+      this.removeEndpoint(known, nowMs);
       changes.push({ type: 'removed', record: known.record });
     }
     return changes;
@@ -187,7 +214,8 @@
     return timings;
   }
 
-  private removeEndpoint({ record, statements }: Endpoint): void {
+  private removeEndpoint({ record, statements }: Endpoint, nowMs: number): void {
+    this.softwareVersions.recordUse(record.service, record.softwareVersion, nowMs);
     // Responses to requests in progress can still change them.
     this.unregisteredStatements.set(getStartKey(record), statements);
     this.endpoints.delete(record.id);
--- a/packages/endpoints/src/index.ts
+++ b/packages/endpoints/src/index.ts
@@ -19,4 +19,5 @@
 export * from './reportedLoad.js';
 export * from './requestHold.js';
 export * from './requestRateLimit.js';
+export * from './softwareVersions.js';
 export type * from './types.js';
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -1,7 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { chooseTarget, type Route } from '@lovagearch/traffic';
+import type { Route } from '@lovagearch/traffic';
 import { createRepeatRefusal, decideOverload, recordAdmitted } from './createOverloadRefusal.js';
 import { CallerResponse } from './callerResponse.js';
+import { chooseService, findContinuation } from './continuedStreams.js';
 import type { RoutedRequest } from './createAttempt.js';
 import {
   DEFAULT_TIME_LIMIT_MS,
@@ -140,7 +141,7 @@
       case 'body': {
         this.releaseBody = read.release;
         await waitForQueuedClose(this.readDelayMs);
-        const service = chooseTarget(route.targets, context.random())?.service;
+        const service = chooseService(context, head, route, account);
         if (service === undefined) {
           this.reply(head, route, createRefusal('no_endpoint', 'the route has no target'));
           return;
@@ -161,10 +162,16 @@
       return;
     }
     if (this.endIfQuarantined(routedRequest)) return;
+    const continuation = findContinuation(context, routedRequest);
+    if (continuation.type === 'refused') {
+      this.reply(head, route, continuation.refusal);
+      return;
+    }
     context.getRetryBudget(service).recordRequest(context.clock.nowMs());
     const attempts = RequestAttempts.create(context, {
       routedRequest,
       callerResponse: this.callerResponse,
+      softwareVersion: continuation.softwareVersion,
       timeLimitMs: this.timeLimitMs,
       getElapsedMs: () => this.getElapsedMs(),
       onFirstByte: () => this.recordFirstByte(route),
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -222,6 +222,35 @@
 export const LOAD_DIGEST_INTERVAL_MS = 150;
 /** Interval of load digests per peer, in milliseconds; it limits a node to 50 datagrams per second. */
 export const LOAD_DIGEST_INTERVAL_PER_PEER_MS = 20;
+/**
+ * Time after which a stream is not taken up any more, in milliseconds: callers that state no time limit have as long, and
+ * the deployments' time limits are half of it.
+ */
+export const STREAM_RETENTION_MS = 30_000;
+/** Streams of all nodes whose software version is known; 16 nodes begin 130 a second. */
+export const MAX_KNOWN_STREAMS = 16_384;
+/** Streams that others don't know yet, or that no row has; a node begins 8 to 30 a second. */
+export const MAX_UNSHARED_STREAMS = 2_048;
+/** Characters of the key of a stream; 72 bits, so that no two of some thousand have the same. */
+export const STREAM_KEY_LENGTH = 12;
+/** Number of datagrams in which peers are told of a stream, as datagrams get lost. */
+export const STREAM_SENDS = 3;
+/** Interval at which peers are told of new streams, in milliseconds; a stream that breaks earlier can't go on elsewhere. */
+export const ORIGIN_SHARE_INTERVAL_MS = 40;
+/** Streams in one datagram, which has to fit into 1,400 bytes. */
+export const MAX_STREAMS_PER_DATAGRAM = 60;
+/** Interval at which streams are published in the shared table, in milliseconds; each publication costs a store call. */
+export const ORIGIN_PUBLISH_INTERVAL_MS = STRIKE_PUBLISH_INTERVAL_MS;
+/** The same per node where each publishes by itself, so that all together write ten times a second. */
+export const ORIGIN_PUBLISH_INTERVAL_PER_NODE_MS = 100;
+/** Age of a stream without a row from which other nodes than the first publish it, in milliseconds. */
+export const STAND_IN_AGE_MS = 1_000;
+/** Interval at which the versions in use are published without any stream, in milliseconds. */
+export const VERSIONS_PUBLISH_INTERVAL_MS = 10_000;
+/** Streams in one row of the shared table; a row has to stay below 64 KB. */
+export const MAX_PUBLISHED_STREAMS = 1_000;
+/** Retry delay advised where it isn't known which software version began a stream, in milliseconds. */
+export const UNKNOWN_ORIGIN_RETRY_AFTER_MS = STAND_IN_AGE_MS;
 /** Maximum number of endpoints in a load digest; more would not fit into one datagram. */
 export const MAX_LOAD_DIGEST_ENTRIES = 48;
 /** Sequence numbers by which a digest may be late; a larger step back means that the peer restarted. */
--- /dev/null
+++ b/packages/gateway/src/continuedStreams.ts
@@ -0,0 +1,90 @@
+import { type Continuation, decideContinuation } from '@lovagearch/endpoints';
+import { type Account, chooseTarget, type Route } from '@lovagearch/traffic';
+import { STREAM_RETENTION_MS, UNKNOWN_ORIGIN_RETRY_AFTER_MS } from './constants.js';
+import type { RoutedRequest } from './createAttempt.js';
+import type { GatewayContext } from './gatewayContext.js';
+import { createRefusal, type LocalReply } from './localReply.js';
+import { logContinuation } from './requestLog.js';
+import { computeStreamKey, type StreamOrigin } from './streamOrigins.js';
+import type { RequestHead } from './types.js';
+
+/** Whether a caller goes on with a stream of which it has a part. */
+export const isTakeUp = ({ lastEventId }: RequestHead): boolean => lastEventId > 0;
+
+const findOrigin = (
+  { streamOrigins, clock }: GatewayContext,
+  head: RequestHead,
+  account: Account | undefined,
+): StreamOrigin | undefined =>
+  isTakeUp(head) && head.resumedRequestId !== undefined
+    ? streamOrigins.findOrigin(
+        computeStreamKey(account?.name, head.resumedRequestId),
+        clock.nowMs(),
+      )
+    : undefined;
+
+/** Chooses the service of a request: that of its stream if the route still leads there, otherwise by the weights. */
+export const chooseService = (
+  context: GatewayContext,
+  head: RequestHead,
+  route: Route,
+  account: Account | undefined,
+): string | undefined => {
+  const origin = findOrigin(context, head, account);
+  const isRouted = route.targets.some(({ service }) => service === origin?.service);
+  return isRouted ? origin?.service : chooseTarget(route.targets, context.random())?.service;
+};
+
+/** Where a request may go on, or why it is refused. */
+export type ContinuationResult =
+  | { readonly type: 'allowed'; readonly softwareVersion: string | undefined }
+  | { readonly type: 'refused'; readonly refusal: LocalReply };
+
+/** Finds the software version at which a request has to go on; one that may go on nowhere is refused. */
+export const findContinuation = (
+  context: GatewayContext,
+  routedRequest: RoutedRequest,
+): ContinuationResult => {
+  const { clusterState, clock, metrics } = context;
+  const { head, route, service, account } = routedRequest;
+  if (route.kind !== 'streaming' || !isTakeUp(head))
+    return { type: 'allowed', softwareVersion: undefined };
+  const origin = findOrigin(context, head, account);
+  const continuation: Continuation = decideContinuation({
+    lastEventId: head.lastEventId,
+    knownVersion: origin?.service === service ? origin.version : undefined,
+    possibleVersions: clusterState.endpoints
+      .listSoftware(service, clock.nowMs(), STREAM_RETENTION_MS)
+      .map(([version]) => version),
+    isHistoryRead: context.isStreamHistoryRead(),
+  });
+  metrics.recordContinuation(service, origin === undefined ? continuation.type : 'known');
+  logContinuation(context, routedRequest, continuation, origin !== undefined);
+  switch (continuation.type) {
+    case 'any':
+      return { type: 'allowed', softwareVersion: undefined };
+    case 'version':
+      return { type: 'allowed', softwareVersion: continuation.version };
+    case 'unknown': {
+      const message = 'it is not known which software version began the stream';
+      return {
+        type: 'refused',
+        refusal: createRefusal('overloaded', message, UNKNOWN_ORIGIN_RETRY_AFTER_MS),
+      };
+    }
+    default:
+      return continuation satisfies never;
+  }
+};
+
+/** Records that an endpoint has begun a stream, or goes on with one. */
+export const recordStreamOrigin = (
+  { streamOrigins, clock }: GatewayContext,
+  { head, service, account }: RoutedRequest,
+  version: string,
+): void => {
+  const beganWith = isTakeUp(head) ? head.resumedRequestId : head.requestId;
+  if (beganWith === undefined) return;
+  const key = computeStreamKey(account?.name, beganWith);
+  streamOrigins.recordStream({ key, service, version, atMs: clock.nowMs() });
+};
--- a/packages/gateway/src/createOverloadRefusal.ts
+++ b/packages/gateway/src/createOverloadRefusal.ts
@@ -5,6 +5,7 @@
   getDominantMs,
 } from '@lovagearch/admission';
 import { HELD_EVENT_GAPS, HELD_TARGETS, MIN_CALLER_PATIENCE_MS } from './constants.js';
+import { isTakeUp } from './continuedStreams.js';
 import type { RoutedRequest } from './createAttempt.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { createRefusal, type LocalReply } from './localReply.js';
@@ -79,13 +80,16 @@
   { elapsedMs, timeLimitMs }: RequestTiming,
   isHeld: boolean,
 ): AdmissionDecision => {
-  const { route, service } = routedRequest;
+  const { head, route, service } = routedRequest;
   const { expectedMs, ownMs } = chosen.placement;
   const priority = getPriority(routedRequest);
   const input = {
     expectedMs,
     ownMs,
-    targetLatencyMs: route.targetLatencyMs,
+    // The target is the time of the first event, which the caller of a stream in progress has got.
+    targetLatencyMs: isTakeUp(head)
+      ? getPatienceMs(routedRequest, timeLimitMs)
+      : route.targetLatencyMs,
     elapsedMs,
     remainingMs: timeLimitMs - elapsedMs,
     priority,
--- a/packages/gateway/src/explainPlacement.ts
+++ b/packages/gateway/src/explainPlacement.ts
@@ -155,17 +155,25 @@
   { service, weight }: RouteTarget,
 ): ExplainedTarget => {
   const observed: ObservedChoice = { candidates: [], input: undefined, placements: [] };
-  const result = placeRequest(context, head, route, service, account, new Set(), {
-    onCandidates: (candidates) => {
-      observed.candidates = candidates;
-    },
-    onChoice: (input) => {
-      observed.input = input;
-    },
-    onCompared: (placements) => {
-      observed.placements = placements;
+  const result = placeRequest(
+    context,
+    head,
+    route,
+    service,
+    account,
+    { excluded: new Set() },
+    {
+      onCandidates: (candidates) => {
+        observed.candidates = candidates;
+      },
+      onChoice: (input) => {
+        observed.input = input;
+      },
+      onCompared: (placements) => {
+        observed.placements = placements;
+      },
     },
-  });
+  );
   const placed = result.type === 'placed' ? result.chosen : undefined;
   const chosen = placed?.endpoint.record.id;
   const timeLimitMs = getTimeLimitMs(head, route);
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -15,6 +15,7 @@
 import type { RouteDurations } from './routeDurations.js';
 import type { ShutdownPlan } from './shutdownPlan.js';
 import type { StrikePublisher } from './strikePublisher.js';
+import type { StreamOrigins } from './streamOrigins.js';
 import type { GatewaySettings, HeaderCodec } from './types.js';
 import type { WaitingAttempts } from './waitingAttempts.js';
 
@@ -55,6 +56,10 @@
   readonly isExplanation?: boolean;
   /** Undefined if hedging is switched off. */
   readonly hedging: Hedging | undefined;
+  /** Which software version began the streams that callers may take up. */
+  readonly streamOrigins: StreamOrigins;
+  /** Whether this node has read which software versions were in use before it started. */
+  readonly isStreamHistoryRead: () => boolean;
   readonly overloadState: OverloadState;
   readonly heldCalls: HeldCalls;
   /** The planned stop in progress, if there is one. */
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -100,6 +100,13 @@
     registers: [this.registry],
   });
 
+  private readonly continuations = new Counter({
+    name: 'lovagearch_resumed_streams_total',
+    help: 'Streams that callers take up, by what is known of the software version that began them',
+    labelNames: ['service', 'origin'],
+    registers: [this.registry],
+  });
+
   private readonly loadAge = new Histogram({
     name: 'lovagearch_load_age_ms',
     help: 'Age of the load report of the chosen endpoint at each choice, by service',
@@ -185,6 +192,11 @@
     this.firstEventDecisions.inc({ service, decision: type, reason: reason.replaceAll(' ', '_') });
   }
 
+  /** @param origin `known`, `version` if only one may have begun the stream, or `unknown` */
+  recordContinuation(service: string, origin: string): void {
+    this.continuations.inc({ service, origin });
+  }
+
   recordSilence(service: string, decision: SilenceDecision): void {
     const reason = decision.type === 'stay' ? decision.reason.replaceAll(' ', '_') : 'none';
     this.silenceDecisions.inc({ service, decision: decision.type, reason });
--- a/packages/gateway/src/loadSharing.ts
+++ b/packages/gateway/src/loadSharing.ts
@@ -13,10 +13,12 @@
 import {
   MAX_LATE_DIGESTS,
   MAX_LOAD_DIGEST_ENTRIES,
+  ORIGIN_SHARE_INTERVAL_MS,
   LOAD_DIGEST_INTERVAL_MS,
   LOAD_DIGEST_INTERVAL_PER_PEER_MS,
 } from './constants.js';
 import type { GatewayLog } from './gatewayLog.js';
+import type { OriginSharing } from './originSharing.js';
 import type { Address } from './types.js';
 
 /** The fields of an entry in wire order; arrays instead of objects keep the datagrams small. */
@@ -87,10 +89,24 @@
   readonly zone: string;
   readonly address: Address;
   readonly clusterState: ClusterState;
+  /** Streams that peers are told of in datagrams of their own. */
+  readonly originSharing: Pick<OriginSharing, 'applyDatagram' | 'takeDatagrams'>;
   readonly clock: Clock;
   readonly log: GatewayLog;
 }
 
+/** Lists this node and its peers that share load: all of them, or in large deployments those of its zone. */
+export const listSharingNodes = (
+  clusterState: ClusterState,
+  { nodeName, zone }: { readonly nodeName: string; readonly zone: string },
+): string[] => {
+  const isFullMesh = clusterState.nodeCount <= MAX_FULL_VIEW_NODES;
+  const names = new Set([nodeName]);
+  for (const [name, peer] of clusterState.listPeers())
+    if (isFullMesh || peer.zone === zone) names.add(name);
+  return [...names];
+};
+
 interface DigestTarget {
   readonly host: string;
   readonly port: number;
@@ -100,11 +116,13 @@
  * Sends peers the load that this node has placed on each endpoint. Without it, several nodes would choose
  * the same endpoint at once, as each of them sees it as idle. UDP is used because a lost datagram is
  * replaced by the next one and a late one is useless. Large deployments share load within an availability
- * zone only.
+ * zone only. The same peers are told which software version began the streams of this node.
  */
 export class LoadSharing {
   private timer: NodeJS.Timeout | undefined;
 
+  private readonly originTimer: NodeJS.Timeout;
+
   private sequence = 0;
 
   private readonly lastSequences = new Map<string, number>();
@@ -114,7 +132,9 @@
   private constructor(
     private readonly dependencies: LoadSharingDependencies,
     private readonly socket: Socket,
-  ) {}
+  ) {
+    this.originTimer = setInterval(() => this.sendOrigins(), ORIGIN_SHARE_INTERVAL_MS);
+  }
 
   /** Binds the socket and starts sending digests; rejects if the address can't be used. */
   static async start(parts: LoadSharingDependencies): Promise<LoadSharing> {
@@ -125,7 +145,7 @@
       socket.bind(parts.address.port, parts.address.host);
       await once(socket, 'listening');
     } catch (error) {
-      socket.close();
+      sharing.close();
       throw error;
     }
     socket.on('error', (error) => {
@@ -137,6 +157,7 @@
 
   close(): void {
     clearTimeout(this.timer);
+    clearInterval(this.originTimer);
     this.socket.close();
   }
 
@@ -151,11 +172,11 @@
 
   /** Updates the peers that receive digests and returns their number. */
   private updateTargets(): number {
-    const { clusterState, nodeName, zone } = this.dependencies;
+    const { clusterState, nodeName } = this.dependencies;
     this.targets.clear();
-    const isFullMesh = clusterState.nodeCount <= MAX_FULL_VIEW_NODES;
-    for (const [name, peer] of clusterState.listPeers()) {
-      if (name === nodeName || (!isFullMesh && peer.zone !== zone)) continue;
+    for (const name of listSharingNodes(clusterState, this.dependencies)) {
+      const peer = clusterState.findPeer(name);
+      if (name === nodeName || peer === undefined) continue;
       const [host, port] = peer.loadAddress.split(':');
       if (host !== undefined) this.targets.set(name, { host, port: Number(port) });
     }
@@ -172,15 +193,23 @@
     ).slice(0, MAX_LOAD_DIGEST_ENTRIES);
     if (entries.length === 0) return;
     this.sequence += 1;
-    const bytes = pack([nodeName, this.sequence, entries.map(encodeEntry)]);
+    this.sendToTargets(pack([nodeName, this.sequence, entries.map(encodeEntry)]));
+  }
+
+  private sendOrigins(): void {
+    if (this.targets.size === 0) return;
+    for (const bytes of this.dependencies.originSharing.takeDatagrams()) this.sendToTargets(bytes);
+  }
+
+  private sendToTargets(bytes: Buffer): void {
     for (const { host, port } of this.targets.values()) {
-      // A datagram that can't be sent counts as lost; the next one replaces it.
+      // A datagram that can't be sent counts as lost; a later one replaces it.
       this.socket.send(bytes, port, host, () => undefined);
     }
   }
 
   private receive(bytes: Buffer): void {
-    const { clusterState, clock, log } = this.dependencies;
+    const { clusterState, clock, log, originSharing } = this.dependencies;
     let value: unknown;
     try {
       value = unpack(bytes);
@@ -188,6 +217,7 @@
       log.logProblem('load_digest_rejected', { reason: getErrorMessage(error) });
       return;
     }
+    if (originSharing.applyDatagram(value)) return;
     const digest = digestSchema.safeParse(value);
     if (!digest.success) {
       log.logProblem('load_digest_rejected', { reason: 'unexpected structure' });
--- a/packages/gateway/src/openGatewayListeners.ts
+++ b/packages/gateway/src/openGatewayListeners.ts
@@ -10,6 +10,7 @@
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import { LoadSharing } from './loadSharing.js';
 import { startMetricsServer, startPeerServer, startReadinessServer } from './managementServer.js';
+import type { OriginSharing } from './originSharing.js';
 import type { GatewaySettings } from './types.js';
 import type { ExplainRequest } from './whereRoute.js';
 
@@ -29,6 +30,7 @@
   readonly explain: ExplainRequest;
   readonly metrics: GatewayMetrics;
   readonly clusterState: ClusterState;
+  readonly originSharing: OriginSharing;
   readonly clock: Clock;
   readonly log: GatewayLog;
 }
@@ -46,7 +48,7 @@
 export const openGatewayListeners = async (
   parts: ServedParts,
 ): Promise<Result<GatewayListeners, AddressError>> => {
-  const { settings, server, admission, mirrors, clusterState, clock, log } = parts;
+  const { settings, server, admission, mirrors, clusterState, originSharing, clock, log } = parts;
   const { readinessAddress, peerAddress, callerAddress, loadAddress, nodeName, zone } = settings;
   const listeners = GatewayListeners.create({
     maxWaitMs: settings.bounds.shutdownGraceMs + ADDRESS_WAIT_MARGIN_MS,
@@ -96,7 +98,15 @@
     name: 'load reports',
     address: loadAddress,
     open: () =>
-      LoadSharing.start({ nodeName, zone, address: loadAddress, clusterState, clock, log }),
+      LoadSharing.start({
+        nodeName,
+        zone,
+        address: loadAddress,
+        clusterState,
+        originSharing,
+        clock,
+        log,
+      }),
   });
   return ok(listeners);
 };
--- a/packages/gateway/src/placeRequest.ts
+++ b/packages/gateway/src/placeRequest.ts
@@ -31,6 +31,8 @@
   readonly endpoint: Endpoint;
   readonly placement: Placement;
   readonly maxConnections: number;
+  /** Software version of the endpoint at the time of the choice. */
+  readonly softwareVersion: string;
   /** Where the request may be processed according to the configuration at the time of the choice. */
   readonly regionRule: RegionRule;
   /** Number of endpoints that home regions, evacuated zones or cold starts keep from the request. */
@@ -47,6 +49,14 @@
     }
   | { readonly type: 'placed'; readonly chosen: ChosenEndpoint };
 
+/** What keeps a request from endpoints that other requests may get. */
+export interface PlacementConstraints {
+  /** Ids of endpoints that the request must not be sent to. */
+  readonly excluded: ReadonlySet<string>;
+  /** Software version at which the request has to go on; undefined if it may begin at any. */
+  readonly softwareVersion?: string | undefined;
+}
+
 /** Receives what a choice is made from, for explanations. */
 export interface PlacementObserver {
   readonly onCandidates: (candidates: readonly EndpointCandidate[]) => void;
@@ -71,11 +81,13 @@
   endpoint: Endpoint,
   maxConnections: number,
   regionRule: RegionRule,
+  softwareVersion: string | undefined,
 ): EndpointAvailability => {
   const { clusterState, clock, pool, settings } = context;
   const { record, statements } = endpoint;
   const nowMs = clock.nowMs();
   return decideAvailability({
+    hasNeededSoftware: softwareVersion === undefined || record.softwareVersion === softwareVersion,
     isInAllowedRegion: isRegionAllowed(regionRule, settings.regionByZone.get(record.zone)),
     isEvacuated: clusterState.evacuatedZones.has(record.zone),
     isLeaving: statements.leaving.isAnnounced,
@@ -94,7 +106,7 @@
   route: Route,
   service: string,
   account: Account | undefined,
-  excluded: ReadonlySet<string>,
+  { excluded, softwareVersion }: PlacementConstraints,
   observer?: PlacementObserver,
 ): PlacementResult => {
   const { clusterState, clock, settings, random } = context;
@@ -102,7 +114,7 @@
   const regionRule = findRegionRule(context, head, route, account);
   const candidates = clusterState.endpoints.listReady(service).map((endpoint) => ({
     endpoint,
-    availability: getAvailability(context, endpoint, maxConnections, regionRule),
+    availability: getAvailability(context, endpoint, maxConnections, regionRule, softwareVersion),
   }));
   observer?.onCandidates(candidates);
   const { endpoints, unavailableIds } = selectCandidates(candidates);
@@ -149,6 +161,13 @@
   const restrictions = countRestrictions(candidates);
   return {
     type: 'placed',
-    chosen: { endpoint, placement, maxConnections, regionRule, restrictions },
+    chosen: {
+      endpoint,
+      placement,
+      maxConnections,
+      softwareVersion: endpoint.record.softwareVersion,
+      regionRule,
+      restrictions,
+    },
   };
 };
--- a/packages/gateway/src/requestAttempts.ts
+++ b/packages/gateway/src/requestAttempts.ts
@@ -15,6 +15,7 @@
   recordWeightMismatch,
 } from './attemptFeedback.js';
 import type { CallerResponse } from './callerResponse.js';
+import { recordStreamOrigin } from './continuedStreams.js';
 import { type RoutedRequest, createAttempt } from './createAttempt.js';
 import { recordSend } from './endpointRates.js';
 import type { GatewayContext } from './gatewayContext.js';
@@ -38,6 +39,8 @@
 export interface AttemptsInput {
   readonly routedRequest: RoutedRequest;
   readonly callerResponse: CallerResponse;
+  /** Software version at which the request has to go on; undefined if it may begin at any. */
+  readonly softwareVersion: string | undefined;
   /** Time from the arrival of the request to the end of its time limit, in milliseconds. */
   readonly timeLimitMs: number;
   /** Returns the time since the arrival of the request, in milliseconds. */
@@ -85,6 +88,9 @@
 
   private race: SendRace | undefined;
 
+  /** Version of the endpoint that began the stream, once an event was passed on. */
+  private softwareVersion: string | undefined;
+
   private isStopped = false;
 
   private readonly excludedEndpointIds = new Set<string>();
@@ -94,6 +100,7 @@
     private readonly input: AttemptsInput,
   ) {
     this.framer = this.createFramer();
+    this.softwareVersion = input.softwareVersion;
   }
 
   static create(context: GatewayContext, input: AttemptsInput): RequestAttempts {
@@ -133,8 +140,9 @@
   }
 
   private placeRequest(excluded: ReadonlySet<string> = this.excludedEndpointIds): PlacementResult {
+    const { softwareVersion } = this;
     const { head, route, service, account } = this.input.routedRequest;
-    return placeRequest(this.context, head, route, service, account, excluded);
+    return placeRequest(this.context, head, route, service, account, { excluded, softwareVersion });
   }
 
   private createFramer(): EventStreamFramer | undefined {
@@ -209,6 +217,10 @@
       },
       onResponseStart: () => {
         this.framer = framer;
+        if (framer !== undefined) {
+          this.softwareVersion = chosen.softwareVersion;
+          recordStreamOrigin(context, routedRequest, chosen.softwareVersion);
+        }
         if (isHedge) this.recordPrompt(chosen);
         this.race?.claimResponse(attempt);
       },
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -1,6 +1,7 @@
 import type { AdmissionDecision } from '@lovagearch/admission';
 import type {
   AvailabilityCounts,
+  Continuation,
   Endpoint,
   FirstEventDecision,
   HoldChange,
@@ -207,6 +208,26 @@
     remainingMs: Math.round(remainingMs),
   });
 
+/** Logs at which software version a stream that its caller takes up goes on, and which ones may have begun it. */
+export const logContinuation = (
+  { log }: GatewayContext,
+  { head, service }: RoutedRequest,
+  continuation: Continuation,
+  isOriginKnown: boolean,
+): void => {
+  const fields = {
+    request: head.requestId,
+    service,
+    resumes: head.resumedRequestId?.slice(0, MAX_LOGGED_ID_LENGTH),
+    callerEventId: head.lastEventId,
+    isOriginKnown,
+    software: continuation.type === 'version' ? continuation.version : undefined,
+    versions: continuation.type === 'unknown' ? continuation.versions : undefined,
+  };
+  if (continuation.type === 'unknown') log.logProblem('stream_not_resumed', fields);
+  else log.logRequest('stream_resumed', fields);
+};
+
 /** Logs why a response whose endpoint is silent stays there or is requested elsewhere. */
 export const logSilence = (
   { log }: GatewayContext,
--- a/packages/gateway/src/sendCheck.ts
+++ b/packages/gateway/src/sendCheck.ts
@@ -10,7 +10,8 @@
 
 /**
  * Creates the check whether a request that waited for its connection may still be sent to the endpoint that was chosen
- * for it: the operator may have changed the home regions or evacuated the zone, and the endpoint may have become cold.
+ * for it: the operator may have changed the home regions or evacuated the zone, and the endpoint may have become cold or
+ * have another software version.
  *
  * @example
  * const canSend = createSendCheck(context, routedRequest, chosen);
@@ -19,7 +20,7 @@
 export const createSendCheck = (
   context: GatewayContext,
   { head, route, account }: RoutedRequest,
-  { endpoint, regionRule }: ChosenEndpoint,
+  { endpoint, regionRule, softwareVersion }: ChosenEndpoint,
 ): (() => boolean) => {
   const { clock, clusterState } = context;
   const createdAtMs = clock.nowMs();
@@ -34,6 +35,7 @@
   };
   return () =>
     isTakingRequests(context, endpoint) &&
+    endpoint.record.softwareVersion === softwareVersion &&
     !clusterState.evacuatedZones.has(endpoint.record.zone) &&
     areRulesEqual(findRegionRule(context, head, route, account), regionRule) &&
     isWithinColdLimit();
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -42,12 +42,15 @@
 import { recordIdleConnectionLost, recordOutlivedAnswers } from './attemptFeedback.js';
 import { HeldCalls } from './heldCalls.js';
 import { LostRows } from './lostRows.js';
+import { listSharingNodes } from './loadSharing.js';
+import { OriginSharing } from './originSharing.js';
 import { OverloadState } from './overloadState.js';
 import { PromptPartContainment } from './promptPartContainment.js';
 import { RecentAnswers } from './recentAnswers.js';
 import { RouteDurations } from './routeDurations.js';
 import { createShutdownPlan } from './shutdownPlan.js';
 import { CacheStoreWatcher } from './cacheStoreWatcher.js';
+import { StreamOrigins } from './streamOrigins.js';
 import { StrikePublisher } from './strikePublisher.js';
 import { TableRelay } from './tableRelay.js';
 import {
@@ -150,7 +153,20 @@
     random,
     log,
   });
+  const streamOrigins = StreamOrigins.create();
+  const originSharing = OriginSharing.create({
+    nodeName,
+    origins: streamOrigins,
+    endpoints: clusterState.endpoints,
+    shared,
+    rows,
+    clock,
+    storeClock,
+    listSharingNodes: () => listSharingNodes(clusterState, settings),
+    log,
+  });
   sharedMirror.addListener((row) => {
+    originSharing.applyRow(row);
     weightTargetTimes.applyRow(row);
     strikePublisher.applyRow(row);
     promptPartContainment.applyRow(row);
@@ -307,6 +323,8 @@
     routeDurations: RouteDurations.create(),
     hedging:
       settings.hedgingShares === undefined ? undefined : Hedging.create(settings.hedgingShares),
+    streamOrigins,
+    isStreamHistoryRead: () => sharedMirror.version > 0,
     overloadState: OverloadState.create({
       maxCount: MAX_HELD_CALLS,
       maxBytes: settings.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE * HELD_BODY_SHARE,
@@ -406,6 +424,7 @@
     explain: (described) => explainPlacement(context, described),
     metrics,
     clusterState,
+    originSharing,
     clock,
     log,
   });
@@ -507,6 +526,7 @@
     if (tableRelay.isStoreReader) await weightTargetTimes.publish();
     await strikePublisher.publish();
     await promptPartContainment.publish();
+    await originSharing.publish();
   };
   const publishTimer = setInterval(() => {
     publishRows().catch((error: unknown) => {
