Admit by the caller's patience only streams of routes that can be resumed

A caller that names an event on a route without streams, or on one that can't be resumed, would be admitted with a later forecast than others.

--- a/packages/gateway/src/createOverloadRefusal.ts
+++ b/packages/gateway/src/createOverloadRefusal.ts
@@ -41,6 +41,17 @@
   return Math.min(timeLimitMs, patienceMs);
 };
 
+/**
+ * Returns the time within which the first byte of a response is worth sending the request, in milliseconds. The route's
+ * target is that of the first event; a caller that goes on with a stream has got it, and waits as long as for any event.
+ */
+export const getAdmissionTargetMs = (routedRequest: RoutedRequest, timeLimitMs: number): number => {
+  const { head, route } = routedRequest;
+  return route.isResumable && isTakeUp(head)
+    ? getPatienceMs(routedRequest, timeLimitMs)
+    : route.targetLatencyMs;
+};
+
 const createRepeatKey = ({ head, account, body }: RoutedRequest): string =>
   computeFingerprint(account?.name ?? '', head.path, body);
 
@@ -80,16 +91,13 @@
   { elapsedMs, timeLimitMs }: RequestTiming,
   isHeld: boolean,
 ): AdmissionDecision => {
-  const { head, route, service } = routedRequest;
+  const { route, service } = routedRequest;
   const { expectedMs, ownMs } = chosen.placement;
   const priority = getPriority(routedRequest);
   const input = {
     expectedMs,
     ownMs,
-    // The target is the time of the first event, which the caller of a stream in progress has got.
-    targetLatencyMs: isTakeUp(head)
-      ? getPatienceMs(routedRequest, timeLimitMs)
-      : route.targetLatencyMs,
+    targetLatencyMs: getAdmissionTargetMs(routedRequest, timeLimitMs),
     elapsedMs,
     remainingMs: timeLimitMs - elapsedMs,
     priority,
