Count a version as the only one in use only at nodes in contact

A node that is cut off from the store and its peers, and that callers still reach, knows only the version that was in use before the cut. It would take up a stream there that another node has begun at a newer one, and join the two. Found by reading.

A failed write of streams no longer blocks later ones.

--- a/packages/endpoints/src/softwareVersions.test.ts
+++ b/packages/endpoints/src/softwareVersions.test.ts
@@ -6,7 +6,7 @@
   lastEventId: 7,
   knownVersion: undefined,
   possibleVersions: ['v1', 'v2'],
-  isHistoryRead: true,
+  areVersionsKnown: true,
 };
 
 const createRecord = (id: string, softwareVersion: string) => ({
@@ -40,7 +40,7 @@
   });
   for (const input of [
     TAKE_UP,
-    { ...TAKE_UP, possibleVersions: ['v2'], isHistoryRead: false },
+    { ...TAKE_UP, possibleVersions: ['v2'], areVersionsKnown: false },
     { ...TAKE_UP, possibleVersions: [] },
   ])
     t2.equal(decideContinuation(input).type, 'unknown');
--- a/packages/endpoints/src/softwareVersions.ts
+++ b/packages/endpoints/src/softwareVersions.ts
@@ -17,8 +17,8 @@
   readonly knownVersion: string | undefined;
   /** Versions of the service that were in use at some time in which the stream may have begun. */
   readonly possibleVersions: readonly string[];
-  /** Whether this node has read which versions were in use before it started. */
-  readonly isHistoryRead: boolean;
+  /** Whether a version that was in use at such a time can't be missing above. */
+  readonly areVersionsKnown: boolean;
 }
 
 /**
@@ -33,12 +33,12 @@
   lastEventId,
   knownVersion,
   possibleVersions,
-  isHistoryRead,
+  areVersionsKnown,
 }: ContinuationInput): Continuation => {
   if (lastEventId === 0) return { type: 'any' };
   if (knownVersion !== undefined) return { type: 'version', version: knownVersion };
   const [version, ...others] = possibleVersions;
-  if (version === undefined || others.length > 0 || !isHistoryRead)
+  if (version === undefined || others.length > 0 || !areVersionsKnown)
     return { type: 'unknown', versions: possibleVersions };
   return { type: 'version', version };
 };
--- a/packages/gateway/src/continuedStreams.ts
+++ b/packages/gateway/src/continuedStreams.ts
@@ -56,7 +56,7 @@
     possibleVersions: clusterState.endpoints
       .listSoftware(service, clock.nowMs(), STREAM_RETENTION_MS)
       .map(([version]) => version),
-    isHistoryRead: context.isStreamHistoryRead(),
+    areVersionsKnown: context.areVersionsKnown(),
   });
   metrics.recordContinuation(service, origin === undefined ? continuation.type : 'known');
   logContinuation(context, routedRequest, continuation, origin !== undefined);
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -58,8 +58,8 @@
   readonly hedging: Hedging | undefined;
   /** Which software version began the streams that callers may take up. */
   readonly streamOrigins: StreamOrigins;
-  /** Whether this node has read which software versions were in use before it started. */
-  readonly isStreamHistoryRead: () => boolean;
+  /** Whether this node knows all software versions that were in use recently, also before it started. */
+  readonly areVersionsKnown: () => boolean;
   readonly overloadState: OverloadState;
   readonly heldCalls: HeldCalls;
   /** The planned stop in progress, if there is one. */
--- a/packages/gateway/src/originSharing.test.ts
+++ b/packages/gateway/src/originSharing.test.ts
@@ -130,6 +130,17 @@
   t2.equal(later.endpoints.listSoftware(SERVICE, time.nowMs(), STREAM_RETENTION_MS).length, 0);
 });
 
+// Guards against a node that is cut off and takes the only version it knows for the one that began a stream elsewhere.
+t.test('a node without datagrams of its peers is out of contact', async (t2) => {
+  const time = SimulatedTime.create();
+  const { sharing } = createNode(time, 'n1');
+  t2.notOk(sharing.isInContact());
+  sharing.applyDatagram(['n2', 1, []]);
+  t2.ok(sharing.isInContact());
+  await advance(time, LATE_MS);
+  t2.notOk(sharing.isInContact());
+});
+
 // Guards against a client account that changes where the streams of another one go on.
 t.test('accounts have streams of their own', async (t2) => {
   t2.not(computeStreamKey('a', 'request'), computeStreamKey('b', 'request'));
--- a/packages/gateway/src/originSharing.ts
+++ b/packages/gateway/src/originSharing.ts
@@ -9,6 +9,7 @@
   MAX_STREAMS_PER_DATAGRAM,
   ORIGIN_PUBLISH_INTERVAL_MS,
   ORIGIN_PUBLISH_INTERVAL_PER_NODE_MS,
+  PEER_CONTACT_MS,
   STAND_IN_AGE_MS,
   STREAM_RETENTION_MS,
   VERSIONS_PUBLISH_INTERVAL_MS,
@@ -93,6 +94,9 @@
 
   private isWriting = false;
 
+  /** Clock reading at the last datagram of any peer. */
+  private heardAtMs = Number.NEGATIVE_INFINITY;
+
   private constructor(private readonly dependencies: OriginSharingDependencies) {}
 
   static create(dependencies: OriginSharingDependencies): OriginSharing {
@@ -111,14 +115,20 @@
 
   /** Applies the unpacked datagram of a peer; returns false if it is none with streams. */
   applyDatagram(value: unknown): boolean {
+    const { origins, clock } = this.dependencies;
+    this.heardAtMs = clock.nowMs();
     const datagram = datagramSchema.safeParse(value);
     if (!datagram.success) return false;
-    const { origins, clock } = this.dependencies;
-    for (const entry of this.readGroups(datagram.data[1], clock.nowMs()))
+    for (const entry of this.readGroups(datagram.data[1], this.heardAtMs))
       origins.recordPeerStream(entry);
     return true;
   }
 
+  /** Whether peers have sent datagrams lately, so that this node would know of a version that they use. */
+  isInContact(): boolean {
+    return this.dependencies.clock.nowMs() - this.heardAtMs < PEER_CONTACT_MS;
+  }
+
   /** Applies a row of any node. This node's own rows hold what it published before a restart. */
   applyRow({ key, value }: MirroredRow): void {
     if (value === undefined || !key.startsWith(STREAMS_PREFIX)) return;
@@ -155,14 +165,17 @@
     this.publishedAtMs = nowMs;
     const published = entries.slice(-MAX_PUBLISHED_STREAMS);
     const slot = Math.floor(writtenAtStoreMs / ORIGIN_PUBLISH_INTERVAL_MS) % PUBLICATION_SLOTS;
-    const isWritten = await shared.write(`${STREAMS_PREFIX}${nodeName}/${slot}`, {
-      writtenAtStoreMs,
-      versions: [...services].flatMap((service) => this.listVersions(service, nowMs)),
-      streams: createGroups(published, nowMs),
-    });
-    this.isWriting = false;
-    if (isWritten) origins.recordPublished(published);
-    else log.logStateChange('streams_not_published', { streams: published.length });
+    try {
+      const isWritten = await shared.write(`${STREAMS_PREFIX}${nodeName}/${slot}`, {
+        writtenAtStoreMs,
+        versions: [...services].flatMap((service) => this.listVersions(service, nowMs)),
+        streams: createGroups(published, nowMs),
+      });
+      if (isWritten) origins.recordPublished(published);
+      else log.logStateChange('streams_not_published', { streams: published.length });
+    } finally {
+      this.isWriting = false;
+    }
   }
 
   /** Lists the services of which several software versions were in use recently. */
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -324,7 +324,10 @@
     hedging:
       settings.hedgingShares === undefined ? undefined : Hedging.create(settings.hedgingShares),
     streamOrigins,
-    isStreamHistoryRead: () => sharedMirror.version > 0,
+    areVersionsKnown: () =>
+      sharedMirror.version > 0 &&
+      (endpointMirror.getAgeMs(clock.nowMs()) < bounds.contactLimitMs ||
+        originSharing.isInContact()),
     overloadState: OverloadState.create({
       maxCount: MAX_HELD_CALLS,
       maxBytes: settings.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE * HELD_BODY_SHARE,
