Call streams that callers go on with resumed, as elsewhere in the code

The code of stream origins used another word than the log events, metrics and soak for the same thing. Names, comments and pages say "resume" and "resumption"; the label of lovagearch_resumed_streams_total has a type.

--- a/packages/endpoints/src/softwareVersions.test.ts
+++ b/packages/endpoints/src/softwareVersions.test.ts
@@ -2,7 +2,7 @@
 import { type ContinuationInput, decideContinuation, EndpointTable } from './index.js';
 
 const WINDOW_MS = 30_000;
-const TAKE_UP: ContinuationInput = {
+const RESUMPTION: ContinuationInput = {
   lastEventId: 7,
   knownVersion: undefined,
   possibleVersions: ['v1', 'v2'],
@@ -25,23 +25,23 @@
 
 // Guards against new streams that are kept from the endpoints of a version.
 t.test('a new stream may begin at any version', async (t2) => {
-  t2.strictSame(decideContinuation({ ...TAKE_UP, lastEventId: 0 }), { type: 'any' });
+  t2.strictSame(decideContinuation({ ...RESUMPTION, lastEventId: 0 }), { type: 'any' });
 });
 
 // Guards against streams that are joined from two versions.
 t.test('a stream goes on at the version that began it, or nowhere', async (t2) => {
-  t2.strictSame(decideContinuation({ ...TAKE_UP, knownVersion: 'v1' }), {
+  t2.strictSame(decideContinuation({ ...RESUMPTION, knownVersion: 'v1' }), {
     type: 'version',
     version: 'v1',
   });
-  t2.strictSame(decideContinuation({ ...TAKE_UP, possibleVersions: ['v2'] }), {
+  t2.strictSame(decideContinuation({ ...RESUMPTION, possibleVersions: ['v2'] }), {
     type: 'version',
     version: 'v2',
   });
   for (const input of [
-    TAKE_UP,
-    { ...TAKE_UP, possibleVersions: ['v2'], areVersionsKnown: false },
-    { ...TAKE_UP, possibleVersions: [] },
+    RESUMPTION,
+    { ...RESUMPTION, possibleVersions: ['v2'], areVersionsKnown: false },
+    { ...RESUMPTION, possibleVersions: [] },
   ])
     t2.equal(decideContinuation(input).type, 'unknown');
 });
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -223,7 +223,7 @@
 /** Interval of load digests per peer, in milliseconds; it limits a node to 50 datagrams per second. */
 export const LOAD_DIGEST_INTERVAL_PER_PEER_MS = 20;
 /**
- * Time after which a stream is not taken up any more, in milliseconds: callers that state no time limit have as long, and
+ * Time after which a stream is not resumed any more, in milliseconds: callers that state no time limit have as long, and
  * the deployments' time limits are half of it.
  */
 export const STREAM_RETENTION_MS = 30_000;
--- a/packages/gateway/src/continuedStreams.ts
+++ b/packages/gateway/src/continuedStreams.ts
@@ -9,14 +9,14 @@
 import type { RequestHead } from './types.js';
 
 /** Whether a caller goes on with a stream of which it has a part. */
-export const isTakeUp = ({ lastEventId }: RequestHead): boolean => lastEventId > 0;
+export const isResumption = ({ lastEventId }: RequestHead): boolean => lastEventId > 0;
 
 const findOrigin = (
   { streamOrigins, clock }: GatewayContext,
   head: RequestHead,
   account: Account | undefined,
 ): StreamOrigin | undefined =>
-  isTakeUp(head) && head.resumedRequestId !== undefined
+  isResumption(head) && head.resumedRequestId !== undefined
     ? streamOrigins.findOrigin(
         computeStreamKey(account?.name, head.resumedRequestId),
         clock.nowMs(),
@@ -47,7 +47,7 @@
 ): ContinuationResult => {
   const { clusterState, clock, metrics } = context;
   const { head, route, service, account } = routedRequest;
-  if (route.kind !== 'streaming' || !isTakeUp(head))
+  if (route.kind !== 'streaming' || !isResumption(head))
     return { type: 'allowed', softwareVersion: undefined };
   const origin = findOrigin(context, head, account);
   const continuation: Continuation = decideContinuation({
@@ -83,7 +83,7 @@
   { head, service, account }: RoutedRequest,
   version: string,
 ): void => {
-  const beganWith = isTakeUp(head) ? head.resumedRequestId : head.requestId;
+  const beganWith = isResumption(head) ? head.resumedRequestId : head.requestId;
   if (beganWith === undefined) return;
   const key = computeStreamKey(account?.name, beganWith);
   streamOrigins.recordStream({ key, service, version, atMs: clock.nowMs() });
--- a/packages/gateway/src/createOverloadRefusal.ts
+++ b/packages/gateway/src/createOverloadRefusal.ts
@@ -5,7 +5,7 @@
   getDominantMs,
 } from '@lovagearch/admission';
 import { HELD_EVENT_GAPS, HELD_TARGETS, MIN_CALLER_PATIENCE_MS } from './constants.js';
-import { isTakeUp } from './continuedStreams.js';
+import { isResumption } from './continuedStreams.js';
 import type { RoutedRequest } from './createAttempt.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { createRefusal, type LocalReply } from './localReply.js';
@@ -47,7 +47,7 @@
  */
 export const getAdmissionTargetMs = (routedRequest: RoutedRequest, timeLimitMs: number): number => {
   const { head, route } = routedRequest;
-  return route.isResumable && isTakeUp(head)
+  return route.isResumable && isResumption(head)
     ? getPatienceMs(routedRequest, timeLimitMs)
     : route.targetLatencyMs;
 };
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -56,7 +56,7 @@
   readonly isExplanation?: boolean;
   /** Undefined if hedging is switched off. */
   readonly hedging: Hedging | undefined;
-  /** Which software version began the streams that callers may take up. */
+  /** Which software version began the streams that callers may resume. */
   readonly streamOrigins: StreamOrigins;
   /** Whether this node knows all software versions that were in use recently, also before it started. */
   readonly areVersionsKnown: () => boolean;
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -1,4 +1,4 @@
-import type { FirstEventDecision } from '@lovagearch/endpoints';
+import type { Continuation, FirstEventDecision } from '@lovagearch/endpoints';
 import type { EndpointLife } from '@lovagearch/exchange';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { SilenceDecision } from './silentResponse.js';
@@ -102,7 +102,7 @@
 
   private readonly continuations = new Counter({
     name: 'lovagearch_resumed_streams_total',
-    help: 'Streams that callers take up, by what is known of the software version that began them',
+    help: 'Streams that callers resume, by what is known of the software version that began them',
     labelNames: ['service', 'origin'],
     registers: [this.registry],
   });
@@ -192,8 +192,8 @@
     this.firstEventDecisions.inc({ service, decision: type, reason: reason.replaceAll(' ', '_') });
   }
 
-  /** @param origin `known`, `version` if only one may have begun the stream, or `unknown` */
-  recordContinuation(service: string, origin: string): void {
+  /** @param origin `known`, or else what follows from the versions in use */
+  recordContinuation(service: string, origin: Continuation['type'] | 'known'): void {
     this.continuations.inc({ service, origin });
   }
 
--- a/packages/gateway/src/originSharing.ts
+++ b/packages/gateway/src/originSharing.ts
@@ -25,7 +25,7 @@
 /** Rendezvous hashing key for the choice of the nodes that publish for others. */
 const PUBLISHER_KEY = 'streams/publishers';
 
-/** Rows of a node; each is older than any stream that can be taken up before it is overwritten. */
+/** Rows of a node; each is older than any stream that can be resumed before it is overwritten. */
 const PUBLICATION_SLOTS = Math.ceil(STREAM_RETENTION_MS / ORIGIN_PUBLISH_INTERVAL_MS) + 1;
 
 /** First element of a datagram with streams, which tells it from a load digest. */
@@ -148,7 +148,7 @@
 
   /**
    * Writes streams that no row has yet. The rows of a node form a ring, in which each is overwritten once its streams
-   * are too old to be taken up.
+   * are too old to be resumed.
    */
   async publish(): Promise<void> {
     const { nodeName, origins, shared, clock, storeClock, log } = this.dependencies;
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -208,7 +208,7 @@
     remainingMs: Math.round(remainingMs),
   });
 
-/** Logs at which software version a stream that its caller takes up goes on, and which ones may have begun it. */
+/** Logs at which software version a stream that its caller resumes goes on, and which ones may have begun it. */
 export const logContinuation = (
   { log }: GatewayContext,
   { head, service }: RoutedRequest,
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -26,7 +26,7 @@
   readonly timeLimitMs: number | undefined;
   /** Id of the last stream event that the caller received; 0 if there is none. */
   readonly lastEventId: number;
-  /** Id of the request that brought the first event of the stream that the caller takes up. */
+  /** Id of the request that brought the first event of the stream that the caller resumes. */
   readonly resumedRequestId: string | undefined;
   readonly model: string | undefined;
   readonly promptParts: readonly PromptPart[];
