--- a/review/lib2/registry.mjs
+++ b/review/lib2/registry.mjs
@@ -29,6 +29,24 @@
     setTimeout(() => this.store.remove('servers', id), 3 * HEARTBEAT_MS);
   }
 
+  /** Runners that leave report it at once. */
+  drain(ids) {
+    for (const id of ids) {
+      const entry = this.entries.get(id);
+      entry.state = 'draining';
+      entry.sequence += 1;
+      this.store.put('servers', id, entry);
+    }
+  }
+
+  /** Removes the entries of runners that have left. */
+  leave(ids) {
+    for (const id of ids) {
+      this.entries.delete(id);
+      this.store.remove('servers', id);
+    }
+  }
+
   writeAll() {
     if (this.store.isAway) return;
     for (const [id, entry] of this.entries) {
