Know which software versions were in use without a gap before a stream is resumed

The same beside a node that is cut off during a release: a stream that another node began at the new version went on at the old one.

Cause: a node took the only version that it knew for the only one in use if its copy of the registrations was younger than the contact limit, or any peer had sent a datagram within a second. Neither says anything about the time before the process started, nor about the time since the copy was taken: in both, the node wasn't there.

Change: decideContinuation is given the span in which no use of a version can be missing, and the span in which the stream can have begun; a stream is attributed to the only version only if the first covers the second. - The start of the span: each version is recorded in the shared table (SoftwareRecord) from its first use, before the first event of a stream arrives, until its last endpoint has left. A process that finds the record knows what was in use before. - Its end: the tables are read again after the request has arrived (VersionKnowledge); an age that is measured when a copy arrives isn't asked any more. Without the store, most of the nodes have to answer. - What can be known isn't refused: peers are asked for their recent streams. If all processes were started together and none has begun a stream, an earlier process has, at one of the versions recorded by then.

The test of OriginSharing.isInContact is replaced with that of the statement of a peer, as the function is gone: hearing from one peer didn't show what the others do.

--- a/packages/endpoints/src/endpointTable.ts
+++ b/packages/endpoints/src/endpointTable.ts
@@ -4,7 +4,7 @@
 import { Endpoint } from './endpoint.js';
 import type { EndpointStatements } from './endpointStatements.js';
 import { computeDigestKey } from './loadDigest.js';
-import { SoftwareVersions } from './softwareVersions.js';
+import { SoftwareVersions, type VersionUse } from './softwareVersions.js';
 import type { EndpointRecord } from './types.js';
 
 /** A change in the set or state of endpoints. */
@@ -98,28 +98,33 @@
     return ready;
   }
 
-  /**
-   * Lists the software versions of a service that were in use within the last `windowMs`, with the clock reading of
-   * their last use.
-   */
-  listSoftware(
-    service: string,
-    nowMs: number,
-    windowMs: number,
-  ): [version: string, lastUseMs: number][] {
+  /** Lists the software versions of the registered endpoints of a service. */
+  listRegisteredSoftware(service: string): Set<string> {
+    const versions = new Set<string>();
     for (const id of this.idsByService.get(service) ?? []) {
       const endpoint = this.endpoints.get(id);
-      if (endpoint !== undefined)
-        this.softwareVersions.recordUse(service, endpoint.record.softwareVersion, nowMs);
+      if (endpoint !== undefined) versions.add(endpoint.record.softwareVersion);
     }
+    return versions;
+  }
+
+  /** Lists the software versions of a service that were in use within the last `windowMs`. */
+  listSoftware(service: string, nowMs: number, windowMs: number): VersionUse[] {
+    for (const version of this.listRegisteredSoftware(service))
+      this.recordSoftwareUse(service, version, nowMs);
     return this.softwareVersions.listSince(service, nowMs - windowMs);
   }
 
-  /** Records that an endpoint of a service, which may be unknown here, had a software version. */
+  /** Records that endpoints of a service, which may be unknown here, had a software version. */
   recordSoftwareUse(service: string, version: string, atMs: number): void {
     this.softwareVersions.recordUse(service, version, atMs);
   }
 
+  /** Records when the first endpoint of a service with a software version came into use. */
+  recordFirstSoftwareUse(service: string, version: string, firstUseMs: number): void {
+    this.softwareVersions.recordFirstUse(service, version, firstUseMs);
+  }
+
   listAll(): IterableIterator<Endpoint> {
     return this.endpoints.values();
   }
@@ -144,7 +149,7 @@
       return this.addEndpoint(record, nowMs, 'restarted');
     }
     this.pendingRemovals.delete(record.id);
-    this.softwareVersions.recordUse(known.record.service, known.record.softwareVersion, nowMs);
+    this.recordUseOf(known.record, nowMs);
     known.updateRecord(record, nowMs);
     if (record.state === state || record.state === 'ready') return undefined;
     return { type: 'draining', record };
@@ -205,6 +210,7 @@
     const ids = this.idsByService.get(record.service) ?? new Set<string>();
     ids.add(record.id);
     this.idsByService.set(record.service, ids);
+    this.recordUseOf(record, nowMs);
     return { type, record };
   }
 
@@ -214,8 +220,12 @@
     return timings;
   }
 
+  private recordUseOf({ service, softwareVersion }: EndpointRecord, nowMs: number): void {
+    this.recordSoftwareUse(service, softwareVersion, nowMs);
+  }
+
   private removeEndpoint({ record, statements }: Endpoint, nowMs: number): void {
-    this.softwareVersions.recordUse(record.service, record.softwareVersion, nowMs);
+    this.recordUseOf(record, nowMs);
     // Responses to requests in progress can still change them.
     this.unregisteredStatements.set(getStartKey(record), statements);
     this.endpoints.delete(record.id);
--- a/packages/endpoints/src/softwareVersions.test.ts
+++ b/packages/endpoints/src/softwareVersions.test.ts
@@ -2,11 +2,16 @@
 import { type ContinuationInput, decideContinuation, EndpointTable } from './index.js';
 
 const WINDOW_MS = 30_000;
+const NOW_MS = 100_000;
+const ALWAYS = { fromMs: Number.NEGATIVE_INFINITY, untilMs: NOW_MS };
+const V1 = { version: 'v1', ...ALWAYS };
+const V2 = { version: 'v2', ...ALWAYS };
 const RESUMPTION: ContinuationInput = {
   lastEventId: 7,
   knownVersion: undefined,
-  possibleVersions: ['v1', 'v2'],
-  areVersionsKnown: true,
+  uses: [V1, V2],
+  complete: ALWAYS,
+  begin: { fromMs: NOW_MS - WINDOW_MS, untilMs: NOW_MS },
 };
 
 const createRecord = (id: string, softwareVersion: string) => ({
@@ -34,23 +39,56 @@
     type: 'version',
     version: 'v1',
   });
-  t2.strictSame(decideContinuation({ ...RESUMPTION, possibleVersions: ['v2'] }), {
+  t2.strictSame(decideContinuation({ ...RESUMPTION, uses: [V2] }), {
     type: 'version',
     version: 'v2',
   });
-  for (const input of [
-    RESUMPTION,
-    { ...RESUMPTION, possibleVersions: ['v2'], areVersionsKnown: false },
-    { ...RESUMPTION, possibleVersions: [] },
-  ])
-    t2.equal(decideContinuation(input).type, 'unknown');
+  t2.strictSame(decideContinuation(RESUMPTION), {
+    type: 'unknown',
+    reason: 'several',
+    versions: ['v1', 'v2'],
+  });
+  t2.equal(decideContinuation({ ...RESUMPTION, uses: [] }).type, 'unknown');
+});
+
+// Guards against a process that takes what it has seen since its start, or up to a cut, for all that was in use.
+t.test(
+  'a version counts as the only one within the time that is known without a gap',
+  async (t2) => {
+    const resumption = { ...RESUMPTION, uses: [V1] };
+    const { begin } = RESUMPTION;
+    t2.equal(decideContinuation({ ...resumption, complete: begin }).type, 'version');
+    for (const complete of [
+      { ...begin, fromMs: begin.fromMs + 1 },
+      { ...begin, untilMs: begin.untilMs - 1 },
+    ])
+      t2.strictSame(decideContinuation({ ...resumption, complete }), {
+        type: 'unknown',
+        reason: 'incomplete',
+        versions: ['v1'],
+      });
+  },
+);
+
+// Guards against streams from before an outage that are refused as another version came into use since.
+t.test('a version that came into use later did not begin the stream', async (t2) => {
+  const begin = { fromMs: NOW_MS - WINDOW_MS, untilMs: NOW_MS - 2_000 };
+  const later = { ...V2, fromMs: NOW_MS - 1_000 };
+  t2.strictSame(decideContinuation({ ...RESUMPTION, uses: [V1, later], begin }), {
+    type: 'version',
+    version: 'v1',
+  });
+  const overlapping = { ...V2, fromMs: begin.untilMs };
+  t2.equal(decideContinuation({ ...RESUMPTION, uses: [V1, overlapping], begin }).type, 'unknown');
+  const empty = { fromMs: NOW_MS, untilMs: NOW_MS - 1 };
+  t2.equal(decideContinuation({ ...RESUMPTION, uses: [V1], begin: empty }).type, 'unknown');
 });
 
 // Guards against a version that is forgotten as soon as its last endpoint has left.
 t.test('the version of an endpoint that has left stays in use for a while', async (t2) => {
   const table = EndpointTable.create();
   const listVersions = (nowMs: number) =>
-    table.listSoftware('app', nowMs, WINDOW_MS).map(([version]) => version);
+    table.listSoftware('app', nowMs, WINDOW_MS).map(({ version }) => version);
   table.applyRecord(createRecord('i-1', 'v1'), 0);
   table.applyRecord(createRecord('i-2', 'v2'), 0);
   t2.strictSame(listVersions(WINDOW_MS * 2), ['v1', 'v2']);
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -162,7 +162,11 @@
       return;
     }
     if (this.endIfQuarantined(routedRequest)) return;
-    const continuation = findContinuation(context, routedRequest);
+    const continuation = await findContinuation(context, routedRequest);
+    if (this.stopReason !== undefined) {
+      this.handleStop(routedRequest);
+      return;
+    }
     if (continuation.type === 'refused') {
       this.reply(head, route, continuation.refusal);
       return;
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -237,8 +237,11 @@
 export const STREAM_SENDS = 3;
 /** Interval at which peers are told of new streams, in milliseconds; a stream that breaks earlier can't go on elsewhere. */
 export const ORIGIN_SHARE_INTERVAL_MS = 40;
-/** Time after the last datagram from which a node counts as cut off from its peers, in milliseconds: six digests. */
-export const PEER_CONTACT_MS = 1_000;
+/**
+ * Time for a read of the store that confirms which software versions are in use, in milliseconds; a request waits for
+ * it, and a store that is slow answers within half of it.
+ */
+export const VERSION_READ_TIMEOUT_MS = 500;
 /** Streams in one datagram, which has to fit into 1,400 bytes. */
 export const MAX_STREAMS_PER_DATAGRAM = 60;
 /** Interval at which streams are published in the shared table, in milliseconds; each publication costs a store call. */
--- a/packages/gateway/src/continuedStreams.ts
+++ b/packages/gateway/src/continuedStreams.ts
@@ -1,12 +1,13 @@
 import { type Continuation, decideContinuation } from '@lovagearch/endpoints';
 import { type Account, chooseTarget, type Route } from '@lovagearch/traffic';
-import { STREAM_RETENTION_MS, UNKNOWN_ORIGIN_RETRY_AFTER_MS } from './constants.js';
+import { UNKNOWN_ORIGIN_RETRY_AFTER_MS } from './constants.js';
 import type { RoutedRequest } from './createAttempt.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { createRefusal, type LocalReply } from './localReply.js';
 import { logContinuation } from './requestLog.js';
 import { computeStreamKey, type StreamOrigin } from './streamOrigins.js';
 import type { RequestHead } from './types.js';
+import type { KnownVersions } from './versionKnowledge.js';
 
 /** Whether a caller goes on with a stream of which it has a part. */
 export const isResumption = ({ lastEventId }: RequestHead): boolean => lastEventId > 0;
@@ -35,31 +36,55 @@
   return isRouted ? origin?.service : chooseTarget(route.targets, context.random())?.service;
 };
 
+/** At which version a stream goes on, and from whom that is known: from its own origin, or from the versions in use. */
+export interface ContinuationDecision {
+  readonly continuation: Continuation;
+  readonly source: KnownVersions['confirmedBy'] | 'origin';
+}
+
 /** Where a request may go on, or why it is refused. */
 export type ContinuationResult =
   | { readonly type: 'allowed'; readonly softwareVersion: string | undefined }
   | { readonly type: 'refused'; readonly refusal: LocalReply };
 
+const decide = async (
+  context: GatewayContext,
+  routedRequest: RoutedRequest,
+): Promise<ContinuationDecision> => {
+  const { head, service, account } = routedRequest;
+  const { lastEventId } = head;
+  const findKnownVersion = () => {
+    const origin = findOrigin(context, head, account);
+    return origin?.service === service ? origin.version : undefined;
+  };
+  const knownVersion = findKnownVersion();
+  if (knownVersion !== undefined)
+    return { continuation: { type: 'version', version: knownVersion }, source: 'origin' };
+  const { uses, complete, begin, confirmedBy } = await context.versionKnowledge.confirm(service);
+  const toldVersion = findKnownVersion();
+  const continuation = decideContinuation({
+    lastEventId,
+    knownVersion: toldVersion,
+    uses,
+    complete,
+    begin,
+  });
+  return { continuation, source: toldVersion === undefined ? confirmedBy : 'origin' };
+};
+
 /** Finds the software version at which a request has to go on; one that may go on nowhere is refused. */
-export const findContinuation = (
+export const findContinuation = async (
   context: GatewayContext,
   routedRequest: RoutedRequest,
-): ContinuationResult => {
-  const { clusterState, clock, metrics } = context;
-  const { head, route, service, account } = routedRequest;
+): Promise<ContinuationResult> => {
+  const { metrics } = context;
+  const { head, route, service } = routedRequest;
   if (route.kind !== 'streaming' || !isResumption(head))
     return { type: 'allowed', softwareVersion: undefined };
-  const origin = findOrigin(context, head, account);
-  const continuation: Continuation = decideContinuation({
-    lastEventId: head.lastEventId,
-    knownVersion: origin?.service === service ? origin.version : undefined,
-    possibleVersions: clusterState.endpoints
-      .listSoftware(service, clock.nowMs(), STREAM_RETENTION_MS)
-      .map(([version]) => version),
-    areVersionsKnown: context.areVersionsKnown(),
-  });
-  metrics.recordContinuation(service, origin === undefined ? continuation.type : 'known');
-  logContinuation(context, routedRequest, continuation, origin !== undefined);
+  const decision = await decide(context, routedRequest);
+  const { continuation, source } = decision;
+  metrics.recordContinuation(service, source === 'origin' ? 'known' : continuation.type);
+  logContinuation(context, routedRequest, decision);
   switch (continuation.type) {
     case 'any':
       return { type: 'allowed', softwareVersion: undefined };
--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -55,6 +55,7 @@
   const { endpoint, placement, maxConnections } = chosen;
   const { reusePlan, framer, remainingMs, isRepeat, callerResponse } = options;
   const isStreaming = route.kind === 'streaming';
+  if (isStreaming) context.recordSoftwareSend(service, endpoint.record.softwareVersion);
   const headers = context.headers.encodeEndpointHeaders(head, {
     endpointId: endpoint.record.id,
     accountName: account?.name,
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -17,6 +17,7 @@
 import type { StrikePublisher } from './strikePublisher.js';
 import type { StreamOrigins } from './streamOrigins.js';
 import type { GatewaySettings, HeaderCodec } from './types.js';
+import type { VersionKnowledge } from './versionKnowledge.js';
 import type { WaitingAttempts } from './waitingAttempts.js';
 
 /** State and services that all requests of a process share. */
@@ -58,8 +59,9 @@
   readonly hedging: Hedging | undefined;
   /** Which software version began the streams that callers may resume. */
   readonly streamOrigins: StreamOrigins;
-  /** Whether this node knows all software versions that were in use recently, also before it started. */
-  readonly areVersionsKnown: () => boolean;
+  /** Records that a stream is sent to an endpoint of a software version. */
+  readonly recordSoftwareSend: (service: string, version: string) => void;
+  readonly versionKnowledge: Pick<VersionKnowledge, 'confirm'>;
   readonly overloadState: OverloadState;
   readonly heldCalls: HeldCalls;
   /** The planned stop in progress, if there is one. */
--- a/packages/gateway/src/managementServer.ts
+++ b/packages/gateway/src/managementServer.ts
@@ -4,6 +4,7 @@
 import type { StoreIndex } from '@lovagearch/reuse';
 import type { ConnectionAdmission } from './connectionAdmission.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
+import { registerStreamRoute, type StreamStatement } from './peerStreams.js';
 import { registerTableRoute, registerCacheStoreRoute } from './peerExchange.js';
 import type { Address } from './types.js';
 import { type ExplainRequest, registerWhereRoute } from './whereRoute.js';
@@ -37,6 +38,7 @@
  *
  * @param explain explains where a described request would be sent
  * @param isServable whether the copy of a table may be served now
+ * @param createStreamStatement creates the statement on recent streams that peers ask for
  */
 export const startPeerServer = (
   address: Address,
@@ -46,11 +48,13 @@
   findIndex: (address: string) => StoreIndex | undefined,
   indexClock: Clock,
   explain: ExplainRequest,
+  createStreamStatement: (maxAgeMs: number) => StreamStatement,
   admission: ConnectionAdmission,
 ): Promise<FastifyInstance> => {
   const server = fastify();
   admission.protect(server.server, 'peers');
   registerWhereRoute(server, explain);
+  registerStreamRoute(server, createStreamStatement);
   registerTableRoute(server, mirrors, clock, isServable);
   registerCacheStoreRoute(server, findIndex, indexClock);
   return listen(server, address);
--- a/packages/gateway/src/openGatewayListeners.ts
+++ b/packages/gateway/src/openGatewayListeners.ts
@@ -31,6 +31,8 @@
   readonly metrics: GatewayMetrics;
   readonly clusterState: ClusterState;
   readonly originSharing: OriginSharing;
+  /** Clock reading at which this process started. */
+  readonly startMs: number;
   readonly clock: Clock;
   readonly log: GatewayLog;
 }
@@ -74,6 +76,7 @@
           parts.findCacheStoreIndex,
           parts.indexClock,
           parts.explain,
+          (maxAgeMs) => originSharing.createStatement(clock.nowMs() - parts.startMs, maxAgeMs),
           admission,
         ),
     },
--- a/packages/gateway/src/originSharing.test.ts
+++ b/packages/gateway/src/originSharing.test.ts
@@ -130,15 +130,21 @@
   t2.equal(later.endpoints.listSoftware(SERVICE, time.nowMs(), STREAM_RETENTION_MS).length, 0);
 });
 
-// Guards against a node that is cut off and takes the only version it knows for the one that began a stream elsewhere.
-t.test('a node without datagrams of its peers is out of contact', async (t2) => {
+// Guards against a node that is not told of the streams of its peers, as it was cut off when they began.
+t.test('a node learns streams and versions from the statement of a peer', async (t2) => {
   const time = SimulatedTime.create();
-  const { sharing } = createNode(time, 'n1');
-  t2.notOk(sharing.isInContact());
-  sharing.applyDatagram(['n2', 1, []]);
-  t2.ok(sharing.isInContact());
-  await advance(time, LATE_MS);
-  t2.notOk(sharing.isInContact());
+  const [peer, node] = [createNode(time, 'n1'), createNode(time, 'n2')];
+  peer.register('i-1', 'v1');
+  peer.record();
+  await advance(time, DUE_MS);
+  const statement = peer.sharing.createStatement(DUE_MS, STREAM_RETENTION_MS);
+  t2.equal(statement.processAgeMs, DUE_MS);
+  node.sharing.applyStatement(statement);
+  t2.equal(node.origins.findOrigin(KEY, time.nowMs())?.version, 'v1');
+  t2.strictSame(node.endpoints.listSoftware(SERVICE, time.nowMs(), STREAM_RETENTION_MS), [
+    { version: 'v1', fromMs: Number.NEGATIVE_INFINITY, untilMs: time.nowMs() },
+  ]);
+  t2.strictSame(peer.sharing.createStatement(DUE_MS, DUE_MS - 1).streams, []);
 });
 
 // Guards against a client account that changes where the streams of another one go on.
--- a/packages/gateway/src/originSharing.ts
+++ b/packages/gateway/src/originSharing.ts
@@ -9,13 +9,13 @@
   MAX_STREAMS_PER_DATAGRAM,
   ORIGIN_PUBLISH_INTERVAL_MS,
   ORIGIN_PUBLISH_INTERVAL_PER_NODE_MS,
-  PEER_CONTACT_MS,
   STAND_IN_AGE_MS,
   STREAM_RETENTION_MS,
   VERSIONS_PUBLISH_INTERVAL_MS,
 } from './constants.js';
 import type { GatewayLog } from './gatewayLog.js';
 import { computeAgeMs, listStoreTimes } from './storeTime.js';
+import type { StreamStatement } from './peerStreams.js';
 import type { StreamEntry, StreamOrigins, UnpublishedAges } from './streamOrigins.js';
 import type { RowCodec, SharedTable } from './types.js';
 
@@ -37,8 +37,8 @@
   z.string(),
   z.array(z.tuple([z.string(), z.number().nonnegative()])),
 ]);
-const groupsSchema = z.array(groupSchema);
-type StreamGroup = z.infer<typeof groupSchema>;
+export const groupsSchema = z.array(groupSchema);
+export type StreamGroup = z.infer<typeof groupSchema>;
 const datagramSchema = z.tuple([z.literal(DATAGRAM_TYPE), groupsSchema]);
 const rowSchema = z.object({
   writtenAtStoreMs: z.number(),
@@ -94,9 +94,6 @@
 
   private isWriting = false;
 
-  /** Clock reading at the last datagram of any peer. */
-  private heardAtMs = Number.NEGATIVE_INFINITY;
-
   private constructor(private readonly dependencies: OriginSharingDependencies) {}
 
   static create(dependencies: OriginSharingDependencies): OriginSharing {
@@ -116,17 +113,45 @@
   /** Applies the unpacked datagram of a peer; returns false if it is none with streams. */
   applyDatagram(value: unknown): boolean {
     const { origins, clock } = this.dependencies;
-    this.heardAtMs = clock.nowMs();
     const datagram = datagramSchema.safeParse(value);
     if (!datagram.success) return false;
-    for (const entry of this.readGroups(datagram.data[1], this.heardAtMs))
+    for (const entry of this.readGroups(datagram.data[1], clock.nowMs()))
       origins.recordPeerStream(entry);
     return true;
   }
 
-  /** Whether peers have sent datagrams lately, so that this node would know of a version that they use. */
-  isInContact(): boolean {
-    return this.dependencies.clock.nowMs() - this.heardAtMs < PEER_CONTACT_MS;
+  /**
+   * Creates the statement that peers ask for: the versions in use, and the streams of the last `maxAgeMs`.
+   *
+   * @param processAgeMs age of this process in milliseconds
+   */
+  createStatement(processAgeMs: number, maxAgeMs: number): StreamStatement {
+    const { origins, endpoints, clock } = this.dependencies;
+    const nowMs = clock.nowMs();
+    const services = new Set([...endpoints.listAll()].map(({ record }) => record.service));
+    const versions = [...services].flatMap((service) =>
+      endpoints
+        .listSoftware(service, nowMs, STREAM_RETENTION_MS)
+        .map(({ version, untilMs }): [string, string, number] => [
+          service,
+          version,
+          Math.max(0, nowMs - untilMs),
+        ]),
+    );
+    return {
+      processAgeMs,
+      versions,
+      streams: createGroups(origins.listRecent(nowMs, maxAgeMs), nowMs),
+    };
+  }
+
+  /** Applies the statement of a peer that has just arrived. */
+  applyStatement({ versions, streams }: StreamStatement): void {
+    const { origins, endpoints, clock } = this.dependencies;
+    const nowMs = clock.nowMs();
+    for (const [service, version, ageMs] of versions)
+      endpoints.recordSoftwareUse(service, version, nowMs - ageMs);
+    for (const entry of this.readGroups(streams, nowMs)) origins.recordPeerStream(entry);
   }
 
   /** Applies a row of any node. This node's own rows hold what it published before a restart. */
@@ -190,11 +215,7 @@
   private listVersions(service: string, nowMs: number): [string, string, number][] {
     return this.dependencies.endpoints
       .listSoftware(service, nowMs, STREAM_RETENTION_MS)
-      .map(([version, lastUseMs]) => [
-        service,
-        version,
-        Math.max(0, Math.round(nowMs - lastUseMs)),
-      ]);
+      .map(({ version, untilMs }) => [service, version, Math.max(0, Math.round(nowMs - untilMs))]);
   }
 
   private choosePace(): PublicationPace {
--- a/packages/gateway/src/peerExchange.ts
+++ b/packages/gateway/src/peerExchange.ts
@@ -34,7 +34,7 @@
 const batchesSchema = z.array(z.tuple([z.string(), batchSchema]));
 
 /** Requests a resource of a peer; a large response may take long as long as it makes progress. */
-const requestBytes = async (
+export const requestBytes = async (
   agent: Agent,
   url: string,
   limits: ReceiveLimits,
@@ -59,7 +59,7 @@
   }
 };
 
-const createPeerAgent = (): Agent =>
+export const createPeerAgent = (): Agent =>
   createBoundedAgent({
     connectTimeoutMs: PEER_TIMEOUT_MS,
     keepAliveMs: 5_000,
--- /dev/null
+++ b/packages/gateway/src/peerStreams.ts
@@ -0,0 +1,55 @@
+import type { FastifyInstance } from 'fastify';
+import { pack, unpack } from 'msgpackr';
+import type { ReceiveLimits } from '@lovagearch/bounded-http';
+import * as z from 'zod';
+import { groupsSchema, type StreamGroup } from './originSharing.js';
+import { createPeerAgent, requestBytes } from './peerExchange.js';
+
+const PATH = '/peer/streams';
+
+/** What a node knows of recent streams and of the software versions in use. All ages are in milliseconds. */
+const statementSchema = z.object({
+  /** Age of the node's process. */
+  processAgeMs: z.number().nonnegative(),
+  /** Service, software version, and age of its last use. */
+  versions: z.array(z.tuple([z.string(), z.string(), z.number().nonnegative()])),
+  streams: groupsSchema,
+});
+export interface StreamStatement {
+  readonly processAgeMs: number;
+  readonly versions: readonly (readonly [string, string, number])[];
+  readonly streams: readonly StreamGroup[];
+}
+
+/** Asks a peer, given by its host and port, for the streams of the last `maxAgeMs`; undefined without an answer. */
+export type StreamStatementSource = (
+  peer: string,
+  maxAgeMs: number,
+) => Promise<StreamStatement | undefined>;
+
+/** Serves what this node knows of recent streams to its peers. */
+export const registerStreamRoute = (
+  server: FastifyInstance,
+  createStatement: (maxAgeMs: number) => StreamStatement,
+): void => {
+  server.get<{ Querystring: { age?: string } }>(PATH, (incoming, reply) => {
+    const maxAgeMs = Number(incoming.query.age);
+    const statement = createStatement(Number.isFinite(maxAgeMs) ? maxAgeMs : 0);
+    return reply.type('application/vnd.msgpack').send(pack(statement));
+  });
+};
+
+/** Creates the source that asks one peer. */
+export const createStreamStatementSource = (limits: ReceiveLimits): StreamStatementSource => {
+  const agent = createPeerAgent();
+  return async (peer, maxAgeMs) => {
+    try {
+      const url = `http://${peer}${PATH}?age=${Math.ceil(maxAgeMs)}`;
+      const { status, body } = await requestBytes(agent, url, limits);
+      const statement = statementSchema.safeParse(unpack(body));
+      return status === 200 && statement.success ? statement.data : undefined;
+    } catch {
+      return undefined;
+    }
+  };
+};
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -1,7 +1,6 @@
 import type { AdmissionDecision } from '@lovagearch/admission';
 import type {
   AvailabilityCounts,
-  Continuation,
   Endpoint,
   FirstEventDecision,
   HoldChange,
@@ -15,6 +14,7 @@
   NextStep,
 } from '@lovagearch/exchange';
 import type { AttemptOutcome } from './attempt.js';
+import type { ContinuationDecision } from './continuedStreams.js';
 import type { RoutedRequest } from './createAttempt.js';
 import type { FirstEventAges } from './firstEventWait.js';
 import type { GatewayContext } from './gatewayContext.js';
@@ -212,15 +212,15 @@
 export const logContinuation = (
   { log }: GatewayContext,
   { head, service }: RoutedRequest,
-  continuation: Continuation,
-  isOriginKnown: boolean,
+  { continuation, source }: ContinuationDecision,
 ): void => {
   const fields = {
     request: head.requestId,
     service,
     resumes: head.resumedRequestId?.slice(0, MAX_LOGGED_ID_LENGTH),
     callerEventId: head.lastEventId,
-    isOriginKnown,
+    source,
+    reason: continuation.type === 'unknown' ? continuation.reason : undefined,
     software: continuation.type === 'version' ? continuation.version : undefined,
     versions: continuation.type === 'unknown' ? continuation.versions : undefined,
   };
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -44,12 +44,14 @@
 import { LostRows } from './lostRows.js';
 import { listSharingNodes } from './loadSharing.js';
 import { OriginSharing } from './originSharing.js';
+import { createStreamStatementSource } from './peerStreams.js';
 import { OverloadState } from './overloadState.js';
 import { PromptPartContainment } from './promptPartContainment.js';
 import { RecentAnswers } from './recentAnswers.js';
 import { RouteDurations } from './routeDurations.js';
 import { createShutdownPlan } from './shutdownPlan.js';
 import { CacheStoreWatcher } from './cacheStoreWatcher.js';
+import { SoftwareRecord } from './softwareRecord.js';
 import { StreamOrigins } from './streamOrigins.js';
 import { StrikePublisher } from './strikePublisher.js';
 import { TableRelay } from './tableRelay.js';
@@ -61,6 +63,7 @@
   createSharedTableTiming,
 } from './tableTiming.js';
 import type { GatewayDependencies, GatewaySettings } from './types.js';
+import { VersionKnowledge } from './versionKnowledge.js';
 import { WaitingAttempts } from './waitingAttempts.js';
 import { WeightTargetTimes } from './weightTargetTimes.js';
 
@@ -96,7 +99,8 @@
   readinessPath: string,
 ): Promise<Gateway> => {
   const clock = processClock;
-  let addressesHeldAtMs = clock.nowMs();
+  const startMs = clock.nowMs();
+  let addressesHeldAtMs = startMs;
   const { random, responseLimits } = dependencies;
   const metrics = GatewayMetrics.create();
   const log = createGatewayLog(settings.nodeName, clock, (lines) =>
@@ -127,6 +131,10 @@
   sharedMirror.addListener((row) => clusterState.applySharedRow(row));
   const { nodeName } = settings;
   const { shared, rows } = dependencies;
+  // At the first start, the nodes announce themselves within that time.
+  const isMembershipKnown = () =>
+    sharedMirror.version > 0 &&
+    (!settings.isFirstStart || clock.nowMs() - addressesHeldAtMs >= settings.bounds.contactLimitMs);
   const { strikes } = clusterState;
   const strikePublisher = StrikePublisher.create({
     nodeName,
@@ -165,18 +173,42 @@
     listSharingNodes: () => listSharingNodes(clusterState, settings),
     log,
   });
+  const softwareRecord = SoftwareRecord.create({
+    nodeName,
+    isFirstStart: settings.isFirstStart,
+    endpoints: clusterState.endpoints,
+    endpointMirror,
+    sharedMirror,
+    shared,
+    rows,
+    clock,
+    storeClock,
+    listStreamServices: () => clusterState.trafficRules?.streamServices ?? [],
+    listSharingNodes: () => listSharingNodes(clusterState, settings),
+    areRegistrationsComplete: () =>
+      endpointMirror.getAgeMs(clock.nowMs()) < settings.bounds.contactLimitMs &&
+      !clusterState.isAwaitingRegistrations(),
+    isMembershipKnown,
+    log,
+  });
   sharedMirror.addListener((row) => {
     originSharing.applyRow(row);
+    softwareRecord.applyRow(row);
     weightTargetTimes.applyRow(row);
     strikePublisher.applyRow(row);
     promptPartContainment.applyRow(row);
   });
+  const logSoftwareNotRecorded = (error: unknown) =>
+    log.logStateChange('software_not_recorded', { reason: getErrorMessage(error) });
   endpointMirror.addListener(({ key }) => {
     const endpoint = clusterState.endpoints.findEndpoint(key);
     if (endpoint === undefined) return;
     const startKey = getEndpointStartKey(endpoint);
     promptPartContainment.recordHeartbeat(startKey, endpoint.record.heartbeat);
     strikePublisher.recordHeartbeat(startKey, endpoint.record.heartbeat);
+    const { service, softwareVersion } = endpoint.record;
+    if (softwareRecord.isMissing(service, softwareVersion))
+      softwareRecord.publish().catch(logSoftwareNotRecorded);
   });
 
   const ownPeerAddress = `${settings.peerAddress.host}:${settings.peerAddress.port}`;
@@ -300,10 +332,7 @@
         (tableRelay.isStoreReader
           ? endpointTableTiming.longPollMs + endpointTableTiming.pollIntervalMs
           : tableRelay.maxRelayedAgeMs),
-    // At the first start, the nodes announce themselves within that time.
-    isMembershipKnown: () =>
-      sharedMirror.version > 0 &&
-      (!settings.isFirstStart || clock.nowMs() - addressesHeldAtMs >= bounds.contactLimitMs),
+    isMembershipKnown,
     getRetryBudget: (service) => {
       const known = budgets.get(service);
       if (known !== undefined) return known;
@@ -324,10 +353,27 @@
     hedging:
       settings.hedgingShares === undefined ? undefined : Hedging.create(settings.hedgingShares),
     streamOrigins,
-    areVersionsKnown: () =>
-      sharedMirror.version > 0 &&
-      (endpointMirror.getAgeMs(clock.nowMs()) < bounds.contactLimitMs ||
-        originSharing.isInContact()),
+    recordSoftwareSend: (service, version) => {
+      softwareRecord.recordSend(service, version).catch(logSoftwareNotRecorded);
+    },
+    versionKnowledge: VersionKnowledge.create({
+      endpoints: clusterState.endpoints,
+      mirrors: [endpointMirror, sharedMirror],
+      tables: dependencies.tables,
+      softwareRecord,
+      originSharing,
+      listPeers: () => {
+        if (!isMembershipKnown()) return undefined;
+        const peerAddresses = [...clusterState.listPeers()]
+          .filter(([name]) => name !== nodeName)
+          .map(([name, { address }]): [string, string] => [name, address]);
+        return new Map(peerAddresses);
+      },
+      askPeer: createStreamStatementSource(responseLimits),
+      startSpreadMs: bounds.contactLimitMs,
+      startMs,
+      clock,
+    }),
     overloadState: OverloadState.create({
       maxCount: MAX_HELD_CALLS,
       maxBytes: settings.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE * HELD_BODY_SHARE,
@@ -428,6 +474,7 @@
     metrics,
     clusterState,
     originSharing,
+    startMs,
     clock,
     log,
   });
@@ -529,6 +576,7 @@
     if (tableRelay.isStoreReader) await weightTargetTimes.publish();
     await strikePublisher.publish();
     await promptPartContainment.publish();
+    await softwareRecord.publish();
     await originSharing.publish();
   };
   const publishTimer = setInterval(() => {
@@ -544,9 +592,9 @@
   cacheStoreWatcher.run().catch(logCrash);
   tableRelay.run().catch(logCrash);
 
-  const runShutdown = async (reason: string, startMs: number): Promise<void> => {
+  const runShutdown = async (reason: string, requestedAtMs: number): Promise<void> => {
     const plan = createShutdownPlan(bounds.shutdownGraceMs);
-    shutdown = { plan, requestedAtMs: startMs };
+    shutdown = { plan, requestedAtMs };
     rollout.stop();
     cacheStoreWatcher.stop();
     tableRelay.stop();
@@ -558,7 +606,7 @@
     const waitUntil = async (isDone: () => boolean) => {
       while (!isDone()) await waitForDrainStep();
     };
-    const getElapsedMs = () => clock.nowMs() - startMs;
+    const getElapsedMs = () => clock.nowMs() - requestedAtMs;
     await waitUntil(() => getElapsedMs() >= plan.closeAtMs);
     server.stopListening();
     server.closeIdleConnections();
--- a/packages/gateway/src/streamOrigins.ts
+++ b/packages/gateway/src/streamOrigins.ts
@@ -97,6 +97,11 @@
     return this.findRecent(key, nowMs);
   }
 
+  /** Lists the streams of all nodes that began or went on within the last `maxAgeMs`. */
+  listRecent(nowMs: number, maxAgeMs: number): StreamEntry[] {
+    return [...this.streams.values()].filter(({ atMs }) => nowMs - atMs <= maxAgeMs);
+  }
+
   /** Takes streams of this node that peers are to be told of; each is taken several times, as datagrams get lost. */
   takeUnsent(services: ReadonlySet<string>, maxCount: number, nowMs: number): StreamEntry[] {
     const taken: StreamEntry[] = [];
--- a/packages/traffic/src/trafficRules.ts
+++ b/packages/traffic/src/trafficRules.ts
@@ -9,6 +9,11 @@
   TrafficConfiguration,
 } from './types.js';
 
+const listStreamServices = (routes: readonly Route[]): string[] => {
+  const streaming = routes.filter(({ kind }) => kind === 'streaming');
+  return [...new Set(streaming.flatMap(({ targets }) => targets.map(({ service }) => service)))];
+};
+
 /** Lookups in one version of the configuration; their cost doesn't grow with the number of routes. */
 export class TrafficRules {
   private constructor(
@@ -23,6 +28,8 @@
     private readonly accountsByName: ReadonlyMap<string, Account>,
     /** Canonical names of the region rules that requests can have. */
     readonly regionRuleNames: ReadonlySet<string>,
+    /** Services that streaming routes lead to. */
+    readonly streamServices: readonly string[],
   ) {}
 
   /**
@@ -53,6 +60,7 @@
       configuration.cacheStores,
       new Map(accounts.map((account) => [account.name, account])),
       listRegionRuleNames(configuration.routes, accounts),
+      listStreamServices(configuration.routes),
     );
   }
 
