Pass on only events with increasing ids, and comments, as a stream

Cause: the framer checked the order of ids and took what has none for an event that may stand anywhere. The protocol's streams are series of events with increasing ids, so an event without one belongs to no answer.

Change: readEvent tells events, comments and anything else apart; the last is a fault, before which the response ends. Comments and fields that readers ignore are passed on, so that sound streams stay whole.

`hasUnnumberedEvents` of decideNextStep goes with them: nothing without an id is passed on any more.

--- a/packages/exchange/src/eventStreamCuts.test.ts
+++ b/packages/exchange/src/eventStreamCuts.test.ts
@@ -76,20 +76,19 @@
   return text;
 };
 
-/** Events of which some have ids that rise by one. */
-const eventTexts = (hasUnnumbered: boolean): fc.Arbitrary<string[]> =>
-  fc.array(fc.boolean(), { minLength: 1, maxLength: 12 }).chain((areNumbered) => {
-    let number = 0;
-    const texts = areNumbered.map((isNumbered) => {
-      if (isNumbered || !hasUnnumbered) number += 1;
-      const lines =
-        isNumbered || !hasUnnumbered ? numberedLines(number) : unnumberedLines(number + 1);
-      return fc
-        .tuple(lines, dataLines, lineEnd)
-        .map(([idLines, data, end]) => formatEvent([...idLines, ...data], end));
-    });
-    return fc.tuple(...texts);
-  });
+const createEventText = (lines: fc.Arbitrary<string[]>): fc.Arbitrary<string> =>
+  fc
+    .tuple(lines, dataLines, lineEnd)
+    .map(([idLines, data, end]) => formatEvent([...idLines, ...data], end));
+
+/** Events whose ids rise by one. */
+const eventTexts = fc
+  .integer({ min: 1, max: 12 })
+  .chain((count) =>
+    fc.tuple(
+      ...Array.from({ length: count }, (_, index) => createEventText(numberedLines(index + 1))),
+    ),
+  );
 
 const chunkSizes = fc.array(fc.integer({ min: 1, max: 40 }), { maxLength: 40 });
 
@@ -110,25 +109,79 @@
 // Guards against an id that callers read differently: the next endpoint would start at another event.
 t.test('the last id of a stream is the one that its reader knows', async () => {
   fc.assert(
-    fc.property(eventTexts(true), chunkSizes, (texts, sizes) => {
+    fc.property(eventTexts, chunkSizes, (texts, sizes) => {
       const text = texts.join('');
       const framer = EventStreamFramer.create(0);
       assert.equal(addChunks(framer, Buffer.from(text), sizes), text);
-      const events = parseEvents(text);
-      assert.equal(framer.lastEventId, findLastId(events));
-      assert.equal(framer.hasUnnumberedEvents, !isNumber(events.at(-1)?.id));
+      assert.equal(framer.lastEventId, findLastId(parseEvents(text)));
+      assert.equal(framer.lastEventId, texts.length);
       assert.equal(framer.hasPartialEvent, false);
     }),
     { numRuns: 500 },
   );
 });
 
+/** Pieces that are no event with an id; `number` is the id that the next event has. */
+const invalidText = (number: number): fc.Arbitrary<string> =>
+  fc.oneof(
+    createEventText(unnumberedLines(number)),
+    fc.constantFrom(
+      `id: ${number}\n\n`,
+      `garbage\nid: ${number}\ndata: a\n\n`,
+      `id: ${number}\ndata: a\n\u0001}{: a\n\n`,
+      'retry: 100\n\n',
+    ),
+  );
+
+// Guards against bytes that no endpoint made as an event, and that reach the caller as one.
+t.test(
+  'a stream ends before bytes that are neither an event with an id nor a comment',
+  async () => {
+    const spoilt = eventTexts.chain((texts) =>
+      fc.tuple(fc.constant(texts), invalidText(texts.length + 1), chunkSizes),
+    );
+    fc.assert(
+      fc.property(spoilt, ([texts, invalid, sizes]) => {
+        const framer = EventStreamFramer.create(0);
+        const sound = texts.join('');
+        let remaining = Buffer.from(`${sound}${invalid}`);
+        let passedOn = '';
+        let hasFault = false;
+        for (const size of [...sizes, remaining.length]) {
+          const result = framer.addChunk(remaining.subarray(0, size));
+          remaining = remaining.subarray(size);
+          if (result.type === 'events') passedOn += result.events.bytes.toString();
+          hasFault = result.type === 'fault';
+          if (hasFault || remaining.length === 0) break;
+        }
+        assert.ok(hasFault);
+        assert.ok(sound.startsWith(passedOn));
+      }),
+      { numRuns: 500 },
+    );
+  },
+);
+
+// Guards against a sound stream that is cut for what its reader ignores.
+t.test('comments and fields that readers ignore are passed on with the events', async (t2) => {
+  const text = ': a\n\nid: 1\ndata: a\n\n:\n\nx-weights: 3\r\nid: 2\r\ndata: b\r\n\r\n: c\n\n';
+  const framer = EventStreamFramer.create(0);
+  t2.equal(addChunks(framer, Buffer.from(text), [5, 9]), text);
+  t2.equal(framer.lastEventId, 2);
+});
+
+// Guards against a sound stream that is cut because its ids increase by more than one.
+t.test('a stream whose ids increase by more than one from the start is passed on', async (t2) => {
+  const text = 'id: 3\ndata: a\n\nid: 5\ndata: b\n\nid: 90\ndata: c\n\n';
+  t2.equal(addChunks(EventStreamFramer.create(0), Buffer.from(text), []), text);
+});
+
 // Guards against an event that is lost, comes twice or is joined with another where a stream breaks off.
 t.test('a stream that is cut at any byte and resumed has all of its events once', async (t2) => {
   let resumptions = 0;
   fc.assert(
     fc.property(
-      eventTexts(true),
+      eventTexts,
       chunkSizes,
       chunkSizes,
       fc.array(fc.nat(), { minLength: 1, maxLength: 3 }),
@@ -141,10 +194,6 @@
           const bytes = Buffer.from(rest);
           received += addChunks(framer, bytes.subarray(0, cut % (bytes.length + 1)), sizes);
           framer.discardPartialEvent();
-          if (framer.hasUnnumberedEvents) {
-            assert.ok(whole.startsWith(received));
-            return;
-          }
           const next = texts.findIndex((_, index) => {
             const before = parseEvents(texts.slice(0, index).join(''));
             return findLastId(before) === framer.lastEventId;
--- a/packages/exchange/src/eventStreamFramer.ts
+++ b/packages/exchange/src/eventStreamFramer.ts
@@ -2,10 +2,7 @@
 import { MAX_EVENT_BYTES } from './constants.js';
 import { EventIdHistory } from './eventIdHistory.js';
 import { EventScanner } from './eventScanner.js';
-
-const LINE_FEED = 0x0a;
-const CARRIAGE_RETURN = 0x0d;
-const COLON = 0x3a;
+import { readEvent } from './readEvent.js';
 
 /** Complete events of a stream and the last numeric event id so far, if there is one. */
 export interface CompleteEvents {
@@ -18,6 +15,8 @@
   | { readonly type: 'event_too_large' }
   /** The memory of the process for incomplete events is in use. */
   | { readonly type: 'no_memory' }
+  /** Bytes that are neither an event with an id nor a comment. */
+  | { readonly type: 'no_event'; readonly reason: 'line' | 'no_data' | 'no_id' }
   | { readonly type: 'response_head' }
   | { readonly type: 'order'; readonly previousId: number; readonly id: number };
 
@@ -26,58 +25,16 @@
   | { readonly type: 'fault'; readonly fault: FramingError }
   | { readonly type: 'incomplete' };
 
-const ID_FIELD = Buffer.from('id');
 /** Events with an id that show whether the ids of a stream rise by one. */
 const MIN_JUDGED_EVENTS = 2;
-const NUMERIC_ID = /^\d{1,15}$/;
-
-/** Whether a line ends at a position; a carriage return ends it without a line feed as well. */
-const isLineEnd = (bytes: Buffer, position: number): boolean =>
-  position < 0 ||
-  position >= bytes.length ||
-  bytes[position] === LINE_FEED ||
-  bytes[position] === CARRIAGE_RETURN;
-
-/**
- * Returns the numeric id of an event (`id: 12`), or undefined if it has none. As for readers of a stream, the last
- * `id` field counts, and one that contains NUL is ignored.
- */
-const readEventId = (event: Buffer): number | undefined => {
-  let id: string | undefined;
-  for (let start = event.indexOf(ID_FIELD); start >= 0;) {
-    const nameEnd = start + ID_FIELD.length;
-    let end = nameEnd;
-    if (isLineEnd(event, start - 1) && (event[nameEnd] === COLON || isLineEnd(event, nameEnd))) {
-      while (!isLineEnd(event, end)) end += 1;
-      const value = event.toString('latin1', nameEnd + 1, Math.max(end, nameEnd + 1));
-      if (!value.includes('\0')) id = value.trim();
-    }
-    start = event.indexOf(ID_FIELD, end);
-  }
-  return id !== undefined && NUMERIC_ID.test(id) ? Number(id) : undefined;
-};
 
 /** The start of an HTTP response, which may follow a stream without a length on its connection. */
 const RESPONSE_HEAD_START = 'HTTP/1.';
 
-/** Whether an event consists of comments and empty lines only. */
-const isComment = (bytes: Buffer, start: number, end: number): boolean => {
-  for (let lineStart = start; lineStart < end;) {
-    const first = bytes[lineStart];
-    if (first !== COLON && first !== LINE_FEED && first !== CARRIAGE_RETURN) return false;
-    const lineEnd = bytes.indexOf(LINE_FEED, lineStart);
-    if (lineEnd < 0) return true;
-    lineStart = lineEnd + 1;
-  }
-  return true;
-};
-
 /** The position of the next event in a chunk, with the id of the event before it. */
 interface FramingPosition {
   readonly start: number;
   readonly lastId: number;
-  /** Whether events without an id follow the last one that has an id. */
-  readonly hasUnnumberedEvents: boolean;
   /** Number of events with an id so far. */
   readonly numberedEvents: number;
   /**
@@ -99,19 +56,18 @@
 const checkEvent = (bytes: Buffer, previous: FramingPosition, end: number): EventCheck => {
   const { start, lastId, numberedEvents, isSuccessive } = previous;
   const event = bytes.subarray(start, end);
-  const id = readEventId(event);
   if (hasResponseHead(event)) return { type: 'fault', fault: { type: 'response_head' } };
-  if (id === undefined) {
-    const hasUnnumberedEvents = previous.hasUnnumberedEvents || !isComment(bytes, start, end);
-    return { type: 'position', position: { ...previous, start: end, hasUnnumberedEvents } };
-  }
+  const piece = readEvent(event);
+  if (piece.type === 'invalid')
+    return { type: 'fault', fault: { type: 'no_event', reason: piece.reason } };
+  if (piece.type === 'comment') return { type: 'position', position: { ...previous, start: end } };
+  const { id } = piece;
   const isSuccessor = id === lastId + 1;
   if (id <= lastId || (isSuccessive === true && !isSuccessor))
     return { type: 'fault', fault: { type: 'order', previousId: lastId, id } };
   const position = {
     start: end,
     lastId: id,
-    hasUnnumberedEvents: false,
     numberedEvents: numberedEvents + 1,
     isSuccessive: isSuccessor && isSuccessive !== false,
   };
@@ -120,9 +76,10 @@
 
 /**
  * Splits a stream of server-sent events into complete events, so that a stream that breaks off inside
- * an event can be resumed at another endpoint. Event ids have to increase, also after a resumption. If
- * they have risen by one so far, or always do for this service, a missing one is a fault as well. Each byte is searched and copied a fixed number of
- * times, however the stream is cut into chunks.
+ * an event can be resumed at another endpoint. A stream is a series of events with increasing ids, also after a
+ * resumption; what else an endpoint sends, comments apart, is a fault, and so is a missing id if ids have risen by one so
+ * far, or always do for this service. Each byte is searched and copied a fixed number of times, however the stream is cut
+ * into chunks.
  *
  * @example
  * const framer = EventStreamFramer.create(12);
@@ -139,8 +96,6 @@
 
   private numberedEvents = 0;
 
-  private hasUnnumbered = false;
-
   private constructor(
     private lastId: number,
     memory: MemoryBudget,
@@ -173,14 +128,6 @@
     return this.numberedEvents;
   }
 
-  /**
-   * Whether events without an id follow the last one that has an id, or the start. An endpoint that resumes the
-   * stream would send them again.
-   */
-  get hasUnnumberedEvents(): boolean {
-    return this.hasUnnumbered;
-  }
-
   /** Whether an incomplete event is buffered. */
   get hasPartialEvent(): boolean {
     return this.partialEvent.length > 0;
@@ -203,7 +150,6 @@
     let position: FramingPosition = {
       start: 0,
       lastId: this.lastId,
-      hasUnnumberedEvents: this.hasUnnumbered,
       numberedEvents: this.numberedEvents,
       isSuccessive: this.isSuccessive,
     };
@@ -226,7 +172,6 @@
   private recordPosition(position: FramingPosition): void {
     const isShort = this.numberedEvents < MIN_JUDGED_EVENTS;
     this.lastId = position.lastId;
-    this.hasUnnumbered = position.hasUnnumberedEvents;
     this.numberedEvents = position.numberedEvents;
     this.isSuccessive = position.isSuccessive;
     if (isShort && this.numberedEvents >= MIN_JUDGED_EVENTS)
--- a/packages/exchange/src/exchange.test.ts
+++ b/packages/exchange/src/exchange.test.ts
@@ -17,7 +17,6 @@
   hasAlternative: true,
   hasRetryBudget: true,
   hasResponseStarted: false,
-  hasUnnumberedEvents: false,
 };
 
 t.test(
@@ -41,7 +40,6 @@
       hasAlternative: fc.boolean(),
       hasRetryBudget: fc.boolean(),
       hasResponseStarted: fc.boolean(),
-      hasUnnumberedEvents: fc.boolean(),
     });
     fc.assert(
       fc.property(input, (retryInput) => {
@@ -56,7 +54,6 @@
           assert.ok(
             retryInput.hasRetryBudget &&
               retryInput.hasAlternative &&
-              !retryInput.hasUnnumberedEvents &&
               retryInput.possibleRuns < retryInput.maxPossibleRuns,
           );
           assert.ok(!(hasRun && !retryInput.isRetryable && retryInput.result.type !== 'not_run'));
--- a/packages/exchange/src/nextStep.ts
+++ b/packages/exchange/src/nextStep.ts
@@ -27,8 +27,6 @@
   readonly hasRetryBudget: boolean;
   /** Whether part of a response has already been sent to the caller. */
   readonly hasResponseStarted: boolean;
-  /** Whether the caller has received events without an id that another endpoint would send again. */
-  readonly hasUnnumberedEvents: boolean;
 }
 
 export type NextStep =
@@ -45,7 +43,6 @@
 
 /** Returns why a request can't be sent again, or undefined if it can. */
 const findRetryBlocker = (input: RetryInput): string | undefined => {
-  if (input.hasUnnumberedEvents) return 'events without an id were passed on';
   if (input.sends >= Math.max(MAX_SENDS_PER_REQUEST, input.maxPossibleRuns)) return 'sends used up';
   if (input.possibleRuns >= input.maxPossibleRuns) return 'attempts used up';
   if (input.remainingMs <= input.expectedMs) return 'time is short';
--- a/packages/gateway/src/requestAttempts.ts
+++ b/packages/gateway/src/requestAttempts.ts
@@ -366,7 +366,6 @@
       hasAlternative: next !== undefined,
       hasRetryBudget: getRetryBudget(service).hasRetry(clusterState.nodeCount, clock.nowMs()),
       hasResponseStarted: callerResponse.hasStarted,
-      hasUnnumberedEvents: this.framer?.hasUnnumberedEvents ?? false,
     });
   }
 
