Replace a response with a status above 599 by a failure

What callers saw: a status such as 600, 700 or 999, which HTTP doesn't have, was passed on as it was, with the endpoint's body. A caller may take it for a success or not read the response at all.

Cause: the HTTP client accepts any three digits, and nothing behind it looked at the status.

Evidence: invalidAnswers.test.ts failed before for 600, 700 and 999; 000, 020, 20, 099, 101, 199, 2000 and 2x0 were replaced already. So were the responses to a long upload that break off while it is written, in five ways (reset without a length, reset or end inside a length, end before the last chunk, two lengths): 502, never a part as whole.

Change: such a status fails the exchange as an invalid response, like bytes that are no response.

Result: the tests pass; 201, 404 and 599 are passed on unchanged.

--- a/packages/exchange/src/endpointConnection.ts
+++ b/packages/exchange/src/endpointConnection.ts
@@ -22,8 +22,12 @@
 /** Code of the error for framing without end. */
 const FRAMING_CODE = 'ERR_RESPONSE_FRAMING';
 
+/** Code of the error for a status that HTTP doesn't have; the HTTP client passes on three digits of any value. */
+const STATUS_CODE = 'ERR_RESPONSE_STATUS';
+const MAX_STATUS = 599;
+
 /** Codes of errors for bytes that are no response; those of the HTTP parser begin with `HPE_`. */
-const INVALID_RESPONSE_CODE = /^(HPE_|UND_ERR_HEADERS_OVERFLOW$|ERR_RESPONSE_FRAMING$)/;
+const INVALID_RESPONSE_CODE = /^(HPE_|UND_ERR_HEADERS_OVERFLOW$|ERR_RESPONSE_(FRAMING|STATUS)$)/;
 
 const isInvalidResponse = (error: Error): boolean =>
   'code' in error && INVALID_RESPONSE_CODE.test(String(error.code));
@@ -250,6 +254,11 @@
       },
       onResponseStart: (_controller, status, headers) => {
         reader.recordChunks(1);
+        if (status > MAX_STATUS) {
+          const error = new Error(`response has the invalid status ${status}`);
+          fail(Object.assign(error, { code: STATUS_CODE }));
+          return;
+        }
         hasFramedEnd = isFramed(request.method, status, headers);
         if (!isSettled && status >= 200) listener.onHeaders(status, headers);
       },
