Replace a response with an encoded body by a failure

What callers saw: a 2xx response with Content-Encoding was passed on as the endpoint's. The protocol says that callers ask for no encoding and that a response which has one is not the body of the runner, so that it looks whole and isn't.

Cause: no code looked at the header.

Evidence: "a response whose body is encoded is replaced with a failure" in invalidAnswers.test.ts failed before: 200 in place of 502.

Change: such a response is invalid; the endpoint is left for a while, and a request that may be repeated goes elsewhere.

Result: the test passes; a response with Content-Language is passed on.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -308,6 +308,11 @@
       this.rejectionTimer = setTimeout(endRejection, REJECTION_BODY_TIMEOUT_MS);
       return;
     }
+    if (headers['content-encoding'] !== undefined) {
+      // No request asks for one, so that it isn't the body that the endpoint vouches for.
+      this.finishInvalid('response has an encoded body');
+      return;
+    }
     const isSuccess = status >= 200 && status < 300;
     if (isSuccess && !head.hasOriginProof) {
       this.finishBroken('successful response without proof of origin');
--- a/packages/gateway/src/invalidAnswers.test.ts
+++ b/packages/gateway/src/invalidAnswers.test.ts
@@ -79,6 +79,18 @@
   }
 });
 
+// Guards against the bytes of an encoding that the caller didn't ask for, and takes for the endpoint's own.
+t.test('a response whose body is encoded is replaced with a failure', async (t2) => {
+  let headers: readonly string[] = [];
+  const gateway = await startWorld(t2, () => (socket, id) => {
+    socket.end(`${createHead('200', id, 'Content-Length: 5', ...headers)}whole`);
+  });
+  headers = ['Content-Encoding: gzip'];
+  t2.equal((await send(gateway, '/claim/x', 'encoded')).status, HTTP_BAD_GATEWAY);
+  headers = ['Content-Language: en'];
+  t2.equal((await send(gateway, '/claim/x', 'plain')).text, 'whole');
+});
+
 /** Ways in which a response breaks off while the request is still being written. */
 const BREAKS: Readonly<Record<string, Respond>> = {
   'is reset without a length': (socket, id) => {
