--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -242,6 +242,8 @@
  * it, and a store that is slow answers within half of it.
  */
 export const VERSION_READ_TIMEOUT_MS = 500;
+/** The same where a node reads it for a peer, whose wait for the answer ends after `PEER_TIMEOUT_MS`. */
+export const PEER_STORE_READ_MS = 300;
 /** Streams in one datagram, which has to fit into 1,400 bytes. */
 export const MAX_STREAMS_PER_DATAGRAM = 60;
 /** Interval at which streams are published in the shared table, in milliseconds; each publication costs a store call. */
--- a/packages/gateway/src/managementServer.ts
+++ b/packages/gateway/src/managementServer.ts
@@ -4,7 +4,7 @@
 import type { StoreIndex } from '@lovagearch/reuse';
 import type { ConnectionAdmission } from './connectionAdmission.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
-import { registerStreamRoute, type StreamStatement } from './peerStreams.js';
+import { type CreateStatement, registerStreamRoute } from './peerStreams.js';
 import { registerTableRoute, registerCacheStoreRoute } from './peerExchange.js';
 import type { Address } from './types.js';
 import { type ExplainRequest, registerWhereRoute } from './whereRoute.js';
@@ -48,7 +48,7 @@
   findIndex: (address: string) => StoreIndex | undefined,
   indexClock: Clock,
   explain: ExplainRequest,
-  createStreamStatement: (maxAgeMs: number) => StreamStatement,
+  createStreamStatement: CreateStatement,
   admission: ConnectionAdmission,
 ): Promise<FastifyInstance> => {
   const server = fastify();
--- a/packages/gateway/src/openGatewayListeners.ts
+++ b/packages/gateway/src/openGatewayListeners.ts
@@ -12,6 +12,7 @@
 import { startMetricsServer, startPeerServer, startReadinessServer } from './managementServer.js';
 import type { OriginSharing } from './originSharing.js';
 import type { GatewaySettings } from './types.js';
+import type { VersionKnowledge } from './versionKnowledge.js';
 import type { ExplainRequest } from './whereRoute.js';
 
 /** What the listeners of a gateway serve. */
@@ -31,8 +32,7 @@
   readonly metrics: GatewayMetrics;
   readonly clusterState: ClusterState;
   readonly originSharing: OriginSharing;
-  /** Clock reading at which this process started. */
-  readonly startMs: number;
+  readonly versionKnowledge: Pick<VersionKnowledge, 'createStatement'>;
   readonly clock: Clock;
   readonly log: GatewayLog;
 }
@@ -76,7 +76,8 @@
           parts.findCacheStoreIndex,
           parts.indexClock,
           parts.explain,
-          (maxAgeMs) => originSharing.createStatement(clock.nowMs() - parts.startMs, maxAgeMs),
+          (maxAgeMs, isStoreReadWanted) =>
+            parts.versionKnowledge.createStatement(maxAgeMs, isStoreReadWanted),
           admission,
         ),
     },
--- a/packages/gateway/src/originSharing.ts
+++ b/packages/gateway/src/originSharing.ts
@@ -125,7 +125,7 @@
    *
    * @param processAgeMs age of this process in milliseconds
    */
-  createStatement(processAgeMs: number, maxAgeMs: number): StreamStatement {
+  createStatement(processAgeMs: number, maxAgeMs: number): Omit<StreamStatement, 'isStoreRead'> {
     const { origins, endpoints, clock } = this.dependencies;
     const nowMs = clock.nowMs();
     const services = new Set([...endpoints.listAll()].map(({ record }) => record.service));
@@ -146,7 +146,7 @@
   }
 
   /** Applies the statement of a peer that has just arrived. */
-  applyStatement({ versions, streams }: StreamStatement): void {
+  applyStatement({ versions, streams }: Omit<StreamStatement, 'isStoreRead'>): void {
     const { origins, endpoints, clock } = this.dependencies;
     const nowMs = clock.nowMs();
     for (const [service, version, ageMs] of versions)
--- a/packages/gateway/src/softwareRecord.ts
+++ b/packages/gateway/src/softwareRecord.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
 import { type Clock, getRendezvousOwners } from '@lovagearch/common';
-import type { EndpointTable } from '@lovagearch/endpoints';
+import type { EndpointRecord, EndpointTable } from '@lovagearch/endpoints';
 import type { MirroredRow, StoreClock, TableMirror } from '@lovagearch/mirror';
 import * as z from 'zod';
 import { MAX_FAULT_REASON_LENGTH, STAND_IN_AGE_MS, STREAM_KEY_LENGTH } from './constants.js';
@@ -48,6 +48,7 @@
   readonly areRegistrationsComplete: () => boolean;
   /** Whether this node knows the other nodes. */
   readonly isMembershipKnown: () => boolean;
+  readonly onWriteError: (error: unknown) => void;
   readonly log: GatewayLog;
 }
 
@@ -123,8 +124,14 @@
     }
   }
 
+  /** Has the row of a version written that comes into use with a registration. */
+  noticeRegistration({ service, softwareVersion }: EndpointRecord): void {
+    if (this.isMissing(service, softwareVersion))
+      this.publish().catch(this.dependencies.onWriteError);
+  }
+
   /** Whether the row of a version in use is still to be written. */
-  isMissing(service: string, version: string): boolean {
+  private isMissing(service: string, version: string): boolean {
     const { listStreamServices, sharedMirror } = this.dependencies;
     if (!listStreamServices().includes(service)) return false;
     const key = createRowKey(service, version);
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -44,14 +44,12 @@
 import { LostRows } from './lostRows.js';
 import { listSharingNodes } from './loadSharing.js';
 import { OriginSharing } from './originSharing.js';
-import { createStreamStatementSource } from './peerStreams.js';
 import { OverloadState } from './overloadState.js';
 import { PromptPartContainment } from './promptPartContainment.js';
 import { RecentAnswers } from './recentAnswers.js';
 import { RouteDurations } from './routeDurations.js';
 import { createShutdownPlan } from './shutdownPlan.js';
 import { CacheStoreWatcher } from './cacheStoreWatcher.js';
-import { SoftwareRecord } from './softwareRecord.js';
 import { StreamOrigins } from './streamOrigins.js';
 import { StrikePublisher } from './strikePublisher.js';
 import { TableRelay } from './tableRelay.js';
@@ -63,7 +61,7 @@
   createSharedTableTiming,
 } from './tableTiming.js';
 import type { GatewayDependencies, GatewaySettings } from './types.js';
-import { VersionKnowledge } from './versionKnowledge.js';
+import { createVersionParts } from './createVersionParts.js';
 import { WaitingAttempts } from './waitingAttempts.js';
 import { WeightTargetTimes } from './weightTargetTimes.js';
 
@@ -173,22 +171,17 @@
     listSharingNodes: () => listSharingNodes(clusterState, settings),
     log,
   });
-  const softwareRecord = SoftwareRecord.create({
-    nodeName,
-    isFirstStart: settings.isFirstStart,
-    endpoints: clusterState.endpoints,
+  const { softwareRecord, versionKnowledge, recordSoftwareSend } = createVersionParts({
+    settings,
+    dependencies,
+    clusterState,
     endpointMirror,
     sharedMirror,
-    shared,
-    rows,
-    clock,
-    storeClock,
-    listStreamServices: () => clusterState.trafficRules?.streamServices ?? [],
-    listSharingNodes: () => listSharingNodes(clusterState, settings),
-    areRegistrationsComplete: () =>
-      endpointMirror.getAgeMs(clock.nowMs()) < settings.bounds.contactLimitMs &&
-      !clusterState.isAwaitingRegistrations(),
+    originSharing,
     isMembershipKnown,
+    storeClock,
+    startMs,
+    clock,
     log,
   });
   sharedMirror.addListener((row) => {
@@ -198,17 +191,13 @@
     strikePublisher.applyRow(row);
     promptPartContainment.applyRow(row);
   });
-  const logSoftwareNotRecorded = (error: unknown) =>
-    log.logStateChange('software_not_recorded', { reason: getErrorMessage(error) });
   endpointMirror.addListener(({ key }) => {
     const endpoint = clusterState.endpoints.findEndpoint(key);
     if (endpoint === undefined) return;
     const startKey = getEndpointStartKey(endpoint);
     promptPartContainment.recordHeartbeat(startKey, endpoint.record.heartbeat);
     strikePublisher.recordHeartbeat(startKey, endpoint.record.heartbeat);
-    const { service, softwareVersion } = endpoint.record;
-    if (softwareRecord.isMissing(service, softwareVersion))
-      softwareRecord.publish().catch(logSoftwareNotRecorded);
+    softwareRecord.noticeRegistration(endpoint.record);
   });
 
   const ownPeerAddress = `${settings.peerAddress.host}:${settings.peerAddress.port}`;
@@ -353,27 +342,8 @@
     hedging:
       settings.hedgingShares === undefined ? undefined : Hedging.create(settings.hedgingShares),
     streamOrigins,
-    recordSoftwareSend: (service, version) => {
-      softwareRecord.recordSend(service, version).catch(logSoftwareNotRecorded);
-    },
-    versionKnowledge: VersionKnowledge.create({
-      endpoints: clusterState.endpoints,
-      mirrors: [endpointMirror, sharedMirror],
-      tables: dependencies.tables,
-      softwareRecord,
-      originSharing,
-      listPeers: () => {
-        if (!isMembershipKnown()) return undefined;
-        const peerAddresses = [...clusterState.listPeers()]
-          .filter(([name]) => name !== nodeName)
-          .map(([name, { address }]): [string, string] => [name, address]);
-        return new Map(peerAddresses);
-      },
-      askPeer: createStreamStatementSource(responseLimits),
-      startSpreadMs: bounds.contactLimitMs,
-      startMs,
-      clock,
-    }),
+    recordSoftwareSend,
+    versionKnowledge,
     overloadState: OverloadState.create({
       maxCount: MAX_HELD_CALLS,
       maxBytes: settings.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE * HELD_BODY_SHARE,
@@ -474,7 +444,7 @@
     metrics,
     clusterState,
     originSharing,
-    startMs,
+    versionKnowledge,
     clock,
     log,
   });
--- a/packages/gateway/src/versionKnowledge.ts
+++ b/packages/gateway/src/versionKnowledge.ts
@@ -1,4 +1,5 @@
-import type { Clock } from '@lovagearch/common';
+import { setTimeout as waitForTimer } from 'node:timers/promises';
+import type { Clock, Random } from '@lovagearch/common';
 import {
   type EndpointTable,
   MAX_FULL_VIEW_NODES,
@@ -6,7 +7,12 @@
   type VersionUse,
 } from '@lovagearch/endpoints';
 import type { TableMirror, TableSource } from '@lovagearch/mirror';
-import { STREAM_RETENTION_MS, VERSION_READ_TIMEOUT_MS } from './constants.js';
+import {
+  PEER_STORE_READ_MS,
+  PEERS_PER_READ,
+  STREAM_RETENTION_MS,
+  VERSION_READ_TIMEOUT_MS,
+} from './constants.js';
 import { JoinedCall } from './joinedCall.js';
 import type { OriginSharing } from './originSharing.js';
 import type { StreamStatement, StreamStatementSource } from './peerStreams.js';
@@ -29,7 +35,7 @@
   readonly mirrors: readonly TableMirror[];
   readonly tables: Pick<TableSource, 'readChanges'>;
   readonly softwareRecord: SoftwareRecord;
-  readonly originSharing: Pick<OriginSharing, 'applyStatement'>;
+  readonly originSharing: Pick<OriginSharing, 'applyStatement' | 'createStatement'>;
   /** Lists the addresses of the other nodes by name; undefined if they aren't all known. */
   readonly listPeers: () => ReadonlyMap<string, string> | undefined;
   readonly askPeer: StreamStatementSource;
@@ -38,6 +44,7 @@
   /** Clock reading at which this process started. */
   readonly startMs: number;
   readonly clock: Clock;
+  readonly random: Random;
 }
 
 /** Answers of the peers to one question. */
@@ -51,7 +58,8 @@
 /**
  * Confirms which software versions were in use up to now. A copy of a table shows neither what was written since nor what
  * happened while this process was suspended, cut off or not yet started, and an age measured at its arrival doesn't
- * either. So the tables are read again after the question; without the store, most of the nodes have to answer.
+ * either. So the tables are read again after the question, by a peer if this node doesn't reach the store. Without the
+ * store, most of the nodes have to answer.
  *
  * @example
  * const { uses, complete, begin } = await knowledge.confirm('app');
@@ -59,7 +67,10 @@
 export class VersionKnowledge {
   private readonly storeRead = JoinedCall.create(() => this.readStore());
 
-  private readonly peerRead = JoinedCall.create(() => this.askPeers());
+  private readonly peerRead = JoinedCall.create(() => this.askPeers(false));
+
+  /** The same, where peers are to read the store for this node. */
+  private readonly storeReadOfPeers = JoinedCall.create(() => this.askPeers(true));
 
   /** Clock reading of the last question that each peer has answered. */
   private readonly answeredAtMs = new Map<string, number>();
@@ -72,43 +83,61 @@
 
   /** Confirms the versions of a service up to the time of the call, and applies what peers know of its streams. */
   async confirm(service: string): Promise<KnownVersions> {
-    const { endpoints, softwareRecord, clock } = this.dependencies;
-    const arrivedAtMs = clock.nowMs();
-    const listUses = () => {
-      softwareRecord.recordUses();
-      return endpoints.listSoftware(service, clock.nowMs(), STREAM_RETENTION_MS);
-    };
-    const begin = { fromMs: arrivedAtMs - STREAM_RETENTION_MS, untilMs: arrivedAtMs };
+    const { softwareRecord, clock } = this.dependencies;
+    const nowMs = clock.nowMs();
+    const begin = { fromMs: nowMs - STREAM_RETENTION_MS, untilMs: nowMs };
     const fromMs = softwareRecord.findKnownSinceMs() ?? Number.POSITIVE_INFINITY;
     const readAtMs = await this.storeRead.run();
-    if (readAtMs !== undefined) {
-      const uses = listUses();
-      const complete = { fromMs, untilMs: readAtMs };
-      if (uses.length <= 1 || fromMs > begin.fromMs)
-        return { uses, complete, begin, confirmedBy: 'store' };
-    }
-    const peerAnswers = await this.peerRead.run();
-    const uses = listUses();
     if (readAtMs === undefined) {
-      const { peers, answers, askedAtMs } = peerAnswers;
-      if (2 * (answers.length + 1) <= peers + 1) {
-        const complete = { fromMs, untilMs: Number.NEGATIVE_INFINITY };
-        return { uses, complete, begin, confirmedBy: 'none' };
-      }
-      return { uses, complete: { fromMs, untilMs: askedAtMs }, begin, confirmedBy: 'peers' };
+      const { untilMs, confirmedBy } = await this.confirmByPeers();
+      return { uses: this.listUses(service), complete: { fromMs, untilMs }, begin, confirmedBy };
     }
-    const complete = { fromMs, untilMs: readAtMs };
-    const firstStartMs = this.findCommonStart(begin, peerAnswers);
-    if (firstStartMs === undefined) return { uses, complete, begin, confirmedBy: 'store' };
+    const known = { complete: { fromMs, untilMs: readAtMs }, begin, confirmedBy: 'store' } as const;
+    const uses = this.listUses(service);
+    if (uses.length <= 1 || fromMs > begin.fromMs) return { ...known, uses };
+    const firstStartMs = this.findCommonStart(begin, await this.peerRead.run());
+    if (firstStartMs === undefined) return { ...known, uses: this.listUses(service) };
     return {
-      // Each process records a version before its first event arrives, so that no earlier one has used the others.
-      uses: uses.filter((use) => Number.isFinite(use.fromMs)),
-      complete,
+      ...known,
       begin: { ...begin, untilMs: firstStartMs },
-      confirmedBy: 'store',
+      // Each process records a version before its first event arrives, so that no earlier one has used the others.
+      uses: this.listUses(service).filter((use) => Number.isFinite(use.fromMs)),
+    };
+  }
+
+  /**
+   * Creates the statement that peers ask for.
+   *
+   * @param maxAgeMs age of the oldest streams in it, in milliseconds
+   * @param isStoreReadWanted whether to read the store before, as the peer doesn't reach it
+   */
+  async createStatement(maxAgeMs: number, isStoreReadWanted: boolean): Promise<StreamStatement> {
+    const { softwareRecord, originSharing, startMs, clock } = this.dependencies;
+    const read = isStoreReadWanted ? this.storeRead.run() : undefined;
+    const readAtMs = await Promise.race([read, waitForTimer(PEER_STORE_READ_MS, undefined)]);
+    softwareRecord.recordUses();
+    return {
+      ...originSharing.createStatement(clock.nowMs() - startMs, maxAgeMs),
+      isStoreRead: readAtMs !== undefined,
     };
   }
 
+  private listUses(service: string): VersionUse[] {
+    const { endpoints, softwareRecord, clock } = this.dependencies;
+    softwareRecord.recordUses();
+    return endpoints.listSoftware(service, clock.nowMs(), STREAM_RETENTION_MS);
+  }
+
+  private async confirmByPeers(): Promise<
+    Pick<KnownVersions, 'confirmedBy'> & { untilMs: number }
+  > {
+    const { askedAtMs, peers, answers } = await this.storeReadOfPeers.run();
+    const isMajority = 2 * (answers.length + 1) > peers + 1;
+    return isMajority || answers.some(({ isStoreRead }) => isStoreRead)
+      ? { untilMs: askedAtMs, confirmedBy: 'peers' }
+      : { untilMs: Number.NEGATIVE_INFINITY, confirmedBy: 'none' };
+  }
+
   /**
    * Returns the first start of a process, if all were started together. A stream that none of them knows was begun by a
    * process before.
@@ -147,24 +176,26 @@
     return true;
   }
 
-  private async askPeers(): Promise<PeerAnswers> {
-    const { listPeers, askPeer, originSharing, clock } = this.dependencies;
+  /** Asks all peers; in large deployments some of them, if one that reads the store is enough. */
+  private async askPeers(isStoreReadWanted: boolean): Promise<PeerAnswers> {
+    const { listPeers, askPeer, originSharing, random, clock } = this.dependencies;
     const askedAtMs = clock.nowMs();
-    const peers = listPeers();
-    // The answers of hundreds of nodes would cost more than the streams that go on by them.
-    if (peers === undefined || peers.size >= MAX_FULL_VIEW_NODES)
-      return { askedAtMs, peers: Number.POSITIVE_INFINITY, answers: [] };
+    const all = [...(listPeers() ?? [])];
+    const isLarge = all.length >= MAX_FULL_VIEW_NODES;
+    const sampleSize = isStoreReadWanted ? PEERS_PER_READ : 0;
+    const asked = isLarge ? [...all].sort(() => random() - 0.5).slice(0, sampleSize) : all;
     const answers: StreamStatement[] = [];
     const ask = async ([name, address]: [string, string]) => {
       const sinceMs = this.answeredAtMs.get(name) ?? Number.NEGATIVE_INFINITY;
       const maxAgeMs = Math.min(STREAM_RETENTION_MS, askedAtMs - sinceMs + VERSION_READ_TIMEOUT_MS);
-      const statement = await askPeer(address, maxAgeMs);
+      const statement = await askPeer(address, maxAgeMs, isStoreReadWanted);
       if (statement === undefined) return;
       this.answeredAtMs.set(name, askedAtMs);
       originSharing.applyStatement(statement);
       answers.push(statement);
     };
-    await Promise.all([...peers].map(ask));
-    return { askedAtMs, peers: peers.size, answers };
+    await Promise.all(asked.map(ask));
+    const isKnown = listPeers() !== undefined;
+    return { askedAtMs, peers: isKnown ? all.length : Number.POSITIVE_INFINITY, answers };
   }
 }
