Take a body that is encoded for its transfer for no whole answer either

What callers saw: a 200 with the transfer coding gzip, with chunks or without, was passed on with the coded bytes as its body: the gateway drops the header of the coding with the others of one connection.

Cause: the check for an encoded body looked at Content-Encoding only.

Evidence: two added checks of "a response whose body is encoded is replaced with a failure" failed before (200 in place of 502), for "gzip" and for "gzip, chunked".

Result: invalidAnswers.test.ts passes.

--- a/packages/exchange/src/index.ts
+++ b/packages/exchange/src/index.ts
@@ -9,6 +9,7 @@
 export * from './nextStep.js';
 export * from './eventIdHistory.js';
 export * from './eventStreamFramer.js';
+export * from './isEncoded.js';
 export type * from './types.js';
 export * from './decideHedge.js';
 export * from './latenessDistribution.js';
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -9,6 +9,7 @@
   type EventStreamFramer,
   type Exchange,
   type ExchangeFailure,
+  isEncoded,
   type ResponseEnd,
 } from '@lovagearch/exchange';
 import type { CallerResponse } from './callerResponse.js';
@@ -308,7 +309,7 @@
       this.rejectionTimer = setTimeout(endRejection, REJECTION_BODY_TIMEOUT_MS);
       return;
     }
-    if (headers['content-encoding'] !== undefined) {
+    if (isEncoded(headers)) {
       // No request asks for one, so that it isn't the body that the endpoint vouches for.
       this.finishInvalid('response has an encoded body');
       return;
--- a/packages/gateway/src/invalidAnswers.test.ts
+++ b/packages/gateway/src/invalidAnswers.test.ts
@@ -83,10 +83,19 @@
 t.test('a response whose body is encoded is replaced with a failure', async (t2) => {
   let headers: readonly string[] = [];
   const gateway = await startWorld(t2, () => (socket, id) => {
-    socket.end(`${createHead('200', id, 'Content-Length: 5', ...headers)}whole`);
+    const isCoded = headers.some((header) => header.startsWith('Transfer'));
+    const body = headers.some((header) => header.endsWith('chunked'))
+      ? '5\r\nwhole\r\n0\r\n\r\n'
+      : 'whole';
+    const length = isCoded ? [] : ['Content-Length: 5'];
+    socket.end(`${createHead('200', id, ...length, ...headers)}${body}`);
   });
   headers = ['Content-Encoding: gzip'];
   t2.equal((await send(gateway, '/claim/x', 'encoded')).status, HTTP_BAD_GATEWAY);
+  headers = ['Transfer-Encoding: gzip'];
+  t2.equal((await send(gateway, '/claim/x', 'coded')).status, HTTP_BAD_GATEWAY);
+  headers = ['Transfer-Encoding: gzip, chunked'];
+  t2.equal((await send(gateway, '/claim/x', 'coded-chunks')).status, HTTP_BAD_GATEWAY);
   headers = ['Content-Language: en'];
   t2.equal((await send(gateway, '/claim/x', 'plain')).text, 'whole');
 });
