Tell peers of this node's own streams only

A node that asks its peers for streams gets those of each peer from that peer itself, so that the streams which a peer has heard of from others were sent several times over. Nothing else changes: names, one timer less for each statement, and no hashing of node names while no row is due.

--- a/packages/gateway/src/originSharing.ts
+++ b/packages/gateway/src/originSharing.ts
@@ -121,7 +121,7 @@
   }
 
   /**
-   * Creates the statement that peers ask for: the versions in use, and the streams of the last `maxAgeMs`.
+   * Creates the statement that peers ask for: the versions in use, and this node's streams of the last `maxAgeMs`.
    *
    * @param processAgeMs age of this process in milliseconds
    */
@@ -141,7 +141,7 @@
     return {
       processAgeMs,
       versions,
-      streams: createGroups(origins.listRecent(nowMs, maxAgeMs), nowMs),
+      streams: createGroups(origins.listOwn(nowMs, maxAgeMs), nowMs),
     };
   }
 
--- a/packages/gateway/src/peerStreams.ts
+++ b/packages/gateway/src/peerStreams.ts
@@ -7,7 +7,7 @@
 
 const PATH = '/peer/streams';
 
-/** What a node knows of recent streams and of the software versions in use. All ages are in milliseconds. */
+/** The streams that a node has begun lately, and the software versions that it knows. All ages are in milliseconds. */
 const statementSchema = z.object({
   /** Age of the node's process. */
   processAgeMs: z.number().nonnegative(),
@@ -41,7 +41,7 @@
   isStoreReadWanted: boolean,
 ) => Promise<StreamStatement>;
 
-/** Serves what this node knows of recent streams to its peers. */
+/** Serves this node's statement to its peers. */
 export const registerStreamRoute = (
   server: FastifyInstance,
   createStatement: CreateStatement,
--- a/packages/gateway/src/softwareRecord.ts
+++ b/packages/gateway/src/softwareRecord.ts
@@ -14,14 +14,14 @@
 /** Rendezvous hashing key for the order in which nodes write a row. */
 const WRITER_KEY = 'software/writers';
 
-const spanSchema = z.object({
+const useSchema = z.object({
   service: z.string(),
   version: z.string(),
   sinceStoreMs: z.number(),
 });
 const rowSchema = z.discriminatedUnion('type', [
-  spanSchema.extend({ type: z.literal('used') }),
-  spanSchema.extend({ type: z.literal('ended'), untilStoreMs: z.number() }),
+  useSchema.extend({ type: z.literal('used') }),
+  useSchema.extend({ type: z.literal('ended'), untilStoreMs: z.number() }),
 ]);
 type SoftwareRow = z.infer<typeof rowSchema>;
 
@@ -35,7 +35,7 @@
   readonly isFirstStart: boolean;
   readonly endpoints: EndpointTable;
   readonly endpointMirror: Pick<TableMirror, 'version'>;
-  readonly sharedMirror: Pick<TableMirror, 'getRow' | 'isUnconfirmed' | 'version'>;
+  readonly sharedMirror: Pick<TableMirror, 'isUnconfirmed' | 'version'>;
   readonly shared: SharedTable;
   readonly rows: RowCodec;
   readonly clock: Clock;
@@ -53,8 +53,8 @@
 }
 
 /**
- * The software versions of each service, from the first registration of one to the end of its last, in rows of the shared
- * table. A version without an end counts as in use, so that a process which starts after an outage of all nodes knows what
+ * The software versions of each service, from its first use to the leave of its last endpoint, in rows of the shared table.
+ * Any node may write a row, and a later write corrects one that is outdated. A version without an end counts as in use, so that a process which starts after an outage of all nodes knows what
  * was in use before.
  *
  * @example
@@ -64,7 +64,7 @@
  * const isKnown = record.findKnownSinceMs() <= clock.nowMs() - 30_000;
  */
 export class SoftwareRecord {
-  private readonly known = new Map<string, SoftwareRow>();
+  private readonly rowsByKey = new Map<string, SoftwareRow>();
 
   /** Clock readings at which this node noticed that a row has to be written. */
   private readonly noticedAtMs = new Map<string, number>();
@@ -89,7 +89,7 @@
   findKnownSinceMs(): number | undefined {
     const { isFirstStart, endpointMirror, sharedMirror, clock } = this.dependencies;
     if (endpointMirror.version === 0 || sharedMirror.version === 0) return undefined;
-    const isRecorded = isFirstStart || this.known.size > 0;
+    const isRecorded = isFirstStart || this.rowsByKey.size > 0;
     this.knownSinceMs ??= isRecorded ? Number.NEGATIVE_INFINITY : clock.nowMs();
     return this.knownSinceMs;
   }
@@ -98,12 +98,12 @@
   applyRow({ key, value }: MirroredRow): void {
     if (!key.startsWith(SOFTWARE_PREFIX)) return;
     if (value === undefined) {
-      this.known.delete(key);
+      this.rowsByKey.delete(key);
       return;
     }
     const { rows, log } = this.dependencies;
     const row = rowSchema.safeParse(rows.decodeSharedValue(value));
-    if (row.success) this.known.set(key, row.data);
+    if (row.success) this.rowsByKey.set(key, row.data);
     else {
       const reason = row.error.message.slice(0, MAX_FAULT_REASON_LENGTH);
       log.logStateChange('row_rejected', { kind: 'software', key, reason });
@@ -114,7 +114,7 @@
   recordUses(): void {
     const { endpoints, clock, storeClock } = this.dependencies;
     const nowMs = clock.nowMs();
-    for (const row of this.known.values()) {
+    for (const row of this.rowsByKey.values()) {
       const { service, version } = row;
       const firstUseMs = nowMs - computeAgeMs(storeClock, row.sinceStoreMs);
       const lastUseMs =
@@ -124,7 +124,7 @@
     }
   }
 
-  /** Has the row of a version written that comes into use with a registration. */
+  /** Publishes the version of a registration, unless its row is there. */
   noticeRegistration({ service, softwareVersion }: EndpointRecord): void {
     if (this.isMissing(service, softwareVersion))
       this.publish().catch(this.dependencies.onWriteError);
@@ -135,7 +135,7 @@
     const { listStreamServices, sharedMirror } = this.dependencies;
     if (!listStreamServices().includes(service)) return false;
     const key = createRowKey(service, version);
-    return this.known.get(key)?.type !== 'used' || sharedMirror.isUnconfirmed(key);
+    return this.rowsByKey.get(key)?.type !== 'used' || sharedMirror.isUnconfirmed(key);
   }
 
   /**
@@ -159,6 +159,7 @@
     const nowMs = clock.nowMs();
     for (const key of this.noticedAtMs.keys()) if (!due.has(key)) this.noticedAtMs.delete(key);
     for (const key of due.keys()) if (!this.noticedAtMs.has(key)) this.noticedAtMs.set(key, nowMs);
+    if (due.size === 0) return;
     const delayMs = this.computeDelayMs();
     this.isWriting = true;
     try {
@@ -177,7 +178,7 @@
     this.writtenAtMs.set(key, clock.nowMs());
     const isWritten = await shared.write(key, row);
     log.logStateChange('software_recorded', { ...row, isWritten });
-    if (isWritten) this.known.set(key, row);
+    if (isWritten) this.rowsByKey.set(key, row);
   }
 
   /** Lists the rows that differ from what is registered. */
@@ -194,7 +195,7 @@
       }
     }
     if (!areRegistrationsComplete()) return changes;
-    for (const [key, row] of this.known) {
+    for (const [key, row] of this.rowsByKey) {
       const isGone =
         row.type === 'used' &&
         !registered.has(key) &&
@@ -210,7 +211,7 @@
     storeMs: number,
   ): [key: string, row: SoftwareRow] {
     const key = createRowKey(service, version);
-    const sinceStoreMs = this.known.get(key)?.sinceStoreMs ?? storeMs;
+    const sinceStoreMs = this.rowsByKey.get(key)?.sinceStoreMs ?? storeMs;
     return [key, { type: 'used', service, version, sinceStoreMs }];
   }
 
--- a/packages/gateway/src/streamOrigins.ts
+++ b/packages/gateway/src/streamOrigins.ts
@@ -97,9 +97,11 @@
     return this.findRecent(key, nowMs);
   }
 
-  /** Lists the streams of all nodes that began or went on within the last `maxAgeMs`. */
-  listRecent(nowMs: number, maxAgeMs: number): StreamEntry[] {
-    return [...this.streams.values()].filter(({ atMs }) => nowMs - atMs <= maxAgeMs);
+  /** Lists the streams of this node that began or went on within the last `maxAgeMs`. */
+  listOwn(nowMs: number, maxAgeMs: number): StreamEntry[] {
+    return [...this.streams.values()].filter(
+      ({ isOwn, atMs }) => isOwn && nowMs - atMs <= maxAgeMs,
+    );
   }
 
   /** Takes streams of this node that peers are to be told of; each is taken several times, as datagrams get lost. */
--- a/packages/gateway/src/versionKnowledge.ts
+++ b/packages/gateway/src/versionKnowledge.ts
@@ -51,6 +51,7 @@
 interface PeerAnswers {
   /** Clock reading at which they were asked. */
   readonly askedAtMs: number;
+  /** Number of peers that there are; infinite if they aren't all known. */
   readonly peers: number;
   readonly answers: readonly StreamStatement[];
 }
@@ -113,8 +114,9 @@
    */
   async createStatement(maxAgeMs: number, isStoreReadWanted: boolean): Promise<StreamStatement> {
     const { softwareRecord, originSharing, startMs, clock } = this.dependencies;
-    const read = isStoreReadWanted ? this.storeRead.run() : undefined;
-    const readAtMs = await Promise.race([read, waitForTimer(PEER_STORE_READ_MS, undefined)]);
+    const readAtMs = isStoreReadWanted
+      ? await Promise.race([this.storeRead.run(), waitForTimer(PEER_STORE_READ_MS, undefined)])
+      : undefined;
     softwareRecord.recordUses();
     return {
       ...originSharing.createStatement(clock.nowMs() - startMs, maxAgeMs),
@@ -180,7 +182,8 @@
   private async askPeers(isStoreReadWanted: boolean): Promise<PeerAnswers> {
     const { listPeers, askPeer, originSharing, random, clock } = this.dependencies;
     const askedAtMs = clock.nowMs();
-    const all = [...(listPeers() ?? [])];
+    const peers = listPeers();
+    const all = [...(peers ?? [])];
     const isLarge = all.length >= MAX_FULL_VIEW_NODES;
     const sampleSize = isStoreReadWanted ? PEERS_PER_READ : 0;
     const asked = isLarge ? [...all].sort(() => random() - 0.5).slice(0, sampleSize) : all;
@@ -195,7 +198,6 @@
       answers.push(statement);
     };
     await Promise.all(asked.map(ask));
-    const isKnown = listPeers() !== undefined;
-    return { askedAtMs, peers: isKnown ? all.length : Number.POSITIVE_INFINITY, answers };
+    return { askedAtMs, peers: peers?.size ?? Number.POSITIVE_INFINITY, answers };
   }
 }
