Read the lines of an event one at a time

An event of the largest size that consists of short lines made a list of some hundred thousand of them at once. The lines are yielded instead.

--- a/packages/exchange/src/readEvent.ts
+++ b/packages/exchange/src/readEvent.ts
@@ -17,9 +17,8 @@
 /** Names of fields that readers ignore. */
 const OTHER_FIELD = /^[a-z][a-z0-9-]*$/;
 
-/** Lists the lines of a piece that aren't empty; a carriage return ends a line without a line feed as well. */
-const listLines = (bytes: Buffer): Buffer[] => {
-  const lines: Buffer[] = [];
+/** Yields the lines of a piece that aren't empty; a carriage return ends a line without a line feed as well. */
+function* readLines(bytes: Buffer): Generator<Buffer> {
   for (let start = 0; start < bytes.length;) {
     const feed = bytes.indexOf(LINE_FEED, start);
     const end = feed < 0 ? bytes.length : feed;
@@ -27,13 +26,12 @@
     for (let partStart = 0; partStart < line.length;) {
       const found = line.indexOf(CARRIAGE_RETURN, partStart);
       const partEnd = found < 0 ? line.length : found;
-      if (partEnd > partStart) lines.push(line.subarray(partStart, partEnd));
+      if (partEnd > partStart) yield line.subarray(partStart, partEnd);
       partStart = partEnd + 1;
     }
     start = end + 1;
   }
-  return lines;
-};
+}
 
 /**
  * Reads what stands between two empty lines of a stream. As for readers of a stream, the last `id` field counts, one that
@@ -46,7 +44,7 @@
   let id: string | undefined;
   let hasData = false;
   let hasFields = false;
-  for (const line of listLines(bytes)) {
+  for (const line of readLines(bytes)) {
     if (line[0] === COLON) continue;
     hasFields = true;
     const colon = line.indexOf(COLON);
