Leave the first read after an outage of the store to the followers of the tables

What callers could have seen: after an outage of the store, endpoints whose registrations had lapsed in it are removed at once, where they are to stay in use for 2.2 s in which they register again.

Cause: the read that confirms the versions applied the changes of a table without the note that the store has recovered, by which removals are taken for lapses.

Change: that read is made only while the followers of both tables reach the store; otherwise peers are asked.

--- a/packages/gateway/src/createVersionParts.ts
+++ b/packages/gateway/src/createVersionParts.ts
@@ -25,6 +25,7 @@
   readonly sharedMirror: TableMirror;
   readonly originSharing: OriginSharing;
   readonly isMembershipKnown: () => boolean;
+  readonly isStoreReachable: () => boolean;
   readonly storeClock: StoreClock;
   /** Clock reading at which this process started. */
   readonly startMs: number;
@@ -35,7 +36,8 @@
 /** Creates the record of software versions and what confirms it. */
 export const createVersionParts = (input: VersionPartsInput): VersionParts => {
   const { settings, dependencies, clusterState, endpointMirror, sharedMirror } = input;
-  const { originSharing, isMembershipKnown, storeClock, startMs, clock, log } = input;
+  const { originSharing, isMembershipKnown, isStoreReachable, storeClock } = input;
+  const { startMs, clock, log } = input;
   const { nodeName, isFirstStart, bounds } = settings;
   const { shared, rows, tables, random, responseLimits } = dependencies;
   const { endpoints } = clusterState;
@@ -70,6 +72,7 @@
     endpoints,
     mirrors: [endpointMirror, sharedMirror],
     tables,
+    isStoreReachable,
     softwareRecord,
     originSharing,
     listPeers: () => (isMembershipKnown() ? listPeers() : undefined),
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -3,7 +3,13 @@
 import { MemoryBudget } from '@lovagearch/bounded-http';
 import { AddressUnavailableError, getErrorMessage, processClock } from '@lovagearch/common';
 import { ConnectionPool, EventIdHistory } from '@lovagearch/exchange';
-import { type MirrorEvent, StoreClock, StoreEra, TableMirror } from '@lovagearch/mirror';
+import {
+  type MirrorEvent,
+  type MirrorFollower,
+  StoreClock,
+  StoreEra,
+  TableMirror,
+} from '@lovagearch/mirror';
 import { TransferSlowdownTracker } from '@lovagearch/reuse';
 import { createSuspensionClock, OrderLease, RolloutCoordinator } from '@lovagearch/rollout';
 import { ClusterState, LEASE_KEY, PEER_PREFIX, readAttemptId } from './clusterState.js';
@@ -171,6 +177,8 @@
     listSharingNodes: () => listSharingNodes(clusterState, settings),
     log,
   });
+  /** The followers of the tables by which versions are known; filled below, as they depend on later parts. */
+  const versionFollowers: MirrorFollower[] = [];
   const { softwareRecord, versionKnowledge, recordSoftwareSend } = createVersionParts({
     settings,
     dependencies,
@@ -179,6 +187,7 @@
     sharedMirror,
     originSharing,
     isMembershipKnown,
+    isStoreReachable: () => versionFollowers.every(({ isStoreReachable }) => isStoreReachable),
     storeClock,
     startMs,
     clock,
@@ -264,6 +273,7 @@
     followerDependencies,
   );
   const followers = [operatorFollower, endpointFollower, sharedFollower];
+  versionFollowers.push(endpointFollower, sharedFollower);
 
   let shutdown: Shutdown | undefined;
   const retryBounds = {
--- a/packages/gateway/src/versionKnowledge.test.ts
+++ b/packages/gateway/src/versionKnowledge.test.ts
@@ -42,6 +42,7 @@
   const written = new Map<string, string>(rows);
   const state = {
     isStoreReadable: true,
+    isStoreReachable: true,
     answers: new Map<string, StreamStatement | undefined>(),
   };
   const softwareRecord = SoftwareRecord.create({
@@ -78,14 +79,15 @@
     endpoints,
     mirrors,
     tables: {
-      readChanges: async (_table, afterVersion) =>
-        state.isStoreReadable
-          ? {
-              type: 'rows',
-              batch: { rows: [], version: afterVersion, isPartial: true, ageMs: 0 },
-            }
-          : UNAVAILABLE,
+      readChanges: async (_table, afterVersion) => {
+        if (!state.isStoreReadable) return UNAVAILABLE;
+        return {
+          type: 'rows',
+          batch: { rows: [], version: afterVersion + 1, isPartial: true, ageMs: 0 },
+        };
+      },
     },
+    isStoreReachable: () => state.isStoreReachable,
     softwareRecord,
     originSharing: {
       applyStatement: ({ versions }) => {
@@ -120,7 +122,16 @@
     const isComplete = complete.fromMs <= begin.fromMs && complete.untilMs >= begin.untilMs;
     return { isComplete, versions };
   };
-  return { state, endpoints, softwareRecord, knowledge, written, register, listVersions };
+  return {
+    state,
+    endpoints,
+    endpointMirror,
+    softwareRecord,
+    knowledge,
+    written,
+    register,
+    listVersions,
+  };
 };
 
 // Guards against a node without the store that takes what it knows for all, though no peer that does better has answered.
@@ -143,6 +154,20 @@
   },
 );
 
+// Guards against endpoints that lapsed in an outage of the store, and are removed by a read before its recovery is noted.
+t.test('the tables are read only while their followers reach the store', async (t2) => {
+  const node = createNode(SimulatedTime.create());
+  node.register('i-1', 'v1');
+  node.state.answers.set('n2', undefined);
+  node.state.isStoreReachable = false;
+  const { version } = node.endpointMirror;
+  t2.equal((await node.listVersions()).isComplete, false);
+  t2.equal(node.endpointMirror.version, version);
+  node.state.isStoreReachable = true;
+  t2.equal((await node.listVersions()).isComplete, true);
+  t2.ok(node.endpointMirror.version > version);
+});
+
 // Guards against a process that takes the versions since its start for those before it.
 t.test('a process knows the time before its start from the record only', async (t2) => {
   const time = SimulatedTime.create();
--- a/packages/gateway/src/versionKnowledge.ts
+++ b/packages/gateway/src/versionKnowledge.ts
@@ -34,6 +34,11 @@
   /** Copies of the registrations and of the shared table. */
   readonly mirrors: readonly TableMirror[];
   readonly tables: Pick<TableSource, 'readChanges'>;
+  /**
+   * Whether the followers of the tables reach the store. After an outage, they note that it has recovered before they apply
+   * which endpoints have lapsed, so that these stay in use for a while.
+   */
+  readonly isStoreReachable: () => boolean;
   readonly softwareRecord: SoftwareRecord;
   readonly originSharing: Pick<OriginSharing, 'applyStatement' | 'createStatement'>;
   /** Lists the addresses of the other nodes by name; undefined if they aren't all known. */
@@ -158,18 +163,19 @@
 
   /** Returns the clock reading as of which all copies are complete; undefined if the store can't be read. */
   private async readStore(): Promise<number | undefined> {
-    const { mirrors, clock } = this.dependencies;
+    const { mirrors, isStoreReachable, clock } = this.dependencies;
+    if (!isStoreReachable()) return undefined;
     const startMs = clock.nowMs();
     const read = await Promise.all(mirrors.map(async (mirror) => this.readChanges(mirror)));
     return read.every((isRead) => isRead) ? startMs : undefined;
   }
 
   private async readChanges(mirror: TableMirror): Promise<boolean> {
-    const { tables, clock } = this.dependencies;
+    const { tables, isStoreReachable, clock } = this.dependencies;
     const { table, version, era } = mirror;
     if (version === 0) return false;
     const result = await tables.readChanges(table, version, 0, VERSION_READ_TIMEOUT_MS);
-    if (result.type === 'failure') return false;
+    if (result.type === 'failure' || !isStoreReachable()) return false;
     const { batch } = result;
     // The follower of the table goes over to a later era of the store.
     if (mirror.era !== era || (batch.era ?? era) !== era) return false;
