Tell which endpoints a node reaches over the network

Callers of a node whose links to all endpoints hang were refused as overloaded, by loads that were over a second old: attempts ended as not run after 800 ms, and nothing told a lost link from a busy endpoint. A new package decides by failed connects, silence and what peers hear which endpoints are out of reach; the placement leaves them out, their attempts end at once, and connects without a request find out when they are back.

--- a/packages/endpoints/src/endpoint.ts
+++ b/packages/endpoints/src/endpoint.ts
@@ -287,6 +287,12 @@
     this.suspendedUntilMs = nowMs + Math.min(INITIAL_SUSPENSION_MS * factor, MAX_SUSPENSION_MS);
   }
 
+  /** Ends a suspension, as the failures behind it were those of the network link. */
+  recordLinkRegained(): void {
+    this.transportFailures = 0;
+    this.suspendedUntilMs = Number.NEGATIVE_INFINITY;
+  }
+
   /** Returns how far the oldest request without a first byte exceeds its expected time. */
   getOldestWaitMs(nowMs: number): number {
     const oldest = this.waiting.values().next();
--- a/packages/endpoints/src/endpointAvailability.test.ts
+++ b/packages/endpoints/src/endpointAvailability.test.ts
@@ -17,6 +17,7 @@
   isLeaving: false,
   heldUntilMs: undefined,
   hasFreeConnection: true,
+  isReachable: true,
   isWithinRateLimit: () => true,
   isLoadingWeights: false,
 };
--- a/packages/endpoints/src/endpointAvailability.ts
+++ b/packages/endpoints/src/endpointAvailability.ts
@@ -20,7 +20,9 @@
   /** All connections that this node may open to the endpoint are in use. */
   | { readonly type: 'no_connection' }
   /** The limit of requests per second that the endpoint named allows this node none now. */
-  | { readonly type: 'rate_limited' };
+  | { readonly type: 'rate_limited' }
+  /** This node doesn't reach the endpoint over the network. */
+  | { readonly type: 'unreachable' };
 
 export interface AvailabilityInput {
   /** Whether the endpoint has the software version that the request needs, if it needs one. */
@@ -31,6 +33,8 @@
   /** Clock reading until which the endpoint wants no requests, if there is one. */
   readonly heldUntilMs: number | undefined;
   readonly hasFreeConnection: boolean;
+  /** Whether connections to the endpoint carry requests, or an idle one still does. */
+  readonly isReachable: boolean;
   /** Called only if nothing else forbids a request, as it may use up the time of a probe. */
   readonly isWithinRateLimit: () => boolean;
   readonly isCold: boolean;
@@ -65,6 +69,7 @@
   isLeaving,
   heldUntilMs,
   hasFreeConnection,
+  isReachable,
   isWithinRateLimit,
   isCold,
   isLoadingWeights,
@@ -74,6 +79,7 @@
   if (isEvacuated) return { type: 'evacuated' };
   if (isLeaving) return { type: 'leaving' };
   if (heldUntilMs !== undefined) return { type: 'held', untilMs: heldUntilMs };
+  if (!isReachable) return { type: 'unreachable' };
   if (!hasFreeConnection) return { type: 'no_connection' };
   if (!isWithinRateLimit()) return { type: isCold ? 'cold' : 'rate_limited' };
   return isLoadingWeights ? { type: 'loading_weights' } : { type: 'available' };
@@ -102,6 +108,7 @@
       case 'cold':
       case 'held':
       case 'rate_limited':
+      case 'unreachable':
         endpoints.push(endpoint);
         unavailableIds.push(endpoint.record.id);
         break;
@@ -170,6 +177,7 @@
       case 'loading_weights':
       case 'no_connection':
       case 'rate_limited':
+      case 'unreachable':
         return undefined;
       default:
         return availability satisfies never;
--- a/packages/exchange/src/connectionPool.ts
+++ b/packages/exchange/src/connectionPool.ts
@@ -2,7 +2,8 @@
 import { BoundedMap, parseSocketAddress, processClock } from '@lovagearch/common';
 import { type ConnectionEnd, EndpointCheck } from './endpointCheck.js';
 import { type ConnectionDependencies, EndpointConnection } from './endpointConnection.js';
-import type { EndpointLife } from './endpointLife.js';
+import type { EndpointLife, OpeningResult } from './endpointLife.js';
+import type { OpeningProgress } from './openingProgress.js';
 import type { EndpointRequest, Exchange, ExchangeListener } from './types.js';
 
 interface EndpointConnections {
@@ -35,6 +36,9 @@
   /** Called with the id of an endpoint that closed a connection between two exchanges. */
   onIdleConnectionLost: (endpointId: string) => void = () => undefined;
 
+  /** Called with what becomes of each attempt to open a connection. */
+  onOpening: (endpointId: string, progress: OpeningProgress) => void = () => undefined;
+
   private constructor(private readonly dependencies: ConnectionDependencies) {}
 
   /** By default, a pool has a pacer of its own and neither suspensions nor delays. */
@@ -51,7 +55,10 @@
     return this.openedConnectionCount;
   }
 
-  /** Returns whether a request can be sent now, on an idle connection or a new one. */
+  /**
+   * Returns whether a request can be sent now, on an idle connection or a new one; with 0 for `maxConnections`, only
+   * on an idle one.
+   */
   hasFreeConnection(endpointId: string, maxConnections: number): boolean {
     const connections = this.byEndpoint.get(endpointId);
     if (connections === undefined) return maxConnections > 0;
@@ -62,6 +69,7 @@
    * Sends a request on an idle connection or a new one.
    *
    * @param endpointId changes when an endpoint restarts, so that it gets new connections
+   * @param maxConnections 0 if no new connection may be opened
    * @returns undefined if `maxConnections` connections are already in use or the address is not usable
    */
   send(
@@ -120,6 +128,22 @@
     });
   }
 
+  /**
+   * Opens a connection without a request, to find out whether the endpoint can be reached. One that is accepted serves
+   * the next request, or closes if there is none soon.
+   *
+   * @returns what became of it; never `pending`
+   * @example
+   * if ((await pool.probe('i-7f3a', '10.1.2.3:8080')) === 'accepted') resumeSending();
+   */
+  async probe(endpointId: string, address: string): Promise<OpeningResult> {
+    const connection = this.createConnection(endpointId, address);
+    if (connection === undefined) return 'failed';
+    const result = await connection.open();
+    if (connection.isEstablished) this.release(endpointId, connection);
+    return result;
+  }
+
   /** Closes the idle connections of an endpoint that accepts no more requests. */
   closeIdleConnections(endpointId: string): void {
     const connections = this.byEndpoint.get(endpointId);
@@ -171,6 +195,7 @@
         this.onIdleConnectionLost(endpointId);
       },
       onBroken: recordLoss,
+      onOpening: (progress) => this.onOpening(endpointId, progress),
     });
     connections.all.add(created);
     this.byEndpoint.set(endpointId, connections);
@@ -181,7 +206,7 @@
   /** Closes the idle connection that was not used for longest if no new one may be opened. */
   private makeRoom(endpointId: string, maxConnections: number): void {
     const connections = this.byEndpoint.get(endpointId);
-    if (connections !== undefined && connections.all.size >= maxConnections)
+    if (maxConnections > 0 && connections !== undefined && connections.all.size >= maxConnections)
       connections.idle[0]?.close();
   }
 
--- a/packages/exchange/src/constants.ts
+++ b/packages/exchange/src/constants.ts
@@ -1,5 +1,10 @@
 /** Connect timeout, in milliseconds; a round trip between regions takes 16 ms. */
 export const CONNECT_TIMEOUT_MS = 800;
+/**
+ * Time after which an attempt to connect is reported as overdue, in milliseconds. A round trip between regions takes
+ * 16 ms, and TCP repeats a lost opening packet only after 1,000 ms.
+ */
+export const OVERDUE_CONNECT_MS = 300;
 /** Keep-alive timeout if the endpoint sends no `Keep-Alive` header, in milliseconds. */
 export const DEFAULT_KEEP_ALIVE_MS = 6_000;
 /** Upper bound on the keep-alive timeout that an endpoint sends, in milliseconds. */
--- a/packages/exchange/src/endpointConnection.ts
+++ b/packages/exchange/src/endpointConnection.ts
@@ -10,9 +10,11 @@
   MAX_FRAMING_BYTES_PER_BODY_BYTE,
   MAX_RESPONSE_HEADER_BYTES,
   MAX_KEEP_ALIVE_MS,
+  OVERDUE_CONNECT_MS,
   UNUSED_CONNECTION_MS,
 } from './constants.js';
 import type { OpeningResult } from './endpointLife.js';
+import { findOpeningFailure, type OpeningProgress } from './openingProgress.js';
 import { isFramed } from './isFramed.js';
 import type { EndpointRequest, Exchange, ExchangeListener } from './types.js';
 
@@ -59,6 +61,8 @@
   readonly onIdleLost: () => void;
   /** Called if the connection is lost in the middle of an exchange. */
   readonly onBroken: () => void;
+  /** Called when the connection is established, fails to be, or isn't yet although it is overdue. */
+  readonly onOpening: (progress: OpeningProgress) => void;
 }
 
 /**
@@ -364,17 +368,38 @@
     };
   }
 
+  private reportOpening(error: Error | null, afterMs: number): void {
+    if (error === null) {
+      this.listener.onOpening({ type: 'established' });
+      return;
+    }
+    const cause = findOpeningFailure(error, afterMs);
+    if (cause !== undefined) this.listener.onOpening({ type: 'failed', cause, afterMs });
+  }
+
   private openSocket(host: string, port: number, callback: ConnectCallback): void {
     const socket = openBoundedSocket(host, port);
     this.socket = socket;
-    const timer = setTimeout(() => {
-      socket.destroy(new Error(`connection not established within ${CONNECT_TIMEOUT_MS} ms`));
-    }, CONNECT_TIMEOUT_MS);
+    const { clock } = this.dependencies;
+    const beganAtMs = clock.nowMs();
     let hasCalledBack = false;
+    let timer: NodeJS.Timeout | undefined;
+    const handleTimeout = () =>
+      socket.destroy(new Error(`connection not established within ${CONNECT_TIMEOUT_MS} ms`));
+    const handleOverdue = () => {
+      timer = setTimeout(handleTimeout, CONNECT_TIMEOUT_MS - OVERDUE_CONNECT_MS);
+      // After a delay of the event loop, timers expire before established connections are noticed.
+      setImmediate(() => {
+        if (!hasCalledBack)
+          this.listener.onOpening({ type: 'overdue', afterMs: clock.nowMs() - beganAtMs });
+      });
+    };
+    timer = setTimeout(handleOverdue, OVERDUE_CONNECT_MS);
     const settle = (...args: [Error, null] | [null, Socket]) => {
       if (hasCalledBack) return;
       hasCalledBack = true;
       clearTimeout(timer);
+      this.reportOpening(args[0], clock.nowMs() - beganAtMs);
       callback(...args);
     };
     socket.on('error', (error) => {
--- a/packages/exchange/src/index.ts
+++ b/packages/exchange/src/index.ts
@@ -5,7 +5,8 @@
 export { ConnectionPool } from './connectionPool.js';
 export * from './constants.js';
 export type { ConnectionEnd } from './endpointCheck.js';
-export type { EndpointLife } from './endpointLife.js';
+export type { EndpointLife, OpeningResult } from './endpointLife.js';
+export type * from './openingProgress.js';
 export * from './nextStep.js';
 export * from './eventIdHistory.js';
 export * from './eventStreamFramer.js';
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -89,6 +89,10 @@
   readonly checkEndpoint: (end: ConnectionEnd) => Promise<EndpointLife>;
   /** Whether another start of the endpoint's process is registered in its place. */
   readonly isReplaced: (endpoint: Endpoint) => boolean;
+  /** Called when bytes of the endpoint arrive. */
+  readonly onBytes: (nowMs: number) => void;
+  /** Whether the request may be sent again after an attempt that may have run it. */
+  readonly mayRunAgain: () => boolean;
   /** Called if no connection to the endpoint could be opened. */
   readonly onConnectFailed: () => void;
   /** Called with what is known of the endpoint after a response that ended with its connection. */
@@ -213,6 +217,29 @@
     if (!this.hasOutput) this.finish({ type: 'stalled' }, { type: 'cancelled' });
   }
 
+  /**
+   * Ends the attempt as the endpoint is out of reach, unless a part of the response has arrived. One that may have run
+   * ends only if the request can be sent again.
+   *
+   * @param isLost whether the endpoint lives, so that a response may come only if the link does
+   */
+  stopUnreachable(isLost: boolean): void {
+    this.stopConnecting();
+    if (this.isFinished || this.head !== undefined) return;
+    if (
+      this.dependencies.mayRunAgain() &&
+      (isLost || this.dependencies.findMove().type === 'possible')
+    )
+      this.finish({ type: 'stalled' }, { type: 'cancelled' });
+  }
+
+  /** Ends the attempt as no connection to the endpoint can be opened, unless it has one. */
+  stopConnecting(): void {
+    if (this.wasSent) return;
+    const reason = 'the endpoint is out of reach';
+    this.finish({ type: 'not_run', wasReceived: false, reason }, { type: 'cancelled' });
+  }
+
   private start(): void {
     const { endpoint, request, maxConnections, stallTimeoutMs } = this.input;
     endpoint.recordSent(this.sentRequest);
@@ -294,6 +321,7 @@
     const { endpoint, requestId, model } = this.input;
     const nowMs = this.dependencies.clock.nowMs();
     this.recordActivity(nowMs);
+    this.dependencies.onBytes(nowMs);
     const head = this.dependencies.headers.decodeResponseHead(status, headers);
     this.head = head;
     // A faulty endpoint may write an earlier response once more, so nothing in it says anything about this request.
@@ -326,6 +354,7 @@
 
   private handleData(chunk: Buffer): void {
     if (this.isFinished || this.head === undefined) return;
+    this.dependencies.onBytes(this.dependencies.clock.nowMs());
     const { framer } = this.input;
     if (this.head.isNotRun || this.head.isMisdirected) this.discardRejectionBody(this.head, chunk);
     else if (framer !== undefined && this.isStreaming(this.head))
--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -32,6 +32,8 @@
   readonly isRepeat: boolean;
   readonly callerResponse: CallerResponse;
   readonly findMove: () => MoveOption;
+  /** Whether the request may be sent again after an attempt that may have run it. */
+  readonly mayRunAgain: () => boolean;
   readonly onFirstByte: (sinceStartMs: number) => void;
   /** Called before the first byte of a response is passed on to the caller. */
   readonly onResponseStart: () => void;
@@ -76,6 +78,8 @@
       canSend: createSendCheck(context, routedRequest, chosen),
       nodeCount: context.clusterState.nodeCount,
       findMove: options.findMove,
+      mayRunAgain: options.mayRunAgain,
+      onBytes: (nowMs) => context.links.recordBytes(endpoint, nowMs),
       onFirstEventDecision: (decision, ages) => {
         context.metrics.recordFirstEventDecision(service, decision);
         logFirstEventDecision(context, head, endpoint, decision, ages);
--- a/packages/gateway/src/explainPlacement.ts
+++ b/packages/gateway/src/explainPlacement.ts
@@ -6,6 +6,7 @@
   type Placement,
 } from '@lovagearch/endpoints';
 import { MS_PER_SECOND } from '@lovagearch/common';
+import type { LinkState, LossCause } from '@lovagearch/reachability';
 import type { Account, Route, RouteTarget } from '@lovagearch/traffic';
 import { decideRequestAdmission } from './createOverloadRefusal.js';
 import { findRateShare } from './endpointRates.js';
@@ -31,6 +32,13 @@
   readonly uncachedTokens: number;
 }
 
+/** Why this node doesn't reach an endpoint, or not over new connections. */
+interface ExplainedLink {
+  readonly state: Exclude<LinkState['type'], 'reachable'>;
+  readonly cause: LossCause;
+  readonly ageMs: number;
+}
+
 /** An endpoint of the service, with its forecast or what excludes it. */
 export interface ExplainedCandidate {
   readonly endpoint: string;
@@ -39,6 +47,8 @@
   readonly isAffinityOwner: boolean;
   readonly forecast: ForecastComponents | undefined;
   readonly excludedBy: string | undefined;
+  /** State of the network link; undefined if the endpoint is reachable. */
+  readonly link: ExplainedLink | undefined;
   readonly running: number;
   readonly waiting: number;
   /** Age of the last load report; undefined without one. */
@@ -121,6 +131,16 @@
   return findExclusionReason(input, endpoint);
 };
 
+const explainLink = (
+  { clock, links }: GatewayContext,
+  { endpoint }: EndpointCandidate,
+): ExplainedLink | undefined => {
+  const state = links.getState(endpoint);
+  if (state.type === 'reachable') return undefined;
+  const { type, cause, sinceMs } = state;
+  return { state: type, cause, ageMs: clock.nowMs() - sinceMs };
+};
+
 const explainCandidate = (
   context: GatewayContext,
   observed: ObservedChoice,
@@ -140,6 +160,7 @@
     isAffinityOwner: placement?.ownerId === id,
     forecast: placement === undefined ? undefined : splitForecast(placement),
     excludedBy: findExclusion(observed, candidate),
+    link: explainLink(context, candidate),
     ...endpoint.estimateRequests(nowMs),
     loadAgeMs: Number.isFinite(loadAgeMs) ? loadAgeMs : undefined,
     limitPerS: endpoint.statements.rateLimit.limitPerS,
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -5,6 +5,7 @@
 import type { StoreIndex, TransferSlowdownTracker } from '@lovagearch/reuse';
 import type { ClusterState } from './clusterState.js';
 import type { EventLoopMonitor } from './eventLoopMonitor.js';
+import type { LinkMonitor } from './links/linkMonitor.js';
 import type { HeldCalls } from './heldCalls.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
@@ -41,6 +42,8 @@
   /** Returns the index of what a cache store VM holds, if the store is configured. */
   readonly findCacheStoreIndex: (address: string) => StoreIndex | undefined;
   readonly waitingAttempts: WaitingAttempts;
+  /** Which endpoints this node reaches over the network. */
+  readonly links: LinkMonitor;
   readonly transferMeter: TransferSlowdownTracker;
   /** Clock that also advances while the VM is suspended. */
   readonly suspensionClock: Clock;
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -150,6 +150,13 @@
     registers: [this.registry],
   });
 
+  private readonly linkProbes = new Counter({
+    name: 'lovagearch_link_probes_total',
+    help: 'Connections opened to find out whether an endpoint is in reach, by service, purpose and result',
+    labelNames: ['service', 'purpose', 'result'],
+    registers: [this.registry],
+  });
+
   static create(): GatewayMetrics {
     return new GatewayMetrics();
   }
@@ -220,6 +227,11 @@
     this.callerLimits.inc({ limit });
   }
 
+  /** @param purpose `verify` if the endpoint is only suspected to be out of reach, `regain` if it is */
+  recordLinkProbe(service: string, purpose: 'regain' | 'verify', result: string): void {
+    this.linkProbes.inc({ service, purpose, result });
+  }
+
   setGauge(name: string, value: number): void {
     this.gauges.set({ name }, value);
   }
--- a/packages/gateway/src/placeRequest.ts
+++ b/packages/gateway/src/placeRequest.ts
@@ -83,7 +83,7 @@
   regionRule: RegionRule,
   softwareVersion: string | undefined,
 ): EndpointAvailability => {
-  const { clusterState, clock, pool, settings } = context;
+  const { clusterState, clock, links, pool, settings } = context;
   const { record, statements } = endpoint;
   const nowMs = clock.nowMs();
   return decideAvailability({
@@ -92,6 +92,7 @@
     isEvacuated: clusterState.evacuatedZones.has(record.zone),
     isLeaving: statements.leaving.isAnnounced,
     heldUntilMs: statements.hold.getEndMs(nowMs),
+    isReachable: links.isUsable(endpoint),
     hasFreeConnection: pool.hasFreeConnection(getEndpointStartKey(endpoint), maxConnections),
     isCold: findColdLimit(context, endpoint) !== undefined,
     isWithinRateLimit: () => isWithinRateLimit(context, endpoint),
@@ -164,7 +165,8 @@
     chosen: {
       endpoint,
       placement,
-      maxConnections,
+      // New connections to an endpoint that refuses them would fail.
+      maxConnections: context.links.canOpenConnections(endpoint) ? maxConnections : 0,
       softwareVersion: endpoint.record.softwareVersion,
       regionRule,
       restrictions,
--- a/packages/gateway/src/requestAttempts.ts
+++ b/packages/gateway/src/requestAttempts.ts
@@ -191,7 +191,7 @@
   ): Send {
     const { context } = this;
     const { routedRequest, callerResponse, onFirstByte } = this.input;
-    const { head, account, service } = routedRequest;
+    const { head, route, account, service } = routedRequest;
     const { endpoint, placement } = chosen;
     const reusePlan = planReuse(context, head, account, chosen);
     this.sendCount += 1;
@@ -211,6 +211,7 @@
       isRepeat,
       callerResponse,
       findMove: () => this.findMove(),
+      mayRunAgain: () => isRetryable(route) && this.possibleRunCount + 1 < route.maxAttempts,
       onFirstByte: (firstByteDelayMs) => {
         onFirstByte();
         recordTransferTime(context, head, placement, reusePlan, firstByteDelayMs);
@@ -253,8 +254,10 @@
             weightVersion: chosen.endpoint.record.weights.get(head.model) ?? 0,
           });
     this.inProgressCount += 1;
+    const stopWatching = context.links.watchAttempt(chosen.endpoint, attempt);
     const outcome = await attempt.run();
     this.inProgressCount -= 1;
+    stopWatching();
     stopTracking?.();
     // The other send of a hedged request may depend on it.
     this.recordOutcome(chosen, outcome);
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -46,6 +46,7 @@
 } from './peerExchange.js';
 import { getEndpointStartKey } from './attempt.js';
 import { recordIdleConnectionLost, recordOutlivedAnswers } from './attemptFeedback.js';
+import { LinkMonitor } from './links/linkMonitor.js';
 import { HeldCalls } from './heldCalls.js';
 import { LostRows } from './lostRows.js';
 import { listSharingNodes } from './loadSharing.js';
@@ -302,15 +303,19 @@
     maxFds: settings.maxFds,
   });
   const eventLoopMonitor = EventLoopMonitor.create(clock.nowMs(), readProcessorMs());
+  const pool = ConnectionPool.create({
+    pacer: responseLimits.pacer,
+    clock: suspensionClock,
+    getReadDelayMs: () => eventLoopMonitor.getReadDelayMs(clock.nowMs()),
+  });
+  const links = LinkMonitor.create({ pool, clusterState, clock, random, log, metrics });
+  pool.onOpening = (endpointStart, progress) => links.recordOpening(endpointStart, progress);
   const context: GatewayContext = {
     settings,
     headers: dependencies.headers,
     clusterState,
-    pool: ConnectionPool.create({
-      pacer: responseLimits.pacer,
-      clock: suspensionClock,
-      getReadDelayMs: () => eventLoopMonitor.getReadDelayMs(clock.nowMs()),
-    }),
+    pool,
+    links,
     bodyMemory: MemoryBudget.create(callerLimits.bodyMemoryBytes),
     unsentMemory: MemoryBudget.create(settings.memoryMb * BYTES_PER_MB * SLOW_CALLER_MEMORY_SHARE),
     responseLimits,
@@ -361,8 +366,7 @@
     heldCalls: HeldCalls.create(),
     getShutdown: () => shutdown,
   };
-  context.pool.onIdleConnectionLost = (endpointStart) =>
-    recordIdleConnectionLost(context, endpointStart);
+  pool.onIdleConnectionLost = (endpointStart) => recordIdleConnectionLost(context, endpointStart);
   const admission = ConnectionAdmission.create({
     limits: callerLimits,
     bodyMemory: context.bodyMemory,
@@ -497,15 +501,16 @@
   const recordEventLoopDelay = () => {
     const { delayMs, processorMs } = eventLoopMonitor.recordTick(clock.nowMs(), readProcessorMs());
     metrics.recordEventLoopDelay(delayMs);
-    if (delayMs < LOGGED_EVENT_LOOP_DELAY_MS) return;
+    if (delayMs < LOGGED_EVENT_LOOP_DELAY_MS) return delayMs;
     log.logStateChange('event_loop_delayed', {
       delayMs: Math.round(delayMs),
       processorMs: Math.round(processorMs),
       active: server.activeRequestCount,
     });
+    return delayMs;
   };
   const housekeepingTimer = setInterval(() => {
-    recordEventLoopDelay();
+    links.check(recordEventLoopDelay());
     clusterState.removeExpiredEndpoints();
     recordOutlivedAnswers(context);
     const stoppedAttempts = context.waitingAttempts.stopOverdue(
@@ -600,6 +605,7 @@
     for (const follower of followers) follower.stop();
     clearInterval(housekeepingTimer);
     clearInterval(publishTimer);
+    links.stop();
     await listeners.value.close();
     admission.stop();
     log.flush();
