--- a/packages/bounded-http/src/memoryBudget.ts
+++ b/packages/bounded-http/src/memoryBudget.ts
@@ -15,6 +15,11 @@
     return new MemoryBudget(maxBytes);
   }
 
+  /** Largest total of all reservations, in bytes. */
+  get limitBytes(): number {
+    return this.maxBytes;
+  }
+
   /** Bytes that are reserved now. */
   get reservedBytes(): number {
     return this.usedBytes;
