Serve callers of a node without links through a peer

Callers of a node that lost its links to the endpoints were refused as `overloaded`, with an old load of the endpoints as the reason, or waited until their time limit. Cause: a request had no way from one gateway to another.

A request that lost links alone keep from all endpoints is passed on to a peer, one hop, with the time that is left and the number of possible runs. The peer places, admits and retries it like one of its own callers' requests. Events pass as they arrive, with back pressure through both connections, and a caller's leaving closes both. A peer that can't reach the service, is stopping, has no room or runs an earlier release leaves the request to the next one, three at most. If no peer takes it, it is refused at once as `endpoints_unreachable` with a `Retry-After` from the return schedule.

--- a/packages/cli/src/formatExplanation.test.ts
+++ b/packages/cli/src/formatExplanation.test.ts
@@ -48,3 +48,22 @@
   t2.match(lines[5], /^ +i-1 .*excluded: leaving$/);
   t2.equal(lines.length, 6);
 });
+
+// Guards against a VM without links whose table says only that no endpoint may get the request.
+t.test('the table names the peer that carries the request', async (t2) => {
+  const [target] = EXPLANATION.targets;
+  const createLine = (relay: unknown) => {
+    const lost = { ...EXPLANATION, targets: [{ ...target, chosen: undefined, relay }] };
+    const parsed = explanationSchema.parse(lost);
+    return parsed.type === 'routed' ? formatExplanation(parsed)[2] : undefined;
+  };
+  const peer = { name: 'n2', zone: 'z2', address: 'n2:1' };
+  t2.equal(
+    createLine({ type: 'peer', peer, evidence: 'digest' }),
+    'service app, weight 1: no endpoint can be reached, passed on to n2 (z2)',
+  );
+  t2.equal(
+    createLine({ type: 'none', reason: 'unreachable', retryInMs: 200 }),
+    'service app, weight 1: no endpoint can be reached, and no peer takes the request (unreachable)',
+  );
+});
--- a/packages/cli/src/formatExplanation.ts
+++ b/packages/cli/src/formatExplanation.ts
@@ -30,11 +30,21 @@
   z.object({ type: z.literal('refuse'), reason: z.string(), retryAfterMs: z.number() }),
 ]);
 
+const relaySchema = z.discriminatedUnion('type', [
+  z.object({
+    type: z.literal('peer'),
+    peer: z.object({ name: z.string(), zone: z.string() }),
+    evidence: z.string(),
+  }),
+  z.object({ type: z.literal('none'), reason: z.string(), retryInMs: z.number().optional() }),
+]);
+
 const targetSchema = z.object({
   service: z.string(),
   weight: z.number(),
   chosen: z.string().optional(),
   admission: admissionSchema.optional(),
+  relay: relaySchema.optional(),
   candidates: z.array(candidateSchema),
 });
 
@@ -60,6 +70,7 @@
 
 type RoutedExplanation = z.infer<typeof routedSchema>;
 type Candidate = z.infer<typeof candidateSchema>;
+type Relay = z.infer<typeof relaySchema>;
 
 const COLUMNS = [
   ['', 1],
@@ -121,6 +132,11 @@
   return `refused as ${admission.reason}, Retry-After ${Math.round(admission.retryAfterMs)} ms`;
 };
 
+const formatRelay = (relay: Relay): string =>
+  relay.type === 'peer'
+    ? `no endpoint can be reached, passed on to ${relay.peer.name} (${relay.peer.zone})`
+    : `no endpoint can be reached, and no peer takes the request (${relay.reason})`;
+
 /** Formats an explanation as lines: the route, and a table of the candidates of each target. Times are in ms. */
 export const formatExplanation = (explanation: RoutedExplanation): string[] => {
   const { node, route, account, priority, targetMs, timeLimitMs, configuration } = explanation;
@@ -133,8 +149,9 @@
       `target ${targetMs} ms, limit ${timeLimitMs} ms, configuration ${configuration}`,
     ...notes,
   ];
-  for (const { service, weight, admission, candidates } of explanation.targets) {
-    lines.push(`service ${service}, weight ${weight}: ${formatAdmission(admission)}`);
+  for (const { service, weight, admission, relay, candidates } of explanation.targets) {
+    const fate = relay === undefined ? formatAdmission(admission) : formatRelay(relay);
+    lines.push(`service ${service}, weight ${weight}: ${fate}`);
     lines.push(formatCells(COLUMNS.map(([name]) => name)));
     const costs = (candidate: Candidate) => candidate.forecast?.costMs ?? Number.POSITIVE_INFINITY;
     const sorted = [...candidates].sort((one, other) => costs(one) - costs(other) || 0);
--- a/packages/common/src/errors.ts
+++ b/packages/common/src/errors.ts
@@ -13,6 +13,7 @@
   | 'deadline_exceeded'
   | 'draining'
   | 'endpoint_failed'
+  | 'endpoints_unreachable'
   | 'forbidden'
   | 'headers_too_large'
   | 'idempotency_key_required'
@@ -71,6 +72,7 @@
   deadline_exceeded: 504,
   draining: 503,
   endpoint_failed: 502,
+  endpoints_unreachable: 503,
   forbidden: 403,
   headers_too_large: 431,
   idempotency_key_required: 400,
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Route } from '@lovagearch/traffic';
+import { isRetryable, type Route } from '@lovagearch/traffic';
 import { createRepeatRefusal, decideOverload, recordAdmitted } from './createOverloadRefusal.js';
 import { CallerResponse } from './callerResponse.js';
 import { chooseService, findContinuation } from './continuedStreams.js';
@@ -9,6 +9,7 @@
   MIN_RETRY_AFTER_MS,
   MIN_REMAINING_TO_SEND_MS,
   TIMEOUT_RESPONSE_GRACE_MS,
+  UNREACHABLE_RETRY_AFTER_MS,
 } from './constants.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { planReturn } from './planReturn.js';
@@ -16,9 +17,14 @@
 import { createFailure, createRefusal, type LocalReply, sendLocalReply } from './localReply.js';
 import { createStreamFields, logCallerLeft, logNotPlaced } from './requestLog.js';
 import { createQuarantineRefusal, isQuarantined } from './quarantine.js';
+import { RELAY_RESULT_HEADER } from './relay/relayHeaders.js';
+import type { RelayAcceptance } from './relay/acceptedRelay.js';
+import { isServiceUnreachable, isUnreachable } from './relay/findUnreachable.js';
+import { type RelayConclusion, RequestRelay } from './relay/requestRelay.js';
 import { RequestAttempts } from './requestAttempts.js';
 import { readBody } from './requestBody.js';
 import { getTimeLimitMs, routeRequest } from './routeRequest.js';
+import type { RelayedDetails } from './relay/relayHeaders.js';
 import type { RequestHead } from './types.js';
 import { waitForQueuedClose } from './waitForQueuedClose.js';
 
@@ -37,6 +43,9 @@
   /** Undefined until the request may be sent. */
   private attempts: RequestAttempts | undefined;
 
+  /** Undefined unless the request goes through a peer. */
+  private relay: RequestRelay | undefined;
+
   private stopReason: StopReason | undefined;
 
   /** Ends the wait at this node, if the request has started one. */
@@ -62,6 +71,7 @@
     private readonly context: GatewayContext,
     private readonly incoming: IncomingMessage,
     private readonly response: ServerResponse,
+    private readonly acceptance: RelayAcceptance | undefined,
   ) {
     const nowMs = context.clock.nowMs();
     this.readDelayMs = context.eventLoopMonitor.getReadDelayMs(nowMs);
@@ -70,15 +80,19 @@
       isDraining: () => context.getShutdown() !== undefined,
       unsentMemory: context.unsentMemory,
       onSlowCaller: () => context.metrics.recordSlowCaller(),
+      createResultHeaders:
+        acceptance === undefined ? undefined : (result) => [RELAY_RESULT_HEADER, result],
     });
   }
 
+  /** @param acceptance set if a peer passed the request on */
   static create(
     context: GatewayContext,
     incoming: IncomingMessage,
     response: ServerResponse,
+    acceptance?: RelayAcceptance,
   ): CallerRequestHandler {
-    return new CallerRequestHandler(context, incoming, response);
+    return new CallerRequestHandler(context, incoming, response, acceptance);
   }
 
   /** Serves the request. All paths end with a response or closed connection, a log line and freed body memory. */
@@ -102,8 +116,14 @@
   }
 
   private async readAndServe(): Promise<void> {
-    const { context, incoming } = this;
-    const routing = routeRequest(context, incoming);
+    const { context, incoming, acceptance } = this;
+    if (acceptance?.type === 'rejected') {
+      this.rejectRelay(acceptance);
+      return;
+    }
+    const { method, url } = incoming;
+    const { rawHeaders } = acceptance ?? incoming;
+    const routing = routeRequest(context, { method, url, rawHeaders });
     if (routing.type === 'refused') {
       this.reply(routing.head, routing.route, routing.refusal);
       return;
@@ -112,7 +132,10 @@
     this.accountName = account?.name ?? 'none';
     this.requestId = head.requestId;
     context.routeDurations.recordArrival(route.name, this.startMs);
-    this.timeLimitMs = getTimeLimitMs(head, route);
+    this.timeLimitMs = Math.min(
+      getTimeLimitMs(head, route),
+      acceptance?.details.limitMs ?? Number.POSITIVE_INFINITY,
+    );
     this.timeLimitTimer = setTimeout(
       () => this.stop('time_limit'),
       Math.max(0, this.timeLimitMs - this.getElapsedMs()) + TIMEOUT_RESPONSE_GRACE_MS,
@@ -162,6 +185,10 @@
       return;
     }
     if (this.endIfQuarantined(routedRequest)) return;
+    if (isServiceUnreachable(context, routedRequest)) {
+      await this.endUnreachable(routedRequest);
+      return;
+    }
     const continuation = await findContinuation(context, routedRequest);
     if (this.stopReason !== undefined) {
       this.handleStop(routedRequest);
@@ -171,11 +198,14 @@
       this.reply(head, route, continuation.refusal);
       return;
     }
-    context.getRetryBudget(service).recordRequest(context.clock.nowMs());
+    // A request that a peer has sent already counts in the budget of that peer.
+    if (this.relayedDetails === undefined || this.relayedDetails.sends === 0)
+      context.getRetryBudget(service).recordRequest(context.clock.nowMs());
     const attempts = RequestAttempts.create(context, {
       routedRequest,
       callerResponse: this.callerResponse,
       softwareVersion: continuation.softwareVersion,
+      earlierRuns: this.relayedDetails?.runs ?? 0,
       timeLimitMs: this.timeLimitMs,
       getElapsedMs: () => this.getElapsedMs(),
       onFirstByte: () => this.recordFirstByte(route),
@@ -193,6 +223,10 @@
     }
     while (this.stopReason === undefined) {
       const remainingMs = this.timeLimitMs - this.getElapsedMs();
+      if (chosen === undefined && isUnreachable(attempts.lastPlacement)) {
+        await this.endUnreachable(routedRequest);
+        return;
+      }
       if (chosen === undefined || remainingMs < MIN_REMAINING_TO_SEND_MS) {
         this.replyWithRefusalOrFailure(
           routedRequest,
@@ -213,7 +247,8 @@
           this.handleStop(routedRequest);
           return;
         case 'ended':
-          this.replyWithRefusalOrFailure(routedRequest, conclusion.reason);
+          if (conclusion.hasLostLinks) await this.endUnreachable(routedRequest);
+          else this.replyWithRefusalOrFailure(routedRequest, conclusion.reason);
           return;
         default:
           conclusion satisfies never;
@@ -224,7 +259,97 @@
 
   /** Number of attempts that may have run the request. */
   private get possibleRunCount(): number {
-    return this.attempts?.possibleRunCount ?? 0;
+    const relayedRuns = this.relay?.mayHaveRun === true ? 1 : 0;
+    return (this.attempts?.possibleRunCount ?? this.relayedDetails?.runs ?? 0) + relayedRuns;
+  }
+
+  /** What the peer told that passed the request on; undefined if it came from its caller. */
+  private get relayedDetails(): RelayedDetails | undefined {
+    return this.acceptance?.type === 'accepted' ? this.acceptance.details : undefined;
+  }
+
+  /** Refuses a request of a peer. */
+  private rejectRelay({ refusal, result }: Extract<RelayAcceptance, { type: 'rejected' }>): void {
+    const { requestIdHeader } = this.context.headers;
+    const requestId = this.incoming.headers[requestIdHeader];
+    sendLocalReply(this.callerResponse, requestId?.toString(), requestIdHeader, refusal, result);
+    this.logCompletion(undefined, undefined, result, refusal.status, refusal.error.message);
+  }
+
+  /** Ends a request for which this node can reach no endpoint: a peer takes it, or it is refused. */
+  private async endUnreachable(routedRequest: RoutedRequest): Promise<void> {
+    const { context, attempts } = this;
+    const { route, service } = routedRequest;
+    const runs = this.possibleRunCount;
+    const isRepeat = runs > 0;
+    const budget = context.getRetryBudget(service);
+    const { nodeCount } = context.clusterState;
+    const nowMs = context.clock.nowMs();
+    const mayRepeat =
+      isRetryable(route) && runs < route.maxAttempts && budget.hasRetry(nodeCount, nowMs);
+    // One hop at most: the peer that passed the request on asks others itself.
+    const mayRelay = this.acceptance === undefined && !this.callerResponse.hasStarted;
+    if (!mayRelay || (isRepeat && !mayRepeat)) {
+      this.refuseUnreachable(routedRequest, undefined);
+      return;
+    }
+    if (isRepeat) budget.tryTake(nodeCount, nowMs);
+    this.relay = RequestRelay.create(context, {
+      routedRequest,
+      rawHeaders: this.incoming.rawHeaders,
+      callerResponse: this.callerResponse,
+      runs,
+      sends: attempts?.sendCount ?? 0,
+      getRemainingMs: () => this.timeLimitMs - this.getElapsedMs(),
+      onFirstByte: () => this.recordFirstByte(route),
+    });
+    this.handleRelayConclusion(routedRequest, await this.relay.run());
+  }
+
+  private handleRelayConclusion(routedRequest: RoutedRequest, conclusion: RelayConclusion): void {
+    const { head, route } = routedRequest;
+    switch (conclusion.type) {
+      case 'served':
+        this.logCompletion(head, route, 'served', conclusion.status);
+        return;
+      case 'replied': {
+        const { status, headers, body, result } = conclusion.reply;
+        this.callerResponse.sendLocalReply(status, headers, body, result);
+        this.logCompletion(head, route, result, status, 'reply of the peer');
+        return;
+      }
+      case 'not_taken':
+        this.refuseUnreachable(routedRequest, conclusion.retryInMs);
+        return;
+      case 'broken':
+        this.replyWithRefusalOrFailure(routedRequest, conclusion.reason);
+        return;
+      case 'stopped':
+        this.handleStop(routedRequest);
+        return;
+      default:
+        conclusion satisfies never;
+    }
+  }
+
+  /**
+   * Ends a request for which neither this node nor a peer reaches an endpoint.
+   *
+   * @param retryInMs time until a peer may be asked again
+   */
+  private refuseUnreachable(routedRequest: RoutedRequest, retryInMs: number | undefined): void {
+    const { head, route } = routedRequest;
+    const reason = 'no endpoint of the service can be reached';
+    if (this.possibleRunCount > 0 || this.callerResponse.hasStarted) {
+      this.replyWithRefusalOrFailure(routedRequest, reason);
+      return;
+    }
+    const retryAfterMs = planReturn(this.context, routedRequest, {
+      drainMs: Math.max(MIN_RETRY_AFTER_MS, retryInMs ?? UNREACHABLE_RETRY_AFTER_MS),
+      workMs: undefined,
+      remainingMs: this.timeLimitMs - this.getElapsedMs(),
+    });
+    this.reply(head, route, createRefusal('endpoints_unreachable', reason, retryAfterMs));
   }
 
   /** Ends a request that is quarantined; returns whether it is. Checked before each send. */
@@ -270,6 +395,8 @@
           timeLimitMs: this.timeLimitMs,
           findRoom: () => {
             const next = attempts.chooseEndpoint();
+            // A peer may have room while this node can't reach any endpoint.
+            if (isUnreachable(attempts.lastPlacement)) queueMicrotask(() => this.cancelHold?.());
             return next !== undefined && decide(next, true).type === 'admit' ? next : undefined;
           },
         });
@@ -284,6 +411,10 @@
           recordAdmitted(context, routedRequest, released, true);
           return released;
         }
+        if (isServiceUnreachable(context, routedRequest)) {
+          await this.endUnreachable(routedRequest);
+          return undefined;
+        }
         const reason = hold === undefined ? 'hold_full' : 'expired';
         context.metrics.recordAdmission(route.name, 'refuse', reason);
         this.replyWithRefusalOrFailure(routedRequest, 'no endpoint has room');
@@ -357,6 +488,7 @@
     this.stopReason = reason;
     if (reason === 'caller_left') this.logDeparture();
     this.attempts?.stop();
+    this.relay?.stop();
     this.cancelHold?.();
     // The rest of the body may never arrive, so the connection can't be reused for another request.
     if (this.isReadingBody && reason === 'time_limit') this.incoming.destroy();
@@ -409,7 +541,10 @@
       if (outcome === 'served') context.routeDurations.recordResponse(route.name, totalMs);
       else context.routeDurations.recordFailure(route.name, this.startMs);
     }
-    context.metrics.recordRequest(route?.name ?? 'none', this.accountName, outcome, totalMs);
+    // The node of its caller counts a request that came through a peer.
+    if (this.acceptance === undefined)
+      context.metrics.recordRequest(route?.name ?? 'none', this.accountName, outcome, totalMs);
+    else context.metrics.recordAcceptedRelay(outcome);
     const fields = {
       request: head?.requestId,
       route: route?.name,
@@ -417,6 +552,8 @@
       outcome,
       reason,
       endpoints: this.attempts?.triedEndpointIds ?? [],
+      relayedTo: this.relay?.peers,
+      relayedBy: this.relayedDetails?.node,
       responseEnd: outcome === 'served' ? this.attempts?.responseEnd : undefined,
       ...createStreamFields(head, this.attempts?.framer),
       firstByteMs: this.firstByteMs === undefined ? undefined : Math.round(this.firstByteMs),
--- a/packages/gateway/src/callerResponse.ts
+++ b/packages/gateway/src/callerResponse.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import type { MemoryBudget } from '@lovagearch/bounded-http';
 import { MAX_SLOW_CALLER_CHECKS, SLOW_CALLER_CHECK_MS } from './constants.js';
+import { ENDPOINT_RESULT } from './relay/relayHeaders.js';
 import type { ResponseHead } from './types.js';
 import { UnsentBytes } from './unsentBytes.js';
 
@@ -11,8 +12,12 @@
   readonly unsentMemory: MemoryBudget;
   /** Called when a caller is disconnected that takes nothing of an unfinished response. */
   readonly onSlowCaller: () => void;
+  /** Returns the headers that tell a peer where its response comes from; undefined for a caller of this node. */
+  readonly createResultHeaders?: ((result: string) => readonly string[]) | undefined;
 }
 
+type CallerResponseHead = Pick<ResponseHead, 'callerHeaders' | 'status'>;
+
 /**
  * The response to one caller. Its head is sent once; a retry of a broken stream appends to its body. If
  * the response can't be completed, the connection is closed, so that the caller can detect this.
@@ -59,18 +64,22 @@
   }
 
   /** Sends the head of a response whose length is not known yet. */
-  start(head: ResponseHead): void {
-    this.response.writeHead(head.status, this.createHeaders(head.callerHeaders));
+  start({ status, callerHeaders }: CallerResponseHead): void {
+    this.response.writeHead(status, this.createHeaders(callerHeaders, ENDPOINT_RESULT));
   }
 
   /** Sends a complete response of an endpoint. */
-  sendEndpointResponse(head: ResponseHead, body: Buffer): void {
-    this.sendComplete(head.status, head.callerHeaders, body);
+  sendEndpointResponse({ status, callerHeaders }: CallerResponseHead, body: Buffer): void {
+    this.sendComplete(status, callerHeaders, body, ENDPOINT_RESULT);
   }
 
-  /** Sends a response that the gateway itself created. */
-  sendLocalReply(status: number, headers: readonly string[], body: Buffer): void {
-    this.sendComplete(status, headers, body);
+  /**
+   * Sends a response that a gateway created.
+   *
+   * @param result type of the error, or what else it tells a peer
+   */
+  sendLocalReply(status: number, headers: readonly string[], body: Buffer, result: string): void {
+    this.sendComplete(status, headers, body, result);
   }
 
   /**
@@ -151,16 +160,24 @@
     this.response.destroy();
   }
 
-  private createHeaders(headers: readonly string[]): string[] {
-    return this.dependencies.isDraining() ? [...headers, 'Connection', 'close'] : [...headers];
+  private createHeaders(headers: readonly string[], result: string): string[] {
+    const { isDraining, createResultHeaders } = this.dependencies;
+    const all = [...headers, ...(createResultHeaders?.(result) ?? [])];
+    if (isDraining()) all.push('Connection', 'close');
+    return all;
   }
 
-  private sendComplete(status: number, headers: readonly string[], body: Buffer): void {
+  private sendComplete(
+    status: number,
+    headers: readonly string[],
+    body: Buffer,
+    result: string,
+  ): void {
     if (this.hasStarted) {
       this.abort();
       return;
     }
-    const all = this.createHeaders(headers);
+    const all = this.createHeaders(headers, result);
     all.push('Content-Length', String(body.length));
     this.response.writeHead(status, all);
     this.response.end(body);
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -1,10 +1,11 @@
 import { once } from 'node:events';
-import { createServer, type Server } from 'node:http';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { CallerLimits } from '@lovagearch/traffic';
 import { CALLER_LISTENER, type ConnectionAdmission } from './connectionAdmission.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { CallerRequestHandler } from './callerRequestHandler.js';
+import { acceptRelay } from './relay/acceptedRelay.js';
 import type { Address } from './types.js';
 
 /** Largest header size that a configuration may allow, in bytes; the parser's limit is fixed at startup. */
@@ -49,17 +50,10 @@
     this.server.on('request', (incoming, response) => {
       const { socket } = incoming;
       this.idleSockets.delete(socket);
-      this.activeRequests += 1;
       response.once('close', () => {
-        this.activeRequests -= 1;
         if (!socket.destroyed) this.idleSockets.add(socket);
       });
-      CallerRequestHandler.create(context, incoming, response)
-        .serve()
-        .catch((error: unknown) => {
-          context.log.logProblem('request_crashed', { reason: String(error) });
-          response.destroy();
-        });
+      this.serve(CallerRequestHandler.create(context, incoming, response), response);
     });
   }
 
@@ -72,6 +66,34 @@
     return this.activeRequests;
   }
 
+  /** Largest body that the configuration allows, in bytes. */
+  get bodyLimitBytes(): number {
+    return this.maxBodyBytes;
+  }
+
+  /** Serves a request of a caller that a peer passed on, which arrived at the address for peers. */
+  serveRelayed(incoming: IncomingMessage, response: ServerResponse): void {
+    const { context } = this;
+    const { relaying } = context;
+    const acceptance = acceptRelay(context, incoming);
+    relaying.acceptedRequests += 1;
+    response.once('close', () => {
+      relaying.acceptedRequests -= 1;
+    });
+    this.serve(CallerRequestHandler.create(context, incoming, response, acceptance), response);
+  }
+
+  private serve(handler: CallerRequestHandler, response: ServerResponse): void {
+    this.activeRequests += 1;
+    response.once('close', () => {
+      this.activeRequests -= 1;
+    });
+    handler.serve().catch((error: unknown) => {
+      this.context.log.logProblem('request_crashed', { reason: String(error) });
+      response.destroy();
+    });
+  }
+
   /** Starts listening; rejects if the address can't be used, and may be called again then. */
   async listen({ host, port }: Address): Promise<void> {
     this.server.listen({ host, port, backlog: LISTEN_BACKLOG });
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -7,6 +7,8 @@
 export const DRAINING_RETRY_AFTER_MS = 50;
 /** Minimum retry delay advised to callers of a service that no endpoint can take a request of, in milliseconds. */
 export const MIN_RETRY_AFTER_MS = 300;
+/** Retry delay advised where no node reaches a service, in milliseconds; lost links are probed twice in that time. */
+export const UNREACHABLE_RETRY_AFTER_MS = 1_000;
 /** Maximum of it where refused requests don't return one after the other. */
 export const MAX_RETRY_AFTER_MS = 4_000;
 /** Time limit of a request that states none, in milliseconds. */
--- a/packages/gateway/src/explainPlacement.ts
+++ b/packages/gateway/src/explainPlacement.ts
@@ -7,11 +7,14 @@
 } from '@lovagearch/endpoints';
 import { MS_PER_SECOND } from '@lovagearch/common';
 import type { LinkState, LossCause } from '@lovagearch/reachability';
+import type { RelayChoice } from '@lovagearch/relaying';
 import type { Account, Route, RouteTarget } from '@lovagearch/traffic';
 import { decideRequestAdmission } from './createOverloadRefusal.js';
 import { findRateShare } from './endpointRates.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { placeRequest } from './placeRequest.js';
+import { isUnreachable } from './relay/findUnreachable.js';
+import { listRelayPeers } from './relay/relaying.js';
 import { getTimeLimitMs } from './routeRequest.js';
 import { listSharedPartIds } from './sharedParts.js';
 import type { RequestHead } from './types.js';
@@ -64,6 +67,8 @@
   /** Undefined if no endpoint may get the request. */
   readonly chosen: string | undefined;
   readonly admission: AdmissionDecision | undefined;
+  /** Peer that would carry the request, or why none would; undefined unless this VM can't reach the service. */
+  readonly relay: RelayChoice | undefined;
   readonly candidates: readonly ExplainedCandidate[];
 }
 
@@ -168,6 +173,16 @@
   };
 };
 
+const explainRelay = (context: GatewayContext, service: string): RelayChoice => {
+  const { relaying, clusterState, settings, clock } = context;
+  return relaying.peers.choose({
+    service,
+    peers: listRelayPeers(clusterState, settings.nodeName),
+    excluded: new Set(),
+    nowMs: clock.nowMs(),
+  });
+};
+
 const explainTarget = (
   context: GatewayContext,
   head: RequestHead,
@@ -212,6 +227,7 @@
             { elapsedMs: 0, timeLimitMs },
             false,
           ),
+    relay: isUnreachable(result) ? explainRelay(context, service) : undefined,
     candidates: observed.candidates.map((candidate) =>
       explainCandidate(context, observed, candidate, chosen),
     ),
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -13,6 +13,7 @@
 import type { OverloadState } from './overloadState.js';
 import type { PromptPartContainment } from './promptPartContainment.js';
 import type { RecentAnswers } from './recentAnswers.js';
+import type { Relaying } from './relay/relaying.js';
 import type { RouteDurations } from './routeDurations.js';
 import type { ShutdownPlan } from './shutdownPlan.js';
 import type { StrikePublisher } from './strikePublisher.js';
@@ -67,6 +68,8 @@
   readonly versionKnowledge: Pick<VersionKnowledge, 'confirm'>;
   readonly overloadState: OverloadState;
   readonly heldCalls: HeldCalls;
+  /** Requests on their way through peers, from this node and from others. */
+  readonly relaying: Relaying;
   /** The planned stop in progress, if there is one. */
   readonly getShutdown: () => Shutdown | undefined;
 }
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -29,6 +29,20 @@
     registers: [this.registry],
   });
 
+  private readonly relays = new Counter({
+    name: 'lovagearch_relayed_requests_total',
+    help: 'Requests offered to peers as this node can not reach the service, by result',
+    labelNames: ['service', 'result'],
+    registers: [this.registry],
+  });
+
+  private readonly acceptedRelays = new Counter({
+    name: 'lovagearch_accepted_relays_total',
+    help: 'Requests taken from peers that can not reach a service, by outcome',
+    labelNames: ['outcome'],
+    registers: [this.registry],
+  });
+
   private readonly responseEnds = new Counter({
     name: 'lovagearch_response_ends_total',
     help: 'Responses of endpoints by service and what showed their end',
@@ -174,6 +188,16 @@
     this.attempts.inc({ service, result });
   }
 
+  /** @param result what became of a request at the peer that it was offered to, or why no peer was asked */
+  recordRelay(service: string, result: string): void {
+    this.relays.inc({ service, result });
+  }
+
+  /** Records a request that this node took from a peer. */
+  recordAcceptedRelay(outcome: string): void {
+    this.acceptedRelays.inc({ outcome });
+  }
+
   /** @param end `framing` for a length or chunks, `connection` if the response ended with its connection */
   recordResponseEnd(service: string, end: 'connection' | 'framing'): void {
     this.responseEnds.inc({ service, end });
--- a/packages/gateway/src/loadSharing.ts
+++ b/packages/gateway/src/loadSharing.ts
@@ -91,6 +91,8 @@
   readonly clusterState: ClusterState;
   /** Streams that peers are told of in datagrams of their own. */
   readonly originSharing: Pick<OriginSharing, 'applyDatagram' | 'takeDatagrams'>;
+  /** Called with each digest of a peer. */
+  readonly onDigest: (peer: string, entries: readonly LoadDigestEntry[]) => void;
   readonly clock: Clock;
   readonly log: GatewayLog;
 }
@@ -209,7 +211,7 @@
   }
 
   private receive(bytes: Buffer): void {
-    const { clusterState, clock, log, originSharing } = this.dependencies;
+    const { clusterState, clock, log, originSharing, onDigest } = this.dependencies;
     let value: unknown;
     try {
       value = unpack(bytes);
@@ -229,11 +231,13 @@
     const isLate = sequence <= known && known - sequence < MAX_LATE_DIGESTS;
     if (isLate) return;
     this.lastSequences.set(peer, sequence);
+    const decoded = entries.map(decodeEntry);
     applyLoadDigest(
       (key) => clusterState.endpoints.findEndpointByDigestKey(key),
       peer,
-      entries.map(decodeEntry),
+      decoded,
       clock.nowMs(),
     );
+    onDigest(peer, decoded);
   }
 }
--- a/packages/gateway/src/localReply.ts
+++ b/packages/gateway/src/localReply.ts
@@ -30,16 +30,18 @@
   message: string,
 ): LocalReply => ({ status: getHttpStatus(type), error: createUnknownOutcomeError(type, message) });
 
+/** @param result what the response tells a peer if the request came through it, by default the type of the error */
 export const sendLocalReply = (
   callerResponse: CallerResponse,
   requestId: string | undefined,
   requestIdHeader: string,
   { status, error }: LocalReply,
+  result: string = error.type,
 ): void => {
   const headers = ['Content-Type', 'application/json'];
   if (requestId !== undefined) headers.push(requestIdHeader, requestId);
   if (error.retryAfterMs !== undefined) {
     headers.push('Retry-After', (error.retryAfterMs / MS_PER_SECOND).toFixed(2));
   }
-  callerResponse.sendLocalReply(status, headers, Buffer.from(JSON.stringify({ error })));
+  callerResponse.sendLocalReply(status, headers, Buffer.from(JSON.stringify({ error })), result);
 };
--- a/packages/gateway/src/openGatewayListeners.ts
+++ b/packages/gateway/src/openGatewayListeners.ts
@@ -8,7 +8,7 @@
 import { GatewayListeners } from './gatewayListeners.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
-import { LoadSharing } from './loadSharing.js';
+import { LoadSharing, type LoadSharingDependencies } from './loadSharing.js';
 import { startMetricsServer, startPeerServer, startReadinessServer } from './managementServer.js';
 import type { OriginSharing } from './originSharing.js';
 import type { GatewaySettings } from './types.js';
@@ -33,6 +33,8 @@
   readonly clusterState: ClusterState;
   readonly originSharing: OriginSharing;
   readonly versionKnowledge: Pick<VersionKnowledge, 'createStatement'>;
+  /** Called with each load digest of a peer. */
+  readonly onDigest: LoadSharingDependencies['onDigest'];
   readonly clock: Clock;
   readonly log: GatewayLog;
 }
@@ -78,6 +80,10 @@
           parts.explain,
           (maxAgeMs, isStoreReadWanted) =>
             parts.versionKnowledge.createStatement(maxAgeMs, isStoreReadWanted),
+          {
+            serve: (incoming, response) => server.serveRelayed(incoming, response),
+            getMaxBodyBytes: () => server.bodyLimitBytes,
+          },
           admission,
         ),
     },
@@ -108,6 +114,7 @@
         address: loadAddress,
         clusterState,
         originSharing,
+        onDigest: parts.onDigest,
         clock,
         log,
       }),
--- a/packages/gateway/src/requestAttempts.ts
+++ b/packages/gateway/src/requestAttempts.ts
@@ -22,6 +22,7 @@
 import { type ChosenEndpoint, type PlacementResult, placeRequest } from './placeRequest.js';
 import { logAttemptFailed, logPlacement } from './requestLog.js';
 import { createCacheSalt, planReuse } from './reusePlan.js';
+import { isUnreachable } from './relay/findUnreachable.js';
 import { type Send, SendRace } from './sendRace.js';
 import { listSharedPartIds } from './sharedParts.js';
 
@@ -33,7 +34,12 @@
   /** The attempt was stopped for the caller or the time limit. */
   | { readonly type: 'stopped' }
   /** There is no complete response, and there will be no further attempt. */
-  | { readonly type: 'ended'; readonly reason: string };
+  | {
+      readonly type: 'ended';
+      readonly reason: string;
+      /** Whether the request could go on if this node reached the other endpoints. */
+      readonly hasLostLinks: boolean;
+    };
 
 /** What the attempts need to know of their request and its caller. */
 export interface AttemptsInput {
@@ -41,6 +47,8 @@
   readonly callerResponse: CallerResponse;
   /** Software version at which the request has to go on; undefined if it may begin at any. */
   readonly softwareVersion: string | undefined;
+  /** Number of times that the request may have run before it reached this node through a peer. */
+  readonly earlierRuns: number;
   /** Time from the arrival of the request to the end of its time limit, in milliseconds. */
   readonly timeLimitMs: number;
   /** Returns the time since the arrival of the request, in milliseconds. */
@@ -66,8 +74,8 @@
   /** Number of attempts. */
   sendCount = 0;
 
-  /** Number of attempts that may have run the request. */
-  possibleRunCount = 0;
+  /** Number of attempts that may have run the request, at this node or before. */
+  possibleRunCount: number;
 
   lastPlacement: PlacementResult | undefined;
 
@@ -101,6 +109,7 @@
   ) {
     this.framer = this.createFramer();
     this.softwareVersion = input.softwareVersion;
+    this.possibleRunCount = input.earlierRuns;
   }
 
   static create(context: GatewayContext, input: AttemptsInput): RequestAttempts {
@@ -169,7 +178,7 @@
       getRemainingMs: () => timeLimitMs - getElapsedMs(),
       hasResponseStarted: () => callerResponse.hasStarted,
       isStopped: () => this.isStopped,
-      getSendCount: () => this.sendCount,
+      getSendCount: () => this.sendCount + this.input.earlierRuns,
       findAlternative: () => {
         const result = this.placeRequest();
         return result.type === 'placed' ? result.chosen : undefined;
@@ -303,7 +312,7 @@
   private handleOutcome({ chosen, attempt }: Send, outcome: AttemptOutcome): AttemptConclusion {
     const { context } = this;
     const { routedRequest, callerResponse, getElapsedMs } = this.input;
-    const { head, service } = routedRequest;
+    const { head, route, service } = routedRequest;
     if (outcome.type === 'passed_on') {
       if (outcome.hasExplicitEnd) this.recordPartCompletion();
       return { type: 'served', status: 200 };
@@ -332,24 +341,30 @@
     }
     switch (step.type) {
       case 'deliver':
-        if (outcome.type !== 'answered') return { type: 'ended', reason: outcome.type };
+        if (outcome.type !== 'answered') return this.createEnd(outcome.type, false);
         callerResponse.sendEndpointResponse(outcome.head, outcome.body);
         if (outcome.head.status < 300 && outcome.hasExplicitEnd) this.recordPartCompletion();
         return { type: 'served', status: outcome.head.status };
       case 'retry':
-        if (next === undefined) return { type: 'ended', reason: step.reason };
+        if (next === undefined) return this.createEnd(step.reason, false);
         // Sending a request that the endpoint did not receive again costs no retry budget.
         if (outcome.type !== 'not_run' || outcome.wasReceived)
           budget.tryTake(context.clusterState.nodeCount, nowMs);
         return { type: 'retry', chosen: next };
       case 'refuse':
       case 'fail':
-        return { type: 'ended', reason: step.reason };
+        return this.createEnd(step.reason, outcome.type === 'not_run' || isRetryable(route));
       default:
         return step satisfies never;
     }
   }
 
+  /** @param mayGoOn whether the request may be sent again after the last outcome */
+  private createEnd(reason: string, mayGoOn: boolean): AttemptConclusion {
+    const hasLostLinks = mayGoOn && isUnreachable(this.lastPlacement);
+    return { type: 'ended', reason, hasLostLinks };
+  }
+
   private decideStep(
     result: AttemptResult,
     next: ChosenEndpoint | undefined,
--- a/packages/gateway/src/routeRequest.ts
+++ b/packages/gateway/src/routeRequest.ts
@@ -1,4 +1,3 @@
-import type { IncomingMessage } from 'node:http';
 import { decideRegionRule, type Account, type Route, type TrafficRules } from '@lovagearch/traffic';
 import {
   DEFAULT_TIME_LIMIT_MS,
@@ -14,6 +13,14 @@
 /** Bytes of `: ` and CRLF that each header line has in addition to its name and value. */
 const HEADER_OVERHEAD_BYTES = 4;
 
+/** Request line and headers of a request. */
+export interface ReceivedHead {
+  readonly method?: string | undefined;
+  readonly url?: string | undefined;
+  /** Alternating names and values. */
+  readonly rawHeaders: readonly string[];
+}
+
 /** What the headers of a request decide: a route and account, or a refusal. */
 export type RoutingResult =
   | {
@@ -70,7 +77,7 @@
 /** Finds the route and client account of a request by its headers; the body is not read. */
 export const routeRequest = (
   context: GatewayContext,
-  { method = '', url = '', rawHeaders }: IncomingMessage,
+  { method = '', url = '', rawHeaders }: ReceivedHead,
 ): RoutingResult => {
   const { trafficRules } = context.clusterState;
   const decoded = context.headers.decodeRequestHead(method, url, rawHeaders);
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -10,6 +10,7 @@
   StoreEra,
   TableMirror,
 } from '@lovagearch/mirror';
+import { RelayPeers } from '@lovagearch/relaying';
 import { TransferSlowdownTracker } from '@lovagearch/reuse';
 import { createSuspensionClock, OrderLease, RolloutCoordinator } from '@lovagearch/rollout';
 import { ClusterState, LEASE_KEY, PEER_PREFIX, readAttemptId } from './clusterState.js';
@@ -54,6 +55,7 @@
 import { OverloadState } from './overloadState.js';
 import { PromptPartContainment } from './promptPartContainment.js';
 import { RecentAnswers } from './recentAnswers.js';
+import { recordPeerLinks } from './relay/relaying.js';
 import { RouteDurations } from './routeDurations.js';
 import { createShutdownPlan } from './shutdownPlan.js';
 import { CacheStoreWatcher } from './cacheStoreWatcher.js';
@@ -364,6 +366,11 @@
       maxBytes: settings.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE * HELD_BODY_SHARE,
     }),
     heldCalls: HeldCalls.create(),
+    relaying: {
+      peers: RelayPeers.create({ ...settings, random }),
+      pool: ConnectionPool.create({ pacer: responseLimits.pacer, clock: suspensionClock }),
+      acceptedRequests: 0,
+    },
     getShutdown: () => shutdown,
   };
   pool.onIdleConnectionLost = (endpointStart) => recordIdleConnectionLost(context, endpointStart);
@@ -459,6 +466,7 @@
     clusterState,
     originSharing,
     versionKnowledge,
+    onDigest: (peer, entries) => recordPeerLinks(context, peer, entries),
     clock,
     log,
   });
