Skip the choice of an endpoint for requests whose service can't be reached

The check of lost links placed each request once more, which cost processor time and may have used up the probe of a named rate limit. It now looks at the links of the service's endpoints only; a request that lost links keep from the remaining allowed endpoints is still passed on after its placement.

--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -185,7 +185,7 @@
       return;
     }
     if (this.endIfQuarantined(routedRequest)) return;
-    if (isServiceUnreachable(context, routedRequest)) {
+    if (isServiceUnreachable(context, service)) {
       await this.endUnreachable(routedRequest);
       return;
     }
@@ -411,7 +411,7 @@
           recordAdmitted(context, routedRequest, released, true);
           return released;
         }
-        if (isServiceUnreachable(context, routedRequest)) {
+        if (isServiceUnreachable(context, routedRequest.service)) {
           await this.endUnreachable(routedRequest);
           return undefined;
         }
--- a/packages/gateway/src/relay/findUnreachable.ts
+++ b/packages/gateway/src/relay/findUnreachable.ts
@@ -1,15 +1,16 @@
-import type { RoutedRequest } from '../createAttempt.js';
 import type { GatewayContext } from '../gatewayContext.js';
-import { type PlacementResult, placeRequest } from '../placeRequest.js';
+import type { PlacementResult } from '../placeRequest.js';
 
-/** Whether lost links alone keep a request from some endpoint, and no other may take it. */
+/** Whether lost links keep a request from endpoints, and no other may take it. */
 export const isUnreachable = (result: PlacementResult | undefined): boolean =>
   result?.type === 'none' && (result.counts.unreachable ?? 0) > 0;
 
-/** Whether this node can't reach any endpoint that could take a request. */
+/** Whether this node reaches no ready endpoint of a service, although there are some. */
 export const isServiceUnreachable = (
-  context: GatewayContext,
-  { head, route, service, account }: RoutedRequest,
-): boolean =>
-  context.links.hasLost &&
-  isUnreachable(placeRequest(context, head, route, service, account, { excluded: new Set() }));
+  { links, clusterState }: GatewayContext,
+  service: string,
+): boolean => {
+  if (!links.hasLost) return false;
+  const ready = clusterState.endpoints.listReady(service);
+  return ready.length > 0 && ready.every((endpoint) => !links.isUsable(endpoint));
+};
