Give the tests of relayed requests a loopback address of their own

The port of the endpoint that can't be reached was taken from the ephemeral range and then left free, so that a server of another test can take it: with a foreign server on it, the test hangs in the same place (tried with a scratch copy). Ports that have to stay free, and those of the nodes, are now on an address that only this process uses.

--- a/packages/gateway/src/relay/relayedRequests.test.ts
+++ b/packages/gateway/src/relay/relayedRequests.test.ts
@@ -6,6 +6,7 @@
 import { type Gateway, startGateway } from '../index.js';
 import {
   createDependencies,
+  createRegistration,
   createRows,
   FakeEndpoint,
   REQUEST_ID_HEADER,
@@ -22,10 +23,12 @@
 const HTTP_BAD_GATEWAY = 502;
 const HTTP_UNAVAILABLE = 503;
 const HOST = '127.0.0.1';
+/** Loopback address that other tests don't use, so that none of them takes a port which has to stay free. */
+const OWN_HOST = `127.1.${Math.floor(process.pid / 256) % 256}.${process.pid % 256}`;
 const GRACE_MS = 500;
 
 const findFreePort = async (): Promise<number> => {
-  const server = createServer().listen(0, HOST);
+  const server = createServer().listen(0, OWN_HOST);
   await once(server, 'listening');
   const address = server.address();
   server.close();
@@ -37,10 +40,12 @@
 const startNode = async (
   t2: Test,
   name: string,
-  { peerPort, endpointPort, shared }: NodeOptions,
+  { peerPort, endpointAddress, shared }: NodeOptions,
 ): Promise<Gateway> => {
-  const dependencies = createDependencies(createRows([endpointPort]), shared, () => 0.5);
-  const peerAddress = { host: HOST, port: peerPort };
+  const registrations = new FakeSharedTable();
+  registrations.write('i-0', { ...createRegistration('i-0', 0), address: endpointAddress });
+  const dependencies = createDependencies(createRows([]), shared, () => 0.5, registrations);
+  const peerAddress = { host: OWN_HOST, port: peerPort };
   const gateway = await startGateway(
     {
       ...SETTINGS,
@@ -58,14 +63,14 @@
 
 interface NodeOptions {
   readonly peerPort: number;
-  readonly endpointPort: number;
+  readonly endpointAddress: string;
   readonly shared: FakeSharedTable;
 }
 
-const announce = (shared: FakeSharedTable, name: string, port: number) =>
+const announce = (shared: FakeSharedTable, name: string, port: number, host = OWN_HOST) =>
   shared.write(`peer/${name}`, {
-    address: `${HOST}:${port}`,
-    loadAddress: `${HOST}:${port}`,
+    address: `${host}:${port}`,
+    loadAddress: `${host}:${port}`,
     zone: 'z1',
   });
 
@@ -78,8 +83,16 @@
   const ports = [await findFreePort(), await findFreePort(), await findFreePort()] as const;
   announce(shared, 'n1', ports[0]);
   announce(shared, 'n2', ports[1]);
-  const peer = await startNode(t2, 'n2', { peerPort: ports[1], endpointPort, shared });
-  const lost = await startNode(t2, 'n1', { peerPort: ports[0], endpointPort: ports[2], shared });
+  const peer = await startNode(t2, 'n2', {
+    peerPort: ports[1],
+    endpointAddress: `${HOST}:${endpointPort}`,
+    shared,
+  });
+  const lost = await startNode(t2, 'n1', {
+    peerPort: ports[0],
+    endpointAddress: `${OWN_HOST}:${ports[2]}`,
+    shared,
+  });
   await waitUntilReady(peer);
   await waitUntilReady(lost);
   endpoint.received.length = 0;
@@ -182,8 +195,16 @@
   announce(shared, 'n1', ports[0]);
   announce(shared, 'n2', ports[1]);
   const nodes = [
-    await startNode(t2, 'n1', { peerPort: ports[0], endpointPort: ports[2], shared }),
-    await startNode(t2, 'n2', { peerPort: ports[1], endpointPort: ports[2], shared }),
+    await startNode(t2, 'n1', {
+      peerPort: ports[0],
+      endpointAddress: `${OWN_HOST}:${ports[2]}`,
+      shared,
+    }),
+    await startNode(t2, 'n2', {
+      peerPort: ports[1],
+      endpointAddress: `${OWN_HOST}:${ports[2]}`,
+      shared,
+    }),
   ];
   // The first requests find out that the endpoints can't be reached.
   const deadlineMs = Date.now() + 5_000;
@@ -216,9 +237,17 @@
   const ports = [await findFreePort(), await findFreePort(), await findFreePort()] as const;
   announce(shared, 'n1', ports[0]);
   announce(shared, 'n2', ports[1]);
-  announce(shared, 'n0', olderPort);
-  const peer = await startNode(t2, 'n2', { peerPort: ports[1], endpointPort, shared });
-  const lost = await startNode(t2, 'n1', { peerPort: ports[0], endpointPort: ports[2], shared });
+  announce(shared, 'n0', olderPort, HOST);
+  const peer = await startNode(t2, 'n2', {
+    peerPort: ports[1],
+    endpointAddress: `${HOST}:${endpointPort}`,
+    shared,
+  });
+  const lost = await startNode(t2, 'n1', {
+    peerPort: ports[0],
+    endpointAddress: `${OWN_HOST}:${ports[2]}`,
+    shared,
+  });
   await waitUntilReady(peer);
   await waitUntilReady(lost);
   for (let index = 0; index < 10; index += 1)
@@ -242,8 +271,12 @@
   const shared = new FakeSharedTable();
   const ports = [await findFreePort(), await findFreePort()] as const;
   announce(shared, 'n1', ports[0]);
-  announce(shared, 'n2', peerPort);
-  const lost = await startNode(t2, 'n1', { peerPort: ports[0], endpointPort: ports[1], shared });
+  announce(shared, 'n2', peerPort, HOST);
+  const lost = await startNode(t2, 'n1', {
+    peerPort: ports[0],
+    endpointAddress: `${OWN_HOST}:${ports[1]}`,
+    shared,
+  });
   const statuses = new Set<number>();
   const deadlineMs = Date.now() + 5_000;
   for (let index = 0; !statuses.has(HTTP_BAD_GATEWAY) && Date.now() < deadlineMs; index += 1)
@@ -256,7 +289,7 @@
 // Guards against a body that is read at a peer's address without a route, and a connection that is left open.
 t.test('a malformed relay header is refused', async (t2) => {
   const { peerPort } = await startPair(t2);
-  const socket = connect(peerPort, HOST);
+  const socket = connect(peerPort, OWN_HOST);
   socket.write(`GET /read/x HTTP/1.1\r\nhost: a.example\r\n${RELAY_HEADER}: x\r\n\r\n`);
   const [bytes] = (await once(socket, 'data')) as [Buffer];
   t2.match(String(bytes), /^HTTP\/1.1 400 /);
