Infer lost links only from attempts that hang, and probe again after a success

In the cut with refusals, endpoints whose open connections lived counted as lost together and then as regained while the cut lasted; after the cut, endpoints came back one by one over 3 s, as those that had failed often were probed rarely.

--- a/packages/gateway/src/links/linkMonitor.ts
+++ b/packages/gateway/src/links/linkMonitor.ts
@@ -249,12 +249,19 @@
 
   private listTargets(observed: readonly ObservedEndpoint[]): ProbeTarget[] {
     if (!this.hasLost) return [];
-    const isReachable = ({ key }: ObservedEndpoint): boolean =>
-      this.links.getState(key).type === 'reachable';
-    const reachedServices = new Set(observed.filter(isReachable).map(({ service }) => service));
-    return observed
-      .filter((endpoint) => !isReachable(endpoint))
-      .map(({ key, service }) => ({ key, service, isServiceLost: !reachedServices.has(service) }));
+    const getType = ({ key }: ObservedEndpoint): LinkState['type'] => this.links.getState(key).type;
+    const reachedServices = new Set<string>();
+    for (const endpoint of observed)
+      if (getType(endpoint) === 'reachable') reachedServices.add(endpoint.service);
+    const targets: ProbeTarget[] = [];
+    for (const endpoint of observed) {
+      const { key, service } = endpoint;
+      const type = getType(endpoint);
+      if (type === 'reachable') continue;
+      const mayHaveEnded = type === 'unanswered' && reachedServices.has(service);
+      targets.push({ key, service, mayHaveEnded });
+    }
+    return targets;
   }
 
   private probe(startKey: string, purpose: 'regain' | 'verify'): void {
--- a/packages/reachability/src/constants.ts
+++ b/packages/reachability/src/constants.ts
@@ -18,6 +18,11 @@
 export const HEARD_MARGIN_MS = 50;
 /** Time after which an endpoint that peers no longer hear may have ended, in milliseconds; ten heartbeats. */
 export const HEARD_MEMORY_MS = 10_000;
+/**
+ * Time for which nothing may be heard from a group of endpoints for its links to count as lost together, in
+ * milliseconds; the first attempts after a cut are overdue then.
+ */
+export const GROUP_QUIET_MS = 300;
 /** Endpoints of a service in one zone that have to fail for the others to count as out of reach without an attempt. */
 export const MIN_FAILING_OF_ZONE = 2;
 /** The same of a service. */
@@ -36,7 +41,7 @@
 export const MIN_PROBE_INTERVAL_MS = 100;
 /** Part of an interval by which probes are spread, so that nodes don't probe together. */
 export const PROBE_JITTER = 0.3;
-/** Longest interval of the probes of an endpoint whose service has others in reach, in milliseconds. */
+/** Longest interval of the probes of an endpoint that may have ended, in milliseconds; restarts register anew. */
 export const MAX_PROBE_INTERVAL_MS = 3_000;
 /** Delay of the probes that follow a successful one, in milliseconds, before jitter. */
 export const FOLLOWING_PROBE_DELAY_MS = 25;
--- a/packages/reachability/src/groupLoss.ts
+++ b/packages/reachability/src/groupLoss.ts
@@ -1,4 +1,5 @@
 import {
+  GROUP_QUIET_MS,
   HEARD_MARGIN_MS,
   MIN_FAILING_OF_ALL,
   MIN_FAILING_OF_SERVICE,
@@ -32,13 +33,15 @@
   let heardAtMs = Number.NEGATIVE_INFINITY;
   for (const { record } of members)
     if (record !== undefined) heardAtMs = Math.max(heardAtMs, record.heardAtMs);
+  if (nowMs - heardAtMs < GROUP_QUIET_MS) return undefined;
   let failing = 0;
   let silent = 0;
   let heard = 0;
   let sinceMs = nowMs;
   for (const member of members) {
     const failures = member.record?.failures;
-    if (failures !== undefined && failures.lastBeganAtMs > heardAtMs) {
+    // Refusals come at once, so that each endpoint shows by itself that it refuses.
+    if (failures?.cause === 'timeout' && failures.lastBeganAtMs > heardAtMs) {
       failing += 1;
       sinceMs = Math.min(sinceMs, Math.max(failures.beganAtMs, heardAtMs));
       if (member.endpoint.heardElsewhereAtMs > failures.beganAtMs + HEARD_MARGIN_MS) heard += 1;
--- a/packages/reachability/src/linkRecord.ts
+++ b/packages/reachability/src/linkRecord.ts
@@ -3,6 +3,7 @@
   GROUP_SILENCE_MS,
   HEARD_MARGIN_MS,
   HEARD_MEMORY_MS,
+  LONE_SILENCE_MS,
   MAX_REQUIRED_SUCCESSES,
   SEPARATE_ATTEMPTS_MS,
   UNSTABLE_WINDOW_MS,
@@ -79,7 +80,10 @@
   recordBytes(atMs: number): void {
     this.bytesAtMs = atMs;
     if (this.waitingSinceMs !== undefined) this.waitingSinceMs = atMs;
-    if (this.inferredSinceMs !== undefined) this.recordSuccess(atMs);
+    if (this.inferredSinceMs === undefined) return;
+    // Bytes refute an inference, and say nothing about new connections.
+    if (this.failures === undefined) this.recordSuccess(atMs);
+    else this.inferredSinceMs = undefined;
   }
 
   recordConnected(atMs: number): void {
@@ -118,7 +122,7 @@
       return REACHABLE;
     const sinceMs = failures?.beganAtMs ?? inferredSinceMs ?? nowMs;
     const cause = failures?.cause ?? 'silence';
-    if (this.bytesAtMs > sinceMs && !this.isSilent(nowMs))
+    if (this.bytesAtMs > sinceMs && !this.isSilent(nowMs, LONE_SILENCE_MS))
       return { type: 'refusing', cause, sinceMs };
     const isHeard =
       heardElsewhereAtMs > sinceMs + HEARD_MARGIN_MS &&
--- a/packages/reachability/src/probePlan.ts
+++ b/packages/reachability/src/probePlan.ts
@@ -12,8 +12,8 @@
 export interface ProbeTarget {
   readonly key: string;
   readonly service: string;
-  /** Whether no endpoint of the service is in reach. */
-  readonly isServiceLost: boolean;
+  /** Whether the endpoint may have ended: nobody hears it, and others of its service are in reach. */
+  readonly mayHaveEnded: boolean;
 }
 
 interface ServiceSchedule {
@@ -23,6 +23,7 @@
 }
 
 interface ProbedEndpoint {
+  readonly service: string;
   probedAtMs: number;
   failures: number;
 }
@@ -30,7 +31,7 @@
 /**
  * When a node tries connections to endpoints that are out of reach. Each service is probed at a steady rate, its
  * endpoints in turn; after a success, the number of probes doubles until all of the service are in reach. An endpoint
- * that stays out of reach while others of its service are not is probed ever more rarely.
+ * that may have ended is probed ever more rarely.
  *
  * @example
  * const plan = ProbePlan.create(random);
@@ -88,6 +89,8 @@
   /** Records that an endpoint of a service was reached; others of it probably are as well. */
   recordSuccess({ key, service }: Pick<ProbeTarget, 'key' | 'service'>, nowMs: number): void {
     this.probed.delete(key);
+    // What failed before the success says little about the others now.
+    for (const other of this.probed.values()) if (other.service === service) other.failures = 0;
     const schedule = this.schedules.get(service);
     if (schedule === undefined) return;
     for (let count = 0; count < FOLLOWING_PROBES; count += 1)
@@ -113,16 +116,16 @@
       .sort((a, b) => getProbedAtMs(a.target) - getProbedAtMs(b.target) || a.order - b.order)
       .slice(0, count)
       .map(({ target }) => target);
-    for (const { key } of taken) {
+    for (const { key, service } of taken) {
       const failures = this.probed.get(key)?.failures ?? 0;
-      this.probed.set(key, { probedAtMs: nowMs, failures });
+      this.probed.set(key, { service, probedAtMs: nowMs, failures });
     }
     return taken;
   }
 
-  private getPauseMs({ key, isServiceLost }: ProbeTarget): number {
+  private getPauseMs({ key, mayHaveEnded }: ProbeTarget): number {
     const failures = this.probed.get(key)?.failures ?? 0;
-    if (isServiceLost || failures === 0) return 0;
+    if (!mayHaveEnded || failures === 0) return 0;
     return Math.min(PROBE_INTERVAL_MS * 2 ** Math.min(failures, 10), MAX_PROBE_INTERVAL_MS);
   }
 
