--- a/packages/gateway/src/links/linkLog.ts
+++ b/packages/gateway/src/links/linkLog.ts
@@ -1,4 +1,9 @@
-import type { LinkChange, LinkState, ObservedEndpoint } from '@lovagearch/reachability';
+import type {
+  LinkChange,
+  LinkState,
+  LinkSuspicion,
+  ObservedEndpoint,
+} from '@lovagearch/reachability';
 import type { GatewayLog } from '../gatewayLog.js';
 
 const getEventName = ({ from, to }: LinkChange): string => {
@@ -69,3 +74,17 @@
     });
   }
 };
+
+/** Logs why a connection to an endpoint is opened without a request. */
+export const logLinkSuspicion = (
+  log: GatewayLog,
+  { endpoint, cause, failingForMs, bytesAgeMs, heardElsewhereAgeMs }: LinkSuspicion,
+): void =>
+  log.logStateChange('endpoint_link_suspected', {
+    endpointStart: endpoint.key,
+    service: endpoint.service,
+    cause,
+    failingForMs: Math.round(failingForMs),
+    bytesAgeMs: findLeastMs([bytesAgeMs]),
+    heardElsewhereAgeMs: findLeastMs([heardElsewhereAgeMs]),
+  });
--- a/packages/gateway/src/links/linkMonitor.ts
+++ b/packages/gateway/src/links/linkMonitor.ts
@@ -13,7 +13,7 @@
 import type { ClusterState } from '../clusterState.js';
 import type { GatewayLog } from '../gatewayLog.js';
 import type { GatewayMetrics } from '../gatewayMetrics.js';
-import { logLinkChanges } from './linkLog.js';
+import { logLinkChanges, logLinkSuspicion } from './linkLog.js';
 
 /**
  * Delay of the event loop after which requests count as waiting anew, in milliseconds: bytes that arrived in it are read
@@ -213,7 +213,10 @@
     const { changes, toVerify } = this.links.review(observed, clock.nowMs());
     if (changes.length > 0) logLinkChanges(log, changes, observed, clock.nowMs());
     for (const change of changes) this.applyChange(change);
-    for (const { key } of toVerify) this.probe(key, 'verify');
+    for (const suspicion of toVerify) {
+      logLinkSuspicion(log, suspicion);
+      this.probe(suspicion.endpoint.key, 'verify');
+    }
     this.probeDue(observed);
   }
 
--- a/packages/reachability/src/endpointLinks.ts
+++ b/packages/reachability/src/endpointLinks.ts
@@ -2,13 +2,19 @@
 import { findInferredLosses, type GroupMember } from './groupLoss.js';
 import { LinkRecord } from './linkRecord.js';
 import { findSilentServices } from './silentServices.js';
-import type { ConnectFailureCause, LinkChange, LinkState, ObservedEndpoint } from './types.js';
+import type {
+  ConnectFailureCause,
+  LinkChange,
+  LinkState,
+  LinkSuspicion,
+  ObservedEndpoint,
+} from './types.js';
 
 /** What a review of the evidence found. */
 export interface LinkReview {
   readonly changes: readonly LinkChange[];
   /** Endpoints under suspicion at which a connection should be attempted now. */
-  readonly toVerify: readonly ObservedEndpoint[];
+  readonly toVerify: readonly LinkSuspicion[];
 }
 
 const REACHABLE: LinkState = { type: 'reachable' };
@@ -172,14 +178,14 @@
   }
 
   /** Selects the endpoints under suspicion that a connection should be opened to, as evidence. */
-  private selectToVerify(members: readonly GroupMember[], nowMs: number): ObservedEndpoint[] {
+  private selectToVerify(members: readonly GroupMember[], nowMs: number): LinkSuspicion[] {
     const byKey = new Map(members.map(({ endpoint }) => [endpoint.key, endpoint]));
     const getHeardAtMs = (key: string): number =>
       byKey.get(key)?.heardElsewhereAtMs ?? Number.NEGATIVE_INFINITY;
     const suspected = new Set(this.suspects);
     for (const { silentKeys } of findSilentServices(this.records, nowMs, getHeardAtMs))
       for (const key of silentKeys) suspected.add(key);
-    const toVerify: ObservedEndpoint[] = [];
+    const toVerify: LinkSuspicion[] = [];
     for (const key of suspected) {
       if (toVerify.length === MAX_VERIFIED_AT_ONCE) break;
       const endpoint = byKey.get(key);
@@ -189,7 +195,14 @@
       const pauseMs = hasSucceeded ? VERIFIED_MS : VERIFY_INTERVAL_MS;
       if (nowMs - record.verifiedAtMs < pauseMs) continue;
       record.verifiedAtMs = nowMs;
-      toVerify.push(endpoint);
+      const { bytesAtMs, failures, waitingSinceMs } = record;
+      toVerify.push({
+        endpoint,
+        cause: failures?.cause ?? 'silence',
+        failingForMs: nowMs - (failures?.beganAtMs ?? waitingSinceMs ?? nowMs),
+        bytesAgeMs: nowMs - bytesAtMs,
+        heardElsewhereAgeMs: nowMs - endpoint.heardElsewhereAtMs,
+      });
     }
     return toVerify;
   }
--- a/packages/reachability/src/types.ts
+++ b/packages/reachability/src/types.ts
@@ -36,3 +36,13 @@
   /** Age of the last response that a peer reported, in milliseconds. */
   readonly heardElsewhereAgeMs: number;
 }
+
+/** An endpoint at which a connection should be attempted, as evidence. */
+export interface LinkSuspicion {
+  readonly endpoint: ObservedEndpoint;
+  readonly cause: LossCause;
+  /** Time since the first failed attempt, or since requests wait without a byte, in milliseconds. */
+  readonly failingForMs: number;
+  readonly bytesAgeMs: number;
+  readonly heardElsewhereAgeMs: number;
+}
