--- a/packages/reachability/src/constants.ts
+++ b/packages/reachability/src/constants.ts
@@ -47,8 +47,14 @@
 export const FOLLOWING_PROBE_DELAY_MS = 25;
 /** Probes that follow each successful one of a service. */
 export const FOLLOWING_PROBES = 2;
-/** Suspected endpoints that are probed at once; each kind of group needs fewer. */
-export const MAX_VERIFIED_AT_ONCE = 4;
+/** Suspected endpoints that are probed at once; those of a service of a small deployment, in one go. */
+export const MAX_VERIFIED_AT_ONCE = 10;
+/** Probes of suspected endpoints per second beyond that. */
+export const VERIFICATIONS_PER_S = 10;
+/**
+ * Time for which a failed attempt makes others of its group suspicious, in milliseconds; a lost link is found within it.
+ */
+export const SUSPICION_SPREAD_MS = 2_000;
 /** Minimum time between two probes that verify a suspicion of an endpoint, in milliseconds. */
 export const VERIFY_INTERVAL_MS = 400;
 /** The same where such a probe has succeeded, in milliseconds; requests that wait for long at a busy endpoint stay suspicious. */
--- a/packages/reachability/src/endpointLinks.ts
+++ b/packages/reachability/src/endpointLinks.ts
@@ -1,7 +1,7 @@
-import { MAX_VERIFIED_AT_ONCE, VERIFIED_MS, VERIFY_INTERVAL_MS } from './constants.js';
-import { findInferredLosses, type GroupMember } from './groupLoss.js';
+import { SEPARATE_ATTEMPTS_MS, VERIFIED_MS, VERIFY_INTERVAL_MS } from './constants.js';
+import { findInferredLosses, findUntriedMembers, type GroupMember } from './groupLoss.js';
 import { LinkRecord } from './linkRecord.js';
-import { findSilentServices } from './silentServices.js';
+import { findSilentEndpoints } from './silentEndpoints.js';
 import type {
   ConnectFailureCause,
   LinkChange,
@@ -9,6 +9,7 @@
   LinkSuspicion,
   ObservedEndpoint,
 } from './types.js';
+import { VerificationLimit } from './verificationLimit.js';
 
 /** What a review of the evidence found. */
 export interface LinkReview {
@@ -17,6 +18,14 @@
   readonly toVerify: readonly LinkSuspicion[];
 }
 
+/** Returns the time from one attempt that verifies a suspicion to the next. */
+const getVerificationPauseMs = ({ connectedAtMs, failures, verifiedAtMs }: LinkRecord): number => {
+  if (connectedAtMs >= verifiedAtMs) return VERIFIED_MS;
+  return failures === undefined || failures.cause === 'timeout'
+    ? VERIFY_INTERVAL_MS
+    : SEPARATE_ATTEMPTS_MS;
+};
+
 const REACHABLE: LinkState = { type: 'reachable' };
 
 /**
@@ -36,6 +45,8 @@
   /** Endpoints with failed attempts or out of reach. */
   private readonly suspects = new Set<string>();
 
+  private readonly verifications = VerificationLimit.create();
+
   private outOfReachCount = 0;
 
   static create(): EndpointLinks {
@@ -118,7 +129,7 @@
   /** Whether there is anything for a review to decide; cheap on calm days. */
   needsReview(nowMs: number): boolean {
     if (this.suspects.size > 0) return true;
-    return findSilentServices(this.records, nowMs, () => nowMs).length > 0;
+    return findSilentEndpoints(this.records, nowMs, () => nowMs).length > 0;
   }
 
   /**
@@ -183,18 +194,18 @@
     const getHeardAtMs = (key: string): number =>
       byKey.get(key)?.heardElsewhereAtMs ?? Number.NEGATIVE_INFINITY;
     const suspected = new Set(this.suspects);
-    for (const { silentKeys } of findSilentServices(this.records, nowMs, getHeardAtMs))
-      for (const key of silentKeys) suspected.add(key);
+    for (const key of findSilentEndpoints(this.records, nowMs, getHeardAtMs)) suspected.add(key);
+    for (const { endpoint } of findUntriedMembers(members, nowMs)) suspected.add(endpoint.key);
     const toVerify: LinkSuspicion[] = [];
     for (const key of suspected) {
-      if (toVerify.length === MAX_VERIFIED_AT_ONCE) break;
+      if (!this.verifications.canTake(nowMs)) break;
       const endpoint = byKey.get(key);
-      const record = this.records.get(key);
-      if (endpoint === undefined || record?.state.type !== 'reachable') continue;
-      const hasSucceeded = record.connectedAtMs >= record.verifiedAtMs;
-      const pauseMs = hasSucceeded ? VERIFIED_MS : VERIFY_INTERVAL_MS;
-      if (nowMs - record.verifiedAtMs < pauseMs) continue;
+      if (endpoint === undefined) continue;
+      const record = this.getRecord(key, endpoint.service);
+      if (record.state.type !== 'reachable') continue;
+      if (nowMs - record.verifiedAtMs < getVerificationPauseMs(record)) continue;
       record.verifiedAtMs = nowMs;
+      this.verifications.take(nowMs);
       const { bytesAtMs, failures, waitingSinceMs } = record;
       toVerify.push({
         endpoint,
--- a/packages/reachability/src/groupLoss.ts
+++ b/packages/reachability/src/groupLoss.ts
@@ -5,6 +5,7 @@
   MIN_FAILING_OF_SERVICE,
   MIN_FAILING_OF_ZONE,
   MIN_HEARD_OF_GROUP,
+  SUSPICION_SPREAD_MS,
 } from './constants.js';
 import type { LinkRecord } from './linkRecord.js';
 import type { ObservedEndpoint } from './types.js';
@@ -15,11 +16,20 @@
   readonly record: LinkRecord | undefined;
 }
 
+/** Members that share a part of the network. */
 interface Group {
   readonly members: readonly GroupMember[];
   readonly minFailing: number;
 }
 
+/** Whether peers have heard an endpoint since attempts at it began to fail, a moment ago. */
+const isHeardElsewhere = (
+  { heardElsewhereAtMs }: ObservedEndpoint,
+  beganAtMs: number,
+  nowMs: number,
+): boolean =>
+  nowMs - beganAtMs < SUSPICION_SPREAD_MS && heardElsewhereAtMs > beganAtMs + HEARD_MARGIN_MS;
+
 const isSilentMember = ({ record }: GroupMember, nowMs: number): boolean =>
   record?.isSilent(nowMs) === true;
 
@@ -44,7 +54,7 @@
     if (failures?.cause === 'timeout' && failures.lastBeganAtMs > heardAtMs) {
       failing += 1;
       sinceMs = Math.min(sinceMs, Math.max(failures.beganAtMs, heardAtMs));
-      if (member.endpoint.heardElsewhereAtMs > failures.beganAtMs + HEARD_MARGIN_MS) heard += 1;
+      if (isHeardElsewhere(member.endpoint, failures.beganAtMs, nowMs)) heard += 1;
     } else if (isSilentMember(member, nowMs)) silent += 1;
   }
   const isLost =
@@ -100,3 +110,34 @@
   }
   return losses;
 };
+
+/**
+ * Finds the endpoints that no connection was opened to since attempts at several others of their service or of its zone
+ * failed, while peers heard these.
+ *
+ * @example
+ * for (const { endpoint } of findUntriedMembers(members, nowMs)) verify(endpoint);
+ */
+export const findUntriedMembers = (
+  members: readonly GroupMember[],
+  nowMs: number,
+): GroupMember[] => {
+  if (!members.some(({ record }) => record?.failures !== undefined)) return [];
+  const untried: GroupMember[] = [];
+  for (const group of createGroups(members)) {
+    let failing = 0;
+    let sinceMs = nowMs;
+    let connectedAtMs = Number.NEGATIVE_INFINITY;
+    for (const { endpoint, record } of group.members) {
+      connectedAtMs = Math.max(connectedAtMs, record?.connectedAtMs ?? connectedAtMs);
+      const beganAtMs = record?.failures?.beganAtMs;
+      if (beganAtMs === undefined || !isHeardElsewhere(endpoint, beganAtMs, nowMs)) continue;
+      failing += 1;
+      sinceMs = Math.min(sinceMs, beganAtMs);
+    }
+    if (failing < MIN_HEARD_OF_GROUP || connectedAtMs > sinceMs) continue;
+    for (const member of group.members)
+      if (member.record?.failures === undefined) untried.push(member);
+  }
+  return untried;
+};
--- a/packages/reachability/src/linkRecord.ts
+++ b/packages/reachability/src/linkRecord.ts
@@ -6,6 +6,7 @@
   LONE_SILENCE_MS,
   MAX_REQUIRED_SUCCESSES,
   SEPARATE_ATTEMPTS_MS,
+  SUSPICION_SPREAD_MS,
   UNSTABLE_WINDOW_MS,
 } from './constants.js';
 import type { ConnectFailureCause, LinkState } from './types.js';
@@ -41,6 +42,9 @@
   /** Clock reading at the last probe that verifies a suspicion, and whether it succeeded. */
   verifiedAtMs = Number.NEGATIVE_INFINITY;
 
+  /** Clock reading since which peers hear the endpoint although attempts here fail. */
+  private heardSinceMs: number | undefined;
+
   private outstanding = 0;
 
   /** Successful attempts in a row since the link was lost. */
@@ -124,11 +128,26 @@
     const cause = failures?.cause ?? 'silence';
     if (this.bytesAtMs > sinceMs && !this.isSilent(nowMs, LONE_SILENCE_MS))
       return { type: 'refusing', cause, sinceMs };
+    const isLost =
+      inferredSinceMs !== undefined || this.isContradicted(sinceMs, heardElsewhereAtMs, nowMs);
+    return { type: isLost ? 'lost' : 'unanswered', cause, sinceMs };
+  }
+
+  /** Whether peers hear the endpoint while attempts here fail. */
+  private isContradicted(sinceMs: number, heardElsewhereAtMs: number, nowMs: number): boolean {
     const isHeard =
       heardElsewhereAtMs > sinceMs + HEARD_MARGIN_MS &&
       heardElsewhereAtMs > nowMs - HEARD_MEMORY_MS;
-    const isLost = isHeard || inferredSinceMs !== undefined;
-    return { type: isLost ? 'lost' : 'unanswered', cause, sinceMs };
+    if (!isHeard) {
+      this.heardSinceMs = undefined;
+      return false;
+    }
+    this.heardSinceMs ??= heardElsewhereAtMs;
+    // One that has just come back is heard by peers before the next attempt here.
+    return (
+      this.heardSinceMs - sinceMs < SUSPICION_SPREAD_MS ||
+      (this.failures !== undefined && this.failures.lastBeganAtMs > this.heardSinceMs)
+    );
   }
 
   /** Changes the state; returns the former one, or undefined if its type is the same. */
