--- a/packages/gateway/src/links/linkMonitor.ts
+++ b/packages/gateway/src/links/linkMonitor.ts
@@ -25,7 +25,9 @@
 
 export interface LinkMonitorDependencies {
   readonly pool: Pick<ConnectionPool, 'hasFreeConnection' | 'probe'>;
-  readonly clusterState: Pick<ClusterState, 'endpoints' | 'evacuatedZones'>;
+  readonly clusterState: Pick<ClusterState, 'endpoints'> & {
+    readonly evacuatedZones: { readonly has: (zone: string) => boolean };
+  };
   readonly clock: Clock;
   readonly random: Random;
   readonly log: GatewayLog;
