--- a/packages/reachability/src/endpointLinks.ts
+++ b/packages/reachability/src/endpointLinks.ts
@@ -1,16 +1,31 @@
-import { MAX_VERIFIED_AT_ONCE, VERIFIED_MS, VERIFY_INTERVAL_MS } from './constants.js';
-import { findInferredLosses, type GroupMember } from './groupLoss.js';
+import { SEPARATE_ATTEMPTS_MS, VERIFIED_MS, VERIFY_INTERVAL_MS } from './constants.js';
+import { findInferredLosses, findUntriedMembers, type GroupMember } from './groupLoss.js';
 import { LinkRecord } from './linkRecord.js';
-import { findSilentServices } from './silentServices.js';
-import type { ConnectFailureCause, LinkChange, LinkState, ObservedEndpoint } from './types.js';
+import { findSilentEndpoints } from './silentEndpoints.js';
+import type {
+  ConnectFailureCause,
+  LinkChange,
+  LinkState,
+  LinkSuspicion,
+  ObservedEndpoint,
+} from './types.js';
+import { VerificationLimit } from './verificationLimit.js';
 
 /** What a review of the evidence found. */
 export interface LinkReview {
   readonly changes: readonly LinkChange[];
   /** Endpoints under suspicion at which a connection should be attempted now. */
-  readonly toVerify: readonly ObservedEndpoint[];
+  readonly toVerify: readonly LinkSuspicion[];
 }
 
+/** Returns the time from one attempt that verifies a suspicion to the next. */
+const getVerificationPauseMs = ({ connectedAtMs, failures, verifiedAtMs }: LinkRecord): number => {
+  if (connectedAtMs >= verifiedAtMs) return VERIFIED_MS;
+  return failures === undefined || failures.cause === 'timeout'
+    ? VERIFY_INTERVAL_MS
+    : SEPARATE_ATTEMPTS_MS;
+};
+
 const REACHABLE: LinkState = { type: 'reachable' };
 
 /**
@@ -30,6 +45,8 @@
   /** Endpoints with failed attempts or out of reach. */
   private readonly suspects = new Set<string>();
 
+  private readonly verifications = VerificationLimit.create();
+
   private outOfReachCount = 0;
 
   static create(): EndpointLinks {
@@ -112,7 +129,7 @@
   /** Whether there is anything for a review to decide; cheap on calm days. */
   needsReview(nowMs: number): boolean {
     if (this.suspects.size > 0) return true;
-    return findSilentServices(this.records, nowMs, () => nowMs).length > 0;
+    return findSilentEndpoints(this.records, nowMs, () => nowMs).length > 0;
   }
 
   /**
@@ -172,24 +189,31 @@
   }
 
   /** Selects the endpoints under suspicion that a connection should be opened to, as evidence. */
-  private selectToVerify(members: readonly GroupMember[], nowMs: number): ObservedEndpoint[] {
+  private selectToVerify(members: readonly GroupMember[], nowMs: number): LinkSuspicion[] {
     const byKey = new Map(members.map(({ endpoint }) => [endpoint.key, endpoint]));
     const getHeardAtMs = (key: string): number =>
       byKey.get(key)?.heardElsewhereAtMs ?? Number.NEGATIVE_INFINITY;
     const suspected = new Set(this.suspects);
-    for (const { silentKeys } of findSilentServices(this.records, nowMs, getHeardAtMs))
-      for (const key of silentKeys) suspected.add(key);
-    const toVerify: ObservedEndpoint[] = [];
+    for (const key of findSilentEndpoints(this.records, nowMs, getHeardAtMs)) suspected.add(key);
+    for (const { endpoint } of findUntriedMembers(members, nowMs)) suspected.add(endpoint.key);
+    const toVerify: LinkSuspicion[] = [];
     for (const key of suspected) {
-      if (toVerify.length === MAX_VERIFIED_AT_ONCE) break;
+      if (!this.verifications.canTake(nowMs)) break;
       const endpoint = byKey.get(key);
-      const record = this.records.get(key);
-      if (endpoint === undefined || record?.state.type !== 'reachable') continue;
-      const hasSucceeded = record.connectedAtMs >= record.verifiedAtMs;
-      const pauseMs = hasSucceeded ? VERIFIED_MS : VERIFY_INTERVAL_MS;
-      if (nowMs - record.verifiedAtMs < pauseMs) continue;
+      if (endpoint === undefined) continue;
+      const record = this.getRecord(key, endpoint.service);
+      if (record.state.type !== 'reachable') continue;
+      if (nowMs - record.verifiedAtMs < getVerificationPauseMs(record)) continue;
       record.verifiedAtMs = nowMs;
-      toVerify.push(endpoint);
+      this.verifications.take(nowMs);
+      const { bytesAtMs, failures, waitingSinceMs } = record;
+      toVerify.push({
+        endpoint,
+        cause: failures?.cause ?? 'silence',
+        failingForMs: nowMs - (failures?.beganAtMs ?? waitingSinceMs ?? nowMs),
+        bytesAgeMs: nowMs - bytesAtMs,
+        heardElsewhereAgeMs: nowMs - endpoint.heardElsewhereAtMs,
+      });
     }
     return toVerify;
   }
