--- a/packages/endpoints/src/loadDigest.ts
+++ b/packages/endpoints/src/loadDigest.ts
@@ -38,15 +38,30 @@
         bytesAgeMs: Math.round(Math.min(nowMs - lastBytesAtMs, MAX_REPORTED_AGE_MS)),
       };
 
+/** Creates the entry of an endpoint that this node doesn't reach: its requests there wait for the link. */
+const createUnreachableEntry = (endpoint: Endpoint): LoadDigestEntry => ({
+  endpoint: computeDigestKey(endpoint.record.id),
+  pendingTokens: 0,
+  active: 0,
+  activeTokens: 0,
+  oldestWaitMs: 0,
+  reportAgeMs: -1,
+  running: 0,
+  waiting: 0,
+  slots: 0,
+});
+
 /**
  * Creates the entries for endpoints with active or just finished requests or a recent load report.
  *
  * @param maxReportAgeMs maximum age of a load report that is forwarded to peers
+ * @param isReachable whether this node reaches an endpoint; otherwise its entry replaces the ones before with no load
  */
 export const createLoadDigest = (
   endpoints: Iterable<Endpoint>,
   maxReportAgeMs: number,
   nowMs: number,
+  isReachable: (endpoint: Endpoint) => boolean = () => true,
 ): LoadDigestEntry[] => {
   const entries: LoadDigestEntry[] = [];
   for (const endpoint of endpoints) {
@@ -54,6 +69,10 @@
     const hasReport = endpoint.isLastReportDirect && reportAgeMs <= maxReportAgeMs;
     if (endpoint.active === 0 && !hasReport && !endpoint.hasPendingDigestEntry) continue;
     endpoint.hasPendingDigestEntry = endpoint.active > 0;
+    if (!isReachable(endpoint)) {
+      entries.push(createUnreachableEntry(endpoint));
+      continue;
+    }
     const report = endpoint.lastReport;
     entries.push({
       endpoint: computeDigestKey(endpoint.record.id),
--- a/packages/gateway/src/loadSharing.test.ts
+++ b/packages/gateway/src/loadSharing.test.ts
@@ -23,8 +23,8 @@
 };
 
 /** Passes a digest from one node to another and returns its entry on the wire. */
-const passDigest = (from: EndpointTable, to: EndpointTable, nowMs: number) => {
-  const [wire] = createLoadDigest(from.listAll(), 300, nowMs).map(encodeEntry);
+const passDigest = (from: EndpointTable, to: EndpointTable, nowMs: number, isReachable = true) => {
+  const [wire] = createLoadDigest(from.listAll(), 300, nowMs, () => isReachable).map(encodeEntry);
   const entry = decodeEntry(entrySchema.parse(wire));
   applyLoadDigest((key) => to.findEndpointByDigestKey(key), 'n2', [entry], nowMs);
   return wire!;
@@ -53,3 +53,21 @@
   passDigest(sender.table, receiver.table, 2_010);
   t2.ok(receiver.endpoint.contention.estimateOver(1, 2_010) > 2);
 });
+
+// Guards against peers that refuse requests as late, since the requests of a node without links wait at the endpoint.
+t.test('a node that lost its link to an endpoint states no load there', async (t2) => {
+  const [sender, receiver] = [createTable(), createTable()];
+  sender.endpoint.recordSent({
+    tokens: 1_000,
+    memoryTokens: 1_000,
+    ownMs: 10,
+    expectedWaitMs: 0,
+    roundTripMs: 1,
+    mayLoadParts: false,
+    sentAtMs: 0,
+  });
+  passDigest(sender.table, receiver.table, 900);
+  t2.ok(receiver.endpoint.estimateWaitMs(900) > 800);
+  passDigest(sender.table, receiver.table, 1_000, false);
+  t2.ok(receiver.endpoint.estimateWaitMs(1_000) < 50);
+});
--- a/packages/gateway/src/loadSharing.ts
+++ b/packages/gateway/src/loadSharing.ts
@@ -5,6 +5,7 @@
 import {
   applyLoadDigest,
   createLoadDigest,
+  type Endpoint,
   type LoadDigestEntry,
   MAX_FULL_VIEW_NODES,
 } from '@lovagearch/endpoints';
@@ -91,6 +92,8 @@
   readonly clusterState: ClusterState;
   /** Streams that peers are told of in datagrams of their own. */
   readonly originSharing: Pick<OriginSharing, 'applyDatagram' | 'takeDatagrams'>;
+  /** Whether this node reaches an endpoint. */
+  readonly isReachable: (endpoint: Endpoint) => boolean;
   /** Called with each digest of a peer. */
   readonly onDigest: (peer: string, entries: readonly LoadDigestEntry[]) => void;
   readonly clock: Clock;
@@ -186,12 +189,13 @@
   }
 
   private send(): void {
-    const { clusterState, clock, nodeName } = this.dependencies;
+    const { clusterState, clock, nodeName, isReachable } = this.dependencies;
     if (this.targets.size === 0) return;
     const entries = createLoadDigest(
       clusterState.endpoints.listAll(),
       2 * LOAD_DIGEST_INTERVAL_MS,
       clock.nowMs(),
+      isReachable,
     ).slice(0, MAX_LOAD_DIGEST_ENTRIES);
     if (entries.length === 0) return;
     this.sequence += 1;
--- a/packages/gateway/src/openGatewayListeners.ts
+++ b/packages/gateway/src/openGatewayListeners.ts
@@ -33,6 +33,7 @@
   readonly clusterState: ClusterState;
   readonly originSharing: OriginSharing;
   readonly versionKnowledge: Pick<VersionKnowledge, 'createStatement'>;
+  readonly isReachable: LoadSharingDependencies['isReachable'];
   /** Called with each load digest of a peer. */
   readonly onDigest: LoadSharingDependencies['onDigest'];
   readonly clock: Clock;
@@ -114,6 +115,7 @@
         address: loadAddress,
         clusterState,
         originSharing,
+        isReachable: parts.isReachable,
         onDigest: parts.onDigest,
         clock,
         log,
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -466,6 +466,7 @@
     clusterState,
     originSharing,
     versionKnowledge,
+    isReachable: (endpoint) => context.links.isUsable(endpoint),
     onDigest: (peer, entries) => recordPeerLinks(context, peer, entries),
     clock,
     log,
