Ask peers whether the store was away before a removed endpoint is kept in use

Cause: a node whose copy of the registrations had been interrupted for two heartbeats took that for an outage of the store, and each removal that it read in the 2.5 s after it for an entry that lapsed in the outage. It kept such an endpoint for up to 2.2 s from its own recovery, also if only this node had been cut off.

The case in which all nodes lost the store keeps the endpoints, as before.

Change: each node knows for how long its copy has been complete without an interruption, and tells peers (/peer/continuity). One that followed the registrations all the time shows that no entry had to lapse; pending removals are carried out at once.

--- a/packages/endpoints/src/endpointTable.ts
+++ b/packages/endpoints/src/endpointTable.ts
@@ -175,9 +175,21 @@
 
   /** Removes the endpoints whose grace period ended without a new registration. */
   removeLapsed(nowMs: number): EndpointChange[] {
+    return this.removePending(nowMs, ({ removeAtMs }) => nowMs >= removeAtMs);
+  }
+
+  /** Removes all endpoints that may register again, as none of their entries lapsed during an outage of the store. */
+  confirmRemovals(nowMs: number): EndpointChange[] {
+    return this.removePending(nowMs, () => true);
+  }
+
+  private removePending(
+    nowMs: number,
+    isDue: (removal: PendingRemoval) => boolean,
+  ): EndpointChange[] {
     const changes: EndpointChange[] = [];
-    for (const [id, { removeAtMs }] of this.pendingRemovals) {
-      if (nowMs < removeAtMs) continue;
+    for (const [id, removal] of this.pendingRemovals) {
+      if (!isDue(removal)) continue;
       const known = this.endpoints.get(id);
       this.pendingRemovals.delete(id);
       if (known === undefined) continue;
--- a/packages/gateway/src/clusterState.ts
+++ b/packages/gateway/src/clusterState.ts
@@ -1,6 +1,11 @@
 import { type Clock, parseSocketAddress } from '@lovagearch/common';
 import { CrashCounter } from '@lovagearch/containment';
-import { type EndpointRecord, EndpointTable, PromptCacheEstimator } from '@lovagearch/endpoints';
+import {
+  type EndpointChange,
+  type EndpointRecord,
+  EndpointTable,
+  PromptCacheEstimator,
+} from '@lovagearch/endpoints';
 import type { MirroredRow, StoreClock } from '@lovagearch/mirror';
 import {
   ANNOUNCEMENT_TTL_MS,
@@ -50,6 +55,10 @@
   readonly heartbeatMs: number;
 }
 
+/** Returns how long the store has to be away for entries to lapse, in milliseconds. */
+export const computeMinOutageMs = (heartbeatMs: number): number =>
+  heartbeatMs * MIN_MISSED_HEARTBEATS_TO_LAPSE;
+
 /** Returns the id of the write that made the value of the lease's row, or null if the value has none. */
 export const readAttemptId = (value: unknown): string | null =>
   typeof value === 'object' &&
@@ -186,12 +195,23 @@
    * Records that a call for the registrations succeeded after a failed one.
    *
    * @param copyAgeMs age that the copy of the registrations had reached, in milliseconds
+   * @returns whether entries may have lapsed meanwhile
    */
-  recordStoreRecovered(copyAgeMs: number): void {
+  recordStoreRecovered(copyAgeMs: number): boolean {
     this.isStoreUnreachable = false;
     // An entry lapses after several missed heartbeats, so it can't have lapsed while a single call was lost.
-    if (copyAgeMs < this.settings.heartbeatMs * MIN_MISSED_HEARTBEATS_TO_LAPSE) return;
+    if (copyAgeMs < computeMinOutageMs(this.settings.heartbeatMs)) return false;
     this.storeRecoveredAtMs = this.clock.nowMs();
+    return true;
+  }
+
+  /** Records that the store was available while this node didn't reach it, so that no entry has lapsed. */
+  refuteOutage(): void {
+    this.storeRecoveredAtMs = Number.NEGATIVE_INFINITY;
+    this.logRemovals(
+      this.endpoints.confirmRemovals(this.clock.nowMs()),
+      'left during an interruption',
+    );
   }
 
   /**
@@ -307,12 +327,8 @@
 
   /** Removes endpoints that did not register again after an outage of the store. */
   removeExpiredEndpoints(): void {
-    for (const { type, record } of this.endpoints.removeLapsed(this.clock.nowMs())) {
-      this.log.logStateChange(`endpoint_${type}`, {
-        endpoint: record.id,
-        reason: 'registration expired and was not renewed',
-      });
-    }
+    const removed = this.endpoints.removeLapsed(this.clock.nowMs());
+    this.logRemovals(removed, 'registration expired and was not renewed');
   }
 
   /**
@@ -354,6 +370,11 @@
     });
   }
 
+  private logRemovals(changes: readonly EndpointChange[], reason: string): void {
+    for (const { type, record } of changes)
+      this.log.logStateChange(`endpoint_${type}`, { endpoint: record.id, reason });
+  }
+
   private applyPeer(name: string, value: string | undefined): void {
     if (value === undefined) {
       if (this.peers.delete(name)) this.currentPeerRevision += 1;
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -119,6 +119,8 @@
 export const LOG_FLUSH_INTERVAL_MS = 250;
 /** Time to the start of a peer's response, and between two parts of it, in milliseconds. */
 export const PEER_TIMEOUT_MS = 500;
+/** Questions to peers whether the store was available during an interruption; they end with the grace period. */
+export const MAX_OUTAGE_QUESTIONS = Math.floor(EXPIRY_GRACE_MS / PEER_TIMEOUT_MS);
 /** Time to the end of a peer's response, in milliseconds; a large copy over a slow link takes seconds. */
 export const PEER_TRANSFER_TIMEOUT_MS = 5_000;
 /** Length from which a row's value is compressed for peers, in characters; shorter ones fit into a few packets. */
--- a/packages/gateway/src/managementServer.ts
+++ b/packages/gateway/src/managementServer.ts
@@ -4,6 +4,7 @@
 import type { StoreIndex } from '@lovagearch/reuse';
 import type { ConnectionAdmission } from './connectionAdmission.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
+import { registerContinuityRoute } from './peerContinuity.js';
 import { type CreateStatement, registerStreamRoute } from './peerStreams.js';
 import { registerTableRoute, registerCacheStoreRoute } from './peerExchange.js';
 import type { Address } from './types.js';
@@ -39,6 +40,7 @@
  * @param explain explains where a described request would be sent
  * @param isServable whether the copy of a table may be served now
  * @param createStreamStatement creates the statement on recent streams that peers ask for
+ * @param getUninterruptedMs returns for how long the registrations have been followed, in milliseconds
  */
 export const startPeerServer = (
   address: Address,
@@ -49,12 +51,14 @@
   indexClock: Clock,
   explain: ExplainRequest,
   createStreamStatement: CreateStatement,
+  getUninterruptedMs: () => number,
   admission: ConnectionAdmission,
 ): Promise<FastifyInstance> => {
   const server = fastify();
   admission.protect(server.server, 'peers');
   registerWhereRoute(server, explain);
   registerStreamRoute(server, createStreamStatement);
+  registerContinuityRoute(server, getUninterruptedMs);
   registerTableRoute(server, mirrors, clock, isServable);
   registerCacheStoreRoute(server, findIndex, indexClock);
   return listen(server, address);
--- a/packages/gateway/src/openGatewayListeners.ts
+++ b/packages/gateway/src/openGatewayListeners.ts
@@ -33,6 +33,8 @@
   readonly clusterState: ClusterState;
   readonly originSharing: OriginSharing;
   readonly versionKnowledge: Pick<VersionKnowledge, 'createStatement'>;
+  /** Returns for how long the registrations have been followed without an interruption, in milliseconds. */
+  readonly getUninterruptedMs: () => number;
   readonly clock: Clock;
   readonly log: GatewayLog;
 }
@@ -78,6 +80,7 @@
           parts.explain,
           (maxAgeMs, isStoreReadWanted) =>
             parts.versionKnowledge.createStatement(maxAgeMs, isStoreReadWanted),
+          parts.getUninterruptedMs,
           admission,
         ),
     },
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -12,7 +12,13 @@
 } from '@lovagearch/mirror';
 import { TransferSlowdownTracker } from '@lovagearch/reuse';
 import { createSuspensionClock, OrderLease, RolloutCoordinator } from '@lovagearch/rollout';
-import { ClusterState, LEASE_KEY, PEER_PREFIX, readAttemptId } from './clusterState.js';
+import {
+  ClusterState,
+  computeMinOutageMs,
+  LEASE_KEY,
+  PEER_PREFIX,
+  readAttemptId,
+} from './clusterState.js';
 import { deriveCallerLimits } from './callerLimits.js';
 import { CallerServer } from './callerServer.js';
 import {
@@ -44,6 +50,8 @@
   createCacheStoreRelaySource,
   createTableRelaySource,
 } from './peerExchange.js';
+import { createContinuitySource } from './peerContinuity.js';
+import { OutageCheck } from './outageCheck.js';
 import { getEndpointStartKey } from './attempt.js';
 import { recordIdleConnectionLost, recordOutlivedAnswers } from './attemptFeedback.js';
 import { HeldCalls } from './heldCalls.js';
@@ -118,6 +126,7 @@
       storeClock,
       storeEra,
       lostRowGraceMs,
+      interruptionMs: computeMinOutageMs(settings.heartbeatMs),
       onEraChange: (change) => log.logStateChange('copy_restored', { table, ...change }),
       onLostRowsRemoved: (rows) => log.logStateChange('lost_rows_removed', { table, rows }),
       onRowFault: ({ key, version }, error) => {
@@ -211,15 +220,24 @@
 
   const ownPeerAddress = `${settings.peerAddress.host}:${settings.peerAddress.port}`;
   const tableRelaySource = createTableRelaySource(responseLimits);
-  const peers = createPeerSource(
-    tableRelaySource,
-    () => {
-      const known = new Set([...settings.seeds, ...clusterState.listPeerAddresses()]);
-      known.delete(ownPeerAddress);
-      return [...known];
-    },
+  const listOtherPeers = (): string[] => {
+    const known = new Set([...settings.seeds, ...clusterState.listPeerAddresses()]);
+    known.delete(ownPeerAddress);
+    return [...known];
+  };
+  const peers = createPeerSource(tableRelaySource, listOtherPeers, random);
+  const outageCheck = OutageCheck.create({
+    listPeers: listOtherPeers,
+    askPeer: createContinuitySource(responseLimits),
+    clock,
     random,
-  );
+    onRefuted: (evidence) => {
+      log.logStateChange('store_outage_refuted', { ...evidence });
+      clusterState.refuteOutage();
+    },
+    onError: (error) =>
+      log.logStateChange('outage_check_failed', { reason: getErrorMessage(error) }),
+  });
   const tableRelay = TableRelay.create({
     self: { name: nodeName, zone: settings.zone, region: settings.region },
     regionByZone: settings.regionByZone,
@@ -235,7 +253,8 @@
   const onMirrorEvent = (event: MirrorEvent) => {
     if (event.table === endpointMirror.table) {
       if (event.type === 'store_lost') clusterState.recordStoreUnreachable();
-      if (event.type === 'store_regained') clusterState.recordStoreRecovered(event.copyAgeMs);
+      if (event.type === 'store_regained' && clusterState.recordStoreRecovered(event.copyAgeMs))
+        outageCheck.start(clock.nowMs() - event.copyAgeMs);
     }
     const { type, ...fields } = event;
     log.logStateChange(type, fields);
@@ -455,6 +474,7 @@
     clusterState,
     originSharing,
     versionKnowledge,
+    getUninterruptedMs: () => endpointMirror.getUninterruptedMs(clock.nowMs()),
     clock,
     log,
   });
--- a/packages/mirror/src/tableMirror.ts
+++ b/packages/mirror/src/tableMirror.ts
@@ -54,6 +54,8 @@
   readonly onEraChange?: (change: EraChange) => void;
   /** Called with the number of lost rows that were not written again in time. */
   readonly onLostRowsRemoved?: (count: number) => void;
+  /** Age from which the copy counts as interrupted, in milliseconds; it never does by default. */
+  readonly interruptionMs?: number;
 }
 
 /**
@@ -98,6 +100,9 @@
   /** Clock reading at which the copy was last known to be complete. */
   private completeAsOfMs = Number.NEGATIVE_INFINITY;
 
+  /** Clock reading since which the copy was not interrupted. */
+  private uninterruptedSinceMs = Number.POSITIVE_INFINITY;
+
   /** Reading of the store's clock at which the copy was complete. */
   private asOfStoreMs: number | undefined;
 
@@ -153,6 +158,12 @@
     return nowMs - this.completeAsOfMs;
   }
 
+  /** Returns for how long the copy has been kept complete without an interruption, in milliseconds. */
+  getUninterruptedMs(nowMs: number): number {
+    if (this.isInterruptedUntil(nowMs)) return 0;
+    return Math.max(0, nowMs - this.uninterruptedSinceMs);
+  }
+
   /** Applies a batch; returns false if it is older than the copy, or lacks removals since its version, and was ignored. */
   applyBatch(batch: RowBatch, nowMs: number): boolean {
     const era = batch.era ?? this.currentEra;
@@ -161,12 +172,16 @@
     const { asOfStoreMs } = batch;
     if (asOfStoreMs !== undefined)
       this.options.storeClock?.recordReading(asOfStoreMs + batch.ageMs);
-    if (era > this.currentEra) {
+    const isRestored = era > this.currentEra;
+    if (isRestored) {
       if (batch.isPartial) return false;
       this.startEra(batch, era, nowMs);
     } else if (!this.applyInEra(batch)) return false;
     this.knownVersion = batch.version;
-    this.completeAsOfMs = Math.max(this.completeAsOfMs, nowMs - batch.ageMs);
+    const completeAsOfMs = nowMs - batch.ageMs;
+    if (isRestored || this.isInterruptedUntil(completeAsOfMs))
+      this.uninterruptedSinceMs = completeAsOfMs;
+    this.completeAsOfMs = Math.max(this.completeAsOfMs, completeAsOfMs);
     if (asOfStoreMs !== undefined)
       this.asOfStoreMs = Math.max(this.asOfStoreMs ?? asOfStoreMs, asOfStoreMs);
     this.finishUnconfirmedRows();
@@ -217,6 +232,10 @@
     };
   }
 
+  private isInterruptedUntil(nowMs: number): boolean {
+    return this.getAgeMs(nowMs) >= (this.options.interruptionMs ?? Number.POSITIVE_INFINITY);
+  }
+
   private applyInEra(batch: RowBatch): boolean {
     if (batch.version < this.knownVersion) return false;
     if (batch.isPartial) {
