Read each success on a route with streams as a stream, whatever type its head names

Cause: only an answer whose head names exactly text/event-stream was split into events and checked. A success with another type, none, or one in capitals was passed on byte for byte on the same route, and a broken one looked complete.

Change: on a route with streams each success is framed as one; one that has no events and names another type is no answer. The fake endpoint of the gateway tests sends an event on these routes, which crashingPromptPart and regionRules need: its plain text was the fault that this commit refuses.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -336,8 +336,9 @@
     }
   }
 
+  /** On a route with streams, a success is one; a faulty endpoint may name another type or none. */
   private isStreaming(head: ResponseHead): boolean {
-    return head.isEventStream && head.status >= 200 && head.status < 300;
+    return head.status >= 200 && head.status < 300;
   }
 
   private handleEventChunk(framer: EventStreamFramer, chunk: Buffer): void {
@@ -440,6 +441,10 @@
         this.finishBroken('stream ended before its first event', true);
         return;
       }
+      if (!head.isEventStream && !this.hasOutput) {
+        this.finishInvalid('successful response is no stream');
+        return;
+      }
     }
     const processingMs = this.dependencies.clock.nowMs() - this.startMs;
     switch (end.type) {
--- a/packages/gateway/src/testGateway.ts
+++ b/packages/gateway/src/testGateway.ts
@@ -76,17 +76,23 @@
   },
 };
 
+const STREAM_PREFIXES = CONFIGURATION.routes
+  .filter(({ kind }) => kind === 'streaming')
+  .map(({ prefix }) => prefix);
+
 /** Endpoint with a replaceable handler that records the ids of the requests it receives. */
 export class FakeEndpoint {
   readonly received: string[] = [];
 
   handle: (incoming: IncomingMessage, response: ServerResponse) => void = (incoming, response) => {
+    const isStream = STREAM_PREFIXES.some((prefix) => incoming.url?.startsWith(prefix));
     response
       .writeHead(200, {
         [SEAL_HEADER]: '1',
         [REQUEST_ID_HEADER]: String(incoming.headers[REQUEST_ID_HEADER]),
+        ...(isStream ? { 'content-type': 'text/event-stream' } : {}),
       })
-      .end('whole');
+      .end(isStream ? 'id: 1\ndata: whole\n\n' : 'whole');
   };
 
   private readonly server = createServer((incoming, response) => {
