Resume a stream of unknown origin without the store only if all nodes have answered

Cause: without a read of the store, answers of most nodes counted as proof that no other version was in use. Registrations come from the store, not from a vote: one node that reaches it is enough to begin streams at a new version, and it may be among those that don't answer.

Evidence: versionKnowledge.test.ts, two of three peers answer and none has read the store: complete before, not now.

Change: all nodes have to answer, or one of them has to have read the store after the question. The test's expectation of a majority was the fault itself; it now asks for all, which is stricter.

--- a/packages/gateway/src/versionKnowledge.test.ts
+++ b/packages/gateway/src/versionKnowledge.test.ts
@@ -134,25 +134,25 @@
   };
 };
 
-// Guards against a node without the store that takes what it knows for all, though no peer that does better has answered.
-t.test(
-  'without the store, a peer that reads it or most of the nodes have to answer',
-  async (t2) => {
-    const node = createNode(SimulatedTime.create());
-    node.register('i-1', 'v1');
-    const { answers } = node.state;
-    for (const peer of ['n2', 'n3', 'n4']) answers.set(peer, undefined);
-    t2.strictSame(await node.listVersions(), { isComplete: true, versions: ['v1'] });
-    node.state.isStoreReadable = false;
-    t2.equal((await node.listVersions()).isComplete, false);
-    answers.set('n2', createAnswer({ versions: [[SERVICE, 'v2', 0]] }));
-    t2.strictSame(await node.listVersions(), { isComplete: false, versions: ['v1', 'v2'] });
-    answers.set('n2', createAnswer({ isStoreRead: true }));
-    t2.equal((await node.listVersions()).isComplete, true);
-    answers.set('n2', createAnswer()).set('n3', createAnswer());
-    t2.equal((await node.listVersions()).isComplete, true);
-  },
-);
+// Guards against a node without the store that takes what it knows for all, though no peer that does better has answered:
+// one that is cut off together with most of the nodes doesn't hear of the versions that the others use.
+t.test('without the store, a peer that reads it or all nodes have to answer', async (t2) => {
+  const node = createNode(SimulatedTime.create());
+  node.register('i-1', 'v1');
+  const { answers } = node.state;
+  for (const peer of ['n2', 'n3', 'n4']) answers.set(peer, undefined);
+  t2.strictSame(await node.listVersions(), { isComplete: true, versions: ['v1'] });
+  node.state.isStoreReadable = false;
+  t2.equal((await node.listVersions()).isComplete, false);
+  answers.set('n2', createAnswer({ versions: [[SERVICE, 'v2', 0]] }));
+  t2.strictSame(await node.listVersions(), { isComplete: false, versions: ['v1', 'v2'] });
+  answers.set('n2', createAnswer({ isStoreRead: true }));
+  t2.equal((await node.listVersions()).isComplete, true);
+  answers.set('n2', createAnswer()).set('n3', createAnswer());
+  t2.equal((await node.listVersions()).isComplete, false);
+  answers.set('n4', createAnswer());
+  t2.equal((await node.listVersions()).isComplete, true);
+});
 
 // Guards against endpoints that lapsed in an outage of the store, and are removed by a read before its recovery is noted.
 t.test('the tables are read only while their followers reach the store', async (t2) => {
--- a/packages/gateway/src/versionKnowledge.ts
+++ b/packages/gateway/src/versionKnowledge.ts
@@ -65,7 +65,7 @@
  * Confirms which software versions were in use up to now. A copy of a table shows neither what was written since nor what
  * happened while this process was suspended, cut off or not yet started, and an age measured at its arrival doesn't
  * either. So the tables are read again after the question, by a peer if this node doesn't reach the store. Without the
- * store, most of the nodes have to answer.
+ * store, all nodes have to answer.
  *
  * @example
  * const { uses, complete, begin } = await knowledge.confirm('app');
@@ -139,8 +139,9 @@
     Pick<KnownVersions, 'confirmedBy'> & { untilMs: number }
   > {
     const { askedAtMs, peers, answers } = await this.storeReadOfPeers.run();
-    const isMajority = 2 * (answers.length + 1) > peers + 1;
-    return isMajority || answers.some(({ isStoreRead }) => isStoreRead)
+    // A single node that reaches the store may have begun streams at a version that no other one knows.
+    const areAllHeard = answers.length >= peers;
+    return areAllHeard || answers.some(({ isStoreRead }) => isStoreRead)
       ? { untilMs: askedAtMs, confirmedBy: 'peers' }
       : { untilMs: Number.NEGATIVE_INFINITY, confirmedBy: 'none' };
   }
