--- a/packages/gateway/src/managementServer.ts
+++ b/packages/gateway/src/managementServer.ts
@@ -5,6 +5,7 @@
 import type { StoreIndex } from '@lovagearch/reuse';
 import type { ConnectionAdmission } from './connectionAdmission.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
+import { registerContinuityRoute } from './peerContinuity.js';
 import { type CreateStatement, registerStreamRoute } from './peerStreams.js';
 import { registerTableRoute, registerCacheStoreRoute } from './peerExchange.js';
 import { isRelayedRequest } from './relay/acceptedRelay.js';
@@ -54,6 +55,7 @@
  * @param explain explains where a described request would be sent
  * @param isServable whether the copy of a table may be served now
  * @param createStreamStatement creates the statement on recent streams that peers ask for
+ * @param getUninterruptedMs returns for how long the registrations have been followed, in milliseconds
  */
 export const startPeerServer = (
   address: Address,
@@ -65,6 +67,7 @@
   explain: ExplainRequest,
   createStreamStatement: CreateStatement,
   relayed: RelayedRequests,
+  getUninterruptedMs: () => number,
   admission: ConnectionAdmission,
 ): Promise<FastifyInstance> => {
   const options = { maxHeaderSize: PEER_MAX_HEADER_BYTES, noDelay: true, requestTimeout: 0 };
@@ -82,6 +85,7 @@
   admission.protect(server.server, 'peers', relayed.getMaxBodyBytes);
   registerWhereRoute(server, explain);
   registerStreamRoute(server, createStreamStatement);
+  registerContinuityRoute(server, getUninterruptedMs);
   registerTableRoute(server, mirrors, clock, isServable);
   registerCacheStoreRoute(server, findIndex, indexClock);
   return listen(server, address);
--- a/packages/gateway/src/openGatewayListeners.ts
+++ b/packages/gateway/src/openGatewayListeners.ts
@@ -36,6 +36,8 @@
   readonly isReachable: LoadSharingDependencies['isReachable'];
   /** Called with each load digest of a peer. */
   readonly onDigest: LoadSharingDependencies['onDigest'];
+  /** Returns for how long the registrations have been followed without an interruption, in milliseconds. */
+  readonly getUninterruptedMs: () => number;
   readonly clock: Clock;
   readonly log: GatewayLog;
 }
@@ -85,6 +87,7 @@
             serve: (incoming, response) => server.serveRelayed(incoming, response),
             getMaxBodyBytes: () => server.bodyLimitBytes,
           },
+          parts.getUninterruptedMs,
           admission,
         ),
     },
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -13,7 +13,13 @@
 import { RelayPeers } from '@lovagearch/relaying';
 import { TransferSlowdownTracker } from '@lovagearch/reuse';
 import { createSuspensionClock, OrderLease, RolloutCoordinator } from '@lovagearch/rollout';
-import { ClusterState, LEASE_KEY, PEER_PREFIX, readAttemptId } from './clusterState.js';
+import {
+  ClusterState,
+  computeMinOutageMs,
+  LEASE_KEY,
+  PEER_PREFIX,
+  readAttemptId,
+} from './clusterState.js';
 import { deriveCallerLimits } from './callerLimits.js';
 import { CallerServer } from './callerServer.js';
 import {
@@ -45,6 +51,8 @@
   createCacheStoreRelaySource,
   createTableRelaySource,
 } from './peerExchange.js';
+import { createContinuitySource } from './peerContinuity.js';
+import { OutageCheck } from './outageCheck.js';
 import { getEndpointStartKey } from './attempt.js';
 import { recordIdleConnectionLost, recordOutlivedAnswers } from './attemptFeedback.js';
 import { LinkMonitor } from './links/linkMonitor.js';
@@ -121,6 +129,7 @@
       storeClock,
       storeEra,
       lostRowGraceMs,
+      interruptionMs: computeMinOutageMs(settings.heartbeatMs),
       onEraChange: (change) => log.logStateChange('copy_restored', { table, ...change }),
       onLostRowsRemoved: (rows) => log.logStateChange('lost_rows_removed', { table, rows }),
       onRowFault: ({ key, version }, error) => {
@@ -214,15 +223,24 @@
 
   const ownPeerAddress = `${settings.peerAddress.host}:${settings.peerAddress.port}`;
   const tableRelaySource = createTableRelaySource(responseLimits);
-  const peers = createPeerSource(
-    tableRelaySource,
-    () => {
-      const known = new Set([...settings.seeds, ...clusterState.listPeerAddresses()]);
-      known.delete(ownPeerAddress);
-      return [...known];
-    },
+  const listOtherPeers = (): string[] => {
+    const known = new Set([...settings.seeds, ...clusterState.listPeerAddresses()]);
+    known.delete(ownPeerAddress);
+    return [...known];
+  };
+  const peers = createPeerSource(tableRelaySource, listOtherPeers, random);
+  const outageCheck = OutageCheck.create({
+    listPeers: listOtherPeers,
+    askPeer: createContinuitySource(responseLimits),
+    clock,
     random,
-  );
+    onRefuted: (evidence) => {
+      log.logStateChange('store_outage_refuted', { ...evidence });
+      clusterState.refuteOutage();
+    },
+    onError: (error) =>
+      log.logStateChange('outage_check_failed', { reason: getErrorMessage(error) }),
+  });
   const tableRelay = TableRelay.create({
     self: { name: nodeName, zone: settings.zone, region: settings.region },
     regionByZone: settings.regionByZone,
@@ -238,7 +256,8 @@
   const onMirrorEvent = (event: MirrorEvent) => {
     if (event.table === endpointMirror.table) {
       if (event.type === 'store_lost') clusterState.recordStoreUnreachable();
-      if (event.type === 'store_regained') clusterState.recordStoreRecovered(event.copyAgeMs);
+      if (event.type === 'store_regained' && clusterState.recordStoreRecovered(event.copyAgeMs))
+        outageCheck.start(clock.nowMs() - event.copyAgeMs);
     }
     const { type, ...fields } = event;
     log.logStateChange(type, fields);
@@ -468,6 +487,7 @@
     versionKnowledge,
     isReachable: (endpoint) => context.links.isUsable(endpoint),
     onDigest: (peer, entries) => recordPeerLinks(context, peer, entries),
+    getUninterruptedMs: () => endpointMirror.getUninterruptedMs(clock.nowMs()),
     clock,
     log,
   });
