Limit the rejections that nodes cause at brittle endpoints

Endpoints may say that they fall over when they reject more than N requests in a second. Nothing limited these rejections: each node sends, and repeats, until it has been rejected itself, and the sum over the nodes exceeds N at once.

RejectionBudget counts each request on its way as a rejection until its endpoint has had time to reject it, so that the nodes' shares of N bound their sum without messages. Rejections also tell how many requests of this node the endpoint has room for. If N is below the number of nodes, some of them share it, and the others send where a load report shows free slots.

--- a/packages/endpoints/src/index.ts
+++ b/packages/endpoints/src/index.ts
@@ -2,6 +2,9 @@
  * Tracks endpoints by their registrations, load and health, and chooses one for each request. The code
  * decides from its arguments and clock readings alone; it never sends a request or reads a store.
  */
+export * from './brittleness/endpointBrittleness.js';
+export * from './brittleness/rejectionBudget.js';
+export * from './brittleness/rejectionShare.js';
 export * from './chooseEndpoint.js';
 export * from './coldness.js';
 export * from './coldShare.js';
--- a/packages/endpoints/src/types.ts
+++ b/packages/endpoints/src/types.ts
@@ -47,6 +47,12 @@
   | { readonly type: 'named'; readonly forS: number }
   | { readonly type: 'none' };
 
+/** What a response says about the rejections per second, for want of room, from which its endpoint falls over. */
+export type BrittlenessStatement =
+  | { readonly type: 'invalid'; readonly text: string }
+  | { readonly type: 'named'; readonly rejectionsPerS: number }
+  | { readonly type: 'none' };
+
 /** One of the ordered parts of a prompt; parts with equal ids have equal text. */
 export interface PromptPart {
   readonly id: string;
