--- a/packages/gateway/src/testGateway.ts
+++ b/packages/gateway/src/testGateway.ts
@@ -207,6 +207,7 @@
         respondingEndpointId: getFirstValue(headers[ENDPOINT_HEADER]),
         load: undefined,
         rateLimit: decodeRateLimit(getFirstValue(headers[LIMIT_HEADER])),
+        brittleness: { type: 'none' },
         leaving: { type: headers[LEAVING_HEADER] === undefined ? 'none' : 'leaving' },
         hold: decodeHold(getFirstValue(headers['retry-after'])),
         isEventStream: headers['content-type'] === 'text/event-stream',
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -1,6 +1,7 @@
 import type { ReceiveLimits } from '@lovagearch/bounded-http';
 import type { Random } from '@lovagearch/common';
 import type {
+  BrittlenessStatement,
   EndpointRecord,
   HoldStatement,
   LeavingStatement,
@@ -68,6 +69,7 @@
   readonly respondingEndpointId: string | undefined;
   readonly load: LoadReport | undefined;
   readonly rateLimit: RateLimitStatement;
+  readonly brittleness: BrittlenessStatement;
   readonly leaving: LeavingStatement;
   readonly hold: HoldStatement;
   /** Time for which the endpoint says that it is cold, in milliseconds. */
