Find out without peers that all endpoints of a service are out of reach

In deployments of more than 16 nodes, load digests pass within a zone only. Where a whole zone loses its links, no peer hears an endpoint, and each endpoint had to show by itself that it is out of reach.

--- a/packages/reachability/src/constants.ts
+++ b/packages/reachability/src/constants.ts
@@ -9,6 +9,8 @@
 export const GROUP_SILENCE_MS = 450;
 /** The same where no peer hears the endpoints, or where a single one has requests; a sound one may be silent for 1 s. */
 export const LONE_SILENCE_MS = 1_100;
+/** Number of endpoints of a service whose silence is suspicious as early as if peers heard them. */
+export const MIN_SILENT_UNHEARD = 4;
 /** Share of the endpoints with requests that have to be silent; the answer of one may be on its way. */
 export const SILENT_SHARE = 0.8;
 /**
@@ -29,7 +31,9 @@
 export const MIN_FAILING_OF_SERVICE = 3;
 /** The same of all endpoints. */
 export const MIN_FAILING_OF_ALL = 4;
-/** Failing endpoints that peers have to hear for that; several that end at once are heard by nobody. */
+/** Endpoints of a service, or of all, that have to fail where no peer hears any; other causes seldom take as many at once. */
+export const MIN_FAILING_UNHEARD = 5;
+/** Failing endpoints that peers have to hear for the fewer; several that end at once are heard by nobody. */
 export const MIN_HEARD_OF_GROUP = 2;
 /** Time in which a link that is lost again counts as unstable, in milliseconds; cuts last for some seconds. */
 export const UNSTABLE_WINDOW_MS = 10_000;
--- a/packages/reachability/src/endpointLinks.test.ts
+++ b/packages/reachability/src/endpointLinks.test.ts
@@ -107,6 +107,19 @@
       }
     });
 
+// Guards against a node in a zone that is cut as a whole, of whose peers none hears an endpoint for it.
+t.test('links to all endpoints that hang are found out without peers', async (t2) => {
+  for (const seed of SEEDS) {
+    const getMode = cutDuring('timeout', () => true);
+    const { changes } = simulateDay(createDay({ seed, getMode, isHeardElsewhere: () => false }));
+    for (const { key } of createEndpoints()) {
+      const first = findFirst(changes, key);
+      t2.equal(first?.type, 'unanswered', `seed ${seed}: ${key}`);
+      t2.ok((first?.atMs ?? END_MS) <= CUT_AT_MS + FOUND_WITHIN_MS, `seed ${seed}: ${key}`);
+    }
+  }
+});
+
 // Guards against a node that gives up open connections that still carry responses.
 t.test('endpoints whose open connections live on while new ones fail are not lost', async (t2) => {
   for (const seed of SEEDS)
--- a/packages/reachability/src/endpointLinks.ts
+++ b/packages/reachability/src/endpointLinks.ts
@@ -1,5 +1,10 @@
 import { SEPARATE_ATTEMPTS_MS, VERIFIED_MS, VERIFY_INTERVAL_MS } from './constants.js';
-import { findInferredLosses, findUntriedMembers, type GroupMember } from './groupLoss.js';
+import {
+  findInferredLosses,
+  findUntriedMembers,
+  type GroupLoss,
+  type GroupMember,
+} from './groupLoss.js';
 import { LinkRecord } from './linkRecord.js';
 import { findSilentEndpoints } from './silentEndpoints.js';
 import type {
@@ -142,8 +147,8 @@
       endpoint,
       record: this.records.get(endpoint.key),
     }));
-    for (const [{ endpoint }, sinceMs] of findInferredLosses(members, nowMs))
-      this.inferLoss(endpoint, sinceMs);
+    for (const [{ endpoint }, loss] of findInferredLosses(members, nowMs))
+      this.applyGroupLoss(endpoint, loss);
     const changes: LinkChange[] = [];
     for (const endpoint of endpoints) {
       const change = this.applyState(endpoint, nowMs);
@@ -160,10 +165,12 @@
     return created;
   }
 
-  private inferLoss({ key, service }: ObservedEndpoint, sinceMs: number): void {
+  private applyGroupLoss({ key, service }: ObservedEndpoint, loss: GroupLoss): void {
     const record = this.getRecord(key, service);
-    if (record.inferredSinceMs !== undefined) return;
-    record.inferredSinceMs = sinceMs;
+    if (record.groupLoss !== undefined && !loss.isHeardElsewhere) return;
+    record.groupLoss ??= loss;
+    if (loss.isHeardElsewhere && !record.groupLoss.isHeardElsewhere)
+      record.groupLoss = { ...record.groupLoss, isHeardElsewhere: true };
     this.suspects.add(key);
   }
 
@@ -182,7 +189,7 @@
       endpoint,
       from,
       to,
-      isInferred: record.failures === undefined && record.inferredSinceMs !== undefined,
+      isInferred: record.failures === undefined && record.groupLoss !== undefined,
       bytesAgeMs: nowMs - record.bytesAtMs,
       heardElsewhereAgeMs: nowMs - heardElsewhereAtMs,
     };
--- a/packages/reachability/src/groupLoss.ts
+++ b/packages/reachability/src/groupLoss.ts
@@ -4,6 +4,7 @@
   MIN_FAILING_OF_ALL,
   MIN_FAILING_OF_SERVICE,
   MIN_FAILING_OF_ZONE,
+  MIN_FAILING_UNHEARD,
   MIN_HEARD_OF_GROUP,
   SUSPICION_SPREAD_MS,
 } from './constants.js';
@@ -33,12 +34,19 @@
 const isSilentMember = ({ record }: GroupMember, nowMs: number): boolean =>
   record?.isSilent(nowMs) === true;
 
+/** Evidence that a whole group of endpoints is out of reach. */
+export interface GroupLoss {
+  /** Clock reading since which nothing is heard from the group. */
+  readonly sinceMs: number;
+  /** Whether peers hear some of the endpoints, so that their links are lost and they have not ended. */
+  readonly isHeardElsewhere: boolean;
+}
+
 /**
- * Returns since when nothing is heard from a whole group of endpoints that lost links explain, or undefined. Attempts at
- * several have to fail after the last sign of life of any, and peers have to hear some of these meanwhile: endpoints that
- * end together are heard by nobody.
+ * Returns whether a whole group of endpoints is out of reach. Attempts at several have to fail after the last sign of
+ * life of any. Without peers that hear some of these, more have to fail, as several endpoints may have ended together.
  */
-const findGroupLoss = ({ members, minFailing }: Group, nowMs: number): number | undefined => {
+const findGroupLoss = ({ members, minFailing }: Group, nowMs: number): GroupLoss | undefined => {
   if (members.length < 2) return undefined;
   let heardAtMs = Number.NEGATIVE_INFINITY;
   for (const { record } of members)
@@ -57,9 +65,10 @@
       if (isHeardElsewhere(member.endpoint, failures.beganAtMs, nowMs)) heard += 1;
     } else if (isSilentMember(member, nowMs)) silent += 1;
   }
-  const isLost =
-    heard >= MIN_HEARD_OF_GROUP && failing + silent >= Math.min(minFailing, members.length);
-  return isLost ? sinceMs : undefined;
+  const isHeard = heard >= MIN_HEARD_OF_GROUP;
+  const needed = isHeard ? Math.min(minFailing, members.length) : MIN_FAILING_UNHEARD;
+  if (failing < MIN_HEARD_OF_GROUP || failing + silent < needed) return undefined;
+  return { sinceMs, isHeardElsewhere: isHeard };
 };
 
 const addToGroup = (
@@ -94,19 +103,20 @@
 /**
  * Finds the endpoints that are out of reach as the links to their group are lost, although no attempt at them failed.
  *
- * @returns the clock reading since which nothing is heard from the group, by member
+ * @returns the loss of its group, by member
  * @example
- * for (const [member, sinceMs] of findInferredLosses(members, nowMs)) member.record.inferredSinceMs = sinceMs;
+ * for (const [member, loss] of findInferredLosses(members, nowMs)) member.record.groupLoss = loss;
  */
 export const findInferredLosses = (
   members: readonly GroupMember[],
   nowMs: number,
-): Map<GroupMember, number> => {
-  const losses = new Map<GroupMember, number>();
+): Map<GroupMember, GroupLoss> => {
+  const losses = new Map<GroupMember, GroupLoss>();
   for (const group of createGroups(members)) {
-    const sinceMs = findGroupLoss(group, nowMs);
-    if (sinceMs === undefined) continue;
-    for (const member of group.members) if (!losses.has(member)) losses.set(member, sinceMs);
+    const loss = findGroupLoss(group, nowMs);
+    if (loss === undefined) continue;
+    for (const member of group.members)
+      if (losses.get(member)?.isHeardElsewhere !== true) losses.set(member, loss);
   }
   return losses;
 };
--- a/packages/reachability/src/linkRecord.ts
+++ b/packages/reachability/src/linkRecord.ts
@@ -9,6 +9,7 @@
   SUSPICION_SPREAD_MS,
   UNSTABLE_WINDOW_MS,
 } from './constants.js';
+import type { GroupLoss } from './groupLoss.js';
 import type { ConnectFailureCause, LinkState } from './types.js';
 
 /** Failed attempts to open a connection, without a successful one in between. */
@@ -33,8 +34,8 @@
 
   failures: FailedAttempts | undefined;
 
-  /** Clock reading since which nothing is heard from the group of endpoints that the links are lost to. */
-  inferredSinceMs: number | undefined;
+  /** Set if the endpoint is out of reach together with others. */
+  groupLoss: GroupLoss | undefined;
 
   /** Clock reading since which requests wait without a byte from the endpoint. */
   waitingSinceMs: number | undefined;
@@ -84,10 +85,10 @@
   recordBytes(atMs: number): void {
     this.bytesAtMs = atMs;
     if (this.waitingSinceMs !== undefined) this.waitingSinceMs = atMs;
-    if (this.inferredSinceMs === undefined) return;
+    if (this.groupLoss === undefined) return;
     // Bytes refute an inference, and say nothing about new connections.
     if (this.failures === undefined) this.recordSuccess(atMs);
-    else this.inferredSinceMs = undefined;
+    else this.groupLoss = undefined;
   }
 
   recordConnected(atMs: number): void {
@@ -120,16 +121,17 @@
 
   /** Decides the state by all evidence. */
   decideState(heardElsewhereAtMs: number, nowMs: number): LinkState {
-    const { failures, inferredSinceMs } = this;
-    if (failures === undefined && inferredSinceMs === undefined) return REACHABLE;
-    if (this.state.type === 'reachable' && inferredSinceMs === undefined && !this.isConfirmed)
+    const { failures, groupLoss } = this;
+    if (failures === undefined && groupLoss === undefined) return REACHABLE;
+    if (this.state.type === 'reachable' && groupLoss === undefined && !this.isConfirmed)
       return REACHABLE;
-    const sinceMs = failures?.beganAtMs ?? inferredSinceMs ?? nowMs;
+    const sinceMs = failures?.beganAtMs ?? groupLoss?.sinceMs ?? nowMs;
     const cause = failures?.cause ?? 'silence';
     if (this.bytesAtMs > sinceMs && !this.isSilent(nowMs, LONE_SILENCE_MS))
       return { type: 'refusing', cause, sinceMs };
     const isLost =
-      inferredSinceMs !== undefined || this.isContradicted(sinceMs, heardElsewhereAtMs, nowMs);
+      groupLoss?.isHeardElsewhere === true ||
+      this.isContradicted(sinceMs, heardElsewhereAtMs, nowMs);
     return { type: isLost ? 'lost' : 'unanswered', cause, sinceMs };
   }
 
@@ -176,7 +178,7 @@
     const required = Math.min(2 ** this.relapses, MAX_REQUIRED_SUCCESSES);
     if (this.state.type !== 'reachable' && this.successes < required) return;
     this.failures = undefined;
-    this.inferredSinceMs = undefined;
+    this.groupLoss = undefined;
     if (this.waitingSinceMs !== undefined && this.state.type !== 'reachable')
       this.waitingSinceMs = atMs;
   }
--- a/packages/reachability/src/silentEndpoints.ts
+++ b/packages/reachability/src/silentEndpoints.ts
@@ -1,4 +1,10 @@
-import { LONE_SILENCE_MS, SILENT_SHARE, GROUP_SILENCE_MS, HEARD_MARGIN_MS } from './constants.js';
+import {
+  MIN_SILENT_UNHEARD,
+  LONE_SILENCE_MS,
+  SILENT_SHARE,
+  GROUP_SILENCE_MS,
+  HEARD_MARGIN_MS,
+} from './constants.js';
 import type { LinkRecord } from './linkRecord.js';
 
 /** Endpoints of a service that requests wait for. */
@@ -9,7 +15,7 @@
 
 /**
  * Finds endpoints whose silence here is suspicious: nearly all of a service that have requests, or single ones that are
- * silent for longer while peers hear them. Where nobody hears them, all of the service have to be silent for as long.
+ * silent for longer while peers hear them. Where nobody hears a few, they have to be silent for as long.
  *
  * @example
  * for (const key of findSilentEndpoints(records, nowMs, getHeardElsewhereAtMs)) verify(key);
@@ -34,10 +40,13 @@
   for (const { count, silent } of services.values()) {
     if (silent.length === 0) continue;
     const isGroup = silent.length >= count * SILENT_SHARE;
-    const isGroupHeard = silent.length > 1 && silent.some(({ key }) => isHeardElsewhere(key));
+    const isGroupSuspicious =
+      silent.length >= MIN_SILENT_UNHEARD ||
+      (silent.length > 1 && silent.some(({ key }) => isHeardElsewhere(key)));
     for (const { key, silentMs } of silent) {
       const isLong = silentMs >= LONE_SILENCE_MS;
-      if (isGroup ? isGroupHeard || isLong : isLong && isHeardElsewhere(key)) suspicious.push(key);
+      if (isGroup ? isGroupSuspicious || isLong : isLong && isHeardElsewhere(key))
+        suspicious.push(key);
     }
   }
   return suspicious;
