--- a/packages/gateway/src/managementServer.ts
+++ b/packages/gateway/src/managementServer.ts
@@ -48,28 +48,34 @@
   readonly getMaxBodyBytes: () => number;
 }
 
+/** What a node serves to its peers. */
+export interface PeerServices {
+  readonly mirrors: readonly TableMirror[];
+  /** Clock of the copies. */
+  readonly clock: Clock;
+  /** Whether the copy of a table may be served now. */
+  readonly isServable: (table: string) => boolean;
+  readonly findCacheStoreIndex: (address: string) => StoreIndex | undefined;
+  readonly indexClock: Clock;
+  /** Explains where a described request would be sent. */
+  readonly explain: ExplainRequest;
+  /** Creates the statement on recent streams that peers ask for. */
+  readonly createStreamStatement: CreateStatement;
+  /** Returns for how long the registrations have been followed without an interruption, in milliseconds. */
+  readonly getUninterruptedMs: () => number;
+  readonly relayed: RelayedRequests;
+}
+
 /**
  * Serves this node's copies of the store's tables, and its indexes of cache stores, to peers, and the requests of
  * callers that they pass on.
- *
- * @param explain explains where a described request would be sent
- * @param isServable whether the copy of a table may be served now
- * @param createStreamStatement creates the statement on recent streams that peers ask for
- * @param getUninterruptedMs returns for how long the registrations have been followed, in milliseconds
  */
 export const startPeerServer = (
   address: Address,
-  mirrors: readonly TableMirror[],
-  clock: Clock,
-  isServable: (table: string) => boolean,
-  findIndex: (address: string) => StoreIndex | undefined,
-  indexClock: Clock,
-  explain: ExplainRequest,
-  createStreamStatement: CreateStatement,
-  relayed: RelayedRequests,
-  getUninterruptedMs: () => number,
+  services: PeerServices,
   admission: ConnectionAdmission,
 ): Promise<FastifyInstance> => {
+  const { relayed, mirrors, clock, isServable } = services;
   const options = { maxHeaderSize: PEER_MAX_HEADER_BYTES, noDelay: true, requestTimeout: 0 };
   const server = fastify({
     serverFactory: (handle) => {
@@ -78,16 +84,17 @@
         else handle(incoming, response);
       });
       created.keepAliveTimeout = PEER_KEEP_ALIVE_MS;
+      // By default, Node.js drops the fields of a head behind the first 2,000.
       created.maxHeadersCount = 0;
       return created;
     },
   });
   admission.protect(server.server, 'peers', relayed.getMaxBodyBytes);
-  registerWhereRoute(server, explain);
-  registerStreamRoute(server, createStreamStatement);
-  registerContinuityRoute(server, getUninterruptedMs);
+  registerWhereRoute(server, services.explain);
+  registerStreamRoute(server, services.createStreamStatement);
+  registerContinuityRoute(server, services.getUninterruptedMs);
   registerTableRoute(server, mirrors, clock, isServable);
-  registerCacheStoreRoute(server, findIndex, indexClock);
+  registerCacheStoreRoute(server, services.findCacheStoreIndex, services.indexClock);
   return listen(server, address);
 };
 
--- a/packages/gateway/src/openGatewayListeners.ts
+++ b/packages/gateway/src/openGatewayListeners.ts
@@ -33,6 +33,7 @@
   readonly clusterState: ClusterState;
   readonly originSharing: OriginSharing;
   readonly versionKnowledge: Pick<VersionKnowledge, 'createStatement'>;
+  /** Whether this node reaches an endpoint. */
   readonly isReachable: LoadSharingDependencies['isReachable'];
   /** Called with each load digest of a peer. */
   readonly onDigest: LoadSharingDependencies['onDigest'];
@@ -75,19 +76,21 @@
       open: () =>
         startPeerServer(
           peerAddress,
-          mirrors,
-          clock,
-          parts.isServable,
-          parts.findCacheStoreIndex,
-          parts.indexClock,
-          parts.explain,
-          (maxAgeMs, isStoreReadWanted) =>
-            parts.versionKnowledge.createStatement(maxAgeMs, isStoreReadWanted),
           {
-            serve: (incoming, response) => server.serveRelayed(incoming, response),
-            getMaxBodyBytes: () => server.bodyLimitBytes,
+            mirrors,
+            clock,
+            isServable: parts.isServable,
+            findCacheStoreIndex: parts.findCacheStoreIndex,
+            indexClock: parts.indexClock,
+            explain: parts.explain,
+            createStreamStatement: (maxAgeMs, isStoreReadWanted) =>
+              parts.versionKnowledge.createStatement(maxAgeMs, isStoreReadWanted),
+            getUninterruptedMs: parts.getUninterruptedMs,
+            relayed: {
+              serve: (incoming, response) => server.serveRelayed(incoming, response),
+              getMaxBodyBytes: () => server.bodyLimitBytes,
+            },
           },
-          parts.getUninterruptedMs,
           admission,
         ),
     },
