Keep requests from brittle endpoints that would reject them

Gateways ignored Server-Brittle. A brittle endpoint now counts as unavailable for a node whose share of rejections is used up, whose requests there fill the room that rejections have shown, or which has no share and sees no free slot. The check is repeated as a connection opens, as several requests may be placed in one turn of the event loop. Without a statement, one lookup by service and endpoint is all that is added to a placement.

Log lines, counters and lovagearch explain show limit, share and known room.

--- a/packages/cli/src/formatExplanation.ts
+++ b/packages/cli/src/formatExplanation.ts
@@ -23,6 +23,9 @@
   loadAgeMs: z.number().optional(),
   limitPerS: z.number().optional(),
   shareOfLimitPerS: z.number().optional(),
+  rejectionsPerS: z.number().optional(),
+  allowedRejections: z.number().optional(),
+  knownRoom: z.number().optional(),
 });
 
 const admissionSchema = z.discriminatedUnion('type', [
@@ -88,6 +91,11 @@
 const formatNumber = (value: number | undefined): string =>
   value === undefined ? '-' : String(Math.round(value));
 
+const formatBrittleness = ({ rejectionsPerS, allowedRejections, knownRoom }: Candidate): string => {
+  const room = knownRoom === undefined ? 'unknown' : String(knownRoom);
+  return `brittle: bears ${rejectionsPerS} rejections/s, ${allowedRejections} from this VM, room ${room}`;
+};
+
 const formatCandidate = (candidate: Candidate): string => {
   const { forecast } = candidate;
   const share = candidate.shareOfLimitPerS;
@@ -110,6 +118,7 @@
   ]);
   const notes = [
     ...(candidate.excludedBy === undefined ? [] : [`excluded: ${candidate.excludedBy}`]),
+    ...(candidate.rejectionsPerS === undefined ? [] : [formatBrittleness(candidate)]),
     ...(candidate.isAffinityOwner ? ['affinity owner'] : []),
   ];
   return notes.length === 0 ? cells : `${cells}  ${notes.join(', ')}`;
--- a/packages/endpoints/src/brittleness/brittleness.test.ts
+++ b/packages/endpoints/src/brittleness/brittleness.test.ts
@@ -77,6 +77,20 @@
   t2.equal(budget.findBlock({ ...RISK, active: 1 }, 6_100, random), undefined);
 });
 
+// Guards against requests that were placed in one turn of the event loop, each before the others were sent.
+t.test(
+  'of requests that were placed together only as many leave as may be rejected',
+  async (t2) => {
+    const random = () => 0.5;
+    const budget = RejectionBudget.create();
+    budget.recordSent('a', RISK, 0, random);
+    budget.recordSent('b', { ...RISK, active: 1 }, 0, random);
+    t2.notOk(budget.confirmSend('a', RISK.share, 1));
+    t2.ok(budget.confirmSend('b', RISK.share, 1));
+    t2.ok(budget.confirmSend('a', RISK.share, 200));
+  },
+);
+
 t.test('an endpoint is brittle until a later response does not say so', async (t2) => {
   const brittleness = EndpointBrittleness.create();
   t2.equal(brittleness.findLimit(undefined, 0), undefined);
--- a/packages/endpoints/src/brittleness/endpointBrittleness.ts
+++ b/packages/endpoints/src/brittleness/endpointBrittleness.ts
@@ -2,6 +2,8 @@
 
 /** Age up to which an endpoint's own statement counts more than a newer one of its service, in milliseconds. */
 const OWN_STATEMENT_AGE_MS = 3_000;
+/** Time for which an endpoint's own statement counts after another of its service withdrew its own, in milliseconds. */
+const OWN_STATEMENT_ALONE_MS = 10_000;
 /**
  * Time for which the statement of one endpoint counts for others of its service, in milliseconds, unless one of them
  * responds without it. A node that sends the service no requests meanwhile learns nothing else.
@@ -48,7 +50,7 @@
    */
   findLimit(service: ServiceBrittleness | undefined, nowMs: number): number | undefined {
     if (service === undefined || nowMs - service.atMs > SERVICE_STATEMENT_AGE_MS)
-      return this.rejectionsPerS;
+      return nowMs - this.statedAtMs > OWN_STATEMENT_ALONE_MS ? undefined : this.rejectionsPerS;
     const isOwnRecent = this.statedAtMs + OWN_STATEMENT_AGE_MS >= service.atMs;
     return isOwnRecent ? this.rejectionsPerS : service.rejectionsPerS;
   }
--- a/packages/endpoints/src/brittleness/rejectionBudget.ts
+++ b/packages/endpoints/src/brittleness/rejectionBudget.ts
@@ -15,8 +15,8 @@
 const KEPT_SHARE = 0.7;
 /** Mean time between two attempts to have one request more in progress at an endpoint, in milliseconds. */
 const GROWTH_INTERVAL_MS = 4_000;
-/** Interval at which nodes learn of new load reports, in milliseconds; they all see the same free slots meanwhile. */
-const REPORT_INTERVAL_MS = 200;
+/** Shortest interval at which nodes learn of load reports, in milliseconds; all see the same free slots meanwhile. */
+const REPORT_INTERVAL_MS = 150;
 /** Time for which a probe may be sent, in milliseconds; unused probes lapse, or all nodes could send one at once. */
 const PROBE_WINDOW_MS = 1_000;
 
@@ -138,6 +138,18 @@
     this.delayGrowth(nowMs, random);
   }
 
+  /**
+   * Whether a request that was recorded may still leave: it may have waited for a connection, or have been placed at the
+   * same time as others. Its time begins anew.
+   */
+  confirmSend(requestId: string, share: RejectionShare, nowMs: number): boolean {
+    this.unconfirmed.delete(requestId);
+    const allowed = share.type === 'allowed' ? share.rejections : 1;
+    if (this.countRisk(nowMs) >= allowed) return false;
+    this.unconfirmed.set(requestId, nowMs);
+    return true;
+  }
+
   /** Records a response of the endpoint that is no rejection. */
   recordAccepted(requestId: string): void {
     this.unconfirmed.delete(requestId);
@@ -164,7 +176,7 @@
     random: Random,
   ): boolean {
     if (report === undefined) return false;
-    if (report.reportedAtMs === this.consideredReportMs) return this.mayUseSlot;
+    if (report.reportedAtMs < this.consideredReportMs + REPORT_INTERVAL_MS) return this.mayUseSlot;
     this.consideredReportMs = report.reportedAtMs;
     const nodesWithRequests =
       nodeCount * Math.min(1, (demandPerS * REPORT_INTERVAL_MS) / MS_PER_SECOND);
--- a/packages/endpoints/src/endpoint.ts
+++ b/packages/endpoints/src/endpoint.ts
@@ -132,6 +132,11 @@
     return this.reported.lastReport;
   }
 
+  /** Clock reading of the last load report. */
+  get lastReportAtMs(): number {
+    return this.reported.reportedAtMs;
+  }
+
   /** How much longer work currently takes than usual. */
   get contention(): Contention {
     return this.reported.contention;
--- a/packages/endpoints/src/endpointAvailability.test.ts
+++ b/packages/endpoints/src/endpointAvailability.test.ts
@@ -19,6 +19,7 @@
   hasFreeConnection: true,
   isWithinRateLimit: () => true,
   isLoadingWeights: false,
+  isWithinRejectionShare: () => true,
 };
 
 const createAvailability = (type: EndpointAvailability['type']): EndpointAvailability =>
@@ -56,6 +57,7 @@
   t2.equal(decideAvailability(USABLE).type, 'available');
   t2.equal(decideAvailability({ ...USABLE, isLoadingWeights: true }).type, 'loading_weights');
   t2.equal(decideAvailability({ ...USABLE, isWithinRateLimit: () => false }).type, 'rate_limited');
+  t2.equal(decideAvailability({ ...USABLE, isWithinRejectionShare: () => false }).type, 'brittle');
   t2.equal(decideAvailability({ ...USABLE, hasFreeConnection: false }).type, 'no_connection');
   t2.equal(decideAvailability({ ...USABLE, isLeaving: true }).type, 'leaving');
   t2.strictSame(decideAvailability({ ...USABLE, heldUntilMs: 7 }), { type: 'held', untilMs: 7 });
--- a/packages/endpoints/src/endpointAvailability.ts
+++ b/packages/endpoints/src/endpointAvailability.ts
@@ -20,7 +20,9 @@
   /** All connections that this node may open to the endpoint are in use. */
   | { readonly type: 'no_connection' }
   /** The limit of requests per second that the endpoint named allows this node none now. */
-  | { readonly type: 'rate_limited' };
+  | { readonly type: 'rate_limited' }
+  /** The endpoint falls over if it rejects too much, and this node's share of rejections is used up or room is unlikely. */
+  | { readonly type: 'brittle' };
 
 export interface AvailabilityInput {
   /** Whether the endpoint has the software version that the request needs, if it needs one. */
@@ -35,6 +37,8 @@
   readonly isWithinRateLimit: () => boolean;
   readonly isCold: boolean;
   readonly isLoadingWeights: boolean;
+  /** Called only if nothing else forbids a request. */
+  readonly isWithinRejectionShare: () => boolean;
 }
 
 /** An endpoint with its availability. */
@@ -68,6 +72,7 @@
   isWithinRateLimit,
   isCold,
   isLoadingWeights,
+  isWithinRejectionShare,
 }: AvailabilityInput): EndpointAvailability => {
   if (!hasNeededSoftware) return { type: 'other_software' };
   if (!isInAllowedRegion) return { type: 'outside_region' };
@@ -76,6 +81,7 @@
   if (heldUntilMs !== undefined) return { type: 'held', untilMs: heldUntilMs };
   if (!hasFreeConnection) return { type: 'no_connection' };
   if (!isWithinRateLimit()) return { type: isCold ? 'cold' : 'rate_limited' };
+  if (!isWithinRejectionShare()) return { type: 'brittle' };
   return isLoadingWeights ? { type: 'loading_weights' } : { type: 'available' };
 };
 
@@ -102,6 +108,7 @@
       case 'cold':
       case 'held':
       case 'rate_limited':
+      case 'brittle':
         endpoints.push(endpoint);
         unavailableIds.push(endpoint.record.id);
         break;
@@ -170,6 +177,7 @@
       case 'loading_weights':
       case 'no_connection':
       case 'rate_limited':
+      case 'brittle':
         return undefined;
       default:
         return availability satisfies never;
--- a/packages/endpoints/src/endpointStatements.ts
+++ b/packages/endpoints/src/endpointStatements.ts
@@ -1,3 +1,5 @@
+import { EndpointBrittleness } from './brittleness/endpointBrittleness.js';
+import { RejectionBudget } from './brittleness/rejectionBudget.js';
 import { EndpointColdness } from './coldness.js';
 import { LeavingNotice } from './leavingNotice.js';
 import { RequestHold } from './requestHold.js';
@@ -16,6 +18,10 @@
 
   readonly coldness = EndpointColdness.create();
 
+  readonly brittleness = EndpointBrittleness.create();
+
+  readonly rejections = RejectionBudget.create();
+
   static create(): EndpointStatements {
     return new EndpointStatements();
   }
--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -186,7 +186,8 @@
       this.reply(head, route, repeatRefusal);
       return;
     }
-    let chosen = attempts.chooseEndpoint();
+    context.brittleServices.recordRequest(service, context.clock.nowMs());
+    let chosen = attempts.chooseEndpoint() ?? (await this.waitForBrittle(routedRequest, attempts));
     if (chosen !== undefined) {
       chosen = await this.waitForAdmission(routedRequest, attempts, chosen);
       if (chosen === undefined) return;
@@ -240,6 +241,22 @@
     return refusal !== undefined;
   }
 
+  /** Waits for a moment if only their brittleness keeps endpoints from the request. */
+  private async waitForBrittle(
+    { head, service }: RoutedRequest,
+    attempts: RequestAttempts,
+  ): Promise<ChosenEndpoint | undefined> {
+    const { lastPlacement } = attempts;
+    if (lastPlacement?.type !== 'none' || lastPlacement.counts.brittle === undefined)
+      return undefined;
+    const { brittleWaits } = this.context;
+    const remainingMs = this.timeLimitMs - this.getElapsedMs();
+    const place = () => attempts.chooseEndpoint();
+    const wait = brittleWaits.wait(this.context, service, head.requestId, remainingMs, place);
+    this.cancelHold = wait?.cancel;
+    return wait?.ended;
+  }
+
   /** Returns the endpoint once the request is admitted; replies and returns undefined if it is refused. */
   private async waitForAdmission(
     routedRequest: RoutedRequest,
--- a/packages/gateway/src/endpointStatements.ts
+++ b/packages/gateway/src/endpointStatements.ts
@@ -1,4 +1,5 @@
 import type { Endpoint } from '@lovagearch/endpoints';
+import { recordBrittleResponse } from './brittleness/brittleEndpoints.js';
 import { recordColdResponse } from './coldEndpoints.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { logStatementChange } from './requestLog.js';
@@ -34,6 +35,7 @@
 ): void => {
   if (!isOwnResponse(endpoint, head)) return;
   recordColdResponse(context, endpoint, head, sentAtMs);
+  recordBrittleResponse(context, endpoint, requestId, head, sentAtMs);
   const { rateLimit, leaving, hold } = endpoint.statements;
   const nowMs = context.clock.nowMs();
   logStatementChange(context, endpoint, requestId, 'leaving', leaving.applyStatement(head.leaving));
--- a/packages/gateway/src/explainPlacement.ts
+++ b/packages/gateway/src/explainPlacement.ts
@@ -1,5 +1,6 @@
 import type { AdmissionDecision } from '@lovagearch/admission';
 import {
+  type Endpoint,
   type EndpointCandidate,
   type EndpointChoiceInput,
   findExclusionReason,
@@ -7,6 +8,7 @@
 } from '@lovagearch/endpoints';
 import { MS_PER_SECOND } from '@lovagearch/common';
 import type { Account, Route, RouteTarget } from '@lovagearch/traffic';
+import { findRejectionLimit, findRejectionRisk } from './brittleness/brittleEndpoints.js';
 import { decideRequestAdmission } from './createOverloadRefusal.js';
 import { findRateShare } from './endpointRates.js';
 import type { GatewayContext } from './gatewayContext.js';
@@ -46,6 +48,11 @@
   /** Requests per second that the endpoint takes from all VMs, and this VM's share, if it names a limit. */
   readonly limitPerS: number | undefined;
   readonly shareOfLimitPerS: number | undefined;
+  /** Rejections per second from which a brittle endpoint falls over, and those that this VM may cause. */
+  readonly rejectionsPerS?: number | undefined;
+  readonly allowedRejections?: number | undefined;
+  /** Requests of this VM that a brittle endpoint has room for, as its rejections have shown. */
+  readonly knownRoom?: number | undefined;
 }
 
 export interface ExplainedTarget {
@@ -121,6 +128,16 @@
   return findExclusionReason(input, endpoint);
 };
 
+const explainBrittleness = (context: GatewayContext, endpoint: Endpoint) => {
+  const risk = findRejectionRisk(context, endpoint);
+  if (risk === undefined) return {};
+  return {
+    rejectionsPerS: findRejectionLimit(context, endpoint),
+    allowedRejections: risk.share.type === 'allowed' ? risk.share.rejections : 0,
+    knownRoom: endpoint.statements.rejections.knownRoom,
+  };
+};
+
 const explainCandidate = (
   context: GatewayContext,
   observed: ObservedChoice,
@@ -144,6 +161,7 @@
     loadAgeMs: Number.isFinite(loadAgeMs) ? loadAgeMs : undefined,
     limitPerS: endpoint.statements.rateLimit.limitPerS,
     shareOfLimitPerS: share === undefined ? undefined : MS_PER_SECOND / share.intervalMs,
+    ...explainBrittleness(context, endpoint),
   };
 };
 
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -3,6 +3,8 @@
 import type { Clock, Random } from '@lovagearch/common';
 import type { ConnectionPool, EventIdHistory } from '@lovagearch/exchange';
 import type { StoreIndex, TransferSlowdownTracker } from '@lovagearch/reuse';
+import type { BrittleServices } from './brittleness/brittleServices.js';
+import type { BrittleWaits } from './brittleness/brittleWaits.js';
 import type { ClusterState } from './clusterState.js';
 import type { EventLoopMonitor } from './eventLoopMonitor.js';
 import type { HeldCalls } from './heldCalls.js';
@@ -64,6 +66,8 @@
   readonly versionKnowledge: Pick<VersionKnowledge, 'confirm'>;
   readonly overloadState: OverloadState;
   readonly heldCalls: HeldCalls;
+  readonly brittleServices: BrittleServices;
+  readonly brittleWaits: BrittleWaits;
   /** The planned stop in progress, if there is one. */
   readonly getShutdown: () => Shutdown | undefined;
 }
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -122,6 +122,20 @@
     registers: [this.registry],
   });
 
+  private readonly brittleRejections = new Counter({
+    name: 'lovagearch_brittle_rejections_total',
+    help: 'Requests that brittle endpoints rejected for want of room, by service',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
+
+  private readonly brittleWaits = new Counter({
+    name: 'lovagearch_brittle_waits_total',
+    help: 'Requests that waited until a brittle endpoint might take them, by service and end of the wait',
+    labelNames: ['service', 'result'],
+    registers: [this.registry],
+  });
+
   private readonly slowCallers = new Counter({
     name: 'lovagearch_slow_callers_total',
     help: 'Callers that were disconnected as they took nothing of an unfinished response',
@@ -212,6 +226,14 @@
     this.hedges.inc({ service, result });
   }
 
+  recordBrittleRejection(service: string): void {
+    this.brittleRejections.inc({ service });
+  }
+
+  recordBrittleWait(service: string, result: string): void {
+    this.brittleWaits.inc({ service, result });
+  }
+
   recordSlowCaller(): void {
     this.slowCallers.inc();
   }
--- a/packages/gateway/src/placeRequest.ts
+++ b/packages/gateway/src/placeRequest.ts
@@ -13,6 +13,7 @@
   selectCandidates,
 } from '@lovagearch/endpoints';
 import { isRegionAllowed, type Account, type RegionRule, type Route } from '@lovagearch/traffic';
+import { findRejectionBlock } from './brittleness/brittleEndpoints.js';
 import { findColdLimit } from './coldEndpoints.js';
 import {
   COLD_WORK_FACTOR,
@@ -96,6 +97,7 @@
     isCold: findColdLimit(context, endpoint) !== undefined,
     isWithinRateLimit: () => isWithinRateLimit(context, endpoint),
     isLoadingWeights: clusterState.isChangingWeights(record.id, nowMs),
+    isWithinRejectionShare: () => findRejectionBlock(context, endpoint) === undefined,
   });
 };
 
--- a/packages/gateway/src/requestAttempts.ts
+++ b/packages/gateway/src/requestAttempts.ts
@@ -7,6 +7,7 @@
 } from '@lovagearch/exchange';
 import { isRetryable } from '@lovagearch/traffic';
 import type { Attempt, AttemptOutcome } from './attempt.js';
+import { recordBrittleSend } from './brittleness/brittleEndpoints.js';
 import {
   recordAnswer,
   recordBrokenAttempt,
@@ -196,6 +197,7 @@
     const reusePlan = planReuse(context, head, account, chosen);
     this.sendCount += 1;
     recordSend(context, endpoint);
+    recordBrittleSend(context, endpoint, head.requestId);
     this.excludedEndpointIds.add(endpoint.record.id);
     const isRepeat = this.triedEndpointIds.includes(endpoint.record.id);
     this.triedEndpointIds.push(endpoint.record.id);
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -1,11 +1,13 @@
 import type { AdmissionDecision } from '@lovagearch/admission';
 import type {
   AvailabilityCounts,
+  BrittlenessChange,
   Endpoint,
   FirstEventDecision,
   HoldChange,
   LeavingChange,
   RateLimitChange,
+  RejectionRisk,
 } from '@lovagearch/endpoints';
 import type {
   EventStreamFramer,
@@ -91,8 +93,8 @@
   { log }: GatewayContext,
   { record }: Endpoint,
   requestId: string,
-  subject: 'hold' | 'leaving' | 'limit',
-  change: HoldChange | LeavingChange | RateLimitChange | undefined,
+  subject: 'brittleness' | 'hold' | 'leaving' | 'limit',
+  change: BrittlenessChange | HoldChange | LeavingChange | RateLimitChange | undefined,
 ): void => {
   if (change === undefined) return;
   const { type, ...fields } = change;
@@ -106,6 +108,47 @@
   });
 };
 
+/** Logs that a brittle endpoint rejected a request, what this node allows itself there now, and what it knew. */
+export const logRoomReduced = (
+  { clock, log, brittleServices }: GatewayContext,
+  endpoint: Endpoint,
+  requestId: string,
+  { share, active, nodeCount }: RejectionRisk,
+): void => {
+  const { record, statements } = endpoint;
+  const nowMs = clock.nowMs();
+  const { rejectionsPerS, atMs } = brittleServices.findStatement(record.service) ?? {};
+  const loadAgeMs = endpoint.getLoadAgeMs(nowMs);
+  log.logStateChange('endpoint_room_reduced', {
+    endpoint: record.id,
+    service: record.service,
+    request: requestId,
+    room: statements.rejections.knownRoom,
+    rejections: statements.rejections.countRisk(nowMs),
+    allowed: share.type === 'allowed' ? share.rejections : 0,
+    active,
+    nodes: nodeCount,
+    rejectionsPerS,
+    statementAgeMs: atMs === undefined ? undefined : Math.round(nowMs - atMs),
+    loadAgeMs: Number.isFinite(loadAgeMs) ? Math.round(loadAgeMs) : undefined,
+  });
+};
+
+/** Logs that a request has waited for brittle endpoints, and the endpoint that takes it, if there is one. */
+export const logBrittleWaitEnded = (
+  { clock, log }: GatewayContext,
+  service: string,
+  requestId: string,
+  sinceMs: number,
+  chosen: ChosenEndpoint | undefined,
+): void =>
+  log.logRequest('brittle_wait_ended', {
+    request: requestId,
+    service,
+    waitedMs: Math.round(clock.nowMs() - sinceMs),
+    endpoint: chosen?.endpoint.record.id,
+  });
+
 /** Progress of a request at the end of an attempt. */
 export interface RequestProgress {
   readonly sends: number;
--- a/packages/gateway/src/sendCheck.ts
+++ b/packages/gateway/src/sendCheck.ts
@@ -1,4 +1,5 @@
 import { areRulesEqual } from '@lovagearch/traffic';
+import { confirmBrittleSend } from './brittleness/brittleEndpoints.js';
 import { findColdLimit } from './coldEndpoints.js';
 import { MAX_COLD_SEND_DELAY_MS } from './constants.js';
 import type { RoutedRequest } from './createAttempt.js';
@@ -11,7 +12,7 @@
 /**
  * Creates the check whether a request that waited for its connection may still be sent to the endpoint that was chosen
  * for it: the operator may have changed the home regions or evacuated the zone, and the endpoint may have become cold or
- * have another software version.
+ * brittle, or have another software version.
  *
  * @example
  * const canSend = createSendCheck(context, routedRequest, chosen);
@@ -38,5 +39,6 @@
     endpoint.record.softwareVersion === softwareVersion &&
     !clusterState.evacuatedZones.has(endpoint.record.zone) &&
     areRulesEqual(findRegionRule(context, head, route, account), regionRule) &&
-    isWithinColdLimit();
+    isWithinColdLimit() &&
+    confirmBrittleSend(context, endpoint, head.requestId);
 };
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -31,6 +31,9 @@
 } from './constants.js';
 import { EventLoopMonitor, readProcessorMs } from './eventLoopMonitor.js';
 import { ConnectionAdmission } from './connectionAdmission.js';
+import { findRejectionLimit } from './brittleness/brittleEndpoints.js';
+import { BrittleServices } from './brittleness/brittleServices.js';
+import { BrittleWaits } from './brittleness/brittleWaits.js';
 import { logColdChanges } from './coldEndpoints.js';
 import { createTableFollower } from './createTableFollower.js';
 import { createGatewayLog } from './gatewayLog.js';
@@ -359,6 +362,8 @@
       maxBytes: settings.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE * HELD_BODY_SHARE,
     }),
     heldCalls: HeldCalls.create(),
+    brittleServices: BrittleServices.create(),
+    brittleWaits: BrittleWaits.create(),
     getShutdown: () => shutdown,
   };
   context.pool.onIdleConnectionLost = (endpointStart) =>
@@ -525,6 +530,10 @@
       ({ statements }) => statements.hold.getEndMs(clock.nowMs()) !== undefined,
     );
     metrics.setGauge('held_endpoints', held.length);
+    const brittle = [...clusterState.endpoints.listAll()].filter(
+      (endpoint) => findRejectionLimit(context, endpoint) !== undefined,
+    );
+    metrics.setGauge('brittle_endpoints', brittle.length);
     metrics.setGauge('cold_endpoints', logColdChanges(context));
     metrics.setGauge('evacuated_zones', clusterState.evacuatedZones.size);
     metrics.setGauge('nodes', clusterState.nodeCount);
