--- a/packages/endpoints/src/endpointAvailability.ts
+++ b/packages/endpoints/src/endpointAvailability.ts
@@ -23,6 +23,8 @@
   | { readonly type: 'rate_limited' }
   /** This node doesn't reach the endpoint over the network. */
   | { readonly type: 'unreachable' };
+  /** The endpoint falls over if it rejects too much, and this node's share of rejections is used up or room is unlikely. */
+  | { readonly type: 'brittle' };
 
 export interface AvailabilityInput {
   /** Whether the endpoint has the software version that the request needs, if it needs one. */
@@ -39,6 +41,8 @@
   readonly isWithinRateLimit: () => boolean;
   readonly isCold: boolean;
   readonly isLoadingWeights: boolean;
+  /** Called only if nothing else forbids a request. */
+  readonly isWithinRejectionShare: () => boolean;
 }
 
 /** An endpoint with its availability. */
@@ -73,6 +77,7 @@
   isWithinRateLimit,
   isCold,
   isLoadingWeights,
+  isWithinRejectionShare,
 }: AvailabilityInput): EndpointAvailability => {
   if (!hasNeededSoftware) return { type: 'other_software' };
   if (!isInAllowedRegion) return { type: 'outside_region' };
@@ -82,6 +87,7 @@
   if (!isReachable) return { type: 'unreachable' };
   if (!hasFreeConnection) return { type: 'no_connection' };
   if (!isWithinRateLimit()) return { type: isCold ? 'cold' : 'rate_limited' };
+  if (!isWithinRejectionShare()) return { type: 'brittle' };
   return isLoadingWeights ? { type: 'loading_weights' } : { type: 'available' };
 };
 
@@ -109,6 +115,7 @@
       case 'held':
       case 'rate_limited':
       case 'unreachable':
+      case 'brittle':
         endpoints.push(endpoint);
         unavailableIds.push(endpoint.record.id);
         break;
@@ -178,6 +185,7 @@
       case 'no_connection':
       case 'rate_limited':
       case 'unreachable':
+      case 'brittle':
         return undefined;
       default:
         return availability satisfies never;
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -3,6 +3,8 @@
 import type { Clock, Random } from '@lovagearch/common';
 import type { ConnectionPool, EventIdHistory } from '@lovagearch/exchange';
 import type { StoreIndex, TransferSlowdownTracker } from '@lovagearch/reuse';
+import type { BrittleServices } from './brittleness/brittleServices.js';
+import type { BrittleWaits } from './brittleness/brittleWaits.js';
 import type { ClusterState } from './clusterState.js';
 import type { EventLoopMonitor } from './eventLoopMonitor.js';
 import type { LinkMonitor } from './links/linkMonitor.js';
@@ -70,6 +72,8 @@
   readonly heldCalls: HeldCalls;
   /** Requests on their way through peers, from this node and from others. */
   readonly relaying: Relaying;
+  readonly brittleServices: BrittleServices;
+  readonly brittleWaits: BrittleWaits;
   /** The planned stop in progress, if there is one. */
   readonly getShutdown: () => Shutdown | undefined;
 }
