Send keep-alives on connections to endpoints, the store and peers

The options of `connect` that should switch on keep-alives and switch off the delay of small writes are ignored by Node.js 20: the sockets had SO_KEEPALIVE 0 and TCP_NODELAY 0 (read with getsockopt). Connections whose other end went silent for good stayed open while idle. Now they have SO_KEEPALIVE 1, first probe after 1 s, interval 1 s, 10 probes, TCP_NODELAY 1 and TCP_USER_TIMEOUT 0: nothing in the repository or in libuv 1.46 sets one.

--- a/packages/bounded-http/src/boundedSocket.ts
+++ b/packages/bounded-http/src/boundedSocket.ts
@@ -33,11 +33,10 @@
  * @example
  * const socket = openBoundedSocket('10.1.2.3', 8080);
  */
-export const openBoundedSocket = (host: string, port: number): Socket =>
-  new BoundedSocket().connect({
-    host,
-    port,
-    noDelay: true,
-    keepAlive: true,
-    keepAliveInitialDelay: TCP_KEEP_ALIVE_DELAY_MS,
-  });
+export const openBoundedSocket = (host: string, port: number): Socket => {
+  const socket = new BoundedSocket();
+  // Node.js ignores these as options of `connect`.
+  socket.setNoDelay(true);
+  socket.setKeepAlive(true, TCP_KEEP_ALIVE_DELAY_MS);
+  return socket.connect({ host, port });
+};
