--- a/packages/cli/src/formatExplanation.test.ts
+++ b/packages/cli/src/formatExplanation.test.ts
@@ -30,6 +30,13 @@
       admission: { type: 'refuse', reason: 'late', retryAfterMs: 291.2 },
       candidates: [
         { ...CANDIDATE, endpoint: 'i-1', isChosen: false, excludedBy: 'leaving' },
+        {
+          ...CANDIDATE,
+          endpoint: 'i-3',
+          isChosen: false,
+          excludedBy: 'unreachable',
+          link: { state: 'lost', cause: 'timeout', ageMs: 1_200.4 },
+        },
         { ...CANDIDATE, endpoint: 'i-2', isChosen: true, forecast: FORECAST, loadAgeMs: 80 },
       ],
     },
@@ -46,5 +53,6 @@
   t2.equal(lines[2], 'service app, weight 1: refused as late, Retry-After 291 ms');
   t2.match(lines[4], /^\* +i-2 +z1 +36 +31 +10 +20 +1 +0 +5 +0 +2 +0 +80 +-$/);
   t2.match(lines[5], /^ +i-1 .*excluded: leaving$/);
-  t2.equal(lines.length, 6);
+  t2.match(lines[6], /^ +i-3 .*excluded: unreachable, link lost \(timeout\) for 1200 ms$/);
+  t2.equal(lines.length, 7);
 });
--- a/packages/cli/src/formatExplanation.ts
+++ b/packages/cli/src/formatExplanation.ts
@@ -18,6 +18,7 @@
   isAffinityOwner: z.boolean(),
   forecast: forecastSchema.optional(),
   excludedBy: z.string().optional(),
+  link: z.object({ state: z.string(), cause: z.string(), ageMs: z.number() }).optional(),
   running: z.number(),
   waiting: z.number(),
   loadAgeMs: z.number().optional(),
@@ -89,7 +90,7 @@
   value === undefined ? '-' : String(Math.round(value));
 
 const formatCandidate = (candidate: Candidate): string => {
-  const { forecast } = candidate;
+  const { forecast, link } = candidate;
   const share = candidate.shareOfLimitPerS;
   const cells = formatCells([
     candidate.isChosen ? '*' : '',
@@ -110,6 +111,9 @@
   ]);
   const notes = [
     ...(candidate.excludedBy === undefined ? [] : [`excluded: ${candidate.excludedBy}`]),
+    ...(link === undefined
+      ? []
+      : [`link ${link.state} (${link.cause}) for ${Math.round(link.ageMs)} ms`]),
     ...(candidate.isAffinityOwner ? ['affinity owner'] : []),
   ];
   return notes.length === 0 ? cells : `${cells}  ${notes.join(', ')}`;
--- a/packages/endpoints/src/endpointAvailability.test.ts
+++ b/packages/endpoints/src/endpointAvailability.test.ts
@@ -59,6 +59,10 @@
   t2.equal(decideAvailability({ ...USABLE, isWithinRateLimit: () => false }).type, 'rate_limited');
   t2.equal(decideAvailability({ ...USABLE, hasFreeConnection: false }).type, 'no_connection');
   t2.equal(decideAvailability({ ...USABLE, isLeaving: true }).type, 'leaving');
+  t2.equal(
+    decideAvailability({ ...USABLE, isReachable: false, hasFreeConnection: false }).type,
+    'unreachable',
+  );
   t2.strictSame(decideAvailability({ ...USABLE, heldUntilMs: 7 }), { type: 'held', untilMs: 7 });
 });
 
@@ -86,6 +90,8 @@
   // Guards against prompts that move to another endpoint during a hold.
   t2.strictSame(selectIds(['held']), { ids: ['i-0'], unavailableIds: ['i-0'] });
   t2.strictSame(selectIds(['no_connection']), { ids: [], unavailableIds: [] });
+  // Guards against prompts that move to another endpoint during a cut.
+  t2.strictSame(selectIds(['unreachable']), { ids: ['i-0'], unavailableIds: ['i-0'] });
   // Guards against a leaving endpoint that keeps its prompts, which then no endpoint has cached when it is gone.
   t2.strictSame(selectIds(['leaving']), { ids: [], unavailableIds: [] });
 });
--- a/packages/exchange/src/exchange.test.ts
+++ b/packages/exchange/src/exchange.test.ts
@@ -250,6 +250,15 @@
   server.close();
 });
 
+const IDLE_REQUEST = { method: 'GET', path: '/', headers: [], body: undefined, isRepeat: false };
+const IDLE_LISTENER = {
+  canSend: () => true,
+  onHeaders: () => undefined,
+  onData: () => undefined,
+  onEnd: () => undefined,
+  onFailure: () => undefined,
+};
+
 t.test('a refused connection is reported as not sent', async (t2) => {
   const { server, port } = await startRawServer(() => undefined);
   server.close();
@@ -362,6 +371,27 @@
   server.close();
 });
 
+// Guards against connection attempts to an endpoint that refuses them, while idle connections carry requests.
+t.test('without new connections, a request is sent on an idle one only', async (t2) => {
+  const { server, port } = await startRawServer((socket) => {
+    socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole');
+  });
+  const pool = ConnectionPool.create();
+  const openings: string[] = [];
+  pool.onOpening = (endpointId, { type }) => openings.push(`${endpointId} ${type}`);
+  t2.equal(pool.hasFreeConnection('i-1', 0), false);
+  t2.equal(pool.send('i-1', `127.0.0.1:${port}`, 0, IDLE_REQUEST, IDLE_LISTENER), undefined);
+  t2.equal(await pool.probe('i-1', `127.0.0.1:${port}`), 'accepted');
+  t2.equal(pool.hasFreeConnection('i-1', 0), true);
+  t2.equal(await sendOnce(pool, port, { maxConnections: 0 }), 'end:whole');
+  t2.strictSame([pool.openedConnections, openings], [1, ['i-1 established']]);
+  pool.closeAll();
+  server.close();
+  await once(server, 'close');
+  t2.equal(await pool.probe('i-1', `127.0.0.1:${port}`), 'refused');
+  t2.equal(openings.at(-1), 'i-1 failed');
+});
+
 // Guards against requests that wait for a connection and are sent after the endpoint said that it takes none.
 t.test(
   'a request is withdrawn if it may no longer be sent once its connection is open',
