--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -218,14 +218,18 @@
   }
 
   /**
-   * Ends the attempt as the endpoint is out of reach, unless a part of the response has arrived. One that may have run
-   * ends only if the request can be sent again.
+   * Ends the attempt as the endpoint is out of reach. One that may have run ends only if the request can be sent again,
+   * and a response that has begun only if its rest can be requested elsewhere.
    *
    * @param isLost whether the endpoint lives, so that a response may come only if the link does
    */
   stopUnreachable(isLost: boolean): void {
     this.stopConnecting();
-    if (this.isFinished || this.head !== undefined) return;
+    if (this.isFinished) return;
+    if (this.head !== undefined) {
+      if (isLost) this.leaveSilentResponse();
+      return;
+    }
     if (
       this.dependencies.mayRunAgain() &&
       (isLost || this.dependencies.findMove().type === 'possible')
@@ -266,6 +270,14 @@
     else if (stallTimeoutMs !== undefined) this.scheduleStallCheck(stallTimeoutMs);
   }
 
+  /** Checks a response that has begun without waiting for the stall timeout. */
+  private leaveSilentResponse(): void {
+    if (!this.hasOutput || this.isPaused || this.input.stallTimeoutMs === undefined) return;
+    clearTimeout(this.stallTimer);
+    const nowMs = this.dependencies.clock.nowMs();
+    this.checkSilence(nowMs, nowMs - this.lastProgressMs);
+  }
+
   private scheduleStallCheck(delayMs: number): void {
     this.stallTimer = setTimeout(() => this.checkStall(), delayMs);
   }
