--- a/packages/endpoints/src/endpointAvailability.ts
+++ b/packages/endpoints/src/endpointAvailability.ts
@@ -22,7 +22,7 @@
   /** The limit of requests per second that the endpoint named allows this node none now. */
   | { readonly type: 'rate_limited' }
   /** This node doesn't reach the endpoint over the network. */
-  | { readonly type: 'unreachable' };
+  | { readonly type: 'unreachable' }
   /** The endpoint falls over if it rejects too much, and this node's share of rejections is used up or room is unlikely. */
   | { readonly type: 'brittle' };
 
--- a/packages/gateway/src/explainPlacement.ts
+++ b/packages/gateway/src/explainPlacement.ts
@@ -151,6 +151,8 @@
   if (state.type === 'reachable') return undefined;
   const { type, cause, sinceMs } = state;
   return { state: type, cause, ageMs: clock.nowMs() - sinceMs };
+};
+
 const explainBrittleness = (context: GatewayContext, endpoint: Endpoint) => {
   const risk = findRejectionRisk(context, endpoint);
   if (risk === undefined) return {};
