Don't take a peer that has just started for a witness of what its predecessor began

A stream of unknown origin could go on at another software version (ORDER) while no node reaches the store: the process that began it had read a new version's registration as the only one and was killed, and its successor answers that it knows no other version.

Cause: each answer of a peer counted as that of a node which would know of its streams, whatever the age of its process.

Evidence: versionKnowledge.test.ts, 'a peer that has just started speaks for no predecessor': not ok without the change.

Change: a peer whose process is younger than streams can be counts only if this node's tables are from after its start.

--- a/packages/gateway/src/versionKnowledge.test.ts
+++ b/packages/gateway/src/versionKnowledge.test.ts
@@ -154,6 +154,24 @@
   t2.equal((await node.listVersions()).isComplete, true);
 });
 
+// Guards against a peer that has started again and knows nothing of the streams which its predecessor began at a version
+// that no other node has read.
+t.test('without the store, a peer that has just started speaks for no predecessor', async (t2) => {
+  const time = SimulatedTime.create();
+  const node = createNode(time);
+  node.register('i-1', 'v1');
+  node.state.isStoreReadable = false;
+  const { answers } = node.state;
+  await time.runUntil(time.nowMs() + START_SPREAD_MS);
+  answers.set('n2', createAnswer({ processAgeMs: START_SPREAD_MS - 1 }));
+  t2.equal((await node.listVersions()).isComplete, false);
+  answers.set('n2', createAnswer({ processAgeMs: START_SPREAD_MS }));
+  t2.equal((await node.listVersions()).isComplete, true);
+  await time.runUntil(time.nowMs() + STREAM_RETENTION_MS);
+  answers.set('n2', createAnswer({ processAgeMs: STREAM_RETENTION_MS }));
+  t2.equal((await node.listVersions()).isComplete, true);
+});
+
 // Guards against endpoints that lapsed in an outage of the store, and are removed by a read before its recovery is noted.
 t.test('the tables are read only while their followers reach the store', async (t2) => {
   const node = createNode(SimulatedTime.create());
--- a/packages/gateway/src/versionKnowledge.ts
+++ b/packages/gateway/src/versionKnowledge.ts
@@ -140,12 +140,23 @@
   > {
     const { askedAtMs, peers, answers } = await this.storeReadOfPeers.run();
     // A single node that reaches the store may have begun streams at a version that no other one knows.
-    const areAllHeard = answers.length >= peers;
+    const areAllHeard =
+      answers.length >= peers &&
+      answers.every((answer) => this.isPredecessorKnown(answer, askedAtMs));
     return areAllHeard || answers.some(({ isStoreRead }) => isStoreRead)
       ? { untilMs: askedAtMs, confirmedBy: 'peers' }
       : { untilMs: Number.NEGATIVE_INFINITY, confirmedBy: 'none' };
   }
 
+  /**
+   * Whether streams of the process that ran before a peer's are known: they are too old to be resumed, or it ended before
+   * the tables were last read, so that it can't have known more versions than they show.
+   */
+  private isPredecessorKnown({ processAgeMs }: StreamStatement, askedAtMs: number): boolean {
+    if (processAgeMs >= STREAM_RETENTION_MS) return true;
+    return this.dependencies.mirrors.every((mirror) => mirror.getAgeMs(askedAtMs) <= processAgeMs);
+  }
+
   /**
    * Returns the first start of a process, if all were started together. A stream that none of them knows was begun by a
    * process before.
