--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -2,7 +2,7 @@
 import type { EventStreamFramer } from '@lovagearch/exchange';
 import { type Account, isRetryable, type Route } from '@lovagearch/traffic';
 import type { CallerResponse } from './callerResponse.js';
-import { Attempt } from './attempt.js';
+import { Attempt, getEndpointStartKey } from './attempt.js';
 import { recordColdAfterCrash } from './coldEndpoints.js';
 import { CALL_STALL_FACTOR, STREAM_STALL_TIMEOUT_MS } from './constants.js';
 import { checkEndpointLife } from './checkEndpointLife.js';
@@ -56,6 +56,7 @@
   const { head, route, service, account, body } = routedRequest;
   const { endpoint, placement, maxConnections } = chosen;
   const { reusePlan, framer, remainingMs, isRepeat, callerResponse } = options;
+  const startKey = getEndpointStartKey(endpoint);
   const isStreaming = route.kind === 'streaming';
   if (isStreaming) context.recordSoftwareSend(service, endpoint.record.softwareVersion);
   const headers = context.headers.encodeEndpointHeaders(head, {
@@ -79,7 +80,7 @@
       nodeCount: context.clusterState.nodeCount,
       findMove: options.findMove,
       mayRunAgain: options.mayRunAgain,
-      onBytes: (nowMs) => context.links.recordBytes(endpoint, nowMs),
+      onBytes: (nowMs) => context.links.recordBytes(startKey, service, nowMs),
       onFirstEventDecision: (decision, ages) => {
         context.metrics.recordFirstEventDecision(service, decision);
         logFirstEventDecision(context, head, endpoint, decision, ages);
--- a/packages/gateway/src/links/linkMonitor.ts
+++ b/packages/gateway/src/links/linkMonitor.ts
@@ -100,10 +100,10 @@
     }
   }
 
-  recordBytes(endpoint: Endpoint, nowMs: number): void {
-    const startKey = getEndpointStartKey(endpoint);
+  /** Records bytes that arrived from an endpoint start. */
+  recordBytes(startKey: string, service: string, nowMs: number): void {
     const wasOutOfReach = this.hasLost && this.links.getState(startKey).type !== 'reachable';
-    this.links.recordBytes(startKey, endpoint.record.service, nowMs);
+    this.links.recordBytes(startKey, service, nowMs);
     if (wasOutOfReach) this.scheduleReview();
   }
 
--- a/packages/reachability/src/constants.ts
+++ b/packages/reachability/src/constants.ts
@@ -1,7 +1,9 @@
 /** Minimum time between the starts of two failed attempts that count separately, in milliseconds; short losses end. */
 export const SEPARATE_ATTEMPTS_MS = 100;
-/** Separate failed attempts after which an endpoint counts as out of reach; links of a zone may lose 5 % of the packets. */
+/** Separate failed attempts after which an endpoint counts as out of reach; one may have lost a packet. */
 export const CONFIRMING_FAILURES = 2;
+/** The same for attempts that time out while open connections carry bytes; links of a zone may lose 8 % of the packets. */
+export const CONFIRMING_TIMEOUTS_OF_LIVE_LINK = 3;
 /**
  * Time for which nearly all endpoints with requests of a service have to be silent for it to be suspicious, in
  * milliseconds. Streams have an event every 300 ms at least, by their callers' bounds.
--- a/packages/reachability/src/linkRecord.ts
+++ b/packages/reachability/src/linkRecord.ts
@@ -1,5 +1,6 @@
 import {
   CONFIRMING_FAILURES,
+  CONFIRMING_TIMEOUTS_OF_LIVE_LINK,
   GROUP_SILENCE_MS,
   HEARD_MARGIN_MS,
   HEARD_MEMORY_MS,
@@ -169,7 +170,12 @@
   private get isConfirmed(): boolean {
     const { failures } = this;
     if (failures === undefined) return false;
-    return failures.count >= CONFIRMING_FAILURES || this.isSilent(failures.lastBeganAtMs);
+    if (this.isSilent(failures.lastBeganAtMs)) return true;
+    // Packets are lost on links that carry others.
+    const isCarryingBytes = failures.cause === 'timeout' && this.bytesAtMs > failures.beganAtMs;
+    return (
+      failures.count >= (isCarryingBytes ? CONFIRMING_TIMEOUTS_OF_LIVE_LINK : CONFIRMING_FAILURES)
+    );
   }
 
   private recordSuccess(atMs: number): void {
