Keep attempts until it is known whether other endpoints are in reach

A request at an endpoint that was found out of reach moved to the next one behind the same cut, and used up its attempts before the node knew that all were.

--- a/packages/gateway/src/links/linkMonitor.test.ts
+++ b/packages/gateway/src/links/linkMonitor.test.ts
@@ -31,9 +31,12 @@
   const port = await listen(server);
   await close(server);
   const endpoints = EndpointTable.create();
-  const registration = createRegistration('i-0', port);
-  endpoints.applyRecord({ ...registration, state: 'ready', weights: new Map() }, 0);
-  const endpoint = endpoints.findEndpoint('i-0')!;
+  const addEndpoint = (id: string) => {
+    const registration = createRegistration(id, port);
+    endpoints.applyRecord({ ...registration, state: 'ready', weights: new Map() }, 0);
+    return endpoints.findEndpoint(id)!;
+  };
+  const endpoint = addEndpoint('i-0');
   const lines: { readonly event: string; readonly fields: LogFields }[] = [];
   const gauges = new Map<string, number>();
   const log = (event: string, fields: LogFields) => lines.push({ event, fields });
@@ -64,7 +67,7 @@
     while (links.getState(endpoint).type !== type) await sleep(5);
   };
   const restart = () => listen(server, port);
-  return { connect, endpoint, gauges, lines, links, restart, stop, waitForState };
+  return { addEndpoint, connect, endpoint, gauges, lines, links, restart, stop, waitForState };
 };
 
 // Guards against callers that wait for an endpoint which a node can't reach, and against one that stays out of use.
@@ -97,6 +100,25 @@
   t2.match(regained?.fields, { service: 'app', endpoints: 1, causes: ['refused: 1'] });
 });
 
+// Guards against requests that use up their attempts at endpoints behind the same cut, before a node knows of it.
+t.test('attempts stay until it is known whether other endpoints are in reach', async (t2) => {
+  const { addEndpoint, connect, endpoint, links, stop, waitForState } = await startMonitor();
+  t2.teardown(stop);
+  const other = addEndpoint('i-1');
+  const stopped: string[] = [];
+  links.watchAttempt(endpoint, {
+    stopConnecting: () => undefined,
+    stopUnreachable: () => stopped.push('stopped'),
+  });
+  await connect();
+  await waitForState('unanswered');
+  links.check(0);
+  t2.strictSame(stopped, []);
+  links.recordBytes(getEndpointStartKey(other), 'app', processClock.nowMs());
+  links.check(0);
+  t2.strictSame(stopped, ['stopped']);
+});
+
 // Guards against a claim of a lost link where an endpoint has ended.
 t.test('an endpoint that refuses and that nobody hears is not called a lost link', async (t2) => {
   const { connect, endpoint, lines, links, stop, waitForState } = await startMonitor();
--- a/packages/gateway/src/links/linkMonitor.ts
+++ b/packages/gateway/src/links/linkMonitor.ts
@@ -3,7 +3,6 @@
 import type { ConnectionPool, OpeningProgress } from '@lovagearch/exchange';
 import {
   EndpointLinks,
-  type LinkChange,
   type LinkState,
   type ObservedEndpoint,
   ProbePlan,
@@ -53,6 +52,9 @@
   /** Attempts in progress by endpoint start. */
   private readonly attempts = new Map<string, Set<WatchedAttempt>>();
 
+  /** States of their links that attempts were told. */
+  private readonly toldStates = new WeakMap<WatchedAttempt, LinkState['type']>();
+
   private isReviewScheduled = false;
 
   private probeTimer: NodeJS.Timeout | undefined;
@@ -214,7 +216,9 @@
     const observed = this.listObserved();
     const { changes, toVerify } = this.links.review(observed, clock.nowMs());
     if (changes.length > 0) logLinkChanges(log, changes, observed, clock.nowMs());
-    for (const change of changes) this.applyChange(change);
+    for (const { endpoint, to } of changes)
+      if (to.type === 'reachable') this.findEndpoint(endpoint.key)?.recordLinkRegained();
+    this.stopAttempts(observed);
     for (const suspicion of toVerify) {
       logLinkSuspicion(log, suspicion);
       this.probe(suspicion.endpoint.key, 'verify');
@@ -222,24 +226,37 @@
     this.probeDue(observed);
   }
 
-  private applyChange({ endpoint: { key }, to }: LinkChange): void {
-    const attempts = [...(this.attempts.get(key) ?? [])];
-    switch (to.type) {
-      case 'reachable':
-        this.findEndpoint(key)?.recordLinkRegained();
-        return;
-      case 'refusing':
+  /** Ends attempts at endpoints that are out of reach, once it is known whether others of the service are as well. */
+  private stopAttempts(observed: readonly ObservedEndpoint[]): void {
+    if (!this.hasLost) return;
+    const reachedServices = this.listReachedServices(observed);
+    for (const { key, service } of observed) {
+      const state = this.links.getState(key);
+      const attempts = [...(this.attempts.get(key) ?? [])];
+      if (state.type === 'reachable' || attempts.length === 0) continue;
+      if (state.type === 'refusing') {
         for (const attempt of attempts) attempt.stopConnecting();
-        return;
-      case 'lost':
-      case 'unanswered':
-        for (const attempt of attempts) attempt.stopUnreachable(to.type === 'lost');
-        return;
-      default:
-        to satisfies never;
+        continue;
+      }
+      // Behind a cut from all endpoints, a request that moves to the next one would only use up its attempts.
+      const isScopeKnown =
+        !reachedServices.has(service) || this.links.hasHeardSince(service, state.sinceMs);
+      if (!isScopeKnown) continue;
+      for (const attempt of attempts) {
+        if (this.toldStates.get(attempt) === state.type) continue;
+        this.toldStates.set(attempt, state.type);
+        attempt.stopUnreachable(state.type === 'lost');
+      }
     }
   }
 
+  private listReachedServices(observed: readonly ObservedEndpoint[]): Set<string> {
+    const services = new Set<string>();
+    for (const { key, service } of observed)
+      if (this.links.getState(key).type === 'reachable') services.add(service);
+    return services;
+  }
+
   private probeDue(observed: readonly ObservedEndpoint[]): void {
     clearTimeout(this.probeTimer);
     const { clock } = this.dependencies;
@@ -255,9 +272,7 @@
   private listTargets(observed: readonly ObservedEndpoint[]): ProbeTarget[] {
     if (!this.hasLost) return [];
     const getType = ({ key }: ObservedEndpoint): LinkState['type'] => this.links.getState(key).type;
-    const reachedServices = new Set<string>();
-    for (const endpoint of observed)
-      if (getType(endpoint) === 'reachable') reachedServices.add(endpoint.service);
+    const reachedServices = this.listReachedServices(observed);
     const targets: ProbeTarget[] = [];
     for (const endpoint of observed) {
       const { key, service } = endpoint;
--- a/packages/reachability/src/endpointLinks.ts
+++ b/packages/reachability/src/endpointLinks.ts
@@ -74,6 +74,18 @@
     return this.records.get(key)?.state ?? REACHABLE;
   }
 
+  /** Whether anything was heard since a clock reading from an endpoint of a service that is in reach. */
+  hasHeardSince(service: string, sinceMs: number): boolean {
+    for (const record of this.records.values())
+      if (
+        record.service === service &&
+        record.state.type === 'reachable' &&
+        record.heardAtMs > sinceMs
+      )
+        return true;
+    return false;
+  }
+
   /** Records that a request is sent; it is outstanding until `recordSettled`. */
   recordSent(key: string, service: string, atMs: number): void {
     this.getRecord(key, service).recordSent(atMs);
