--- a/packages/endpoints/src/brittleness/rejectionShare.ts
+++ b/packages/endpoints/src/brittleness/rejectionShare.ts
@@ -21,7 +21,7 @@
  * Requests for each free slot, per rejection that the endpoint bears in a second, and at most. The number is random, and
  * those for which there is no slot wait or are rejected.
  */
-const SLOT_FACTOR_PER_REJECTION = 0.2;
+const SLOT_FACTOR_PER_REJECTION = 0.1;
 const MAX_SLOT_FACTOR = 2;
 /** Lower bound of the rejections per second that probes share, so that an endpoint that names 0 is still probed. */
 const MIN_REJECTIONS_PER_S = 0.5;
