Give a node that does not know the others no share of rejections

A node that has just started takes itself for the only one, so that it would have used all rejections that an endpoint bears beside the shares of the others.

--- a/packages/endpoints/src/brittleness/brittleness.test.ts
+++ b/packages/endpoints/src/brittleness/brittleness.test.ts
@@ -57,6 +57,12 @@
   }
 });
 
+// Guards against a node that has just started, takes itself for the only one, and uses all rejections.
+t.test('a node that does not know the others yet may cause no rejections', async (t2) => {
+  for (const rejectionsPerS of [1, 10, 200])
+    t2.equal(computeRejectionShare(rejectionsPerS, 'i-1', 'edge-0', undefined).type, 'probe');
+});
+
 const RISK: RejectionRisk = {
   share: { type: 'allowed', rejections: 1 },
   active: 0,
--- a/packages/endpoints/src/brittleness/rejectionShare.ts
+++ b/packages/endpoints/src/brittleness/rejectionShare.ts
@@ -1,4 +1,5 @@
 import { getRendezvousOwners, MS_PER_SECOND } from '@lovagearch/common';
+import { ASSUMED_NODE_COUNT } from '../coldShare.js';
 
 /**
  * How many rejections a node may cause at a brittle endpoint. `allowed`: a number in any second. `probe`: none on
@@ -31,7 +32,7 @@
  * fewer than there are nodes, some of them, the same on all nodes, may cause one each.
  *
  * @param rejectionsPerS rejections that the endpoint bears in a second, of requests of all nodes together
- * @param nodeNames all nodes, including this one
+ * @param nodeNames all nodes, including this one; undefined if this node does not know them yet, which then has no share
  * @example
  * const share = computeRejectionShare(10, 'i-7f3a', 'edge-1', ['edge-1', 'edge-2']);
  * // { type: 'allowed', rejections: 5 }
@@ -40,19 +41,22 @@
   rejectionsPerS: number,
   endpointId: string,
   nodeName: string,
-  nodeNames: readonly string[],
+  nodeNames: readonly string[] | undefined,
 ): RejectionShare => {
-  const nodeCount = Math.max(1, nodeNames.length);
-  if (rejectionsPerS >= nodeCount)
+  const nodeCount = Math.max(1, nodeNames?.length ?? ASSUMED_NODE_COUNT);
+  if (nodeNames !== undefined && rejectionsPerS >= nodeCount)
     return { type: 'allowed', rejections: Math.floor(rejectionsPerS / nodeCount) };
   const sharingCount =
     rejectionsPerS < 1 ? 0 : Math.max(1, Math.floor(rejectionsPerS * SHARING_NODES_SHARE));
-  if (getRendezvousOwners(endpointId, nodeNames, sharingCount).includes(nodeName))
+  if (
+    nodeNames !== undefined &&
+    getRendezvousOwners(endpointId, nodeNames, sharingCount).includes(nodeName)
+  )
     return { type: 'allowed', rejections: 1 };
   const probesPerS = Math.max(MIN_REJECTIONS_PER_S, rejectionsPerS) * PROBE_SHARE;
   return {
     type: 'probe',
-    intervalMs: ((nodeCount - sharingCount) / probesPerS) * MS_PER_SECOND,
+    intervalMs: (Math.max(1, nodeCount - sharingCount) / probesPerS) * MS_PER_SECOND,
     slotFactor: Math.min(MAX_SLOT_FACTOR, rejectionsPerS * SLOT_FACTOR_PER_REJECTION),
   };
 };
--- a/packages/endpoints/src/coldShare.ts
+++ b/packages/endpoints/src/coldShare.ts
@@ -6,7 +6,7 @@
  * Nodes that a node assumes which knows no others since its start. If all nodes of a large deployment (85) restart
  * together, their sum then stays below the rate; on its own, a node sends a hundredth of it.
  */
-const ASSUMED_NODE_COUNT = 100;
+export const ASSUMED_NODE_COUNT = 100;
 
 /**
  * Factor by which probes of a cold endpoint are rarer than those of one that names a limit: its registration says when
--- a/packages/gateway/src/brittleness/brittleEndpoints.ts
+++ b/packages/gateway/src/brittleness/brittleEndpoints.ts
@@ -1,4 +1,5 @@
 import {
+  ASSUMED_NODE_COUNT,
   computeRejectionShare,
   type Endpoint,
   type RejectionBlock,
@@ -18,6 +19,7 @@
 interface KnownShare {
   readonly rejectionsPerS: number;
   readonly peerRevision: number;
+  readonly isMembershipKnown: boolean;
   readonly share: RejectionShare;
 }
 
@@ -25,19 +27,29 @@
 const knownShares = new WeakMap<Endpoint, KnownShare>();
 
 const findShare = (
-  { clusterState, settings }: GatewayContext,
+  { clusterState, settings, isMembershipKnown: isKnown }: GatewayContext,
   endpoint: Endpoint,
   rejectionsPerS: number,
 ): RejectionShare => {
   const { peerRevision } = clusterState;
   const known = knownShares.get(endpoint);
-  if (known?.rejectionsPerS === rejectionsPerS && known.peerRevision === peerRevision)
+  const isMembershipKnown = isKnown();
+  if (
+    known?.rejectionsPerS === rejectionsPerS &&
+    known.peerRevision === peerRevision &&
+    known.isMembershipKnown === isMembershipKnown
+  )
     return known.share;
   // A node serves requests before it finds its own announcement in the shared table.
   const nodeNames = [...new Set([...clusterState.listPeerNames(), settings.nodeName])];
   const { id } = endpoint.record;
-  const share = computeRejectionShare(rejectionsPerS, id, settings.nodeName, nodeNames);
-  knownShares.set(endpoint, { rejectionsPerS, peerRevision, share });
+  const share = computeRejectionShare(
+    rejectionsPerS,
+    id,
+    settings.nodeName,
+    isMembershipKnown ? nodeNames : undefined,
+  );
+  knownShares.set(endpoint, { rejectionsPerS, peerRevision, isMembershipKnown, share });
   return share;
 };
 
@@ -70,7 +82,7 @@
     share: findShare(context, endpoint, rejectionsPerS),
     active: endpoint.active,
     report: findRoomReport(endpoint, nowMs),
-    nodeCount: clusterState.nodeCount,
+    nodeCount: context.isMembershipKnown() ? clusterState.nodeCount : ASSUMED_NODE_COUNT,
     demandPerS: brittleServices.estimateDemandPerS(endpoint.record.service, nowMs),
   };
 };
