Count a request as one that may be rejected while its endpoint is silent

A request now counts until the endpoint has been heard 75 ms after it, and 75 ms more, or for 1.2 s.

--- a/packages/endpoints/src/brittleness/brittleness.test.ts
+++ b/packages/endpoints/src/brittleness/brittleness.test.ts
@@ -66,6 +66,7 @@
 const RISK: RejectionRisk = {
   share: { type: 'allowed', rejections: 1 },
   active: 0,
+  heardAtMs: 0,
   report: undefined,
   nodeCount: 9,
   demandPerS: 10,
@@ -92,12 +93,22 @@
     const budget = RejectionBudget.create();
     budget.recordSent('a', RISK, 0, random);
     budget.recordSent('b', { ...RISK, active: 1 }, 0, random);
-    t2.notOk(budget.confirmSend('a', RISK.share, 1));
-    t2.ok(budget.confirmSend('b', RISK.share, 1));
-    t2.ok(budget.confirmSend('a', RISK.share, 200));
+    t2.notOk(budget.confirmSend('a', RISK, 1));
+    t2.ok(budget.confirmSend('b', RISK, 1));
+    t2.ok(budget.confirmSend('a', { ...RISK, heardAtMs: 2_000 }, 2_000));
   },
 );
 
+// Guards against requests for an endpoint that stands still, which rejects all of them when it goes on.
+t.test('a request may be rejected as long as its endpoint is silent', async (t2) => {
+  const random = () => 0.5;
+  const budget = RejectionBudget.create();
+  budget.recordSent('a', RISK, 0, random);
+  t2.equal(budget.countRisk(10, 900), 1);
+  t2.equal(budget.countRisk(901, 902), 1, 'the rejection may be on its way');
+  t2.equal(budget.countRisk(950, 1_000), 0);
+});
+
 t.test('an endpoint is brittle until a later response does not say so', async (t2) => {
   const brittleness = EndpointBrittleness.create();
   t2.equal(brittleness.findLimit(undefined, 0), undefined);
--- a/packages/endpoints/src/brittleness/rejectionBudget.ts
+++ b/packages/endpoints/src/brittleness/rejectionBudget.ts
@@ -7,10 +7,15 @@
  */
 const REJECTION_WINDOW_MS = 1_200;
 /**
- * Time after which a request counts as accepted unless its endpoint has rejected it, in milliseconds: a round trip
+ * Time in which an endpoint that is heard has rejected a request for which it has no room, in milliseconds: a round trip
  * between regions of 16 ms, and delays of two busy event loops.
  */
-const REJECTION_DELAY_MS = 150;
+const REJECTION_DELAY_MS = 75;
+/**
+ * Time after which a request counts as accepted though its endpoint was not heard since, in milliseconds. A sound endpoint
+ * may be silent for a second, and rejects then what has arrived meanwhile.
+ */
+const MAX_UNCONFIRMED_MS = 1_200;
 /** Part of its requests in progress that a node keeps at an endpoint after a rejection. */
 const KEPT_SHARE = 0.7;
 /** Mean time between two attempts to have one request more in progress at an endpoint, in milliseconds. */
@@ -25,6 +30,8 @@
   readonly share: RejectionShare;
   /** Requests of this node in progress at the endpoint. */
   readonly active: number;
+  /** Clock reading of the last bytes that any node is known to have received from the endpoint. */
+  readonly heardAtMs: number;
   /** What a recent load report shows; undefined without one. */
   readonly report: RoomReport | undefined;
   readonly nodeCount: number;
@@ -47,14 +54,20 @@
   /** This node may not cause a rejection, and room is not evident. */
   | 'no_share';
 
+interface UnconfirmedRequest {
+  readonly sentAtMs: number;
+  /** Clock reading from which the endpoint is known to have handled what arrived with the request. */
+  heardFromMs: number | undefined;
+}
+
 /**
  * Limits the rejections that one node causes at one start of a brittle endpoint, and learns from them how many requests
  * the endpoint has room for: each rejection reduces the node's requests there by a share, and later they grow by one
  * at a time.
  */
 export class RejectionBudget {
-  /** Clock readings at which requests were sent that the endpoint may still reject, by request id. */
-  private readonly unconfirmed = new Map<string, number>();
+  /** Requests that the endpoint may still reject, by id. */
+  private readonly unconfirmed = new Map<string, UnconfirmedRequest>();
 
   private rejectedAtMs: number[] = [];
 
@@ -88,8 +101,8 @@
   }
 
   /** Counts the rejections of the last second, and those that requests on their way may still lead to. */
-  countRisk(nowMs: number): number {
-    this.forgetPast(nowMs);
+  countRisk(heardAtMs: number, nowMs: number): number {
+    this.forgetPast(heardAtMs, nowMs);
     return this.unconfirmed.size + this.rejectedAtMs.length;
   }
 
@@ -100,8 +113,8 @@
    * if (budget.findBlock(risk, clock.nowMs(), random) === undefined) send(endpoint);
    */
   findBlock(risk: RejectionRisk, nowMs: number, random: Random): RejectionBlock | undefined {
-    const { share, active } = risk;
-    const riskCount = this.countRisk(nowMs);
+    const { share, active, heardAtMs } = risk;
+    const riskCount = this.countRisk(heardAtMs, nowMs);
     switch (share.type) {
       case 'allowed':
         if (riskCount >= share.rejections) return 'share_used';
@@ -128,7 +141,7 @@
     nowMs: number,
     random: Random,
   ): void {
-    this.unconfirmed.set(requestId, nowMs);
+    this.unconfirmed.set(requestId, { sentAtMs: nowMs, heardFromMs: undefined });
     if (share.type === 'probe') {
       if (this.mayUseSlot) this.mayUseSlot = false;
       else this.delayProbe(share.intervalMs, nowMs, random);
@@ -142,11 +155,11 @@
    * Whether a request that was recorded may still leave: it may have waited for a connection, or have been placed at the
    * same time as others. Its time begins anew.
    */
-  confirmSend(requestId: string, share: RejectionShare, nowMs: number): boolean {
+  confirmSend(requestId: string, { share, heardAtMs }: RejectionRisk, nowMs: number): boolean {
     this.unconfirmed.delete(requestId);
     const allowed = share.type === 'allowed' ? share.rejections : 1;
-    if (this.countRisk(nowMs) >= allowed) return false;
-    this.unconfirmed.set(requestId, nowMs);
+    if (this.countRisk(heardAtMs, nowMs) >= allowed) return false;
+    this.unconfirmed.set(requestId, { sentAtMs: nowMs, heardFromMs: undefined });
     return true;
   }
 
@@ -201,9 +214,13 @@
     this.nextGrowthAtMs = nowMs + GROWTH_INTERVAL_MS * (0.5 + random());
   }
 
-  private forgetPast(nowMs: number): void {
-    for (const [requestId, sentAtMs] of this.unconfirmed) {
-      if (nowMs - sentAtMs >= REJECTION_DELAY_MS) this.unconfirmed.delete(requestId);
+  private forgetPast(heardAtMs: number, nowMs: number): void {
+    for (const [requestId, request] of this.unconfirmed) {
+      if (heardAtMs >= request.sentAtMs + REJECTION_DELAY_MS) request.heardFromMs ??= nowMs;
+      // The rejection may be behind the bytes of other responses.
+      const isHeard = nowMs - (request.heardFromMs ?? nowMs) >= REJECTION_DELAY_MS;
+      if (isHeard || nowMs - request.sentAtMs >= MAX_UNCONFIRMED_MS)
+        this.unconfirmed.delete(requestId);
     }
     while (nowMs - (this.rejectedAtMs[0] ?? nowMs) >= REJECTION_WINDOW_MS)
       this.rejectedAtMs.shift();
--- a/packages/endpoints/src/brittleness/testBrittleService.ts
+++ b/packages/endpoints/src/brittleness/testBrittleService.ts
@@ -214,6 +214,7 @@
     return {
       share: view.getShare(limit, node.name, this.names),
       active: view.active,
+      heardAtMs: Math.max(view.heardAtMs, report?.atMs ?? 0),
       report:
         isRecent && report.load < SLOTS
           ? { freeSlots: SLOTS - report.load, reportedAtMs: report.atMs }
--- a/packages/endpoints/src/brittleness/testEndpointView.ts
+++ b/packages/endpoints/src/brittleness/testEndpointView.ts
@@ -17,6 +17,8 @@
 
   suspendedUntilMs = 0;
 
+  heardAtMs = 0;
+
   private share: RejectionShare | undefined;
 
   constructor(readonly endpointId: string) {}
@@ -29,6 +31,7 @@
   /** @param rejectionsPerS what the response names, if anything */
   recordResponse(sentAtMs: number, rejectionsPerS: number | undefined, nowMs: number): void {
     this.active -= 1;
+    this.heardAtMs = nowMs;
     if (rejectionsPerS === undefined) return;
     this.brittleness.applyStatement({ type: 'named', rejectionsPerS }, sentAtMs, nowMs);
   }
--- a/packages/gateway/src/brittleness/brittleEndpoints.ts
+++ b/packages/gateway/src/brittleness/brittleEndpoints.ts
@@ -81,6 +81,7 @@
   return {
     share: findShare(context, endpoint, rejectionsPerS),
     active: endpoint.active,
+    heardAtMs: Math.max(endpoint.lastBytesAtMs, endpoint.lastPeerResponseAtMs),
     report: findRoomReport(endpoint, nowMs),
     nodeCount: context.isMembershipKnown() ? clusterState.nodeCount : ASSUMED_NODE_COUNT,
     demandPerS: brittleServices.estimateDemandPerS(endpoint.record.service, nowMs),
@@ -121,7 +122,7 @@
   const risk = findRejectionRisk(context, endpoint);
   if (risk === undefined) return true;
   const { rejections } = endpoint.statements;
-  return rejections.confirmSend(requestId, risk.share, context.clock.nowMs());
+  return rejections.confirmSend(requestId, risk, context.clock.nowMs());
 };
 
 /**
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -113,7 +113,7 @@
   { clock, log, brittleServices }: GatewayContext,
   endpoint: Endpoint,
   requestId: string,
-  { share, active, nodeCount }: RejectionRisk,
+  { share, active, nodeCount, heardAtMs }: RejectionRisk,
 ): void => {
   const { record, statements } = endpoint;
   const nowMs = clock.nowMs();
@@ -124,7 +124,7 @@
     service: record.service,
     request: requestId,
     room: statements.rejections.knownRoom,
-    rejections: statements.rejections.countRisk(nowMs),
+    rejections: statements.rejections.countRisk(heardAtMs, nowMs),
     allowed: share.type === 'allowed' ? share.rejections : 0,
     active,
     nodes: nodeCount,
