--- a/packages/gateway/src/brittleness/brittleWaits.ts
+++ b/packages/gateway/src/brittleness/brittleWaits.ts
@@ -5,7 +5,7 @@
 
 /**
  * Longest time for which a request waits at this node until a brittle endpoint may take it, in milliseconds. A request
- * on its way to an endpoint keeps others from it for 150 ms.
+ * on its way to an endpoint that is heard keeps others from it for 150 ms.
  */
 export const MAX_BRITTLE_WAIT_MS = 250;
 /** Requests of a service that wait; those beyond it are refused at once. */
