Break off responses to peers at the end of a shutdown

A process with a relayed response that outlasts the grace period stayed until SIGKILL: the listener for peers waits for its responses as it closes. Such responses are broken off at the end of the shutdown, like those of callers.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -26,6 +26,9 @@
 
   private readonly idleSockets = new Set<Socket>();
 
+  /** Responses in progress to requests that peers passed on. */
+  private readonly relayedResponses = new Set<ServerResponse>();
+
   private maxBodyBytes = 0;
 
   private constructor(
@@ -77,8 +80,10 @@
     const { relaying } = context;
     const acceptance = acceptRelay(context, incoming);
     relaying.acceptedRequests += 1;
+    this.relayedResponses.add(response);
     response.once('close', () => {
       relaying.acceptedRequests -= 1;
+      this.relayedResponses.delete(response);
     });
     this.serve(CallerRequestHandler.create(context, incoming, response, acceptance), response);
   }
@@ -123,6 +128,11 @@
     for (const socket of this.idleSockets) socket.destroySoon();
   }
 
+  /** Breaks off the responses to peers that are not complete, as the listener for peers waits for them. */
+  abortRelayed(): void {
+    for (const response of this.relayedResponses) response.destroy();
+  }
+
   /** Stops accepting connections. */
   stopListening(): void {
     this.server.close();
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -644,6 +644,7 @@
     clearInterval(housekeepingTimer);
     clearInterval(publishTimer);
     links.stop();
+    server.abortRelayed();
     await listeners.value.close();
     admission.stop();
     log.flush();
