--- a/packages/gateway/src/relay/relayLog.ts
+++ b/packages/gateway/src/relay/relayLog.ts
@@ -21,7 +21,7 @@
       return outcome.reason;
     case 'replied':
       return outcome.reply.result;
-    case 'unsupported':
+    case 'unmarked':
       return `status ${outcome.status}`;
     case 'served':
     case 'stopped':
--- a/packages/gateway/src/relay/relaySend.ts
+++ b/packages/gateway/src/relay/relaySend.ts
@@ -1,10 +1,11 @@
 import { BodyBuffer, type MemoryBudget } from '@lovagearch/bounded-http';
+import type { Clock } from '@lovagearch/common';
 import type { ConnectionPool, EndpointRequest, Exchange, ResponseEnd } from '@lovagearch/exchange';
 import type { RelayPeer } from '@lovagearch/relaying';
 import type { CallerResponse } from '../callerResponse.js';
 import { MAX_BUFFERED_RESPONSE_BYTES, MAX_REJECTION_BODY_BYTES } from '../constants.js';
 import type { ResponseHead } from '../types.js';
-import { MAX_RELAY_CONNECTIONS_PER_PEER } from './constants.js';
+import { MAX_RELAY_CONNECT_MS, MAX_RELAY_CONNECTIONS_PER_PEER } from './constants.js';
 import { decodeCallerHeaders, ENDPOINT_RESULT, RELAY_RESULT_HEADER } from './relayHeaders.js';
 
 /** A complete response that a peer created itself. */
@@ -30,8 +31,11 @@
   /** The response of an endpoint was passed on to the caller. */
   | { readonly type: 'served'; readonly status: number }
   | { readonly type: 'stopped' }
-  /** The peer doesn't know relayed requests, and has not passed the request on. */
-  | { readonly type: 'unsupported'; readonly status: number };
+  /**
+   * The response doesn't say what became of the request: the peer runs an earlier release, or refused the request before it
+   * was read. Nothing was passed on.
+   */
+  | { readonly type: 'unmarked'; readonly status: number };
 
 export interface RelaySendInput {
   readonly peer: RelayPeer;
@@ -44,6 +48,7 @@
 
 export interface RelaySendDependencies {
   readonly pool: ConnectionPool;
+  readonly clock: Clock;
   /** Memory for the responses of all requests. */
   readonly memory: MemoryBudget;
 }
@@ -106,13 +111,16 @@
 
   private start(): void {
     const { peer, request } = this.input;
+    const { clock } = this.dependencies;
+    const startMs = clock.nowMs();
     this.exchange = this.dependencies.pool.send(
       `${peer.name}@${peer.address}`,
       peer.address,
       MAX_RELAY_CONNECTIONS_PER_PEER,
       request,
       {
-        canSend: () => !this.isFinished,
+        // The time limit in the headers is that of the start.
+        canSend: () => !this.isFinished && clock.nowMs() - startMs <= MAX_RELAY_CONNECT_MS,
         onHeaders: (status, headers) => this.handleHeaders(status, headers),
         onData: (chunk) => this.handleData(chunk),
         onEnd: (end) => this.handleEnd(end),
@@ -132,7 +140,7 @@
   ): void {
     const result = headers[RELAY_RESULT_HEADER];
     if (typeof result !== 'string') {
-      this.finish({ type: 'unsupported', status });
+      this.finish({ type: 'unmarked', status });
       return;
     }
     this.status = status;
--- a/packages/gateway/src/relay/relayedRequests.test.ts
+++ b/packages/gateway/src/relay/relayedRequests.test.ts
@@ -132,7 +132,7 @@
     seen.push(...Object.keys(incoming.headers));
     handle(incoming, response);
   };
-  const forged = { [RELAY_HEADER]: '{"node":"x","limitMs":1,"runs":9,"sends":9}' };
+  const forged = { [RELAY_HEADER]: '{"node":"x","limitMs":1,"runs":9,"sends":9,"isCounted":true}' };
   for (const gateway of [lost, peer])
     t2.equal((await send(gateway, '/read/x', 'r1', undefined, undefined, forged)).status, HTTP_OK);
   t2.notOk(seen.includes(RELAY_HEADER));
@@ -224,39 +224,41 @@
   }
 });
 
-// Guards against a rolling update, in which peers of the earlier release answer relayed requests like unknown paths.
-t.test('peers of an earlier release are passed over', async (t2) => {
-  const endpoint = new FakeEndpoint();
-  const endpointPort = await endpoint.start();
-  t2.teardown(() => endpoint.stop());
-  const older = new FakeEndpoint();
-  older.handle = (_incoming, response) => response.writeHead(HTTP_NOT_FOUND).end('{}');
-  const olderPort = await older.start();
-  t2.teardown(() => older.stop());
-  const shared = new FakeSharedTable();
-  const ports = [await findFreePort(), await findFreePort(), await findFreePort()] as const;
-  announce(shared, 'n1', ports[0]);
-  announce(shared, 'n2', ports[1]);
-  announce(shared, 'n0', olderPort, HOST);
-  const peer = await startNode(t2, 'n2', {
-    peerPort: ports[1],
-    endpointAddress: `${HOST}:${endpointPort}`,
-    shared,
-  });
-  const lost = await startNode(t2, 'n1', {
-    peerPort: ports[0],
-    endpointAddress: `${OWN_HOST}:${ports[2]}`,
-    shared,
+for (const { title, status } of [
+  { title: 'peers of an earlier release', status: HTTP_NOT_FOUND },
+  { title: 'peers that refuse a request before they read it', status: HTTP_UNAVAILABLE },
+]) {
+  // Guards against responses without a result that are taken for the answer to a request, or stop the other peers.
+  t.test(`${title} are passed over`, async (t2) => {
+    const endpoint = new FakeEndpoint();
+    const endpointPort = await endpoint.start();
+    t2.teardown(() => endpoint.stop());
+    const other = new FakeEndpoint();
+    other.handle = (_incoming, response) => response.writeHead(status).end('{}');
+    const otherPort = await other.start();
+    t2.teardown(() => other.stop());
+    const shared = new FakeSharedTable();
+    const ports = [await findFreePort(), await findFreePort(), await findFreePort()] as const;
+    announce(shared, 'n1', ports[0]);
+    announce(shared, 'n2', ports[1]);
+    announce(shared, 'n0', otherPort, HOST);
+    const peer = await startNode(t2, 'n2', {
+      peerPort: ports[1],
+      endpointAddress: `${HOST}:${endpointPort}`,
+      shared,
+    });
+    const lost = await startNode(t2, 'n1', {
+      peerPort: ports[0],
+      endpointAddress: `${OWN_HOST}:${ports[2]}`,
+      shared,
+    });
+    await waitUntilReady(peer);
+    await waitUntilReady(lost);
+    for (let index = 0; index < 10; index += 1)
+      t2.equal((await send(lost, '/claim/x', `c${index}`, 'claim')).status, HTTP_OK);
+    t2.ok(other.received.length <= 1, `${other.received.length} requests reached the other peer`);
   });
-  await waitUntilReady(peer);
-  await waitUntilReady(lost);
-  for (let index = 0; index < 10; index += 1)
-    t2.equal((await send(lost, '/claim/x', `c${index}`, 'claim')).status, HTTP_OK);
-  t2.ok(
-    older.received.length <= 1,
-    `${older.received.length} requests reached the earlier release`,
-  );
-});
+}
 
 // Guards against a peer that ends in the middle of a response, or before it, and a caller who takes that for a whole one.
 t.test('a peer that resets its connections leaves no whole response behind', async (t2) => {
