Count the sends of a request over both nodes, and pass it on only if a peer may reach more

The node that passes a request on now tells how many endpoints received it and whether it counts in a budget, and takes a retry for it. Endpoints that nobody reaches count only if they are all of the service.

--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -1,4 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { getHttpStatus } from '@lovagearch/common';
+import { MAX_SENDS_PER_REQUEST } from '@lovagearch/exchange';
 import { isRetryable, type Route } from '@lovagearch/traffic';
 import { createRepeatRefusal, decideOverload, recordAdmitted } from './createOverloadRefusal.js';
 import { CallerResponse } from './callerResponse.js';
@@ -19,7 +21,7 @@
 import { createQuarantineRefusal, isQuarantined } from './quarantine.js';
 import { RELAY_RESULT_HEADER } from './relay/relayHeaders.js';
 import type { RelayAcceptance } from './relay/acceptedRelay.js';
-import { isServiceUnreachable, isUnreachable } from './relay/findUnreachable.js';
+import { isKeptByLostLinks, isServiceUnreachable } from './relay/findUnreachable.js';
 import { type RelayConclusion, RequestRelay } from './relay/requestRelay.js';
 import { RequestAttempts } from './requestAttempts.js';
 import { readBody } from './requestBody.js';
@@ -28,6 +30,12 @@
 import type { RequestHead } from './types.js';
 import { waitForQueuedClose } from './waitForQueuedClose.js';
 
+/** Statuses with which a peer says that a request may have run. */
+const PEER_FAILURE_STATUSES: ReadonlySet<number> = new Set([
+  getHttpStatus('endpoint_failed'),
+  getHttpStatus('deadline_exceeded'),
+]);
+
 /** Why a request was stopped before its response was complete. */
 type StopReason = 'caller_left' | 'time_limit';
 
@@ -198,14 +206,14 @@
       this.reply(head, route, continuation.refusal);
       return;
     }
-    // A request that a peer has sent already counts in the budget of that peer.
-    if (this.relayedDetails === undefined || this.relayedDetails.sends === 0)
+    if (this.relayedDetails?.isCounted !== true)
       context.getRetryBudget(service).recordRequest(context.clock.nowMs());
     const attempts = RequestAttempts.create(context, {
       routedRequest,
       callerResponse: this.callerResponse,
       softwareVersion: continuation.softwareVersion,
       earlierRuns: this.relayedDetails?.runs ?? 0,
+      earlierSends: this.relayedDetails?.sends ?? 0,
       timeLimitMs: this.timeLimitMs,
       getElapsedMs: () => this.getElapsedMs(),
       onFirstByte: () => this.recordFirstByte(route),
@@ -224,7 +232,7 @@
     }
     while (this.stopReason === undefined) {
       const remainingMs = this.timeLimitMs - this.getElapsedMs();
-      if (chosen === undefined && isUnreachable(attempts.lastPlacement)) {
+      if (chosen === undefined && isKeptByLostLinks(context, service, attempts.lastPlacement)) {
         await this.endUnreachable(routedRequest);
         return;
       }
@@ -282,12 +290,15 @@
     const { context, attempts } = this;
     const { route, service } = routedRequest;
     const runs = this.possibleRunCount;
-    const isRepeat = runs > 0;
+    const sends = attempts?.receivedCount ?? 0;
+    const isRepeat = sends > 0;
     const budget = context.getRetryBudget(service);
     const { nodeCount } = context.clusterState;
     const nowMs = context.clock.nowMs();
     const mayRepeat =
-      isRetryable(route) && runs < route.maxAttempts && budget.hasRetry(nodeCount, nowMs);
+      sends < Math.max(MAX_SENDS_PER_REQUEST, route.maxAttempts) &&
+      (runs === 0 || (isRetryable(route) && runs < route.maxAttempts)) &&
+      budget.hasRetry(nodeCount, nowMs);
     // One hop at most: the peer that passed the request on asks others itself.
     const mayRelay = this.acceptance === undefined && !this.callerResponse.hasStarted;
     if (!mayRelay || (isRepeat && !mayRepeat)) {
@@ -300,7 +311,8 @@
       rawHeaders: this.incoming.rawHeaders,
       callerResponse: this.callerResponse,
       runs,
-      sends: attempts?.sendCount ?? 0,
+      sends,
+      isCounted: attempts !== undefined,
       getRemainingMs: () => this.timeLimitMs - this.getElapsedMs(),
       onFirstByte: () => this.recordFirstByte(route),
     });
@@ -315,6 +327,11 @@
         return;
       case 'replied': {
         const { status, headers, body, result } = conclusion.reply;
+        // What the peer didn't run may have run before.
+        if (this.possibleRunCount > 0 && !PEER_FAILURE_STATUSES.has(status)) {
+          this.replyWithRefusalOrFailure(routedRequest, result);
+          return;
+        }
         this.callerResponse.sendLocalReply(status, headers, body, result);
         this.logCompletion(head, route, result, status, 'reply of the peer');
         return;
@@ -341,7 +358,9 @@
   private refuseUnreachable(routedRequest: RoutedRequest, retryInMs: number | undefined): void {
     const { head, route } = routedRequest;
     const reason = 'no endpoint of the service can be reached';
-    if (this.possibleRunCount > 0 || this.callerResponse.hasStarted) {
+    // Another peer may take a request that this node has not sent, whatever happened to it before.
+    const earlierRuns = this.relayedDetails?.runs ?? 0;
+    if (this.possibleRunCount > earlierRuns || this.callerResponse.hasStarted) {
       this.replyWithRefusalOrFailure(routedRequest, reason);
       return;
     }
@@ -413,7 +432,8 @@
           findRoom: () => {
             const next = attempts.chooseEndpoint();
             // A peer may have room while this node can't reach any endpoint.
-            if (isUnreachable(attempts.lastPlacement)) queueMicrotask(() => this.cancelHold?.());
+            if (isKeptByLostLinks(context, routedRequest.service, attempts.lastPlacement))
+              queueMicrotask(() => this.cancelHold?.());
             return next !== undefined && decide(next, true).type === 'admit' ? next : undefined;
           },
         });
@@ -428,7 +448,7 @@
           recordAdmitted(context, routedRequest, released, true);
           return released;
         }
-        if (isServiceUnreachable(context, routedRequest.service)) {
+        if (isKeptByLostLinks(context, routedRequest.service, attempts.lastPlacement)) {
           await this.endUnreachable(routedRequest);
           return undefined;
         }
--- a/packages/gateway/src/explainPlacement.ts
+++ b/packages/gateway/src/explainPlacement.ts
@@ -15,7 +15,7 @@
 import { findRateShare } from './endpointRates.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { placeRequest } from './placeRequest.js';
-import { isUnreachable } from './relay/findUnreachable.js';
+import { isKeptByLostLinks } from './relay/findUnreachable.js';
 import { listRelayPeers } from './relay/relaying.js';
 import { getTimeLimitMs } from './routeRequest.js';
 import { listSharedPartIds } from './sharedParts.js';
@@ -245,7 +245,7 @@
             { elapsedMs: 0, timeLimitMs },
             false,
           ),
-    relay: isUnreachable(result) ? explainRelay(context, service) : undefined,
+    relay: isKeptByLostLinks(context, service, result) ? explainRelay(context, service) : undefined,
     candidates: observed.candidates.map((candidate) =>
       explainCandidate(context, observed, candidate, chosen),
     ),
--- a/packages/gateway/src/relay/relayHeaders.ts
+++ b/packages/gateway/src/relay/relayHeaders.ts
@@ -17,8 +17,10 @@
   limitMs: z.number().positive(),
   /** Number of times that the request may have run. */
   runs: z.number().int().nonnegative(),
-  /** Number of times that it was sent to an endpoint. */
+  /** Number of endpoints that received it. */
   sends: z.number().int().nonnegative(),
+  /** Whether it counts in the retry budget of that node. */
+  isCounted: z.boolean(),
   /** Names in the caller's `Connection` headers; these headers are not for endpoints. */
   connectionHeaders: z.array(z.string()).optional(),
 });
--- a/packages/gateway/src/relay/requestRelay.ts
+++ b/packages/gateway/src/relay/requestRelay.ts
@@ -8,6 +8,9 @@
 import { logRelayed, logNotRelayed, type RelayReason } from './relayLog.js';
 import { type PeerReply, type RelayOutcome, RelaySend } from './relaySend.js';
 
+/** Status with which a node of an earlier release answers a path that it doesn't serve. */
+const NOT_FOUND_STATUS = 404;
+
 /** What became of a request that was to go through a peer. */
 export type RelayConclusion =
   /** A response was cut off, or there is none and the request may have run. */
@@ -24,9 +27,11 @@
   /** Headers as the caller sent them, as alternating names and values. */
   readonly rawHeaders: readonly string[];
   readonly callerResponse: CallerResponse;
-  /** Number of times that the request may have run, and that it was sent to an endpoint. */
+  /** Number of times that the request may have run, and of endpoints that received it. */
   readonly runs: number;
   readonly sends: number;
+  /** Whether it counts in the retry budget of this node. */
+  readonly isCounted: boolean;
   readonly getRemainingMs: () => number;
   readonly onFirstByte: () => void;
 }
@@ -66,6 +71,8 @@
 
   private isStopped = false;
 
+  private hasBrokenOff = false;
+
   /** Names of the peers that the request was offered to. */
   private readonly offeredTo = new Set<string>();
 
@@ -80,7 +87,7 @@
 
   /** Whether a peer may have received a part of the request and run it. */
   get mayHaveRun(): boolean {
-    return this.send?.wasSent ?? false;
+    return this.hasBrokenOff || (this.send?.wasSent ?? false);
   }
 
   get peers(): readonly string[] {
@@ -121,7 +128,6 @@
       });
       const conclusion = this.conclude(outcome, result);
       if (conclusion !== undefined) return conclusion;
-      this.send = undefined;
     }
     return { type: 'stopped' };
   }
@@ -137,7 +143,7 @@
 
   private async offer(peer: RelayPeer): Promise<RelayOutcome> {
     const { context } = this;
-    const { routedRequest, rawHeaders, callerResponse, runs, sends } = this.input;
+    const { routedRequest, rawHeaders, callerResponse, runs, sends, isCounted } = this.input;
     const { head, body } = routedRequest;
     const limitMs = Math.max(1, Math.floor(this.input.getRemainingMs()));
     const headers = encodeRelayedHeaders(rawHeaders, {
@@ -145,10 +151,12 @@
       limitMs,
       runs,
       sends,
+      isCounted,
     });
     this.send = RelaySend.create(
       {
         pool: context.relaying.pool,
+        clock: context.clock,
         memory: context.responseLimits.memory,
       },
       {
@@ -161,6 +169,9 @@
     );
     context.relaying.peers.recordStarted(peer.name);
     const outcome = await this.send.run();
+    const wasStopped = outcome.type === 'stopped' && this.send.wasSent;
+    this.hasBrokenOff ||= wasStopped || outcome.type === 'broken';
+    this.send = undefined;
     context.relaying.peers.recordEnded(peer.name);
     return outcome;
   }
@@ -185,8 +196,8 @@
         return outcome.hasResponse ? 'carried' : 'unavailable';
       case 'not_sent':
         return 'unavailable';
-      case 'unsupported':
-        return 'unsupported';
+      case 'unmarked':
+        return outcome.status === NOT_FOUND_STATUS ? 'unsupported' : 'full';
       case 'stopped':
         return undefined;
       default:
@@ -207,7 +218,7 @@
       case 'replied':
         return result === 'carried' ? outcome : undefined;
       case 'not_sent':
-      case 'unsupported':
+      case 'unmarked':
         return undefined;
       default:
         return outcome satisfies never;
--- a/packages/gateway/src/requestAttempts.ts
+++ b/packages/gateway/src/requestAttempts.ts
@@ -23,7 +23,7 @@
 import { type ChosenEndpoint, type PlacementResult, placeRequest } from './placeRequest.js';
 import { logAttemptFailed, logPlacement } from './requestLog.js';
 import { createCacheSalt, planReuse } from './reusePlan.js';
-import { isUnreachable } from './relay/findUnreachable.js';
+import { isKeptByLostLinks } from './relay/findUnreachable.js';
 import { type Send, SendRace } from './sendRace.js';
 import { listSharedPartIds } from './sharedParts.js';
 
@@ -50,6 +50,8 @@
   readonly softwareVersion: string | undefined;
   /** Number of times that the request may have run before it reached this node through a peer. */
   readonly earlierRuns: number;
+  /** Number of endpoints that received it before. */
+  readonly earlierSends: number;
   /** Time from the arrival of the request to the end of its time limit, in milliseconds. */
   readonly timeLimitMs: number;
   /** Returns the time since the arrival of the request, in milliseconds. */
@@ -78,6 +80,9 @@
   /** Number of attempts that may have run the request, at this node or before. */
   possibleRunCount: number;
 
+  /** Number of attempts in which an endpoint received a part of the request. */
+  receivedCount = 0;
+
   lastPlacement: PlacementResult | undefined;
 
   /** Number of attempts that were withdrawn before their first event. */
@@ -179,7 +184,7 @@
       getRemainingMs: () => timeLimitMs - getElapsedMs(),
       hasResponseStarted: () => callerResponse.hasStarted,
       isStopped: () => this.isStopped,
-      getSendCount: () => this.sendCount + this.input.earlierRuns,
+      getSendCount: () => this.sendCount + this.input.earlierSends,
       findAlternative: () => {
         const result = this.placeRequest();
         return result.type === 'placed' ? result.chosen : undefined;
@@ -300,6 +305,7 @@
       if (outcome.wasSent) this.possibleRunCount += 1;
       return;
     }
+    if (outcome.type !== 'not_run' || outcome.wasReceived) this.receivedCount += 1;
     if (outcome.type !== 'not_run') {
       this.possibleRunCount += 1;
       return;
@@ -363,7 +369,8 @@
 
   /** @param mayGoOn whether the request may be sent again after the last outcome */
   private createEnd(reason: string, mayGoOn: boolean): AttemptConclusion {
-    const hasLostLinks = mayGoOn && isUnreachable(this.lastPlacement);
+    const { service } = this.input.routedRequest;
+    const hasLostLinks = mayGoOn && isKeptByLostLinks(this.context, service, this.lastPlacement);
     return { type: 'ended', reason, hasLostLinks };
   }
 
@@ -379,7 +386,7 @@
       result,
       isRetryable: isRetryable(route),
       possibleRuns,
-      sends: this.sendCount,
+      sends: this.sendCount + this.input.earlierSends,
       maxPossibleRuns: route.maxAttempts,
       remainingMs: timeLimitMs - getElapsedMs(),
       expectedMs: next?.placement.expectedMs ?? 0,
