Confirm a timed out connection beside a long call by a second one

Found by review: if a call had waited for 450 ms, a single overdue connection, as one lost packet makes it, showed a lost link where peers heard the endpoint, and requests in progress there were ended. A single timeout now needs a silence of more than a second, or a second attempt. The test fails without the change (one change to `lost` after the first attempt).

--- a/packages/reachability/src/endpointLinks.test.ts
+++ b/packages/reachability/src/endpointLinks.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap';
+import { EndpointLinks } from './endpointLinks.js';
 import { type LinkMode, simulateDay, type SimulatedDay, type StateChange } from './testNetwork.js';
 import type { ConnectFailureCause, ObservedEndpoint } from './types.js';
 
@@ -202,3 +203,16 @@
     }
   }
 });
+
+// Guards against a link that is given up for the loss of one packet, while a long call waits for its response.
+t.test('one attempt that times out beside a long call is no lost link', async (t2) => {
+  const [endpoint] = createEndpoints();
+  const { key, service } = endpoint!;
+  const links = EndpointLinks.create();
+  links.recordSent(key, service, 0);
+  links.recordConnectFailed(key, service, 'timeout', 600);
+  const observed = { ...endpoint!, heardElsewhereAtMs: 850 };
+  t2.strictSame(links.review([observed], 900).changes, []);
+  links.recordConnectFailed(key, service, 'timeout', 1_000);
+  t2.match(links.review([observed], 1_300).changes, [{ to: { type: 'lost' } }]);
+});
--- a/packages/reachability/src/linkRecord.ts
+++ b/packages/reachability/src/linkRecord.ts
@@ -170,7 +170,10 @@
   private get isConfirmed(): boolean {
     const { failures } = this;
     if (failures === undefined) return false;
-    if (this.isSilent(failures.lastBeganAtMs)) return true;
+    // A single attempt times out if its first packet is lost, while a long call waits for its response.
+    const isSingleTimeout = failures.cause === 'timeout' && failures.count === 1;
+    const silenceMs = isSingleTimeout ? LONE_SILENCE_MS : GROUP_SILENCE_MS;
+    if (this.isSilent(failures.lastBeganAtMs, silenceMs)) return true;
     // Packets are lost on links that carry others.
     const isCarryingBytes = failures.cause === 'timeout' && this.bytesAtMs > failures.beganAtMs;
     return (
