End a request at an unreachable endpoint only if it may be sent again

Found by review: a request in progress at an endpoint that got out of reach was ended even if the retry budget allowed no further send, so that it failed instead of waiting for its response.

--- a/packages/gateway/src/requestAttempts.ts
+++ b/packages/gateway/src/requestAttempts.ts
@@ -227,7 +227,12 @@
       isRepeat,
       callerResponse,
       findMove: () => this.findMove(),
-      mayRunAgain: () => isRetryable(route) && this.possibleRunCount + 1 < route.maxAttempts,
+      mayRunAgain: () =>
+        isRetryable(route) &&
+        this.possibleRunCount + 1 < route.maxAttempts &&
+        context
+          .getRetryBudget(service)
+          .hasRetry(context.clusterState.nodeCount, context.clock.nowMs()),
       onFirstByte: (firstByteDelayMs) => {
         onFirstByte();
         recordTransferTime(context, head, placement, reusePlan, firstByteDelayMs);
