Decide in one place whether a request goes through a peer

The conditions (one hop, nothing sent to the caller, sends, runs, retry budget) stood in the handler of requests, where only tests with two nodes reach them.

--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { getHttpStatus } from '@lovagearch/common';
 import { MAX_SENDS_PER_REQUEST } from '@lovagearch/exchange';
+import { decideRelay } from '@lovagearch/relaying';
 import { isRetryable, type Route } from '@lovagearch/traffic';
 import { createRepeatRefusal, decideOverload, recordAdmitted } from './createOverloadRefusal.js';
 import { CallerResponse } from './callerResponse.js';
@@ -289,23 +290,26 @@
   private async endUnreachable(routedRequest: RoutedRequest): Promise<void> {
     const { context, attempts } = this;
     const { route, service } = routedRequest;
-    const runs = this.possibleRunCount;
-    const sends = attempts?.receivedCount ?? 0;
-    const isRepeat = sends > 0;
-    const budget = context.getRetryBudget(service);
     const { nodeCount } = context.clusterState;
     const nowMs = context.clock.nowMs();
-    const mayRepeat =
-      sends < Math.max(MAX_SENDS_PER_REQUEST, route.maxAttempts) &&
-      (runs === 0 || (isRetryable(route) && runs < route.maxAttempts)) &&
-      budget.hasRetry(nodeCount, nowMs);
-    // One hop at most: the peer that passed the request on asks others itself.
-    const mayRelay = this.acceptance === undefined && !this.callerResponse.hasStarted;
-    if (!mayRelay || (isRepeat && !mayRepeat)) {
+    const budget = context.getRetryBudget(service);
+    const runs = this.possibleRunCount;
+    const sends = attempts?.receivedCount ?? 0;
+    const decision = decideRelay({
+      isRelayed: this.acceptance !== undefined,
+      hasResponseStarted: this.callerResponse.hasStarted,
+      sends,
+      maxSends: Math.max(MAX_SENDS_PER_REQUEST, route.maxAttempts),
+      runs,
+      maxRuns: route.maxAttempts,
+      isRetryable: isRetryable(route),
+      hasRetryBudget: budget.hasRetry(nodeCount, nowMs),
+    });
+    if (decision.type === 'end') {
       this.refuseUnreachable(routedRequest, undefined);
       return;
     }
-    if (isRepeat) budget.tryTake(nodeCount, nowMs);
+    if (decision.isRetry) budget.tryTake(nodeCount, nowMs);
     this.relay = RequestRelay.create(context, {
       routedRequest,
       rawHeaders: this.incoming.rawHeaders,
--- a/packages/relaying/src/index.ts
+++ b/packages/relaying/src/index.ts
@@ -3,5 +3,6 @@
  * clock readings alone; it never waits or sends messages.
  */
 export { MAX_RELAY_TRIES } from './constants.js';
+export * from './decideRelay.js';
 export * from './relayAdmission.js';
 export * from './relayPeers.js';
