--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -20,14 +20,13 @@
 import { createFailure, createRefusal, type LocalReply, sendLocalReply } from './localReply.js';
 import { createStreamFields, logCallerLeft, logNotPlaced } from './requestLog.js';
 import { createQuarantineRefusal, isQuarantined } from './quarantine.js';
-import { RELAY_RESULT_HEADER } from './relay/relayHeaders.js';
+import { RELAY_RESULT_HEADER, type RelayedDetails } from './relay/relayHeaders.js';
 import type { RelayAcceptance } from './relay/acceptedRelay.js';
-import { isKeptByLostLinks, isServiceUnreachable } from './relay/findUnreachable.js';
+import { isKeptByLostLinks, isServiceUnreachable } from './relay/lostLinks.js';
 import { type RelayConclusion, RequestRelay } from './relay/requestRelay.js';
 import { RequestAttempts } from './requestAttempts.js';
 import { readBody } from './requestBody.js';
 import { getTimeLimitMs, routeRequest } from './routeRequest.js';
-import type { RelayedDetails } from './relay/relayHeaders.js';
 import type { RequestHead } from './types.js';
 import { waitForQueuedClose } from './waitForQueuedClose.js';
 
@@ -273,7 +272,7 @@
     return (this.attempts?.possibleRunCount ?? this.relayedDetails?.runs ?? 0) + relayedRuns;
   }
 
-  /** What the peer told that passed the request on; undefined if it came from its caller. */
+  /** What the peer that passed the request on told about it; undefined if it came from its caller. */
   private get relayedDetails(): RelayedDetails | undefined {
     return this.acceptance?.type === 'accepted' ? this.acceptance.details : undefined;
   }
--- a/packages/gateway/src/explainPlacement.ts
+++ b/packages/gateway/src/explainPlacement.ts
@@ -15,7 +15,7 @@
 import { findRateShare } from './endpointRates.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { placeRequest } from './placeRequest.js';
-import { isKeptByLostLinks } from './relay/findUnreachable.js';
+import { isKeptByLostLinks } from './relay/lostLinks.js';
 import { listRelayPeers } from './relay/relaying.js';
 import { getTimeLimitMs } from './routeRequest.js';
 import { listSharedPartIds } from './sharedParts.js';
--- a/packages/gateway/src/requestAttempts.ts
+++ b/packages/gateway/src/requestAttempts.ts
@@ -23,7 +23,7 @@
 import { type ChosenEndpoint, type PlacementResult, placeRequest } from './placeRequest.js';
 import { logAttemptFailed, logPlacement } from './requestLog.js';
 import { createCacheSalt, planReuse } from './reusePlan.js';
-import { isKeptByLostLinks } from './relay/findUnreachable.js';
+import { isKeptByLostLinks } from './relay/lostLinks.js';
 import { type Send, SendRace } from './sendRace.js';
 import { listSharedPartIds } from './sharedParts.js';
 
