Count the wait in the accept queue for a request's time limit, and begin requests a few per turn

What callers saw: after all VMs lose power, a request's time limit began when the gateway read it, up to seconds after it had arrived. Endpoints were handed more time than the caller had and worked on after it had left.

Cause: libuv 1.46, the one of Node.js 20, accepts one connection per turn of the event loop. Callers that connect again in a burst wait for as many turns as there are connections before them. No turn is long by itself, so that neither event_loop_delayed nor the start of the time limit knew of the wait. All requests of a turn began in it, which made turns longer.

Change: the folder intake dates a request back to the last turn that accepted no connection, or else to the turn before. At most 4 requests begin in a turn, and none for up to 50 ms while connections may wait, so that closes, limits and connections are handled before new work. Admission of relayed requests and hedges use the same delay.

--- a/packages/gateway/src/callerRequestHandler.ts
+++ b/packages/gateway/src/callerRequestHandler.ts
@@ -15,6 +15,7 @@
   UNREACHABLE_RETRY_AFTER_MS,
 } from './constants.js';
 import type { GatewayContext } from './gatewayContext.js';
+import type { Arrival } from './intake/requestIntake.js';
 import { planReturn } from './planReturn.js';
 import type { ChosenEndpoint } from './placeRequest.js';
 import { createFailure, createRefusal, type LocalReply, sendLocalReply } from './localReply.js';
@@ -28,7 +29,6 @@
 import { readBody } from './requestBody.js';
 import { getTimeLimitMs, routeRequest } from './routeRequest.js';
 import type { RequestHead } from './types.js';
-import { waitForQueuedClose } from './waitForQueuedClose.js';
 
 /** Statuses with which a peer says that a request may have run. */
 const PEER_FAILURE_STATUSES: ReadonlySet<number> = new Set([
@@ -44,7 +44,7 @@
   /** Clock reading at which the request arrived, at the earliest. */
   private readonly startMs: number;
 
-  private readonly readDelayMs: number;
+  private readonly arrival: Arrival;
 
   private readonly callerResponse: CallerResponse;
 
@@ -81,9 +81,8 @@
     private readonly response: ServerResponse,
     private readonly acceptance: RelayAcceptance | undefined,
   ) {
-    const nowMs = context.clock.nowMs();
-    this.readDelayMs = context.eventLoopMonitor.getReadDelayMs(nowMs);
-    this.startMs = nowMs - this.readDelayMs;
+    this.arrival = context.intake.dateRequest(incoming.socket);
+    this.startMs = this.arrival.atMs;
     this.callerResponse = CallerResponse.create(response, {
       isDraining: () => context.getShutdown() !== undefined,
       unsentMemory: context.unsentMemory,
@@ -171,7 +170,10 @@
       }
       case 'body': {
         this.releaseBody = read.release;
-        await waitForQueuedClose(this.readDelayMs);
+        const turnWait = context.intake.waitForTurn();
+        this.cancelHold = turnWait.cancel;
+        await turnWait.ended;
+        this.cancelHold = undefined;
         const service = chooseService(context, head, route, account);
         if (service === undefined) {
           this.reply(head, route, createRefusal('no_endpoint', 'the route has no target'));
--- a/packages/gateway/src/connectionAdmission.ts
+++ b/packages/gateway/src/connectionAdmission.ts
@@ -13,6 +13,7 @@
   MAX_GUARANTEED_REQUEST_BYTES,
   STALLED_AFTER_MS,
 } from './constants.js';
+import type { RequestIntake } from './intake/requestIntake.js';
 import type { GatewayLog } from './gatewayLog.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 
@@ -22,6 +23,7 @@
 export interface ConnectionAdmissionParts {
   readonly limits: CallerLimits;
   readonly bodyMemory: MemoryBudget;
+  readonly intake: Pick<RequestIntake, 'recordConnection'>;
   readonly clock: Clock;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
@@ -31,7 +33,7 @@
  * Admits connections and requests on all listeners of the process, by what the connections hold together.
  *
  * @example
- * const admission = ConnectionAdmission.create({ limits, bodyMemory, clock, log, metrics });
+ * const admission = ConnectionAdmission.create({ limits, bodyMemory, intake, clock, log, metrics });
  * admission.protect(server, 'callers');
  * admission.stop();
  */
@@ -74,7 +76,10 @@
       recordLimit: (limit) => this.recordLimit(limit),
       getMaxBodyBytes,
     };
-    server.on('connection', (socket: Socket) => this.admitConnection(socket, listener, host));
+    server.on('connection', (socket: Socket) => {
+      this.parts.intake.recordConnection(socket, listener);
+      this.admitConnection(socket, listener, host);
+    });
     server.prependListener('request', (incoming: IncomingMessage, response: ServerResponse) =>
       this.gates.get(incoming.socket)?.recordRequest(incoming, response),
     );
--- a/packages/gateway/src/connectionGate.test.ts
+++ b/packages/gateway/src/connectionGate.test.ts
@@ -33,6 +33,7 @@
     },
   };
   const admission = ConnectionAdmission.create({
+    intake: { recordConnection: () => undefined },
     limits,
     bodyMemory: MemoryBudget.create(MEMORY_BYTES),
     clock: { nowMs: () => performance.now() + state.skippedMs },
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -7,6 +7,7 @@
 import type { BrittleWaits } from './brittleness/brittleWaits.js';
 import type { ClusterState } from './clusterState.js';
 import type { EventLoopMonitor } from './eventLoopMonitor.js';
+import type { RequestIntake } from './intake/requestIntake.js';
 import type { LinkMonitor } from './links/linkMonitor.js';
 import type { HeldCalls } from './heldCalls.js';
 import type { GatewayLog } from './gatewayLog.js';
@@ -58,6 +59,7 @@
   /** Returns how a service has numbered the events of its streams so far. */
   readonly getEventIdHistory: (service: string) => EventIdHistory;
   readonly eventLoopMonitor: EventLoopMonitor;
+  readonly intake: RequestIntake;
   readonly routeDurations: RouteDurations;
   /** Whether a decision is only explained, so that it may change no state. */
   readonly isExplanation?: boolean;
--- a/packages/gateway/src/relay/acceptedRelay.ts
+++ b/packages/gateway/src/relay/acceptedRelay.ts
@@ -36,7 +36,7 @@
   context: GatewayContext,
   { headers, rawHeaders }: IncomingMessage,
 ): RelayAcceptance => {
-  const { relaying, bodyMemory, eventLoopMonitor, clock } = context;
+  const { relaying, bodyMemory, intake } = context;
   const details = decodeRelayedDetails(String(headers[RELAY_HEADER]));
   if (details === undefined) {
     const refusal = createRefusal('bad_request', `the header ${RELAY_HEADER} is malformed`);
@@ -45,7 +45,7 @@
   const decision = decideRelayAdmission({
     relayedRequests: relaying.acceptedRequests,
     bodyMemoryShare: bodyMemory.reservedBytes / Math.max(1, bodyMemory.limitBytes),
-    eventLoopDelayMs: eventLoopMonitor.getReadDelayMs(clock.nowMs()),
+    eventLoopDelayMs: intake.getReadDelayMs(),
   });
   switch (decision.type) {
     case 'take':
--- a/packages/gateway/src/sendRace.ts
+++ b/packages/gateway/src/sendRace.ts
@@ -198,8 +198,8 @@
     const { context } = this;
     const { routedRequest, hedging, findAlternative } = this.input;
     const { route, service } = routedRequest;
-    const { clusterState, eventLoopMonitor } = context;
-    const readDelayMs = eventLoopMonitor.getReadDelayMs(nowMs);
+    const { clusterState, intake } = context;
+    const readDelayMs = intake.getReadDelayMs();
     return {
       isRepeatable: isRetryable(route),
       hasCallerLeft: this.input.isStopped(),
--- a/packages/gateway/src/startGateway.ts
+++ b/packages/gateway/src/startGateway.ts
@@ -37,6 +37,7 @@
   STRIKE_PUBLISH_INTERVAL_MS,
 } from './constants.js';
 import { EventLoopMonitor, readProcessorMs } from './eventLoopMonitor.js';
+import { RequestIntake } from './intake/requestIntake.js';
 import { ConnectionAdmission } from './connectionAdmission.js';
 import { findRejectionLimit } from './brittleness/brittleEndpoints.js';
 import { BrittleServices } from './brittleness/brittleServices.js';
@@ -327,10 +328,11 @@
     maxFds: settings.maxFds,
   });
   const eventLoopMonitor = EventLoopMonitor.create(clock.nowMs(), readProcessorMs());
+  const intake = RequestIntake.create(clock, eventLoopMonitor);
   const pool = ConnectionPool.create({
     pacer: responseLimits.pacer,
     clock: suspensionClock,
-    getReadDelayMs: () => eventLoopMonitor.getReadDelayMs(clock.nowMs()),
+    getReadDelayMs: () => intake.getReadDelayMs(),
   });
   const links = LinkMonitor.create({ pool, clusterState, clock, random, log, metrics });
   pool.onOpening = (endpointStart, progress) => links.recordOpening(endpointStart, progress);
@@ -377,6 +379,7 @@
       return history;
     },
     eventLoopMonitor,
+    intake,
     routeDurations: RouteDurations.create(),
     hedging:
       settings.hedgingShares === undefined ? undefined : Hedging.create(settings.hedgingShares),
@@ -401,6 +404,7 @@
   const admission = ConnectionAdmission.create({
     limits: callerLimits,
     bodyMemory: context.bodyMemory,
+    intake,
     clock,
     log,
     metrics,
