Leave Node's HTTP/2 module and the loader of the codec's native part out of the bundle

What callers saw: part of the time in which a restarted VM answers nothing.

Cause: a profile of a restarted process attributes 45 ms of its first 480 ms to finding out the C library for the native part of msgpackr, which the bundle doesn't contain, and 34 ms to node:http2, which fastify loads too.

--- a/scripts/build-target.mjs
+++ b/scripts/build-target.mjs
@@ -31,10 +31,14 @@
     onResolve({ filter: /^@fastify\/(ajv|fast-json-stringify)-compiler$/ }, () => ({
       path: join(root, 'scripts/no-schemas.cjs'),
     }));
-    // Endpoints speak HTTP/1.1; loading the module of Node.js for HTTP/2 takes a tenth of the time of a start.
-    onResolve({ filter: /\/client-h2(\.js)?$/ }, () => ({
+    // No listener or client speaks HTTP/2, and loading the module of Node.js takes a tenth of the time of a start.
+    onResolve({ filter: /^(node:)?http2$/ }, () => ({
       path: join(root, 'scripts/no-http2.cjs'),
     }));
+    // The codec works without its native part, whose loader reads the binary of Node.js first.
+    onResolve({ filter: /^msgpackr-extract$/ }, () => ({
+      path: join(root, 'scripts/no-native-codec.cjs'),
+    }));
   },
 };
 
--- a/scripts/no-http2.cjs
+++ b/scripts/no-http2.cjs
@@ -1,4 +1,2 @@
-// Takes the place of the HTTP client's HTTP/2 connections, which are never negotiated.
-module.exports = () => {
-  throw new Error('HTTP/2 is not supported');
-};
+// Takes the place of Node's HTTP/2 module, which libraries load but the gateway never uses.
+module.exports = { constants: {} };
