Keep the clock still while the ends of a shared check are read in its test

The test 'ends that are read together share a check' failed once at load 20: the three ends are read in one turn, but a check is shared only for a short time of the process clock, and the test process waited for a core in between. The clock of the pool now stands still until all three have been read. What is asserted is the same: all three results, and one connection.

--- a/packages/exchange/src/endpointCheck.test.ts
+++ b/packages/exchange/src/endpointCheck.test.ts
@@ -77,7 +77,7 @@
     const request = {
       method: 'GET',
       path: `/${answer}`,
-      headers: ['host', 'x'],
+      createHeaders: () => ['host', 'x'],
       body: undefined,
       isRepeat: false,
     };
@@ -223,9 +223,13 @@
 // Guards against a connection for each of many streams that end together.
 t.test('ends that are read together share a check', async (t2) => {
   const endpoint = await startEndpoint(t2);
-  const pool = ConnectionPool.create();
+  // The clock stands still meanwhile, as the test process may wait for a core between two ends.
+  let readTogetherAtMs: number | undefined = processClock.nowMs();
+  const clock = { nowMs: () => readTogetherAtMs ?? processClock.nowMs() };
+  const pool = ConnectionPool.create({ clock });
   t2.teardown(() => pool.closeAll());
   const checks = [1, 2, 3].map(async () => check(pool, endpoint.address));
+  readTogetherAtMs = undefined;
   t2.strictSame(await Promise.all(checks), ['running', 'running', 'running']);
   t2.equal(pool.openedConnections, 1);
 });
