Tell an endpoint the time that is left when its connection is open, and send nothing without time

What callers saw: nothing. Endpoints were told a time limit from before their connection was opened, which may take 800 ms; with a slow opening, work went on for that long after the caller's limit.

Cause: headers were encoded when the attempt began.

Change: a new connection is opened first, and headers, those of a relayed request as well, are created when it is established.

Result: the new test fails on the code before, where headers had to be passed with the request (the field createHeaders didn't exist).

--- a/packages/exchange/src/brokenOffResponses.test.ts
+++ b/packages/exchange/src/brokenOffResponses.test.ts
@@ -49,7 +49,7 @@
     const request = {
       method: 'GET',
       path: '/',
-      headers: ['host', 'x'],
+      createHeaders: () => ['host', 'x'],
       body: undefined,
       isRepeat: false,
     };
--- a/packages/exchange/src/cancelledResponses.test.ts
+++ b/packages/exchange/src/cancelledResponses.test.ts
@@ -39,7 +39,7 @@
   const request = {
     method: 'GET',
     path: '/',
-    headers: ['host', 'x'],
+    createHeaders: () => ['host', 'x'],
     body: undefined,
     isRepeat: false,
   };
--- a/packages/exchange/src/endpointConnection.ts
+++ b/packages/exchange/src/endpointConnection.ts
@@ -305,15 +305,18 @@
       },
       onResponseError: (_controller, error) => fail(error),
     };
-    this.client.dispatch(
-      {
-        method: request.method,
-        path: request.path,
-        headers: [...request.headers],
-        body: request.body ?? null,
-      },
-      handler,
-    );
+    const dispatch = () =>
+      this.client.dispatch(
+        {
+          method: request.method,
+          path: request.path,
+          headers: [...request.createHeaders()],
+          body: request.body ?? null,
+        },
+        handler,
+      );
+    if (this.socket === undefined) this.openForRequest(dispatch, fail);
+    else dispatch();
     // A new connection gets its socket after this call.
     const getUnsentBytes = () => (this.socket === undefined ? 0 : readUnsentBytes(this.socket));
     return {
@@ -342,6 +345,28 @@
     };
   }
 
+  /** Opens the connection for its first request, which the HTTP client gets once the connection is established. */
+  private openForRequest(dispatch: () => void, fail: (error: Error) => void): void {
+    const address = parseSocketAddress(this.address);
+    if (address === undefined) {
+      fail(new Error('the address is invalid'));
+      return;
+    }
+    this.isOpenedAhead = true;
+    this.openSocket(address.host, address.port, (error, socket) => {
+      if (error !== null) {
+        fail(error);
+        return;
+      }
+      this.takeOpenedSocket = () => {
+        this.takeOpenedSocket = undefined;
+        this.isOpenedAhead = false;
+        return socket;
+      };
+      dispatch();
+    });
+  }
+
   /**
    * Fails an exchange whose response consists of framing without end, such as a status line or chunk
    * extensions. The HTTP client limits only headers and skips the rest.
--- a/packages/exchange/src/exchange.test.ts
+++ b/packages/exchange/src/exchange.test.ts
@@ -178,7 +178,7 @@
     const request = {
       method: 'GET',
       path: '/',
-      headers: ['host', 'x'],
+      createHeaders: () => ['host', 'x'],
       body: undefined,
       isRepeat,
     };
@@ -250,7 +250,13 @@
   server.close();
 });
 
-const IDLE_REQUEST = { method: 'GET', path: '/', headers: [], body: undefined, isRepeat: false };
+const IDLE_REQUEST = {
+  method: 'GET',
+  path: '/',
+  createHeaders: () => [],
+  body: undefined,
+  isRepeat: false,
+};
 const IDLE_LISTENER = {
   canSend: () => true,
   onHeaders: () => undefined,
@@ -282,7 +288,7 @@
     const request = {
       method: 'GET',
       path: '/',
-      headers: ['host', 'x'],
+      createHeaders: () => ['host', 'x'],
       body: undefined,
       isRepeat: false,
     };
@@ -317,7 +323,7 @@
   const request = {
     method: 'GET',
     path: '/',
-    headers: ['host', 'x'],
+    createHeaders: () => ['host', 'x'],
     body: undefined,
     isRepeat: false,
   };
@@ -425,3 +431,32 @@
     t2.equal(receivedBytes, 0);
   },
 );
+
+// Guards against endpoints that are told a time limit from before the connection was opened, which can take 800 ms.
+t.test('headers are created when the connection is open', async (t2) => {
+  const { server, port } = await startRawServer((socket) => {
+    socket.on('data', () => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'));
+  });
+  const pool = ConnectionPool.create();
+  const send = async () => {
+    let isSynchronous = true;
+    let wasSynchronous: boolean | undefined;
+    const { promise, resolve } = withResolvers();
+    const createHeaders = () => {
+      wasSynchronous = isSynchronous;
+      return [];
+    };
+    const listener = { ...IDLE_LISTENER, onEnd: () => resolve('') };
+    pool.send('i-1', `127.0.0.1:${port}`, 1, { ...IDLE_REQUEST, createHeaders }, listener);
+    isSynchronous = false;
+    await promise;
+    return wasSynchronous;
+  };
+  t2.equal(await send(), false, 'a new connection');
+  await new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+  t2.equal(await send(), true, 'an idle connection');
+  pool.closeAll();
+  server.close();
+});
--- a/packages/exchange/src/types.ts
+++ b/packages/exchange/src/types.ts
@@ -3,8 +3,11 @@
   readonly method: string;
   /** Path and query as the caller sent them. */
   readonly path: string;
-  /** Alternating names and values. */
-  readonly headers: readonly string[];
+  /**
+   * Returns alternating names and values. Called once the connection is open, so that a time limit in them leaves out the
+   * time that opening it took.
+   */
+  readonly createHeaders: () => readonly string[];
   readonly body: Buffer | undefined;
   /**
    * Whether the endpoint has received a request with the same id before. Such a request gets a new
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -54,9 +54,11 @@
 
 export interface AttemptInput {
   readonly requestId: string;
-  readonly request: EndpointRequest;
-  /** Time limit in the request's headers, in milliseconds. */
-  readonly handedMs: number;
+  readonly request: Omit<EndpointRequest, 'createHeaders'>;
+  /** Returns the time that is left for the request, in milliseconds. */
+  readonly getRemainingMs: () => number;
+  /** @param handedMs time limit that the endpoint is told, in milliseconds */
+  readonly createHeaders: (handedMs: number) => readonly string[];
   readonly endpoint: Endpoint;
   readonly placement: Placement;
   /** KV cache tokens that the request needs at the endpoint: its prompt and longest output. */
@@ -179,10 +181,8 @@
     return new Attempt(parts, input);
   }
 
-  /** Time that the endpoint was told that is left, in milliseconds. */
-  get handedMs(): number {
-    return this.input.handedMs;
-  }
+  /** Time limit that the endpoint was told, in milliseconds; undefined before its connection is open. */
+  handedMs: number | undefined;
 
   /** Bytes of the request that were not sent when the attempt ended; undefined while it goes on. */
   unsentBytesAtEnd: number | undefined;
@@ -261,7 +261,7 @@
       getEndpointStartKey(endpoint),
       endpoint.record.address,
       maxConnections,
-      request,
+      { ...request, createHeaders: () => this.createHeaders() },
       {
         canSend: () => this.dependencies.canSend(),
         onHeaders: (status, headers) => this.handleHeaders(status, headers),
@@ -280,6 +280,12 @@
     else if (stallTimeoutMs !== undefined) this.scheduleStallCheck(stallTimeoutMs);
   }
 
+  private createHeaders(): readonly string[] {
+    const { createHeaders, getRemainingMs } = this.input;
+    this.handedMs = Math.max(1, Math.floor(getRemainingMs()));
+    return createHeaders(this.handedMs);
+  }
+
   /** Checks a response that has begun without waiting for the stall timeout. */
   private leaveSilentResponse(): void {
     if (!this.hasOutput || this.isPaused || this.input.stallTimeoutMs === undefined) return;
--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -4,7 +4,11 @@
 import type { CallerResponse } from './callerResponse.js';
 import { Attempt, getEndpointStartKey } from './attempt.js';
 import { recordColdAfterCrash } from './coldEndpoints.js';
-import { CALL_STALL_FACTOR, STREAM_STALL_TIMEOUT_MS } from './constants.js';
+import {
+  CALL_STALL_FACTOR,
+  MIN_REMAINING_TO_SEND_MS,
+  STREAM_STALL_TIMEOUT_MS,
+} from './constants.js';
 import { checkEndpointLife } from './checkEndpointLife.js';
 import { applyStatements } from './endpointStatements.js';
 import type { GatewayContext } from './gatewayContext.js';
@@ -59,25 +63,28 @@
   const startKey = getEndpointStartKey(endpoint);
   const isStreaming = route.kind === 'streaming';
   if (isStreaming) context.recordSoftwareSend(service, endpoint.record.softwareVersion);
-  const handedMs = Math.max(1, Math.floor(remainingMs));
-  const headers = context.headers.encodeEndpointHeaders(head, {
-    endpointId: endpoint.record.id,
-    accountName: account?.name,
-    remainingMs: handedMs,
-    cacheSalt: reusePlan.cacheSalt,
-    expectedWeights: reusePlan.expectedWeights,
-    fetchFrom: reusePlan.fetchFrom,
-    saveTo: reusePlan.saveTo,
-    enginePriority: isStreaming ? (account?.priority ?? route.priority) : undefined,
-    lastEventId: framer?.lastEventId ?? head.lastEventId,
-  });
+  const endMs = context.clock.nowMs() + remainingMs;
+  const getRemainingMs = () => endMs - context.clock.nowMs();
+  const createHeaders = (handedMs: number) =>
+    context.headers.encodeEndpointHeaders(head, {
+      endpointId: endpoint.record.id,
+      accountName: account?.name,
+      remainingMs: handedMs,
+      cacheSalt: reusePlan.cacheSalt,
+      expectedWeights: reusePlan.expectedWeights,
+      fetchFrom: reusePlan.fetchFrom,
+      saveTo: reusePlan.saveTo,
+      enginePriority: isStreaming ? (account?.priority ?? route.priority) : undefined,
+      lastEventId: framer?.lastEventId ?? head.lastEventId,
+    });
+  const canSend = createSendCheck(context, routedRequest, chosen);
   return Attempt.create(
     {
       pool: context.pool,
       headers: context.headers,
       clock: context.clock,
       memory: context.responseLimits.memory,
-      canSend: createSendCheck(context, routedRequest, chosen),
+      canSend: () => getRemainingMs() >= MIN_REMAINING_TO_SEND_MS && canSend(),
       nodeCount: context.clusterState.nodeCount,
       findMove: options.findMove,
       mayRunAgain: options.mayRunAgain,
@@ -107,8 +114,9 @@
     },
     {
       requestId: head.requestId,
-      request: { method: head.method, path: head.path, headers, body, isRepeat },
-      handedMs,
+      request: { method: head.method, path: head.path, body, isRepeat },
+      getRemainingMs,
+      createHeaders,
       endpoint,
       placement,
       mayLoadParts: reusePlan.fetchFrom.some((address) => address !== undefined),
--- a/packages/gateway/src/relay/requestRelay.ts
+++ b/packages/gateway/src/relay/requestRelay.ts
@@ -145,14 +145,14 @@
     const { context } = this;
     const { routedRequest, rawHeaders, callerResponse, runs, sends, isCounted } = this.input;
     const { head, body } = routedRequest;
-    const limitMs = Math.max(1, Math.floor(this.input.getRemainingMs()));
-    const headers = encodeRelayedHeaders(rawHeaders, {
-      node: context.settings.nodeName,
-      limitMs,
-      runs,
-      sends,
-      isCounted,
-    });
+    const createHeaders = () =>
+      encodeRelayedHeaders(rawHeaders, {
+        node: context.settings.nodeName,
+        limitMs: Math.max(1, Math.floor(this.input.getRemainingMs())),
+        runs,
+        sends,
+        isCounted,
+      });
     this.send = RelaySend.create(
       {
         pool: context.relaying.pool,
@@ -161,7 +161,7 @@
       },
       {
         peer,
-        request: { method: head.method, path: head.path, headers, body, isRepeat: false },
+        request: { method: head.method, path: head.path, createHeaders, body, isRepeat: false },
         isStream: routedRequest.route.kind === 'streaming',
         callerResponse,
         onFirstByte: this.input.onFirstByte,
--- a/packages/gateway/src/requestAttempts.ts
+++ b/packages/gateway/src/requestAttempts.ts
@@ -122,8 +122,12 @@
     return new RequestAttempts(context, input);
   }
 
-  /** Time that each endpoint was told that is left, in milliseconds. */
-  readonly handedMs: number[] = [];
+  private readonly attempts: Attempt[] = [];
+
+  /** Time limits that endpoints were told, in milliseconds and in the order of the sends. */
+  get handedMs(): number[] {
+    return this.attempts.flatMap(({ handedMs = [] }) => handedMs);
+  }
 
   /** Bytes of the last sends that were not sent when they ended. */
   get unsentBytesAtEnd(): number {
@@ -255,7 +259,7 @@
         this.race?.claimResponse(attempt);
       },
     });
-    this.handedMs.push(attempt.handedMs);
+    this.attempts.push(attempt);
     return { chosen, attempt, framer, sentAtMs, outcome: this.runAttempt(chosen, attempt) };
   }
 
