--- a/packages/exchange/src/exchange.test.ts
+++ b/packages/exchange/src/exchange.test.ts
@@ -435,7 +435,9 @@
 // Guards against endpoints that are told a time limit from before the connection was opened, which can take 800 ms.
 t.test('headers are created when the connection is open', async (t2) => {
   const { server, port } = await startRawServer((socket) => {
-    socket.on('data', () => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'));
+    const answer = () => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n');
+    answer();
+    socket.on('data', answer);
   });
   const pool = ConnectionPool.create();
   const send = async () => {
